--- /dev/null
+++ b/demo/processes.ts
@@ -0,0 +1,161 @@
+/** Starts the system's processes on loopback: hosts and stand-in databases. */
+import { spawn, type ChildProcess } from 'node:child_process'
+import { createWriteStream } from 'node:fs'
+import { mkdir, writeFile } from 'node:fs/promises'
+import { createServer, type AddressInfo } from 'node:net'
+import { join } from 'node:path'
+import { createInterface } from 'node:readline'
+import { fileURLToPath } from 'node:url'
+
+const BUILT = fileURLToPath(new URL(import.meta.url.includes('/dist/') ? '..' : '../dist', import.meta.url))
+const READY_WITHIN_MS = 20_000
+
+/** A process that said it is ready. */
+export interface RunningProcess<Ready> {
+  readonly name: string
+  readonly child: ChildProcess
+  readonly ready: Ready
+}
+
+/** A host to start. */
+export interface HostPlan {
+  readonly name: string
+  readonly failureDomain: string
+  readonly control: boolean
+}
+
+/** A database to start. */
+export interface DatabasePlan {
+  readonly name: string
+  readonly group: string
+  readonly failureDomain: string
+  readonly primary: boolean
+  readonly slots?: number
+  readonly connections?: number
+  readonly connectMs?: number
+  readonly statementMs?: number
+  readonly lagMs?: number
+}
+
+/** The addresses of a host. */
+export interface HostAddresses {
+  readonly callers: string
+  readonly peers: string
+  readonly operators: string
+}
+
+/** A started host, with what it takes to start it again. */
+export interface StartedHost {
+  readonly plan: HostPlan
+  readonly addresses: HostAddresses
+  readonly settingsFile: string
+  readonly dataFolder?: string
+  process: RunningProcess<HostAddresses>
+}
+
+/** A started database, with what it takes to start it again. */
+export interface StartedDatabase {
+  readonly plan: DatabasePlan
+  readonly address: string
+  readonly args: readonly string[]
+  process: RunningProcess<{ readonly address: string }>
+}
+
+/** Finds free ports on loopback. */
+export async function pickPorts (count: number): Promise<readonly number[]> {
+  const servers = Array.from({ length: count }, () => createServer())
+  await Promise.all(servers.map(server => new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))))
+  const ports = servers.map(server => (server.address() as AddressInfo).port)
+  await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))))
+  return ports
+}
+
+/** Starts a compiled program and waits until it prints its ready line. */
+export async function startProcess<Ready> (name: string, script: string, args: readonly string[], directory: string): Promise<RunningProcess<Ready>> {
+  const child = spawn(process.execPath, [join(BUILT, script), ...args], { stdio: ['ignore', 'pipe', 'pipe'] })
+  const log = createWriteStream(join(directory, `${name}.log`), { flags: 'a' })
+  child.stdout.pipe(log)
+  child.stderr.pipe(log)
+  const ready = await new Promise<Ready>((resolve, reject) => {
+    const timer = setTimeout(() => reject(new Error(`${name} is not ready`)), READY_WITHIN_MS)
+    child.once('exit', code => reject(new Error(`${name} ended with ${code} before it was ready`)))
+    createInterface({ input: child.stdout }).on('line', line => {
+      const said = parseReady<Ready>(line)
+      if (said === undefined) return
+      clearTimeout(timer)
+      resolve(said)
+    })
+  })
+  return { name, child, ready }
+}
+
+/** Starts hosts, whose control group is the planned control hosts. */
+export async function startHosts (plans: readonly HostPlan[], directory: string): Promise<readonly StartedHost[]> {
+  const ports = await pickPorts(plans.length * 3)
+  const addresses = plans.map((_, index): HostAddresses => ({
+    callers: `127.0.0.1:${ports[index * 3]}`,
+    peers: `127.0.0.1:${ports[index * 3 + 1]}`,
+    operators: `127.0.0.1:${ports[index * 3 + 2]}`
+  }))
+  const control = plans.flatMap((plan, index) => (plan.control ? [{ host: plan.name, peers: addresses[index]!.peers }] : []))
+  return await Promise.all(plans.map(async (plan, index) => await startHost(plan, addresses[index]!, control, directory)))
+}
+
+async function startHost (plan: HostPlan, addresses: HostAddresses, control: ReadonlyArray<{ readonly host: string, readonly peers: string }>, directory: string): Promise<StartedHost> {
+  const dataFolder = plan.control ? join(directory, `${plan.name}.data`) : undefined
+  if (dataFolder !== undefined) await mkdir(dataFolder, { recursive: true })
+  const settingsFile = join(directory, `${plan.name}.jsonc`)
+  const settings = { host: plan.name, failureDomain: plan.failureDomain, ...addresses, control, dataFolder }
+  await writeFile(settingsFile, JSON.stringify(settings, undefined, 2))
+  const started = await startProcess<HostAddresses>(plan.name, 'src/daemon/main.js', ['--settings', settingsFile], directory)
+  return { plan, addresses, settingsFile, dataFolder, process: started }
+}
+
+/** Starts a host again on its old addresses, after it ended. */
+export async function restartHost (host: StartedHost, directory: string): Promise<void> {
+  host.process = await startProcess<HostAddresses>(host.plan.name, 'src/daemon/main.js', ['--settings', host.settingsFile], directory)
+}
+
+/** Starts databases, which announce themselves to the hosts of their failure domain. */
+export async function startDatabases (plans: readonly DatabasePlan[], hosts: readonly StartedHost[], secrets: readonly string[], directory: string): Promise<readonly StartedDatabase[]> {
+  const ports = await pickPorts(plans.length)
+  const addresses = new Map(plans.map((plan, index) => [plan.name, `127.0.0.1:${ports[index]}`]))
+  const primaries = new Map(plans.filter(plan => plan.primary).map(plan => [plan.group, addresses.get(plan.name)!]))
+  return await Promise.all(plans.map(async plan => {
+    const near = hosts.filter(host => host.plan.failureDomain === plan.failureDomain).map(host => host.addresses.peers)
+    const address = addresses.get(plan.name)!
+    const role = plan.primary ? ['--primary'] : ['--follow', primaries.get(plan.group)!]
+    const args = [...createDatabaseArgs(plan), '--port', address.split(':')[1]!, '--hosts', near.join(','), '--secrets', secrets.join(','), ...role]
+    return { plan, address, args, process: await startProcess<{ readonly address: string }>(plan.name, 'standin/main.js', args, directory) }
+  }))
+}
+
+function createDatabaseArgs (plan: DatabasePlan): readonly string[] {
+  const { name, group, failureDomain, slots = 3, connections = 20, connectMs = 10, statementMs = 1, lagMs = 5 } = plan
+  return [
+    '--name', name,
+    '--group', group,
+    '--failure-domain', failureDomain,
+    '--slots', String(slots),
+    '--connections', String(connections),
+    '--connect-ms', String(connectMs),
+    '--statement-ms', String(statementMs),
+    '--lag-ms', String(lagMs)
+  ]
+}
+
+/** Ends processes that this program started. */
+export async function endProcesses (processes: ReadonlyArray<RunningProcess<unknown>>, signal: NodeJS.Signals = 'SIGKILL'): Promise<void> {
+  await Promise.all(processes.map(async ({ child }) => {
+    if (child.exitCode !== null || child.signalCode !== null) return
+    const ended = new Promise(resolve => child.once('exit', resolve))
+    child.kill('SIGCONT')
+    child.kill(signal)
+    await ended
+  }))
+}
+
+function parseReady<Ready> (line: string): Ready | undefined {
+  if (!line.startsWith('{"ready"')) return undefined
+  return (JSON.parse(line) as { readonly ready: Ready }).ready
+}
--- /dev/null
+++ b/src/core/message.ts
@@ -0,0 +1,125 @@
+/** What the loop hands to slices, and what slices hand back. */
+
+/** A typed, read-only message. The part of `kind` before the slash names the slice that owns it. */
+export interface Message {
+  readonly kind: string
+}
+
+/** A typed, read-only effect. The part of `kind` before the slash names the adapter that carries it out. */
+export interface Effect {
+  readonly kind: string
+  /** The monotonic time after which the effect must not leave any more, such as the end of a lease. */
+  readonly notAfterMs?: number
+  /** Delivered in place of an effect that came too late. */
+  readonly otherwise?: Message
+}
+
+/** Time and randomness at the delivery of one message. */
+export interface Moment {
+  /** Milliseconds of a clock that never steps back and goes on while the process is frozen. */
+  readonly monotonicMs: number
+  /** Milliseconds since the epoch, for display only. */
+  readonly wallMs: number
+  /** A fresh random number in [0, 1). */
+  readonly random: number
+}
+
+/** The outcome of one decision: the next state and the effects to carry out. */
+export interface Step<State, E extends Effect> {
+  readonly state: State
+  readonly effects: readonly E[]
+}
+
+/** Delivers a message to a slice of this process. */
+export interface Tell<M extends Message = Message> {
+  readonly kind: 'loop/tell'
+  readonly message: M
+}
+
+/** Delivers a message after a delay; a timer of the same name replaces the earlier one. */
+export interface SetTimer<M extends Message = Message> {
+  readonly kind: 'timer/set'
+  readonly name: string
+  readonly afterMs: number
+  readonly message: M
+}
+
+/** Drops a timer. */
+export interface ClearTimer {
+  readonly kind: 'timer/clear'
+  readonly name: string
+}
+
+/** Sends a message to a slice of another host. Delivery is not certain. */
+export interface SendPeer<M extends Message = Message> {
+  readonly kind: 'peer/send'
+  readonly to: string
+  readonly message: M
+}
+
+/** Tells the links where hosts listen. */
+export interface LearnPeers {
+  readonly kind: 'peer/learn'
+  readonly addresses: ReadonlyArray<{ readonly host: string, readonly peers: string }>
+}
+
+/** Adds an event to the time line. */
+export interface RecordEvent {
+  readonly kind: 'timeline/record'
+  readonly event: string
+  readonly text: string
+  readonly group?: string
+  readonly request?: string
+}
+
+/** The effects that any slice may use. */
+export type CoreEffect = Tell | SetTimer | ClearTimer | SendPeer | LearnPeers | RecordEvent
+
+/**
+ * Creates the effect that delivers a message to a slice of this process.
+ * @example tell({ kind: 'membership/started' })
+ */
+export function tell<M extends Message> (message: M): Tell<M> {
+  return { kind: 'loop/tell', message }
+}
+
+/**
+ * Creates the effect that delivers a message after a delay.
+ * @example setTimer('membership/beat', 150, { kind: 'membership/beat' })
+ */
+export function setTimer<M extends Message> (name: string, afterMs: number, message: M): SetTimer<M> {
+  return { kind: 'timer/set', name, afterMs, message }
+}
+
+/**
+ * Creates the effect that drops a timer.
+ * @example clearTimer('membership/beat')
+ */
+export function clearTimer (name: string): ClearTimer {
+  return { kind: 'timer/clear', name }
+}
+
+/**
+ * Creates the effect that sends a message to another host.
+ * @example sendPeer('host-2', { kind: 'membership/beat' })
+ */
+export function sendPeer<M extends Message> (to: string, message: M): SendPeer<M> {
+  return { kind: 'peer/send', to, message }
+}
+
+/**
+ * Creates the effect that adds an event to the time line.
+ * @example recordEvent('promoted', 'Database a1 is primary of group a.', { group: 'a' })
+ */
+export function recordEvent (event: string, text: string, about: { readonly group?: string, readonly request?: string } = {}): RecordEvent {
+  return { kind: 'timeline/record', event, text, ...about }
+}
+
+/**
+ * Returns the slice or adapter that a message or effect belongs to.
+ * @example readOwner('routing/choose') // 'routing'
+ */
+export function readOwner (kind: string): string {
+  const slash = kind.indexOf('/')
+  return slash < 0 ? kind : kind.slice(0, slash)
+}
--- /dev/null
+++ b/src/core/position.ts
@@ -0,0 +1,34 @@
+/** Log positions of a database group. */
+
+/** A place in a group's log: the term that wrote it, and how many entries stand up to it. */
+export interface LogPosition {
+  readonly term: number
+  readonly offset: number
+}
+
+/** The position before the first entry. */
+export const ORIGIN: LogPosition = { term: 0, offset: 0 }
+
+/**
+ * Orders two positions: by term first, then by offset. Negative when `a` comes first.
+ * @example comparePositions({ term: 1, offset: 9 }, { term: 2, offset: 1 }) // < 0
+ */
+export function comparePositions (a: LogPosition, b: LogPosition): number {
+  return a.term - b.term || a.offset - b.offset
+}
+
+/**
+ * Tells whether a database at `held` has everything up to `wanted`, given that `wanted` was acknowledged.
+ * @example coversPosition({ term: 2, offset: 5 }, { term: 1, offset: 9 }) // true
+ */
+export function coversPosition (held: LogPosition, wanted: LogPosition): boolean {
+  return comparePositions(held, wanted) >= 0
+}
+
+/**
+ * Returns the later of two positions.
+ * @example pickLater({ term: 1, offset: 1 }, { term: 1, offset: 2 }).offset // 2
+ */
+export function pickLater (a: LogPosition, b: LogPosition): LogPosition {
+  return comparePositions(a, b) >= 0 ? a : b
+}
--- /dev/null
+++ b/src/daemon/host.ts
@@ -0,0 +1,85 @@
+/** A host: its loop, its slices and its adapters, put together from its settings. */
+import { randomBytes } from 'node:crypto'
+import { SystemClock } from '../core/clock.js'
+import { Loop } from '../core/loop.js'
+import { PostgresDriver } from '../databases/postgres/driver.js'
+import { splitAddress } from '../databases/postgres/connection.js'
+import { PostgresFrontEnd } from '../frontends/postgres/frontend.js'
+import { ConnectAnnouncements } from '../membership/announcements.js'
+import type { HostPost } from '../messages.js'
+import { OperatorsDoor } from '../operations/operators.js'
+import { ConnectPeerLink } from '../peers/connect.js'
+import type { Settings } from '../settings/settings.js'
+import { TimelineRecorder } from '../timeline/record.js'
+import { listenForOperators, listenForPeers, type Listening } from './listen.js'
+import { createSlices } from './slices.js'
+
+const INCARNATION_BYTES = 8
+
+/** The addresses that a host listens on. */
+export interface HostAddresses {
+  readonly callers: string
+  readonly peers: string
+  readonly operators: string
+}
+
+/** A running host. */
+export class Host {
+  readonly addresses: HostAddresses
+  readonly #parts: ReadonlyArray<AsyncDisposable>
+
+  private constructor (addresses: HostAddresses, parts: ReadonlyArray<AsyncDisposable>) {
+    this.addresses = addresses
+    this.#parts = parts
+  }
+
+  /**
+   * Starts a host.
+   * @example await using host = await Host.create(settings, fault => process.exit(70))
+   * @throws when an address can't be listened on.
+   */
+  static async create (settings: Settings, onFault: (fault: unknown) => void): Promise<Host> {
+    const loop = Loop.create({ clock: SystemClock.create(), slices: createSlices(settings), onFault })
+    const link = ConnectPeerLink.create(settings.host, loop.post, host => [
+      { kind: 'requests/peer-lost', host },
+      { kind: 'transactions/host-lost', host }
+    ])
+    const frontEnd = PostgresFrontEnd.create({ host: settings.host, post: loop.post, messageBytes: settings.limits.messageBytes })
+    const driver = PostgresDriver.create(loop.post)
+    const door = OperatorsDoor.create(loop.post)
+    const announcements = ConnectAnnouncements.create(loop.post)
+    for (const adapter of [link, frontEnd, driver, door, TimelineRecorder.create()]) loop.addAdapter(adapter)
+    const peers = await listenForPeers(settings.peers, router => {
+      link.addRoutes(router)
+      announcements.addRoutes(router)
+    })
+    const operators = await listenForOperators(settings.operators, router => door.addRoutes(router))
+    const callers = await frontEnd.listen(...splitAddress(settings.callers))
+    startSlices(settings, loop, link, peers)
+    return new Host({ callers, peers: peers.address, operators: operators.address }, [frontEnd, operators, peers, link, driver, loop])
+  }
+
+  async [Symbol.asyncDispose] (): Promise<void> {
+    for (const part of this.#parts) await part[Symbol.asyncDispose]()
+  }
+}
+
+function startSlices (settings: Settings, loop: Loop, link: ConnectPeerLink, peers: Listening): void {
+  link.learnAddresses(settings.control)
+  const leader = settings.control[0]?.host
+  const post: HostPost = loop.post
+  post({
+    kind: 'membership/started',
+    self: {
+      kind: 'host',
+      host: settings.host,
+      incarnation: randomBytes(INCARNATION_BYTES).toString('hex'),
+      failureDomain: settings.failureDomain,
+      peers: peers.address,
+      draining: false
+    }
+  })
+  post({ kind: 'membership/leader-changed', leader, epoch: 1 })
+  post({ kind: 'operations/leader-known', leader })
+  post({ kind: 'routing/ask-due' })
+}
--- /dev/null
+++ b/src/daemon/listen.ts
@@ -0,0 +1,59 @@
+/** Servers of a host. */
+import { createServer as createHttpServer, type Server } from 'node:http'
+import { createServer as createHttp2Server, type Http2Server, type ServerHttp2Session } from 'node:http2'
+import type { AddressInfo } from 'node:net'
+import { connectNodeAdapter } from '@connectrpc/connect-node'
+import type { ConnectRouter } from '@connectrpc/connect'
+import { splitAddress } from '../databases/postgres/connection.js'
+
+/** A server that listens. */
+export interface Listening extends AsyncDisposable {
+  /** IP and port. */
+  readonly address: string
+}
+
+/**
+ * Serves connect over HTTP/2, for peers and databases.
+ * @example await listenForPeers('127.0.0.1:0', router => link.addRoutes(router))
+ */
+export async function listenForPeers (address: string, routes: (router: ConnectRouter) => void): Promise<Listening> {
+  const sessions = new Set<ServerHttp2Session>()
+  const server = createHttp2Server(connectNodeAdapter({ routes, shutdownSignal: undefined }))
+  server.on('session', session => {
+    sessions.add(session)
+    session.on('close', () => sessions.delete(session))
+  })
+  const listening = await listen(server, address)
+  return {
+    address: listening,
+    [Symbol.asyncDispose]: async () => {
+      server.close()
+      for (const session of sessions) session.destroy()
+    }
+  }
+}
+
+/**
+ * Serves connect over HTTP/1.1, for operators.
+ * @example await listenForOperators('127.0.0.1:0', router => door.addRoutes(router))
+ */
+export async function listenForOperators (address: string, routes: (router: ConnectRouter) => void): Promise<Listening> {
+  const server = createHttpServer(connectNodeAdapter({ routes }))
+  const listening = await listen(server, address)
+  return {
+    address: listening,
+    [Symbol.asyncDispose]: async () => {
+      server.close()
+      server.closeAllConnections()
+    }
+  }
+}
+
+async function listen (server: Server | Http2Server, address: string): Promise<string> {
+  const [ip, port] = splitAddress(address)
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(port, ip, resolve)
+  })
+  return `${ip}:${(server.address() as AddressInfo).port}`
+}
--- /dev/null
+++ b/src/daemon/slices.ts
@@ -0,0 +1,34 @@
+/** The slices of a host. */
+import { createAdmissionShared, decideAdmission } from '../admission/decide.js'
+import { checkBucket } from '../admission/bucket.js'
+import { DecidingSlice, type Slice } from '../core/slice.js'
+import { StoreSlice } from '../core/store.js'
+import { createDocumentsState, decideDocuments } from '../documents/decide.js'
+import { decideMembership } from '../membership/decide.js'
+import { createMembershipState } from '../membership/state.js'
+import { createOperationsState, decideOperations } from '../operations/decide.js'
+import { createPrimacyState, decidePrimacy } from '../primacy/decide.js'
+import { decideRequests } from '../requests/decide.js'
+import { createRequestsShared } from '../requests/state.js'
+import { decideRouting } from '../routing/decide.js'
+import { createRoutingState } from '../routing/state.js'
+import type { Settings } from '../settings/settings.js'
+import { decideTransactions } from '../transactions/decide.js'
+
+/**
+ * Creates the slices of a host from its settings.
+ * @example createSlices(settings)
+ */
+export function createSlices (settings: Settings): readonly Slice[] {
+  const { host, failureDomain, limits } = settings
+  return [
+    StoreSlice.create({ name: 'admission', shared: createAdmissionShared(), decide: decideAdmission, checkItem: checkBucket }),
+    DecidingSlice.create({ name: 'documents', initial: createDocumentsState(), decide: decideDocuments }),
+    DecidingSlice.create({ name: 'membership', initial: createMembershipState(), decide: decideMembership }),
+    DecidingSlice.create({ name: 'operations', initial: createOperationsState(), decide: decideOperations }),
+    DecidingSlice.create({ name: 'primacy', initial: createPrimacyState(), decide: decidePrimacy }),
+    StoreSlice.create({ name: 'requests', shared: createRequestsShared(limits.requestMs), decide: decideRequests }),
+    DecidingSlice.create({ name: 'routing', initial: createRoutingState(host, failureDomain), decide: decideRouting }),
+    StoreSlice.create({ name: 'transactions', shared: { queueLength: limits.queueLength }, decide: decideTransactions })
+  ]
+}
--- /dev/null
+++ b/src/databases/driver.ts
@@ -0,0 +1,63 @@
+/** What a database driver is: it carries statements and commands to databases, and decides nothing. */
+import { Adapter } from '../core/adapter.js'
+import type { Effect } from '../core/message.js'
+
+/** Opens a connection to a database. */
+export interface OpenConnection extends Effect {
+  readonly kind: 'database/open'
+  readonly connection: string
+  readonly address: string
+}
+
+/** Runs a request on an open connection, in the name of a workspace. */
+export interface Execute extends Effect {
+  readonly kind: 'database/execute'
+  readonly connection: string
+  readonly service: string
+  readonly workspace?: string
+  readonly payload: Uint8Array
+}
+
+/** Allows a connection to deliver more of its answer. */
+export interface GrantCredit extends Effect {
+  readonly kind: 'database/credit'
+  readonly connection: string
+  readonly bytes: number
+}
+
+/** Closes a connection; an open transaction rolls back. */
+export interface CloseConnection extends Effect {
+  readonly kind: 'database/close'
+  readonly connection: string
+}
+
+/** Reads the status of a database. */
+export interface Probe extends Effect {
+  readonly kind: 'database/probe'
+  readonly database: string
+  readonly address: string
+  /** The monotonic time of the decision to probe; comes back with the outcome. */
+  readonly askedAtMs: number
+}
+
+/** Waits until a majority of the group stores a position, and posts what it stores. */
+export interface AwaitStored extends Effect {
+  readonly kind: 'database/await-stored'
+  readonly database: string
+  readonly address: string
+  readonly members: readonly string[]
+  readonly offset: number
+}
+
+/** The effects that a driver carries out. */
+export type DatabaseEffect = OpenConnection | Execute | GrantCredit | CloseConnection | Probe | AwaitStored
+
+/** Carries statements and commands to databases. */
+export abstract class DatabaseDriver extends Adapter {
+  readonly name = 'database'
+
+  abstract override carryOut (effect: DatabaseEffect): void
+
+  /** Closes all connections. */
+  abstract [Symbol.asyncDispose] (): Promise<void>
+}
--- /dev/null
+++ b/src/databases/postgres/control.ts
@@ -0,0 +1,94 @@
+/** The control connection to one database: its status, and commands to it. */
+import pg from 'pg'
+import { splitAddress } from './connection.js'
+import { parsePosition } from './answer.js'
+import type { LogPosition } from '../../core/position.js'
+
+const CONTROL_USER = 'fulmartally_control'
+const CONTROL_TIMEOUT_MS = 1_000
+
+/** The status of a database as it reports it. */
+export interface ReportedStatus {
+  readonly primary: boolean
+  readonly position: LogPosition
+  readonly fencedTerm: number
+  /** What each database of the group has stored, as the primary knows it. */
+  readonly stored: ReadonlyMap<string, LogPosition>
+}
+
+interface StatusRow {
+  readonly role: string
+  readonly position: string
+  readonly fenced_term: string
+  readonly stored: string
+}
+
+/** Sends one command at a time over one connection, which it opens again after it broke. */
+export class ControlConnection {
+  readonly #address: string
+  #client: Promise<pg.Client> | undefined
+
+  private constructor (address: string) {
+    this.#address = address
+  }
+
+  /**
+   * Creates a control connection that opens with its first command.
+   * @example ControlConnection.create('127.0.0.1:5432')
+   */
+  static create (address: string): ControlConnection {
+    return new ControlConnection(address)
+  }
+
+  /** Reads the status. */
+  async readStatus (): Promise<ReportedStatus> {
+    const [row] = await this.query<StatusRow>('SELECT * FROM fulmartally_status()')
+    const position = parsePosition(row?.position ?? '')
+    if (row === undefined || position === undefined) throw new TypeError('the status of the database can not be read')
+    return { primary: row.role === 'primary', position, fencedTerm: Number(row.fenced_term), stored: parseStored(row.stored) }
+  }
+
+  /** Runs one command and returns its rows. */
+  async query<R> (text: string): Promise<readonly R[]> {
+    const client = await this.#open()
+    try {
+      const result = await client.query(text)
+      return result.rows as R[]
+    } catch (error) {
+      await this[Symbol.asyncDispose]()
+      throw error
+    }
+  }
+
+  async [Symbol.asyncDispose] (): Promise<void> {
+    const client = this.#client
+    this.#client = undefined
+    await client?.then(open => open.end()).catch(() => undefined)
+  }
+
+  #open (): Promise<pg.Client> {
+    this.#client ??= this.#connect()
+    return this.#client
+  }
+
+  async #connect (): Promise<pg.Client> {
+    const [host, port] = splitAddress(this.#address)
+    const client = new pg.Client({ host, port, user: CONTROL_USER, database: 'postgres', connectionTimeoutMillis: CONTROL_TIMEOUT_MS, query_timeout: CONTROL_TIMEOUT_MS })
+    client.on('error', () => { this.#client = undefined })
+    try {
+      await client.connect()
+    } catch (error) {
+      this.#client = undefined
+      throw error
+    }
+    return client
+  }
+}
+
+function parseStored (text: string): ReadonlyMap<string, LogPosition> {
+  const entries = Object.entries(JSON.parse(text) as Record<string, string>)
+  return new Map(entries.flatMap(([database, value]) => {
+    const position = parsePosition(value)
+    return position === undefined ? [] : [[database, position] as const]
+  }))
+}
--- /dev/null
+++ b/src/frontends/postgres/frontend.ts
@@ -0,0 +1,71 @@
+/** The PostgreSQL front end: a server for callers. */
+import { createServer, type AddressInfo, type Server, type Socket } from 'node:net'
+import { createFailure } from '../../core/errors.js'
+import type { HostPost } from '../../messages.js'
+import { FrontEnd, type CallerEffect } from '../frontend.js'
+import { CallerConnection } from './connection.js'
+
+/** What the front end is made of. */
+export interface PostgresFrontEndParts {
+  readonly host: string
+  readonly post: HostPost
+  readonly messageBytes: number
+}
+
+/** Serves callers that speak the PostgreSQL protocol. */
+export class PostgresFrontEnd extends FrontEnd {
+  readonly #parts: PostgresFrontEndParts
+  readonly #server: Server
+  readonly #connections = new Map<string, CallerConnection>()
+  #accepted = 0
+
+  private constructor (parts: PostgresFrontEndParts) {
+    super()
+    this.#parts = parts
+    this.#server = createServer(socket => this.#accept(socket))
+  }
+
+  /**
+   * Creates a front end that does not listen yet.
+   * @example PostgresFrontEnd.create({ host: 'host-1', post: loop.post, messageBytes: 1_048_576 })
+   */
+  static create (parts: PostgresFrontEndParts): PostgresFrontEnd {
+    return new PostgresFrontEnd(parts)
+  }
+
+  /** Starts to listen; returns the address, with the port that the system picked for port 0. */
+  async listen (ip: string, port: number): Promise<string> {
+    await new Promise<void>((resolve, reject) => {
+      this.#server.once('error', reject)
+      this.#server.listen(port, ip, resolve)
+    })
+    return `${ip}:${(this.#server.address() as AddressInfo).port}`
+  }
+
+  carryOut (effect: CallerEffect): void {
+    this.#connections.get(effect.caller)?.carryOut(effect)
+  }
+
+  stopAccepting (): void {
+    this.#server.close()
+  }
+
+  /** True when a caller has a request or a transaction under way. */
+  get busy (): boolean {
+    return [...this.#connections.values()].some(connection => !connection.idle)
+  }
+
+  async [Symbol.asyncDispose] (): Promise<void> {
+    this.#server.close()
+    for (const connection of this.#connections.values()) connection.stop(createFailure('host-stopping'))
+  }
+
+  #accept (socket: Socket): void {
+    socket.setNoDelay(true)
+    this.#accepted += 1
+    const caller = `${this.#parts.host}/${this.#accepted}`
+    const { post, messageBytes } = this.#parts
+    this.#connections.set(caller, CallerConnection.create({ caller, socket, post, messageBytes }))
+    socket.on('close', () => this.#connections.delete(caller))
+  }
+}
--- /dev/null
+++ b/src/membership/decide.ts
@@ -0,0 +1,147 @@
+/** Decisions of the membership slice: beats, ownership, and the directory in force on this host. */
+import type { CoreEffect, Moment, Step } from '../core/message.js'
+import type { Probe } from '../databases/driver.js'
+import { applyChanges, listEntries, type DatabaseEntry, type Directory, type HostEntry } from './directory.js'
+import { publishEntry, startLeading, sweepSilent, takeBeat } from './leader.js'
+import type { Announced, BeatAnswered, LeaderChanged, MembershipMessage, Probed } from './messages.js'
+import { listOwned } from './owners.js'
+import type { MembershipState } from './state.js'
+import { sendPeer, setTimer, tell } from '../messages.js'
+
+/** Time between two beats of a host. */
+export const BEAT_EVERY_MS = 100
+/** Time between two reads of an owned database's status. */
+export const PROBE_EVERY_MS = 100
+/** How long a host reports a database that no longer announces itself. */
+const ANNOUNCEMENT_HOLDS_MS = 1_000
+/** How long an unanswered beat may still be answered. */
+const BEAT_HOLDS_MS = 5_000
+
+/** The effects of the membership slice. */
+export type MembershipEffect = CoreEffect | Probe
+type MembershipStep = Step<MembershipState, MembershipEffect>
+
+/**
+ * Decides on one message of the membership slice.
+ * @example decideMembership(state, { kind: 'membership/beat-due' }, moment)
+ */
+export function decideMembership (state: MembershipState, message: MembershipMessage, moment: Moment): MembershipStep {
+  switch (message.kind) {
+    case 'membership/started': return start(state, message.self)
+    case 'membership/leader-changed': return followLeader(state, message)
+    case 'membership/beat-due': return sendBeat(state, moment)
+    case 'membership/beat-answered': return takeAnswer(state, message)
+    case 'membership/announced': return takeAnnouncement(state, message, moment)
+    case 'membership/probe-due': return probeOwned(state, moment)
+    case 'membership/probed': return takeProbe(state, message)
+    case 'membership/beat': return state.leading === undefined ? keep(state) : takeBeat(state, state.leading, message, moment)
+    case 'membership/sweep-due': return state.leading === undefined ? keep(state) : sweepSilent(state, state.leading, moment)
+    case 'membership/publish': return state.leading === undefined ? keep(state) : publishEntry(state, state.leading, message.entry)
+  }
+}
+
+function keep (state: MembershipState): MembershipStep {
+  return { state, effects: [] }
+}
+
+function start (state: MembershipState, self: HostEntry): MembershipStep {
+  return { state: { ...state, self }, effects: [createBeatTimer(), createProbeTimer()] }
+}
+
+function followLeader (state: MembershipState, message: LeaderChanged): MembershipStep {
+  const following: MembershipState = { ...state, leader: message.leader, epoch: message.epoch, leading: undefined }
+  const leads = message.leader !== undefined && message.leader === state.self?.host
+  return leads ? startLeading(following, message.epoch) : keep(following)
+}
+
+function sendBeat (state: MembershipState, moment: Moment): MembershipStep {
+  if (state.self === undefined || state.leader === undefined) return { state, effects: [createBeatTimer()] }
+  const round = state.round + 1
+  const askedAtMs = new Map([...state.askedAtMs].filter(([, askedMs]) => moment.monotonicMs - askedMs < BEAT_HOLDS_MS))
+  askedAtMs.set(round, moment.monotonicMs)
+  const beat = sendPeer(state.leader, {
+    kind: 'membership/beat',
+    round,
+    self: state.self,
+    revision: state.directory.revision,
+    databases: listAnnounced(state, moment),
+    statuses: [...state.statuses.values()]
+  })
+  return { state: { ...state, round, askedAtMs }, effects: [beat, createBeatTimer()] }
+}
+
+function takeAnswer (state: MembershipState, message: BeatAnswered): MembershipStep {
+  const askedAtMs = state.askedAtMs.get(message.round)
+  if (askedAtMs === undefined || message.revision.epoch !== state.epoch) return keep(state)
+  const changed = message.changes.length > 0 || message.revision.epoch !== state.directory.revision.epoch
+  const directory = changed ? applyChanges(state.directory, message.revision, message.changes) : state.directory
+  const next: MembershipState = { ...state, directory, statuses: keepOwned(state, directory) }
+  return { state: next, effects: [...(changed ? tellChanged(next) : []), ...tellConfirmed(next, changed, askedAtMs)] }
+}
+
+function tellConfirmed (state: MembershipState, changed: boolean, askedAtMs: number): readonly CoreEffect[] {
+  const { directory } = state
+  const documents = changed ? listEntries(directory, 'document') : undefined
+  return [
+    tell({ kind: 'admission/documents-confirmed', documents, hosts: listEntries(directory, 'host').length, askedAtMs }),
+    tell({ kind: 'requests/grants-confirmed', grants: listEntries(directory, 'grant'), askedAtMs }),
+    tell({ kind: 'routing/grants-confirmed', askedAtMs })
+  ]
+}
+
+function tellChanged (state: MembershipState): readonly CoreEffect[] {
+  const { directory } = state
+  const hosts = listEntries(directory, 'host')
+  const databases = listEntries(directory, 'database')
+  const grants = listEntries(directory, 'grant')
+  return [
+    { kind: 'peer/learn', addresses: hosts.map(({ host, peers }) => ({ host, peers })) },
+    tell({ kind: 'routing/directory-changed', hosts, databases, grants }),
+    tell({ kind: 'transactions/owned-changed', databases: listOwn(state, directory), grants })
+  ]
+}
+
+function listOwn (state: MembershipState, directory: Directory): readonly DatabaseEntry[] {
+  if (state.self === undefined) return []
+  return listOwned(state.self.host, listEntries(directory, 'database'), listEntries(directory, 'host'))
+}
+
+function keepOwned (state: MembershipState, directory: Directory): MembershipState['statuses'] {
+  const owned = new Set(listOwn(state, directory).map(entry => entry.database))
+  return new Map([...state.statuses].filter(([database]) => owned.has(database)))
+}
+
+function takeAnnouncement (state: MembershipState, message: Announced, moment: Moment): MembershipStep {
+  const announced = new Map(state.announced)
+  announced.set(message.entry.database, { entry: message.entry, heardAtMs: moment.monotonicMs })
+  return keep({ ...state, announced })
+}
+
+function listAnnounced (state: MembershipState, moment: Moment): readonly DatabaseEntry[] {
+  return [...state.announced.values()]
+    .filter(announcement => moment.monotonicMs - announcement.heardAtMs <= ANNOUNCEMENT_HOLDS_MS)
+    .map(announcement => announcement.entry)
+}
+
+function probeOwned (state: MembershipState, moment: Moment): MembershipStep {
+  const probes = listOwn(state, state.directory)
+    .map((entry): Probe => ({ kind: 'database/probe', database: entry.database, address: entry.address, askedAtMs: moment.monotonicMs }))
+  return { state, effects: [...probes, createProbeTimer()] }
+}
+
+function takeProbe (state: MembershipState, message: Probed): MembershipStep {
+  const statuses = new Map(state.statuses).set(message.status.database, message.status)
+  const effects: CoreEffect[] = [tell({ kind: 'routing/status-read', status: message.status, askedAtMs: message.askedAtMs })]
+  if (message.status.answering) {
+    effects.push(tell({ kind: 'transactions/position-read', database: message.status.database, position: message.status.position }))
+  }
+  return { state: { ...state, statuses }, effects }
+}
+
+function createBeatTimer (): CoreEffect {
+  return setTimer('membership/beat', BEAT_EVERY_MS, { kind: 'membership/beat-due' })
+}
+
+function createProbeTimer (): CoreEffect {
+  return setTimer('membership/probe', PROBE_EVERY_MS, { kind: 'membership/probe-due' })
+}
--- /dev/null
+++ b/src/membership/messages.ts
@@ -0,0 +1,85 @@
+/** Messages of the membership slice. */
+import type { DatabaseEntry, DatabaseStatus, DirectoryChange, DirectoryEntry, HostEntry, Revision } from './directory.js'
+
+/** The process has started and knows its own addresses. */
+export interface Started {
+  readonly kind: 'membership/started'
+  readonly self: HostEntry
+}
+
+/** The control hosts' leader changed, as far as this host knows. */
+export interface LeaderChanged {
+  readonly kind: 'membership/leader-changed'
+  readonly leader: string | undefined
+  /** The term of the leader; the epoch of its directory. */
+  readonly epoch: number
+}
+
+/** Time to report to the leader. */
+export interface BeatDue {
+  readonly kind: 'membership/beat-due'
+}
+
+/** A host's regular report to the leader. */
+export interface Beat {
+  readonly kind: 'membership/beat'
+  readonly round: number
+  readonly self: HostEntry
+  /** The revision that the host has in force. */
+  readonly revision: Revision
+  readonly databases: readonly DatabaseEntry[]
+  readonly statuses: readonly DatabaseStatus[]
+}
+
+/** The leader's answer to a beat. */
+export interface BeatAnswered {
+  readonly kind: 'membership/beat-answered'
+  readonly round: number
+  readonly revision: Revision
+  readonly changes: readonly DirectoryChange[]
+}
+
+/** Time for the leader to look for hosts that went silent. */
+export interface SweepDue {
+  readonly kind: 'membership/sweep-due'
+}
+
+/** A database announced itself to this host. */
+export interface Announced {
+  readonly kind: 'membership/announced'
+  readonly entry: DatabaseEntry
+  readonly term: number
+  readonly primary: boolean
+}
+
+/** The outcome of reading a database's status. */
+export interface Probed {
+  readonly kind: 'membership/probed'
+  readonly status: DatabaseStatus
+  /** The monotonic time at which the probe was decided. */
+  readonly askedAtMs: number
+}
+
+/** Time to read the status of the databases that this host owns. */
+export interface ProbeDue {
+  readonly kind: 'membership/probe-due'
+}
+
+/** Another slice of the leader puts an entry into the directory. */
+export interface Publish {
+  readonly kind: 'membership/publish'
+  readonly entry: DirectoryEntry
+}
+
+/** Any message of the membership slice. */
+export type MembershipMessage =
+  | Publish
+  | Started
+  | LeaderChanged
+  | BeatDue
+  | Beat
+  | BeatAnswered
+  | SweepDue
+  | Announced
+  | Probed
+  | ProbeDue
--- /dev/null
+++ b/src/membership/state.ts
@@ -0,0 +1,56 @@
+/** State of the membership slice. */
+import { createDirectory, type DatabaseEntry, type DatabaseStatus, type Directory, type HostEntry, type Revision } from './directory.js'
+
+/** A database that announced itself to this host, and when it last did. */
+export interface Announcement {
+  readonly entry: DatabaseEntry
+  readonly heardAtMs: number
+}
+
+/** A host as the leader knows it. */
+export interface ReportingHost {
+  readonly entry: HostEntry
+  readonly heardAtMs: number
+  /** The revision that the host had in force at its last beat. */
+  readonly confirmed: Revision
+  readonly databases: readonly DatabaseEntry[]
+}
+
+/** What a leader keeps beside the directory that it writes. */
+export interface Leading {
+  readonly directory: Directory
+  readonly hosts: ReadonlyMap<string, ReportingHost>
+  /** Databases by name, with the time at which a host last reported them. */
+  readonly databases: ReadonlyMap<string, number>
+}
+
+/** State of the membership slice. */
+export interface MembershipState {
+  readonly self?: HostEntry
+  readonly leader?: string
+  readonly epoch: number
+  /** The number of the last beat, and when it left. */
+  readonly round: number
+  readonly askedAtMs: ReadonlyMap<number, number>
+  readonly announced: ReadonlyMap<string, Announcement>
+  readonly statuses: ReadonlyMap<string, DatabaseStatus>
+  /** The directory that this host has in force. */
+  readonly directory: Directory
+  /** Set on the leader alone. */
+  readonly leading?: Leading
+}
+
+/**
+ * Creates the state of a host that knows nobody.
+ * @example createMembershipState().round // 0
+ */
+export function createMembershipState (): MembershipState {
+  return {
+    epoch: 0,
+    round: 0,
+    askedAtMs: new Map(),
+    announced: new Map(),
+    statuses: new Map(),
+    directory: createDirectory(0)
+  }
+}
--- /dev/null
+++ b/src/operations/client.ts
@@ -0,0 +1,16 @@
+/** Sends operators' commands to a host. */
+import { createClient } from '@connectrpc/connect'
+import { createConnectTransport } from '@connectrpc/connect-node'
+import { randomUUID } from 'node:crypto'
+import { Operators } from '../gen/fulmartally_pb.js'
+import type { Command } from './messages.js'
+
+/**
+ * Sends a command and returns its outcome.
+ * @example await sendCommand('127.0.0.1:6002', { name: 'document/apply', text, version: 0 })
+ */
+export async function sendCommand<Outcome> (operators: string, command: Command, requestId: string = randomUUID()): Promise<Outcome> {
+  const client = createClient(Operators, createConnectTransport({ baseUrl: `http://${operators}`, httpVersion: '1.1' }))
+  const response = await client.operate({ requestId, command: JSON.stringify(command) })
+  return JSON.parse(response.outcome) as Outcome
+}
--- /dev/null
+++ b/src/operations/operators.ts
@@ -0,0 +1,55 @@
+/** The operators' door: connect calls in, outcomes out. */
+import type { ConnectRouter } from '@connectrpc/connect'
+import { Adapter } from '../core/adapter.js'
+import { Operators } from '../gen/fulmartally_pb.js'
+import type { HostPost } from '../messages.js'
+import type { AnswerOperator } from './decide.js'
+import type { Command } from './messages.js'
+
+const ANSWER_WITHIN_MS = 10_000
+
+/** Takes operators' calls and answers them when the leader decided. */
+export class OperatorsDoor extends Adapter {
+  readonly name = 'operator'
+  readonly #post: HostPost
+  readonly #waiting = new Map<string, (outcome: unknown) => void>()
+  #asked = 0
+
+  private constructor (post: HostPost) {
+    super()
+    this.#post = post
+  }
+
+  /**
+   * Creates the door.
+   * @example OperatorsDoor.create(loop.post)
+   */
+  static create (post: HostPost): OperatorsDoor {
+    return new OperatorsDoor(post)
+  }
+
+  carryOut (effect: AnswerOperator): void {
+    this.#waiting.get(effect.operation)?.(effect.outcome)
+    this.#waiting.delete(effect.operation)
+  }
+
+  /** Adds the operators' service. */
+  addRoutes (router: ConnectRouter): void {
+    router.service(Operators, {
+      operate: async request => ({ outcome: JSON.stringify(await this.#ask(request.requestId, JSON.parse(request.command) as Command)) })
+    })
+  }
+
+  async #ask (requestId: string, command: Command): Promise<unknown> {
+    this.#asked += 1
+    const operation = String(this.#asked)
+    return await new Promise(resolve => {
+      const timer = setTimeout(() => this.carryOut({ kind: 'operator/answer', operation, outcome: { error: 'no-answer' } }), ANSWER_WITHIN_MS)
+      this.#waiting.set(operation, outcome => {
+        clearTimeout(timer)
+        resolve(outcome)
+      })
+      this.#post({ kind: 'operations/asked', operation, requestId, command })
+    })
+  }
+}
--- /dev/null
+++ b/src/peers/connect.ts
@@ -0,0 +1,130 @@
+/** Links over connect: one stream from each host to each host that it sends to. */
+import { createClient, type ConnectRouter } from '@connectrpc/connect'
+import { createGrpcTransport, Http2SessionManager } from '@connectrpc/connect-node'
+import type { Post } from '../core/adapter.js'
+import type { LearnPeers, Message, SendPeer } from '../core/message.js'
+import { Peers, type Frame } from '../gen/fulmartally_pb.js'
+import { decodeFrame, encodeFrame } from './frame.js'
+import { PeerLink, type PeerAddress } from './link.js'
+import { SendQueue } from './queue.js'
+
+const PING_EVERY_MS = 1_000
+const PING_TIMEOUT_MS = 2_000
+
+interface OpenLink {
+  readonly address: string
+  readonly queue: SendQueue<Frame>
+  readonly abort: AbortController
+  readonly session: Http2SessionManager
+}
+
+/** What happens when a link from or to a host ends. */
+export type OnLost = (host: string) => readonly Message[]
+
+/** Carries messages over connect streams on HTTP/2. */
+export class ConnectPeerLink extends PeerLink {
+  readonly #self: string
+  readonly #post: Post
+  readonly #onLost: OnLost
+  readonly #addresses = new Map<string, string>()
+  readonly #links = new Map<string, OpenLink>()
+  #closed = false
+
+  private constructor (self: string, post: Post, onLost: OnLost) {
+    super()
+    this.#self = self
+    this.#post = post
+    this.#onLost = onLost
+  }
+
+  /**
+   * Creates the links of a host; they open when there is something to send.
+   * @example ConnectPeerLink.create('host-1', loop.post, host => [{ kind: 'requests/peer-lost', host }])
+   */
+  static create (self: string, post: Post, onLost: OnLost): ConnectPeerLink {
+    return new ConnectPeerLink(self, post, onLost)
+  }
+
+  learnAddresses (addresses: readonly PeerAddress[]): void {
+    for (const { host, peers } of addresses) {
+      if (this.#addresses.get(host) === peers) continue
+      this.#addresses.set(host, peers)
+      this.#drop(host)
+    }
+  }
+
+  carryOut (effect: SendPeer | LearnPeers): void {
+    if (effect.kind === 'peer/learn') return this.learnAddresses(effect.addresses)
+    if (effect.to === this.#self) {
+      this.#post({ ...effect.message, from: this.#self } as Message)
+      return
+    }
+    const link = this.#links.get(effect.to) ?? this.#open(effect.to)
+    if (link?.queue.push(encodeFrame(this.#self, effect.message)) === false) this.#lose(effect.to, link)
+  }
+
+  /** Adds the service that takes in other hosts' streams. */
+  addRoutes (router: ConnectRouter): void {
+    const take = (frames: AsyncIterable<Frame>) => this.#take(frames)
+    router.service(Peers, { connect: frames => take(frames) })
+  }
+
+  async [Symbol.asyncDispose] (): Promise<void> {
+    this.#closed = true
+    for (const host of [...this.#links.keys()]) this.#drop(host)
+  }
+
+  async * #take (frames: AsyncIterable<Frame>): AsyncGenerator<Frame> {
+    let from: string | undefined
+    try {
+      for await (const frame of frames) {
+        from = frame.from
+        this.#post(decodeFrame(frame))
+      }
+    } catch {
+      // The stream broke: the same as its end.
+    }
+    if (from !== undefined) this.#report(from)
+    yield * []
+  }
+
+  #open (host: string): OpenLink | undefined {
+    const address = this.#addresses.get(host)
+    if (address === undefined || this.#closed) return undefined
+    const session = new Http2SessionManager(`http://${address}`, { pingIntervalMs: PING_EVERY_MS, pingTimeoutMs: PING_TIMEOUT_MS, pingIdleConnection: true })
+    const transport = createGrpcTransport({ baseUrl: `http://${address}`, sessionManager: session })
+    const link: OpenLink = { address, queue: SendQueue.create(), abort: new AbortController(), session }
+    this.#links.set(host, link)
+    this.#run(host, link, createClient(Peers, transport)).catch(() => this.#lose(host, link))
+    return link
+  }
+
+  async #run (host: string, link: OpenLink, client: ReturnType<typeof createClient<typeof Peers>>): Promise<void> {
+    try {
+      for await (const frame of client.connect(link.queue, { signal: link.abort.signal })) this.#post(decodeFrame(frame))
+    } catch {
+      // The stream broke: the same as its end.
+    }
+    this.#lose(host, link)
+  }
+
+  #lose (host: string, link: OpenLink): void {
+    if (this.#links.get(host) !== link) return
+    this.#drop(host)
+    this.#report(host)
+  }
+
+  #drop (host: string): void {
+    const link = this.#links.get(host)
+    if (link === undefined) return
+    this.#links.delete(host)
+    link.queue.close()
+    link.abort.abort()
+    link.session.abort()
+  }
+
+  #report (host: string): void {
+    if (this.#closed) return
+    for (const message of this.#onLost(host)) this.#post(message)
+  }
+}
--- /dev/null
+++ b/src/peers/frame.ts
@@ -0,0 +1,26 @@
+/** The encoding of messages between hosts. */
+import { create } from '@bufbuild/protobuf'
+import type { Message } from '../core/message.js'
+import { FrameSchema, type Frame } from '../gen/fulmartally_pb.js'
+
+interface WithPayload extends Message {
+  readonly payload?: Uint8Array
+}
+
+/**
+ * Encodes a message; its payload travels beside the JSON, as bytes.
+ * @example encodeFrame('host-1', { kind: 'routing/positions-asked', round: 1 })
+ */
+export function encodeFrame (from: string, message: Message): Frame {
+  const { payload, ...body } = message as WithPayload
+  return create(FrameSchema, { from, body: JSON.stringify(body), payload })
+}
+
+/**
+ * Decodes a message and fills in the host that sent it.
+ * @example decodeFrame(frame).kind
+ */
+export function decodeFrame (frame: Frame): Message {
+  const body = JSON.parse(frame.body) as Message
+  return { ...body, from: frame.from, payload: frame.payload } as Message
+}
--- /dev/null
+++ b/src/routing/decide.ts
@@ -0,0 +1,147 @@
+/** Decisions of the routing slice: which database serves a request. */
+import { createFailure, type ErrorCode } from '../core/errors.js'
+import type { CoreEffect, Moment, Step } from '../core/message.js'
+import { ORIGIN, coversPosition, pickLater, type LogPosition } from '../core/position.js'
+import { findOwner } from '../membership/owners.js'
+import type { Target } from '../requests/messages.js'
+import type { Choose, DirectoryChanged, PositionsAsked, PositionsTold, RoutingMessage, StatusRead, ToldPosition } from './messages.js'
+import { addSample, findFreshFloor } from './staleness.js'
+import type { HeldPosition, KnownDatabase, RoutingState } from './state.js'
+import { sendPeer, setTimer, tell } from '../messages.js'
+
+/** Time between two rounds of asking for positions. */
+export const ASK_EVERY_MS = 100
+const ASK_HOLDS_MS = 2_000
+
+type RoutingStep = Step<RoutingState, CoreEffect>
+
+/**
+ * Decides on one message of the routing slice.
+ * @example decideRouting(state, { kind: 'routing/ask-due' }, moment)
+ */
+export function decideRouting (state: RoutingState, message: RoutingMessage, moment: Moment): RoutingStep {
+  switch (message.kind) {
+    case 'routing/choose': return choose(state, message, moment)
+    case 'routing/directory-changed': return takeDirectory(state, message)
+    case 'routing/status-read': return { state: takeStatus(state, message), effects: [] }
+    case 'routing/grants-confirmed': return { state: { ...state, confirmedAtMs: Math.max(state.confirmedAtMs, message.askedAtMs) }, effects: [] }
+    case 'routing/ask-due': return askPositions(state, moment)
+    case 'routing/positions-asked': return tellPositions(state, message, moment)
+    case 'routing/positions-told': return takePositions(state, message)
+  }
+}
+
+function choose (state: RoutingState, message: Choose, moment: Moment): RoutingStep {
+  const { rules } = message
+  const grant = state.grants.get(rules.group)
+  const floor = rules.action === 'read' && rules.maxStalenessMs > 0 ? findFloor(state, message, moment) : undefined
+  const replica = floor === undefined ? undefined : pickReplica(state, message, floor)
+  if (replica !== undefined && floor !== undefined) {
+    return answer({ ...state, turn: state.turn + 1 }, message, createTarget(replica, 'replica', grant?.term ?? 0, floor))
+  }
+  const primary = grant?.primary === undefined ? undefined : state.databases.get(grant.primary)
+  if (grant === undefined || primary?.owner === undefined) return refuse(state, message, 'no-primary')
+  return answer(state, message, createTarget(primary, 'primary', grant.term, ORIGIN))
+}
+
+// A replica serves if it holds what the session has seen, and what the primary had
+// when the route's staleness began. Both are one position: the later of the two.
+// A sample proves something only up to the last time its grant was confirmed: a
+// deposed primary that is cut off goes on answering.
+function findFloor (state: RoutingState, message: Choose, moment: Moment): LogPosition | undefined {
+  const { group, maxStalenessMs } = message.rules
+  const term = state.grants.get(group)?.term
+  const proven = (state.samples.get(group) ?? [])
+    .filter(sample => sample.position.term === term && sample.askedAtMs <= state.confirmedAtMs)
+  const fresh = findFreshFloor(proven, moment.monotonicMs - maxStalenessMs)
+  return fresh === undefined ? undefined : pickLater(fresh, message.seen)
+}
+
+function pickReplica (state: RoutingState, message: Choose, floor: LogPosition): KnownDatabase | undefined {
+  const primary = state.grants.get(message.rules.group)?.primary
+  const able = [...state.databases.values()].filter(database =>
+    database.entry.group === message.rules.group &&
+    database.entry.database !== primary &&
+    database.owner !== undefined &&
+    !database.entry.departing &&
+    !message.avoid.includes(database.entry.database) &&
+    coversPosition(state.held.get(database.entry.database)?.position ?? ORIGIN, floor))
+  const near = able.filter(database => database.entry.failureDomain === state.failureDomain)
+  const candidates = near.length > 0 ? near : able
+  return candidates[state.turn % Math.max(1, candidates.length)]
+}
+
+function createTarget (database: KnownDatabase, purpose: Target['purpose'], term: number, floor: LogPosition): Target {
+  return { database: database.entry.database, owner: database.owner!, purpose, term, floor }
+}
+
+function answer (state: RoutingState, message: Choose, target: Target): RoutingStep {
+  return { state, effects: [tell({ kind: 'requests/routed', caller: message.caller, attempt: message.attempt, target })] }
+}
+
+function refuse (state: RoutingState, message: Choose, code: ErrorCode): RoutingStep {
+  const failure = createFailure(code, message.rules.group)
+  return { state, effects: [tell({ kind: 'requests/failed', caller: message.caller, attempt: message.attempt, failure, retriable: true })] }
+}
+
+function takeDirectory (state: RoutingState, message: DirectoryChanged): RoutingStep {
+  const databases = new Map(message.databases.map(entry => [entry.database, { entry, owner: findOwner(entry, message.hosts) }]))
+  const grants = new Map(message.grants.map(grant => [grant.group, grant]))
+  return { state: { ...state, hosts: message.hosts, databases, grants }, effects: [] }
+}
+
+function takeStatus (state: RoutingState, message: StatusRead): RoutingState {
+  if (!message.status.answering) return state
+  return holdPosition(state, message.status.database, { position: message.status.position, askedAtMs: message.askedAtMs })
+}
+
+function holdPosition (state: RoutingState, database: string, held: HeldPosition): RoutingState {
+  return { ...state, held: new Map(state.held).set(database, held) }
+}
+
+function askPositions (state: RoutingState, moment: Moment): RoutingStep {
+  const owners = listOwnersToAsk(state)
+  const round = state.round + 1
+  const askedAtMs = new Map([...state.askedAtMs].filter(([, askedMs]) => moment.monotonicMs - askedMs < ASK_HOLDS_MS))
+  askedAtMs.set(round, moment.monotonicMs)
+  const asks = owners.map(owner => sendPeer(owner, { kind: 'routing/positions-asked', round }))
+  const again = setTimer('routing/ask', ASK_EVERY_MS, { kind: 'routing/ask-due' })
+  return { state: { ...state, round, askedAtMs }, effects: [...asks, again] }
+}
+
+// Only the owners of primaries, and of the databases of this failure domain: what
+// other domains' replicas hold is of use only while this domain has none.
+function listOwnersToAsk (state: RoutingState): readonly string[] {
+  const primaries = new Set([...state.grants.values()].map(grant => grant.primary))
+  const owners = [...state.databases.values()]
+    .filter(database => primaries.has(database.entry.database) || database.entry.failureDomain === state.failureDomain)
+    .flatMap(database => (database.owner === undefined ? [] : [database.owner]))
+  return [...new Set(owners)]
+}
+
+function tellPositions (state: RoutingState, message: PositionsAsked, moment: Moment): RoutingStep {
+  if (message.from === undefined) return { state, effects: [] }
+  const positions = [...state.databases.values()]
+    .filter(database => database.owner === state.self)
+    .flatMap((database): readonly ToldPosition[] => {
+      const held = state.held.get(database.entry.database)
+      if (held === undefined) return []
+      return [{ database: database.entry.database, position: held.position, ageMs: moment.monotonicMs - held.askedAtMs }]
+    })
+  return { state, effects: [sendPeer(message.from, { kind: 'routing/positions-told', round: message.round, positions })] }
+}
+
+function takePositions (state: RoutingState, message: PositionsTold): RoutingStep {
+  const askedAtMs = state.askedAtMs.get(message.round)
+  if (askedAtMs === undefined) return { state, effects: [] }
+  return { state: message.positions.reduce((next, told) => takePosition(next, told, askedAtMs), state), effects: [] }
+}
+
+function takePosition (state: RoutingState, told: ToldPosition, roundAskedAtMs: number): RoutingState {
+  const askedAtMs = roundAskedAtMs - told.ageMs
+  const next = holdPosition(state, told.database, { position: told.position, askedAtMs })
+  const group = state.databases.get(told.database)?.entry.group
+  if (group === undefined || state.grants.get(group)?.primary !== told.database) return next
+  const samples = addSample(state.samples.get(group) ?? [], { askedAtMs, position: told.position })
+  return { ...next, samples: new Map(state.samples).set(group, samples) }
+}
--- /dev/null
+++ b/src/routing/state.ts
@@ -0,0 +1,61 @@
+/** State of the routing slice. */
+import type { LogPosition } from '../core/position.js'
+import type { DatabaseEntry, GrantEntry, HostEntry } from '../membership/directory.js'
+
+/** A primary's position, and a time at which it had at least that much. */
+export interface PrimarySample {
+  /** A time of this host's clock before the position was read. */
+  readonly askedAtMs: number
+  readonly position: LogPosition
+}
+
+/** The position that a database surely holds, and a time before it was read. */
+export interface HeldPosition {
+  readonly position: LogPosition
+  readonly askedAtMs: number
+}
+
+/** A database as routing knows it. */
+export interface KnownDatabase {
+  readonly entry: DatabaseEntry
+  readonly owner: string | undefined
+}
+
+/** State of the routing slice. */
+export interface RoutingState {
+  readonly self: string
+  readonly failureDomain: string
+  readonly hosts: readonly HostEntry[]
+  readonly databases: ReadonlyMap<string, KnownDatabase>
+  readonly grants: ReadonlyMap<string, GrantEntry>
+  /** When the leader last confirmed that the grants were in force. */
+  readonly confirmedAtMs: number
+  /** The position that each database surely holds. */
+  readonly held: ReadonlyMap<string, HeldPosition>
+  /** The primaries' positions by group, oldest first. */
+  readonly samples: ReadonlyMap<string, readonly PrimarySample[]>
+  readonly round: number
+  readonly askedAtMs: ReadonlyMap<number, number>
+  /** Counts choices, to spread reads over equal replicas. */
+  readonly turn: number
+}
+
+/**
+ * Creates the state of a host that knows no database.
+ * @example createRoutingState('host-1', 'domain-1')
+ */
+export function createRoutingState (self: string, failureDomain: string): RoutingState {
+  return {
+    self,
+    failureDomain,
+    hosts: [],
+    databases: new Map(),
+    grants: new Map(),
+    confirmedAtMs: 0,
+    held: new Map(),
+    samples: new Map(),
+    round: 0,
+    askedAtMs: new Map(),
+    turn: 0
+  }
+}
--- /dev/null
+++ b/src/transactions/messages.ts
@@ -0,0 +1,123 @@
+/** Messages of the transactions slice: the databases that this host owns, their slots and connections. */
+import type { LogPosition } from '../core/position.js'
+import type { DatabaseEntry, GrantEntry } from '../membership/directory.js'
+import type { Intent, Target, TransactionStatus, WorkName } from '../requests/messages.js'
+
+/** Runs a request on a database that this host owns. */
+export interface Run extends WorkName {
+  readonly kind: 'transactions/run'
+  /** The host that the caller is connected to; filled in by the receiving host. */
+  readonly from?: string
+  readonly service: string
+  readonly workspace?: string
+  readonly target: Target
+  readonly intent: Intent
+  /** True when the request belongs to the caller's open transaction. */
+  readonly inTransaction: boolean
+  readonly remainingMs: number
+  readonly payload: Uint8Array
+}
+
+/** The caller left, or its time is over: its request and its transaction end. */
+export interface Cancel {
+  readonly kind: 'transactions/cancel'
+  readonly from?: string
+  readonly database: string
+  readonly caller: string
+}
+
+/** The caller took in a part of its answer. */
+export interface Credit {
+  readonly kind: 'transactions/credit'
+  readonly from?: string
+  readonly database: string
+  readonly caller: string
+  readonly bytes: number
+}
+
+/** A connection to a database is ready. */
+export interface Opened {
+  readonly kind: 'transactions/opened'
+  readonly connection: string
+}
+
+/** A connection to a database could not be made. */
+export interface OpenFailed {
+  readonly kind: 'transactions/open-failed'
+  readonly connection: string
+  readonly text: string
+}
+
+/** A part of an answer came from a database. */
+export interface DatabaseOutput {
+  readonly kind: 'transactions/output'
+  readonly connection: string
+  readonly payload: Uint8Array
+}
+
+/** A database finished a request. */
+export interface DatabaseFinished {
+  readonly kind: 'transactions/finished'
+  readonly connection: string
+  readonly status: TransactionStatus
+  /** The position after a write; absent when nothing was written. */
+  readonly position?: LogPosition
+  /** True when the database refused the request because it is not the primary. */
+  readonly refused: boolean
+  readonly payload: Uint8Array
+}
+
+/** A connection to a database ended. */
+export interface Broken {
+  readonly kind: 'transactions/broken'
+  readonly connection: string
+}
+
+/** The highest position that a majority of a group's databases stores. */
+export interface Stored {
+  readonly kind: 'transactions/stored'
+  readonly database: string
+  readonly position: LogPosition
+}
+
+/** The time of a waiting or running request is over. */
+export interface TimeOver extends WorkName {
+  readonly kind: 'transactions/time-over'
+  readonly database: string
+}
+
+/** A link to another host broke: its callers' transactions end. */
+export interface HostLost {
+  readonly kind: 'transactions/host-lost'
+  readonly host: string
+}
+
+/** The databases that this host owns, and the grants of their groups. */
+export interface OwnedChanged {
+  readonly kind: 'transactions/owned-changed'
+  readonly databases: readonly DatabaseEntry[]
+  readonly grants: readonly GrantEntry[]
+}
+
+/** This host read where an owned database stands. */
+export interface PositionRead {
+  readonly kind: 'transactions/position-read'
+  readonly database: string
+  readonly position: LogPosition
+}
+
+/** Any message of the transactions slice. */
+export type TransactionsMessage =
+  | Run
+  | Cancel
+  | Credit
+  | Opened
+  | OpenFailed
+  | DatabaseOutput
+  | DatabaseFinished
+  | Broken
+  | Stored
+  | TimeOver
+  | HostLost
+  | OwnedChanged
+  | PositionRead
--- /dev/null
+++ b/standin/main.ts
@@ -0,0 +1,87 @@
+#!/usr/bin/env node
+/** One stand-in database as a process. */
+import { createClient } from '@connectrpc/connect'
+import { createConnectTransport } from '@connectrpc/connect-node'
+import { Command } from 'commander'
+import { Announcements } from '../src/gen/fulmartally_pb.js'
+import { StandInDatabase } from './database.js'
+import { Replication } from './replication.js'
+import { StandInServer } from './server.js'
+
+const ANNOUNCE_EVERY_MS = 200
+
+interface Options {
+  readonly name: string
+  readonly group: string
+  readonly failureDomain: string
+  readonly port: string
+  readonly hosts: string
+  readonly slots: string
+  readonly connections: string
+  readonly connectMs: string
+  readonly statementMs: string
+  readonly lagMs: string
+  readonly primary?: boolean
+  readonly follow?: string
+  readonly secrets: string
+}
+
+const program = new Command('standin')
+  .description('A stand-in database of fulmartally, for the demo and the tests.')
+  .requiredOption('--name <name>', 'the name of the database')
+  .requiredOption('--group <name>', 'its group')
+  .requiredOption('--failure-domain <name>', 'its failure domain')
+  .option('--port <port>', 'the port on loopback; 0 lets the system pick', '0')
+  .option('--hosts <list>', 'peers\' addresses of the hosts to announce to, with commas', '')
+  .option('--slots <count>', 'statements at one time', '3')
+  .option('--connections <count>', 'the limit of connections', '20')
+  .option('--connect-ms <ms>', 'what a new connection costs', '10')
+  .option('--statement-ms <ms>', 'what a statement costs', '1')
+  .option('--lag-ms <ms>', 'how far replication stays behind', '10')
+  .option('--primary', 'starts as the primary of term 1')
+  .option('--follow <address>', 'starts as a replica of this database')
+  .option('--secrets <list>', 'texts that must never arrive, with commas', '')
+
+program.parse()
+await run(program.opts<Options>())
+
+async function run (options: Options): Promise<void> {
+  const database = StandInDatabase.create({ name: options.name, group: options.group, slots: Number(options.slots), statementMs: Number(options.statementMs) })
+  if (options.primary === true) database.promote(1)
+  if (options.follow !== undefined) database.follow(1, options.follow)
+  const server = StandInServer.create(database, {
+    connections: Number(options.connections),
+    connectMs: Number(options.connectMs),
+    secrets: splitList(options.secrets)
+  })
+  const address = await server.listen(Number(options.port))
+  Replication.create(database, Number(options.lagMs))
+  announce(database, options, address)
+  console.log(JSON.stringify({ ready: { address } }))
+  process.once('SIGTERM', () => process.exit(0))
+}
+
+function announce (database: StandInDatabase, options: Options, address: string): void {
+  const clients = splitList(options.hosts).map(host => createClient(Announcements, createConnectTransport({ baseUrl: `http://${host}`, httpVersion: '2' })))
+  const send = (): void => {
+    for (const client of clients) {
+      client.announce({
+        name: options.name,
+        group: options.group,
+        failureDomain: options.failureDomain,
+        address,
+        slots: Number(options.slots),
+        connectionLimit: Number(options.connections),
+        departing: false,
+        term: BigInt(database.term),
+        primary: database.primary
+      }, { timeoutMs: ANNOUNCE_EVERY_MS }).catch(() => undefined)
+    }
+  }
+  send()
+  setInterval(send, ANNOUNCE_EVERY_MS)
+}
+
+function splitList (list: string): readonly string[] {
+  return list === '' ? [] : list.split(',')
+}
