--- a/src/primacy/decide.ts
+++ b/src/primacy/decide.ts
@@ -1,6 +1,6 @@
 /** Decisions of the primacy slice, taken by the leader of the control hosts. */
 import { recordEvent, type CoreEffect, type Moment, type Step } from '../core/message.js'
-import type { DatabaseEntry, GrantEntry } from '../membership/directory.js'
+import type { DatabaseEntry, DatabaseStatus, GrantEntry } from '../membership/directory.js'
 import type { PrimacyMessage } from './messages.js'
 import { tell } from '../messages.js'
 
@@ -26,18 +26,24 @@
   const databases = new Map(state.databases)
   for (const entry of message.databases) databases.set(entry.database, entry)
   const known: PrimacyState = { ...state, databases }
-  const primary = message.statuses.find(status => status.answering && status.primary && databases.has(status.database))
-  const entry = primary === undefined ? undefined : databases.get(primary.database)
-  if (primary === undefined || entry === undefined) return { state: known, effects: [] }
-  const members = [...databases.values()].filter(other => other.group === entry.group).map(other => other.database).sort()
-  const grant: GrantEntry = { kind: 'grant', group: entry.group, term: primary.position.term, primary: primary.database, members }
-  const held = state.grants.get(entry.group)
-  if (held?.primary === grant.primary && held?.members.length === members.length) return { state: known, effects: [] }
+  const primaries = message.statuses.filter(status => status.answering && status.primary && databases.has(status.database))
+  return primaries.reduce<Step<PrimacyState, CoreEffect>>((step, status) => {
+    const next = grantPrimary(step.state, status)
+    return { state: next.state, effects: [...step.effects, ...next.effects] }
+  }, { state: known, effects: [] })
+}
+
+function grantPrimary (state: PrimacyState, status: DatabaseStatus): Step<PrimacyState, CoreEffect> {
+  const { group } = state.databases.get(status.database)!
+  const members = [...state.databases.values()].filter(other => other.group === group).map(other => other.database).sort()
+  const held = state.grants.get(group)
+  if (held?.primary === status.database && held.members.length === members.length) return { state, effects: [] }
+  const grant: GrantEntry = { kind: 'grant', group, term: status.position.term, primary: status.database, members }
   return {
-    state: { ...known, grants: new Map(state.grants).set(grant.group, grant) },
+    state: { ...state, grants: new Map(state.grants).set(group, grant) },
     effects: [
       tell({ kind: 'membership/publish', entry: grant }),
-      recordEvent('group-formed', `Database ${grant.primary} is primary of group ${grant.group}.`, { group: grant.group })
+      recordEvent('group-formed', `Database ${status.database} is primary of group ${group}.`, { group })
     ]
   }
 }
