Puts documents and grants behind a log of commands

Cause: documents and grants were kept by the slices themselves, so that a replicated log could not be put under them later without changing both. Change: a deterministic catalog that commands drive; the agreement slice applies them and tells the owners, for now with one leader and no disk.

--- a/src/daemon/host.ts
+++ b/src/daemon/host.ts
@@ -66,7 +66,6 @@
 
 function startSlices (settings: Settings, loop: Loop, link: ConnectPeerLink, peers: Listening): void {
   link.learnAddresses(settings.control)
-  const leader = settings.control[0]?.host
   const post: HostPost = loop.post
   post({
     kind: 'membership/started',
@@ -79,7 +78,6 @@
       draining: false
     }
   })
-  post({ kind: 'membership/leader-changed', leader, epoch: 1 })
-  post({ kind: 'operations/leader-known', leader })
+  post({ kind: 'agreement/started', self: settings.host, control: settings.control.map(entry => entry.host) })
   post({ kind: 'routing/ask-due' })
 }
--- a/src/daemon/slices.ts
+++ b/src/daemon/slices.ts
@@ -1,5 +1,6 @@
 /** The slices of a host. */
 import { createAdmissionShared, decideAdmission } from '../admission/decide.js'
+import { createAgreementState, decideAgreement } from '../agreement/decide.js'
 import { checkBucket } from '../admission/bucket.js'
 import { DecidingSlice, type Slice } from '../core/slice.js'
 import { StoreSlice } from '../core/store.js'
@@ -23,6 +24,7 @@
   const { host, failureDomain, limits } = settings
   return [
     StoreSlice.create({ name: 'admission', shared: createAdmissionShared(), decide: decideAdmission, checkItem: checkBucket }),
+    DecidingSlice.create({ name: 'agreement', initial: createAgreementState(), decide: decideAgreement }),
     DecidingSlice.create({ name: 'documents', initial: createDocumentsState(), decide: decideDocuments }),
     DecidingSlice.create({ name: 'membership', initial: createMembershipState(), decide: decideMembership }),
     DecidingSlice.create({ name: 'operations', initial: createOperationsState(), decide: decideOperations }),
--- a/src/documents/messages.ts
+++ b/src/documents/messages.ts
@@ -1,4 +1,5 @@
 /** Messages of the documents slice. */
+import type { DocumentCommand, DocumentOutcome, DocumentsTable } from './table.js'
 
 /** An operator applies a document. */
 export interface Apply {
@@ -13,5 +14,23 @@
   readonly requestId: string
 }
 
+/** This host became or ceased to be the leader. */
+export interface Leadership {
+  readonly kind: 'documents/leadership'
+  readonly leads: boolean
+  readonly epoch: number
+  readonly table: DocumentsTable
+}
+
+/** A command was committed and applied on this host. */
+export interface Applied {
+  readonly kind: 'documents/applied'
+  /** The proposal that this host made, if it was this host's. */
+  readonly proposal?: string
+  readonly command: DocumentCommand
+  readonly outcome: DocumentOutcome
+  readonly table: DocumentsTable
+}
+
 /** Any message of the documents slice. */
-export type DocumentsMessage = Apply
+export type DocumentsMessage = Apply | Leadership | Applied
--- a/src/messages.ts
+++ b/src/messages.ts
@@ -1,5 +1,6 @@
 /** The messages of all slices, and the typed ways to deliver them. */
 import type { AdmissionMessage } from './admission/messages.js'
+import type { AgreementMessage } from './agreement/messages.js'
 import { sendPeer as sendAny, setTimer as setAny, tell as tellAny, type SendPeer, type SetTimer, type Tell } from './core/message.js'
 import type { DocumentsMessage } from './documents/messages.js'
 import type { MembershipMessage } from './membership/messages.js'
@@ -12,6 +13,7 @@
 /** Any message of a host. */
 export type HostMessage =
   | AdmissionMessage
+  | AgreementMessage
   | DocumentsMessage
   | MembershipMessage
   | OperationsMessage
