--- a/src/databases/driver.ts
+++ b/src/databases/driver.ts
@@ -49,8 +49,21 @@
   readonly offset: number
 }
 
+/** Fences, promotes or redirects a database, and posts its status after that. */
+export interface CommandDatabase extends Effect {
+  readonly kind: 'database/command'
+  readonly action: 'fence' | 'promote' | 'follow'
+  readonly database: string
+  readonly address: string
+  readonly term: number
+  /** The address of the primary to follow. */
+  readonly source?: string
+  /** The host that the outcome goes to. */
+  readonly asker: string
+}
+
 /** The effects that a driver carries out. */
-export type DatabaseEffect = OpenConnection | Execute | GrantCredit | CloseConnection | Probe | AwaitStored
+export type DatabaseEffect = OpenConnection | Execute | GrantCredit | CloseConnection | Probe | AwaitStored | CommandDatabase
 
 /** Carries statements and commands to databases. */
 export abstract class DatabaseDriver extends Adapter {
--- a/src/databases/postgres/control.ts
+++ b/src/databases/postgres/control.ts
@@ -14,6 +14,10 @@
   readonly fencedTerm: number
   /** What each database of the group has stored, as the primary knows it. */
   readonly stored: ReadonlyMap<string, LogPosition>
+  /** The address that a replica follows. */
+  readonly source?: string
+  /** How many entries the database ever discarded, because no majority stored them. */
+  readonly discarded: number
 }
 
 interface StatusRow {
@@ -21,6 +25,8 @@
   readonly position: string
   readonly fenced_term: string
   readonly stored: string
+  readonly source: string
+  readonly discarded: string
 }
 
 /** Sends one command at a time over one connection, which it opens again after it broke. */
@@ -42,10 +48,13 @@
 
   /** Reads the status. */
   async readStatus (): Promise<ReportedStatus> {
-    const [row] = await this.query<StatusRow>('SELECT * FROM fulmartally_status()')
-    const position = parsePosition(row?.position ?? '')
-    if (row === undefined || position === undefined) throw new TypeError('the status of the database can not be read')
-    return { primary: row.role === 'primary', position, fencedTerm: Number(row.fenced_term), stored: parseStored(row.stored) }
+    return parseStatus(await this.query<StatusRow>('SELECT * FROM fulmartally_status()'))
+  }
+
+  /** Fences, promotes or redirects the database, and returns its status after that. */
+  async command (action: 'fence' | 'promote' | 'follow', term: number, source = ''): Promise<ReportedStatus> {
+    const args = action === 'follow' ? `${term}, '${source.replaceAll("'", "''")}'` : String(term)
+    return parseStatus(await this.query<StatusRow>(`SELECT * FROM fulmartally_${action}(${args})`))
   }
 
   /** Runs one command and returns its rows. */
@@ -85,6 +94,19 @@
   }
 }
 
+function parseStatus ([row]: readonly StatusRow[]): ReportedStatus {
+  const position = parsePosition(row?.position ?? '')
+  if (row === undefined || position === undefined) throw new TypeError('the status of the database can not be read')
+  return {
+    primary: row.role === 'primary',
+    position,
+    fencedTerm: Number(row.fenced_term),
+    stored: parseStored(row.stored),
+    source: row.source === '' ? undefined : row.source,
+    discarded: Number(row.discarded)
+  }
+}
+
 function parseStored (text: string): ReadonlyMap<string, LogPosition> {
   const entries = Object.entries(JSON.parse(text) as Record<string, string>)
   return new Map(entries.flatMap(([database, value]) => {
--- a/src/databases/postgres/driver.ts
+++ b/src/databases/postgres/driver.ts
@@ -1,13 +1,16 @@
 /** The driver for PostgreSQL databases. */
 import type { HostPost } from '../../messages.js'
 import { ORIGIN } from '../../core/position.js'
-import { DatabaseDriver, type AwaitStored, type DatabaseEffect, type Probe } from '../driver.js'
+import { DatabaseDriver, type AwaitStored, type CommandDatabase, type DatabaseEffect, type Probe } from '../driver.js'
 import { DatabaseConnection } from './connection.js'
-import { ControlConnection } from './control.js'
+import type { DatabaseStatus } from '../../membership/directory.js'
+import { ControlConnection, type ReportedStatus } from './control.js'
 import { findMajority } from './majority.js'
 
 const POOL_USER = 'fulmartally'
 const STORED_POLL_MS = 3
+const STORED_RETRY_MS = 100
+const STORED_POLLED_MS = 1_000
 
 /** Carries statements and commands to PostgreSQL databases. */
 export class PostgresDriver extends DatabaseDriver {
@@ -38,6 +41,7 @@
       case 'database/close': return this.#close(effect.connection)
       case 'database/probe': return this.#probe(effect)
       case 'database/await-stored': return this.#awaitStored(effect)
+      case 'database/command': return this.#command(effect)
     }
   }
 
@@ -69,28 +73,47 @@
     const { database, askedAtMs } = effect
     this.#findControl(effect.address).readStatus()
       .then(
-        status => this.#post({ kind: 'membership/probed', askedAtMs, status: { database, answering: true, primary: status.primary, position: status.position, fencedTerm: status.fencedTerm } }),
+        status => this.#post({ kind: 'membership/probed', askedAtMs, status: createStatus(database, status) }),
         () => this.#post({ kind: 'membership/probed', askedAtMs, status: { database, answering: false, primary: false, position: ORIGIN, fencedTerm: 0 } }))
       .finally(() => this.#probing.delete(database))
   }
 
+  #command (effect: CommandDatabase): void {
+    const { action, database, address, term, source, asker } = effect
+    const outcome = { kind: 'primacy/commanded', asker, action, database, term } as const
+    this.#findControl(address).command(action, term, source)
+      .then(
+        status => this.#post({ ...outcome, status: createStatus(database, status) }),
+        () => this.#post(outcome))
+  }
+
   // One poll at a time for a database serves all writes that wait on it.
   #awaitStored (effect: AwaitStored): void {
     const polling = this.#awaiting.has(effect.database)
     this.#awaiting.set(effect.database, effect)
-    if (!polling) this.#pollStored(effect.database)
+    if (!polling) this.#pollStored(effect.database, performance.now() + STORED_POLLED_MS)
   }
 
-  #pollStored (database: string): void {
+  // The end of a poll is posted without success, too: the slice asks again while a write waits.
+  #pollStored (database: string, endsAtMs: number): void {
     const wanted = this.#awaiting.get(database)
     if (wanted === undefined) return
     this.#findControl(wanted.address).readStatus()
       .then(status => {
         const stored = findMajority(wanted.members, status.stored)
-        if (stored.offset < wanted.offset) return setTimeout(() => this.#pollStored(database), STORED_POLL_MS)
+        const waits = status.primary && stored.offset < wanted.offset && performance.now() < endsAtMs
+        if (waits) return setTimeout(() => this.#pollStored(database, endsAtMs), STORED_POLL_MS)
         this.#awaiting.delete(database)
         return this.#post({ kind: 'transactions/stored', database, position: stored })
       })
-      .catch(() => this.#awaiting.delete(database))
+      .catch(() => setTimeout(() => {
+        this.#awaiting.delete(database)
+        this.#post({ kind: 'transactions/stored', database, position: ORIGIN })
+      }, STORED_RETRY_MS))
   }
 }
+
+function createStatus (database: string, status: ReportedStatus): DatabaseStatus {
+  const { primary, position, fencedTerm, source, discarded } = status
+  return { database, answering: true, primary, position, fencedTerm, source, discarded }
+}
--- a/src/documents/decide.ts
+++ b/src/documents/decide.ts
@@ -42,7 +42,11 @@
 
 function takeLeadership (message: Leadership): DocumentsStep {
   const effects = message.leads ? Object.keys(message.table).map(service => publish(message.table, service)) : []
-  return { state: { leads: message.leads, waiting: new Map() }, effects }
+  return { state: { leads: message.leads, waiting: new Map() }, effects: [...effects, tellGroups(message.table)] }
+}
+
+function tellGroups (table: DocumentsTable): CoreEffect {
+  return tell({ kind: 'primacy/documents', groups: Object.values(table).flatMap(record => record.document.groups) })
 }
 
 function propose (state: DocumentsState, message: Apply): DocumentsStep {
@@ -68,7 +72,7 @@
   const recorded = outcome.accepted
     ? [recordEvent('document-accepted', `Document of ${service} is accepted at version ${outcome.version}.`, { request: command.requestId })]
     : []
-  return { state: { ...state, waiting }, effects: [...published, ...recorded, ...(call === undefined ? [] : [answer(call, outcome)])] }
+  return { state: { ...state, waiting }, effects: [tellGroups(message.table), ...published, ...recorded, ...(call === undefined ? [] : [answer(call, outcome)])] }
 }
 
 function publish (table: DocumentsTable, service: string): CoreEffect {
--- a/src/membership/decide.ts
+++ b/src/membership/decide.ts
@@ -65,7 +65,7 @@
     self: state.self,
     revision: state.directory.revision,
     databases: listAnnounced(state, moment),
-    statuses: [...state.statuses.values()]
+    statuses: [...state.statuses.values()].map(held => ({ ...held.status, ageMs: moment.monotonicMs - held.askedAtMs }))
   })
   return { state: { ...state, round, askedAtMs }, effects: [beat, createBeatTimer()] }
 }
@@ -130,7 +130,7 @@
 }
 
 function takeProbe (state: MembershipState, message: Probed): MembershipStep {
-  const statuses = new Map(state.statuses).set(message.status.database, message.status)
+  const statuses = new Map(state.statuses).set(message.status.database, { status: message.status, askedAtMs: message.askedAtMs })
   const effects: CoreEffect[] = [tell({ kind: 'routing/status-read', status: message.status, askedAtMs: message.askedAtMs })]
   if (message.status.answering) {
     effects.push(tell({ kind: 'transactions/position-read', database: message.status.database, position: message.status.position }))
--- a/src/membership/directory.ts
+++ b/src/membership/directory.ts
@@ -33,6 +33,8 @@
   readonly primary?: string
   /** The databases whose majority must store a write. */
   readonly members: readonly string[]
+  /** True while the primary finishes what it runs and takes nothing new. */
+  readonly closing?: boolean
 }
 
 /** A service's document in force. */
@@ -76,6 +78,12 @@
   readonly position: LogPosition
   /** The highest term that fenced the database. */
   readonly fencedTerm: number
+  /** The address that a replica follows. */
+  readonly source?: string
+  /** How many entries the database ever discarded, because no majority stored them. */
+  readonly discarded?: number
+  /** The age of the status when its owner reported it. */
+  readonly ageMs?: number
 }
 
 /**
--- a/src/membership/leader.ts
+++ b/src/membership/leader.ts
@@ -46,7 +46,7 @@
     revision: directory.revision,
     changes: listChangesSince(directory, beat.revision)
   })
-  const told = tell({ kind: 'primacy/reported', host, statuses: beat.statuses, databases: beat.databases, revision: beat.revision })
+  const told = tell({ kind: 'primacy/reported', host, failureDomain: beat.self.failureDomain, statuses: beat.statuses, databases: beat.databases, revision: beat.revision })
   return { state: { ...state, leading: next }, effects: [answer, told] }
 }
 
@@ -55,7 +55,9 @@
  * @example publishEntry(state, leading, grant)
  */
 export function publishEntry (state: MembershipState, leading: Leading, entry: DirectoryEntry): MembershipStep {
-  return { state: { ...state, leading: { ...leading, directory: putEntry(leading.directory, entry) } }, effects: [] }
+  const directory = putEntry(leading.directory, entry)
+  const told = entry.kind === 'grant' ? [tell({ kind: 'primacy/published', entry, revision: directory.revision })] : []
+  return { state: { ...state, leading: { ...leading, directory } }, effects: told }
 }
 
 /**
--- a/src/membership/state.ts
+++ b/src/membership/state.ts
@@ -7,6 +7,12 @@
   readonly heardAtMs: number
 }
 
+/** A status, and a time before it was read. */
+export interface HeldStatus {
+  readonly status: DatabaseStatus
+  readonly askedAtMs: number
+}
+
 /** A host as the leader knows it. */
 export interface ReportingHost {
   readonly entry: HostEntry
@@ -33,7 +39,7 @@
   readonly round: number
   readonly askedAtMs: ReadonlyMap<number, number>
   readonly announced: ReadonlyMap<string, Announcement>
-  readonly statuses: ReadonlyMap<string, DatabaseStatus>
+  readonly statuses: ReadonlyMap<string, HeldStatus>
   /** The directory that this host has in force. */
   readonly directory: Directory
   /** Set on the leader alone. */
--- a/src/routing/decide.ts
+++ b/src/routing/decide.ts
@@ -40,7 +40,7 @@
     return answer({ ...state, turn: state.turn + 1 }, message, createTarget(replica, 'replica', grant?.term ?? 0, floor))
   }
   const primary = grant?.primary === undefined ? undefined : state.databases.get(grant.primary)
-  if (grant === undefined || primary?.owner === undefined) return refuse(state, message, 'no-primary')
+  if (grant === undefined || grant.closing === true || primary?.owner === undefined) return refuse(state, message, 'no-primary')
   return answer(state, message, createTarget(primary, 'primary', grant.term, ORIGIN))
 }
 
--- a/src/transactions/decide.ts
+++ b/src/transactions/decide.ts
@@ -84,7 +84,7 @@
   const { target } = message
   if (database.entry.departing) return createFailure('no-database', database.entry.group)
   if (database.queue.length >= shared.queueLength) return createFailure('queue-full', database.entry.database)
-  if (target.purpose === 'primary' && database.term !== target.term) return createFailure('no-primary', database.entry.group)
+  if (target.purpose === 'primary' && (database.term !== target.term || database.closing === true)) return createFailure('no-primary', database.entry.group)
   if (target.purpose === 'replica' && !coversPosition(database.position, target.floor)) return createFailure('no-database', database.entry.group)
   return undefined
 }
@@ -325,10 +325,11 @@
 function applyGrant (database: OwnedDatabase, grant: GrantEntry | undefined): DatabaseStep {
   const term = grant?.primary === database.entry.database ? grant.term : undefined
   const members = grant?.members ?? database.members
-  if (term === database.term) return keep({ ...database, members })
+  const closing = grant?.closing === true
+  if (term === database.term) return keep({ ...database, members, closing })
   const failure = createFailure('outcome-unknown', 'the primary was replaced')
   const failed = database.storing.map(write => answerFailed(write.from, write, failure, false))
   const waiting = database.queue.filter(message => message.target.purpose === 'primary').map(message => refuseRun(message, createFailure('no-primary', database.entry.group)))
   const queue = database.queue.filter(message => message.target.purpose !== 'primary')
-  return { database: { ...database, term, members, queue, storing: [] }, effects: [...failed, ...waiting] }
+  return { database: { ...database, term, closing, members, queue, storing: [] }, effects: [...failed, ...waiting] }
 }
--- a/src/transactions/state.ts
+++ b/src/transactions/state.ts
@@ -35,6 +35,8 @@
   readonly entry: DatabaseEntry
   /** The term in which the database is primary; undefined while it is a replica. */
   readonly term?: number
+  /** True while a planned change lets the primary finish what it runs. */
+  readonly closing?: boolean
   readonly members: readonly string[]
   readonly position: LogPosition
   readonly connections: ReadonlyMap<string, Connection>
--- a/standin/database.ts
+++ b/standin/database.ts
@@ -1,6 +1,7 @@
 /** The stand-in database: its log, role and term, and what its sessions share. */
 import type { LogPosition } from '../src/core/position.js'
 import { GroupLog, type Boundaries, type Change, type LogEntry } from './log.js'
+import { MemoryJournal, type DatabaseJournal, type JournalRecord } from './journal.js'
 import { RowLocks } from './locks.js'
 
 const PULL_ENTRIES = 500
@@ -49,20 +50,37 @@
   fencedTerm = 0
   /** Where a replica pulls from. */
   source: string | undefined
+  /** How many entries were ever dropped because the primary does not have them. */
+  discarded = 0
+  readonly #journal: DatabaseJournal
+  /** How many entries of the log are synced. */
+  #syncedOffset = 0
+  #truncations = 0
   readonly #stored = new Map<string, LogPosition>()
   #running = 0
   readonly #waiting: Array<() => void> = []
 
-  private constructor (parts: DatabaseParts) {
+  private constructor (parts: DatabaseParts, journal: DatabaseJournal) {
     this.parts = parts
+    this.#journal = journal
+    for (const record of journal.recovered) this.#recover(record)
+    this.#syncedOffset = this.log.position.offset
   }
 
   /**
-   * Creates an empty replica.
+   * Creates a database from what its journal recovered; an empty replica by default.
    * @example StandInDatabase.create({ name: 'a1', group: 'a', slots: 3, statementMs: 2 })
    */
-  static create (parts: DatabaseParts): StandInDatabase {
-    return new StandInDatabase(parts)
+  static create (parts: DatabaseParts, journal: DatabaseJournal = MemoryJournal.create()): StandInDatabase {
+    return new StandInDatabase(parts, journal)
+  }
+
+  /** Waits until all that was done so far would survive a crash. */
+  async awaitSynced (): Promise<void> {
+    const { offset } = this.log.position
+    const truncations = this.#truncations
+    await this.#journal.sync()
+    if (truncations === this.#truncations) this.#syncedOffset = Math.max(this.#syncedOffset, offset)
   }
 
   /** Runs a step while it holds a slot; steps over the slots wait. */
@@ -82,7 +100,7 @@
   commit (changes: readonly Change[]): LogPosition {
     if (!this.primary) throw new SqlError('25006', 'cannot execute in a read-only transaction')
     const position: LogPosition = { term: this.term, offset: this.log.position.offset + 1 }
-    this.log.append({ position, changes })
+    this.#append({ position, changes })
     return position
   }
 
@@ -94,16 +112,18 @@
       this.primary = false
       this.source = undefined
     }
+    this.#storeRole()
   }
 
-  /** Becomes the primary of a term. */
+  /** Becomes the primary of a term that it was fenced at. */
   promote (term: number): void {
-    if (term < this.fencedTerm || term <= this.log.position.term) throw new SqlError('55000', `term ${term} is fenced`)
-    this.fencedTerm = term
+    if (this.primary && term === this.term) return
+    if (term !== this.fencedTerm || term <= this.log.position.term) throw new SqlError('55000', `the database is not fenced at term ${term}`)
     this.term = term
     this.primary = true
     this.source = undefined
     this.#stored.clear()
+    this.#storeRole()
     this.commit([])
   }
 
@@ -114,6 +134,7 @@
     this.fencedTerm = term
     this.primary = false
     this.source = address
+    this.#storeRole()
   }
 
   /** Answers a replica's pull; what it asks from shows what it has stored. */
@@ -121,22 +142,61 @@
     if (!this.primary) throw new SqlError('55000', 'not the primary')
     const common = this.log.findCommon(boundaries)
     this.#stored.set(replica, this.log.readPosition(common))
-    return { term: this.term, common, entries: this.log.readAfter(common, PULL_ENTRIES) }
+    const count = Math.max(0, Math.min(PULL_ENTRIES, this.#syncedOffset - common))
+    return { term: this.term, common, entries: this.log.readAfter(common, count) }
   }
 
   /** Takes what a pull brought. */
   takePulled (pulled: Pulled): void {
     if (pulled.term < this.fencedTerm || this.primary) return
-    this.term = pulled.term
-    this.log.truncate(pulled.common)
-    for (const entry of pulled.entries) this.log.append(entry)
+    if (pulled.term > this.term || pulled.term > this.fencedTerm) {
+      this.term = pulled.term
+      this.fencedTerm = pulled.term
+      this.#storeRole()
+    }
+    this.#truncate(pulled.common)
+    for (const entry of pulled.entries) this.#append(entry)
   }
 
   /** What each database of the group stores, as far as this one knows. */
   listStored (): Readonly<Record<string, string>> {
-    const own: ReadonlyArray<readonly [string, LogPosition]> = [[this.parts.name, this.log.position], ...this.#stored]
+    const own: ReadonlyArray<readonly [string, LogPosition]> = [[this.parts.name, this.log.readPosition(this.#syncedOffset)], ...this.#stored]
     return Object.fromEntries(own.map(([name, position]) => [name, formatPosition(position)]))
   }
+
+  #append (entry: LogEntry): void {
+    this.log.append(entry)
+    this.#journal.append({ type: 'entry', entry })
+  }
+
+  #truncate (offset: number): void {
+    const dropped = this.log.position.offset - offset
+    if (dropped <= 0) return
+    this.log.truncate(offset)
+    this.#truncations += 1
+    this.#syncedOffset = Math.min(this.#syncedOffset, offset)
+    this.discarded += dropped
+    this.#journal.append({ type: 'truncate', offset })
+    this.#storeRole()
+  }
+
+  #storeRole (): void {
+    const { term, fencedTerm, primary, source, discarded } = this
+    this.#journal.append({ type: 'role', role: { term, fencedTerm, primary, source, discarded } })
+  }
+
+  #recover (record: JournalRecord): void {
+    switch (record.type) {
+      case 'entry': return this.log.append(record.entry)
+      case 'truncate': return this.log.truncate(record.offset)
+      case 'role':
+        this.term = record.role.term
+        this.fencedTerm = record.role.fencedTerm
+        this.primary = record.role.primary
+        this.source = record.role.source
+        this.discarded = record.role.discarded
+    }
+  }
 }
 
 /** Writes a position as TERM/OFFSET. */
--- a/standin/main.ts
+++ b/standin/main.ts
@@ -5,6 +5,7 @@
 import { Command } from 'commander'
 import { Announcements } from '../src/gen/fulmartally_pb.js'
 import { StandInDatabase } from './database.js'
+import { FileJournal, MemoryJournal } from './journal.js'
 import { Replication } from './replication.js'
 import { StandInServer } from './server.js'
 
@@ -24,6 +25,7 @@
   readonly primary?: boolean
   readonly follow?: string
   readonly secrets: string
+  readonly data?: string
 }
 
 const program = new Command('standin')
@@ -40,15 +42,17 @@
   .option('--lag-ms <ms>', 'how far replication stays behind', '10')
   .option('--primary', 'starts as the primary of term 1')
   .option('--follow <address>', 'starts as a replica of this database')
+  .option('--data <folder>', 'keeps its log and role in this folder over restarts')
   .option('--secrets <list>', 'texts that must never arrive, with commas', '')
 
 program.parse()
 await run(program.opts<Options>())
 
 async function run (options: Options): Promise<void> {
-  const database = StandInDatabase.create({ name: options.name, group: options.group, slots: Number(options.slots), statementMs: Number(options.statementMs) })
-  if (options.primary === true) database.promote(1)
-  if (options.follow !== undefined) database.follow(1, options.follow)
+  const journal = options.data === undefined ? MemoryJournal.create() : await FileJournal.create(options.data)
+  const database = StandInDatabase.create({ name: options.name, group: options.group, slots: Number(options.slots), statementMs: Number(options.statementMs) }, journal)
+  if (journal.recovered.length === 0) startRole(database, options)
+  await database.awaitSynced()
   const server = StandInServer.create(database, {
     connections: Number(options.connections),
     connectMs: Number(options.connectMs),
@@ -61,6 +65,13 @@
   process.once('SIGTERM', () => process.exit(0))
 }
 
+function startRole (database: StandInDatabase, options: Options): void {
+  if (options.follow !== undefined) database.follow(1, options.follow)
+  if (options.primary !== true) return
+  database.fence(1)
+  database.promote(1)
+}
+
 function announce (database: StandInDatabase, options: Options, address: string): void {
   const clients = splitList(options.hosts).map(host => createClient(Announcements, createConnectTransport({ baseUrl: `http://${host}`, httpVersion: '2' })))
   const send = (): void => {
--- a/standin/replication.ts
+++ b/standin/replication.ts
@@ -4,11 +4,17 @@
 
 const PULL_EVERY_MS = 5
 
+interface Link {
+  readonly source: string
+  readonly control: ControlConnection
+  pulling: boolean
+}
+
 /** Pulls entries for one database while it has a source. */
 export class Replication implements AsyncDisposable {
   readonly #database: StandInDatabase
   readonly #lagMs: number
-  #link: { readonly source: string, readonly control: ControlConnection } | undefined
+  #link: Link | undefined
   #timer: NodeJS.Timeout | undefined
 
   private constructor (database: StandInDatabase, lagMs: number) {
@@ -27,26 +33,33 @@
   }
 
   async [Symbol.asyncDispose] (): Promise<void> {
-    clearTimeout(this.#timer)
+    clearInterval(this.#timer)
     await this.#link?.control[Symbol.asyncDispose]()
   }
 
+  // A pull of a former source may hang: a new source is pulled without waiting for it.
   #schedule (): void {
-    this.#timer = setTimeout(() => {
-      this.#pull().catch(() => undefined).finally(() => this.#schedule())
+    this.#timer = setInterval(() => {
+      const { source } = this.#database
+      if (source !== this.#link?.source) this.#change(source)
+      const link = this.#link
+      if (link === undefined || link.pulling) return
+      link.pulling = true
+      this.#pull(link).catch(() => undefined).finally(() => { link.pulling = false })
     }, PULL_EVERY_MS + this.#lagMs)
   }
 
-  async #pull (): Promise<void> {
-    const { source, log, parts } = this.#database
-    if (source === undefined) return
-    if (this.#link?.source !== source) {
-      await this.#link?.control[Symbol.asyncDispose]()
-      this.#link = { source, control: ControlConnection.create(source) }
-    }
+  #change (source: string | undefined): void {
+    this.#link?.control[Symbol.asyncDispose]().catch(() => undefined)
+    this.#link = source === undefined ? undefined : { source, control: ControlConnection.create(source), pulling: false }
+  }
+
+  async #pull (link: Link): Promise<void> {
+    const { log, parts } = this.#database
+    await this.#database.awaitSynced()
     const boundaries = JSON.stringify(log.readBoundaries())
-    const [row] = await this.#link.control.query<{ value: string }>(`SELECT * FROM fulmartally_pull('${parts.name}', '${boundaries}')`)
-    if (row === undefined || this.#database.source !== source) return
+    const [row] = await link.control.query<{ value: string }>(`SELECT * FROM fulmartally_pull('${parts.name}', '${boundaries}')`)
+    if (row === undefined || this.#link !== link || this.#database.source !== link.source) return
     this.#database.takePulled(JSON.parse(row.value) as Pulled)
   }
 }
--- a/standin/server.ts
+++ b/standin/server.ts
@@ -150,13 +150,13 @@
       case FRONTEND.describe: return await this.#describe(String.fromCharCode(reader.byte()))
       case FRONTEND.execute: return await this.#execute()
       case FRONTEND.close: return this.#close(String.fromCharCode(reader.byte()), reader.cstring())
-      case FRONTEND.sync: return this.#sync()
+      case FRONTEND.sync: return await this.#sync()
     }
     throw new SqlError('08P01', `message type ${code} is not known`)
   }
 
   async #runSimple (text: string): Promise<void> {
-    const control = runControl(this.#database, text)
+    const control = await runControl(this.#database, text)
     if (control !== undefined) {
       this.#sendResult(control, true)
       this.#sendReady()
@@ -167,6 +167,7 @@
     const results: StatementResult[] = []
     for (const statement of statements) results.push(await this.#session.run(statement, []))
     this.#session.endImplicit()
+    await this.#database.awaitSynced()
     for (const result of results) this.#sendResult(result, true)
     this.#sendReady()
   }
@@ -206,6 +207,7 @@
   async #execute (): Promise<void> {
     if (this.#portal === undefined) throw new SqlError('34000', 'portal does not exist')
     const result = this.#portal.result ?? await this.#runPortal(this.#portal)
+    await this.#database.awaitSynced()
     this.#sendResult(result, false)
   }
 
@@ -220,10 +222,11 @@
     this.#send(BACKEND.closeComplete)
   }
 
-  #sync (): void {
+  async #sync (): Promise<void> {
     this.#skipping = false
     this.#portal = undefined
     this.#session.endImplicit()
+    await this.#database.awaitSynced()
     this.#sendReady()
   }
 
