--- a/demo/processes.ts
+++ b/demo/processes.ts
@@ -6,6 +6,7 @@
 import { join } from 'node:path'
 import { createInterface } from 'node:readline'
 import { fileURLToPath } from 'node:url'
+import { Relay } from './relay.js'
 
 const BUILT = fileURLToPath(new URL(import.meta.url.includes('/dist/') ? '..' : '../dist', import.meta.url))
 const READY_WITHIN_MS = 20_000
@@ -56,7 +57,9 @@
 /** A started database, with what it takes to start it again. */
 export interface StartedDatabase {
   readonly plan: DatabasePlan
+  /** The address of the relay through which all others reach the database. */
   readonly address: string
+  readonly relay: Relay
   readonly args: readonly string[]
   process: RunningProcess<{ readonly address: string }>
 }
@@ -119,17 +122,23 @@
 /** Starts databases, which announce themselves to the hosts of their failure domain. */
 export async function startDatabases (plans: readonly DatabasePlan[], hosts: readonly StartedHost[], secrets: readonly string[], directory: string): Promise<readonly StartedDatabase[]> {
   const ports = await pickPorts(plans.length)
-  const addresses = new Map(plans.map((plan, index) => [plan.name, `127.0.0.1:${ports[index]}`]))
+  const relays = await Promise.all(plans.map(async (_, index) => await openRelay(`127.0.0.1:${ports[index]}`)))
+  const addresses = new Map(plans.map((plan, index) => [plan.name, relays[index]!.address]))
   const primaries = new Map(plans.filter(plan => plan.primary).map(plan => [plan.group, addresses.get(plan.name)!]))
-  return await Promise.all(plans.map(async plan => {
+  return await Promise.all(plans.map(async (plan, index) => {
     const near = hosts.filter(host => host.plan.failureDomain === plan.failureDomain).map(host => host.addresses.peers)
     const address = addresses.get(plan.name)!
     const role = plan.primary ? ['--primary'] : ['--follow', primaries.get(plan.group)!]
-    const args = [...createDatabaseArgs(plan), '--port', address.split(':')[1]!, '--hosts', near.join(','), '--secrets', secrets.join(','), ...role]
-    return { plan, address, args, process: await startProcess<{ readonly address: string }>(plan.name, 'standin/main.js', args, directory) }
+    const args = [...createDatabaseArgs(plan), '--port', String(ports[index]), '--advertise', address, '--hosts', near.join(','), '--secrets', secrets.join(','), ...role]
+    return { plan, address, relay: relays[index]!.relay, args, process: await startProcess<{ readonly address: string }>(plan.name, 'standin/main.js', args, directory) }
   }))
 }
 
+async function openRelay (target: string): Promise<{ readonly relay: Relay, readonly address: string }> {
+  const relay = Relay.create(target)
+  return { relay, address: await relay.listen() }
+}
+
 function createDatabaseArgs (plan: DatabasePlan): readonly string[] {
   const { name, group, failureDomain, slots = 3, connections = 20, connectMs = 10, statementMs = 1, lagMs = 5 } = plan
   return [
--- a/standin/main.ts
+++ b/standin/main.ts
@@ -15,6 +15,7 @@
   readonly group: string
   readonly failureDomain: string
   readonly port: string
+  readonly advertise?: string
   readonly hosts: string
   readonly slots: string
   readonly connections: string
@@ -32,6 +33,7 @@
   .requiredOption('--group <name>', 'its group')
   .requiredOption('--failure-domain <name>', 'its failure domain')
   .option('--port <port>', 'the port on loopback; 0 lets the system pick', '0')
+  .option('--advertise <address>', 'the address to announce, when others reach it by another one')
   .option('--hosts <list>', 'peers\' addresses of the hosts to announce to, with commas', '')
   .option('--slots <count>', 'statements at one time', '3')
   .option('--connections <count>', 'the limit of connections', '20')
@@ -56,7 +58,7 @@
   })
   const address = await server.listen(Number(options.port))
   Replication.create(database, Number(options.lagMs))
-  announce(database, options, address)
+  announce(database, options, options.advertise ?? address)
   console.log(JSON.stringify({ ready: { address } }))
   process.once('SIGTERM', () => process.exit(0))
 }
--- a/standin/session.ts
+++ b/standin/session.ts
@@ -286,6 +286,7 @@
       return args[1] ?? null
     }
     if (name === 'current_setting') return this.#settings.get(args[0] ?? '') ?? ''
+    if (name === 'fulmartally_role') return this.#database.primary ? 'primary' : 'replica'
     if (name === 'fulmartally_position') return formatPosition(this.#database.log.position)
     throw new SqlError('42883', `function ${name} does not exist`)
   }
