--- a/demo/processes.ts
+++ b/demo/processes.ts
@@ -129,11 +129,16 @@
     const near = hosts.filter(host => host.plan.failureDomain === plan.failureDomain).map(host => host.addresses.peers)
     const address = addresses.get(plan.name)!
     const role = plan.primary ? ['--primary'] : ['--follow', primaries.get(plan.group)!]
-    const args = [...createDatabaseArgs(plan), '--port', String(ports[index]), '--advertise', address, '--hosts', near.join(','), '--secrets', secrets.join(','), ...role]
+    const args = [...createDatabaseArgs(plan), '--port', String(ports[index]), '--advertise', address, '--hosts', near.join(','), '--secrets', secrets.join(','), '--data', join(directory, `${plan.name}.data`), ...role]
     return { plan, address, relay: relays[index]!.relay, args, process: await startProcess<{ readonly address: string }>(plan.name, 'standin/main.js', args, directory) }
   }))
 }
 
+/** Starts a database again with its data, after it ended. */
+export async function restartDatabase (database: StartedDatabase, directory: string): Promise<void> {
+  database.process = await startProcess<{ readonly address: string }>(database.plan.name, 'standin/main.js', database.args, directory)
+}
+
 async function openRelay (target: string): Promise<{ readonly relay: Relay, readonly address: string }> {
   const relay = Relay.create(target)
   return { relay, address: await relay.listen() }
