Replaces members of a group one at a time, each with a new term

Cause: a database that departs for good could not be replaced. Ruled out: new members within a term: an owner that still counts the former majority could acknowledge; joining several at once, since majorities of such sets need not meet. Change: a planned change may carry the next members; it begins once a majority holds an entry of the present term. A group forms from its first announced databases, also when more announce themselves.

--- a/src/primacy/change.ts
+++ b/src/primacy/change.ts
@@ -1,5 +1,5 @@
 /** The change of a group's primary, step by step; each step is a command of the log. */
-import { comparePositions, coversPosition, type LogPosition } from '../core/position.js'
+import { comparePositions, coversPosition, ORIGIN, type LogPosition } from '../core/position.js'
 import { assertInvariant } from '../core/invariant.js'
 import type { Obeyed, Published } from './messages.js'
 import type { PrimacyState, Progress } from './state.js'
@@ -10,6 +10,8 @@
 const PROMOTE_WITHIN_MS = 1_500
 /** How long a planned change may wait for its target before writes go on as they were. */
 const CLOSE_WITHIN_MS = 2_000
+/** How long a fenced majority waits for the target of a planned change. */
+const TARGET_WITHIN_MS = 300
 /** How long the former primary's position has to stand before it counts as final. */
 const STILL_MS = 200
 
@@ -74,7 +76,8 @@
   if (progress.still === undefined || comparePositions(progress.still.position, position) !== 0) {
     return { state: replaceProgress(state, group, { ...progress, still: { position, sinceMs: nowMs } }), effects: [] }
   }
-  const ready = nowMs - progress.still.sinceMs >= STILL_MS && coversPosition(held, position)
+  const stored = isMajority(record, member => coversPosition(state.databases.get(member)?.status?.position ?? ORIGIN, position))
+  const ready = nowMs - progress.still.sinceMs >= STILL_MS && stored && coversPosition(held, position)
   return ready ? propose(state, { kind: 'primacy/end', group, term }, nowMs) : { state, effects: [] }
 }
 
@@ -84,8 +87,9 @@
 }
 
 function checkFencing (state: PrimacyState, group: string, record: GroupRecord, change: GroupChange, nowMs: number): PrimacyStep {
-  const { fenced } = state.progress.get(group)!
-  if (isMajority(record, database => fenced.has(database))) return chooseNext(state, group, record, change, fenced, nowMs)
+  const { fenced, sinceMs } = state.progress.get(group)!
+  const isTargetAwaited = change.target !== undefined && !fenced.has(change.target) && nowMs - sinceMs < TARGET_WITHIN_MS
+  if (!isTargetAwaited && isMajority(record, database => fenced.has(database))) return chooseNext(state, group, record, change, fenced, nowMs)
   const missing = record.members.filter(database => !fenced.has(database))
   return runAll(state, missing, (next, database) => sendCommand(next, next.databases.get(database), 'fence', change.term, nowMs))
 }
--- a/src/primacy/decide.ts
+++ b/src/primacy/decide.ts
@@ -5,6 +5,7 @@
 import { checkChange, takeObeyed, takePublished } from './change.js'
 import { checkDeparting, checkFormation, checkPrimary } from './detect.js'
 import { checkFollower, createDiscardEvent } from './follow.js'
+import { checkMembers, listFollowers } from './members.js'
 import type { Applied, Command, Commanded, Documents, Leadership, Move, PrimacyMessage, Reported } from './messages.js'
 import { createPrimacyState, type KnownDatabase, type PrimacyState } from './state.js'
 import type { PrimacyCommand } from './table.js'
@@ -109,8 +110,9 @@
   const changed = checkChange(state, group, record, nowMs)
   const checked = checkPrimary(changed.state, group, record, nowMs)
   const moved = checkDeparting(checked.state, group, record, nowMs)
-  const followed = runAll(moved.state, record.members, (next, member) => checkFollower(next, record, member, nowMs))
-  return { state: followed.state, effects: [...changed.effects, ...checked.effects, ...moved.effects, ...followed.effects] }
+  const settled = checkMembers(moved.state, group, record, nowMs)
+  const followed = runAll(settled.state, listFollowers(settled.state, group, record), (next, member) => checkFollower(next, record, member, nowMs))
+  return { state: followed.state, effects: [...changed.effects, ...checked.effects, ...moved.effects, ...settled.effects, ...followed.effects] }
 }
 
 function createCheckTimer (): PrimacyEffect {
--- a/src/primacy/detect.ts
+++ b/src/primacy/detect.ts
@@ -26,8 +26,10 @@
   const primaries = announced.filter(known => known.status?.primary === true && isAnswering(state, known.entry.database, nowMs))
   const [primary] = primaries
   const term = primary?.status?.position.term ?? 0
-  if (announced.length !== state.counts.get(group) || primaries.length !== 1 || primary === undefined || term < 1) return { state, effects: [] }
-  const members = announced.map(known => known.entry.database).sort()
+  const count = state.counts.get(group)
+  if (count === undefined || announced.length < count || primaries.length !== 1 || primary === undefined || term < 1) return { state, effects: [] }
+  const others = announced.filter(known => known !== primary).slice(0, count - 1)
+  const members = [primary, ...others].map(known => known.entry.database).sort()
   return propose(state, { kind: 'primacy/grant', group, term, primary: primary.entry.database, members }, nowMs)
 }
 
--- a/src/primacy/follow.ts
+++ b/src/primacy/follow.ts
@@ -18,7 +18,11 @@
   return sendCommand(state, known, 'follow', record.term, nowMs, address)
 }
 
-function isFollowing (status: DatabaseStatus, term: number, address: string): boolean {
+/**
+ * Tells whether a replica follows the primary at an address in a term.
+ * @example isFollowing(status, 3, '10.0.0.1:5432')
+ */
+export function isFollowing (status: DatabaseStatus, term: number, address: string): boolean {
   return !status.primary && status.fencedTerm >= term && status.source === address
 }
 
--- a/src/primacy/random.test.ts
+++ b/src/primacy/random.test.ts
@@ -6,21 +6,24 @@
 import { parsePosition } from '../databases/postgres/answer.js'
 import { findMajority } from '../databases/postgres/majority.js'
 import type { CommandDatabase } from '../databases/driver.js'
-import { NO_REVISION, type DatabaseStatus, type GrantEntry, type Revision } from '../membership/directory.js'
+import { NO_REVISION, type DatabaseEntry, type DatabaseStatus, type GrantEntry, type Revision } from '../membership/directory.js'
 import type { HostMessage } from '../messages.js'
 import { GRANT_LEASE_MS } from '../requests/decide.js'
 import { StandInDatabase } from '../../standin/database.js'
 import { decidePrimacy } from './decide.js'
-import type { PrimacyMessage } from './messages.js'
+import type { PrimacyMessage, Reported } from './messages.js'
 import { createPrimacyState, type PrimacyState } from './state.js'
 import { applyPrimacyCommand, type GroupsTable, type PrimacyCommand } from './table.js'
 
 const SEED = Number(process.env.SEED ?? 1)
 const RUNS = Number(process.env.RUNS ?? 1_000)
 const NAMES = ['1', '2', '3']
+/** The last one announces itself without being a member. */
+const DATABASES = ['d1', 'd2', 'd3', 'd4']
+const JOINS_AT_MS = 400
 const FAULTS_END_MS = 3_500
 const SERVES_AGAIN_MS = 7_000
-const END_MS = 10_500
+const END_MS = 12_000
 
 interface FakeHost {
   readonly name: string
@@ -42,6 +45,7 @@
 interface Summary {
   readonly acknowledged: number
   readonly grants: number
+  readonly replaced: boolean
   readonly lastAcknowledgedMs: number
 }
 
@@ -59,13 +63,17 @@
   #epoch = 1
   #directory: { readonly revision: Revision, readonly grant?: GrantEntry } = { revision: NO_REVISION }
   #writes = 0
+  readonly #departsAtMs: number
+  readonly #departing: string
 
   private constructor (seed: number) {
     this.#random = xoroshiro128plus(seed)
+    this.#departsAtMs = this.#draw(500, 4_000)
+    this.#departing = `d${this.#draw(1, 3)}`
     this.#hosts = NAMES.map(name => ({ name: `h${name}`, clockRate: 1 + this.#draw(-4, 4) / 1_000, state: createPrimacyState(), revision: NO_REVISION, leaseEndsMs: 0, frozenUntilMs: 0 }))
-    for (const name of NAMES) {
-      const database = StandInDatabase.create({ name: `d${name}`, group: 'g', slots: 3, statementMs: 0 })
-      this.#databases.set(`d${name}`, { database, frozenUntilMs: 0, cutUntilMs: 0, pulls: 0 })
+    for (const name of DATABASES) {
+      const database = StandInDatabase.create({ name, group: 'g', slots: 3, statementMs: 0 })
+      this.#databases.set(name, { database, frozenUntilMs: 0, cutUntilMs: 0, pulls: 0 })
     }
   }
 
@@ -77,7 +85,7 @@
     for (const [name, { database }] of this.#databases) {
       database.fence(1)
       if (name === 'd1') database.promote(1)
-      else database.follow(1, 'd1')
+      else if (name !== 'd4') database.follow(1, 'd1')
       await database.awaitSynced()
       this.#repeat(() => this.#draw(10, 40), () => this.#pull(name))
     }
@@ -85,7 +93,7 @@
     for (const host of this.#hosts) this.#repeat(() => 100, () => this.#sendBeat(host))
     this.#repeat(() => this.#draw(200, 1_000), () => { if (this.nowMs < FAULTS_END_MS) this.#fail() })
     this.#lead()
-    while (this.#lastAcknowledgedMs <= SERVES_AGAIN_MS && this.nowMs < END_MS) {
+    while (this.nowMs < END_MS && (this.#lastAcknowledgedMs <= SERVES_AGAIN_MS || !this.#isReplaced())) {
       const batch = this.#events.get(this.nowMs) ?? []
       this.#events.delete(this.nowMs)
       for (const event of batch) {
@@ -95,7 +103,13 @@
       if (!this.#events.has(this.nowMs)) this.nowMs += 1
     }
     this.#checkKept()
-    return { acknowledged: this.#acknowledged.size, grants: this.#granted.size, lastAcknowledgedMs: this.#lastAcknowledgedMs }
+    return { acknowledged: this.#acknowledged.size, grants: this.#granted.size, replaced: this.#isReplaced(), lastAcknowledgedMs: this.#lastAcknowledgedMs }
+  }
+
+  // The database that joins has come, and the one that departs has left.
+  #isReplaced (): boolean {
+    const { members, primary } = this.#table.g!
+    return primary !== undefined && members.includes('d4') && !members.includes(this.#departing)
   }
 
   #draw (from: number, to: number): number {
@@ -140,7 +154,7 @@
     const lengthMs = this.#draw(200, 2_500)
     const host = this.#hosts[this.#draw(0, 2)]!
     const primary = this.#draw(0, 1) === 0 ? this.#table.g?.primary : undefined
-    const database = this.#databases.get(primary ?? `d${this.#draw(1, 3)}`)!
+    const database = this.#databases.get(primary ?? `d${this.#draw(1, 4)}`)!
     switch (this.#draw(0, 4)) {
       case 0:
         this.#leader = this.#draw(0, 2)
@@ -250,12 +264,7 @@
     if (host.frozenUntilMs > this.nowMs) return
     const askedAtMs = this.#readClock(host)
     const leader = this.#hosts[this.#leader]!
-    const name = host.name.replace('h', 'd')
-    const fake = this.#databases.get(name)!
-    const answering = Math.max(fake.cutUntilMs, fake.frozenUntilMs) <= this.nowMs
-    const entry = { kind: 'database', database: name, group: 'g', failureDomain: host.name, address: name, slots: 3, connectionLimit: 9, departing: false } as const
-    const statuses = answering ? [this.#readStatus(fake.database)] : []
-    const report: PrimacyMessage = { kind: 'primacy/reported', host: host.name, failureDomain: host.name, revision: host.revision, databases: answering ? [entry] : [], statuses }
+    const report: PrimacyMessage = { kind: 'primacy/reported', host: host.name, failureDomain: host.name, revision: host.revision, ...this.#readOwned(host) }
     this.#send(leader, () => {
       if (leader !== this.#hosts[this.#leader] || leader.state.epoch !== this.#epoch) return
       this.#decide(leader, report)
@@ -264,6 +273,18 @@
     })
   }
 
+  #readOwned (host: FakeHost): Pick<Reported, 'databases' | 'statuses'> {
+    const owned = DATABASES.filter(name => name === host.name.replace('h', 'd') || (name === 'd4' && host.name === 'h1' && this.nowMs > JOINS_AT_MS))
+      .map(name => this.#databases.get(name)!)
+      .filter(fake => Math.max(fake.cutUntilMs, fake.frozenUntilMs) <= this.nowMs)
+      .map(fake => fake.database)
+    const databases = owned.map(({ parts: { name } }): DatabaseEntry => {
+      const departing = name === this.#departing && this.nowMs > this.#departsAtMs
+      return { kind: 'database', database: name, group: 'g', failureDomain: host.name, address: name, slots: 3, connectionLimit: 9, departing }
+    })
+    return { databases, statuses: owned.map(database => this.#readStatus(database)) }
+  }
+
   #takeAnswer (host: FakeHost, revision: Revision, grant: GrantEntry | undefined, askedAtMs: number): void {
     const older = revision.epoch < host.revision.epoch || (revision.epoch === host.revision.epoch && revision.count < host.revision.count)
     if (older) return
@@ -293,7 +314,7 @@
   #write (): void {
     const host = this.#hosts[this.#draw(0, 2)]!
     const { grant } = host
-    if (host.frozenUntilMs > this.nowMs || grant?.primary === undefined || this.#readClock(host) >= host.leaseEndsMs) return
+    if (host.frozenUntilMs > this.nowMs || grant?.primary === undefined || grant.closing === true || this.#readClock(host) >= host.leaseEndsMs) return
     const write = String(++this.#writes)
     this.#sendDatabase(grant.primary, async database => {
       if (!database.primary) return
@@ -324,17 +345,20 @@
   it(`loses no acknowledged write and acknowledges nothing under an ended term (${RUNS} runs from seed ${SEED})`, async function () {
     this.timeout(0)
     let changes = 0
+    let replaced = 0
     for (let seed = SEED; seed < SEED + RUNS; seed++) {
       try {
         const schedule = Schedule.create(seed)
         const summary = await schedule.run()
         changes += summary.grants - 1
+        replaced += summary.replaced ? 1 : 0
         expect(summary.lastAcknowledgedMs, 'writes go on after the faults').to.be.greaterThan(SERVES_AGAIN_MS)
       } catch (error) {
         throw new Error(`seed ${seed}: ${error instanceof Error ? error.message : String(error)}`, { cause: error })
       }
     }
     expect(changes, 'primaries changed').to.be.greaterThan(RUNS / 2)
-    if (process.env.FULMARTALLY_GAPS !== undefined) process.stderr.write(`${JSON.stringify({ runs: RUNS, changes })}\n`)
+    expect(replaced, 'members were replaced').to.be.greaterThan(RUNS / 4)
+    if (process.env.FULMARTALLY_GAPS !== undefined) process.stderr.write(`${JSON.stringify({ runs: RUNS, changes, replaced })}\n`)
   })
 })
--- a/src/primacy/table.ts
+++ b/src/primacy/table.ts
@@ -19,6 +19,8 @@
   readonly phase: 'ending' | 'fencing' | 'promoting'
   /** The database that an operator wants, while it can be had. */
   readonly target?: string
+  /** The members from the next term on, if they change. */
+  readonly members?: readonly string[]
   /** Set in the phase of promoting. */
   readonly chosen?: string
 }
@@ -33,6 +35,8 @@
   readonly members: readonly string[]
   /** The target of a planned change: what runs at the primary may end, and nothing new begins. */
   readonly closing?: string
+  /** The members from the next term on, in a planned change that changes them. */
+  readonly nextMembers?: readonly string[]
   readonly change?: GroupChange
 }
 
@@ -54,6 +58,8 @@
   readonly group: string
   readonly term: number
   readonly target: string
+  /** The members from the next term on: one more or one less than now; absent when they stay. */
+  readonly members?: readonly string[]
 }
 
 /** Gives up a planned change that has not ended the grant yet. */
@@ -136,7 +142,7 @@
   switch (command.kind) {
     case 'primacy/grant': return known
     case 'primacy/close': return closeGroup(known, command)
-    case 'primacy/reopen': return isGranted(known, command.term) ? { ...known, closing: undefined } : known
+    case 'primacy/reopen': return isGranted(known, command.term) ? { ...known, closing: undefined, nextMembers: undefined } : known
     case 'primacy/end': return isGranted(known, command.term) ? endGrant(known) : known
     default: return known.change?.term === command.term ? advanceChange(known, known.change, command) : known
   }
@@ -150,10 +156,10 @@
       return { ...known, change: { ...change, phase: 'promoting', chosen: command.primary } }
     case 'primacy/promoted':
       if (change.phase !== 'promoting' || change.chosen !== command.primary) return known
-      return { term: change.term, primary: command.primary, members: known.members }
+      return { term: change.term, primary: command.primary, members: pickMembers(known, change, command.primary) }
     case 'primacy/refence':
       if (change.phase === 'ending' || command.next <= change.term) return known
-      return { ...known, change: { term: command.next, phase: 'fencing', target: change.target } }
+      return { ...known, change: { term: command.next, phase: 'fencing', target: change.target, members: change.members } }
   }
 }
 
@@ -162,12 +168,26 @@
 }
 
 function closeGroup (known: GroupRecord, command: CloseCommand): GroupRecord {
-  const fits = isGranted(known, command.term) && known.primary !== command.target && known.members.includes(command.target)
-  return fits ? { ...known, closing: command.target } : known
+  const { term, target, members } = command
+  const moves = members === undefined ? known.primary !== target : isNextMembers(known.members, members)
+  const fits = isGranted(known, term) && known.closing === undefined && known.members.includes(target) && moves
+  return fits ? { ...known, closing: target, nextMembers: members } : known
+}
+
+// Any majority of the one shares a database with any majority of the other.
+function isNextMembers (present: readonly string[], next: readonly string[]): boolean {
+  const added = next.filter(member => !present.includes(member))
+  const removed = present.filter(member => !next.includes(member))
+  return added.length + removed.length === 1 && next.length > 0
+}
+
+// The fenced majority may lead to a database that was to leave: then it stays.
+function pickMembers (known: GroupRecord, change: GroupChange, primary: string): readonly string[] {
+  return change.members?.includes(primary) === true ? change.members : known.members
 }
 
 function endGrant (known: GroupRecord): GroupRecord {
-  const change: GroupChange = { term: known.term + 1, phase: 'ending', target: known.closing }
+  const change: GroupChange = { term: known.term + 1, phase: 'ending', target: known.closing, members: known.nextMembers }
   return { term: known.term, members: known.members, change }
 }
 
@@ -190,5 +210,6 @@
   assertInvariant(change === undefined || change.term > term, 'a change has a term above the last grant')
   if (known === undefined) return
   assertInvariant(term >= known.term && (change?.term ?? term) >= (known.change?.term ?? known.term), 'terms only grow')
+  assertInvariant(term > known.term || known.members.join() === members.join(), 'members change with the term alone')
   assertInvariant(term > known.term || primary === undefined || primary === known.primary, 'a term is granted once')
 }
