Counts a sample as the primary's only when it came from the primary

Cause: samples were told apart by term alone. A database that replicates term 3 holds positions of term 3; once the entry host learned that term 3 has another primary, its samples counted as that primary's, and a replica could be called fresh that lacked a write. Ruled out: clock origins (they differ by minutes in the trial and cancel), late answers (the age counts from before the read). Change: a sample names its database.

--- a/src/routing/decide.ts
+++ b/src/routing/decide.ts
@@ -50,9 +50,11 @@
 // deposed primary that is cut off goes on answering.
 function findFloor (state: RoutingState, message: Choose, moment: Moment): LogPosition | undefined {
   const { group, maxStalenessMs } = message.rules
-  const term = state.grants.get(group)?.term
-  const proven = (state.samples.get(group) ?? [])
-    .filter(sample => sample.position.term === term && sample.askedAtMs <= state.confirmedAtMs)
+  const grant = state.grants.get(group)
+  const proven = (state.samples.get(group) ?? []).filter(sample =>
+    sample.database === grant?.primary &&
+    sample.position.term === grant.term &&
+    sample.askedAtMs <= state.confirmedAtMs)
   const fresh = findFreshFloor(proven, moment.monotonicMs - maxStalenessMs)
   return fresh === undefined ? undefined : pickLater(fresh, message.seen)
 }
@@ -142,6 +144,6 @@
   const next = holdPosition(state, told.database, { position: told.position, askedAtMs })
   const group = state.databases.get(told.database)?.entry.group
   if (group === undefined || state.grants.get(group)?.primary !== told.database) return next
-  const samples = addSample(state.samples.get(group) ?? [], { askedAtMs, position: told.position })
+  const samples = addSample(state.samples.get(group) ?? [], { database: told.database, askedAtMs, position: told.position })
   return { ...next, samples: new Map(state.samples).set(group, samples) }
 }
--- a/src/routing/staleness.ts
+++ b/src/routing/staleness.ts
@@ -6,7 +6,7 @@
 
 /**
  * Adds a sample; the oldest ones are dropped.
- * @example addSample(samples, { askedAtMs: 10, position })
+ * @example addSample(samples, { database: 'db-1', askedAtMs: 10, position })
  */
 export function addSample (samples: readonly PrimarySample[], sample: PrimarySample): readonly PrimarySample[] {
   const last = samples[samples.length - 1]
--- a/src/routing/state.ts
+++ b/src/routing/state.ts
@@ -4,6 +4,7 @@
 
 /** A primary's position, and a time at which it had at least that much. */
 export interface PrimarySample {
+  readonly database: string
   /** A time of this host's clock before the position was read. */
   readonly askedAtMs: number
   readonly position: LogPosition
