--- /dev/null
+++ b/bench/failover.ts
@@ -0,0 +1,72 @@
+/** Failover: the gap in writes when a primary goes. */
+import { join } from 'node:path'
+import { mkdir } from 'node:fs/promises'
+import { readDeployment, type Deployment } from '../demo/deployment.js'
+import { startFault, type FaultName } from '../demo/fault.js'
+import { startSystem, type RunningSystem } from '../demo/system.js'
+import { findGap, type AcknowledgedWrite } from '../demo/tally.js'
+import { checkWrites } from '../demo/verify.js'
+import { closeClients, openClients } from './clients.js'
+import type { Row } from './report.js'
+
+const RUNS = 7
+const WRITERS = 6
+const WRITE_EVERY_MS = 15
+const BEFORE_MS = 1_000
+const AFTER_MS = 8_000
+const FAULTS: readonly FaultName[] = ['kill', 'freeze', 'cut']
+
+/** Lets a primary go in three ways, several times each. */
+export async function runFailover (directory: string): Promise<readonly Row[]> {
+  const rows: Row[] = []
+  for (const fault of FAULTS) {
+    const runs: Array<{ readonly gapMs: number, readonly lost: number }> = []
+    for (let run = 0; run < RUNS; run++) runs.push(await runOnce(fault, join(directory, `${fault}-${run}`)))
+    const gaps = runs.map(run => run.gapMs).sort((a, b) => a - b)
+    rows.push({
+      fault,
+      runs: RUNS,
+      medianGapMs: Math.round(gaps[Math.floor(RUNS / 2)]!),
+      worstGapMs: Math.round(gaps[RUNS - 1]!),
+      lost: runs.reduce((sum, run) => sum + run.lost, 0)
+    })
+  }
+  return rows
+}
+
+async function runOnce (name: FaultName, directory: string): Promise<{ readonly gapMs: number, readonly lost: number }> {
+  await mkdir(directory, { recursive: true })
+  const deployment = await readDeployment('ramillete')
+  await using system = await startSystem(deployment, directory)
+  const writes: AcknowledgedWrite[] = []
+  let stopped = false
+  const writers = runWriters(deployment, system, writes, () => stopped)
+  await sleep(BEFORE_MS)
+  const fault = startFault(name, system.databases)!
+  await sleep(AFTER_MS)
+  stopped = true
+  const endedAtMs = performance.now()
+  await writers
+  fault.end()
+  const verdict = await checkWrites(deployment, system.hosts, writes)
+  return { gapMs: findGap(writes, fault.group, fault.atMs, endedAtMs), lost: verdict.lost + verdict.doubled }
+}
+
+async function runWriters (deployment: Deployment, system: RunningSystem, writes: AcknowledgedWrite[], stopped: () => boolean): Promise<void> {
+  const group = system.databases.find(database => database.plan.primary)!.plan.group
+  const workspace = deployment.workspaces.find(candidate => candidate.group === group)!
+  const clients = await openClients(deployment, workspace, system.hosts, WRITERS)
+  await Promise.all(clients.map(async (client, writer) => {
+    for (let number = 0; !stopped(); number++) {
+      const id = `writer-${writer}-${number}`
+      const answered = client.query('INSERT INTO orders (id, session) VALUES ($1, $2)', [id, 'bench'])
+      await answered.then(() => writes.push({ group, workspace: workspace.name, id, atMs: performance.now() }), () => undefined)
+      await sleep(WRITE_EVERY_MS * WRITERS)
+    }
+  }))
+  await closeClients(clients)
+}
+
+function sleep (ms: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, ms))
+}
--- /dev/null
+++ b/bench/fairness.ts
@@ -0,0 +1,74 @@
+/** Fairness and rates: what each workspace gets while one sends several times its rate. */
+import { readDeployment, type Deployment, type DeploymentName, type KeyedWorkspace } from '../demo/deployment.js'
+import { startSystem, type RunningSystem } from '../demo/system.js'
+import { changeRates, closeClients, openClients } from './clients.js'
+import { runLoad, roundFigure } from './openloop.js'
+import type { Row } from './report.js'
+
+const SECONDS = 8
+const CLIENTS = 12
+const WITHIN = 0.9
+const UNLIMITED = 1_000_000
+const RATE_EXCEEDED = '53400'
+
+interface Served {
+  readonly workspace: KeyedWorkspace
+  readonly asked: number
+  readonly answered: number
+  readonly refused: number
+}
+
+/** Overloads with the first workspace, at 5 and at 10 times its rate; the baseline knows no rates. */
+export async function runFairness (directory: string): Promise<readonly Row[]> {
+  const rows: Row[] = []
+  for (const service of ['atelier', 'ramillete'] as const) {
+    for (const times of [5, 10]) {
+      rows.push(await observeOverload(service, times, 'rates and fair queue', directory))
+    }
+    rows.push(await observeOverload(service, 10, 'no rates, fair queue alone', directory))
+  }
+  return rows
+}
+
+async function observeOverload (service: DeploymentName, times: number, way: string, directory: string): Promise<Row> {
+  const stated = await readDeployment(service)
+  const limited = way.startsWith('rates')
+  const deployment = limited ? stated : changeRates(stated, () => ({ rate: UNLIMITED, burst: UNLIMITED }))
+  await using system = await startSystem(deployment, directory)
+  await new Promise(resolve => setTimeout(resolve, 1_000))
+  const served = await Promise.all(stated.workspaces.map(async (workspace, index) =>
+    await runWorkspace(deployment, system, workspace, index === 0 ? times : WITHIN)))
+  const others = served.slice(1)
+  const greedy = served[0]!
+  return {
+    service,
+    way,
+    times,
+    worstSharePercent: roundFigure(100 * Math.min(...others.map(one => one.answered / one.asked))),
+    refusedWithinRatePercent: roundFigure(100 * addUp(others, one => one.refused) / addUp(others, one => one.asked)),
+    greedyAnsweredPerSecond: roundFigure(greedy.answered / SECONDS),
+    greedyRate: greedy.workspace.rate,
+    greedyOverBound: Math.max(0, Math.round(greedy.answered - greedy.workspace.burst - greedy.workspace.rate * SECONDS))
+  }
+}
+
+async function runWorkspace (deployment: Deployment, system: RunningSystem, stated: KeyedWorkspace, times: number): Promise<Served> {
+  const workspace = deployment.workspaces.find(candidate => candidate.name === stated.name)!
+  const clients = await openClients(deployment, workspace, system.hosts, CLIENTS)
+  let refused = 0
+  const send = async (index: number): Promise<void> => {
+    try {
+      await clients[index % CLIENTS]!.query('SELECT id FROM orders WHERE id = $1', ['none'])
+    } catch (error) {
+      if ((error as { readonly code?: string }).code === RATE_EXCEEDED) refused += 1
+      throw error
+    }
+  }
+  const load = await runLoad({ rate: stated.rate * times, seconds: SECONDS, send })
+  await closeClients(clients)
+  return { workspace: stated, asked: load.asked, answered: load.answered, refused }
+}
+
+function addUp<T> (items: readonly T[], read: (item: T) => number): number {
+  return items.reduce((total, item) => total + read(item), 0)
+}
