--- a/src/core/errors.ts
+++ b/src/core/errors.ts
@@ -25,10 +25,13 @@
   'host-stopping': { sqlState: '57P01', effect: 'not-run', text: () => 'This host is stopping.' },
   'outcome-unknown': { sqlState: '40003', effect: 'unknown', text: (d: string) => `The outcome of the request is unknown: ${d}.` },
   'transaction-lost': { sqlState: '40003', effect: 'unknown', text: (d: string) => `The transaction was lost: ${d}.` },
+  'transaction-aborted': { sqlState: '25P02', effect: 'not-run', text: () => 'The transaction is aborted: statements are ignored until its end.' },
   'unknown-setting': { sqlState: '42704', effect: 'not-run', text: (d: string) => `Setting "${d}" is not known.` },
   'bad-session': { sqlState: '22023', effect: 'not-run', text: (d: string) => `The session token is not valid: ${d}.` },
   'not-supported': { sqlState: '0A000', effect: 'not-run', text: (d: string) => `${d} is not supported with transaction pooling.` },
   'protocol-violation': { sqlState: '08P01', effect: 'not-run', text: (d: string) => `The message can not be read: ${d}.` },
+  'unknown-statement': { sqlState: '26000', effect: 'not-run', text: (d: string) => `Prepared statement "${d}" does not exist.` },
+  'too-many-statements': { sqlState: '54000', effect: 'not-run', text: (d: string) => `More than ${d} prepared statements are open.` },
   'message-too-large': { sqlState: '54000', effect: 'not-run', text: (d: string) => `The message is larger than ${d} bytes.` }
 } as const satisfies Record<string, ErrorRow>
 
--- a/src/daemon/slices.ts
+++ b/src/daemon/slices.ts
@@ -14,7 +14,9 @@
 import { decideRouting } from '../routing/decide.js'
 import { createRoutingState } from '../routing/state.js'
 import type { Settings } from '../settings/settings.js'
+import { checkOwned } from '../transactions/check.js'
 import { decideTransactions } from '../transactions/decide.js'
+import { createTransactionsShared } from '../transactions/state.js'
 
 /**
  * Creates the slices of a host from its settings.
@@ -31,6 +33,6 @@
     DecidingSlice.create({ name: 'primacy', initial: createPrimacyState(), decide: decidePrimacy }),
     StoreSlice.create({ name: 'requests', shared: createRequestsShared(limits.requestMs), decide: decideRequests }),
     DecidingSlice.create({ name: 'routing', initial: createRoutingState(host, failureDomain), decide: decideRouting }),
-    StoreSlice.create({ name: 'transactions', shared: { queueLength: limits.queueLength }, decide: decideTransactions })
+    StoreSlice.create({ name: 'transactions', shared: createTransactionsShared(limits.queueLength, limits.idleTransactionMs), decide: decideTransactions, checkItem: checkOwned })
   ]
 }
--- a/src/databases/driver.ts
+++ b/src/databases/driver.ts
@@ -15,6 +15,8 @@
   readonly connection: string
   readonly service: string
   readonly workspace?: string
+  /** True when the request must not write. */
+  readonly readOnly: boolean
   readonly payload: Uint8Array
 }
 
--- a/src/databases/postgres/codes.ts
+++ b/src/databases/postgres/codes.ts
@@ -31,8 +31,8 @@
   noData: 0x6e,
   emptyQuery: 0x49,
   parameterDescription: 0x74,
-  copyIn: 0x47,
-  copyOut: 0x48
+  portalSuspended: 0x73,
+  notification: 0x41
 } as const
 
 /** Bytes before the body of a message: its code and its length. */
--- a/src/databases/postgres/connection.ts
+++ b/src/databases/postgres/connection.ts
@@ -2,6 +2,7 @@
 import { connect, type Socket } from 'node:net'
 import { serialize } from 'pg-protocol'
 import type { HostPost } from '../../messages.js'
+import type { Execute } from '../driver.js'
 import { createAnswer, takeMessage, type Answer } from './answer.js'
 import { BACKEND, HEADER_BYTES } from './codes.js'
 import { readStrings, splitMessages, type BackendMessage } from './framing.js'
@@ -12,7 +13,10 @@
 const WINDOW_BYTES = 262_144
 /** Largest message that a database may send. */
 const MAX_MESSAGE_BYTES = 64 * 1_048_576
+/** How long a connection may take to open. */
+const CONNECT_TIMEOUT_MS = 1_000
 const WORKSPACE_SETTING = 'fulmartally.workspace'
+const READ_ONLY_SETTING = 'default_transaction_read_only'
 
 /** What a connection is made of. */
 export interface DatabaseConnectionParts {
@@ -30,7 +34,9 @@
   #ended = false
   #rest: Buffer = Buffer.alloc(0)
   #answer: Answer | undefined
-  #workspace: string | undefined
+  /** What the settings of the connection say at present. */
+  #settings: string | undefined
+  readonly #opening: NodeJS.Timeout
   #failure = 'the connection was closed'
   #underWay = 0
 
@@ -38,6 +44,7 @@
     this.#parts = parts
     const [ip, port] = splitAddress(parts.address)
     this.#socket = connect({ host: ip, port, noDelay: true })
+    this.#opening = setTimeout(() => this.#fail('the database does not answer'), CONNECT_TIMEOUT_MS)
     this.#socket.on('connect', () => this.#socket.write(serialize.startup({ user: parts.user, database: 'postgres' })))
     this.#socket.on('data', chunk => this.#read(chunk))
     this.#socket.on('error', error => { this.#failure = error.message })
@@ -53,15 +60,15 @@
   }
 
   /** Runs a request in the name of a workspace. */
-  execute (service: string, workspace: string | undefined, payload: Uint8Array): void {
-    const work = decodeWork(payload)
-    const named = `${service}/${workspace ?? ''}`
-    const preludes = named === this.#workspace ? 0 : 1
-    this.#workspace = named
-    this.#answer = createAnswer(work.skip, preludes)
+  execute (work: Execute): void {
+    const { skip, messages } = decodeWork(work.payload)
+    const settings = formatSettings(work)
+    const preludes = settings === this.#settings ? 0 : 1
+    this.#settings = settings
+    this.#answer = createAnswer(skip, preludes)
     this.#underWay = 0
-    const prelude = preludes === 0 ? Buffer.alloc(0) : serialize.query(`SELECT set_config('${WORKSPACE_SETTING}', '${named}', false)`)
-    this.#socket.write(Buffer.concat([prelude, work.messages]))
+    this.#socket.resume()
+    this.#socket.write(preludes === 0 ? messages : Buffer.concat([serialize.query(settings), messages]))
   }
 
   /** Allows more of the answer after the caller took in a part of it. */
@@ -73,21 +80,25 @@
   /** Closes the connection without another message. */
   close (): void {
     this.#ended = true
+    clearTimeout(this.#opening)
     this.#socket.destroy()
   }
 
   #read (chunk: Buffer): void {
     try {
-      const framed = splitMessages(this.#rest.length === 0 ? chunk : Buffer.concat([this.#rest, chunk]))
+      const framed = splitMessages(this.#rest.length === 0 ? chunk : Buffer.concat([this.#rest, chunk]), MAX_MESSAGE_BYTES)
       this.#rest = framed.rest
-      if (this.#rest.length > MAX_MESSAGE_BYTES) throw new RangeError('a message is too large')
       this.#takeAll(framed.messages)
     } catch (error) {
-      this.#failure = error instanceof Error ? error.message : String(error)
-      this.#socket.destroy()
+      this.#fail(error instanceof Error ? error.message : String(error))
     }
   }
 
+  #fail (failure: string): void {
+    this.#failure = failure
+    this.#socket.destroy()
+  }
+
   #takeAll (messages: readonly BackendMessage[]): void {
     const passed: Buffer[] = []
     for (const message of messages) {
@@ -100,13 +111,12 @@
   #takeStartup (message: BackendMessage): void {
     const { connection, post } = this.#parts
     if (message.code === BACKEND.error) {
-      this.#failure = readStrings(message).find(field => field.startsWith('M'))?.slice(1) ?? 'refused'
-      this.#socket.destroy()
+      this.#fail(readStrings(message).find(field => field.startsWith('M'))?.slice(1) ?? 'refused')
     } else if (message.code === BACKEND.authentication && message.bytes.readInt32BE(HEADER_BYTES) !== AUTHENTICATION_OK) {
-      this.#failure = 'the database asks for a password'
-      this.#socket.destroy()
+      this.#fail('the database asks for a password')
     } else if (message.code === BACKEND.ready) {
       this.#ready = true
+      clearTimeout(this.#opening)
       post({ kind: 'transactions/opened', connection })
     }
   }
@@ -137,12 +147,19 @@
   #end (): void {
     if (this.#ended) return
     this.#ended = true
+    clearTimeout(this.#opening)
     const { connection, post } = this.#parts
     if (this.#ready) post({ kind: 'transactions/broken', connection })
     else post({ kind: 'transactions/open-failed', connection, text: this.#failure })
   }
 }
 
+// The names have passed admission, which knows none with a quote.
+function formatSettings (work: Execute): string {
+  const named = `${work.service}/${work.workspace ?? ''}`.replaceAll("'", "''")
+  return `SELECT set_config('${WORKSPACE_SETTING}', '${named}', false), set_config('${READ_ONLY_SETTING}', '${work.readOnly ? 'on' : 'off'}', false)`
+}
+
 /**
  * Splits an address into its IP and its port.
  * @example splitAddress('127.0.0.1:5432') // ['127.0.0.1', 5432]
--- a/src/databases/postgres/driver.ts
+++ b/src/databases/postgres/driver.ts
@@ -33,7 +33,7 @@
   carryOut (effect: DatabaseEffect): void {
     switch (effect.kind) {
       case 'database/open': return this.#open(effect.connection, effect.address)
-      case 'database/execute': return this.#connections.get(effect.connection)?.execute(effect.service, effect.workspace, effect.payload)
+      case 'database/execute': return this.#connections.get(effect.connection)?.execute(effect)
       case 'database/credit': return this.#connections.get(effect.connection)?.grantCredit(effect.bytes)
       case 'database/close': return this.#close(effect.connection)
       case 'database/probe': return this.#probe(effect)
--- a/src/databases/postgres/framing.ts
+++ b/src/databases/postgres/framing.ts
@@ -17,14 +17,16 @@
 
 /**
  * Splits bytes into whole messages.
- * @example splitMessages(Buffer.concat([rest, chunk]))
+ * @example splitMessages(Buffer.concat([rest, chunk]), 1_048_576)
+ * @throws RangeError when a message claims a length that can't be or is over the limit.
  */
-export function splitMessages (bytes: Buffer): Framed {
+export function splitMessages (bytes: Buffer, maxBytes: number): Framed {
   const messages: BackendMessage[] = []
   let offset = 0
   while (offset + HEADER_BYTES <= bytes.length) {
     const end = offset + LENGTH_OFFSET + bytes.readUInt32BE(offset + LENGTH_OFFSET)
-    if (end <= offset + LENGTH_OFFSET) throw new RangeError('a message is shorter than its header')
+    if (end < offset + HEADER_BYTES) throw new RangeError('a message is shorter than its header')
+    if (end - offset > maxBytes) throw new RangeError('a message is too large')
     if (end > bytes.length) break
     messages.push({ code: bytes[offset]!, bytes: bytes.subarray(offset, end) })
     offset = end
--- a/src/frontends/frontend.ts
+++ b/src/frontends/frontend.ts
@@ -57,7 +57,7 @@
 
   abstract override carryOut (effect: CallerEffect): void
 
-  /** Stops taking new callers. */
+  /** Stops taking new callers, and ends each caller's connection once it has no request and no transaction. */
   abstract stopAccepting (): void
 
   /** Closes all callers' connections. */
--- a/src/frontends/postgres/batch.ts
+++ b/src/frontends/postgres/batch.ts
@@ -4,10 +4,11 @@
 import { createFailure, type Failure } from '../../core/errors.js'
 import { FRONTEND, HEADER_BYTES } from '../../databases/postgres/codes.js'
 import { encodeWork } from '../../databases/postgres/work.js'
-import { readStatement, type Statement } from './statement.js'
+import { mergeStatements, readStatement, type Statement } from './statement.js'
 
 const STATEMENT_TYPE = 'S'
-const NO_STATEMENT: Statement = { intent: 'statement' }
+/** Named statements that one caller may hold. */
+const MAX_PREPARED = 1_000
 
 /** One message of a batch. */
 export interface BatchMessage {
@@ -20,34 +21,35 @@
   readonly messages: readonly BatchMessage[]
   readonly statement: Statement
   readonly payload: Uint8Array
+  /** The caller's prepared statements after the batch. */
+  readonly prepared: PreparedStatements
 }
 
-/** The prepared statements of one caller, by name. */
+/** The prepared statements of one caller, by name; the unnamed one has the empty name. */
 export type PreparedStatements = ReadonlyMap<string, Buffer>
 
 /**
- * Reads a batch: its declarations come from its first statement's text.
+ * Reads a batch: its declarations come from its first statement's text, what it needs from all of them.
  * @example readBatch(messages, prepared)
  * @returns the batch, or the failure that says why it can't run.
  */
 export function readBatch (messages: readonly BatchMessage[], prepared: PreparedStatements): Result<Batch, Failure> {
   const used = listStatements(messages)
-  const unknown = used.find(name => name !== '' && !prepared.has(name) && !definesStatement(messages, name))
-  if (unknown !== undefined) return Result.err(createFailure('protocol-violation', `prepared statement "${unknown}" does not exist`))
-  const text = findText(messages, prepared)
-  const statement = text === undefined ? NO_STATEMENT : readStatement(text)
+  const unknown = used.find(name => !prepared.has(name) && !definesStatement(messages, name))
+  if (unknown !== undefined) return Result.err(createFailure('unknown-statement', unknown))
+  const statement = mergeStatements(listTexts(messages, prepared).map(readStatement))
   if (statement.unsupported !== undefined) return Result.err(createFailure('not-supported', statement.unsupported))
-  return Result.ok({ messages, statement, payload: createPayload(messages, used, prepared) })
+  const next = updatePrepared(prepared, messages)
+  if (next.size > MAX_PREPARED) return Result.err(createFailure('too-many-statements', String(MAX_PREPARED)))
+  return Result.ok({ messages, statement, payload: createPayload(messages, used, prepared), prepared: next })
 }
 
-/**
- * Returns the prepared statements after a batch.
- * @example updatePrepared(prepared, messages)
- */
-export function updatePrepared (prepared: PreparedStatements, messages: readonly BatchMessage[]): PreparedStatements {
+// The unnamed statement goes with the next simple query, as in the database.
+function updatePrepared (prepared: PreparedStatements, messages: readonly BatchMessage[]): PreparedStatements {
   const next = new Map(prepared)
   for (const message of messages) {
-    if (message.code === FRONTEND.parse && readString(message, 0) !== '') next.set(readString(message, 0), Buffer.from(message.bytes))
+    if (message.code === FRONTEND.query) next.delete('')
+    if (message.code === FRONTEND.parse) next.set(readString(message, 0), message.bytes)
     if (message.code === FRONTEND.close && readType(message) === STATEMENT_TYPE) next.delete(readString(message, 1))
   }
   return next
@@ -55,10 +57,10 @@
 
 // A pooled connection may hold another caller's statement of the same name, so each
 // named statement is closed first and parsed again where the batch does not parse it.
+// The unnamed one is replaced without being closed.
 function createPayload (messages: readonly BatchMessage[], used: readonly string[], prepared: PreparedStatements): Uint8Array {
-  const named = used.filter(name => name !== '')
-  const closes = named.map(name => serialize.close({ type: STATEMENT_TYPE, name }))
-  const parses = named.filter(name => !definesStatement(messages, name)).map(name => prepared.get(name)!)
+  const closes = used.filter(name => name !== '').map(name => serialize.close({ type: STATEMENT_TYPE, name }))
+  const parses = used.filter(name => !definesStatement(messages, name)).map(name => prepared.get(name)!)
   const bytes = [...closes, ...parses, ...messages.map(message => message.bytes)]
   return encodeWork({ skip: closes.length + parses.length, messages: Buffer.concat(bytes) })
 }
@@ -76,14 +78,14 @@
   return messages.some(message => message.code === FRONTEND.parse && readString(message, 0) === name)
 }
 
-function findText (messages: readonly BatchMessage[], prepared: PreparedStatements): string | undefined {
-  for (const message of messages) {
-    if (message.code === FRONTEND.query) return readString(message, 0)
-    if (message.code === FRONTEND.parse) return readSecondString(message)
-    const parse = message.code === FRONTEND.bind ? prepared.get(readBoundStatement(message)) : undefined
-    if (parse !== undefined) return readSecondString({ code: FRONTEND.parse, bytes: parse })
-  }
-  return undefined
+function listTexts (messages: readonly BatchMessage[], prepared: PreparedStatements): readonly string[] {
+  return messages.flatMap(message => {
+    if (message.code === FRONTEND.query) return [readString(message, 0)]
+    if (message.code === FRONTEND.parse) return [readSecondString(message)]
+    const name = message.code === FRONTEND.bind ? readBoundStatement(message) : ''
+    const parse = definesStatement(messages, name) ? undefined : prepared.get(name)
+    return parse === undefined ? [] : [readSecondString({ code: FRONTEND.parse, bytes: parse })]
+  })
 }
 
 /**
--- a/src/frontends/postgres/connection.ts
+++ b/src/frontends/postgres/connection.ts
@@ -6,7 +6,7 @@
 import { FRONTEND } from '../../databases/postgres/codes.js'
 import type { HostPost } from '../../messages.js'
 import type { CallerEffect } from '../frontend.js'
-import { readBatch, readString, updatePrepared, type Batch, type BatchMessage, type PreparedStatements } from './batch.js'
+import { readBatch, readString, type Batch, type BatchMessage, type PreparedStatements } from './batch.js'
 import { encodeComplete, encodeFailure, encodeParameter, encodeReady } from './encode.js'
 import { answerLocally, answerSetting } from './local.js'
 import { readOption } from './options.js'
@@ -15,6 +15,10 @@
 /** The user that stands for no workspace: it reaches open routes only. */
 export const OPEN_USER = 'open'
 const SESSION_PARAMETER = 'fulmartally.session'
+/** How long a caller may take to present itself. */
+const START_TIMEOUT_MS = 10_000
+/** Bytes of answers that may wait in a caller's socket before its next request is taken. */
+const MAX_UNREAD_BYTES = 1_048_576
 const SERVER_VERSION = '16.0 (fulmartally)'
 
 /** What a connection needs from its front end. */
@@ -31,9 +35,13 @@
   readonly #protocol: SerialProtocol
   #prepared: PreparedStatements = new Map()
   #waiting: BatchMessage[] = []
+  #waitingBytes = 0
+  #stopping = false
   #batch: Batch | undefined
   #route: string | undefined
   #session = ''
+  readonly #started: () => void
+  /** Ends the wait for the answer of the request that runs. */
   #resolve: (() => void) | undefined
   #opened: ((failure: Failure | undefined) => void) | undefined
   #status: 'idle' | 'open' | 'failed' = 'idle'
@@ -48,6 +56,8 @@
       onMessage: (bytes, state) => this.#take(bytes, state),
       onRefuse: failure => this.stop(failure)
     })
+    const starting = setTimeout(() => this.stop(createFailure('protocol-violation', 'the start-up took too long')), START_TIMEOUT_MS)
+    this.#started = () => clearTimeout(starting)
     parts.socket.on('close', () => this.#close())
     parts.socket.on('error', () => parts.socket.destroy())
   }
@@ -62,7 +72,7 @@
 
   /** True while no request runs and no transaction is open. */
   get idle (): boolean {
-    return this.#batch === undefined && this.#status === 'idle'
+    return this.#resolve === undefined && this.#status === 'idle'
   }
 
   /** Carries out an effect that names this caller. */
@@ -77,9 +87,17 @@
     }
   }
 
-  /** Ends the connection after a last error. */
+  /** Ends the connection after a last error; a request that runs may still be carried out. */
   stop (failure: Failure): void {
-    this.#parts.socket.end(encodeFailure(failure, 'FATAL'))
+    const running = this.#resolve !== undefined && failure.effect === 'not-run'
+    const told = running ? createFailure('outcome-unknown', 'the connection was ended') : failure
+    this.#parts.socket.end(encodeFailure(told, 'FATAL'))
+  }
+
+  /** Ends the connection as soon as its caller has no request and no transaction. */
+  endWhenIdle (): void {
+    this.#stopping = true
+    if (this.idle) this.stop(createFailure('host-stopping'))
   }
 
   async #start (state: State): Promise<boolean> {
@@ -113,6 +131,7 @@
       })
     })
     this.#opened = undefined
+    this.#started()
     if (failure !== undefined) return this.stop(failure)
     await this.#protocol.completeAuthentication()
   }
@@ -131,9 +150,10 @@
       case FRONTEND.describe:
       case FRONTEND.execute:
       case FRONTEND.close:
-        this.#waiting.push(message)
+        return this.#keepWaiting(message)
+      case FRONTEND.flush:
+        this.stop(createFailure('not-supported', 'Flush'))
         return true
-      case FRONTEND.flush: return this.#violate('Flush is not supported with transaction pooling')
       case FRONTEND.terminate:
         this.#parts.socket.end()
         return true
@@ -141,6 +161,14 @@
     }
   }
 
+  #keepWaiting (message: BatchMessage): true {
+    const { messageBytes } = this.#parts
+    this.#waiting.push(message)
+    this.#waitingBytes += message.bytes.length
+    if (this.#waitingBytes > messageBytes) this.stop(createFailure('message-too-large', String(messageBytes)))
+    return true
+  }
+
   #violate (detail: string): true {
     this.stop(createFailure('protocol-violation', detail))
     return true
@@ -150,22 +178,34 @@
   // sends ahead waits in its own socket.
   async #run (messages: readonly BatchMessage[]): Promise<true> {
     this.#waiting = []
+    this.#waitingBytes = 0
+    await this.#waitUntilRead()
     const batch = readBatch(messages, this.#prepared)
-    if (batch.isErr) {
-      this.#writeEnd([encodeFailure(batch.error, 'ERROR')], this.#status)
-      return true
-    }
-    this.#prepared = updatePrepared(this.#prepared, messages)
-    this.#batch = batch.value
     await new Promise<void>(resolve => {
       this.#resolve = resolve
-      this.#send(batch.value)
+      batch.match({ Ok: whole => this.#send(whole), Err: failure => this.#reject(failure) })
     })
     return true
   }
 
+  // A caller that sends requests but reads no answers would fill the memory.
+  async #waitUntilRead (): Promise<void> {
+    const { socket } = this.#parts
+    if (socket.writableLength < MAX_UNREAD_BYTES) return
+    await new Promise<void>(resolve => {
+      socket.once('drain', resolve)
+      socket.once('close', resolve)
+    })
+  }
+
+  #reject (failure: Failure): void {
+    this.#parts.post({ kind: 'requests/rejected', caller: this.#parts.caller, failure })
+  }
+
   #send (batch: Batch): void {
     const { caller, post } = this.#parts
+    this.#prepared = batch.prepared
+    this.#batch = batch
     const { setting, intent, route, requestId, deadlineMs } = batch.statement
     if (setting?.name === 'session' && setting.value !== undefined) {
       post({ kind: 'requests/session-set', caller, session: setting.value })
@@ -179,7 +219,7 @@
 
   #changeSetting (batch: Batch, name: string, value: string | undefined): void {
     const answer = answerSetting(batch.messages, { name, value, route: this.#route, session: this.#session })
-    if (answer.isErr) return this.#end([encodeFailure(answer.error, 'ERROR')], this.#status)
+    if (answer.isErr) return this.#reject(answer.error)
     if (name === 'route' && value !== undefined) this.#route = value === '' ? undefined : value
     this.#end([answer.value], this.#status)
   }
@@ -197,16 +237,14 @@
   }
 
   #end (parts: readonly Buffer[], status: 'idle' | 'open' | 'failed'): void {
-    if (this.#batch === undefined) return
+    const resolve = this.#resolve
+    if (resolve === undefined) return
     this.#batch = undefined
-    this.#writeEnd(parts, status)
-    this.#resolve?.()
     this.#resolve = undefined
-  }
-
-  #writeEnd (parts: readonly Buffer[], status: 'idle' | 'open' | 'failed'): void {
     this.#status = status
     this.#parts.socket.write(Buffer.concat([...parts, encodeReady(status)]))
+    resolve()
+    if (this.#stopping && this.idle) this.stop(createFailure('host-stopping'))
   }
 
   #write (payload: Buffer): void {
@@ -216,7 +254,9 @@
   }
 
   #close (): void {
+    this.#started()
     this.#resolve?.()
+    this.#resolve = undefined
     this.#opened?.(createFailure('protocol-violation', 'the caller left'))
     this.#parts.post({ kind: 'requests/closed', caller: this.#parts.caller })
   }
--- a/src/frontends/postgres/frontend.ts
+++ b/src/frontends/postgres/frontend.ts
@@ -1,10 +1,13 @@
 /** The PostgreSQL front end: a server for callers. */
+import { randomBytes } from 'node:crypto'
 import { createServer, type AddressInfo, type Server, type Socket } from 'node:net'
 import { createFailure } from '../../core/errors.js'
 import type { HostPost } from '../../messages.js'
 import { FrontEnd, type CallerEffect } from '../frontend.js'
 import { CallerConnection } from './connection.js'
 
+const INCARNATION_BYTES = 4
+
 /** What the front end is made of. */
 export interface PostgresFrontEndParts {
   readonly host: string
@@ -17,6 +20,8 @@
   readonly #parts: PostgresFrontEndParts
   readonly #server: Server
   readonly #connections = new Map<string, CallerConnection>()
+  /** Tells the callers of this process from those of an earlier one. */
+  readonly #incarnation = randomBytes(INCARNATION_BYTES).toString('hex')
   #accepted = 0
 
   private constructor (parts: PostgresFrontEndParts) {
@@ -48,6 +53,7 @@
 
   stopAccepting (): void {
     this.#server.close()
+    for (const connection of this.#connections.values()) connection.endWhenIdle()
   }
 
   /** True when a caller has a request or a transaction under way. */
@@ -63,7 +69,7 @@
   #accept (socket: Socket): void {
     socket.setNoDelay(true)
     this.#accepted += 1
-    const caller = `${this.#parts.host}/${this.#accepted}`
+    const caller = `${this.#parts.host}/${this.#incarnation}/${this.#accepted}`
     const { post, messageBytes } = this.#parts
     this.#connections.set(caller, CallerConnection.create({ caller, socket, post, messageBytes }))
     socket.on('close', () => this.#connections.delete(caller))
--- a/src/frontends/postgres/protocol.ts
+++ b/src/frontends/postgres/protocol.ts
@@ -4,6 +4,11 @@
 import { createFailure, type Failure } from '../../core/errors.js'
 
 const LENGTH_BYTES = 4
+/** The largest start-up message. */
+const MAX_STARTUP_BYTES = 10_000
+const CANCEL_REQUEST = 80_877_102
+const GSS_REQUEST = 80_877_104
+const REFUSED = 'N'
 
 /** How a connection starts, and who takes its messages. */
 export interface ProtocolOptions {
@@ -59,7 +64,8 @@
     const codeBytes = this.hasStarted ? 1 : 0
     if (this.#rest.length < codeBytes + LENGTH_BYTES) return undefined
     const end = codeBytes + this.#rest.readUInt32BE(codeBytes)
-    if (end > this.#messageBytes) return this.#refuse(createFailure('message-too-large', String(this.#messageBytes)))
+    const maxBytes = this.hasStarted ? this.#messageBytes : MAX_STARTUP_BYTES
+    if (end > maxBytes) return this.#refuse(createFailure('message-too-large', String(maxBytes)))
     if (end < codeBytes + LENGTH_BYTES) return this.#refuse(createFailure('protocol-violation', 'its length is wrong'))
     if (end > this.#rest.length) return undefined
     const message = this.#rest.subarray(0, end)
@@ -69,12 +75,22 @@
 
   async #takeMessage (message: Buffer): Promise<void> {
     try {
+      if (!this.hasStarted && this.#answerRequest(message)) return
       await this.handleMessage(message)
     } catch {
       this.#refuse(createFailure('protocol-violation', 'it is malformed'))
     }
   }
 
+  // A cancel request comes on a connection of its own and gets no answer; the
+  // deadline of a request does its work here.
+  #answerRequest (message: Buffer): boolean {
+    const code = message.readInt32BE(LENGTH_BYTES)
+    if (code === CANCEL_REQUEST) this.socket.end()
+    if (code === GSS_REQUEST) this.socket.write(REFUSED)
+    return code === CANCEL_REQUEST || code === GSS_REQUEST
+  }
+
   #refuse (failure: Failure): undefined {
     this.#onRefuse(failure)
   }
--- a/src/frontends/postgres/statement.ts
+++ b/src/frontends/postgres/statement.ts
@@ -1,5 +1,6 @@
 /** Reads what a statement's text says to fulmartally: its leading comments and its first words. */
 import type { Intent } from '../../requests/messages.js'
+import { splitStatements, type SplitStatement } from './split.js'
 
 /** What the text of a statement declares. */
 export interface Statement {
@@ -20,7 +21,6 @@
   readonly value?: string
 }
 
-const COMMENT = /^\s*(?:--[^\n]*(?:\n|$)|\/\*([\s\S]*?)\*\/)/
 const TAG = /([A-Za-z_]+)='((?:[^'\\]|\\.)*)'/g
 const SETTING = /^set\s+(?:session\s+)?fulmartally\.([a-z_]+)\s*(?:=|\s+to\s)\s*'?([^';]*)'?\s*;?\s*$/i
 const SHOW = /^show\s+fulmartally\.([a-z_]+)\s*;?\s*$/i
@@ -28,34 +28,47 @@
 const READ_ONLY = /\bread\s+only\b/i
 const COMMIT = /^(?:commit|end)\b(?!\s+prepared)/i
 const ROLLBACK = /^(?:rollback|abort)\b(?!\s+(?:to|prepared|work\s+to|transaction\s+to))/i
-const UNSUPPORTED = /^(listen|unlisten|notify|copy|declare|fetch|move|prepare|execute|deallocate|discard|load|lock\s+table|vacuum|create\s+temp(?:orary)?\s|commit\s+prepared|rollback\s+prepared)\b/i
+const UNSUPPORTED = /^(listen|unlisten|notify|copy|declare|fetch|move|prepare|execute|deallocate|discard|load|lock\s+table|vacuum|create\s+(?:global\s+|local\s+)?temp(?:orary)?(?=\s)|commit\s+prepared|rollback\s+prepared)\b/i
 const SESSION_SET = /^(?:set(?!\s+(?:local|transaction|constraints)\b)|reset)\b/i
 
+// Functions whose effect outlives the transaction would reach the next user of the connection.
+const SESSION_CALL = /\b(?:set_config\s*\([^;]*,\s*(?:false|'f(?:alse)?'|'off'|'no'|'0')\s*\)|pg_(?:try_)?advisory_lock(?:_shared)?\s*\()/i
+const WORKSPACE_SETTING = /\bfulmartally\s*\.\s*workspace\b/i
+
 /**
- * Reads the declarations of a statement.
+ * Reads the declarations of a text: the first statement's tags and intent, and what any of them needs.
  * @example readStatement("/*route='slots.view'*\/ SELECT 1").route // 'slots.view'
  */
 export function readStatement (text: string): Statement {
-  const { tags, rest } = splitComments(text)
+  return mergeStatements(splitStatements(text).map(readOne))
+}
+
+/**
+ * Merges statements that run as one request. Several are never taken for the bare end of a
+ * transaction, so that none of them is passed over when the transaction is already lost.
+ * @example mergeStatements([{ intent: 'begin' }, { intent: 'statement' }]).intent // 'begin'
+ */
+export function mergeStatements (statements: readonly Statement[]): Statement {
+  const [first] = statements
+  if (first === undefined) return { intent: 'statement' }
+  const unsupported = statements.map(statement => statement.unsupported).find(found => found !== undefined)
+  if (statements.length === 1) return first
+  const setting = statements.some(statement => statement.setting !== undefined) ? 'A setting of fulmartally among other statements' : undefined
+  const begins = first.intent === 'begin' || first.intent === 'begin-read-only'
+  return { ...first, intent: begins ? first.intent : 'statement', setting: undefined, unsupported: unsupported ?? setting }
+}
+
+function readOne ({ comments, text }: SplitStatement): Statement {
+  const tags = new Map(comments.flatMap(comment => [...comment.matchAll(TAG)].map(([, name, value]) => [name!, decodeTag(value!)] as const)))
   const deadline = Number(tags.get('deadline_ms'))
   return {
-    intent: readIntent(rest),
+    intent: readIntent(text),
     route: tags.get('route'),
     requestId: tags.get('request'),
     deadlineMs: Number.isFinite(deadline) && deadline > 0 ? deadline : undefined,
-    setting: readSetting(rest),
-    unsupported: readUnsupported(rest)
-  }
-}
-
-function splitComments (text: string): { readonly tags: ReadonlyMap<string, string>, readonly rest: string } {
-  const tags = new Map<string, string>()
-  let rest = text
-  for (let match = COMMENT.exec(rest); match !== null; match = COMMENT.exec(rest)) {
-    for (const [, name, value] of (match[1] ?? '').matchAll(TAG)) tags.set(name!, decodeTag(value!))
-    rest = rest.slice(match[0].length)
+    setting: readSetting(text),
+    unsupported: readUnsupported(text)
   }
-  return { tags, rest: rest.trim() }
 }
 
 function decodeTag (value: string): string {
@@ -83,5 +96,7 @@
 function readUnsupported (rest: string): string | undefined {
   const match = UNSUPPORTED.exec(rest)
   if (match !== null) return match[1]!.toUpperCase().replace(/\s+/g, ' ').trim()
+  if (WORKSPACE_SETTING.test(rest)) return 'Setting "fulmartally.workspace" in a statement'
+  if (SESSION_CALL.test(rest)) return 'A function that changes the whole session'
   return SESSION_SET.test(rest) && readSetting(rest) === undefined ? 'A setting for the whole session' : undefined
 }
--- a/src/requests/decide.ts
+++ b/src/requests/decide.ts
@@ -1,25 +1,19 @@
 /** Decisions of the requests slice: from a request's arrival to the end of its answer. */
-import { createFailure, type Failure } from '../core/errors.js'
+import { createFailure } from '../core/errors.js'
 import { clearTimer, type CoreEffect, type Moment } from '../core/message.js'
-import { UNCHANGED, type Store, type StoreStep } from '../core/store.js'
-import type { CallerEffect } from '../frontends/frontend.js'
-import { advanceSession, formatToken, parseToken, readSeen } from '../sessions/token.js'
-import type { Admitted, Arrived, Drained, Failed, Finished, GrantsConfirmed, Open, OpenChecked, Output, PeerLost, RequestsMessage, Routed, SessionSet, WorkName } from './messages.js'
-import type { Caller, RequestsShared, Running } from './state.js'
+import { UNCHANGED } from '../core/store.js'
+import { advanceSession, parseToken, readSeen } from '../sessions/token.js'
+import { endWithFailure, failAcknowledgement, failAttempt, losePeer, passDeadline, rejectInput } from './failure.js'
+import type { Admitted, Arrived, Drained, Finished, GrantsConfirmed, Open, OpenChecked, Output, PeerLost, RequestsMessage, Routed, SessionSet, WorkName } from './messages.js'
+import { MAX_RETRIES, RETRIES_PER_SUCCESS, type Caller, type OpenTransaction, type RequestsShared, type Running } from './state.js'
+import { createCancel, createFinished, createTimersCleared, readStatus, replaceCaller, type RequestsEffect, type RequestsStep, type RequestsStore } from './step.js'
 import { sendPeer, setTimer, tell } from '../messages.js'
 
 /** How long a host may rely on a grant after it asked for its confirmation. */
 export const GRANT_LEASE_MS = 1_000
-/** How long a request that found no place waits before it looks again. */
-const RETRY_AFTER_MS = 25
 /** How long after a deadline the answer of the database's owner is awaited. */
 const DEADLINE_GRACE_MS = 100
 
-/** The effects of the requests slice. */
-export type RequestsEffect = CoreEffect | CallerEffect
-type RequestsStore = Store<RequestsShared, Caller>
-type RequestsStep = StoreStep<RequestsShared, Caller, RequestsEffect>
-
 /**
  * Decides on one message of the requests slice.
  * @example decideRequests(store, { kind: 'requests/closed', caller: 'c1' }, moment)
@@ -41,13 +35,14 @@
   switch (message.kind) {
     case 'requests/open-checked': return finishOpen(caller, message)
     case 'requests/arrived': return arrive(store.shared, caller, message, moment)
+    case 'requests/rejected': return rejectInput(caller, message.failure)
     case 'requests/session-set': return setSession(caller, message)
     case 'requests/drained': return passCredit(caller, message)
     case 'requests/closed': return close(caller)
     case 'requests/retry-due': return decideForRunning(caller, message, running => chooseAgain(caller, running))
     case 'requests/admitted': return decideForRunning(caller, message, running => admit(caller, running, message))
-    case 'requests/routed': return decideForRunning(caller, message, running => run(caller, running, message, moment))
-    case 'requests/failed': return decideForRunning(caller, message, running => fail(caller, running, message, moment))
+    case 'requests/routed': return decideForRunning(caller, message, running => run(store.shared, caller, running, message, moment))
+    case 'requests/failed': return decideForRunning(caller, message, running => failAttempt(store.shared, caller, running, message, moment))
     case 'requests/output': return decideForRunning(caller, message, running => output(caller, running, message))
     case 'requests/finished': return decideForRunning(caller, message, running => finish(store.shared, caller, running, message, moment))
     case 'requests/deadline-passed': return caller.running?.request === message.request ? passDeadline(caller, caller.running) : UNCHANGED
@@ -61,27 +56,23 @@
   return running?.attempt === name.attempt ? decide(running) : UNCHANGED
 }
 
-function replace (caller: Caller, effects: readonly RequestsEffect[]): RequestsStep {
-  return { changes: [[caller.caller, caller]], effects }
-}
-
 function open (message: Open): RequestsStep {
   const { caller, service, workspace, keyHash } = message
   const session = parseToken(service, message.session ?? '')
   if (session.isErr) return { effects: [{ kind: 'caller/refused', caller, failure: session.error }] }
   const record: Caller = { caller, service, workspace, keyHash, session: session.value, open: false, attempts: 0 }
-  return replace(record, [tell({ kind: 'admission/check-open', caller, service, workspace, keyHash })])
+  return replaceCaller(record, [tell({ kind: 'admission/check-open', caller, service, workspace, keyHash })])
 }
 
 function finishOpen (caller: Caller, message: OpenChecked): RequestsStep {
-  if (message.failure === undefined) return replace({ ...caller, open: true }, [{ kind: 'caller/opened', caller: caller.caller }])
+  if (message.failure === undefined) return replaceCaller({ ...caller, open: true }, [{ kind: 'caller/opened', caller: caller.caller }])
   return { changes: [[caller.caller, undefined]], effects: [{ kind: 'caller/refused', caller: caller.caller, failure: message.failure }] }
 }
 
 function setSession (caller: Caller, message: SessionSet): RequestsStep {
   const session = parseToken(caller.service, message.session)
   if (session.isErr) return { effects: [{ kind: 'caller/failed', caller: caller.caller, failure: session.error, status: readStatus(caller) }] }
-  return replace({ ...caller, session: session.value }, [createFinished({ ...caller, session: session.value }, new Uint8Array(0))])
+  return replaceCaller({ ...caller, session: session.value }, [createFinished({ ...caller, session: session.value }, new Uint8Array(0))])
 }
 
 function arrive (shared: RequestsShared, caller: Caller, message: Arrived, moment: Moment): RequestsStep {
@@ -95,10 +86,11 @@
     phase: 'admitting',
     endsAtMs: moment.monotonicMs + limitMs,
     avoid: [],
-    answering: false
+    parts: 0,
+    refusals: 0
   }
   const next: Caller = { ...caller, attempts: attempt, running }
-  if (caller.transaction?.lost === true) return answerLost(next, running)
+  if (caller.transaction?.phase === 'lost') return answerLost(next, running)
   const check = tell({
     kind: 'admission/check-request',
     caller: caller.caller,
@@ -110,7 +102,7 @@
     action: message.input.intent === 'begin-read-only' ? 'read' : 'write',
     inTransaction: caller.transaction !== undefined
   })
-  return replace(next, [check, createDeadline(caller.caller, attempt, limitMs)])
+  return replaceCaller(next, [check, createDeadline(caller.caller, attempt, limitMs)])
 }
 
 // The owner of the database counts the same deadline and knows whether the request
@@ -121,17 +113,18 @@
 
 function answerLost (caller: Caller, running: Running): RequestsStep {
   const ends = running.input.intent === 'commit' || running.input.intent === 'rollback'
-  if (!ends) return endWithFailure(caller, running, createFailure('transaction-lost', 'its end is awaited'))
+  if (!ends) return endWithFailure(caller, running, createFailure('transaction-aborted'))
   const next: Caller = { ...caller, transaction: undefined, running: undefined }
-  return replace(next, [{ kind: 'caller/rolled-back', caller: caller.caller }])
+  return replaceCaller(next, [{ kind: 'caller/rolled-back', caller: caller.caller }])
 }
 
 function admit (caller: Caller, running: Running, message: Admitted): RequestsStep {
   const { transaction } = caller
+  if (transaction?.phase === 'lost') return endWithFailure(caller, running, createFailure('transaction-lost', 'its host was lost'))
   if (transaction === undefined) return chooseAgain(caller, { ...running, rules: message.rules })
   const next: Running = { ...running, rules: transaction.rules, phase: 'routing' }
   const routed = tell({ kind: 'requests/routed', caller: caller.caller, attempt: running.attempt, target: transaction.target })
-  return replace({ ...caller, running: next }, [routed])
+  return replaceCaller({ ...caller, running: next }, [routed])
 }
 
 function chooseAgain (caller: Caller, running: Running): RequestsStep {
@@ -144,29 +137,36 @@
     seen: readSeen(caller.session, running.rules.group),
     avoid: running.avoid
   })
-  return replace({ ...caller, running: { ...running, phase: 'routing' } }, [choose])
+  return replaceCaller({ ...caller, running: { ...running, phase: 'routing' } }, [choose])
 }
 
-function run (caller: Caller, running: Running, message: Routed, moment: Moment): RequestsStep {
+function run (shared: RequestsShared, caller: Caller, running: Running, message: Routed, moment: Moment): RequestsStep {
   const { target } = message
+  const sender = shared.sender ?? String(moment.random)
+  const ticket = { sender, order: shared.orders + 1 }
   const order = sendPeer(target.owner, {
     kind: 'transactions/run',
     caller: caller.caller,
     attempt: running.attempt,
+    ticket,
     service: caller.service,
     workspace: caller.workspace,
     target,
     intent: running.input.intent,
-    inTransaction: caller.transaction !== undefined,
+    transaction: caller.transaction?.began,
     remainingMs: Math.max(0, running.endsAtMs - moment.monotonicMs),
     payload: running.payload
   })
-  return replace({ ...caller, running: { ...running, phase: 'running', target } }, [order])
+  const next: Caller = { ...caller, ticket, running: { ...running, phase: 'running', target } }
+  return { ...replaceCaller(next, [order]), shared: { ...shared, sender, orders: ticket.order } }
 }
 
+// A part that is missing can't be made good: the rest of the answer is not the caller's.
 function output (caller: Caller, running: Running, message: Output): RequestsStep {
+  if (message.part < running.parts) return UNCHANGED
+  if (message.part > running.parts) return endWithFailure(caller, running, createFailure('outcome-unknown', 'a part of the answer was lost'))
   const effect: RequestsEffect = { kind: 'caller/output', caller: caller.caller, payload: message.payload }
-  return replace({ ...caller, running: { ...running, answering: true } }, [effect])
+  return replaceCaller({ ...caller, running: { ...running, parts: running.parts + 1 } }, [effect])
 }
 
 function passCredit (caller: Caller, message: Drained): RequestsStep {
@@ -178,83 +178,28 @@
 function finish (shared: RequestsShared, caller: Caller, running: Running, message: Finished, moment: Moment): RequestsStep {
   const { rules, target } = running
   if (rules === undefined || target === undefined) return UNCHANGED
+  if (message.parts !== running.parts) return endWithFailure(caller, running, createFailure('outcome-unknown', 'a part of the answer was lost'))
   const held = shared.grants.get(rules.group)
-  const leased = target.purpose === 'replica' || (held?.grant.term === target.term && held.grant.primary === target.database && held.leaseEndsMs > moment.monotonicMs)
+  const leased = target.purpose === 'replica' ? !message.wrote : (held?.grant.term === target.term && held.grant.primary === target.database && held.leaseEndsMs > moment.monotonicMs)
   if (!leased) return endWithFailure(caller, running, createFailure('outcome-unknown', 'the primary was replaced'))
   const session = message.wrote ? advanceSession(caller.session, rules.group, message.position) : caller.session
-  const transaction = message.status === 'idle' ? undefined : { target, rules, lost: false }
-  const next: Caller = { ...caller, session, transaction, running: undefined }
+  const next: Caller = { ...caller, session, transaction: followTransaction(caller, running, message), running: undefined }
   const finished = createFinished(next, message.payload)
   const guarded = target.purpose === 'replica'
     ? finished
     : { ...finished, notAfterMs: held!.leaseEndsMs, otherwise: { kind: 'requests/overdue', caller: caller.caller } }
-  return replace(next, [clearTimer(`requests/deadline/${caller.caller}`), guarded])
-}
-
-function createFinished (caller: Caller, payload: Uint8Array): Extract<CallerEffect, { kind: 'caller/finished' }> {
-  return { kind: 'caller/finished', caller: caller.caller, payload, status: readStatus(caller), session: formatToken(caller.service, caller.session) }
-}
-
-function readStatus (caller: Caller): 'idle' | 'open' | 'failed' {
-  if (caller.transaction === undefined) return 'idle'
-  return caller.transaction.lost ? 'failed' : 'open'
+  const retries = Math.min(MAX_RETRIES, shared.retries + RETRIES_PER_SUCCESS)
+  return { ...replaceCaller(next, [clearTimer(`requests/deadline/${caller.caller}`), guarded]), shared: { ...shared, retries } }
 }
 
-function fail (caller: Caller, running: Running, message: Failed, moment: Moment): RequestsStep {
-  const repeatable = message.failure.effect === 'not-run' || running.rules?.idempotent === true || running.target?.purpose === 'replica'
-  const inTime = moment.monotonicMs + RETRY_AFTER_MS < running.endsAtMs
-  const again = message.retriable === true && repeatable && inTime && !running.answering && caller.transaction === undefined
-  return again ? retry(caller, running) : endWithFailure(caller, running, message.failure)
-}
-
-// A request that waits holds no connection and no slot: it leaves its place and
-// looks for one again later.
-function retry (caller: Caller, running: Running): RequestsStep {
-  const attempt = caller.attempts + 1
-  const avoid = running.target === undefined ? running.avoid : [...running.avoid, running.target.database]
-  const next: Running = { ...running, attempt, avoid, phase: 'waiting', target: undefined }
-  return replace({ ...caller, attempts: attempt, running: next }, [
-    setTimer(`requests/retry/${caller.caller}`, RETRY_AFTER_MS, { kind: 'requests/retry-due', caller: caller.caller, attempt })
-  ])
-}
-
-function passDeadline (caller: Caller, running: Running): RequestsStep {
-  const ran = running.phase === 'running'
-  return endWithFailure(caller, running, ran ? createFailure('outcome-unknown', 'the deadline passed') : createFailure('deadline-passed'))
-}
-
-// The lease ended after the decision to acknowledge: the request is over, but the
-// caller has not heard of it.
-function failAcknowledgement (caller: Caller): RequestsStep {
-  const failure = createFailure('outcome-unknown', 'the lease on the primary ended')
-  return { effects: [{ kind: 'caller/failed', caller: caller.caller, failure, status: readStatus(caller) }] }
-}
-
-function endWithFailure (caller: Caller, running: Running, failure: Failure): RequestsStep {
-  const transaction = caller.transaction === undefined ? undefined : { ...caller.transaction, lost: true }
-  const next: Caller = { ...caller, transaction, running: undefined }
-  return replace(next, [
-    clearTimer(`requests/deadline/${caller.caller}`),
-    clearTimer(`requests/retry/${caller.caller}`),
-    ...createCancel(caller, running),
-    { kind: 'caller/failed', caller: caller.caller, failure, status: readStatus(next) }
-  ])
-}
-
-function createCancel (caller: Caller, running: Running | undefined): readonly RequestsEffect[] {
-  const target = running?.target ?? caller.transaction?.target
-  return target === undefined ? [] : [sendPeer(target.owner, { kind: 'transactions/cancel', database: target.database, caller: caller.caller })]
+function followTransaction (caller: Caller, running: Running, message: Finished): OpenTransaction | undefined {
+  const { rules, target } = running
+  if (message.status === 'idle' || rules === undefined || target === undefined) return undefined
+  return { target, rules, began: caller.transaction?.began ?? running.attempt, phase: message.status }
 }
 
 function close (caller: Caller): RequestsStep {
-  return {
-    changes: [[caller.caller, undefined]],
-    effects: [
-      clearTimer(`requests/deadline/${caller.caller}`),
-      clearTimer(`requests/retry/${caller.caller}`),
-      ...createCancel(caller, caller.running)
-    ]
-  }
+  return { changes: [[caller.caller, undefined]], effects: [...createTimersCleared(caller.caller), ...createCancel(caller)] }
 }
 
 function holdGrants (store: RequestsStore, message: GrantsConfirmed): RequestsStep {
@@ -262,18 +207,3 @@
   const grants = new Map(message.grants.map(grant => [grant.group, { grant, leaseEndsMs }]))
   return { shared: { ...store.shared, grants }, effects: [] }
 }
-
-function losePeer (store: RequestsStore, message: PeerLost, moment: Moment): RequestsStep {
-  const steps = [...store.items.values()].map(caller => loseTarget(caller, message.host, moment))
-  return { changes: steps.flatMap(step => step.changes ?? []), effects: steps.flatMap(step => step.effects) }
-}
-
-function loseTarget (caller: Caller, host: string, moment: Moment): RequestsStep {
-  const { running, transaction } = caller
-  if (running?.target?.owner === host) {
-    const failure = createFailure('outcome-unknown', `host ${host} was lost`)
-    return fail(caller, running, { kind: 'requests/failed', caller: caller.caller, attempt: running.attempt, failure, retriable: true }, moment)
-  }
-  if (transaction?.target.owner !== host) return UNCHANGED
-  return replace({ ...caller, transaction: { ...transaction, lost: true } }, [])
-}
--- /dev/null
+++ b/src/requests/failure.ts
@@ -0,0 +1,117 @@
+/** Decisions on requests that failed: another attempt, or the end with what is known of the effect. */
+import { createFailure, type Failure } from '../core/errors.js'
+import type { Moment } from '../core/message.js'
+import { UNCHANGED } from '../core/store.js'
+import type { Failed, PeerLost } from './messages.js'
+import type { Caller, RequestsShared, Running } from './state.js'
+import { createCancel, createTimersCleared, readStatus, replaceCaller, type RequestsStep, type RequestsStore } from './step.js'
+import { setTimer } from '../messages.js'
+
+/** How long a request that found no place waits before it looks again. */
+const RETRY_AFTER_MS = 25
+/** The longest pause of a request that owners refuse again and again. */
+const MAX_RETRY_AFTER_MS = 400
+
+/**
+ * Decides on a failed attempt. What surely did not run may be tried again; what may
+ * have run only if it is idempotent or ran on a replica, and within the budget of retries.
+ * @example failAttempt(store.shared, caller, running, message, moment)
+ */
+export function failAttempt (shared: RequestsShared, caller: Caller, running: Running, message: Failed, moment: Moment): RequestsStep {
+  const pauseMs = readPause(running, moment)
+  const inTime = moment.monotonicMs + pauseMs < running.endsAtMs
+  const allowed = message.retriable === true && inTime && running.parts === 0 && caller.transaction === undefined
+  if (allowed && message.failure.effect === 'not-run') return retry(caller, running, pauseMs)
+  const harmless = running.rules?.idempotent === true || running.target?.purpose === 'replica'
+  if (!allowed || !harmless || shared.retries < 1) return endWithFailure(caller, running, message.failure)
+  return { ...retry(caller, running, pauseMs), shared: { ...shared, retries: shared.retries - 1 } }
+}
+
+// Looking for a place costs this host alone; an owner that refused is asked ever more rarely.
+function readPause (running: Running, moment: Moment): number {
+  if (running.target === undefined) return RETRY_AFTER_MS
+  const pauseMs = Math.min(RETRY_AFTER_MS * 2 ** running.refusals, MAX_RETRY_AFTER_MS)
+  return pauseMs / 2 + moment.random * pauseMs / 2
+}
+
+// A request that waits holds no connection and no slot: it leaves its place and
+// looks for one again later.
+function retry (caller: Caller, running: Running, afterMs: number): RequestsStep {
+  const attempt = caller.attempts + 1
+  const { target } = running
+  const avoid = target === undefined ? running.avoid : [...running.avoid, target.database]
+  const refusals = target === undefined ? running.refusals : running.refusals + 1
+  const next: Running = { ...running, attempt, avoid, refusals, phase: 'waiting', target: undefined }
+  return replaceCaller({ ...caller, attempts: attempt, running: next }, [
+    setTimer(`requests/retry/${caller.caller}`, afterMs, { kind: 'requests/retry-due', caller: caller.caller, attempt })
+  ])
+}
+
+/**
+ * Ends a request whose time is over: it did not run if it never left for an owner.
+ * @example passDeadline(caller, running)
+ */
+export function passDeadline (caller: Caller, running: Running): RequestsStep {
+  const left = running.phase === 'running'
+  return endWithFailure(caller, running, left ? createFailure('outcome-unknown', 'the deadline passed') : createFailure('deadline-passed'))
+}
+
+/**
+ * Ends a request with a failure. The end of a transaction ends it also when it fails;
+ * after any other failure the caller has to end its transaction itself.
+ * @example endWithFailure(caller, running, createFailure('no-primary', 'a'))
+ */
+export function endWithFailure (caller: Caller, running: Running, failure: Failure): RequestsStep {
+  const { intent } = running.input
+  const ends = intent === 'commit' || intent === 'rollback'
+  const transaction = ends || caller.transaction === undefined ? undefined : { ...caller.transaction, phase: 'lost' as const }
+  const next: Caller = { ...caller, transaction, running: undefined }
+  return replaceCaller(next, [
+    ...createTimersCleared(caller.caller),
+    ...createCancel(caller),
+    { kind: 'caller/failed', caller: caller.caller, failure, status: readStatus(next) }
+  ])
+}
+
+/**
+ * Passes a refusal of the front end on; as in the database, it aborts an open transaction.
+ * @example rejectInput(caller, createFailure('not-supported', 'LISTEN'))
+ */
+export function rejectInput (caller: Caller, failure: Failure): RequestsStep {
+  const { transaction } = caller
+  const cancel = transaction === undefined || transaction.phase === 'lost' ? [] : createCancel(caller)
+  const next: Caller = transaction === undefined ? caller : { ...caller, transaction: { ...transaction, phase: 'lost' } }
+  return replaceCaller(next, [...cancel, { kind: 'caller/failed', caller: caller.caller, failure, status: readStatus(next) }])
+}
+
+/**
+ * Tells a caller that its acknowledgement came too late: the lease ended after the decision.
+ * @example failAcknowledgement(caller)
+ */
+export function failAcknowledgement (caller: Caller): RequestsStep {
+  return rejectInput(caller, createFailure('outcome-unknown', 'the lease on the primary ended'))
+}
+
+/**
+ * Decides for all callers whose requests or transactions were at a lost host.
+ * @example losePeer(store, { kind: 'requests/peer-lost', host: 'host-2' }, moment)
+ */
+export function losePeer (store: RequestsStore, message: PeerLost, moment: Moment): RequestsStep {
+  let { shared } = store
+  const steps = [...store.items.values()].map(caller => {
+    const step = loseTarget(shared, caller, message.host, moment)
+    shared = step.shared ?? shared
+    return step
+  })
+  return { shared, changes: steps.flatMap(step => step.changes ?? []), effects: steps.flatMap(step => step.effects) }
+}
+
+function loseTarget (shared: RequestsShared, caller: Caller, host: string, moment: Moment): RequestsStep {
+  const { running, transaction } = caller
+  if (running?.target?.owner === host) {
+    const failure = createFailure('outcome-unknown', `host ${host} was lost`)
+    return failAttempt(shared, caller, running, { kind: 'requests/failed', caller: caller.caller, attempt: running.attempt, failure, retriable: true }, moment)
+  }
+  if (transaction?.target.owner !== host) return UNCHANGED
+  return replaceCaller({ ...caller, transaction: { ...transaction, phase: 'lost' } }, [])
+}
--- a/src/requests/messages.ts
+++ b/src/requests/messages.ts
@@ -70,6 +70,13 @@
   readonly payload: Uint8Array
 }
 
+/** The front end refused what a caller sent before it became a request. */
+export interface Rejected {
+  readonly kind: 'requests/rejected'
+  readonly caller: string
+  readonly failure: Failure
+}
+
 /** A caller replaced its session token. */
 export interface SessionSet {
   readonly kind: 'requests/session-set'
@@ -100,6 +107,8 @@
 /** A part of the answer, except its end. */
 export interface Output extends WorkName {
   readonly kind: 'requests/output'
+  /** Counts the parts of the answer from 0, so that lost and doubled ones are noticed. */
+  readonly part: number
   readonly payload: Uint8Array
 }
 
@@ -111,6 +120,8 @@
   readonly wrote: boolean
   /** The position of the database after the request. */
   readonly position: LogPosition
+  /** How many parts went before the end of the answer. */
+  readonly parts: number
   /** The end of the answer. */
   readonly payload: Uint8Array
 }
@@ -166,6 +177,7 @@
   | Open
   | OpenChecked
   | Arrived
+  | Rejected
   | SessionSet
   | Admitted
   | Routed
--- a/src/requests/state.ts
+++ b/src/requests/state.ts
@@ -1,6 +1,7 @@
 /** State of the requests slice: one record for each caller's connection. */
 import type { Session } from '../sessions/token.js'
 import type { GrantEntry } from '../membership/directory.js'
+import type { Ticket } from '../transactions/messages.js'
 import type { RequestInput, RouteRules, Target } from './messages.js'
 
 /** How far a request has come. */
@@ -20,16 +21,20 @@
   readonly target?: Target
   /** Databases that could not serve an earlier attempt. */
   readonly avoid: readonly string[]
-  /** True once a part of the answer went to the caller. */
-  readonly answering: boolean
+  /** How many parts of the answer went to the caller. */
+  readonly parts: number
+  /** How many refusals the request met, which lengthens the pause before the next attempt. */
+  readonly refusals: number
 }
 
 /** The transaction that a caller has open. */
 export interface OpenTransaction {
   readonly target: Target
   readonly rules: RouteRules
-  /** True once the database's side of it is gone; only its end is accepted. */
-  readonly lost: boolean
+  /** The attempt that began it. */
+  readonly began: number
+  /** Failed: a statement failed in the database. Lost: the database's side of it is gone; only its end is accepted. */
+  readonly phase: 'open' | 'failed' | 'lost'
 }
 
 /** A caller's connection. */
@@ -42,6 +47,8 @@
   readonly open: boolean
   /** Counts attempts over all requests, so that late answers can be told apart. */
   readonly attempts: number
+  /** The ticket of the last order to an owner. */
+  readonly ticket?: Ticket
   readonly transaction?: OpenTransaction
   readonly running?: Running
 }
@@ -56,12 +63,23 @@
 export interface RequestsShared {
   readonly grants: ReadonlyMap<string, HeldGrant>
   readonly requestMs: number
+  /** Retries of requests that may have run which are still allowed. */
+  readonly retries: number
+  /** Names this process in its tickets; drawn with the first one. */
+  readonly sender?: string
+  /** Counts orders to owners. */
+  readonly orders: number
 }
 
+/** Retries that a host may spend before any request succeeded, and the most that it saves up. */
+export const MAX_RETRIES = 10
+/** Retries that each success adds: retries stay within this share of the requests that succeed. */
+export const RETRIES_PER_SUCCESS = 0.1
+
 /**
  * Creates the facts of a host that holds no grant.
  * @example createRequestsShared(5_000)
  */
 export function createRequestsShared (requestMs: number): RequestsShared {
-  return { grants: new Map(), requestMs }
+  return { grants: new Map(), requestMs, retries: MAX_RETRIES, orders: 0 }
 }
--- a/src/transactions/messages.ts
+++ b/src/transactions/messages.ts
@@ -3,27 +3,38 @@
 import type { DatabaseEntry, GrantEntry } from '../membership/directory.js'
 import type { Intent, Target, TransactionStatus, WorkName } from '../requests/messages.js'
 
+/**
+ * The place of an order among those of its sender. Links keep the order but may lose,
+ * so an order that is not later than the last one is doubled or late.
+ */
+export interface Ticket {
+  /** Names the sending process, anew at each start. */
+  readonly sender: string
+  readonly order: number
+}
+
 /** Runs a request on a database that this host owns. */
 export interface Run extends WorkName {
   readonly kind: 'transactions/run'
   /** The host that the caller is connected to; filled in by the receiving host. */
   readonly from?: string
+  readonly ticket: Ticket
   readonly service: string
   readonly workspace?: string
   readonly target: Target
   readonly intent: Intent
-  /** True when the request belongs to the caller's open transaction. */
-  readonly inTransaction: boolean
+  /** The attempt that began the caller's open transaction; absent outside of one. */
+  readonly transaction?: number
   readonly remainingMs: number
   readonly payload: Uint8Array
 }
 
-/** The caller left, or its time is over: its request and its transaction end. */
-export interface Cancel {
+/** The caller left, or its time is over: its attempts up to the named one end, and their transaction. */
+export interface Cancel extends WorkName {
   readonly kind: 'transactions/cancel'
   readonly from?: string
+  readonly ticket: Ticket
   readonly database: string
-  readonly caller: string
 }
 
 /** The caller took in a part of its answer. */
@@ -106,6 +117,12 @@
   readonly position: LogPosition
 }
 
+/** The pause after a connection could not be opened is over. */
+export interface Cooled {
+  readonly kind: 'transactions/cooled'
+  readonly database: string
+}
+
 /** Any message of the transactions slice. */
 export type TransactionsMessage =
   | Run
@@ -121,3 +138,4 @@
   | HostLost
   | OwnedChanged
   | PositionRead
+  | Cooled
--- /dev/null
+++ b/src/transactions/pool.ts
@@ -0,0 +1,153 @@
+/** Slots and connections of an owned database: who starts, on which connection, and what closes. */
+import { createFailure } from '../core/errors.js'
+import { setTimer } from '../messages.js'
+import type { DatabaseEffect } from '../databases/driver.js'
+import type { Broken, OpenFailed, Opened, Run } from './messages.js'
+import type { OwnedDatabase, Unit } from './state.js'
+import { answerFailed, continueStep, dropTimeOver, keepDatabase, refuseRun, type DatabaseStep } from './step.js'
+
+/** How long no connection is opened after one could not be. */
+const COOLING_MS = 100
+
+/**
+ * Starts what waits while there are slots and connections.
+ * A unit holds its slot until it ends, also while its caller thinks: were a slot
+ * given back inside a transaction, those who wait for its locks could take all slots.
+ * @example startWaiting(database)
+ */
+export function startWaiting (database: OwnedDatabase): DatabaseStep {
+  const [next, ...rest] = database.queue
+  if (next === undefined || database.units.size >= database.entry.slots) return keepDatabase(database)
+  const idle = [...database.connections.values()].find(connection => connection.phase === 'idle')
+  if (idle === undefined) return openConnection(database)
+  return continueStep(bindUnit({ ...database, queue: rest }, next, idle.connection), startWaiting)
+}
+
+function openConnection (database: OwnedDatabase): DatabaseStep {
+  const opening = [...database.connections.values()].filter(connection => connection.phase === 'opening').length
+  const wanted = Math.min(database.queue.length, database.entry.slots - database.units.size)
+  const full = database.connections.size >= database.entry.connectionLimit
+  if (database.cooling || opening >= wanted || full) return keepDatabase(database)
+  const opened = database.opened + 1
+  const connection = `${database.entry.database}#${database.generation}.${opened}`
+  const connections = new Map(database.connections).set(connection, { connection, phase: 'opening' as const })
+  const open: DatabaseEffect = { kind: 'database/open', connection, address: database.entry.address }
+  return continueStep({ database: { ...database, opened, connections }, effects: [open] }, openConnection)
+}
+
+function bindUnit (database: OwnedDatabase, message: Run, connection: string): DatabaseStep {
+  const { caller, attempt } = message
+  const unit: Unit = { caller, from: message.from!, connection, phase: 'running', began: attempt, run: message, parts: 0 }
+  const next: OwnedDatabase = {
+    ...database,
+    units: new Map(database.units).set(caller, unit),
+    connections: new Map(database.connections).set(connection, { connection, phase: 'bound', caller })
+  }
+  return { database: next, effects: [createExecute(message, connection)] }
+}
+
+/**
+ * Creates the effect that runs a request on a connection. What runs as on a replica
+ * may not write, also where the database was promoted meanwhile.
+ * @example createExecute(message, 'a1#1.1')
+ */
+export function createExecute (message: Run, connection: string): DatabaseEffect {
+  const { service, workspace, payload } = message
+  return { kind: 'database/execute', connection, service, workspace, readOnly: message.target.purpose === 'replica', payload }
+}
+
+/**
+ * Returns the unit that is bound to a connection.
+ * @example findUnit(database, 'a1#1.1')
+ */
+export function findUnit (database: OwnedDatabase, connection: string): Unit | undefined {
+  const caller = database.connections.get(connection)?.caller
+  return caller === undefined ? undefined : database.units.get(caller)
+}
+
+/**
+ * Takes a connection that is open into use; one that is no longer wanted is closed.
+ * @example takeConnection(database, { kind: 'transactions/opened', connection: 'a1#1.1' })
+ */
+export function takeConnection (database: OwnedDatabase, message: Opened): DatabaseStep {
+  const { connection } = message
+  if (database.connections.get(connection)?.phase !== 'opening') return { database, effects: [{ kind: 'database/close', connection }] }
+  const connections = new Map(database.connections).set(connection, { connection, phase: 'idle' as const })
+  return startWaiting({ ...database, connections })
+}
+
+/**
+ * Decides on a connection that could not be opened: the database is down, or full with
+ * those of another owner. What waits goes back as not run, unless other connections serve it.
+ * @example loseOpening(database, message)
+ */
+export function loseOpening (database: OwnedDatabase, message: OpenFailed): DatabaseStep {
+  const connections = new Map(database.connections)
+  connections.delete(message.connection)
+  const name = database.entry.database
+  const cooled = setTimer(`transactions/cooled/${name}`, COOLING_MS, { kind: 'transactions/cooled', database: name })
+  const cooling: OwnedDatabase = { ...database, connections, cooling: true }
+  if (connections.size > 0) return { database: cooling, effects: [cooled] }
+  return continueStep({ database: cooling, effects: [cooled] }, refuseWaiting)
+}
+
+/**
+ * Ends the pause after a connection could not be opened.
+ * @example endCooling(database)
+ */
+export function endCooling (database: OwnedDatabase): DatabaseStep {
+  return startWaiting({ ...database, cooling: false })
+}
+
+/**
+ * Sends back all that waits as not run.
+ * @example refuseWaiting(database)
+ */
+export function refuseWaiting (database: OwnedDatabase): DatabaseStep {
+  const failure = createFailure('no-database', database.entry.group)
+  const effects = database.queue.flatMap(message => [dropTimeOver(database.entry.database, message.caller), refuseRun(message, failure)])
+  return { database: { ...database, queue: [] }, effects }
+}
+
+/**
+ * Frees the slot of a unit that ended; its connection serves the next one.
+ * @example releaseUnit(database, unit)
+ */
+export function releaseUnit (database: OwnedDatabase, unit: Unit): OwnedDatabase {
+  const { connection } = unit
+  const units = new Map(database.units)
+  units.delete(unit.caller)
+  return { ...database, units, connections: new Map(database.connections).set(connection, { connection, phase: 'idle' }) }
+}
+
+/**
+ * Ends a unit before its end. The connection goes with it: only a closed connection
+ * is sure to run nothing more of it.
+ * @example closeUnit(database, unit)
+ */
+export function closeUnit (database: OwnedDatabase, unit: Unit): DatabaseStep {
+  const effects = [dropTimeOver(database.entry.database, unit.caller), { kind: 'database/close' as const, connection: unit.connection }]
+  return continueStep({ database: dropConnection(database, unit.connection), effects }, startWaiting)
+}
+
+/**
+ * Decides on a connection that broke: what ran on it may have run.
+ * @example loseConnection(database, message)
+ */
+export function loseConnection (database: OwnedDatabase, message: Broken): DatabaseStep {
+  const unit = findUnit(database, message.connection)
+  const without = dropConnection(database, message.connection)
+  if (unit === undefined) return startWaiting(without)
+  const failure = createFailure('outcome-unknown', 'the connection to the database broke')
+  const answers = unit.phase === 'running' ? [answerFailed(unit.from, unit.run, failure, true)] : []
+  return continueStep({ database: without, effects: [dropTimeOver(database.entry.database, unit.caller), ...answers] }, startWaiting)
+}
+
+function dropConnection (database: OwnedDatabase, connection: string): OwnedDatabase {
+  const unit = findUnit(database, connection)
+  const units = new Map(database.units)
+  const connections = new Map(database.connections)
+  if (unit !== undefined) units.delete(unit.caller)
+  connections.delete(connection)
+  return { ...database, units, connections }
+}
--- a/src/transactions/state.ts
+++ b/src/transactions/state.ts
@@ -1,7 +1,8 @@
 /** State of the transactions slice: one record for each database that this host owns. */
 import type { LogPosition } from '../core/position.js'
 import type { DatabaseEntry } from '../membership/directory.js'
-import type { Run } from './messages.js'
+import type { TransactionStatus } from '../requests/messages.js'
+import type { Run, Ticket } from './messages.js'
 
 /** A connection to a database: opening, idle, or bound to the unit of one caller. */
 export interface Connection {
@@ -17,8 +18,12 @@
   readonly from: string
   readonly connection: string
   readonly phase: 'running' | 'idle'
+  /** The attempt that began it. */
+  readonly began: number
   /** The present request; the last one while idle. */
   readonly run: Run
+  /** How many parts of the present answer were sent. */
+  readonly parts: number
 }
 
 /** A finished write whose position is not yet stored on a majority. */
@@ -26,18 +31,26 @@
   readonly from: string
   readonly caller: string
   readonly attempt: number
+  readonly status: TransactionStatus
   readonly position: LogPosition
+  readonly parts: number
   readonly payload: Uint8Array
 }
 
 /** A database that this host owns. */
 export interface OwnedDatabase {
   readonly entry: DatabaseEntry
+  /** True once another host owns the database: what runs here ends, and then the record goes. */
+  readonly leaving: boolean
+  /** True after a connection could not be opened, until the next one may be tried. */
+  readonly cooling: boolean
   /** The term in which the database is primary; undefined while it is a replica. */
   readonly term?: number
   readonly members: readonly string[]
   readonly position: LogPosition
   readonly connections: ReadonlyMap<string, Connection>
+  /** Tells this record's connections from those of an earlier one. */
+  readonly generation: number
   /** Counts connections, for their names. */
   readonly opened: number
   readonly units: ReadonlyMap<string, Unit>
@@ -49,4 +62,18 @@
 /** What the slice knows beside its databases. */
 export interface TransactionsShared {
   readonly queueLength: number
+  /** How long a transaction may wait for its caller. */
+  readonly idleTransactionMs: number
+  /** The last orders of each host's latest processes. */
+  readonly tickets: ReadonlyMap<string, readonly Ticket[]>
+  /** Counts records of databases. */
+  readonly generation: number
+}
+
+/**
+ * Creates the facts of a host that got no order yet.
+ * @example createTransactionsShared(1_000, 10_000)
+ */
+export function createTransactionsShared (queueLength: number, idleTransactionMs: number): TransactionsShared {
+  return { queueLength, idleTransactionMs, tickets: new Map(), generation: 0 }
 }
--- /dev/null
+++ b/src/transactions/step.ts
@@ -0,0 +1,76 @@
+/** The steps of the transactions slice, and the effects that several of its decisions share. */
+import type { Failure } from '../core/errors.js'
+import { clearTimer, type CoreEffect } from '../core/message.js'
+import type { Store, StoreStep } from '../core/store.js'
+import type { DatabaseEffect } from '../databases/driver.js'
+import type { WorkName } from '../requests/messages.js'
+import type { Run } from './messages.js'
+import type { OwnedDatabase, TransactionsShared } from './state.js'
+import { sendPeer, setTimer } from '../messages.js'
+
+/** The effects of the transactions slice. */
+export type TransactionsEffect = CoreEffect | DatabaseEffect
+/** The records of the transactions slice. */
+export type TransactionsStore = Store<TransactionsShared, OwnedDatabase>
+/** The outcome of a decision of the transactions slice. */
+export type TransactionsStep = StoreStep<TransactionsShared, OwnedDatabase, TransactionsEffect>
+
+/** The outcome of a decision on one database. */
+export interface DatabaseStep {
+  readonly database: OwnedDatabase
+  readonly effects: readonly TransactionsEffect[]
+}
+
+/**
+ * Creates the step without effects.
+ * @example keepDatabase(database)
+ */
+export function keepDatabase (database: OwnedDatabase): DatabaseStep {
+  return { database, effects: [] }
+}
+
+/**
+ * Continues a step with another decision on the same database.
+ * @example continueStep(step, database => startWaiting(database))
+ */
+export function continueStep (step: DatabaseStep, decide: (database: OwnedDatabase) => DatabaseStep): DatabaseStep {
+  const next = decide(step.database)
+  return { database: next.database, effects: [...step.effects, ...next.effects] }
+}
+
+/**
+ * Creates the answer to a request that failed here.
+ * @example answerFailed('host-2', { caller: 'c1', attempt: 3 }, failure, false)
+ */
+export function answerFailed (from: string, name: WorkName, failure: Failure, retriable: boolean): CoreEffect {
+  return sendPeer(from, { kind: 'requests/failed', caller: name.caller, attempt: name.attempt, failure, retriable })
+}
+
+/**
+ * Creates the answer to a request that did not run here and may find another place.
+ * @example refuseRun(message, createFailure('queue-full', 'a1'))
+ */
+export function refuseRun (message: Run, failure: Failure): CoreEffect {
+  return answerFailed(message.from!, message, failure, true)
+}
+
+/**
+ * Creates the timer of an attempt.
+ * @example createTimeOver(message, message.remainingMs)
+ */
+export function createTimeOver (message: Run, afterMs: number): CoreEffect {
+  const { database } = message.target
+  return setTimer(nameTimer(database, message.caller), afterMs, { kind: 'transactions/time-over', database, caller: message.caller, attempt: message.attempt })
+}
+
+/**
+ * Creates the effect that drops a caller's timer at a database.
+ * @example dropTimeOver('a1', 'host-1/4f/7')
+ */
+export function dropTimeOver (database: string, caller: string): CoreEffect {
+  return clearTimer(nameTimer(database, caller))
+}
+
+function nameTimer (database: string, caller: string): string {
+  return `transactions/time/${database}/${caller}`
+}
--- a/standin/session.ts
+++ b/standin/session.ts
@@ -6,6 +6,7 @@
 import type { Comparison, Expression, ParsedStatement, Selected } from './statement.js'
 
 const WORKSPACE_SETTING = 'fulmartally.workspace'
+const READ_ONLY_SETTING = 'default_transaction_read_only'
 
 /** The rows of an answer, or none, and its tag. */
 export interface StatementResult {
@@ -92,7 +93,7 @@
 
   async #runOne (statement: ParsedStatement, parameters: Parameters): Promise<StatementResult> {
     switch (statement.type) {
-      case 'begin': return this.#begin(statement.readOnly)
+      case 'begin': return this.#begin(statement.readOnly || this.#settings.get(READ_ONLY_SETTING) === 'on')
       case 'commit': return this.#end()
       case 'rollback':
         this.rollback()
@@ -143,7 +144,8 @@
   }
 
   #write (): OpenTransaction {
-    if (!this.#database.primary || this.#transaction?.readOnly === true) throw new SqlError('25006', 'cannot execute in a read-only transaction')
+    const readOnly = this.#transaction?.readOnly ?? this.#settings.get(READ_ONLY_SETTING) === 'on'
+    if (!this.#database.primary || readOnly) throw new SqlError('25006', 'cannot execute in a read-only transaction')
     this.#transaction ??= { name: Symbol('transaction'), changes: [], explicit: false, readOnly: false, failed: false }
     return this.#transaction
   }
