Serves a database's waiting requests workspace by workspace

Cause: requests for a database waited in one list, first come first served; a workspace at several times its rate filled it, and each statement copied the list. Slots in transactions use it, with one flow for each service and workspace. Ruled out: tags drawn at arrival (a request that its deadline drops would cost its workspace a turn); deficit round robin (dropping from the middle walks the list); a queue of its own for deadlines (each waiting request already has a timer that drops it). Fair in turns, not in the time a slot is held.

--- a/src/transactions/decide.ts
+++ b/src/transactions/decide.ts
@@ -4,6 +4,7 @@
 import { ORIGIN, coversPosition, pickLater } from '../core/position.js'
 import { UNCHANGED, type Store, type StoreStep } from '../core/store.js'
 import type { DatabaseEffect } from '../databases/driver.js'
+import { countWaiting, createQueue, dropWaiting, enqueueEntry, findWaiting, listWaiting, takeNext, type QueueLimits } from '../fairness/queue.js'
 import type { GrantEntry } from '../membership/directory.js'
 import type { Finished, WorkName } from '../requests/messages.js'
 import type { Broken, Cancel, Credit, DatabaseFinished, DatabaseOutput, HostLost, OpenFailed, Opened, OwnedChanged, PositionRead, Run, Stored, TimeOver, TransactionsMessage } from './messages.js'
@@ -73,17 +74,26 @@
 }
 
 function enqueue (shared: TransactionsShared, database: OwnedDatabase, message: Run): DatabaseStep {
-  const refusal = findRefusal(shared, database, message)
+  const refusal = findRefusal(database, message)
   if (refusal !== undefined) return { database, effects: [refuseRun(message, refusal)] }
-  const waiting: OwnedDatabase = { ...database, queue: [...database.queue, message] }
-  const step = startWaiting(waiting)
-  return { database: step.database, effects: [createTimeOver(message), ...step.effects] }
+  const { queue, refused } = enqueueEntry(database.queue, { flow: nameFlow(message), key: message.caller, item: message }, createLimits(shared))
+  const displaced = refused === undefined ? [] : [clearTimer(`transactions/time/${refused.key}`), refuseRun(refused.item, createFailure('queue-full', database.entry.database))]
+  const step = startWaiting({ ...database, queue })
+  return { database: step.database, effects: [createTimeOver(message), ...displaced, ...step.effects] }
 }
 
-function findRefusal (shared: TransactionsShared, database: OwnedDatabase, message: Run): Failure | undefined {
+function nameFlow (message: Run): string {
+  return `${message.service}/${message.workspace ?? ''}`
+}
+
+// One workspace takes at most half of the places.
+function createLimits (shared: TransactionsShared): QueueLimits {
+  return { length: shared.queueLength, flowLength: Math.ceil(shared.queueLength / 2) }
+}
+
+function findRefusal (database: OwnedDatabase, message: Run): Failure | undefined {
   const { target } = message
   if (database.entry.departing) return createFailure('no-database', database.entry.group)
-  if (database.queue.length >= shared.queueLength) return createFailure('queue-full', database.entry.database)
   if (target.purpose === 'primary' && database.term !== target.term) return createFailure('no-primary', database.entry.group)
   if (target.purpose === 'replica' && !coversPosition(database.position, target.floor)) return createFailure('no-database', database.entry.group)
   return undefined
@@ -98,18 +108,18 @@
 // A unit holds its slot until it ends, also while its caller thinks: were a slot
 // given back inside a transaction, those who wait for its locks could take all slots.
 function startWaiting (database: OwnedDatabase): DatabaseStep {
-  const [next, ...rest] = database.queue
+  const next = takeNext(database.queue)
   if (next === undefined || database.units.size >= database.entry.slots) return keep(database)
   const idle = [...database.connections.values()].find(connection => connection.phase === 'idle')
   if (idle === undefined) return openConnection(database)
-  const bound = bindUnit({ ...database, queue: rest }, next, idle.connection)
+  const bound = bindUnit({ ...database, queue: next.queue }, next.entry.item, idle.connection)
   const more = startWaiting(bound.database)
   return { database: more.database, effects: [...bound.effects, ...more.effects] }
 }
 
 function openConnection (database: OwnedDatabase): DatabaseStep {
   const opening = [...database.connections.values()].filter(connection => connection.phase === 'opening').length
-  const wanted = Math.min(database.queue.length, database.entry.slots - database.units.size)
+  const wanted = Math.min(countWaiting(database.queue), database.entry.slots - database.units.size)
   if (opening >= wanted || database.connections.size >= database.entry.connectionLimit) return keep(database)
   const opened = database.opened + 1
   const connection = `${database.entry.database}#${opened}`
@@ -158,10 +168,11 @@
 function loseOpening (database: OwnedDatabase, message: OpenFailed): DatabaseStep {
   const connections = new Map(database.connections)
   connections.delete(message.connection)
-  const [next, ...rest] = database.queue
+  const next = takeNext(database.queue)
   const without: OwnedDatabase = { ...database, connections }
   if (next === undefined || connections.size > 0) return keep(without)
-  return { database: { ...without, queue: rest }, effects: [clearTimer(`transactions/time/${next.caller}`), refuseRun(next, createFailure('no-database', database.entry.group))] }
+  const { item } = next.entry
+  return { database: { ...without, queue: next.queue }, effects: [clearTimer(`transactions/time/${item.caller}`), refuseRun(item, createFailure('no-database', database.entry.group))] }
 }
 
 function passOutput (database: OwnedDatabase, message: DatabaseOutput): DatabaseStep {
@@ -234,7 +245,7 @@
 
 function cancel (database: OwnedDatabase, message: Cancel): DatabaseStep {
   const unit = database.units.get(message.caller)
-  const queue = database.queue.filter(waiting => waiting.caller !== message.caller)
+  const queue = dropWaiting(database.queue, message.caller)
   const storing = database.storing.filter(write => write.caller !== message.caller)
   const step = unit === undefined ? keep({ ...database, queue, storing }) : closeUnit({ ...database, queue, storing }, unit)
   return { database: step.database, effects: [clearTimer(`transactions/time/${message.caller}`), ...step.effects] }
@@ -251,9 +262,9 @@
 }
 
 function endTime (database: OwnedDatabase, message: TimeOver): DatabaseStep {
-  const waiting = database.queue.find(candidate => candidate.caller === message.caller && candidate.attempt === message.attempt)
-  if (waiting !== undefined) {
-    const queue = database.queue.filter(candidate => candidate !== waiting)
+  const waiting = findWaiting(database.queue, message.caller)?.item
+  if (waiting?.attempt === message.attempt) {
+    const queue = dropWaiting(database.queue, message.caller)
     return { database: { ...database, queue }, effects: [answerFailed(waiting.from!, message, createFailure('deadline-passed'), false)] }
   }
   const unit = database.units.get(message.caller)
@@ -284,7 +295,7 @@
 }
 
 function dropCallers (database: OwnedDatabase, host: string): DatabaseStep {
-  const callers = [...database.units.values(), ...database.queue, ...database.storing].filter(work => work.from === host).map(work => work.caller)
+  const callers = [...database.units.values(), ...listWaiting(database.queue).map(entry => entry.item), ...database.storing].filter(work => work.from === host).map(work => work.caller)
   return callers.reduce<DatabaseStep>((step, caller) => {
     const next = cancel(step.database, { kind: 'transactions/cancel', database: database.entry.database, caller })
     return { database: next.database, effects: [...step.effects, ...next.effects] }
@@ -308,16 +319,16 @@
 }
 
 function createOwned (entry: OwnedDatabase['entry']): OwnedDatabase {
-  return { entry, members: [], position: ORIGIN, connections: new Map(), opened: 0, units: new Map(), queue: [], storing: [], stored: ORIGIN }
+  return { entry, members: [], position: ORIGIN, connections: new Map(), opened: 0, units: new Map(), queue: createQueue(), storing: [], stored: ORIGIN }
 }
 
 // What waits is sent back as not run; what runs may end here.
 function giveUp (database: OwnedDatabase): DatabaseStep {
-  const refused = database.queue.map(message => refuseRun(message, createFailure('no-database', database.entry.group)))
+  const refused = listWaiting(database.queue).map(({ item }) => refuseRun(item, createFailure('no-database', database.entry.group)))
   const idle = [...database.connections.values()].filter(connection => connection.phase !== 'bound')
   const connections = new Map([...database.connections].filter(([, connection]) => connection.phase === 'bound'))
   return {
-    database: { ...database, entry: { ...database.entry, departing: true }, queue: [], connections },
+    database: { ...database, entry: { ...database.entry, departing: true }, queue: createQueue(), connections },
     effects: [...refused, ...idle.map((connection): DatabaseEffect => ({ kind: 'database/close', connection: connection.connection }))]
   }
 }
@@ -328,7 +339,8 @@
   if (term === database.term) return keep({ ...database, members })
   const failure = createFailure('outcome-unknown', 'the primary was replaced')
   const failed = database.storing.map(write => answerFailed(write.from, write, failure, false))
-  const waiting = database.queue.filter(message => message.target.purpose === 'primary').map(message => refuseRun(message, createFailure('no-primary', database.entry.group)))
-  const queue = database.queue.filter(message => message.target.purpose !== 'primary')
+  const lost = listWaiting(database.queue).map(entry => entry.item).filter(message => message.target.purpose === 'primary')
+  const waiting = lost.map(message => refuseRun(message, createFailure('no-primary', database.entry.group)))
+  const queue = lost.reduce((left, message) => dropWaiting(left, message.caller), database.queue)
   return { database: { ...database, term, members, queue, storing: [] }, effects: [...failed, ...waiting] }
 }
--- a/src/transactions/state.ts
+++ b/src/transactions/state.ts
@@ -1,5 +1,6 @@
 /** State of the transactions slice: one record for each database that this host owns. */
 import type { LogPosition } from '../core/position.js'
+import type { FairQueue } from '../fairness/queue.js'
 import type { DatabaseEntry } from '../membership/directory.js'
 import type { Run } from './messages.js'
 
@@ -41,7 +42,7 @@
   /** Counts connections, for their names. */
   readonly opened: number
   readonly units: ReadonlyMap<string, Unit>
-  readonly queue: readonly Run[]
+  readonly queue: FairQueue<Run>
   readonly storing: readonly StoringWrite[]
   readonly stored: LogPosition
 }
