--- a/src/transactions/decide.ts
+++ b/src/transactions/decide.ts
@@ -3,6 +3,7 @@
 import type { Moment } from '../core/message.js'
 import { coversPosition } from '../core/position.js'
 import { UNCHANGED } from '../core/store.js'
+import { dropWaiting, enqueueEntry, findWaiting, listWaiting, type QueueLimits } from '../fairness/queue.js'
 import type { Cancel, Credit, DatabaseFinished, DatabaseOutput, HostLost, PositionRead, Run, TimeOver, TransactionsMessage } from './messages.js'
 import { settleDatabase, takeOwned } from './ownership.js'
 import { closeUnit, createExecute, endCooling, findUnit, loseConnection, loseOpening, releaseUnit, startWaiting, takeConnection } from './pool.js'
@@ -66,18 +67,33 @@
 }
 
 function enqueue (shared: TransactionsShared, database: OwnedDatabase, message: Run): DatabaseStep {
-  const refusal = findRefusal(shared, database, message)
+  const refusal = findRefusal(database, message)
   if (refusal !== undefined) return { database, effects: [refuseRun(message, refusal)] }
-  const waiting: OwnedDatabase = { ...database, queue: [...database.queue, message] }
-  return continueStep({ database: waiting, effects: [createTimeOver(message, message.remainingMs)] }, startWaiting)
+  const { queue, refused } = enqueueEntry(database.queue, { flow: nameFlow(message), key: message.caller, item: message }, createLimits(shared))
+  const waiting = { database: { ...database, queue }, effects: [createTimeOver(message, message.remainingMs), ...refuseDisplaced(database, refused?.item)] }
+  return continueStep(waiting, startWaiting)
 }
 
-function findRefusal (shared: TransactionsShared, database: OwnedDatabase, message: Run): Failure | undefined {
+function refuseDisplaced (database: OwnedDatabase, message: Run | undefined): DatabaseStep['effects'] {
+  if (message === undefined) return []
+  const { database: name } = database.entry
+  return [dropTimeOver(name, message.caller), refuseRun(message, createFailure('queue-full', name))]
+}
+
+function nameFlow (message: Run): string {
+  return `${message.service}/${message.workspace ?? ''}`
+}
+
+// One workspace takes at most half of the places.
+function createLimits (shared: TransactionsShared): QueueLimits {
+  return { length: shared.queueLength, flowLength: Math.ceil(shared.queueLength / 2) }
+}
+
+function findRefusal (database: OwnedDatabase, message: Run): Failure | undefined {
   const { target } = message
   const { entry } = database
   const down = database.cooling && database.connections.size === 0
   if (database.leaving || entry.departing || down) return createFailure('no-database', entry.group)
-  if (database.queue.length >= shared.queueLength) return createFailure('queue-full', entry.database)
   if (target.purpose === 'primary' && database.term !== target.term) return createFailure('no-primary', entry.group)
   if (target.purpose === 'replica' && !coversPosition(database.position, target.floor)) return createFailure('no-database', entry.group)
   return undefined
@@ -134,19 +150,21 @@
 // Ends all that a caller has here up to an attempt; later attempts are not meant.
 function dropWork (database: OwnedDatabase, caller: string, attempt: number): DatabaseStep {
   const meant = (work: { readonly caller: string, readonly attempt: number }): boolean => work.caller === caller && work.attempt <= attempt
-  const queue = database.queue.filter(waiting => !meant(waiting))
+  const waiting = findWaiting(database.queue, caller)?.item
+  const waits = waiting !== undefined && meant(waiting)
+  const queue = waits ? dropWaiting(database.queue, caller) : database.queue
   const storing = database.storing.filter(write => !meant(write))
   const unit = database.units.get(caller)
   const closes = unit !== undefined && meant(unit.run)
-  if (!closes && queue.length === database.queue.length && storing.length === database.storing.length) return keepDatabase(database)
+  if (!closes && !waits && storing.length === database.storing.length) return keepDatabase(database)
   const rest: OwnedDatabase = { ...database, queue, storing }
   return closes ? closeUnit(rest, unit) : { database: rest, effects: [dropTimeOver(database.entry.database, caller)] }
 }
 
 function endTime (database: OwnedDatabase, message: TimeOver): DatabaseStep {
-  const waiting = database.queue.find(candidate => candidate.caller === message.caller && candidate.attempt === message.attempt)
-  if (waiting !== undefined) {
-    const queue = database.queue.filter(candidate => candidate !== waiting)
+  const waiting = findWaiting(database.queue, message.caller)?.item
+  if (waiting?.attempt === message.attempt) {
+    const queue = dropWaiting(database.queue, message.caller)
     return { database: { ...database, queue }, effects: [answerFailed(waiting.from!, message, createFailure('deadline-passed'), false)] }
   }
   const unit = database.units.get(message.caller)
@@ -166,6 +184,6 @@
 }
 
 function dropCallers (database: OwnedDatabase, host: string): DatabaseStep {
-  const work = [...database.units.values(), ...database.queue, ...database.storing].filter(({ from }) => from === host)
+  const work = [...database.units.values(), ...listWaiting(database.queue).map(entry => entry.item), ...database.storing].filter(({ from }) => from === host)
   return work.reduce((step, { caller }) => continueStep(step, next => dropWork(next, caller, Infinity)), keepDatabase(database))
 }
--- a/src/transactions/ownership.ts
+++ b/src/transactions/ownership.ts
@@ -2,6 +2,7 @@
 import { createFailure } from '../core/errors.js'
 import { ORIGIN } from '../core/position.js'
 import type { DatabaseEffect } from '../databases/driver.js'
+import { createQueue, dropWaiting, listWaiting } from '../fairness/queue.js'
 import type { DatabaseEntry, GrantEntry } from '../membership/directory.js'
 import type { OwnedChanged } from './messages.js'
 import type { OwnedDatabase } from './state.js'
@@ -51,7 +52,7 @@
     generation,
     opened: 0,
     units: new Map(),
-    queue: [],
+    queue: createQueue(),
     storing: [],
     stored: ORIGIN
   }
@@ -77,9 +78,8 @@
   if (term === database.term) return keepDatabase({ ...database, members })
   const replaced = createFailure('outcome-unknown', 'the primary was replaced')
   const failed = database.storing.map(write => answerFailed(write.from, write, replaced, false))
-  const refused = database.queue
-    .filter(message => message.target.purpose === 'primary')
-    .flatMap(message => [dropTimeOver(name, message.caller), refuseRun(message, createFailure('no-primary', database.entry.group))])
-  const queue = database.queue.filter(message => message.target.purpose !== 'primary')
+  const lost = listWaiting(database.queue).map(waiting => waiting.item).filter(message => message.target.purpose === 'primary')
+  const refused = lost.flatMap(message => [dropTimeOver(name, message.caller), refuseRun(message, createFailure('no-primary', database.entry.group))])
+  const queue = lost.reduce((left, message) => dropWaiting(left, message.caller), database.queue)
   return { database: { ...database, term, members, queue, storing: [] }, effects: [...failed, ...refused] }
 }
--- a/src/transactions/pool.ts
+++ b/src/transactions/pool.ts
@@ -2,6 +2,7 @@
 import { createFailure } from '../core/errors.js'
 import { setTimer } from '../messages.js'
 import type { DatabaseEffect } from '../databases/driver.js'
+import { countWaiting, createQueue, listWaiting, takeNext } from '../fairness/queue.js'
 import type { Broken, OpenFailed, Opened, Run } from './messages.js'
 import type { OwnedDatabase, Unit } from './state.js'
 import { answerFailed, continueStep, dropTimeOver, keepDatabase, refuseRun, type DatabaseStep } from './step.js'
@@ -16,16 +17,16 @@
  * @example startWaiting(database)
  */
 export function startWaiting (database: OwnedDatabase): DatabaseStep {
-  const [next, ...rest] = database.queue
+  const next = takeNext(database.queue)
   if (next === undefined || database.units.size >= database.entry.slots) return keepDatabase(database)
   const idle = [...database.connections.values()].find(connection => connection.phase === 'idle')
   if (idle === undefined) return openConnection(database)
-  return continueStep(bindUnit({ ...database, queue: rest }, next, idle.connection), startWaiting)
+  return continueStep(bindUnit({ ...database, queue: next.queue }, next.entry.item, idle.connection), startWaiting)
 }
 
 function openConnection (database: OwnedDatabase): DatabaseStep {
   const opening = [...database.connections.values()].filter(connection => connection.phase === 'opening').length
-  const wanted = Math.min(database.queue.length, database.entry.slots - database.units.size)
+  const wanted = Math.min(countWaiting(database.queue), database.entry.slots - database.units.size)
   const full = database.connections.size >= database.entry.connectionLimit
   if (database.cooling || opening >= wanted || full) return keepDatabase(database)
   const opened = database.opened + 1
@@ -105,8 +106,8 @@
  */
 export function refuseWaiting (database: OwnedDatabase): DatabaseStep {
   const failure = createFailure('no-database', database.entry.group)
-  const effects = database.queue.flatMap(message => [dropTimeOver(database.entry.database, message.caller), refuseRun(message, failure)])
-  return { database: { ...database, queue: [] }, effects }
+  const effects = listWaiting(database.queue).flatMap(({ item }) => [dropTimeOver(database.entry.database, item.caller), refuseRun(item, failure)])
+  return { database: { ...database, queue: createQueue() }, effects }
 }
 
 /**
