--- a/src/requests/decide.ts
+++ b/src/requests/decide.ts
@@ -87,7 +87,8 @@
     endsAtMs: moment.monotonicMs + limitMs,
     avoid: [],
     parts: 0,
-    refusals: 0
+    refusals: 0,
+    mayHaveRun: false
   }
   const next: Caller = { ...caller, attempts: attempt, running }
   if (caller.transaction?.phase === 'lost') return answerLost(next, running)
--- a/src/requests/failure.ts
+++ b/src/requests/failure.ts
@@ -24,7 +24,7 @@
   if (allowed && message.failure.effect === 'not-run') return retry(caller, running, pauseMs)
   const harmless = running.rules?.idempotent === true || running.target?.purpose === 'replica'
   if (!allowed || !harmless || shared.retries < 1) return endWithFailure(caller, running, message.failure)
-  return { ...retry(caller, running, pauseMs), shared: { ...shared, retries: shared.retries - 1 } }
+  return { ...retry(caller, { ...running, mayHaveRun: true }, pauseMs), shared: { ...shared, retries: shared.retries - 1 } }
 }
 
 // Looking for a place costs this host alone; an owner that refused is asked ever more rarely.
@@ -69,10 +69,16 @@
   return replaceCaller(next, [
     ...createTimersCleared(caller.caller),
     ...createCancel(caller),
-    { kind: 'caller/failed', caller: caller.caller, failure, status: readStatus(next) }
+    { kind: 'caller/failed', caller: caller.caller, failure: tellEffect(running, failure), status: readStatus(next) }
   ])
 }
 
+// That the last attempt did not run says nothing of an earlier one.
+function tellEffect (running: Running, failure: Failure): Failure {
+  if (!running.mayHaveRun || failure.effect === 'unknown') return failure
+  return createFailure('outcome-unknown', `an earlier attempt may have run, and then: ${failure.text}`)
+}
+
 /**
  * Passes a refusal of the front end on; as in the database, it aborts an open transaction.
  * @example rejectInput(caller, createFailure('not-supported', 'LISTEN'))
--- a/src/requests/state.ts
+++ b/src/requests/state.ts
@@ -25,6 +25,8 @@
   readonly parts: number
   /** How many refusals the request met, which lengthens the pause before the next attempt. */
   readonly refusals: number
+  /** True once an attempt ended without it being known whether it ran. */
+  readonly mayHaveRun: boolean
 }
 
 /** The transaction that a caller has open. */
