Adds status, drain, merged time line, logs, metrics and health

Cause: operators could only apply documents; a host told nobody how it was. Commands are checked by a schema at the door: before, malformed JSON ended the call with an internal error, and an unknown command would have been applied as a document. Metrics, readiness and logs watch the loop's messages and effects; no slice counts anything. Ruled out: counting inside slices, which would mix duties.

--- a/src/core/adapter.ts
+++ b/src/core/adapter.ts
@@ -9,6 +9,6 @@
   /** The part of an effect's kind before the slash. */
   abstract readonly name: string
 
-  /** Carries an effect out. Must not block; outcomes are posted to the loop. */
-  abstract carryOut (effect: Effect): void
+  /** Carries an effect of a slice out. Must not block; outcomes are posted to the loop. */
+  abstract carryOut (effect: Effect, slice?: string): void
 }
--- a/src/core/loop.ts
+++ b/src/core/loop.ts
@@ -11,6 +11,9 @@
 /** Sees each message before its decision; used to record traces. */
 export type Recorder = (message: Message, moment: Moment) => void
 
+/** Sees each effect as it leaves, with the slice that decided on it; used for metrics and logs. */
+export type Observer = (effect: Effect, slice: string) => void
+
 /** What a loop is made of. */
 export interface LoopParts {
   readonly clock: Clock
@@ -18,6 +21,7 @@
   /** Called when a decision throws; the loop has stopped by then. */
   readonly onFault: (fault: unknown) => void
   readonly recorder?: Recorder
+  readonly observer?: Observer
 }
 
 /** Hands messages to slices, one at a time, and their effects to adapters. */
@@ -85,7 +89,7 @@
     for (; index < batch.length && index < MESSAGES_PER_TURN; index++) {
       for (const effect of this.#decide(batch[index]!)) {
         if (effect.kind === 'loop/tell') batch.push((effect as Tell).message)
-        else this.#carryOut(effect)
+        else this.#carryOut(effect, readOwner(batch[index]!.kind))
       }
       if (this.#stopped) return
     }
@@ -104,7 +108,7 @@
     return slice.take(message, moment)
   }
 
-  #carryOut (effect: Effect): void {
+  #carryOut (effect: Effect, slice: string): void {
     if (effect.notAfterMs !== undefined && this.#parts.clock.read().monotonicMs > effect.notAfterMs) {
       if (effect.otherwise !== undefined) this.post(effect.otherwise)
       return
@@ -113,7 +117,8 @@
     if (effect.kind === 'timer/clear') return this.#clearTimer((effect as ClearTimer).name)
     const adapter = this.#adapters.get(readOwner(effect.kind))
     assertInvariant(adapter !== undefined, 'each effect has an adapter', effect.kind)
-    adapter.carryOut(effect)
+    this.#parts.observer?.(effect, slice)
+    adapter.carryOut(effect, slice)
   }
 
   #setTimer (effect: SetTimer): void {
--- a/src/core/message.ts
+++ b/src/core/message.ts
@@ -72,8 +72,18 @@
   readonly request?: string
 }
 
+/** How much a log line matters. */
+export type LogLevel = 'debug' | 'info' | 'warn' | 'error'
+
+/** Writes a line to the log, after the prefix of the slice. */
+export interface WriteLog {
+  readonly kind: 'log/write'
+  readonly level: LogLevel
+  readonly text: string
+}
+
 /** The effects that any slice may use. */
-export type CoreEffect = Tell | SetTimer | ClearTimer | SendPeer | LearnPeers | RecordEvent
+export type CoreEffect = Tell | SetTimer | ClearTimer | SendPeer | LearnPeers | RecordEvent | WriteLog
 
 /**
  * Creates the effect that delivers a message to a slice of this process.
@@ -115,6 +125,14 @@
   return { kind: 'timeline/record', event, text, ...about }
 }
 
+/**
+ * Creates the effect that writes a short sentence to the log. Events of the time line are logged already.
+ * @example writeLog('warn', 'Host host-2 went silent.')
+ */
+export function writeLog (level: LogLevel, text: string): WriteLog {
+  return { kind: 'log/write', level, text }
+}
+
 /**
  * Returns the slice or adapter that a message or effect belongs to.
  * @example readOwner('routing/choose') // 'routing'
--- a/src/daemon/host.ts
+++ b/src/daemon/host.ts
@@ -8,8 +8,11 @@
 import { ConnectAnnouncements } from '../membership/announcements.js'
 import type { HostPost } from '../messages.js'
 import { OperatorsDoor } from '../operations/operators.js'
+import { Log } from '../monitoring/log.js'
+import { Monitor } from '../monitoring/monitor.js'
 import { ConnectPeerLink } from '../peers/connect.js'
 import type { Settings } from '../settings/settings.js'
+import { StampClock } from '../timeline/clock.js'
 import { TimelineRecorder } from '../timeline/record.js'
 import { listenForOperators, listenForPeers, type Listening } from './listen.js'
 import { createSlices } from './slices.js'
@@ -39,23 +42,34 @@
    * @throws when an address can't be listened on.
    */
   static async create (settings: Settings, onFault: (fault: unknown) => void): Promise<Host> {
-    const loop = Loop.create({ clock: SystemClock.create(), slices: createSlices(settings), onFault })
+    const log = Log.create({ host: settings.host, level: settings.logLevel })
+    const monitor = Monitor.create(settings.host, log)
+    const stamps = StampClock.create()
+    const loop = Loop.create({
+      clock: SystemClock.create(),
+      slices: createSlices(settings),
+      onFault,
+      recorder: monitor.observeMessage,
+      observer: monitor.observeEffect
+    })
     const link = ConnectPeerLink.create(settings.host, loop.post, host => [
       { kind: 'requests/peer-lost', host },
       { kind: 'transactions/host-lost', host }
-    ])
+    ], { clock: stamps, onTraffic: traffic => monitor.metrics.observeTraffic(traffic) })
     const frontEnd = PostgresFrontEnd.create({ host: settings.host, post: loop.post, messageBytes: settings.limits.messageBytes })
     const driver = PostgresDriver.create(loop.post)
     const door = OperatorsDoor.create(loop.post)
+    const recorder = TimelineRecorder.create({ host: settings.host, clock: stamps, post: loop.post })
     const announcements = ConnectAnnouncements.create(loop.post)
-    for (const adapter of [link, frontEnd, driver, door, TimelineRecorder.create()]) loop.addAdapter(adapter)
+    for (const adapter of [link, frontEnd, driver, door, log, recorder]) loop.addAdapter(adapter)
     const peers = await listenForPeers(settings.peers, router => {
       link.addRoutes(router)
       announcements.addRoutes(router)
     })
-    const operators = await listenForOperators(settings.operators, router => door.addRoutes(router))
+    const operators = await listenForOperators(settings.operators, router => door.addRoutes(router), monitor.createPages())
     const callers = await frontEnd.listen(...splitAddress(settings.callers))
     startSlices(settings, loop, link, peers)
+    log.write('daemon', 'info', `Host ${settings.host} started; callers connect to ${callers}.`)
     return new Host({ callers, peers: peers.address, operators: operators.address }, [frontEnd, operators, peers, link, driver, loop])
   }
 
--- a/src/daemon/listen.ts
+++ b/src/daemon/listen.ts
@@ -4,8 +4,14 @@
 import type { AddressInfo } from 'node:net'
 import { connectNodeAdapter } from '@connectrpc/connect-node'
 import type { ConnectRouter } from '@connectrpc/connect'
+import type { HandlePage } from '../monitoring/pages.js'
 import { splitAddress } from '../databases/postgres/connection.js'
 
+/** The largest command of an operator. */
+const MAX_COMMAND_BYTES = 4_194_304
+
+type RequestHandler = ReturnType<typeof connectNodeAdapter>
+
 /** A server that listens. */
 export interface Listening extends AsyncDisposable {
   /** IP and port. */
@@ -34,11 +40,12 @@
 }
 
 /**
- * Serves connect over HTTP/1.1, for operators.
+ * Serves connect over HTTP/1.1, for operators, and the pages beside it.
  * @example await listenForOperators('127.0.0.1:0', router => door.addRoutes(router))
  */
-export async function listenForOperators (address: string, routes: (router: ConnectRouter) => void): Promise<Listening> {
-  const server = createHttpServer(connectNodeAdapter({ routes }))
+export async function listenForOperators (address: string, routes: (router: ConnectRouter) => void, handlePage?: HandlePage): Promise<Listening> {
+  const fallback = handlePage as RequestHandler | undefined
+  const server = createHttpServer(connectNodeAdapter({ routes, fallback, readMaxBytes: MAX_COMMAND_BYTES }))
   const listening = await listen(server, address)
   return {
     address: listening,
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -6,18 +6,29 @@
 import { parseSettings } from '../settings/settings.js'
 import { Host } from './host.js'
 
+const EXIT_NO_SETTINGS = 66
+const EXIT_ADDRESS = 69
 const EXIT_FAULT = 70
 const EXIT_SETTINGS = 78
+const EXIT_CODES = `
+Exit codes:
+  0   stopped by request
+  66  the settings can not be read
+  69  an address can not be listened on
+  70  the program found a fault in itself
+  78  the settings have findings`
 
 const program = new Command('fulmartallyd')
   .description('Runs one host of fulmartally.')
   .requiredOption('--settings <file>', 'the settings of the host, as JSON with comments')
+  .addHelpText('after', EXIT_CODES)
 
 program.parse()
 await run(program.opts<{ settings: string }>().settings)
 
 async function run (file: string): Promise<void> {
-  const settings = parseSettings(await readFile(file, 'utf8'))
+  const text = await readFile(file, 'utf8').catch((error: Error) => endWith(EXIT_NO_SETTINGS, error))
+  const settings = parseSettings(text)
   if (settings.isErr) {
     console.error(formatFindings(file, settings.error))
     process.exit(EXIT_SETTINGS)
@@ -25,9 +36,14 @@
   const host = await Host.create(settings.value, fault => {
     console.error(fault)
     process.exit(EXIT_FAULT)
-  })
+  }).catch((error: Error) => endWith(EXIT_ADDRESS, error))
   console.log(JSON.stringify({ ready: host.addresses }))
   process.once('SIGTERM', () => {
     host[Symbol.asyncDispose]().then(() => process.exit(0), () => process.exit(EXIT_FAULT))
   })
 }
+
+function endWith (code: number, error: Error): never {
+  console.error(`daemon: ${error.message}.`)
+  process.exit(code)
+}
--- a/src/daemon/slices.ts
+++ b/src/daemon/slices.ts
@@ -13,6 +13,7 @@
 import { createRequestsShared } from '../requests/state.js'
 import { decideRouting } from '../routing/decide.js'
 import { createRoutingState } from '../routing/state.js'
+import { createTimelineShared, decideTimeline } from '../timeline/decide.js'
 import type { Settings } from '../settings/settings.js'
 import { decideTransactions } from '../transactions/decide.js'
 
@@ -31,6 +32,7 @@
     DecidingSlice.create({ name: 'primacy', initial: createPrimacyState(), decide: decidePrimacy }),
     StoreSlice.create({ name: 'requests', shared: createRequestsShared(limits.requestMs), decide: decideRequests }),
     DecidingSlice.create({ name: 'routing', initial: createRoutingState(host, failureDomain), decide: decideRouting }),
+    StoreSlice.create({ name: 'timeline', shared: createTimelineShared(host), decide: decideTimeline }),
     StoreSlice.create({ name: 'transactions', shared: { queueLength: limits.queueLength }, decide: decideTransactions })
   ]
 }
--- a/src/membership/decide.ts
+++ b/src/membership/decide.ts
@@ -6,6 +6,7 @@
 import type { Announced, BeatAnswered, LeaderChanged, MembershipMessage, Probed } from './messages.js'
 import { listOwned } from './owners.js'
 import type { MembershipState } from './state.js'
+import { answerStatus, drainHost } from './operators.js'
 import { sendPeer, setTimer, tell } from '../messages.js'
 
 /** Time between two beats of a host. */
@@ -36,6 +37,8 @@
     case 'membership/probed': return takeProbe(state, message)
     case 'membership/beat': return state.leading === undefined ? keep(state) : takeBeat(state, state.leading, message, moment)
     case 'membership/sweep-due': return state.leading === undefined ? keep(state) : sweepSilent(state, state.leading, moment)
+    case 'membership/status-asked': return answerStatus(state, message, moment)
+    case 'membership/drain-asked': return drainHost(state, message)
     case 'membership/publish': return state.leading === undefined ? keep(state) : publishEntry(state, state.leading, message.entry)
   }
 }
@@ -96,6 +99,7 @@
   const grants = listEntries(directory, 'grant')
   return [
     { kind: 'peer/learn', addresses: hosts.map(({ host, peers }) => ({ host, peers })) },
+    tell({ kind: 'timeline/hosts-known', hosts: hosts.map(({ host }) => host) }),
     tell({ kind: 'routing/directory-changed', hosts, databases, grants }),
     tell({ kind: 'transactions/owned-changed', databases: listOwn(state, directory), grants })
   ]
--- a/src/membership/messages.ts
+++ b/src/membership/messages.ts
@@ -71,8 +71,30 @@
   readonly entry: DirectoryEntry
 }
 
+/** An operator asks what this host knows of the system. */
+export interface StatusAsked {
+  readonly kind: 'membership/status-asked'
+  /** The host that the operator called; absent for this host. */
+  readonly from?: string
+  /** Names the operator's waiting call. */
+  readonly operation: string
+}
+
+/** An operator takes a host out of service. */
+export interface DrainAsked {
+  readonly kind: 'membership/drain-asked'
+  /** The host that the operator called; absent for this host. */
+  readonly from?: string
+  /** Names the operator's waiting call. */
+  readonly operation: string
+  /** The host to drain. */
+  readonly host: string
+}
+
 /** Any message of the membership slice. */
 export type MembershipMessage =
+  | StatusAsked
+  | DrainAsked
   | Publish
   | Started
   | LeaderChanged
--- /dev/null
+++ b/src/monitoring/monitor.ts
@@ -0,0 +1,50 @@
+/** Watches the loop of a process: metrics, readiness and logs, without touching a slice. */
+import type { Effect, Message, RecordEvent } from '../core/message.js'
+import type { HostMessage } from '../messages.js'
+import type { Log } from './log.js'
+import { Metrics } from './metrics.js'
+import { createPages, type HandlePage } from './pages.js'
+import { checkReadiness, STARTING, updateReadiness, type ReadinessFacts } from './readiness.js'
+
+/** Sees each message and each effect of a process. */
+export class Monitor {
+  readonly metrics = Metrics.create()
+  readonly #host: string
+  readonly #log: Log
+  #facts: ReadinessFacts = STARTING
+
+  private constructor (host: string, log: Log) {
+    this.#host = host
+    this.#log = log
+  }
+
+  /**
+   * Creates the monitor of a host.
+   * @example Monitor.create('host-1', log)
+   */
+  static create (host: string, log: Log): Monitor {
+    return new Monitor(host, log)
+  }
+
+  /** Takes in a message before its decision. */
+  readonly observeMessage = (message: Message): void => {
+    this.metrics.observeMessage(message as HostMessage)
+    this.#facts = updateReadiness(this.#facts, this.#host, message as HostMessage)
+  }
+
+  /** Takes in an effect as it leaves; events of the time line are logged, too. */
+  readonly observeEffect = (effect: Effect, slice: string): void => {
+    this.metrics.observeEffect(effect)
+    if (effect.kind === 'timeline/record') this.#log.write(slice, 'info', (effect as RecordEvent).text)
+  }
+
+  /** Says from now on that the host is not ready. */
+  markDraining (): void {
+    this.#facts = { ...this.#facts, draining: true }
+  }
+
+  /** Creates the handler of the pages `/metrics`, `/health` and `/ready`. */
+  createPages (): HandlePage {
+    return createPages({ metrics: this.metrics, checkReadiness: () => checkReadiness(this.#facts, performance.now()) })
+  }
+}
--- /dev/null
+++ b/src/monitoring/pages.ts
@@ -0,0 +1,56 @@
+/** The pages beside the operators' commands: metrics, health and readiness. */
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Metrics } from './metrics.js'
+import type { Readiness } from './readiness.js'
+
+const OK = 200
+const NOT_FOUND = 404
+const NOT_ALLOWED = 405
+const FAULT = 500
+const UNAVAILABLE = 503
+const TEXT = 'text/plain; charset=utf-8'
+const JSON_TYPE = 'application/json'
+
+/** What the pages show. */
+export interface PageParts {
+  readonly metrics: Metrics
+  readonly checkReadiness: () => Readiness
+}
+
+interface Page {
+  readonly status: number
+  readonly type: string
+  readonly body: string
+}
+
+/** Answers what is not an operators' command. */
+export type HandlePage = (request: IncomingMessage, response: ServerResponse) => void
+
+/**
+ * Creates the handler of the pages `/metrics`, `/health` and `/ready`.
+ * @example createPages({ metrics, checkReadiness: () => ({ ready: true }) })
+ */
+export function createPages (parts: PageParts): HandlePage {
+  return (request, response) => {
+    createPage(parts, request).then(page => writePage(response, page), () => writePage(response, { status: FAULT, type: TEXT, body: 'The page failed.\n' }))
+  }
+}
+
+async function createPage ({ metrics, checkReadiness }: PageParts, request: IncomingMessage): Promise<Page> {
+  if (request.method !== 'GET' && request.method !== 'HEAD') return { status: NOT_ALLOWED, type: TEXT, body: 'Only GET is served.\n' }
+  switch (request.url?.split('?')[0]) {
+    case '/metrics': return { status: OK, type: metrics.contentType, body: await metrics.render() }
+    case '/health': return { status: OK, type: JSON_TYPE, body: '{"healthy":true}\n' }
+    case '/ready': return createReadyPage(checkReadiness())
+    default: return { status: NOT_FOUND, type: TEXT, body: 'There are /metrics, /health and /ready.\n' }
+  }
+}
+
+function createReadyPage (readiness: Readiness): Page {
+  return { status: readiness.ready ? OK : UNAVAILABLE, type: JSON_TYPE, body: `${JSON.stringify(readiness)}\n` }
+}
+
+function writePage (response: ServerResponse, { status, type, body }: Page): void {
+  response.writeHead(status, { 'content-type': type, 'cache-control': 'no-store' })
+  response.end(body)
+}
--- a/src/operations/decide.ts
+++ b/src/operations/decide.ts
@@ -1,6 +1,7 @@
 /** Decisions of the operations slice: commands go to the leader, and its answers back to the operator. */
 import type { CoreEffect, Effect, Moment, Step } from '../core/message.js'
-import { sendPeer } from '../messages.js'
+import { sendPeer, tell, type HostMessage } from '../messages.js'
+import { createUnknownCommand } from './commands.js'
 import type { Asked, OperationsMessage } from './messages.js'
 
 /** State of the operations slice. */
@@ -15,6 +16,8 @@
   readonly outcome: unknown
 }
 
+type OperationsStep = Step<OperationsState, CoreEffect | AnswerOperator>
+
 /**
  * Creates the state of a host that knows no leader.
  * @example createOperationsState().leader // undefined
@@ -27,16 +30,30 @@
  * Decides on one message of the operations slice.
  * @example decideOperations(state, { kind: 'operations/leader-known', leader: 'host-1' }, moment)
  */
-export function decideOperations (state: OperationsState, message: OperationsMessage, _moment: Moment): Step<OperationsState, CoreEffect | AnswerOperator> {
+export function decideOperations (state: OperationsState, message: OperationsMessage, _moment: Moment): OperationsStep {
   switch (message.kind) {
     case 'operations/leader-known': return { state: { leader: message.leader }, effects: [] }
-    case 'operations/answered': return { state, effects: [{ kind: 'operator/answer', operation: message.operation, outcome: message.outcome }] }
-    case 'operations/asked': return forward(state, message)
+    case 'operations/answered': return { state, effects: [answer(message.operation, message.outcome)] }
+    case 'operations/asked': return take(state, message)
   }
 }
 
-function forward (state: OperationsState, message: Asked): Step<OperationsState, CoreEffect | AnswerOperator> {
+function take (state: OperationsState, message: Asked): OperationsStep {
   const { operation, requestId, command } = message
-  if (state.leader === undefined) return { state, effects: [{ kind: 'operator/answer', operation, outcome: { error: 'no-leader' } }] }
-  return { state, effects: [sendPeer(state.leader, { kind: 'documents/apply', operation, requestId, text: command.text, version: command.version })] }
+  switch (command.name) {
+    case 'document/apply': return forward(state, operation, { kind: 'documents/apply', operation, requestId, text: command.text, version: command.version })
+    case 'status': return command.local === true ? { state, effects: [tell({ kind: 'membership/status-asked', operation })] } : forward(state, operation, { kind: 'membership/status-asked', operation })
+    case 'host/drain': return { state, effects: [tell({ kind: 'membership/drain-asked', operation, host: command.host })] }
+    case 'timeline/read': return { state, effects: [tell({ kind: 'timeline/read', operation, query: command })] }
+    default: return { state, effects: [answer(operation, createUnknownCommand(command.name))] }
+  }
+}
+
+function forward (state: OperationsState, operation: string, message: HostMessage): OperationsStep {
+  if (state.leader !== undefined) return { state, effects: [sendPeer(state.leader, message)] }
+  return { state, effects: [answer(operation, { error: 'no-leader', text: 'This host knows no leader at present.' })] }
+}
+
+function answer (operation: string, outcome: unknown): AnswerOperator {
+  return { kind: 'operator/answer', operation, outcome }
 }
--- a/src/operations/operators.ts
+++ b/src/operations/operators.ts
@@ -4,9 +4,13 @@
 import { Operators } from '../gen/fulmartally_pb.js'
 import type { HostPost } from '../messages.js'
 import type { AnswerOperator } from './decide.js'
-import type { Command } from './messages.js'
+import { parseCommand } from './commands.js'
+import type { Command, CommandError } from './messages.js'
 
 const ANSWER_WITHIN_MS = 10_000
+const MAX_REQUEST_ID_LENGTH = 200
+const NO_ANSWER: CommandError = { error: 'no-answer', text: 'The command was not answered in time; its outcome is unknown.' }
+const BAD_REQUEST_ID: CommandError = { error: 'bad-command', text: `The request id is not 1 to ${MAX_REQUEST_ID_LENGTH} characters long.` }
 
 /** Takes operators' calls and answers them when the leader decided. */
 export class OperatorsDoor extends Adapter {
@@ -36,15 +40,21 @@
   /** Adds the operators' service. */
   addRoutes (router: ConnectRouter): void {
     router.service(Operators, {
-      operate: async request => ({ outcome: JSON.stringify(await this.#ask(request.requestId, JSON.parse(request.command) as Command)) })
+      operate: async request => ({ outcome: JSON.stringify(await this.#take(request.requestId, request.command)) })
     })
   }
 
+  async #take (requestId: string, text: string): Promise<unknown> {
+    if (requestId === '' || requestId.length > MAX_REQUEST_ID_LENGTH) return BAD_REQUEST_ID
+    const command = parseCommand(text)
+    return command.isOk ? await this.#ask(requestId, command.value) : command.error
+  }
+
   async #ask (requestId: string, command: Command): Promise<unknown> {
     this.#asked += 1
     const operation = String(this.#asked)
     return await new Promise(resolve => {
-      const timer = setTimeout(() => this.carryOut({ kind: 'operator/answer', operation, outcome: { error: 'no-answer' } }), ANSWER_WITHIN_MS)
+      const timer = setTimeout(() => this.carryOut({ kind: 'operator/answer', operation, outcome: NO_ANSWER }), ANSWER_WITHIN_MS)
       this.#waiting.set(operation, outcome => {
         clearTimeout(timer)
         resolve(outcome)
--- a/src/peers/connect.ts
+++ b/src/peers/connect.ts
@@ -7,6 +7,8 @@
 import { decodeFrame, encodeFrame } from './frame.js'
 import { PeerLink, type PeerAddress } from './link.js'
 import { SendQueue } from './queue.js'
+import { countTraffic, type OnTraffic } from './traffic.js'
+import type { StampClock } from '../timeline/clock.js'
 
 const PING_EVERY_MS = 1_000
 const PING_TIMEOUT_MS = 2_000
@@ -21,28 +23,36 @@
 /** What happens when a link from or to a host ends. */
 export type OnLost = (host: string) => readonly Message[]
 
+/** What watches the links: the clock that stamps messages, and who counts their bytes. */
+export interface LinkWatch {
+  readonly clock: StampClock
+  readonly onTraffic: OnTraffic
+}
+
 /** Carries messages over connect streams on HTTP/2. */
 export class ConnectPeerLink extends PeerLink {
   readonly #self: string
   readonly #post: Post
   readonly #onLost: OnLost
+  readonly #watch: LinkWatch
   readonly #addresses = new Map<string, string>()
   readonly #links = new Map<string, OpenLink>()
   #closed = false
 
-  private constructor (self: string, post: Post, onLost: OnLost) {
+  private constructor (self: string, post: Post, onLost: OnLost, watch: LinkWatch) {
     super()
     this.#self = self
     this.#post = post
     this.#onLost = onLost
+    this.#watch = watch
   }
 
   /**
    * Creates the links of a host; they open when there is something to send.
-   * @example ConnectPeerLink.create('host-1', loop.post, host => [{ kind: 'requests/peer-lost', host }])
+   * @example ConnectPeerLink.create('host-1', loop.post, host => [{ kind: 'requests/peer-lost', host }], { clock, onTraffic })
    */
-  static create (self: string, post: Post, onLost: OnLost): ConnectPeerLink {
-    return new ConnectPeerLink(self, post, onLost)
+  static create (self: string, post: Post, onLost: OnLost, watch: LinkWatch): ConnectPeerLink {
+    return new ConnectPeerLink(self, post, onLost, watch)
   }
 
   learnAddresses (addresses: readonly PeerAddress[]): void {
@@ -60,7 +70,7 @@
       return
     }
     const link = this.#links.get(effect.to) ?? this.#open(effect.to)
-    if (link?.queue.push(encodeFrame(this.#self, effect.message)) === false) this.#lose(effect.to, link)
+    if (link?.queue.push(this.#encode(effect.message)) === false) this.#lose(effect.to, link)
   }
 
   /** Adds the service that takes in other hosts' streams. */
@@ -79,7 +89,7 @@
     try {
       for await (const frame of frames) {
         from = frame.from
-        this.#post(decodeFrame(frame))
+        this.#post(this.#decode(frame))
       }
     } catch {
       // The stream broke: the same as its end.
@@ -88,6 +98,19 @@
     yield * []
   }
 
+  #encode (message: Message): Frame {
+    const frame = encodeFrame(this.#self, message, this.#watch.clock.advance())
+    this.#watch.onTraffic(countTraffic('sent', message.kind, frame))
+    return frame
+  }
+
+  #decode (frame: Frame): Message {
+    const message = decodeFrame(frame)
+    this.#watch.clock.merge({ wallMs: frame.stampWallMs, count: frame.stampCount })
+    this.#watch.onTraffic(countTraffic('received', message.kind, frame))
+    return message
+  }
+
   #open (host: string): OpenLink | undefined {
     const address = this.#addresses.get(host)
     if (address === undefined || this.#closed) return undefined
@@ -101,7 +124,7 @@
 
   async #run (host: string, link: OpenLink, client: ReturnType<typeof createClient<typeof Peers>>): Promise<void> {
     try {
-      for await (const frame of client.connect(link.queue, { signal: link.abort.signal })) this.#post(decodeFrame(frame))
+      for await (const frame of client.connect(link.queue, { signal: link.abort.signal })) this.#post(this.#decode(frame))
     } catch {
       // The stream broke: the same as its end.
     }
--- a/src/peers/frame.ts
+++ b/src/peers/frame.ts
@@ -1,6 +1,7 @@
 /** The encoding of messages between hosts. */
 import { create } from '@bufbuild/protobuf'
 import type { Message } from '../core/message.js'
+import type { Stamp } from '../timeline/stamp.js'
 import { FrameSchema, type Frame } from '../gen/fulmartally_pb.js'
 
 interface WithPayload extends Message {
@@ -9,11 +10,11 @@
 
 /**
  * Encodes a message; its payload travels beside the JSON, as bytes.
- * @example encodeFrame('host-1', { kind: 'routing/positions-asked', round: 1 })
+ * @example encodeFrame('host-1', { kind: 'routing/positions-asked', round: 1 }, clock.advance())
  */
-export function encodeFrame (from: string, message: Message): Frame {
+export function encodeFrame (from: string, message: Message, stamp: Stamp): Frame {
   const { payload, ...body } = message as WithPayload
-  return create(FrameSchema, { from, body: JSON.stringify(body), payload })
+  return create(FrameSchema, { from, body: JSON.stringify(body), payload, stampWallMs: stamp.wallMs, stampCount: stamp.count })
 }
 
 /**
