Adds the command line

Cause: documents could be applied by a program only; keys, status, drain, primaries and the time line had no command. One module for each group of commands; the terminal is an abstract class, so that the tests need no processes. Documented exit codes; the request id stays the same from host to host, so that a command whose answer was lost is not carried out twice.

--- /dev/null
+++ b/src/cli/check.ts
@@ -0,0 +1,36 @@
+/** `check`: all findings of a file, without a host. */
+import { Argument, Command } from 'commander'
+import { formatFindings, type Finding } from '../core/findings.js'
+import { parseDocument } from '../documents/document.js'
+import { parseSettings } from '../settings/settings.js'
+import type { GlobalOptions } from './call.js'
+import { CliError, EXIT } from './exits.js'
+import type { Terminal } from './terminal.js'
+
+/**
+ * Creates the command.
+ * @example program.addCommand(createCheckCommand(terminal))
+ */
+export function createCheckCommand (terminal: Terminal): Command {
+  return new Command('check')
+    .description('Checks a file of settings or a document and prints all findings with line and column.')
+    .addArgument(new Argument('<kind>', 'what the file holds').choices(['settings', 'document']))
+    .argument('<file>', 'the file, JSON with comments')
+    .addHelpText('after', '\nExample:\n  fulmartally check document rota.jsonc')
+    .action(async (kind: string, file: string, _options: unknown, command: Command) => {
+      const findings = listFindings(kind, await terminal.readFile(file))
+      reportFindings(terminal, command.optsWithGlobals<GlobalOptions>(), file, findings)
+    })
+}
+
+function listFindings (kind: string, text: string): readonly Finding[] {
+  const parsed = kind === 'settings' ? parseSettings(text) : parseDocument(text)
+  return parsed.isErr ? parsed.error : []
+}
+
+function reportFindings (terminal: Terminal, options: GlobalOptions, file: string, findings: readonly Finding[]): void {
+  if (options.json === true) terminal.write(JSON.stringify({ file, findings }))
+  else if (findings.length === 0) terminal.write(`${file}: no findings.`)
+  else terminal.write(formatFindings(file, findings))
+  if (findings.length > 0) throw CliError.create(EXIT.findings, `${file}: ${findings.length} ${findings.length === 1 ? 'finding' : 'findings'}.`)
+}
--- /dev/null
+++ b/src/cli/exits.ts
@@ -0,0 +1,45 @@
+/** Exit codes of the command line. */
+
+/** What the exit code says. */
+export const EXIT = {
+  ok: 0,
+  refused: 1,
+  usage: 2,
+  findings: 65,
+  noInput: 66,
+  unreachable: 69,
+  tryAgain: 75
+} as const
+
+/** One of the exit codes. */
+export type ExitCode = typeof EXIT[keyof typeof EXIT]
+
+/** The exit codes, for people. */
+export const EXIT_HELP = `
+Exit codes:
+  0   done
+  1   refused, or in conflict with another version
+  2   wrong use of the command line
+  65  the settings or the document have findings
+  66  a file can not be read or written
+  69  no host can be reached
+  75  no leader, or no answer in time: try again with the same request id`
+
+/** Ends the command with a code and a sentence for standard error. */
+export class CliError extends Error {
+  override readonly name = 'CliError'
+  readonly code: ExitCode
+
+  private constructor (code: ExitCode, text: string) {
+    super(text)
+    this.code = code
+  }
+
+  /**
+   * Creates the error.
+   * @example throw CliError.create(EXIT.refused, 'Host "x" is not known.')
+   */
+  static create (code: ExitCode, text: string): CliError {
+    return new CliError(code, text)
+  }
+}
--- /dev/null
+++ b/src/cli/main.ts
@@ -0,0 +1,6 @@
+#!/usr/bin/env node
+/** The command line of operators and owners of services. */
+import { runProgram } from './program.js'
+import { ProcessTerminal } from './terminal.js'
+
+process.exitCode = await runProgram(process.argv.slice(2), ProcessTerminal.create(), process.env)
--- a/src/core/errors.ts
+++ b/src/core/errors.ts
@@ -15,6 +15,7 @@
   'unknown-workspace': { sqlState: '28000', effect: 'not-run', text: (d: string) => `Workspace "${d}" is not known.` },
   'unknown-route': { sqlState: '42704', effect: 'not-run', text: (d: string) => `Route "${d}" is not known.` },
   'wrong-key': { sqlState: '28P01', effect: 'not-run', text: (d: string) => `The key is not valid for workspace "${d}".` },
+  'unknown-key': { sqlState: '42704', effect: 'not-run', text: (d: string) => `Key "${d}" is not known.` },
   'key-needed': { sqlState: '28000', effect: 'not-run', text: (d: string) => `Route "${d}" needs a workspace and its key.` },
   'no-authority': { sqlState: '57P03', effect: 'not-run', text: () => 'This host can not confirm which keys are valid.' },
   'rate-exceeded': { sqlState: '53400', effect: 'not-run', text: (d: string) => `Workspace "${d}" is over its rate.` },
