Reports all findings of settings and documents at once, and publishes their schemas

Cause: rules between values were checked only once all types were right; ports up to 99999, octets over 255, wildcard peers' addresses, doubled addresses, an own control entry that contradicts the settings and limits beyond what timers hold passed.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -31,7 +31,7 @@
     }
   },
   {
-    files: ['src/cli/**', 'demo/**', 'bench/**', 'examples/**', 'standin/main.ts', 'src/daemon/main.ts'],
+    files: ['src/cli/**', 'demo/**', 'bench/**', 'examples/**', 'scripts/**', 'standin/main.ts', 'src/daemon/main.ts'],
     rules: { 'no-console': 'off' }
   }
 ]
--- a/src/documents/document.ts
+++ b/src/documents/document.ts
@@ -1,14 +1,15 @@
 /** The document of a service: who may call, at what rate, and how stale each route's reads may be. */
-import { Result } from 'true-myth'
+import type { Result } from 'true-myth'
 import * as v from 'valibot'
-import { locateFinding, parseChecked } from '../core/checkedtext.js'
+import { parseChecked } from '../core/checkedtext.js'
 import type { Finding } from '../core/findings.js'
+import { listDoubled, readItems, readProperty, type LocatedText } from '../core/loose.js'
+import { Name } from '../core/names.js'
 
 const MAX_AUTHORITY_LEASE_MS = 5_000
 const DEFAULT_AUTHORITY_LEASE_MS = 2_000
 const MAX_STALENESS_MS = 3_600_000
 
-const Name = v.pipe(v.string(), v.regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/, 'Expected 1 to 63 letters, digits, dots, hyphens or underscores'))
 const Hash = v.pipe(v.string(), v.regex(/^[0-9a-f]{64}$/, 'Expected a SHA-256 in hexadecimal'))
 const PositiveNumber = v.pipe(v.number(), v.gtValue(0, 'Expected a number over 0'))
 const PositiveCount = v.pipe(v.number(), v.integer('Expected a whole number'), v.minValue(1, 'Expected a number of at least 1'))
@@ -62,38 +63,29 @@
  * @returns the document, or all findings with line and column.
  */
 export function parseDocument (text: string): Result<ServiceDocument, readonly Finding[]> {
-  const parsed = parseChecked(text, ServiceDocumentSchema)
-  if (parsed.isErr) return parsed
-  const findings = checkReferences(text, parsed.value)
-  return findings.length === 0 ? parsed : Result.err(findings)
+  return parseChecked(text, ServiceDocumentSchema, checkReferences)
 }
 
-function checkReferences (text: string, document: ServiceDocument): readonly Finding[] {
-  const groups = new Set(document.groups.map(group => group.name))
+function checkReferences (value: unknown): readonly LocatedText[] {
+  const groups = new Set(readItems(value, 'groups').map(group => readProperty(group, 'name')))
+  const workspaces = readItems(value, 'workspaces')
+  const routes = readItems(value, 'routes')
   return [
-    ...checkDoubledNames(text, 'groups', document.groups),
-    ...checkDoubledNames(text, 'workspaces', document.workspaces),
-    ...checkDoubledNames(text, 'routes', document.routes),
-    ...document.workspaces.flatMap((workspace, index) => checkGroup(text, groups, workspace.group, ['workspaces', index, 'group'])),
-    ...document.routes.flatMap((route, index) => checkRoute(text, groups, route, index))
+    ...['groups', 'workspaces', 'routes'].flatMap(list => listDoubled(readItems(value, list), [list], 'name')),
+    ...workspaces.flatMap((workspace, index) => listDoubled(readItems(workspace, 'keys'), ['workspaces', index, 'keys'], 'id')),
+    ...workspaces.flatMap((workspace, index) => checkGroup(groups, workspace, ['workspaces', index])),
+    ...routes.flatMap((route, index) => [...checkGroup(groups, route, ['routes', index]), ...checkOpenRoute(route, index)])
   ]
 }
 
-function checkRoute (text: string, groups: ReadonlySet<string>, route: Route, index: number): readonly Finding[] {
-  if (route.group !== undefined) return checkGroup(text, groups, route.group, ['routes', index, 'group'])
-  if (route.access !== 'open') return []
-  return [locateFinding(text, ['routes', index], 'An open route names its group.')]
+function checkOpenRoute (route: unknown, index: number): readonly LocatedText[] {
+  const named = readProperty(route, 'group') !== undefined
+  if (readProperty(route, 'access') !== 'open' || named) return []
+  return [{ path: ['routes', index], text: 'An open route names its group.' }]
 }
 
-function checkGroup (text: string, groups: ReadonlySet<string>, group: string, path: ReadonlyArray<string | number>): readonly Finding[] {
-  return groups.has(group) ? [] : [locateFinding(text, path, `Group "${group}" is not known.`)]
-}
-
-function checkDoubledNames (text: string, list: string, items: ReadonlyArray<{ readonly name: string }>): readonly Finding[] {
-  const seen = new Set<string>()
-  return items.flatMap((item, index) => {
-    const doubled = seen.has(item.name)
-    seen.add(item.name)
-    return doubled ? [locateFinding(text, [list, index, 'name'], `The name "${item.name}" stands twice.`)] : []
-  })
+function checkGroup (groups: ReadonlySet<unknown>, item: unknown, path: LocatedText['path']): readonly LocatedText[] {
+  const group = readProperty(item, 'group')
+  if (typeof group !== 'string' || groups.has(group)) return []
+  return [{ path: [...path, 'group'], text: `Group "${group}" is not known.` }]
 }
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -1,41 +1,51 @@
 /** The settings of a host: JSON with comments, checked by a schema. */
-import { Result } from 'true-myth'
+import { isIP } from 'node:net'
+import type { Result } from 'true-myth'
 import * as v from 'valibot'
-import { locateFinding, parseChecked } from '../core/checkedtext.js'
+import { parseChecked } from '../core/checkedtext.js'
 import type { Finding } from '../core/findings.js'
+import { listDoubled, readItems, readProperty, type LocatedText } from '../core/loose.js'
+import { Name } from '../core/names.js'
 
-const Name = v.pipe(v.string(), v.regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/, 'Expected 1 to 63 letters, digits, dots, hyphens or underscores'))
-const Address = v.pipe(v.string(), v.regex(/^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$/, 'Expected an IP address and a port, such as 127.0.0.1:6000'))
-const Milliseconds = v.pipe(v.number(), v.integer('Expected whole milliseconds'), v.minValue(1, 'Expected at least 1 ms'))
-const Bytes = v.pipe(v.number(), v.integer('Expected whole bytes'), v.minValue(1024, 'Expected at least 1024 bytes'))
+const MAX_DURATION_MS = 3_600_000
+const MAX_MESSAGE_BYTES = 1_073_741_824
+const MAX_QUEUE_LENGTH = 1_000_000
+const MAX_PORT = 65_535
+
+const Address = v.pipe(
+  v.string(),
+  v.regex(/^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:.]+\]):\d{1,5}$/, 'Expected an IP address and a port, such as 127.0.0.1:6000'),
+  v.check(isAddress, 'Expected an IP address and a port from 1 to 65535')
+)
+const ReachableAddress = v.pipe(Address, v.check(address => !isWildcard(address), 'Expected an address at which other hosts reach this one'))
+const Milliseconds = v.pipe(v.number(), v.integer('Expected whole milliseconds'), v.minValue(1, 'Expected at least 1 ms'), v.maxValue(MAX_DURATION_MS, `Expected at most ${MAX_DURATION_MS} ms`))
+const Bytes = v.pipe(v.number(), v.integer('Expected whole bytes'), v.minValue(1024, 'Expected at least 1024 bytes'), v.maxValue(MAX_MESSAGE_BYTES, `Expected at most ${MAX_MESSAGE_BYTES} bytes`))
+
+const QueueLength = v.pipe(v.number(), v.integer('Expected a whole number'), v.minValue(1, 'Expected at least 1'), v.maxValue(MAX_QUEUE_LENGTH, `Expected at most ${MAX_QUEUE_LENGTH}`))
+const FolderPath = v.pipe(v.string(), v.minLength(1, 'Expected the path of a folder'))
+const ControlSchema = v.pipe(
+  v.array(v.pipe(v.strictObject({ host: Name, peers: ReachableAddress }), v.readonly())),
+  v.minLength(1, 'Expected at least one control host'),
+  v.readonly()
+)
 
 const LimitsSchema = v.pipe(v.strictObject({
-  /** The largest message that a caller may send. */
-  messageBytes: v.optional(Bytes, 1_048_576),
-  /** How long a request may take when the caller states no deadline. */
-  requestMs: v.optional(Milliseconds, 5_000),
-  /** How long a transaction may wait for its caller. */
-  idleTransactionMs: v.optional(Milliseconds, 10_000),
-  /** How long a graceful stop may take. */
-  drainMs: v.optional(Milliseconds, 30_000),
-  /** How many requests may wait for one database. */
-  queueLength: v.optional(v.pipe(v.number(), v.integer('Expected a whole number'), v.minValue(1, 'Expected at least 1')), 1_000)
+  messageBytes: v.optional(v.pipe(Bytes, v.description('The largest message that a caller may send.')), 1_048_576),
+  requestMs: v.optional(v.pipe(Milliseconds, v.description('How long a request may take when the caller states no deadline.')), 5_000),
+  idleTransactionMs: v.optional(v.pipe(Milliseconds, v.description('How long a transaction may wait for its caller.')), 10_000),
+  drainMs: v.optional(v.pipe(Milliseconds, v.description('How long a graceful stop may take.')), 30_000),
+  queueLength: v.optional(v.pipe(QueueLength, v.description('How many requests may wait for one database.')), 1_000)
 }), v.readonly())
 
 /** The schema of a host's settings. */
 export const SettingsSchema = v.pipe(v.strictObject({
   host: Name,
   failureDomain: Name,
-  /** Where callers connect. */
-  callers: Address,
-  /** Where other hosts and databases connect. */
-  peers: Address,
-  /** Where operators connect, and where metrics and health are read. */
-  operators: Address,
-  /** Where this host keeps the replicated log; only control hosts have one. */
-  dataFolder: v.optional(v.string()),
-  /** The control hosts, at their peers' addresses. */
-  control: v.pipe(v.array(v.pipe(v.strictObject({ host: Name, peers: Address }), v.readonly())), v.minLength(1, 'Expected at least one control host'), v.readonly()),
+  callers: v.pipe(Address, v.description('Where callers connect.')),
+  peers: v.pipe(ReachableAddress, v.description('Where other hosts and databases connect.')),
+  operators: v.pipe(Address, v.description('Where operators connect, and where metrics and health are read.')),
+  dataFolder: v.optional(v.pipe(FolderPath, v.description('Where this host keeps the replicated log; only control hosts have one.'))),
+  control: v.pipe(ControlSchema, v.description('The control hosts, with the addresses where other hosts connect to them.')),
   logLevel: v.optional(v.picklist(['debug', 'info', 'warn', 'error']), 'info'),
   limits: v.optional(LimitsSchema, {})
 }), v.readonly())
@@ -49,18 +59,51 @@
  * @returns the settings, or all findings with line and column.
  */
 export function parseSettings (text: string): Result<Settings, readonly Finding[]> {
-  const parsed = parseChecked(text, SettingsSchema)
-  if (parsed.isErr) return parsed
-  const findings = checkControl(text, parsed.value)
-  return findings.length === 0 ? parsed : Result.err(findings)
+  return parseChecked(text, SettingsSchema, checkRules)
+}
+
+function checkRules (value: unknown): readonly LocatedText[] {
+  const control = readItems(value, 'control')
+  return [
+    ...listDoubled(control, ['control'], 'host'),
+    ...listDoubled(control, ['control'], 'peers'),
+    ...checkOwnAddresses(value),
+    ...checkOwnEntry(value, control)
+  ]
+}
+
+function checkOwnAddresses (value: unknown): readonly LocatedText[] {
+  const names = ['callers', 'peers', 'operators'] as const
+  const addresses = names.map(name => readProperty(value, name))
+  return names.flatMap((name, index) => {
+    const first = addresses.indexOf(addresses[index])
+    if (addresses[index] === undefined || first === index) return []
+    return [{ path: [name], text: `The address is that of "${names[first]!}", too.` }]
+  })
+}
+
+function checkOwnEntry (value: unknown, control: readonly unknown[]): readonly LocatedText[] {
+  const host = readProperty(value, 'host')
+  if (typeof host !== 'string' || control.length === 0) return []
+  const index = control.findIndex(entry => readProperty(entry, 'host') === host)
+  const hasFolder = readProperty(value, 'dataFolder') !== undefined
+  if (index < 0) return hasFolder ? [{ path: ['dataFolder'], text: 'Only a control host has a data folder.' }] : []
+  const needed = hasFolder ? [] : [{ path: ['host'], text: 'A control host needs a data folder.' }]
+  const peers = readProperty(value, 'peers')
+  if (readProperty(control[index], 'peers') === peers) return needed
+  return [...needed, { path: ['control', index, 'peers'], text: `This host's own peers' address is ${String(peers)}.` }]
+}
+
+function isAddress (address: string): boolean {
+  const colon = address.lastIndexOf(':')
+  const port = Number(address.slice(colon + 1))
+  return isIP(readIp(address)) !== 0 && port >= 1 && port <= MAX_PORT
+}
+
+function isWildcard (address: string): boolean {
+  return ['0.0.0.0', '::'].includes(readIp(address))
 }
 
-function checkControl (text: string, settings: Settings): readonly Finding[] {
-  const names = settings.control.map(entry => entry.host)
-  const doubled = names.flatMap((name, index) =>
-    names.indexOf(name) < index ? [locateFinding(text, ['control', index, 'host'], `Host "${name}" stands twice.`)] : [])
-  const listed = names.includes(settings.host)
-  if (listed === (settings.dataFolder !== undefined)) return doubled
-  const rule = listed ? 'A control host needs a data folder.' : 'Only a control host has a data folder.'
-  return [...doubled, locateFinding(text, listed ? ['host'] : ['dataFolder'], rule)]
+function readIp (address: string): string {
+  return address.slice(0, address.lastIndexOf(':')).replace(/^\[|\]$/g, '')
 }
