--- a/src/daemon/slices.ts
+++ b/src/daemon/slices.ts
@@ -15,7 +15,9 @@
 import { createRoutingState } from '../routing/state.js'
 import { createTimelineShared, decideTimeline } from '../timeline/decide.js'
 import type { Settings } from '../settings/settings.js'
+import { checkOwned } from '../transactions/check.js'
 import { decideTransactions } from '../transactions/decide.js'
+import { createTransactionsShared } from '../transactions/state.js'
 
 /**
  * Creates the slices of a host from its settings.
@@ -33,6 +35,6 @@
     StoreSlice.create({ name: 'requests', shared: createRequestsShared(limits.requestMs), decide: decideRequests }),
     DecidingSlice.create({ name: 'routing', initial: createRoutingState(host, failureDomain), decide: decideRouting }),
     StoreSlice.create({ name: 'timeline', shared: createTimelineShared(host), decide: decideTimeline }),
-    StoreSlice.create({ name: 'transactions', shared: { queueLength: limits.queueLength }, decide: decideTransactions })
+    StoreSlice.create({ name: 'transactions', shared: createTransactionsShared(limits.queueLength, limits.idleTransactionMs), decide: decideTransactions, checkItem: checkOwned })
   ]
 }
