--- a/src/daemon/slices.ts
+++ b/src/daemon/slices.ts
@@ -14,6 +14,7 @@
 import { createRequestsShared } from '../requests/state.js'
 import { decideRouting } from '../routing/decide.js'
 import { createRoutingState } from '../routing/state.js'
+import { createTimelineShared, decideTimeline } from '../timeline/decide.js'
 import type { Settings } from '../settings/settings.js'
 import { checkOwned } from '../transactions/check.js'
 import { decideTransactions } from '../transactions/decide.js'
@@ -34,6 +35,7 @@
     DecidingSlice.create({ name: 'primacy', initial: createPrimacyState(), decide: decidePrimacy }),
     StoreSlice.create({ name: 'requests', shared: createRequestsShared(limits.requestMs), decide: decideRequests }),
     DecidingSlice.create({ name: 'routing', initial: createRoutingState(host, failureDomain), decide: decideRouting }),
+    StoreSlice.create({ name: 'timeline', shared: createTimelineShared(host), decide: decideTimeline }),
     StoreSlice.create({ name: 'transactions', shared: createTransactionsShared(limits.queueLength, limits.idleTransactionMs), decide: decideTransactions, checkItem: checkOwned })
   ]
 }
