Brings operators' commands into one schema, by which their types are derived

Cause: types and schema of the commands stood twice; calls were numbered from 1 at each start, so that an answer to a call of the process before could be taken for that of a new call (ids are random now). Local orders and orders to the leader stand apart in the decision.

--- a/src/cli/program.test.ts
+++ b/src/cli/program.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai'
 import { hashKey } from '../admission/keys.js'
 import { parseDocument } from '../documents/document.js'
-import type { Command } from '../operations/messages.js'
+import type { CommandInput } from '../operations/client.js'
 import { runProgram } from './program.js'
 import { Terminal } from './terminal.js'
 
@@ -26,7 +26,7 @@
   async readFile (): Promise<string> { return this.text }
   async writeFile (): Promise<void> {}
 
-  async send (host: string, command: Command, requestId: string): Promise<unknown> {
+  async send (host: string, command: CommandInput, requestId: string): Promise<unknown> {
     this.calls.push({ host, name: command.name, requestId })
     if (host === 'down') throw new Error('connection refused')
     if (this.broken[host] !== undefined) return this.broken[host]
--- a/src/cli/terminal.ts
+++ b/src/cli/terminal.ts
@@ -1,7 +1,6 @@
 /** Where the command line reads and writes: an abstract class, so that tests need no processes. */
 import { readFile, writeFile } from 'node:fs/promises'
-import { sendCommand } from '../operations/client.js'
-import type { Command } from '../operations/messages.js'
+import { sendCommand, type CommandInput } from '../operations/client.js'
 import { CliError, EXIT } from './exits.js'
 
 /** Files, output and hosts, as the commands see them. */
@@ -19,7 +18,7 @@
   abstract writeFile (file: string, text: string): Promise<void>
 
   /** Sends a command to a host. Throws when the host can't be reached. */
-  abstract send (host: string, command: Command, requestId: string): Promise<unknown>
+  abstract send (host: string, command: CommandInput, requestId: string): Promise<unknown>
 }
 
 /** The terminal of the process. */
@@ -48,7 +47,7 @@
     await writeFile(file, text).catch((error: Error) => { throw CliError.create(EXIT.noInput, error.message) })
   }
 
-  async send (host: string, command: Command, requestId: string): Promise<unknown> {
+  async send (host: string, command: CommandInput, requestId: string): Promise<unknown> {
     return await sendCommand(host, command, requestId)
   }
 }
--- a/src/operations/client.ts
+++ b/src/operations/client.ts
@@ -3,7 +3,11 @@
 import { createConnectTransport } from '@connectrpc/connect-node'
 import { randomUUID } from 'node:crypto'
 import { Operators } from '../gen/fulmartally_pb.js'
-import type { Command } from './messages.js'
+import type { InferInput } from 'valibot'
+import type { CommandSchema } from './commands.js'
+
+/** A command as callers write it. */
+export type CommandInput = InferInput<typeof CommandSchema>
 
 /** How long a host may take to answer; longer than the host itself waits for the leader. */
 const TIMEOUT_MS = 15_000
@@ -13,7 +17,7 @@
  * @example await sendCommand('127.0.0.1:6002', { name: 'document/apply', text, version: 0 })
  * @throws when the host can't be reached.
  */
-export async function sendCommand<Outcome> (operators: string, command: Command, requestId: string = randomUUID()): Promise<Outcome> {
+export async function sendCommand<Outcome> (operators: string, command: CommandInput, requestId: string = randomUUID()): Promise<Outcome> {
   const client = createClient(Operators, createConnectTransport({ baseUrl: `http://${operators}`, httpVersion: '1.1' }))
   const response = await client.operate({ requestId, command: JSON.stringify(command) }, { timeoutMs: TIMEOUT_MS })
   return JSON.parse(response.outcome) as Outcome
--- a/src/operations/commands.ts
+++ b/src/operations/commands.ts
@@ -1,64 +1,38 @@
-/** Checks operators' commands at the door, so that nothing malformed reaches the loop. */
-import { Result } from 'true-myth'
+/** Operators' commands, checked when they come in. */
+import type { Result } from 'true-myth'
 import * as v from 'valibot'
-import type { Command, CommandError } from './messages.js'
+import { parseChecked } from '../core/checkedtext.js'
+import type { Finding } from '../core/findings.js'
 
 const MAX_NAME_LENGTH = 200
 const MAX_SINCE_MS = 86_400_000
 
-const Name = v.pipe(v.string(), v.minLength(1), v.maxLength(MAX_NAME_LENGTH))
-const Version = v.pipe(v.number(), v.integer(), v.minValue(0))
-
-const COMMANDS = [
-  v.strictObject({ name: v.literal('document/apply'), text: v.string(), version: Version, wait: v.optional(v.boolean()) }),
-  v.strictObject({ name: v.literal('document/show'), service: Name }),
-  v.strictObject({ name: v.literal('document/list') }),
-  v.strictObject({ name: v.literal('primary/move'), group: Name, database: Name }),
-  v.strictObject({ name: v.literal('host/drain'), host: Name }),
-  v.strictObject({ name: v.literal('status'), local: v.optional(v.boolean()) }),
-  v.strictObject({
-    name: v.literal('timeline/read'),
-    sinceMs: v.pipe(v.number(), v.minValue(0), v.maxValue(MAX_SINCE_MS)),
-    request: v.optional(Name),
-    group: v.optional(Name)
-  })
-] as const
-
-const CommandSchema: v.GenericSchema<unknown, Command> = v.variant('name', COMMANDS)
-const NamedSchema = v.object({ name: v.string() })
-
-/**
- * Parses a command.
- * @example parseCommand('{ "name": "status" }')
- * @returns the command, or what is wrong with it.
- */
-export function parseCommand (text: string): Result<Command, CommandError> {
-  const json = parseJson(text)
-  const named = v.safeParse(NamedSchema, json)
-  if (!named.success) return Result.err({ error: 'bad-command', text: 'The command is not a JSON object with a name.' })
-  const { name } = named.output
-  if (!COMMANDS.some(schema => schema.entries.name.literal === name)) return Result.err(createUnknownCommand(name))
-  const checked = v.safeParse(CommandSchema, json)
-  return checked.success ? Result.ok(checked.output) : Result.err({ error: 'bad-command', text: formatIssues(name, checked.issues) })
-}
+const Version = v.pipe(v.number(), v.integer('Expected a whole number'), v.minValue(0, 'Expected a number from 0'))
+const ShortName = v.pipe(v.string(), v.minLength(1, 'Expected a name'), v.maxLength(MAX_NAME_LENGTH, `Expected at most ${MAX_NAME_LENGTH} characters`))
+const Since = v.pipe(v.number(), v.minValue(0, 'Expected milliseconds from 0'), v.maxValue(MAX_SINCE_MS, `Expected at most ${MAX_SINCE_MS} ms`))
+
+/** Applies a document; `version` is the one that the operator edited, 0 for a new service. */
+const ApplySchema = v.pipe(v.strictObject({ name: v.literal('document/apply'), text: v.string(), version: Version, wait: v.optional(v.boolean(), false) }), v.readonly())
+/** Returns a document's text and version. */
+const ShowSchema = v.pipe(v.strictObject({ name: v.literal('document/show'), service: ShortName }), v.readonly())
+/** Lists services with their versions. */
+const ListSchema = v.pipe(v.strictObject({ name: v.literal('document/list') }), v.readonly())
+/** Makes a database the primary of its group. */
+const MoveSchema = v.pipe(v.strictObject({ name: v.literal('primary/move'), group: ShortName, database: ShortName }), v.readonly())
+/** Takes a host out of service. */
+const DrainSchema = v.pipe(v.strictObject({ name: v.literal('host/drain'), host: ShortName }), v.readonly())
+/** Shows hosts, databases, groups and the revision in force; with `local`, as the called host knows them. */
+const SystemSchema = v.pipe(v.strictObject({ name: v.literal('status'), local: v.optional(v.boolean(), false) }), v.readonly())
+/** Merges the time lines of all processes. */
+const TimelineSchema = v.pipe(v.strictObject({ name: v.literal('timeline/read'), sinceMs: Since, request: v.optional(ShortName), group: v.optional(ShortName) }), v.readonly())
+
+/** The schema of all commands. */
+export const CommandSchema = v.variant('name', [ApplySchema, ShowSchema, ListSchema, MoveSchema, DrainSchema, SystemSchema, TimelineSchema])
 
 /**
- * Creates the outcome of a command that this host does not know.
- * @example createUnknownCommand('status').error // 'unknown-command'
+ * Parses an operator's command.
+ * @example parseCommand('{ "name": "document/list" }')
  */
-export function createUnknownCommand (name: string): CommandError {
-  return { error: 'unknown-command', text: `Command "${name.slice(0, MAX_NAME_LENGTH)}" is not known to this host.` }
-}
-
-function parseJson (text: string): unknown {
-  try {
-    return JSON.parse(text)
-  } catch {
-    return undefined
-  }
-}
-
-function formatIssues (name: string, issues: ReadonlyArray<v.BaseIssue<unknown>>): string {
-  const parts = issues.map(issue => `${v.getDotPath(issue) ?? 'the command'}: ${issue.message}`)
-  return `Command "${name}" is not valid: ${parts.join('; ')}.`
+export function parseCommand (text: string): Result<v.InferOutput<typeof CommandSchema>, readonly Finding[]> {
+  return parseChecked(text, CommandSchema)
 }
--- a/src/operations/decide.ts
+++ b/src/operations/decide.ts
@@ -1,7 +1,6 @@
 /** Decisions of the operations slice: commands go to the leader, and its answers back to the operator. */
 import type { CoreEffect, Effect, Moment, Step } from '../core/message.js'
-import { sendPeer, tell, type HostMessage } from '../messages.js'
-import { createUnknownCommand } from './commands.js'
+import { sendPeer, tell } from '../messages.js'
 import type { Asked, OperationsMessage } from './messages.js'
 
 /** State of the operations slice. */
@@ -34,24 +33,34 @@
   switch (message.kind) {
     case 'operations/leader-known': return { state: { leader: message.leader }, effects: [] }
     case 'operations/answered': return { state, effects: [answer(message.operation, message.outcome)] }
-    case 'operations/asked': return take(state, message)
+    case 'operations/asked': return takeCall(state, message)
   }
 }
 
-function take (state: OperationsState, message: Asked): OperationsStep {
-  const { operation, requestId, command } = message
+function takeCall (state: OperationsState, asked: Asked): OperationsStep {
+  const { leader } = state
+  const local = createLocalOrder(asked)
+  if (local !== undefined) return { state, effects: [local] }
+  if (leader === undefined) return { state, effects: [answer(asked.operation, { error: 'no-leader', text: 'This host knows no leader at present.' })] }
+  return { state, effects: [send(leader, asked)] }
+}
+
+/** Commands that the called host itself answers, or passes on to the hosts that they are about. */
+function createLocalOrder ({ operation, command }: Asked): CoreEffect | undefined {
   switch (command.name) {
-    case 'document/apply': return forward(state, operation, { kind: 'documents/apply', operation, requestId, text: command.text, version: command.version })
-    case 'status': return command.local === true ? { state, effects: [tell({ kind: 'membership/status-asked', operation })] } : forward(state, operation, { kind: 'membership/status-asked', operation })
-    case 'host/drain': return { state, effects: [tell({ kind: 'membership/drain-asked', operation, host: command.host })] }
-    case 'timeline/read': return { state, effects: [tell({ kind: 'timeline/read', operation, query: command })] }
-    default: return { state, effects: [answer(operation, createUnknownCommand(command.name))] }
+    case 'status': return command.local ? tell({ kind: 'membership/status-asked', operation }) : undefined
+    case 'host/drain': return tell({ kind: 'membership/drain-asked', operation, host: command.host })
+    case 'timeline/read': return tell({ kind: 'timeline/read', operation, query: command })
+    default: return undefined
   }
 }
 
-function forward (state: OperationsState, operation: string, message: HostMessage): OperationsStep {
-  if (state.leader !== undefined) return { state, effects: [sendPeer(state.leader, message)] }
-  return { state, effects: [answer(operation, { error: 'no-leader', text: 'This host knows no leader at present.' })] }
+function send (leader: string, { operation, requestId, command }: Asked): CoreEffect | AnswerOperator {
+  switch (command.name) {
+    case 'document/apply': return sendPeer(leader, { kind: 'documents/apply', operation, requestId, text: command.text, version: command.version })
+    case 'status': return sendPeer(leader, { kind: 'membership/status-asked', operation })
+    default: return answer(operation, { error: 'unknown-command', text: `Command "${command.name}" is not known to this host.` })
+  }
 }
 
 function answer (operation: string, outcome: unknown): AnswerOperator {
--- a/src/operations/operators.ts
+++ b/src/operations/operators.ts
@@ -1,4 +1,5 @@
 /** The operators' door: connect calls in, outcomes out. */
+import { randomUUID } from 'node:crypto'
 import type { ConnectRouter } from '@connectrpc/connect'
 import { Adapter } from '../core/adapter.js'
 import { Operators } from '../gen/fulmartally_pb.js'
@@ -17,7 +18,6 @@
   readonly name = 'operator'
   readonly #post: HostPost
   readonly #waiting = new Map<string, (outcome: unknown) => void>()
-  #asked = 0
 
   private constructor (post: HostPost) {
     super()
@@ -47,12 +47,11 @@
   async #take (requestId: string, text: string): Promise<unknown> {
     if (requestId === '' || requestId.length > MAX_REQUEST_ID_LENGTH) return BAD_REQUEST_ID
     const command = parseCommand(text)
-    return command.isOk ? await this.#ask(requestId, command.value) : command.error
+    return command.isErr ? { error: 'bad-command', text: 'The command is not known or not valid.', findings: command.error } : await this.#ask(requestId, command.value)
   }
 
   async #ask (requestId: string, command: Command): Promise<unknown> {
-    this.#asked += 1
-    const operation = String(this.#asked)
+    const operation = randomUUID()
     return await new Promise(resolve => {
       const timer = setTimeout(() => this.carryOut({ kind: 'operator/answer', operation, outcome: NO_ANSWER }), ANSWER_WITHIN_MS)
       this.#waiting.set(operation, outcome => {
