--- /dev/null
+++ b/src/agreement/replica.test.ts
@@ -0,0 +1,30 @@
+/** Randomised schedules over replicas with faulty links, disks and clocks. */
+import { expect } from 'chai'
+import { ReplicaGroup } from './support/group.js'
+
+/** The number of schedules, and the seed of the first one. */
+const SCHEDULES = Number(process.env.SCHEDULES ?? 10_000)
+const FIRST_SEED = Number(process.env.SEED ?? 1)
+const PER_TEST = 1_000
+
+describe('replicas under random schedules', function () {
+  this.timeout(300_000)
+
+  for (let first = FIRST_SEED; first < FIRST_SEED + SCHEDULES; first += PER_TEST) {
+    const end = Math.min(first + PER_TEST, FIRST_SEED + SCHEDULES)
+    it(`agree for the seeds ${first} to ${end - 1}`, () => {
+      const seen = { committed: 0, elections: 0, replaced: 0, installs: 0 }
+      for (let seed = first; seed < end; seed++) {
+        const group = ReplicaGroup.create(seed)
+        try {
+          group.runFaults()
+          group.runHealed()
+        } catch (fault) {
+          throw new Error(`seed ${seed}: SEED=${seed} SCHEDULES=1 npx mocha -g 'random schedules'`, { cause: fault })
+        }
+        for (const key of Object.keys(seen) as Array<keyof typeof seen>) seen[key] += group.seen[key]
+      }
+      expect(Object.values(seen).every(count => count > 0), JSON.stringify(seen)).to.equal(true)
+    })
+  }
+})
--- /dev/null
+++ b/src/agreement/support/group.ts
@@ -0,0 +1,371 @@
+/** A group of replicas over small fakes of links, disks and clocks; for tests alone. */
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
+import type { Effect, SendPeer, SetTimer } from '../../core/message.js'
+import { decideReplica } from '../decidereplica.js'
+import { readLease } from '../election.js'
+import { findEntry, type Entry } from '../log.js'
+import { StateMachine, type Applied } from '../machine.js'
+import { createReplicaState, type AppendRecords, type JournalRecord, type Mark, type Recovered, type ReplicaApplied, type ReplicaMessage, type ReplicaState, type StoreSnapshot, type VoteAnswered } from '../replica.js'
+
+interface AddCommand {
+  readonly kind: 'test/add'
+  readonly id: number
+}
+
+/** The count of commands, and a hash of all of them in order. */
+interface Sum {
+  readonly count: number
+  readonly hash: number
+}
+type State = ReplicaState<Sum, AddCommand>
+
+class SumMachine extends StateMachine<Sum, AddCommand, number> {
+  readonly initial: Sum = { count: 0, hash: 0 }
+
+  static create (): SumMachine {
+    return new SumMachine()
+  }
+
+  apply (state: Sum, command: AddCommand): Applied<Sum, number> {
+    return { state: { count: state.count + 1, hash: (Math.imul(state.hash, 31) + command.id) | 0 }, outcome: state.count }
+  }
+}
+
+const MACHINE = SumMachine.create()
+const FAULTS_MS = 4_000
+const HEALED_MS = 15_000
+const LIMITS = { snapshotEvery: 6, entriesKept: 3, messageBytes: 100 }
+
+interface Disk {
+  readonly incarnation: string
+  snapshot: StoreSnapshot<Sum, AddCommand>['snapshot'] | undefined
+  records: ReadonlyArray<JournalRecord<AddCommand>>
+  waiting: ReadonlyArray<AppendRecords<AddCommand> | StoreSnapshot<Sum, AddCommand>>
+  syncing: boolean
+}
+
+interface Process {
+  readonly host: string
+  readonly offsetMs: number
+  readonly rate: number
+  disk: Disk
+  state: State
+  /** Counts starts; what belongs to an earlier start is dropped. */
+  start: number
+  up: boolean
+  frozenUntilMs: number
+  checked: number
+}
+
+interface Due {
+  readonly atMs: number
+  readonly order: number
+  readonly run: () => void
+}
+
+/** Runs one schedule, chosen by its seed, and checks all replicas after each message. */
+export class ReplicaGroup {
+  readonly seen = { committed: 0, elections: 0, replaced: 0, installs: 0 }
+  readonly #random: () => number
+  readonly #processes: readonly Process[]
+  readonly #cuts = new Set<string>()
+  readonly #leaders = new Map<string, string>()
+  readonly #votes = new Map<string, string>()
+  readonly #committed = new Map<number, string>()
+  readonly #answered = new Set<number>()
+  #due: Due[] = []
+  #nowMs = 0
+  #order = 0
+  #proposed = 0
+  #faulty = true
+  #disks = 0
+
+  private constructor (seed: number) {
+    const generator = xoroshiro128plus(seed)
+    this.#random = () => uniformFloat64(generator)
+    const hosts = Array.from({ length: this.#random() < 0.8 ? 3 : 5 }, (_, index) => `h${index + 1}`)
+    this.#processes = hosts.map(host => ({
+      host,
+      offsetMs: this.#random() * 1_000_000,
+      rate: 0.95 + this.#random() * 0.1,
+      disk: this.#createDisk(),
+      state: createReplicaState<Sum, AddCommand>(MACHINE.initial),
+      start: 0,
+      up: false,
+      frozenUntilMs: 0,
+      checked: 0
+    }))
+  }
+
+  /** Creates a group of empty hosts. */
+  static create (seed: number): ReplicaGroup {
+    return new ReplicaGroup(seed)
+  }
+
+  /** Runs with faults for a while. */
+  runFaults (): void {
+    for (const process of this.#processes) this.#schedule(this.#random() * 100, () => this.#start(process))
+    this.#schedule(this.#random() < 0.8 ? 1_300 : 300, () => this.#executeFault())
+    this.#schedule(300, () => this.#propose())
+    this.#run(() => this.#nowMs >= FAULTS_MS)
+  }
+
+  /** Mends all faults, and requires that all replicas come to agree and hold all that was answered. */
+  runHealed (): void {
+    this.#faulty = false
+    this.#cuts.clear()
+    for (const process of this.#processes) {
+      process.frozenUntilMs = 0
+      if (!process.up) this.#start(process)
+    }
+    const answered = this.#answered.size + 2
+    const committed = Math.max(...this.#committed.keys(), 0) + 2
+    const endsAtMs = this.#nowMs + HEALED_MS
+    this.#run(() => this.#nowMs >= endsAtMs || this.#isQuiet(answered, committed))
+    if (!this.#isQuiet(answered, committed)) throw new Error(`no agreement after the faults: ${this.#describe()}`)
+  }
+
+  // Equal entries up to the same index, and none answered beyond it, so none is lost.
+  #isQuiet (answered: number, committed: number): boolean {
+    return this.#answered.size >= answered && this.#processes.every(({ state }) =>
+      state.committed >= committed && state.log.configuration?.members[state.self] === state.incarnation)
+  }
+
+  #describe (): string {
+    return this.#processes.map(({ state, up }) => `${state.self} ${up} ${state.role} of ${state.leader} term ${state.mark.term} committed ${state.committed} of ${this.#committed.size / 2} ${JSON.stringify(state.log.configuration)} ${state.incarnation}`).join('; ')
+  }
+
+  #createDisk (): Disk {
+    this.#disks += 1
+    return { incarnation: `i${this.#disks}`, snapshot: undefined, records: [], waiting: [], syncing: false }
+  }
+
+  #schedule (afterMs: number, run: () => void): void {
+    this.#order += 1
+    const due = { atMs: this.#nowMs + afterMs, order: this.#order, run }
+    let low = 0
+    let high = this.#due.length
+    while (low < high) {
+      const middle = (low + high) >>> 1
+      if (this.#due[middle]!.atMs > due.atMs) low = middle + 1
+      else high = middle
+    }
+    this.#due.splice(low, 0, due)
+  }
+
+  #run (ends: () => boolean): void {
+    while (!ends()) {
+      const due = this.#due.pop()!
+      this.#nowMs = due.atMs
+      due.run()
+    }
+  }
+
+  #start (process: Process): void {
+    process.start += 1
+    process.up = true
+    process.state = createReplicaState<Sum, AddCommand>(MACHINE.initial)
+    process.checked = 0
+    const control = this.#processes.map(({ host }) => host)
+    this.#deliver(process, { kind: 'agreement/started', self: process.host, control, recovered: recoverDisk(process.disk), limits: LIMITS })
+  }
+
+  #fail (process: Process): void {
+    process.up = false
+    process.start += 1
+    // What was not synced may be there or not, but in order.
+    const survives = Math.floor(this.#random() * (process.disk.waiting.length + 1))
+    for (const write of process.disk.waiting.slice(0, survives)) applyWrite(process.disk, write)
+    process.disk.waiting = []
+    process.disk.syncing = false
+    this.#schedule(this.#random() * 1_500, () => { if (!process.up) this.#start(process) })
+  }
+
+  #readLocal (process: Process): number {
+    return process.offsetMs + this.#nowMs * process.rate
+  }
+
+  #deliver (process: Process, message: ReplicaMessage<Sum, AddCommand>): void {
+    const { start } = process
+    if (!process.up) return
+    if (this.#nowMs < process.frozenUntilMs) {
+      this.#schedule(process.frozenUntilMs - this.#nowMs, () => { if (process.start === start) this.#deliver(process, message) })
+      return
+    }
+    const moment = { monotonicMs: this.#readLocal(process), wallMs: 0, random: this.#random() }
+    const step = decideReplica(MACHINE, process.state, message, moment)
+    process.state = step.state
+    this.#check(process)
+    for (const effect of step.effects) this.#carryOut(process, effect)
+  }
+
+  #carryOut (process: Process, effect: Effect): void {
+    if (effect.kind === 'timer/set') return this.#setTimer(process, effect as SetTimer)
+    if (effect.kind === 'peer/send') return this.#send(process, effect as SendPeer)
+    if (effect.kind === 'journal/append' || effect.kind === 'journal/snapshot') return this.#store(process, effect as AppendRecords<AddCommand>)
+    if (effect.kind === 'replica/applied') this.#takeApplied(effect as ReplicaApplied<Sum, AddCommand, number>)
+    if (effect.kind === 'replica/leader' && process.state.leading?.established === true) this.#checkLeases(process)
+  }
+
+  #setTimer (process: Process, timer: SetTimer): void {
+    const { start } = process
+    this.#schedule(timer.afterMs / process.rate, () => { if (process.start === start) this.#deliver(process, timer.message as ReplicaMessage<Sum, AddCommand>) })
+  }
+
+  #send (process: Process, { to, message }: SendPeer): void {
+    if (message.kind === 'agreement/vote-answered') this.#recordVote(process, message as VoteAnswered)
+    if (message.kind === 'agreement/install') this.seen.installs += 1
+    const target = this.#processes.find(({ host }) => host === to)!
+    const carried = { ...message, from: process.host } as ReplicaMessage<Sum, AddCommand>
+    if (to === process.host) return this.#schedule(0, this.#createDelivery(target, carried))
+    if (this.#cuts.has(`${process.host}>${to}`) || (this.#faulty && this.#random() < 0.02)) return
+    this.#schedule(this.#drawDelay(), this.#createDelivery(target, carried))
+    if (this.#faulty && this.#random() < 0.02) this.#schedule(this.#drawDelay() * 5, this.#createDelivery(target, carried))
+  }
+
+  #createDelivery (target: Process, message: ReplicaMessage<Sum, AddCommand>): () => void {
+    return () => this.#deliver(target, message)
+  }
+
+  #drawDelay (): number {
+    if (this.#faulty && this.#random() < 0.01) return this.#random() * 2_000
+    return 0.2 + this.#random() * this.#random() * 40
+  }
+
+  #store (process: Process, effect: AppendRecords<AddCommand> | StoreSnapshot<Sum, AddCommand>): void {
+    process.disk.waiting = [...process.disk.waiting, effect]
+    if (!process.disk.syncing) this.#sync(process)
+  }
+
+  #sync (process: Process): void {
+    const { disk, start } = process
+    const batch = disk.waiting
+    disk.syncing = batch.length > 0
+    if (batch.length === 0) return
+    this.#schedule(0.1 + this.#random() * this.#random() * 30, () => {
+      if (process.start !== start) return
+      for (const write of batch) applyWrite(disk, write)
+      disk.waiting = disk.waiting.slice(batch.length)
+      this.#deliver(process, { kind: 'agreement/stored', write: batch[batch.length - 1]!.write })
+      this.#sync(process)
+    })
+  }
+
+  #propose (): void {
+    const leader = this.#processes.find(({ up, state }) => up && state.leading?.established === true)
+    if (leader !== undefined) {
+      for (let count = this.#random(); count < 1.5; count++) this.#proposeOne(leader)
+    }
+    this.#schedule(50 + this.#random() * 200, () => this.#propose())
+  }
+
+  #proposeOne (leader: Process): void {
+    this.#proposed += 1
+    this.#deliver(leader, { kind: 'agreement/propose', proposal: String(this.#proposed), command: { kind: 'test/add', id: this.#proposed } })
+  }
+
+  #executeFault (): void {
+    if (!this.#faulty) return
+    const process = this.#processes[Math.floor(this.#random() * this.#processes.length)]!
+    const kind = this.#random()
+    if (kind < 0.3) this.#fail(process)
+    else if (kind < 0.5) process.frozenUntilMs = this.#nowMs + this.#random() * 1_500
+    else if (kind < 0.75) this.#drop(process)
+    else if (kind < 0.85) this.#loseDisk(process)
+    this.#schedule(this.#random() * 450, () => this.#executeFault())
+  }
+
+  #drop (process: Process): void {
+    const inward = this.#random() < 0.7
+    const outward = this.#random() < 0.7
+    for (const { host } of this.#processes) {
+      if (inward) this.#cuts.add(`${host}>${process.host}`)
+      if (outward) this.#cuts.add(`${process.host}>${host}`)
+    }
+    this.#schedule(this.#random() * 2_000, () => this.#cuts.clear())
+  }
+
+  // One disk at a time: the next is lost only after the last one was replaced.
+  #loseDisk (process: Process): void {
+    const settled = this.#processes.some(({ up, state }) => {
+      const { configuration, configuredAt } = state.log
+      return up && state.leading?.established === true && configuration?.old === undefined && configuredAt <= state.committed &&
+        this.#processes.every(({ host, disk }) => configuration?.members[host] === disk.incarnation)
+    })
+    if (!settled) return
+    this.#fail(process)
+    process.disk = this.#createDisk()
+    this.seen.replaced += 1
+  }
+
+  #takeApplied (effect: ReplicaApplied<Sum, AddCommand, number>): void {
+    if (effect.proposal === undefined) return
+    if (effect.proposal !== String(effect.command.id)) throw new Error('an answer to another proposal')
+    if (this.#answered.has(effect.command.id)) throw new Error('a command was answered twice')
+    this.#answered.add(effect.command.id)
+  }
+
+  #recordVote (process: Process, answer: VoteAnswered): void {
+    if (answer.pre || !answer.granted) return
+    const key = `${answer.group} ${answer.term} ${answer.incarnation}`
+    const candidate = process.state.mark.term === answer.term ? process.state.mark.votedFor! : this.#votes.get(key)!
+    if ((this.#votes.get(key) ?? candidate) !== candidate) throw new Error(`two votes: ${key}`)
+    this.#votes.set(key, candidate)
+  }
+
+  #check (process: Process): void {
+    const { state } = process
+    if (state.role === 'leader') this.#checkLeader(process)
+    const start = Math.max(process.checked, state.log.base.index)
+    for (let index = start + 1; index <= state.committed; index++) this.#checkEntry(findEntry(state.log, index)!, state)
+    if (process.checked < state.committed) this.#compare(`state ${state.committed}`, -state.committed, `${state.applied.count} ${state.applied.hash}`)
+    if (state.committed < process.checked) throw new Error('the committed index went back')
+    process.checked = state.committed
+  }
+
+  #checkLeader ({ state }: Process): void {
+    const key = `${state.mark.group} ${state.mark.term}`
+    const known = this.#leaders.get(key)
+    if (known === undefined) this.seen.elections += 1
+    if (known !== undefined && known !== state.incarnation) throw new Error(`two leaders: ${key}`)
+    this.#leaders.set(key, state.incarnation)
+  }
+
+  #checkLeases (leader: Process): void {
+    for (const other of this.#processes) {
+      if (other === leader || !other.up || other.state.leading === undefined) continue
+      if (readLease(other.state) > this.#readLocal(other)) throw new Error(`two leases: ${leader.host} and ${other.host}`)
+    }
+  }
+
+  #checkEntry (entry: Entry<AddCommand>, state: State): void {
+    this.seen.committed += 1
+    this.#compare(`entry ${entry.index}`, entry.index, `${state.mark.group} ${entry.term} ${JSON.stringify(entry.command)}`)
+  }
+
+  #compare (what: string, key: number, value: string): void {
+    const known = this.#committed.get(key) ?? value
+    if (known !== value) throw new Error(`${what} differs: ${known} and ${value}`)
+    this.#committed.set(key, value)
+  }
+}
+
+function applyWrite (disk: Disk, write: AppendRecords<AddCommand> | StoreSnapshot<Sum, AddCommand>): void {
+  if (write.kind === 'journal/append') {
+    disk.records = [...disk.records, ...write.records]
+    return
+  }
+  disk.snapshot = write.snapshot
+  disk.records = write.records
+}
+
+function recoverDisk (disk: Disk): Recovered<Sum, AddCommand> {
+  let mark: Mark = { term: 0 }
+  let entries: ReadonlyArray<Entry<AddCommand>> = []
+  for (const record of disk.records) {
+    if (record.kind === 'mark') mark = record.mark
+    else entries = [...entries.filter(entry => entry.index < record.entry.index), record.entry]
+  }
+  return { incarnation: disk.incarnation, mark, snapshot: disk.snapshot, entries }
+}
