--- a/src/agreement/decide.ts
+++ b/src/agreement/decide.ts
@@ -1,63 +1,70 @@
-/** Decisions of the agreement slice. */
-import type { CoreEffect, Moment, Step } from '../core/message.js'
+/** Decisions of the agreement slice: a replica of the log over the catalog, and what other slices learn of it. */
+import { recordEvent, type CoreEffect, type Moment, type Step } from '../core/message.js'
 import { tell } from '../messages.js'
-import { CatalogMachine, type Catalog } from './catalog.js'
-import type { AgreementMessage, Propose, Started } from './messages.js'
+import { CatalogMachine, type Catalog, type CatalogCommand, type CatalogOutcome } from './catalog.js'
+import { decideReplica } from './decidereplica.js'
+import type { AgreementMessage, Started } from './messages.js'
+import { createReplicaState, type AppendRecords, type ReplicaApplied, type ReplicaEffect, type ReplicaLeader, type ReplicaState, type StoreSnapshot } from './replica.js'
 
 /** State of the agreement slice. */
-export interface AgreementState {
-  readonly self: string
-  readonly leader?: string
-  readonly epoch: number
-  readonly index: number
-  readonly catalog: Catalog
-}
+export type AgreementState = ReplicaState<Catalog, CatalogCommand>
 
-type AgreementStep = Step<AgreementState, CoreEffect>
+/** The effects of the agreement slice. */
+export type AgreementEffect = CoreEffect | AppendRecords<CatalogCommand> | StoreSnapshot<Catalog, CatalogCommand>
 
 const MACHINE = CatalogMachine.create()
 
 /**
  * Creates the state before the start.
- * @example createAgreementState().index // 0
+ * @example createAgreementState().committed // 0
  */
 export function createAgreementState (): AgreementState {
-  return { self: '', epoch: 0, index: 0, catalog: MACHINE.initial }
+  return createReplicaState<Catalog, CatalogCommand>(MACHINE.initial)
 }
 
 /**
  * Decides on one message of the agreement slice.
- * @example decideAgreement(state, { kind: 'agreement/started', self: 'h1', control: ['h1'] }, moment)
+ * @example decideAgreement(state, { kind: 'agreement/tick' }, moment)
  */
-export function decideAgreement (state: AgreementState, message: AgreementMessage, _moment: Moment): AgreementStep {
-  switch (message.kind) {
-    case 'agreement/started': return start(state, message)
-    case 'agreement/propose': return state.leader === state.self ? apply(state, message) : { state, effects: [] }
-  }
+export function decideAgreement (state: AgreementState, message: AgreementMessage, moment: Moment): Step<AgreementState, AgreementEffect> {
+  const step = decideReplica(MACHINE, state, message, moment)
+  const effects = step.effects.flatMap(effect => tellEffect(step.state, effect))
+  return { state: step.state, effects: [...effects, ...recordChanges(state, step.state, message)] }
 }
 
-function start (state: AgreementState, message: Started): AgreementStep {
-  const leader = message.control[0]
-  const epoch = 1
-  const next: AgreementState = { ...state, self: message.self, leader, epoch }
-  const leads = leader === message.self
-  return {
-    state: next,
-    effects: [
-      tell({ kind: 'membership/leader-changed', leader, epoch }),
-      tell({ kind: 'operations/leader-known', leader }),
-      tell({ kind: 'documents/leadership', leads, epoch, table: next.catalog.documents }),
-      tell({ kind: 'primacy/leadership', leads, epoch, table: next.catalog.groups })
-    ]
+function tellEffect (state: AgreementState, effect: ReplicaEffect<Catalog, CatalogCommand, CatalogOutcome>): readonly AgreementEffect[] {
+  switch (effect.kind) {
+    case 'replica/applied': return [tellApplied(effect)]
+    case 'replica/leader': return tellLeader(state, effect)
+    case 'replica/lease': return [tell({ kind: 'membership/lease-extended', untilMs: effect.untilMs })]
+    default: return [effect]
   }
 }
 
-function apply (state: AgreementState, message: Propose): AgreementStep {
-  const applied = MACHINE.apply(state.catalog, message.command)
-  const next: AgreementState = { ...state, index: state.index + 1, catalog: applied.state }
-  const { proposal, command } = message
-  const told = command.kind === 'documents/put'
-    ? tell({ kind: 'documents/applied', proposal, command, outcome: applied.outcome!, table: next.catalog.documents })
-    : tell({ kind: 'primacy/applied', proposal, command, table: next.catalog.groups })
-  return { state: next, effects: [told] }
+function tellApplied ({ proposal, command, outcome, state }: ReplicaApplied<Catalog, CatalogCommand, CatalogOutcome>): AgreementEffect {
+  return command.kind === 'documents/put'
+    ? tell({ kind: 'documents/applied', proposal, command, outcome: outcome!, table: state.documents })
+    : tell({ kind: 'primacy/applied', proposal, command, table: state.groups })
+}
+
+function tellLeader ({ self }: AgreementState, { leader, term: epoch, state }: ReplicaLeader<Catalog>): readonly AgreementEffect[] {
+  const leads = leader === self
+  return [
+    tell({ kind: 'membership/leader-changed', leader, epoch }),
+    tell({ kind: 'operations/leader-known', leader }),
+    tell({ kind: 'documents/leadership', leads, epoch, table: state.documents }),
+    tell({ kind: 'primacy/leadership', leads, epoch, table: state.groups })
+  ]
+}
+
+function recordChanges (before: AgreementState, after: AgreementState, message: AgreementMessage): readonly CoreEffect[] {
+  const events: CoreEffect[] = []
+  const { self } = after
+  const damage = message.kind === 'agreement/started' ? (message as Started).damage : undefined
+  if (damage !== undefined) events.push(recordEvent('journal-damaged', `Host ${self} starts anew: ${damage}.`))
+  if (before.mark.group === undefined && after.mark.group === after.incarnation && after.log.configuredAt === 1) events.push(recordEvent('group-formed', `Host ${self} formed the control group.`))
+  if (after.leading?.established === true && before.leading?.established !== true) events.push(recordEvent('leader-elected', `Host ${self} leads the control hosts in term ${after.mark.term}.`))
+  if (before.leading !== undefined && after.leading === undefined) events.push(recordEvent('leader-ended', `Host ${self} no longer leads the control hosts.`))
+  if (after.leading !== undefined && before.log.configuration?.old !== undefined && after.log.configuration?.old === undefined) events.push(recordEvent('control-replaced', 'A control host that lost its disk is replaced.'))
+  return events
 }
--- a/src/agreement/messages.ts
+++ b/src/agreement/messages.ts
@@ -1,20 +1,12 @@
 /** Messages of the agreement slice. */
-import type { CatalogCommand } from './catalog.js'
+import type { Catalog, CatalogCommand } from './catalog.js'
+import type { ReplicaMessage, ReplicaStarted } from './replica.js'
 
 /** The process has started; the control hosts are those of its settings. */
-export interface Started {
-  readonly kind: 'agreement/started'
-  readonly self: string
-  readonly control: readonly string[]
-}
-
-/** A slice of the leader wants a command in the log. */
-export interface Propose {
-  readonly kind: 'agreement/propose'
-  /** Chosen by the proposing slice; comes back when the command is applied. */
-  readonly proposal: string
-  readonly command: CatalogCommand
+export interface Started extends ReplicaStarted<Catalog, CatalogCommand> {
+  /** Why the journal's files were set aside, if they were. */
+  readonly damage?: string
 }
 
 /** Any message of the agreement slice. */
-export type AgreementMessage = Started | Propose
+export type AgreementMessage = ReplicaMessage<Catalog, CatalogCommand> | Started
--- a/src/agreement/replica.test.ts
+++ b/src/agreement/replica.test.ts
@@ -20,7 +20,7 @@
           group.runFaults()
           group.runHealed()
         } catch (fault) {
-          throw new Error(`seed ${seed}: SEED=${seed} SCHEDULES=1 npx mocha -g 'random schedules'`, { cause: fault })
+          throw new Error(`seed ${seed}: SEED=${seed} SCHEDULES=1 npx mocha src/agreement/replica.test.ts`, { cause: fault })
         }
         for (const key of Object.keys(seen) as Array<keyof typeof seen>) seen[key] += group.seen[key]
       }
--- a/src/agreement/support/group.ts
+++ b/src/agreement/support/group.ts
@@ -6,7 +6,8 @@
 import { readLease } from '../election.js'
 import { findEntry, type Entry } from '../log.js'
 import { StateMachine, type Applied } from '../machine.js'
-import { createReplicaState, type AppendRecords, type JournalRecord, type Mark, type Recovered, type ReplicaApplied, type ReplicaMessage, type ReplicaState, type StoreSnapshot, type VoteAnswered } from '../replica.js'
+import { recoverReplica } from '../recover.js'
+import { createReplicaState, type AppendRecords, type JournalRecord, type ReplicaApplied, type ReplicaMessage, type ReplicaState, type StoreSnapshot, type VoteAnswered } from '../replica.js'
 
 interface AddCommand {
   readonly kind: 'test/add'
@@ -168,7 +169,7 @@
     process.state = createReplicaState<Sum, AddCommand>(MACHINE.initial)
     process.checked = 0
     const control = this.#processes.map(({ host }) => host)
-    this.#deliver(process, { kind: 'agreement/started', self: process.host, control, recovered: recoverDisk(process.disk), limits: LIMITS })
+    this.#deliver(process, { kind: 'agreement/started', self: process.host, control, recovered: recoverReplica(process.disk), limits: LIMITS })
   }
 
   #fail (process: Process): void {
@@ -359,13 +360,3 @@
   disk.snapshot = write.snapshot
   disk.records = write.records
 }
-
-function recoverDisk (disk: Disk): Recovered<Sum, AddCommand> {
-  let mark: Mark = { term: 0 }
-  let entries: ReadonlyArray<Entry<AddCommand>> = []
-  for (const record of disk.records) {
-    if (record.kind === 'mark') mark = record.mark
-    else entries = [...entries.filter(entry => entry.index < record.entry.index), record.entry]
-  }
-  return { incarnation: disk.incarnation, mark, snapshot: disk.snapshot, entries }
-}
--- a/src/core/message.ts
+++ b/src/core/message.ts
@@ -51,7 +51,7 @@
 }
 
 /** Sends a message to a slice of another host. Delivery is not certain. */
-export interface SendPeer<M extends Message = Message> {
+export interface SendPeer<M extends Message = Message> extends Effect {
   readonly kind: 'peer/send'
   readonly to: string
   readonly message: M
--- a/src/daemon/host.ts
+++ b/src/daemon/host.ts
@@ -1,10 +1,13 @@
 /** A host: its loop, its slices and its adapters, put together from its settings. */
 import { randomBytes } from 'node:crypto'
+import type { Catalog, CatalogCommand } from '../agreement/catalog.js'
+import { recoverReplica } from '../agreement/recover.js'
 import { SystemClock } from '../core/clock.js'
 import { Loop } from '../core/loop.js'
 import { PostgresDriver } from '../databases/postgres/driver.js'
 import { splitAddress } from '../databases/postgres/connection.js'
 import { PostgresFrontEnd } from '../frontends/postgres/frontend.js'
+import { FileJournal } from '../journal/files.js'
 import { ConnectAnnouncements } from '../membership/announcements.js'
 import type { HostPost } from '../messages.js'
 import { OperatorsDoor } from '../operations/operators.js'
@@ -40,6 +43,8 @@
    */
   static async create (settings: Settings, onFault: (fault: unknown) => void): Promise<Host> {
     const loop = Loop.create({ clock: SystemClock.create(), slices: createSlices(settings), onFault })
+    const journal = settings.dataFolder === undefined ? undefined : await FileJournal.create(settings.dataFolder, loop.post, onFault)
+    if (journal !== undefined) loop.addAdapter(journal)
     const link = ConnectPeerLink.create(settings.host, loop.post, host => [
       { kind: 'requests/peer-lost', host },
       { kind: 'transactions/host-lost', host }
@@ -55,8 +60,8 @@
     })
     const operators = await listenForOperators(settings.operators, router => door.addRoutes(router))
     const callers = await frontEnd.listen(...splitAddress(settings.callers))
-    startSlices(settings, loop, link, peers)
-    return new Host({ callers, peers: peers.address, operators: operators.address }, [frontEnd, operators, peers, link, driver, loop])
+    startSlices(settings, loop, link, peers, journal)
+    return new Host({ callers, peers: peers.address, operators: operators.address }, [frontEnd, operators, peers, link, driver, loop, ...(journal === undefined ? [] : [journal])])
   }
 
   async [Symbol.asyncDispose] (): Promise<void> {
@@ -64,7 +69,8 @@
   }
 }
 
-function startSlices (settings: Settings, loop: Loop, link: ConnectPeerLink, peers: Listening): void {
+function startSlices (settings: Settings, loop: Loop, link: ConnectPeerLink, peers: Listening, journal: FileJournal | undefined): void {
+  const control = settings.control.map(entry => entry.host)
   link.learnAddresses(settings.control)
   const post: HostPost = loop.post
   post({
@@ -76,8 +82,10 @@
       failureDomain: settings.failureDomain,
       peers: peers.address,
       draining: false
-    }
+    },
+    control
   })
-  post({ kind: 'agreement/started', self: settings.host, control: settings.control.map(entry => entry.host) })
+  const recovered = journal === undefined ? undefined : recoverReplica<Catalog, CatalogCommand>(journal.contents)
+  post({ kind: 'agreement/started', self: settings.host, control, recovered, damage: journal?.contents.damage })
   post({ kind: 'routing/ask-due' })
 }
--- a/src/membership/decide.ts
+++ b/src/membership/decide.ts
@@ -1,9 +1,10 @@
 /** Decisions of the membership slice: beats, ownership, and the directory in force on this host. */
 import type { CoreEffect, Moment, Step } from '../core/message.js'
 import type { Probe } from '../databases/driver.js'
+import { followLeader, listTargets, takeHint } from './discovery.js'
 import { applyChanges, listEntries, type DatabaseEntry, type Directory, type HostEntry } from './directory.js'
-import { publishEntry, startLeading, sweepSilent, takeBeat } from './leader.js'
-import type { Announced, BeatAnswered, LeaderChanged, MembershipMessage, Probed } from './messages.js'
+import { publishEntry, sweepSilent, takeBeat } from './leader.js'
+import type { Announced, Beat, BeatAnswered, MembershipMessage, Probed } from './messages.js'
 import { listOwned } from './owners.js'
 import type { MembershipState } from './state.js'
 import { sendPeer, setTimer, tell } from '../messages.js'
@@ -27,14 +28,16 @@
  */
 export function decideMembership (state: MembershipState, message: MembershipMessage, moment: Moment): MembershipStep {
   switch (message.kind) {
-    case 'membership/started': return start(state, message.self)
-    case 'membership/leader-changed': return followLeader(state, message)
+    case 'membership/started': return start(state, message.self, message.control)
+    case 'membership/leader-changed': return followLeader(state, message, moment)
+    case 'membership/leader-hint': return takeHint(state, message, moment)
+    case 'membership/lease-extended': return takeLease(state, message.untilMs)
     case 'membership/beat-due': return sendBeat(state, moment)
-    case 'membership/beat-answered': return takeAnswer(state, message)
+    case 'membership/beat-answered': return takeAnswer(state, message, moment)
     case 'membership/announced': return takeAnnouncement(state, message, moment)
     case 'membership/probe-due': return probeOwned(state, moment)
     case 'membership/probed': return takeProbe(state, message)
-    case 'membership/beat': return state.leading === undefined ? keep(state) : takeBeat(state, state.leading, message, moment)
+    case 'membership/beat': return state.leading === undefined ? answerHint(state, message) : takeBeat(state, state.leading, message, moment)
     case 'membership/sweep-due': return state.leading === undefined ? keep(state) : sweepSilent(state, state.leading, moment)
     case 'membership/publish': return state.leading === undefined ? keep(state) : publishEntry(state, state.leading, message.entry)
   }
@@ -44,38 +47,43 @@
   return { state, effects: [] }
 }
 
-function start (state: MembershipState, self: HostEntry): MembershipStep {
-  return { state: { ...state, self }, effects: [createBeatTimer(), createProbeTimer()] }
+function start (state: MembershipState, self: HostEntry, control: readonly string[]): MembershipStep {
+  return { state: { ...state, self, control }, effects: [createBeatTimer(), createProbeTimer()] }
 }
 
-function followLeader (state: MembershipState, message: LeaderChanged): MembershipStep {
-  const following: MembershipState = { ...state, leader: message.leader, epoch: message.epoch, leading: undefined }
-  const leads = message.leader !== undefined && message.leader === state.self?.host
-  return leads ? startLeading(following, message.epoch) : keep(following)
+function takeLease (state: MembershipState, leaseUntilMs: number): MembershipStep {
+  return keep(state.leading === undefined ? state : { ...state, leading: { ...state.leading, leaseUntilMs } })
+}
+
+function answerHint (state: MembershipState, beat: Beat): MembershipStep {
+  const { leader, epoch } = state
+  if (leader === undefined || leader === state.self?.host || leader === beat.self.host) return keep(state)
+  return { state, effects: [sendPeer(beat.self.host, { kind: 'membership/leader-hint', leader, epoch })] }
 }
 
 function sendBeat (state: MembershipState, moment: Moment): MembershipStep {
-  if (state.self === undefined || state.leader === undefined) return { state, effects: [createBeatTimer()] }
+  const targets = listTargets(state, moment)
+  if (state.self === undefined || targets.length === 0) return { state, effects: [createBeatTimer()] }
   const round = state.round + 1
   const askedAtMs = new Map([...state.askedAtMs].filter(([, askedMs]) => moment.monotonicMs - askedMs < BEAT_HOLDS_MS))
   askedAtMs.set(round, moment.monotonicMs)
-  const beat = sendPeer(state.leader, {
+  const beat: Beat = {
     kind: 'membership/beat',
     round,
     self: state.self,
     revision: state.directory.revision,
     databases: listAnnounced(state, moment),
     statuses: [...state.statuses.values()]
-  })
-  return { state: { ...state, round, askedAtMs }, effects: [beat, createBeatTimer()] }
+  }
+  return { state: { ...state, round, askedAtMs }, effects: [...targets.map(target => sendPeer(target, beat)), createBeatTimer()] }
 }
 
-function takeAnswer (state: MembershipState, message: BeatAnswered): MembershipStep {
+function takeAnswer (state: MembershipState, message: BeatAnswered, moment: Moment): MembershipStep {
   const askedAtMs = state.askedAtMs.get(message.round)
   if (askedAtMs === undefined || message.revision.epoch !== state.epoch) return keep(state)
   const changed = message.changes.length > 0 || message.revision.epoch !== state.directory.revision.epoch
   const directory = changed ? applyChanges(state.directory, message.revision, message.changes) : state.directory
-  const next: MembershipState = { ...state, directory, statuses: keepOwned(state, directory) }
+  const next: MembershipState = { ...state, directory, answeredAtMs: moment.monotonicMs, statuses: keepOwned(state, directory) }
   return { state: next, effects: [...(changed ? tellChanged(next) : []), ...tellConfirmed(next, changed, askedAtMs)] }
 }
 
--- a/src/membership/leader.ts
+++ b/src/membership/leader.ts
@@ -13,12 +13,23 @@
 
 type MembershipStep = Step<MembershipState, CoreEffect>
 
+/** How long a new leader waits for the hosts that were there before it. */
+const HOLD_MS = 500
+
 /**
  * Starts to lead: with an empty directory of the new epoch, which the hosts' beats fill.
- * @example startLeading(state, 4)
+ * @example startLeading(state, 4, moment)
  */
-export function startLeading (state: MembershipState, epoch: number): MembershipStep {
-  const leading: Leading = { directory: createDirectory(epoch), hosts: new Map(), databases: new Map() }
+export function startLeading (state: MembershipState, epoch: number, moment: Moment): MembershipStep {
+  const awaited = listEntries(state.directory, 'host').map(entry => entry.host).filter(host => host !== state.lostLeader)
+  const leading: Leading = {
+    directory: createDirectory(epoch),
+    hosts: new Map(),
+    databases: new Map(),
+    leaseUntilMs: -Infinity,
+    heldUntilMs: moment.monotonicMs + HOLD_MS,
+    awaited
+  }
   return { state: { ...state, leading }, effects: [createSweepTimer()] }
 }
 
@@ -36,18 +47,31 @@
   }
   const directory = beat.databases.reduce(putAnnounced, putEntry(leading.directory, beat.self))
   const next: Leading = {
+    ...leading,
     directory,
     hosts: new Map(leading.hosts).set(host, report),
     databases: markHeard(leading.databases, beat.databases, moment.monotonicMs)
   }
-  const answer = sendPeer(host, {
+  const answers = isAnswering(next, moment) ? [createAnswer(next, beat)] : []
+  const told = tell({ kind: 'primacy/reported', host, statuses: beat.statuses, databases: beat.databases, revision: beat.revision })
+  return { state: { ...state, leading: next }, effects: [...answers, told] }
+}
+
+// An answered beat renews what its host may do, so only a leader within its lease answers, and a new one
+// only when its directory names the hosts that live.
+function isAnswering (leading: Leading, moment: Moment): boolean {
+  if (moment.monotonicMs >= leading.leaseUntilMs) return false
+  return moment.monotonicMs >= leading.heldUntilMs || leading.awaited.every(host => leading.hosts.has(host))
+}
+
+function createAnswer ({ directory, leaseUntilMs }: Leading, beat: Beat): CoreEffect {
+  const answer = sendPeer(beat.self.host, {
     kind: 'membership/beat-answered',
     round: beat.round,
     revision: directory.revision,
     changes: listChangesSince(directory, beat.revision)
   })
-  const told = tell({ kind: 'primacy/reported', host, statuses: beat.statuses, databases: beat.databases, revision: beat.revision })
-  return { state: { ...state, leading: next }, effects: [answer, told] }
+  return { ...answer, notAfterMs: leaseUntilMs }
 }
 
 /**
@@ -66,7 +90,7 @@
   const hosts = new Map([...leading.hosts].filter(([, host]) => moment.monotonicMs - host.heardAtMs <= HOST_SILENT_MS))
   const databases = new Map([...leading.databases].filter(([, heardAtMs]) => moment.monotonicMs - heardAtMs <= DATABASE_SILENT_MS))
   const directory = dropSilent(leading.directory, hosts, databases)
-  return { state: { ...state, leading: { directory, hosts, databases } }, effects: [createSweepTimer()] }
+  return { state: { ...state, leading: { ...leading, directory, hosts, databases } }, effects: [createSweepTimer()] }
 }
 
 function dropSilent (directory: Directory, hosts: ReadonlyMap<string, unknown>, databases: ReadonlyMap<string, unknown>): Directory {
--- a/src/membership/messages.ts
+++ b/src/membership/messages.ts
@@ -5,6 +5,8 @@
 export interface Started {
   readonly kind: 'membership/started'
   readonly self: HostEntry
+  /** The control hosts, which know the leader. */
+  readonly control: readonly string[]
 }
 
 /** The control hosts' leader changed, as far as this host knows. */
@@ -20,6 +22,20 @@
   readonly kind: 'membership/beat-due'
 }
 
+/** A host that does not lead tells which one does. */
+export interface LeaderHint {
+  readonly kind: 'membership/leader-hint'
+  readonly leader: string
+  readonly epoch: number
+}
+
+/** This host may act as the leader for a while longer. */
+export interface LeaseExtended {
+  readonly kind: 'membership/lease-extended'
+  /** A monotonic time of this host. */
+  readonly untilMs: number
+}
+
 /** A host's regular report to the leader. */
 export interface Beat {
   readonly kind: 'membership/beat'
@@ -76,6 +92,8 @@
   | Publish
   | Started
   | LeaderChanged
+  | LeaderHint
+  | LeaseExtended
   | BeatDue
   | Beat
   | BeatAnswered
--- a/src/membership/state.ts
+++ b/src/membership/state.ts
@@ -22,13 +22,24 @@
   readonly hosts: ReadonlyMap<string, ReportingHost>
   /** Databases by name, with the time at which a host last reported them. */
   readonly databases: ReadonlyMap<string, number>
+  /** No beat is answered after this: another host may lead by then. */
+  readonly leaseUntilMs: number
+  /** No beat is answered before this, unless all awaited hosts have reported. */
+  readonly heldUntilMs: number
+  /** The hosts that were there before this host led. */
+  readonly awaited: readonly string[]
 }
 
 /** State of the membership slice. */
 export interface MembershipState {
   readonly self?: HostEntry
+  readonly control: readonly string[]
   readonly leader?: string
+  /** The last leader that was lost. */
+  readonly lostLeader?: string
   readonly epoch: number
+  /** When the leader was learned, or last answered. */
+  readonly answeredAtMs: number
   /** The number of the last beat, and when it left. */
   readonly round: number
   readonly askedAtMs: ReadonlyMap<number, number>
@@ -46,7 +57,9 @@
  */
 export function createMembershipState (): MembershipState {
   return {
+    control: [],
     epoch: 0,
+    answeredAtMs: 0,
     round: 0,
     askedAtMs: new Map(),
     announced: new Map(),
