--- a/src/agreement/catalog.ts
+++ b/src/agreement/catalog.ts
@@ -1,5 +1,5 @@
 /** The catalog: the state that the control hosts agree on. */
-import { applyDocumentCommand, type DocumentCommand, type DocumentOutcome, type DocumentsTable } from '../documents/table.js'
+import { applyDocumentCommand, NO_DOCUMENTS, type DocumentCommand, type DocumentOutcome, type DocumentsTable } from '../documents/table.js'
 import { applyPrimacyCommand, type GroupsTable, type PrimacyCommand } from '../primacy/table.js'
 import { StateMachine, type Applied } from './machine.js'
 
@@ -17,7 +17,7 @@
 
 /** Applies commands to the catalog. */
 export class CatalogMachine extends StateMachine<Catalog, CatalogCommand, CatalogOutcome> {
-  readonly initial: Catalog = { documents: {}, groups: {} }
+  readonly initial: Catalog = { documents: NO_DOCUMENTS, groups: {} }
 
   /**
    * Creates the machine.
--- a/src/agreement/decide.ts
+++ b/src/agreement/decide.ts
@@ -3,7 +3,8 @@
 import { tell } from '../messages.js'
 import { CatalogMachine, type Catalog, type CatalogCommand, type CatalogOutcome } from './catalog.js'
 import { decideReplica } from './decidereplica.js'
-import type { AgreementMessage, Started } from './messages.js'
+import { readLast } from './log.js'
+import type { AgreementMessage, ControlStatus, Started } from './messages.js'
 import { createReplicaState, type AppendRecords, type ReplicaApplied, type ReplicaEffect, type ReplicaLeader, type ReplicaState, type StoreSnapshot } from './replica.js'
 
 /** State of the agreement slice. */
@@ -27,11 +28,33 @@
  * @example decideAgreement(state, { kind: 'agreement/tick' }, moment)
  */
 export function decideAgreement (state: AgreementState, message: AgreementMessage, moment: Moment): Step<AgreementState, AgreementEffect> {
+  if (message.kind === 'agreement/status-asked') {
+    return { state, effects: [tell({ kind: 'operations/answered', operation: message.operation, outcome: createStatus(state, moment) })] }
+  }
   const step = decideReplica(MACHINE, state, message, moment)
   const effects = step.effects.flatMap(effect => tellEffect(step.state, effect))
   return { state: step.state, effects: [...effects, ...recordChanges(state, step.state, message)] }
 }
 
+function createStatus (state: AgreementState, moment: Moment): ControlStatus {
+  const { self, incarnation, mark, role, leader, committed, log, leading } = state
+  const replicas = [...leading?.progress.values() ?? []].map(({ host, incarnation, matched, contactAtMs }) =>
+    ({ host, incarnation, matched, silentMs: Number.isFinite(contactAtMs) ? moment.monotonicMs - contactAtMs : undefined }))
+  return {
+    host: self,
+    incarnation,
+    group: mark.group,
+    role,
+    leader,
+    term: mark.term,
+    committed,
+    last: readLast(log).index,
+    members: log.configuration?.members ?? {},
+    oldMembers: log.configuration?.old,
+    replicas
+  }
+}
+
 function tellEffect (state: AgreementState, effect: ReplicaEffect<Catalog, CatalogCommand, CatalogOutcome>): readonly AgreementEffect[] {
   switch (effect.kind) {
     case 'replica/applied': return [tellApplied(effect)]
--- a/src/documents/messages.ts
+++ b/src/documents/messages.ts
@@ -12,6 +12,19 @@
   /** The version that the operator edited; 0 for a new service. */
   readonly version: number
   readonly requestId: string
+  /** Answer when every host has the version in force, or has lost its authority. */
+  readonly wait?: boolean
+}
+
+/** An operator asks what stands. */
+export interface Ask {
+  readonly kind: 'documents/ask'
+  readonly from?: string
+  readonly operation: string
+  /** All services when absent. */
+  readonly service?: string
+  /** Whether the answer holds the text, or how far the version is in force. */
+  readonly about: 'text' | 'force'
 }
 
 /** This host became or ceased to be the leader. */
@@ -32,5 +45,27 @@
   readonly table: DocumentsTable
 }
 
+/** How far a version is in force. */
+export interface Force {
+  /** Hosts that confirmed it. */
+  readonly confirmed: readonly string[]
+  /** Hosts that did not, and whose authority has surely run out. */
+  readonly lapsed: readonly string[]
+  /** Hosts that may still act on an earlier version. */
+  readonly pending: readonly string[]
+}
+
+/** Membership tells how far a version is in force. */
+export interface InForce extends Force {
+  readonly kind: 'documents/in-force'
+  readonly watch: string
+}
+
+/** Time to ask again how far a version is in force. */
+export interface WatchDue {
+  readonly kind: 'documents/watch-due'
+  readonly watch: string
+}
+
 /** Any message of the documents slice. */
-export type DocumentsMessage = Apply | Leadership | Applied
+export type DocumentsMessage = Apply | Ask | Leadership | Applied | InForce | WatchDue
--- a/src/documents/table.ts
+++ b/src/documents/table.ts
@@ -1,6 +1,9 @@
 /** The documents that the control hosts agree on. */
 import type { ServiceDocument } from './document.js'
 
+/** Requests of each service whose first answer is kept. */
+export const REQUESTS_KEPT = 256
+
 /** A service's document at its last accepted version. */
 export interface DocumentRecord {
   readonly version: number
@@ -9,8 +12,17 @@
   readonly document: ServiceDocument
 }
 
-/** Documents by service. */
-export type DocumentsTable = Readonly<Record<string, DocumentRecord>>
+/** A request and its first answer. */
+export interface AnsweredRequest {
+  readonly requestId: string
+  readonly outcome: DocumentOutcome
+}
+
+/** Documents, and the last requests, both by service. */
+export interface DocumentsTable {
+  readonly services: Readonly<Record<string, DocumentRecord>>
+  readonly requests: Readonly<Record<string, readonly AnsweredRequest[]>>
+}
 
 /** Puts a document in place of the version that its operator edited. */
 export interface DocumentCommand {
@@ -33,15 +45,28 @@
   readonly outcome: DocumentOutcome
 }
 
+/** The table without documents. */
+export const NO_DOCUMENTS: DocumentsTable = { services: {}, requests: {} }
+
 /**
- * Applies a command: compare and set by version.
- * @example applyDocumentCommand({}, command).outcome // { accepted: true, version: 1 }
+ * Applies a command: compare and set by version. A request that comes again gets its first answer.
+ * @example applyDocumentCommand(NO_DOCUMENTS, command).outcome // { accepted: true, version: 1 }
  */
 export function applyDocumentCommand (table: DocumentsTable, command: DocumentCommand): AppliedDocument {
   const { service } = command.document
-  const current = table[service]?.version ?? 0
-  if (current !== command.version) return { state: table, outcome: { accepted: false, conflict: current } }
-  const version = current + 1
-  const record: DocumentRecord = { version, text: command.text, document: command.document }
-  return { state: { ...table, [service]: record }, outcome: { accepted: true, version } }
+  const answered = readOwn(table.requests, service) ?? []
+  const first = answered.find(request => request.requestId === command.requestId)
+  if (first !== undefined) return { state: table, outcome: first.outcome }
+  const current = readOwn(table.services, service)?.version ?? 0
+  const accepted = current === command.version
+  const outcome: DocumentOutcome = accepted ? { accepted, version: current + 1 } : { accepted, conflict: current }
+  const requests = { ...table.requests, [service]: [...answered.slice(1 - REQUESTS_KEPT), { requestId: command.requestId, outcome }] }
+  if (!accepted) return { state: { ...table, requests }, outcome }
+  const record: DocumentRecord = { version: current + 1, text: command.text, document: command.document }
+  return { state: { services: { ...table.services, [service]: record }, requests }, outcome }
+}
+
+/** Returns a service's value; undefined also for names that every object has. */
+export function readOwn<T> (values: Readonly<Record<string, T>>, service: string): T | undefined {
+  return Object.hasOwn(values, service) ? values[service] : undefined
 }
--- a/src/membership/decide.ts
+++ b/src/membership/decide.ts
@@ -2,6 +2,7 @@
 import type { CoreEffect, Moment, Step } from '../core/message.js'
 import type { Probe } from '../databases/driver.js'
 import { followLeader, listTargets, takeHint } from './discovery.js'
+import { answerForce } from './force.js'
 import { applyChanges, listEntries, type DatabaseEntry, type Directory, type HostEntry } from './directory.js'
 import { publishEntry, sweepSilent, takeBeat } from './leader.js'
 import type { Announced, Beat, BeatAnswered, MembershipMessage, Probed } from './messages.js'
@@ -38,6 +39,7 @@
     case 'membership/probe-due': return probeOwned(state, moment)
     case 'membership/probed': return takeProbe(state, message)
     case 'membership/beat': return state.leading === undefined ? answerHint(state, message) : takeBeat(state, state.leading, message, moment)
+    case 'membership/force-asked': return state.leading === undefined ? keep(state) : answerForce(state, state.leading, message, moment)
     case 'membership/sweep-due': return state.leading === undefined ? keep(state) : sweepSilent(state, state.leading, moment)
     case 'membership/publish': return state.leading === undefined ? keep(state) : publishEntry(state, state.leading, message.entry)
   }
--- a/src/membership/leader.ts
+++ b/src/membership/leader.ts
@@ -10,6 +10,8 @@
 /** How long a database may go unreported before it leaves the directory. */
 export const DATABASE_SILENT_MS = 1_000
 const SWEEP_EVERY_MS = 200
+/** Longer than any authority lasts. */
+const ANSWERED_KEPT_MS = 10_000
 
 type MembershipStep = Step<MembershipState, CoreEffect>
 
@@ -27,6 +29,8 @@
     hosts: new Map(),
     databases: new Map(),
     leaseUntilMs: -Infinity,
+    ledAtMs: moment.monotonicMs,
+    answered: new Map(),
     heldUntilMs: moment.monotonicMs + HOLD_MS,
     awaited
   }
@@ -53,8 +57,9 @@
     databases: markHeard(leading.databases, beat.databases, moment.monotonicMs)
   }
   const answers = isAnswering(next, moment) ? [createAnswer(next, beat)] : []
+  const answered = answers.length === 0 ? leading.answered : new Map(leading.answered).set(host, moment.monotonicMs)
   const told = tell({ kind: 'primacy/reported', host, statuses: beat.statuses, databases: beat.databases, revision: beat.revision })
-  return { state: { ...state, leading: next }, effects: [...answers, told] }
+  return { state: { ...state, leading: { ...next, answered } }, effects: [...answers, told] }
 }
 
 // An answered beat renews what its host may do, so only a leader within its lease answers, and a new one
@@ -90,7 +95,8 @@
   const hosts = new Map([...leading.hosts].filter(([, host]) => moment.monotonicMs - host.heardAtMs <= HOST_SILENT_MS))
   const databases = new Map([...leading.databases].filter(([, heardAtMs]) => moment.monotonicMs - heardAtMs <= DATABASE_SILENT_MS))
   const directory = dropSilent(leading.directory, hosts, databases)
-  return { state: { ...state, leading: { ...leading, directory, hosts, databases } }, effects: [createSweepTimer()] }
+  const answered = new Map([...leading.answered].filter(([, answeredAtMs]) => moment.monotonicMs - answeredAtMs <= ANSWERED_KEPT_MS))
+  return { state: { ...state, leading: { ...leading, directory, hosts, databases, answered } }, effects: [createSweepTimer()] }
 }
 
 function dropSilent (directory: Directory, hosts: ReadonlyMap<string, unknown>, databases: ReadonlyMap<string, unknown>): Directory {
--- a/src/membership/messages.ts
+++ b/src/membership/messages.ts
@@ -36,6 +36,16 @@
   readonly untilMs: number
 }
 
+/** The documents slice asks how far a version is in force. */
+export interface ForceAsked {
+  readonly kind: 'membership/force-asked'
+  readonly watch: string
+  readonly service: string
+  readonly version: number
+  /** The longest authority of a host under an earlier version. */
+  readonly leaseMs: number
+}
+
 /** A host's regular report to the leader. */
 export interface Beat {
   readonly kind: 'membership/beat'
@@ -94,6 +104,7 @@
   | LeaderChanged
   | LeaderHint
   | LeaseExtended
+  | ForceAsked
   | BeatDue
   | Beat
   | BeatAnswered
--- a/src/membership/state.ts
+++ b/src/membership/state.ts
@@ -26,6 +26,9 @@
   readonly leaseUntilMs: number
   /** No beat is answered before this, unless all awaited hosts have reported. */
   readonly heldUntilMs: number
+  readonly ledAtMs: number
+  /** When each host's last beat was answered. */
+  readonly answered: ReadonlyMap<string, number>
   /** The hosts that were there before this host led. */
   readonly awaited: readonly string[]
 }
--- a/src/operations/client.ts
+++ b/src/operations/client.ts
@@ -3,13 +3,14 @@
 import { createConnectTransport } from '@connectrpc/connect-node'
 import { randomUUID } from 'node:crypto'
 import { Operators } from '../gen/fulmartally_pb.js'
-import type { Command } from './messages.js'
+import type { InferInput } from 'valibot'
+import type { CommandSchema } from './commands.js'
 
 /**
  * Sends a command and returns its outcome.
  * @example await sendCommand('127.0.0.1:6002', { name: 'document/apply', text, version: 0 })
  */
-export async function sendCommand<Outcome> (operators: string, command: Command, requestId: string = randomUUID()): Promise<Outcome> {
+export async function sendCommand<Outcome> (operators: string, command: InferInput<typeof CommandSchema>, requestId: string = randomUUID()): Promise<Outcome> {
   const client = createClient(Operators, createConnectTransport({ baseUrl: `http://${operators}`, httpVersion: '1.1' }))
   const response = await client.operate({ requestId, command: JSON.stringify(command) })
   return JSON.parse(response.outcome) as Outcome
--- a/src/operations/messages.ts
+++ b/src/operations/messages.ts
@@ -1,15 +1,12 @@
 /** Messages of the operations slice: what operators ask of a host. */
-
-/** A command of an operator. */
-export interface ApplyCommand {
-  readonly name: 'document/apply'
-  readonly text: string
-  /** The version that the operator edited; 0 for a new service. */
-  readonly version: number
-}
+import type { InferOutput } from 'valibot'
+import type { CommandSchema } from './commands.js'
 
 /** Any command of an operator. */
-export type Command = ApplyCommand
+export type Command = InferOutput<typeof CommandSchema>
+
+/** Applies a document. */
+export type ApplyCommand = Extract<Command, { readonly name: 'document/apply' }>
 
 /** An operator asks this host. */
 export interface Asked {
@@ -34,5 +31,10 @@
   readonly leader: string | undefined
 }
 
+/** Time to see whether calls wait in vain. */
+export interface RetryDue {
+  readonly kind: 'operations/retry-due'
+}
+
 /** Any message of the operations slice. */
-export type OperationsMessage = Asked | Answered | LeaderKnown
+export type OperationsMessage = Asked | Answered | LeaderKnown | RetryDue
--- a/src/operations/operators.ts
+++ b/src/operations/operators.ts
@@ -1,9 +1,11 @@
 /** The operators' door: connect calls in, outcomes out. */
+import { randomUUID } from 'node:crypto'
 import type { ConnectRouter } from '@connectrpc/connect'
 import { Adapter } from '../core/adapter.js'
 import { Operators } from '../gen/fulmartally_pb.js'
 import type { HostPost } from '../messages.js'
 import type { AnswerOperator } from './decide.js'
+import { parseCommand } from './commands.js'
 import type { Command } from './messages.js'
 
 const ANSWER_WITHIN_MS = 10_000
@@ -13,7 +15,6 @@
   readonly name = 'operator'
   readonly #post: HostPost
   readonly #waiting = new Map<string, (outcome: unknown) => void>()
-  #asked = 0
 
   private constructor (post: HostPost) {
     super()
@@ -36,13 +37,16 @@
   /** Adds the operators' service. */
   addRoutes (router: ConnectRouter): void {
     router.service(Operators, {
-      operate: async request => ({ outcome: JSON.stringify(await this.#ask(request.requestId, JSON.parse(request.command) as Command)) })
+      operate: async request => {
+        const command = parseCommand(request.command)
+        const outcome = command.isErr ? { error: 'bad-command', findings: command.error } : await this.#ask(request.requestId, command.value)
+        return { outcome: JSON.stringify(outcome) }
+      }
     })
   }
 
   async #ask (requestId: string, command: Command): Promise<unknown> {
-    this.#asked += 1
-    const operation = String(this.#asked)
+    const operation = randomUUID()
     return await new Promise(resolve => {
       const timer = setTimeout(() => this.carryOut({ kind: 'operator/answer', operation, outcome: { error: 'no-answer' } }), ANSWER_WITHIN_MS)
       this.#waiting.set(operation, outcome => {
