--- a/src/daemon/host.ts
+++ b/src/daemon/host.ts
@@ -1,10 +1,13 @@
 /** A host: its loop, its slices and its adapters, put together from its settings. */
 import { randomBytes } from 'node:crypto'
+import type { Catalog, CatalogCommand } from '../agreement/catalog.js'
+import { recoverReplica } from '../agreement/recover.js'
 import { SystemClock } from '../core/clock.js'
 import { Loop } from '../core/loop.js'
 import { PostgresDriver } from '../databases/postgres/driver.js'
 import { splitAddress } from '../databases/postgres/connection.js'
 import { PostgresFrontEnd } from '../frontends/postgres/frontend.js'
+import { FileJournal } from '../journal/files.js'
 import { ConnectAnnouncements } from '../membership/announcements.js'
 import type { HostPost } from '../messages.js'
 import { OperatorsDoor } from '../operations/operators.js'
@@ -52,6 +55,8 @@
       recorder: monitor.observeMessage,
       observer: monitor.observeEffect
     })
+    const journal = settings.dataFolder === undefined ? undefined : await FileJournal.create(settings.dataFolder, loop.post, onFault)
+    if (journal !== undefined) loop.addAdapter(journal)
     const link = ConnectPeerLink.create(settings.host, loop.post, host => [
       { kind: 'requests/peer-lost', host },
       { kind: 'transactions/host-lost', host }
@@ -68,9 +73,9 @@
     })
     const operators = await listenForOperators(settings.operators, router => door.addRoutes(router), monitor.createPages())
     const callers = await frontEnd.listen(...splitAddress(settings.callers))
-    startSlices(settings, loop, link, peers)
+    startSlices(settings, loop, link, peers, journal)
     log.write('daemon', 'info', `Host ${settings.host} started; callers connect to ${callers}.`)
-    return new Host({ callers, peers: peers.address, operators: operators.address }, [frontEnd, operators, peers, link, driver, loop])
+    return new Host({ callers, peers: peers.address, operators: operators.address }, [frontEnd, operators, peers, link, driver, loop, ...(journal === undefined ? [] : [journal])])
   }
 
   async [Symbol.asyncDispose] (): Promise<void> {
@@ -78,7 +83,8 @@
   }
 }
 
-function startSlices (settings: Settings, loop: Loop, link: ConnectPeerLink, peers: Listening): void {
+function startSlices (settings: Settings, loop: Loop, link: ConnectPeerLink, peers: Listening, journal: FileJournal | undefined): void {
+  const control = settings.control.map(entry => entry.host)
   link.learnAddresses(settings.control)
   const post: HostPost = loop.post
   post({
@@ -90,8 +96,10 @@
       failureDomain: settings.failureDomain,
       peers: peers.address,
       draining: false
-    }
+    },
+    control
   })
-  post({ kind: 'agreement/started', self: settings.host, control: settings.control.map(entry => entry.host) })
+  const recovered = journal === undefined ? undefined : recoverReplica<Catalog, CatalogCommand>(journal.contents)
+  post({ kind: 'agreement/started', self: settings.host, control, recovered, damage: journal?.contents.damage })
   post({ kind: 'routing/ask-due' })
 }
--- a/src/operations/commands.ts
+++ b/src/operations/commands.ts
@@ -17,6 +17,10 @@
 const ShowSchema = v.pipe(v.strictObject({ name: v.literal('document/show'), service: ShortName }), v.readonly())
 /** Lists services with their versions. */
 const ListSchema = v.pipe(v.strictObject({ name: v.literal('document/list') }), v.readonly())
+/** Tells how far a service's version is in force. */
+const ForceSchema = v.pipe(v.strictObject({ name: v.literal('document/status'), service: ShortName }), v.readonly())
+/** Tells what the called control host knows of its group. */
+const ControlSchema = v.pipe(v.strictObject({ name: v.literal('control/status') }), v.readonly())
 /** Makes a database the primary of its group. */
 const MoveSchema = v.pipe(v.strictObject({ name: v.literal('primary/move'), group: ShortName, database: ShortName }), v.readonly())
 /** Takes a host out of service. */
@@ -27,7 +31,7 @@
 const TimelineSchema = v.pipe(v.strictObject({ name: v.literal('timeline/read'), sinceMs: Since, request: v.optional(ShortName), group: v.optional(ShortName) }), v.readonly())
 
 /** The schema of all commands. */
-export const CommandSchema = v.variant('name', [ApplySchema, ShowSchema, ListSchema, MoveSchema, DrainSchema, SystemSchema, TimelineSchema])
+export const CommandSchema = v.variant('name', [ApplySchema, ShowSchema, ListSchema, ForceSchema, ControlSchema, MoveSchema, DrainSchema, SystemSchema, TimelineSchema])
 
 /**
  * Parses an operator's command.
