--- a/test/primacy.test.ts
+++ b/test/primacy.test.ts
@@ -159,7 +159,7 @@
     const former = await findPrimary()
     const next = databases.find(database => database !== former)!
     const tally = await writeDuring(async () => {
-      await sendCommand(hosts[2]!.addresses.operators, { name: 'primacy/move', group: 'a', database: next.plan.name })
+      await sendCommand(hosts[2]!.addresses.operators, { name: 'primary/move', group: 'a', database: next.plan.name })
       await pollUntil('the moved primary', async () => (await readStatus(next)).primary)
     })
     reportGap('move', tally)
