--- a/src/frontends/postgres/split.ts
+++ b/src/frontends/postgres/split.ts
@@ -25,6 +25,7 @@
   const statements: SplitStatement[] = []
   let comments: string[] = []
   let parts: string[] = []
+  let begun = false
   const end = (): void => {
     const joined = parts.join('').trim()
     if (joined !== '') statements.push({ comments, text: joined })
@@ -35,9 +36,10 @@
     const next = findEnd(text, offset)
     const part = text.slice(offset, next)
     const comment = part.startsWith('--') || part.startsWith('/*')
-    if (part.startsWith('/*') && parts.every(earlier => earlier.trim() === '')) comments.push(part)
+    if (part.startsWith('/*') && !begun) comments.push(part)
     if (part === ';') end()
     else parts.push(comment ? ' ' : part)
+    begun = part !== ';' && (begun || !(comment || part.trim() === ''))
     offset = next
   }
   end()
--- a/src/frontends/postgres/statement.ts
+++ b/src/frontends/postgres/statement.ts
@@ -21,6 +21,9 @@
   readonly value?: string
 }
 
+/** Longer comments hold no tags, and longer statements no settings: their patterns take more than linear time. */
+const MAX_TAGS_LENGTH = 4_096
+const MAX_SETTING_LENGTH = 10_000
 const TAG = /([A-Za-z_]+)='((?:[^'\\]|\\.)*)'/g
 const SETTING = /^set\s+(?:session\s+)?fulmartally\.([a-z_]+)\s*(?:=|\s+to\s)\s*'?([^';]*)'?\s*;?\s*$/i
 const SHOW = /^show\s+fulmartally\.([a-z_]+)\s*;?\s*$/i
@@ -32,7 +35,7 @@
 const SESSION_SET = /^(?:set(?!\s+(?:local|transaction|constraints)\b)|reset)\b/i
 
 // Functions whose effect outlives the transaction would reach the next user of the connection.
-const SESSION_CALL = /\b(?:set_config\s*\([^;]*,\s*(?:false|'f(?:alse)?'|'off'|'no'|'0')\s*\)|pg_(?:try_)?advisory_lock(?:_shared)?\s*\()/i
+const SESSION_CALL = /\b(?:set_config\s*\([^;]{0,500},\s*(?:false|'f(?:alse)?'|'off'|'no'|'0')\s*\)|pg_(?:try_)?advisory_lock(?:_shared)?\s*\()/i
 const WORKSPACE_SETTING = /\bfulmartally\s*\.\s*workspace\b/i
 
 /**
@@ -59,7 +62,7 @@
 }
 
 function readOne ({ comments, text }: SplitStatement): Statement {
-  const tags = new Map(comments.flatMap(comment => [...comment.matchAll(TAG)].map(([, name, value]) => [name!, decodeTag(value!)] as const)))
+  const tags = new Map(comments.filter(comment => comment.length <= MAX_TAGS_LENGTH).flatMap(comment => [...comment.matchAll(TAG)].map(([, name, value]) => [name!, decodeTag(value!)] as const)))
   const deadline = Number(tags.get('deadline_ms'))
   return {
     intent: readIntent(text),
@@ -87,6 +90,7 @@
 }
 
 function readSetting (rest: string): Setting | undefined {
+  if (rest.length > MAX_SETTING_LENGTH) return undefined
   const set = SETTING.exec(rest)
   if (set !== null) return { name: set[1]!.toLowerCase(), value: set[2]!.trim() }
   const show = SHOW.exec(rest)
