--- /dev/null
+++ b/src/transactions/decide.test.ts
@@ -0,0 +1,143 @@
+/** An owned database: slots, connections, hand-over, and the ends of units. */
+import { expect } from 'chai'
+import type { Effect, Message, SendPeer, SetTimer } from '../core/message.js'
+import { ORIGIN } from '../core/position.js'
+import { StoreSlice } from '../core/store.js'
+import type { DatabaseEntry, GrantEntry } from '../membership/directory.js'
+import type { HostMessage } from '../messages.js'
+import type { Failed } from '../requests/messages.js'
+import { checkOwned } from './check.js'
+import { decideTransactions } from './decide.js'
+import type { Run, TransactionsMessage } from './messages.js'
+import { createTransactionsShared, type OwnedDatabase } from './state.js'
+
+const ENTRY: DatabaseEntry = { kind: 'database', database: 'a1', group: 'a', failureDomain: 'f', address: 'x', slots: 2, connectionLimit: 2, departing: false }
+const GRANT: GrantEntry = { kind: 'grant', group: 'a', term: 1, primary: 'a1', members: ['a1'] }
+const IDLE_MS = 700
+
+describe('an owned database', () => {
+  let slice = createSlice()
+  let order = 0
+
+  function createSlice () {
+    return StoreSlice.create({ name: 'transactions', shared: createTransactionsShared(10, IDLE_MS), decide: decideTransactions, checkItem: checkOwned })
+  }
+  const take = (message: TransactionsMessage): readonly Effect[] => slice.take(message, { monotonicMs: 0, wallMs: 0, random: 0 })
+  const own = (...databases: readonly DatabaseEntry[]): readonly Effect[] => take({ kind: 'transactions/owned-changed', databases, grants: [GRANT] })
+  const createRun = (caller: string, attempt: number, more: Partial<Run> = {}): Run => ({
+    kind: 'transactions/run',
+    from: 'entry',
+    caller,
+    attempt,
+    ticket: { sender: 'p', order: ++order },
+    service: 's',
+    target: { database: 'a1', owner: 'o', purpose: 'primary', term: 1, floor: ORIGIN },
+    intent: 'statement',
+    remainingMs: 500,
+    payload: Buffer.from(caller),
+    ...more
+  })
+  const listOpened = (effects: readonly Effect[]): readonly string[] => effects.flatMap(effect => (effect.kind === 'database/open' ? [(effect as Effect & { connection: string }).connection] : []))
+  const listSent = (effects: readonly Effect[]): readonly Message[] => effects.flatMap(effect => (effect.kind === 'peer/send' ? [(effect as SendPeer).message] : []))
+  const listKinds = (effects: readonly Effect[]): readonly string[] => effects.map(effect => effect.kind)
+  const readDatabase = (): OwnedDatabase => slice.store.items.get('a1')!
+  const start = (run: Run): string => {
+    const [connection] = listOpened(take(run))
+    take({ kind: 'transactions/opened', connection: connection! })
+    return connection!
+  }
+  const expectNotRun = (effects: readonly Effect[], callers: readonly string[]): void => {
+    const failed = listSent(effects) as readonly Failed[]
+    expect(failed.map(message => message.caller)).to.have.members(callers)
+    for (const message of failed) expect(message).to.deep.include({ kind: 'requests/failed', retriable: true }).and.to.have.nested.property('failure.effect', 'not-run')
+  }
+
+  beforeEach(() => {
+    slice = createSlice()
+    order = 0
+    own(ENTRY)
+  })
+
+  it('hands a database over: what waits goes back, what runs ends, and then the record goes', () => {
+    const first = start(createRun('c1', 1))
+    start(createRun('c2', 1))
+    take(createRun('c3', 1))
+    const handed = own()
+    expectNotRun(handed, ['c3'])
+    expectNotRun(take(createRun('c4', 1)), ['c4'])
+    expect(listKinds(take({ kind: 'transactions/broken', connection: first }))).to.include('peer/send')
+    expect(readDatabase().leaving).to.equal(true)
+    const [connection] = [...readDatabase().connections.keys()]
+    const ended = take({ kind: 'transactions/finished', connection: connection!, status: 'idle', refused: false, payload: Buffer.alloc(0) })
+    expect(listKinds(ended)).to.include('database/close')
+    expect(slice.store.items.size).to.equal(0)
+    own(ENTRY)
+    expect(listOpened(take(createRun('c5', 1)))).to.not.include(first)
+  })
+
+  it('serves again when it gets a database back before the last unit ended', () => {
+    const connection = start(createRun('c1', 1))
+    own()
+    own(ENTRY)
+    take(createRun('c2', 1))
+    const ended = take({ kind: 'transactions/finished', connection, status: 'idle', refused: false, payload: Buffer.alloc(0) })
+    expect(listKinds(ended)).to.include('database/execute')
+  })
+
+  it('gives a departing database no new work', () => {
+    start(createRun('c1', 1))
+    start(createRun('c2', 1))
+    take(createRun('c3', 1))
+    expectNotRun(own({ ...ENTRY, departing: true }), ['c3'])
+    expectNotRun(take(createRun('c4', 1)), ['c4'])
+    expect(readDatabase().units.size).to.equal(2)
+  })
+
+  it('sends all back at once when the database can not be reached, and tries again after a pause', () => {
+    const [connection] = listOpened(take(createRun('c1', 1)))
+    const [second] = listOpened(take(createRun('c2', 1)))
+    take(createRun('c3', 1))
+    take({ kind: 'transactions/open-failed', connection: connection!, text: 'refused' })
+    expectNotRun(take({ kind: 'transactions/open-failed', connection: second!, text: 'refused' }), ['c1', 'c2', 'c3'])
+    expectNotRun(take(createRun('c4', 1)), ['c4'])
+    take({ kind: 'transactions/cooled', database: 'a1' })
+    expect(listOpened(take(createRun('c5', 1)))).to.have.length(1)
+  })
+
+  it('runs a doubled order once, and none that comes after its cancel', () => {
+    const run = createRun('c1', 1)
+    const connection = start(run)
+    expect(take(run)).to.deep.equal([])
+    take({ kind: 'transactions/finished', connection, status: 'idle', refused: false, payload: Buffer.alloc(0) })
+    expect(take(run)).to.deep.equal([])
+    const late = createRun('c2', 1)
+    take({ kind: 'transactions/cancel', from: 'entry', database: 'a1', caller: 'c2', attempt: 1, ticket: late.ticket })
+    expect(take(late)).to.deep.equal([])
+    expect(readDatabase().units.size).to.equal(0)
+  })
+
+  it('lets a late cancel end only what it names', () => {
+    start(createRun('c1', 4))
+    take({ kind: 'transactions/cancel', from: 'entry', database: 'a1', caller: 'c1', attempt: 3, ticket: { sender: 'p', order: 0 } })
+    expect([...readDatabase().units.keys()]).to.deep.equal(['c1'])
+  })
+
+  it('ends a transaction whose caller stays silent', () => {
+    const connection = start(createRun('c1', 1, { intent: 'begin' }))
+    const idle = take({ kind: 'transactions/finished', connection, status: 'open', refused: false, payload: Buffer.alloc(0) })
+    const timer = idle.find((effect): effect is SetTimer => effect.kind === 'timer/set')!
+    expect(timer.afterMs).to.equal(IDLE_MS)
+    expect(listKinds(take(timer.message as HostMessage as TransactionsMessage))).to.include('database/close')
+    const [answer] = listSent(take(createRun('c1', 2, { transaction: 1 })))
+    expect(answer).to.have.nested.property('failure.code', 'transaction-lost')
+  })
+
+  it('leaves nothing of a lost host', () => {
+    start(createRun('c1', 1))
+    start(createRun('c2', 1, { from: 'other' }))
+    take(createRun('c3', 1))
+    take({ kind: 'transactions/host-lost', host: 'entry' })
+    expect([...readDatabase().units.keys()]).to.deep.equal(['c2'])
+    expect([...readDatabase().connections.values()].filter(connection => connection.phase === 'bound')).to.have.length(1)
+  })
+})
