--- /dev/null
+++ b/src/requests/decide.test.ts
@@ -0,0 +1,102 @@
+/** The ends of requests at their entry host: retries, deadlines, and what is told of the effect. */
+import { expect } from 'chai'
+import type { Effect, SendPeer, Tell } from '../core/message.js'
+import { createFailure } from '../core/errors.js'
+import { ORIGIN } from '../core/position.js'
+import { StoreSlice } from '../core/store.js'
+import type { CallerFailed } from '../frontends/frontend.js'
+import { decideRequests } from './decide.js'
+import type { Intent, RequestsMessage, RouteRules, Target } from './messages.js'
+import { createRequestsShared, MAX_RETRIES, RETRIES_PER_SUCCESS } from './state.js'
+
+const RULES: RouteRules = { group: 'a', action: 'write', maxStalenessMs: 0, idempotent: true }
+const TARGET: Target = { database: 'a1', owner: 'o', purpose: 'primary', term: 1, floor: ORIGIN }
+const GRANTS = [{ kind: 'grant' as const, group: 'a', term: 1, primary: 'a1', members: ['a1'] }]
+const UNKNOWN = createFailure('outcome-unknown', 'the link broke')
+
+describe('a request at its entry host', () => {
+  let slice = createSlice()
+  let nowMs = 0
+
+  function createSlice () {
+    return StoreSlice.create({ name: 'requests', shared: createRequestsShared(500), decide: decideRequests })
+  }
+  const take = (message: RequestsMessage): readonly Effect[] => slice.take(message, { monotonicMs: nowMs, wallMs: 0, random: 0.5 })
+  const readAttempt = (caller: string): number => slice.store.items.get(caller)!.attempts
+  const open = (caller: string): void => {
+    take({ kind: 'requests/open', caller, service: 's' })
+    take({ kind: 'requests/open-checked', caller })
+  }
+  const route = (caller: string): readonly Effect[] => take({ kind: 'requests/routed', caller, attempt: readAttempt(caller), target: TARGET })
+  const start = (caller: string, rules: RouteRules = RULES, intent: Intent = 'statement'): readonly Effect[] => {
+    take({ kind: 'requests/arrived', caller, input: { intent }, payload: Buffer.alloc(0) })
+    const admitted = take({ kind: 'requests/admitted', caller, attempt: readAttempt(caller), rules })
+    const routed = admitted.find((effect): effect is Tell => effect.kind === 'loop/tell')!.message
+    return routed.kind === 'requests/routed' ? take(routed as RequestsMessage) : route(caller)
+  }
+  const finish = (caller: string, status: 'idle' | 'open' | 'failed' = 'idle'): readonly Effect[] =>
+    take({ kind: 'requests/finished', caller, attempt: readAttempt(caller), status, wrote: false, position: ORIGIN, parts: 0, payload: Buffer.alloc(0) })
+  const lose = (caller: string): readonly Effect[] => take({ kind: 'requests/failed', caller, attempt: readAttempt(caller), failure: UNKNOWN, retriable: true })
+  const findFailed = (effects: readonly Effect[]): CallerFailed | undefined => effects.find((effect): effect is CallerFailed => effect.kind === 'caller/failed')
+
+  beforeEach(() => {
+    slice = createSlice()
+    nowMs = 0
+    open('c')
+    take({ kind: 'requests/grants-confirmed', grants: GRANTS, askedAtMs: 0 })
+  })
+
+  it('spends retries of what may have run from a budget that successes fill', () => {
+    for (let count = 0; count < MAX_RETRIES; count++) {
+      open(`c${count}`)
+      start(`c${count}`)
+      expect(findFailed(lose(`c${count}`))).to.equal(undefined)
+    }
+    start('c')
+    expect(findFailed(lose('c'))?.failure.effect).to.equal('unknown')
+    for (let count = 0; count < 1 / RETRIES_PER_SUCCESS + 1; count++) {
+      start('c')
+      finish('c')
+    }
+    start('c')
+    expect(findFailed(lose('c'))).to.equal(undefined)
+  })
+
+  it('repeats nothing that is not idempotent once it may have run', () => {
+    start('c', { ...RULES, idempotent: false })
+    expect(findFailed(lose('c'))).to.deep.include({ failure: UNKNOWN, status: 'idle' })
+  })
+
+  it('does not say "not run" of a request whose earlier attempt may have run', () => {
+    start('c')
+    lose('c')
+    nowMs = 600
+    const ended = take({ kind: 'requests/deadline-passed', caller: 'c', request: 1 })
+    expect(findFailed(ended)?.failure).to.include({ code: 'outcome-unknown', sqlState: '40003' })
+  })
+
+  it('passes the remaining time on with each attempt', () => {
+    start('c')
+    nowMs = 200
+    lose('c')
+    take({ kind: 'requests/retry-due', caller: 'c', attempt: 2 })
+    const [order] = route('c') as readonly SendPeer[]
+    expect(order!.message).to.include({ kind: 'transactions/run', remainingMs: 300, attempt: 2 })
+  })
+
+  it('leaves a transaction with its end, also when that end is not known', () => {
+    start('c', RULES, 'begin')
+    finish('c', 'open')
+    start('c', RULES, 'commit')
+    expect(findFailed(lose('c'))).to.deep.include({ failure: UNKNOWN, status: 'idle' })
+  })
+
+  it('acknowledges nothing after the lease, and aborts the transaction then', () => {
+    start('c', RULES, 'begin')
+    const guarded = finish('c', 'open').find(effect => effect.kind === 'caller/finished')!
+    expect(guarded.notAfterMs).to.equal(1_000)
+    const late = take(guarded.otherwise as RequestsMessage)
+    expect(findFailed(late)).to.deep.include({ status: 'failed' })
+    expect(late.some(effect => effect.kind === 'peer/send')).to.equal(true)
+  })
+})
