--- a/src/transactions/ownership.ts
+++ b/src/transactions/ownership.ts
@@ -1,5 +1,5 @@
 /** Decisions on ownership: which databases this host serves, and how it hands one over. */
-import { createFailure } from '../core/errors.js'
+import { createFailure, type Failure } from '../core/errors.js'
 import { ORIGIN } from '../core/position.js'
 import type { DatabaseEffect } from '../databases/driver.js'
 import { createQueue, dropWaiting, listWaiting } from '../fairness/queue.js'
@@ -7,7 +7,7 @@
 import type { OwnedChanged } from './messages.js'
 import type { OwnedDatabase } from './state.js'
 import { answerFailed, continueStep, dropTimeOver, keepDatabase, refuseRun, type DatabaseStep, type TransactionsEffect, type TransactionsStep, type TransactionsStore } from './step.js'
-import { refuseWaiting } from './pool.js'
+import { closeUnit, refuseWaiting } from './pool.js'
 
 /**
  * Takes the databases that this host owns from now on, and hands over those that it no longer owns.
@@ -75,11 +75,22 @@
   const name = database.entry.database
   const term = grant?.primary === name ? grant.term : undefined
   const members = grant?.members ?? database.members
-  if (term === database.term) return keepDatabase({ ...database, members })
+  const closing = grant?.closing === true
+  if (term === database.term) return keepDatabase({ ...database, members, closing })
   const replaced = createFailure('outcome-unknown', 'the primary was replaced')
   const failed = database.storing.map(write => answerFailed(write.from, write, replaced, false))
   const lost = listWaiting(database.queue).map(waiting => waiting.item).filter(message => message.target.purpose === 'primary')
   const refused = lost.flatMap(message => [dropTimeOver(name, message.caller), refuseRun(message, createFailure('no-primary', database.entry.group))])
   const queue = lost.reduce((left, message) => dropWaiting(left, message.caller), database.queue)
-  return { database: { ...database, term, members, queue, storing: [] }, effects: [...failed, ...refused] }
+  const without: OwnedDatabase = { ...database, term, closing, members, queue, storing: [] }
+  return continueStep({ database: without, effects: [...failed, ...refused] }, next => endUnits(next, replaced))
+}
+
+// A replaced primary may never answer; what runs there is not waited for.
+function endUnits (database: OwnedDatabase, failure: Failure): DatabaseStep {
+  const ended = [...database.units.values()].filter(unit => unit.run.target.purpose === 'primary')
+  return ended.reduce<DatabaseStep>((step, unit) => {
+    const answers = unit.phase === 'running' ? [answerFailed(unit.from, unit.run, failure, true)] : []
+    return continueStep({ ...step, effects: [...step.effects, ...answers] }, next => closeUnit(next, unit))
+  }, keepDatabase(database))
 }
