--- a/src/peers/connect.ts
+++ b/src/peers/connect.ts
@@ -60,7 +60,8 @@
       return
     }
     const link = this.#links.get(effect.to) ?? this.#open(effect.to)
-    if (link?.queue.push(encodeFrame(this.#self, effect.message)) === false) this.#lose(effect.to, link)
+    const frame = encodeFrame(this.#self, effect.message)
+    if (link?.queue.push(frame, frame.body.length + frame.payload.length) === false) this.#lose(effect.to, link)
   }
 
   /** Adds the service that takes in other hosts' streams. */
--- a/src/peers/queue.ts
+++ b/src/peers/queue.ts
@@ -2,10 +2,13 @@
 
 /** Frames that may wait for a link before it is given up. */
 const MAX_WAITING = 65_536
+/** Bytes that may wait for a link before it is given up. */
+const MAX_WAITING_BYTES = 256 * 1_048_576
 
 /** Hands items to one reader, in order, without ever blocking the writer. */
 export class SendQueue<T> implements AsyncIterable<T> {
   #waiting: T[] = []
+  #waitingBytes = 0
   #wake: (() => void) | undefined
   #closed = false
 
@@ -19,10 +22,11 @@
     return new SendQueue<T>()
   }
 
-  /** Adds an item; false when the queue is full or closed. */
-  push (item: T): boolean {
-    if (this.#closed || this.#waiting.length >= MAX_WAITING) return false
+  /** Adds an item of about so many bytes; false when the queue is full or closed. */
+  push (item: T, bytes: number): boolean {
+    if (this.#closed || this.#waiting.length >= MAX_WAITING || this.#waitingBytes + bytes > MAX_WAITING_BYTES) return false
     this.#waiting.push(item)
+    this.#waitingBytes += bytes
     this.#wake?.()
     return true
   }
@@ -37,6 +41,7 @@
     while (true) {
       const batch = this.#waiting
       this.#waiting = []
+      this.#waitingBytes = 0
       yield * batch
       if (this.#waiting.length > 0) continue
       if (this.#closed) return
