Leases parts of each workspace's rate to the hosts where its requests are

Cause: rate and burst were split evenly over the hosts in the directory, and nothing kept their sum when that list changed. Requests within the rate were refused at busy hosts. Change: a shares slice on the leader leases parts (integers of one whole) to hosts by demand and keeps the rest as a reserve, from which a host that runs out borrows while the request waits up to 60 ms, holding nothing. A part is given only once its former holder confirmed or its lease surely ran out; a restarted host holds nothing; a new leader renews what hosts report and gives nothing more until the leases before it ran out.

--- a/src/admission/bucket.ts
+++ b/src/admission/bucket.ts
@@ -1,6 +1,4 @@
 /** A token bucket: a rate and a burst. */
-import { assertInvariant } from '../core/invariant.js'
-
 const MS_PER_SECOND = 1_000
 
 /** Tokens in hand, and when they were counted. */
@@ -38,11 +36,3 @@
   const filled = refillBucket(bucket, nowMs)
   return { ...filled, rate, burst, tokens: Math.min(filled.tokens, burst) }
 }
-
-/**
- * Throws unless the bucket holds between nothing and its burst.
- * @example checkBucket(bucket)
- */
-export function checkBucket (bucket: Bucket): void {
-  assertInvariant(bucket.tokens >= 0 && bucket.tokens <= bucket.burst, 'tokens within burst', `${bucket.tokens} of ${bucket.burst}`)
-}
--- a/src/admission/decide.ts
+++ b/src/admission/decide.ts
@@ -2,38 +2,20 @@
 import { Result } from 'true-myth'
 import { createFailure, type Failure } from '../core/errors.js'
 import type { CoreEffect, Moment } from '../core/message.js'
-import { UNCHANGED, type Store, type StoreStep } from '../core/store.js'
 import type { ServiceDocument, Workspace } from '../documents/document.js'
 import type { RouteRules } from '../requests/messages.js'
-import { createBucket, resizeBucket, type Bucket } from './bucket.js'
 import { holdsKey } from './keys.js'
+import { askShares, followLeader, takeShares } from './lease.js'
 import type { AdmissionMessage, CheckOpen, CheckRequest, DocumentsConfirmed } from './messages.js'
+import { admit, endOverdue, takeLent, takeToken, type AdmissionStep, type AdmissionStore } from './rates.js'
+import type { AdmissionShared } from './state.js'
 import { tell } from '../messages.js'
 
-/** What admission knows of all services. */
-export interface AdmissionShared {
-  readonly documents: ReadonlyMap<string, ServiceDocument>
-  /** When this host last asked and was confirmed; undefined before the first time. */
-  readonly confirmedAtMs?: number
-  readonly hosts: number
-}
-
-type AdmissionStore = Store<AdmissionShared, Bucket>
-type AdmissionStep = StoreStep<AdmissionShared, Bucket, CoreEffect>
-
 interface Permission {
   readonly rules: RouteRules
   readonly workspace?: Workspace
 }
 
-/**
- * Creates the facts of a host that knows no document.
- * @example createAdmissionShared().documents.size // 0
- */
-export function createAdmissionShared (): AdmissionShared {
-  return { documents: new Map(), hosts: 1 }
-}
-
 /**
  * Decides on one message of the admission slice.
  * @example decideAdmission(store, { kind: 'admission/check-open', caller: 'c1', service: 'rota' }, moment)
@@ -42,27 +24,31 @@
   switch (message.kind) {
     case 'admission/check-open': return checkOpen(store.shared, message, moment)
     case 'admission/check-request': return checkRequest(store, message, moment)
-    case 'admission/documents-confirmed': return takeDocuments(store, message, moment)
+    case 'admission/documents-confirmed': return takeDocuments(store, message)
+    case 'admission/leader-changed': return followLeader(store, message, moment)
+    case 'admission/ask-due': return askShares(store, moment)
+    case 'admission/shares-answered': return takeShares(store, message, moment)
+    case 'admission/lent': return takeLent(store, message, moment)
+    case 'admission/loan-overdue': return endOverdue(store, message, moment)
   }
 }
 
-function takeDocuments ({ shared, items }: AdmissionStore, message: DocumentsConfirmed, moment: Moment): AdmissionStep {
-  const documents = message.documents === undefined
-    ? shared.documents
-    : new Map(message.documents.map(entry => [entry.service, entry.document]))
+function takeDocuments (store: AdmissionStore, message: DocumentsConfirmed): AdmissionStep {
+  const { shared } = store
   const confirmedAtMs = Math.max(shared.confirmedAtMs ?? message.askedAtMs, message.askedAtMs)
-  const next: AdmissionShared = { documents, confirmedAtMs, hosts: Math.max(1, message.hosts) }
-  const buckets = [...documents.values()].flatMap(document => document.workspaces.map(workspace => resizeShare(next, items, document.service, workspace, moment)))
-  return { shared: next, changes: buckets, effects: [] }
+  if (message.documents === undefined) return { shared: { ...shared, confirmedAtMs }, effects: [] }
+  const documents = new Map(message.documents.map(entry => [entry.service, entry]))
+  const changed = message.documents.filter(entry => shared.documents.get(entry.service)?.version !== entry.version)
+  const gone = [...shared.documents.keys()].filter(service => !documents.has(service))
+  return {
+    shared: { ...shared, documents, confirmedAtMs },
+    effects: [...changed.map(entry => tellLimits(entry.service, entry.document.workspaces)), ...gone.map(service => tellLimits(service, []))]
+  }
 }
 
-function resizeShare (shared: AdmissionShared, items: AdmissionStore['items'], service: string, workspace: Workspace, moment: Moment): readonly [string, Bucket] {
-  const key = `${service}/${workspace.name}`
-  const rate = workspace.rate / shared.hosts
-  const burst = workspace.burst / shared.hosts
-  const known = items.get(key)
-  if (known === undefined) return [key, createBucket(rate, burst, moment.monotonicMs)]
-  return [key, resizeBucket(known, rate, burst, moment.monotonicMs)]
+function tellLimits (service: string, workspaces: readonly Workspace[]): CoreEffect {
+  const limits = workspaces.map(({ name, rate, burst }) => ({ workspace: `${service}/${name}`, rate, burst }))
+  return tell({ kind: 'shares/limits-changed', service, limits })
 }
 
 function checkOpen (shared: AdmissionShared, message: CheckOpen, moment: Moment): AdmissionStep {
@@ -71,7 +57,7 @@
 }
 
 function findOpenFailure (shared: AdmissionShared, message: CheckOpen, moment: Moment): Failure | undefined {
-  const document = shared.documents.get(message.service)
+  const document = shared.documents.get(message.service)?.document
   if (document === undefined) return createFailure('unknown-service', message.service)
   if (message.workspace === undefined) return undefined
   return checkKey(shared, document, message.workspace, message.keyHash, moment).match({ Ok: () => undefined, Err: failure => failure })
@@ -93,12 +79,12 @@
   const permission = findPermission(store.shared, message, moment)
   if (permission.isErr) return refuse(message, permission.error)
   const { rules, workspace } = permission.value
-  if (workspace === undefined || message.inTransaction) return admit(message, rules)
-  return takeToken(store, message, rules, workspace, moment)
+  if (workspace === undefined || message.inTransaction) return { effects: [admit(message, rules)] }
+  return takeToken(store, message.service, workspace, { caller: message.caller, attempt: message.attempt, rules }, moment)
 }
 
 function findPermission (shared: AdmissionShared, message: CheckRequest, moment: Moment): Result<Permission, Failure> {
-  const document = shared.documents.get(message.service)
+  const document = shared.documents.get(message.service)?.document
   if (document === undefined) return Result.err(createFailure('unknown-service', message.service))
   const route = message.route === undefined ? undefined : document.routes.find(candidate => candidate.name === message.route)
   if (message.route !== undefined && route === undefined) return Result.err(createFailure('unknown-route', message.route))
@@ -117,16 +103,6 @@
   }))
 }
 
-function takeToken (store: AdmissionStore, message: CheckRequest, rules: RouteRules, workspace: Workspace, moment: Moment): AdmissionStep {
-  const [key, bucket] = resizeShare(store.shared, store.items, message.service, workspace, moment)
-  if (bucket.tokens < 1) return { ...refuse(message, createFailure('rate-exceeded', workspace.name)), changes: [[key, bucket]] }
-  return { ...admit(message, rules), changes: [[key, { ...bucket, tokens: bucket.tokens - 1 }]] }
-}
-
-function admit (message: CheckRequest, rules: RouteRules): AdmissionStep {
-  return { effects: [tell({ kind: 'requests/admitted', caller: message.caller, attempt: message.attempt, rules })] }
-}
-
 function refuse (message: CheckRequest, failure: Failure): AdmissionStep {
-  return { ...UNCHANGED, effects: [tell({ kind: 'requests/failed', caller: message.caller, attempt: message.attempt, failure })] }
+  return { effects: [tell({ kind: 'requests/failed', caller: message.caller, attempt: message.attempt, failure })] }
 }
--- a/src/admission/messages.ts
+++ b/src/admission/messages.ts
@@ -1,6 +1,7 @@
 /** Messages of the admission slice: keys, workspaces, rates. */
 import type { DocumentEntry } from '../membership/directory.js'
 import type { WorkName } from '../requests/messages.js'
+import type { HeldShare } from '../shares/messages.js'
 
 /** A caller wants in. */
 export interface CheckOpen {
@@ -29,11 +30,56 @@
   readonly kind: 'admission/documents-confirmed'
   /** Absent when nothing changed since the last time. */
   readonly documents?: readonly DocumentEntry[]
-  /** How many hosts share a workspace's rate. */
-  readonly hosts: number
   /** The monotonic time at which this host asked. */
   readonly askedAtMs: number
 }
 
+/** The control hosts' leader changed, as far as this host knows. */
+export interface LeaderChanged {
+  readonly kind: 'admission/leader-changed'
+  readonly leader: string | undefined
+  readonly epoch: number
+}
+
+/** Time to renew the lease on shares and to tell the demand. */
+export interface AskDue {
+  readonly kind: 'admission/ask-due'
+}
+
+/** The leader renews the lease, and tells the shares that changed. */
+export interface SharesAnswered {
+  readonly kind: 'admission/shares-answered'
+  readonly holder: string
+  readonly epoch: number
+  readonly round: number
+  /** Every share that changed since the answer that the host last had in force. */
+  readonly shares: readonly HeldShare[]
+}
+
+/** The leader lends tokens of the reserve; none when it has none. */
+export interface Lent {
+  readonly kind: 'admission/lent'
+  readonly holder: string
+  readonly loan: number
+  readonly workspace: string
+  readonly tokens: number
+}
+
+/** A loan was not answered in time. */
+export interface LoanOverdue {
+  readonly kind: 'admission/loan-overdue'
+  readonly holder: string
+  readonly loan: number
+  readonly workspace: string
+}
+
 /** Any message of the admission slice. */
-export type AdmissionMessage = CheckOpen | CheckRequest | DocumentsConfirmed
+export type AdmissionMessage =
+  | CheckOpen
+  | CheckRequest
+  | DocumentsConfirmed
+  | LeaderChanged
+  | AskDue
+  | SharesAnswered
+  | Lent
+  | LoanOverdue
--- a/src/daemon/slices.ts
+++ b/src/daemon/slices.ts
@@ -1,7 +1,7 @@
 /** The slices of a host. */
-import { createAdmissionShared, decideAdmission } from '../admission/decide.js'
+import { decideAdmission } from '../admission/decide.js'
+import { checkAllowance, createAdmissionShared } from '../admission/state.js'
 import { createAgreementState, decideAgreement } from '../agreement/decide.js'
-import { checkBucket } from '../admission/bucket.js'
 import { DecidingSlice, type Slice } from '../core/slice.js'
 import { StoreSlice } from '../core/store.js'
 import { createDocumentsState, decideDocuments } from '../documents/decide.js'
@@ -13,6 +13,8 @@
 import { createRequestsShared } from '../requests/state.js'
 import { decideRouting } from '../routing/decide.js'
 import { createRoutingState } from '../routing/state.js'
+import { decideShares } from '../shares/decide.js'
+import { checkSharesItem, createSharesShared } from '../shares/state.js'
 import type { Settings } from '../settings/settings.js'
 import { decideTransactions } from '../transactions/decide.js'
 
@@ -23,7 +25,7 @@
 export function createSlices (settings: Settings): readonly Slice[] {
   const { host, failureDomain, limits } = settings
   return [
-    StoreSlice.create({ name: 'admission', shared: createAdmissionShared(), decide: decideAdmission, checkItem: checkBucket }),
+    StoreSlice.create({ name: 'admission', shared: createAdmissionShared(), decide: decideAdmission, checkItem: checkAllowance }),
     DecidingSlice.create({ name: 'agreement', initial: createAgreementState(), decide: decideAgreement }),
     DecidingSlice.create({ name: 'documents', initial: createDocumentsState(), decide: decideDocuments }),
     DecidingSlice.create({ name: 'membership', initial: createMembershipState(), decide: decideMembership }),
@@ -31,6 +33,7 @@
     DecidingSlice.create({ name: 'primacy', initial: createPrimacyState(), decide: decidePrimacy }),
     StoreSlice.create({ name: 'requests', shared: createRequestsShared(limits.requestMs), decide: decideRequests }),
     DecidingSlice.create({ name: 'routing', initial: createRoutingState(host, failureDomain), decide: decideRouting }),
+    StoreSlice.create({ name: 'shares', shared: createSharesShared(), decide: decideShares, checkItem: checkSharesItem }),
     StoreSlice.create({ name: 'transactions', shared: { queueLength: limits.queueLength }, decide: decideTransactions })
   ]
 }
--- a/src/membership/decide.ts
+++ b/src/membership/decide.ts
@@ -51,7 +51,12 @@
 function followLeader (state: MembershipState, message: LeaderChanged): MembershipStep {
   const following: MembershipState = { ...state, leader: message.leader, epoch: message.epoch, leading: undefined }
   const leads = message.leader !== undefined && message.leader === state.self?.host
-  return leads ? startLeading(following, message.epoch) : keep(following)
+  const step = leads ? startLeading(following, message.epoch) : keep(following)
+  return { state: step.state, effects: [...tellLeader(message, leads), ...step.effects] }
+}
+
+function tellLeader ({ leader, epoch }: LeaderChanged, leads: boolean): readonly CoreEffect[] {
+  return [tell({ kind: 'shares/leadership', leads, epoch }), tell({ kind: 'admission/leader-changed', leader, epoch })]
 }
 
 function sendBeat (state: MembershipState, moment: Moment): MembershipStep {
@@ -83,7 +88,7 @@
   const { directory } = state
   const documents = changed ? listEntries(directory, 'document') : undefined
   return [
-    tell({ kind: 'admission/documents-confirmed', documents, hosts: listEntries(directory, 'host').length, askedAtMs }),
+    tell({ kind: 'admission/documents-confirmed', documents, askedAtMs }),
     tell({ kind: 'requests/grants-confirmed', grants: listEntries(directory, 'grant'), askedAtMs }),
     tell({ kind: 'routing/grants-confirmed', askedAtMs })
   ]
--- a/src/messages.ts
+++ b/src/messages.ts
@@ -8,6 +8,7 @@
 import type { PrimacyMessage } from './primacy/messages.js'
 import type { RequestsMessage } from './requests/messages.js'
 import type { RoutingMessage } from './routing/messages.js'
+import type { SharesMessage } from './shares/messages.js'
 import type { TransactionsMessage } from './transactions/messages.js'
 
 /** Any message of a host. */
@@ -20,6 +21,7 @@
   | PrimacyMessage
   | RequestsMessage
   | RoutingMessage
+  | SharesMessage
   | TransactionsMessage
 
 /** Puts a message into the inbox of a host's loop. */
--- /dev/null
+++ b/src/shares/decide.ts
@@ -0,0 +1,172 @@
+/**
+ * Decisions of the shares slice, taken by the leader: it leases parts of each workspace's rate
+ * and burst to the hosts where its requests arrive, and lends tokens from what is left.
+ *
+ * A part is given to a host only while no other host may hold it: until the host that gave it
+ * up has confirmed that, or its lease has surely run out.
+ */
+import type { CoreEffect, Moment } from '../core/message.js'
+import { UNCHANGED, type Store, type StoreStep } from '../core/store.js'
+import { sendPeer, setTimer } from '../messages.js'
+import type { Asked, HeldShare, Leadership, LimitsChanged, SharesMessage, Wanted } from './messages.js'
+import { changeCommitted, chooseParts, createAllotment, endLoans, giveTokens, refillReserve } from './reserve.js'
+import { LEASE_SLACK_MS, SHARE_LEASE_MS, TOTAL_PARTS, readCommitted, type Allotment, type Grant, type Holder, type KnownLimit, type Share, type SharesItem, type SharesShared } from './state.js'
+
+const SWEEP_EVERY_MS = 250
+/** A workspace that no document names any more: nothing is given of it. */
+const NO_LIMIT = { rate: 0, burst: 0, sinceMs: 0 }
+const NO_SHARE: Share = { perSecond: 0, grants: [] }
+
+type SharesStore = Store<SharesShared, SharesItem>
+type SharesStep = StoreStep<SharesShared, SharesItem, CoreEffect>
+
+interface ShareStep {
+  readonly allotment: Allotment
+  readonly share: Share
+}
+
+/**
+ * Decides on one message of the shares slice.
+ * @example decideShares(store, { kind: 'shares/leadership', leads: true, epoch: 3 }, moment)
+ */
+export function decideShares (store: SharesStore, message: SharesMessage, moment: Moment): SharesStep {
+  switch (message.kind) {
+    case 'shares/leadership': return takeLeadership(store, message, moment)
+    case 'shares/limits-changed': return takeLimits(store, message, moment)
+    case 'shares/asked': return answerAsked(store, message, moment)
+    case 'shares/wanted': return answerWanted(store, message, moment)
+    case 'shares/sweep-due': return sweepHolders(store, moment)
+  }
+}
+
+// What hosts hold of the leader before is in use until it ran out, so a new leader
+// starts with renewals only.
+function takeLeadership (store: SharesStore, message: Leadership, moment: Moment): SharesStep {
+  const { leads, epoch } = message
+  const dropped = [...store.items.keys()].map(key => [key, undefined] as const)
+  const quietUntilMs = moment.monotonicMs + SHARE_LEASE_MS + LEASE_SLACK_MS
+  return { shared: { ...store.shared, leads, epoch, quietUntilMs }, changes: dropped, effects: leads ? [createSweepTimer()] : [] }
+}
+
+function takeLimits (store: SharesStore, message: LimitsChanged, moment: Moment): SharesStep {
+  const limits = new Map([...store.shared.limits].filter(([workspace]) => !workspace.startsWith(`${message.service}/`)))
+  for (const limit of message.limits) {
+    limits.set(limit.workspace, { ...limit, sinceMs: store.shared.limits.get(limit.workspace)?.sinceMs ?? moment.monotonicMs })
+  }
+  return { shared: { ...store.shared, limits }, effects: [] }
+}
+
+function answerAsked (store: SharesStore, message: Asked, moment: Moment): SharesStep {
+  const { shared } = store
+  if (!shared.leads || message.epoch !== shared.epoch || message.from === undefined) return UNCHANGED
+  const known = store.items.get(`holder/${message.holder}`) as Holder | undefined
+  // A holder that this leader has dropped must start from nothing.
+  if (known === undefined ? message.applied > 0 : message.round <= known.round) return UNCHANGED
+  const perSecond = new Map(message.demands.map(demand => [demand.workspace, demand.perSecond]))
+  const held = new Map(known === undefined ? message.held?.map(share => [share.workspace, share.parts]) : [])
+  const steps = [...new Set([...known?.shares.keys() ?? [], ...perSecond.keys(), ...held.keys()])].map(workspace => {
+    const share = known?.shares.get(workspace) ?? NO_SHARE
+    const asked = { round: message.round, applied: message.applied, perSecond: perSecond.get(workspace) ?? share.perSecond, held: held.get(workspace) ?? 0 }
+    return updateShare(store, workspace, share, asked, moment)
+  })
+  const shares = new Map(steps.filter(step => isUsed(step.share)).map(step => [step.allotment.workspace, step.share]))
+  const holder: Holder = { kind: 'holder', holder: message.holder, round: message.round, answeredAtMs: moment.monotonicMs, shares }
+  const answer = sendPeer(message.from, { kind: 'admission/shares-answered', holder: message.holder, epoch: shared.epoch, round: message.round, shares: listUnconfirmed(steps, message.applied) })
+  return { changes: [...steps.map(step => createChange(step.allotment)), [`holder/${message.holder}`, holder]], effects: [answer] }
+}
+
+interface AskedShare {
+  readonly round: number
+  readonly applied: number
+  readonly perSecond: number
+  readonly held: number
+}
+
+function updateShare (store: SharesStore, workspace: string, share: Share, asked: AskedShare, moment: Moment): ShareStep {
+  const limit = findLimit(store.shared, workspace)
+  const before = refillReserve(findAllotment(store, workspace, limit), limit, moment.monotonicMs)
+  const confirmed: Share = { perSecond: asked.perSecond, grants: keepUnconfirmed(share.grants, asked.applied) }
+  const settled = applyShare(before, limit, share, confirmed)
+  const parts = moment.monotonicMs < store.shared.quietUntilMs
+    ? Math.max(readCurrent(confirmed), Math.min(asked.held, TOTAL_PARTS - settled.committed))
+    : chooseParts(settled, limit, { perSecond: asked.perSecond, held: readCommitted(confirmed), current: readCurrent(confirmed) })
+  if (parts === readCurrent(confirmed)) return { allotment: settled, share: confirmed }
+  const next: Share = { ...confirmed, grants: [...confirmed.grants, { round: asked.round, parts }] }
+  return { allotment: applyShare(settled, limit, confirmed, next), share: next }
+}
+
+// The last grant that the host confirmed, and all after it: it may come to hold any of them.
+function keepUnconfirmed (grants: readonly Grant[], applied: number): readonly Grant[] {
+  const confirmed = grants.filter(grant => grant.round <= applied)
+  return [...confirmed.slice(-1), ...grants.slice(confirmed.length)]
+}
+
+function readCurrent (share: Share): number {
+  return share.grants[share.grants.length - 1]?.parts ?? 0
+}
+
+function isUsed (share: Share): boolean {
+  return share.perSecond > 0 || share.grants.length > 1 || readCommitted(share) > 0
+}
+
+function applyShare (allotment: Allotment, limit: KnownLimit, from: Share, to: Share): Allotment {
+  const perSecond = Math.max(0, allotment.perSecond - from.perSecond + to.perSecond)
+  return changeCommitted({ ...allotment, perSecond }, limit, allotment.committed - readCommitted(from) + readCommitted(to))
+}
+
+function listUnconfirmed (steps: readonly ShareStep[], applied: number): readonly HeldShare[] {
+  return steps
+    .filter(({ share }) => (share.grants[share.grants.length - 1]?.round ?? 0) > applied)
+    .map(({ allotment, share }) => ({ workspace: allotment.workspace, parts: readCurrent(share) }))
+}
+
+function findLimit (shared: SharesShared, workspace: string): KnownLimit {
+  return shared.limits.get(workspace) ?? { workspace, ...NO_LIMIT }
+}
+
+function findAllotment (store: SharesStore, workspace: string, limit: KnownLimit): Allotment {
+  const known = store.items.get(`workspace/${workspace}`) as Allotment | undefined
+  return known ?? createAllotment(workspace, Math.max(store.shared.quietUntilMs, limit.sinceMs))
+}
+
+function createChange (allotment: Allotment): readonly [string, SharesItem] {
+  return [`workspace/${allotment.workspace}`, allotment]
+}
+
+function answerWanted (store: SharesStore, message: Wanted, moment: Moment): SharesStep {
+  const { shared } = store
+  const { from, workspace, holder, loan } = message
+  const limit = shared.limits.get(workspace)
+  if (!shared.leads || message.epoch !== shared.epoch || from === undefined || limit === undefined) return UNCHANGED
+  if (moment.monotonicMs < shared.quietUntilMs) return { effects: [sendPeer(from, { kind: 'admission/lent', holder, loan, workspace, tokens: 0 })] }
+  const refilled = endLoans(refillReserve(findAllotment(store, workspace, limit), limit, moment.monotonicMs), message)
+  const lent = giveTokens(refilled, limit, message, moment.monotonicMs)
+  return {
+    changes: [createChange(lent.allotment)],
+    effects: [sendPeer(from, { kind: 'admission/lent', holder, loan, workspace, tokens: lent.tokens })]
+  }
+}
+
+function sweepHolders (store: SharesStore, moment: Moment): SharesStep {
+  if (!store.shared.leads) return UNCHANGED
+  const endedBeforeMs = moment.monotonicMs - SHARE_LEASE_MS - LEASE_SLACK_MS
+  const ended = [...store.items.values()].filter((item): item is Holder => item.kind === 'holder' && item.answeredAtMs < endedBeforeMs)
+  const released = new Map<string, Allotment>()
+  for (const { shares } of ended) {
+    for (const [workspace, share] of shares) released.set(workspace, releaseShare(store, released.get(workspace), workspace, share, moment))
+  }
+  return {
+    changes: [...ended.map(holder => [`holder/${holder.holder}`, undefined] as const), ...[...released.values()].map(createChange)],
+    effects: [createSweepTimer()]
+  }
+}
+
+function releaseShare (store: SharesStore, released: Allotment | undefined, workspace: string, share: Share, moment: Moment): Allotment {
+  const limit = findLimit(store.shared, workspace)
+  const before = refillReserve(released ?? findAllotment(store, workspace, limit), limit, moment.monotonicMs)
+  return applyShare(before, limit, share, NO_SHARE)
+}
+
+function createSweepTimer (): CoreEffect {
+  return setTimer('shares/sweep', SWEEP_EVERY_MS, { kind: 'shares/sweep-due' })
+}
--- /dev/null
+++ b/src/shares/reserve.ts
@@ -0,0 +1,108 @@
+/** The reserve of a workspace: what no host holds. Its tokens, and those lent out, stay within its part of the burst. */
+import { assertInvariant } from '../core/invariant.js'
+import type { Wanted } from './messages.js'
+import type { KnownLimit, Allotment } from './state.js'
+import { LOAN_MS, LOAN_SLACK_MS, TOTAL_PARTS } from './state.js'
+
+const MS_PER_SECOND = 1_000
+/** The least that stays in the reserve when demand is high. */
+const RESERVE_PARTS = TOTAL_PARTS / 8
+/** How much more of the rate a host gets than it asks for, while there is enough. */
+const HEADROOM = 1.5
+/** The least burst for which a host gets a share of its own. */
+const USEFUL_TOKENS = 8
+/** A share is left as it is until its target is this many times its size. */
+const GROWS_FROM = 1.25
+/** A share is left as it is until its target is this part of its size. */
+const SHRINKS_FROM = 0.6
+
+/** Tokens for a host, and the reserve without them. */
+export interface Lent {
+  readonly allotment: Allotment
+  readonly tokens: number
+}
+
+/**
+ * Creates the record of a workspace of which nobody holds a share.
+ * @example createAllotment('rota/parish', moment.monotonicMs)
+ */
+export function createAllotment (workspace: string, sinceMs: number): Allotment {
+  return { kind: 'workspace', workspace, committed: 0, perSecond: 0, tokens: 0, countedAtMs: sinceMs, loans: [] }
+}
+
+/**
+ * Adds the tokens that came in since the last count, and forgets loans that surely ran out.
+ * @example refillReserve(allotment, limit, moment.monotonicMs)
+ */
+export function refillReserve (allotment: Allotment, limit: KnownLimit, nowMs: number): Allotment {
+  const elapsedMs = Math.max(0, nowMs - allotment.countedAtMs)
+  const came = elapsedMs * limit.rate * readReserved(allotment) / MS_PER_SECOND
+  const tokens = allotment.tokens + came
+  // Loans that ended within this time still took up room in a part of it.
+  const filled = keepWithinBurst({ ...allotment, tokens, countedAtMs: Math.max(nowMs, allotment.countedAtMs) }, limit)
+  return { ...filled, loans: allotment.loans.filter(loan => loan.endsAtMs > nowMs) }
+}
+
+/**
+ * Forgets the loans that a holder can't use any more, as it asks for a later one.
+ * @example endLoans(allotment, wanted)
+ */
+export function endLoans (allotment: Allotment, wanted: Wanted): Allotment {
+  return { ...allotment, loans: allotment.loans.filter(loan => loan.holder !== wanted.holder || loan.loan >= wanted.loan) }
+}
+
+/**
+ * Changes what hosts may hold; tokens over the new reserve's burst are lost.
+ * @example changeCommitted(allotment, limit, committed)
+ */
+export function changeCommitted (allotment: Allotment, limit: KnownLimit, committed: number): Allotment {
+  return keepWithinBurst({ ...allotment, committed }, limit)
+}
+
+/**
+ * Gives whole tokens as a loan. They count against the reserve until the borrower can't use them any more.
+ * @example giveTokens(refilled, limit, wanted, moment.monotonicMs).tokens // at most wanted.tokens
+ */
+export function giveTokens (allotment: Allotment, limit: KnownLimit, wanted: Wanted, nowMs: number): Lent {
+  const tokens = Math.max(0, Math.min(Math.floor(wanted.tokens), Math.floor(allotment.tokens)))
+  if (tokens === 0) return { allotment, tokens }
+  const loans = [...allotment.loans, { holder: wanted.holder, loan: wanted.loan, tokens, endsAtMs: nowMs + LOAN_MS + LOAN_SLACK_MS }]
+  const next: Allotment = { ...allotment, loans, tokens: allotment.tokens - tokens }
+  assertInvariant(next.tokens + countLent(next) <= readBurst(next, limit) + Number.EPSILON * limit.burst, 'reserve and loans within burst', allotment.workspace)
+  return { allotment: next, tokens }
+}
+
+/**
+ * Chooses the share of a holder by its part of the demand, from what is free.
+ * @param held the most that the holder may hold at present, in parts.
+ * @param current the share that it was last given.
+ * @example chooseParts(allotment, limit, { perSecond: 40, held: 0, current: 0 })
+ */
+export function chooseParts (allotment: Allotment, limit: KnownLimit, holder: { readonly perSecond: number, readonly held: number, readonly current: number }): number {
+  if (holder.perSecond === 0 || limit.rate === 0) return 0
+  const even = (TOTAL_PARTS - RESERVE_PARTS) * holder.perSecond / Math.max(allotment.perSecond, holder.perSecond)
+  const enough = TOTAL_PARTS * HEADROOM * holder.perSecond / limit.rate
+  const reserved = Math.max(RESERVE_PARTS, Math.ceil(TOTAL_PARTS * countLent(allotment) / limit.burst))
+  const free = Math.max(0, TOTAL_PARTS - allotment.committed - reserved) + holder.held
+  const parts = Math.floor(Math.min(even, enough, free))
+  if (parts * limit.burst < USEFUL_TOKENS * TOTAL_PARTS) return 0
+  const near = parts >= holder.current * SHRINKS_FROM && parts <= holder.current * GROWS_FROM
+  return near ? holder.current : parts
+}
+
+function readReserved (allotment: Allotment): number {
+  return (TOTAL_PARTS - allotment.committed) / TOTAL_PARTS
+}
+
+function readBurst (allotment: Allotment, limit: KnownLimit): number {
+  return limit.burst * readReserved(allotment)
+}
+
+function countLent (allotment: Allotment): number {
+  return allotment.loans.reduce((sum, loan) => sum + loan.tokens, 0)
+}
+
+function keepWithinBurst (allotment: Allotment, limit: KnownLimit): Allotment {
+  const room = Math.max(0, readBurst(allotment, limit) - countLent(allotment))
+  return { ...allotment, tokens: Math.min(allotment.tokens, room) }
+}
--- /dev/null
+++ b/src/shares/shares.test.ts
@@ -0,0 +1,102 @@
+import { expect } from 'chai'
+import { RatesWorld, countOver, countRefused, createRandom, type FakeLimit } from '../../test/support/rates.js'
+
+const SEED = 1
+const RUNS = Number(process.env.RATES_RUNS ?? 150)
+const RUN_MS = 8_000
+const HOSTS = ['h1', 'h2', 'h3', 'h4']
+const NO_FAULTS = { dropped: 0, doubled: 0, late: 0 }
+
+/** Nine hosts, most requests at a few of them. */
+const UNEVEN = Array.from({ length: 9 }, (_, index) => ({ host: `h${index + 1}`, weight: index < 2 ? 6 : 1 }))
+
+function pickOne<T> (random: () => number, items: readonly T[]): T {
+  return items[Math.floor(random() * items.length)]!
+}
+
+function runFaulty (seed: number): { readonly limit: FakeLimit, readonly over: number, readonly admitted: number } {
+  const random = createRandom(seed)
+  const limit = { rate: pickOne(random, [20, 60, 200]), burst: pickOne(random, [5, 20, 60, 200]) }
+  const faults = { dropped: pickOne(random, [0, 0.05, 0.3]), doubled: pickOne(random, [0, 0.2]), late: pickOne(random, [0, 0.02, 0.2]) }
+  const world = RatesWorld.create(HOSTS, limit, faults, seed)
+  world.changeLeader('h1', 0)
+  const times = pickOne(random, [1, 3, 6])
+  let busy = [...HOSTS]
+  for (let atMs = 0; atMs < RUN_MS; atMs += -Math.log(1 - random()) * 1_000 / (limit.rate * times)) {
+    world.schedule(atMs, () => world.arrive(pickOne(random, busy)))
+  }
+  for (let atMs = 500; atMs < RUN_MS; atMs += random() * 2_000) world.schedule(atMs, () => runFault(world, random, hosts => { busy = hosts }))
+  world.run(RUN_MS)
+  return { limit, over: countOver(world.decided, limit), admitted: world.decided.filter(one => one.admitted).length }
+}
+
+function runFault (world: RatesWorld, random: () => number, move: (busy: string[]) => void): void {
+  const host = pickOne(random, HOSTS)
+  const forMs = random() * 5_000
+  switch (pickOne(random, ['restart', 'freeze', 'cut', 'lead', 'move', 'move'])) {
+    case 'restart': return world.restart(host)
+    case 'freeze': return world.holdUp(host, forMs)
+    case 'cut': return world.splitOff(host, forMs)
+    case 'lead': return world.changeLeader(host, 1_500)
+    case 'move': return move(HOSTS.filter(() => random() < 0.5).concat(host))
+  }
+}
+
+interface Measured {
+  readonly shares: number
+  readonly fixed: number
+  readonly central: number
+}
+
+// The parts of what was asked that are refused, after the start.
+function runQuiet (limit: FakeLimit, load: number, seed: number): Measured {
+  const random = createRandom(seed)
+  const fromMs = 4_000
+  const untilMs = 64_000
+  const world = RatesWorld.create(UNEVEN.map(({ host }) => host), limit, NO_FAULTS, seed)
+  world.changeLeader('h1', 0)
+  const spread = UNEVEN.flatMap(({ host, weight }) => Array<string>(weight).fill(host))
+  const arrivals: Array<{ readonly host: string, readonly atMs: number }> = []
+  for (let atMs = 0; atMs < untilMs; atMs += -Math.log(1 - random()) * 1_000 / (limit.rate * load)) {
+    const host = pickOne(random, spread)
+    arrivals.push({ host, atMs })
+    world.schedule(atMs, () => world.arrive(host))
+  }
+  world.run(untilMs + 1_000)
+  expect(countOver(world.decided, limit)).to.be.at.most(0)
+  const asked = arrivals.filter(({ atMs }) => atMs >= fromMs).length
+  const refused = world.decided.filter(one => !one.admitted && one.atMs >= fromMs).length
+  return { shares: refused / asked, fixed: countRefused(arrivals, limit, UNEVEN.length, fromMs) / asked, central: countRefused(arrivals, limit, 1, fromMs) / asked }
+}
+
+function formatPart (part: number): string {
+  return `${(100 * part).toFixed(2)}%`
+}
+
+describe('shares of a rate', () => {
+  it(`never admit more than burst and rate in any window, through restarts, leader changes, freezes, cuts and lossy links (seeds ${SEED} to ${SEED + RUNS - 1})`, function () {
+    this.timeout(600_000)
+    let admitted = 0
+    for (let seed = SEED; seed < SEED + RUNS; seed++) {
+      const outcome = runFaulty(seed)
+      admitted += outcome.admitted
+      expect(outcome.over, `seed ${seed}, ${JSON.stringify(outcome.limit)}`).to.be.at.most(0)
+    }
+    expect(admitted).to.be.above(RUNS)
+  })
+
+  const cases: ReadonlyArray<{ readonly limit: FakeLimit, readonly load: number }> = [
+    { limit: { rate: 300, burst: 100 }, load: 0.8 },
+    { limit: { rate: 100, burst: 20 }, load: 0.8 },
+    { limit: { rate: 20, burst: 10 }, load: 0.6 }
+  ]
+  for (const { limit, load } of cases) {
+    it(`refuse almost nothing within a rate of ${limit.rate} and a burst of ${limit.burst} at ${100 * load}% load, against fixed shares and one central bucket`, function () {
+      this.timeout(120_000)
+      const measured = runQuiet(limit, load, SEED)
+      this.test!.title += ` (refused: shares ${formatPart(measured.shares)}, fixed ${formatPart(measured.fixed)}, central ${formatPart(measured.central)})`
+      expect(measured.shares).to.be.at.most(measured.central + 0.01)
+      expect(measured.shares).to.be.below(measured.fixed)
+    })
+  }
+})
