--- a/standin/main.ts
+++ b/standin/main.ts
@@ -5,6 +5,7 @@
 import { Command } from 'commander'
 import { Announcements } from '../src/gen/fulmartally_pb.js'
 import { StandInDatabase } from './database.js'
+import { FileJournal, MemoryJournal } from './journal.js'
 import { Replication } from './replication.js'
 import { StandInServer } from './server.js'
 
@@ -15,6 +16,7 @@
   readonly group: string
   readonly failureDomain: string
   readonly port: string
+  readonly advertise?: string
   readonly hosts: string
   readonly slots: string
   readonly connections: string
@@ -24,6 +26,7 @@
   readonly primary?: boolean
   readonly follow?: string
   readonly secrets: string
+  readonly data?: string
 }
 
 const program = new Command('standin')
@@ -32,6 +35,7 @@
   .requiredOption('--group <name>', 'its group')
   .requiredOption('--failure-domain <name>', 'its failure domain')
   .option('--port <port>', 'the port on loopback; 0 lets the system pick', '0')
+  .option('--advertise <address>', 'the address to announce, when others reach it by another one')
   .option('--hosts <list>', 'peers\' addresses of the hosts to announce to, with commas', '')
   .option('--slots <count>', 'statements at one time', '3')
   .option('--connections <count>', 'the limit of connections', '20')
@@ -40,15 +44,17 @@
   .option('--lag-ms <ms>', 'how far replication stays behind', '10')
   .option('--primary', 'starts as the primary of term 1')
   .option('--follow <address>', 'starts as a replica of this database')
+  .option('--data <folder>', 'keeps its log and role in this folder over restarts')
   .option('--secrets <list>', 'texts that must never arrive, with commas', '')
 
 program.parse()
 await run(program.opts<Options>())
 
 async function run (options: Options): Promise<void> {
-  const database = StandInDatabase.create({ name: options.name, group: options.group, slots: Number(options.slots), statementMs: Number(options.statementMs) })
-  if (options.primary === true) database.promote(1)
-  if (options.follow !== undefined) database.follow(1, options.follow)
+  const journal = options.data === undefined ? MemoryJournal.create() : await FileJournal.create(options.data)
+  const database = StandInDatabase.create({ name: options.name, group: options.group, slots: Number(options.slots), statementMs: Number(options.statementMs) }, journal)
+  if (journal.recovered.length === 0) startRole(database, options)
+  await database.awaitSynced()
   const server = StandInServer.create(database, {
     connections: Number(options.connections),
     connectMs: Number(options.connectMs),
@@ -56,11 +62,18 @@
   })
   const address = await server.listen(Number(options.port))
   Replication.create(database, Number(options.lagMs))
-  announce(database, options, address)
+  announce(database, options, options.advertise ?? address)
   console.log(JSON.stringify({ ready: { address } }))
   process.once('SIGTERM', () => process.exit(0))
 }
 
+function startRole (database: StandInDatabase, options: Options): void {
+  if (options.follow !== undefined) database.follow(1, options.follow)
+  if (options.primary !== true) return
+  database.fence(1)
+  database.promote(1)
+}
+
 function announce (database: StandInDatabase, options: Options, address: string): void {
   const clients = splitList(options.hosts).map(host => createClient(Announcements, createConnectTransport({ baseUrl: `http://${host}`, httpVersion: '2' })))
   const send = (): void => {
