Ends open connections whose key was withdrawn

Cause: a withdrawn key was refused at the next request only; an idle connection and an open transaction stayed. A host could also go back to an earlier document when a new leader's directory lacked it, and a statement that named an open route inside a workspace's transaction ran without a key check. Change: admission keeps the keyed connections of each service in a read-only sorted map and tells, on a changed document, just those whose key no longer stands. An idle connection ends at once, an open transaction is rolled back, a request that has not left is refused as not run; one that runs at a database may finish, its caller gets the answer, and then the connection ends. Documents never go back, and a leader that lacks one confirms nothing. Open routes run for no workspace. Ruled out: walking all callers on each change (cost would follow the host's connections); dropping documents that the leader does not name.

--- a/src/admission/decide.ts
+++ b/src/admission/decide.ts
@@ -2,11 +2,13 @@
 import { Result } from 'true-myth'
 import { createFailure, type Failure } from '../core/errors.js'
 import type { CoreEffect, Moment } from '../core/message.js'
+import type { DocumentEntry } from '../membership/directory.js'
 import type { ServiceDocument, Workspace } from '../documents/document.js'
 import type { RouteRules } from '../requests/messages.js'
+import { addCaller, checkCallers, dropCaller, type Checked, type KeyedCallers } from './callers.js'
 import { holdsKey } from './keys.js'
 import { askShares, followLeader, takeShares } from './lease.js'
-import type { AdmissionMessage, CheckOpen, CheckRequest, DocumentsConfirmed } from './messages.js'
+import type { AdmissionMessage, CallerClosed, CheckOpen, CheckRequest, DocumentsConfirmed } from './messages.js'
 import { admit, endOverdue, takeLent, takeToken, type AdmissionStep, type AdmissionStore } from './rates.js'
 import type { AdmissionShared } from './state.js'
 import { tell } from '../messages.js'
@@ -25,6 +27,7 @@
     case 'admission/check-open': return checkOpen(store.shared, message, moment)
     case 'admission/check-request': return checkRequest(store, message, moment)
     case 'admission/documents-confirmed': return takeDocuments(store, message)
+    case 'admission/caller-closed': return closeCaller(store.shared, message)
     case 'admission/leader-changed': return followLeader(store, message, moment)
     case 'admission/ask-due': return askShares(store, moment)
     case 'admission/shares-answered': return takeShares(store, message, moment)
@@ -33,17 +36,31 @@
   }
 }
 
-function takeDocuments (store: AdmissionStore, message: DocumentsConfirmed): AdmissionStep {
-  const { shared } = store
-  const confirmedAtMs = Math.max(shared.confirmedAtMs ?? message.askedAtMs, message.askedAtMs)
-  if (message.documents === undefined) return { shared: { ...shared, confirmedAtMs }, effects: [] }
-  const documents = new Map(message.documents.map(entry => [entry.service, entry]))
-  const changed = message.documents.filter(entry => shared.documents.get(entry.service)?.version !== entry.version)
-  const gone = [...shared.documents.keys()].filter(service => !documents.has(service))
-  return {
-    shared: { ...shared, documents, confirmedAtMs },
-    effects: [...changed.map(entry => tellLimits(entry.service, entry.document.workspaces)), ...gone.map(service => tellLimits(service, []))]
-  }
+// A document in force never goes back to an earlier version. A leader that does not yet
+// hold all that this host holds can't confirm it either.
+function takeDocuments ({ shared }: AdmissionStore, message: DocumentsConfirmed): AdmissionStep {
+  const received = new Map((message.documents ?? []).map(entry => [entry.service, entry]))
+  const complete = message.documents === undefined
+    ? shared.complete
+    : [...shared.documents.values()].every(known => (received.get(known.service)?.version ?? 0) >= known.version)
+  const confirmedAtMs = complete ? Math.max(shared.confirmedAtMs ?? message.askedAtMs, message.askedAtMs) : shared.confirmedAtMs
+  const changed = [...received.values()].filter(entry => entry.version > (shared.documents.get(entry.service)?.version ?? 0))
+  if (changed.length === 0) return { shared: { ...shared, complete, confirmedAtMs }, effects: [] }
+  const documents = new Map([...shared.documents, ...changed.map(entry => [entry.service, entry] as const)])
+  const checked = checkChanged(shared.callers, changed)
+  const limits = changed.map(entry => tellLimits(entry.service, entry.document.workspaces))
+  return { shared: { ...shared, documents, complete, confirmedAtMs, callers: checked.callers }, effects: [...limits, ...checked.effects] }
+}
+
+function checkChanged (callers: KeyedCallers, changed: readonly DocumentEntry[]): Checked {
+  return changed.reduce<Checked>((left, { service, document }) => {
+    const next = checkCallers(left.callers, service, document)
+    return { callers: next.callers, effects: [...left.effects, ...next.effects] }
+  }, { callers, effects: [] })
+}
+
+function closeCaller (shared: AdmissionShared, message: CallerClosed): AdmissionStep {
+  return { shared: { ...shared, callers: dropCaller(shared.callers, message.service, message.caller) }, effects: [] }
 }
 
 function tellLimits (service: string, workspaces: readonly Workspace[]): CoreEffect {
@@ -52,8 +69,11 @@
 }
 
 function checkOpen (shared: AdmissionShared, message: CheckOpen, moment: Moment): AdmissionStep {
+  const { caller, service, workspace, keyHash } = message
   const failure = findOpenFailure(shared, message, moment)
-  return { effects: [tell({ kind: 'requests/open-checked', caller: message.caller, failure })] }
+  const effects = [tell({ kind: 'requests/open-checked', caller, failure })]
+  if (failure !== undefined || workspace === undefined || keyHash === undefined) return { effects }
+  return { shared: { ...shared, callers: addCaller(shared.callers, service, { caller, workspace, keyHash }) }, effects }
 }
 
 function findOpenFailure (shared: AdmissionShared, message: CheckOpen, moment: Moment): Failure | undefined {
@@ -83,13 +103,18 @@
   return takeToken(store, message.service, workspace, { caller: message.caller, attempt: message.attempt, rules }, moment)
 }
 
+// What runs in a workspace's transaction needs its key, whichever route it names.
+function isKeyedTransaction (message: CheckRequest): boolean {
+  return message.inTransaction && message.workspace !== undefined
+}
+
 function findPermission (shared: AdmissionShared, message: CheckRequest, moment: Moment): Result<Permission, Failure> {
   const document = shared.documents.get(message.service)?.document
   if (document === undefined) return Result.err(createFailure('unknown-service', message.service))
   const route = message.route === undefined ? undefined : document.routes.find(candidate => candidate.name === message.route)
   if (message.route !== undefined && route === undefined) return Result.err(createFailure('unknown-route', message.route))
-  if (route?.access === 'open') {
-    return Result.ok({ rules: { group: route.group!, action: route.action, maxStalenessMs: route.maxStalenessMs, idempotent: route.idempotent } })
+  if (route?.access === 'open' && !isKeyedTransaction(message)) {
+    return Result.ok({ rules: { group: route.group!, action: route.action, maxStalenessMs: route.maxStalenessMs, idempotent: route.idempotent, open: true } })
   }
   if (message.workspace === undefined) return Result.err(createFailure('key-needed', message.route ?? ''))
   return checkKey(shared, document, message.workspace, message.keyHash, moment).map(workspace => ({
--- /dev/null
+++ b/src/admission/keys.test.ts
@@ -0,0 +1,89 @@
+import { expect } from 'chai'
+import { StoreSlice } from '../core/store.js'
+import { parseDocument, type ServiceDocument } from '../documents/document.js'
+import { decideAdmission } from './decide.js'
+import { createKey } from './keys.js'
+import { checkAllowance, createAdmissionShared } from './state.js'
+import type { AdmissionMessage } from './messages.js'
+
+const LEASE_MS = 2_000
+const FIRST = createKey()
+const SECOND = createKey()
+
+function createDocument (service: string, hashes: readonly string[]): ServiceDocument {
+  const text = JSON.stringify({
+    service,
+    owners: ['ana'],
+    authorityLeaseMs: LEASE_MS,
+    groups: [{ name: 'a', databases: 3 }],
+    workspaces: [{ name: 'parish', rate: 10, burst: 10, group: 'a', keys: hashes.map((sha256, index) => ({ id: `k${index}`, sha256 })) }],
+    routes: [{ name: 'view', access: 'open', action: 'read', group: 'a' }]
+  })
+  return parseDocument(text).unwrapOr(undefined as never)
+}
+
+class FakeHost {
+  readonly #slice = StoreSlice.create({ name: 'admission', shared: createAdmissionShared(), decide: decideAdmission, checkItem: checkAllowance })
+
+  static create (): FakeHost {
+    return new FakeHost()
+  }
+
+  /** Hands in a message and returns what it tells the requests slice. */
+  take (message: AdmissionMessage, atMs = 0): ReadonlyArray<{ readonly kind: string, readonly caller?: string, readonly failure?: { readonly code: string, readonly effect: string } }> {
+    const effects = this.#slice.take(message, { monotonicMs: atMs, wallMs: atMs, random: 0.5 })
+    return effects.map(effect => (effect as unknown as { message: { kind: string } }).message).filter(told => told?.kind.startsWith('requests/'))
+  }
+
+  publish (version: number, hashes: readonly string[], atMs = 0): ReturnType<FakeHost['take']> {
+    const documents = ['rota', 'other'].map(service => ({ kind: 'document' as const, service, version: service === 'rota' ? version : 1, document: createDocument(service, service === 'rota' ? hashes : [FIRST.sha256]) }))
+    return this.take({ kind: 'admission/documents-confirmed', documents, askedAtMs: atMs }, atMs)
+  }
+
+  open (caller: string, service: string, keyHash: string, atMs = 0): string | undefined {
+    return this.take({ kind: 'admission/check-open', caller, service, workspace: 'parish', keyHash }, atMs)[0]!.failure?.code
+  }
+
+  ask (keyHash: string, route: string | undefined, atMs: number, inTransaction = route === undefined): string | undefined {
+    const [told] = this.take({ kind: 'admission/check-request', caller: 'c', attempt: 1, service: 'rota', workspace: 'parish', keyHash, route, action: 'read', inTransaction }, atMs)
+    return told!.failure?.code
+  }
+}
+
+describe('keys', () => {
+  it('tells just the callers of a changed document whose key no longer stands', () => {
+    const host = FakeHost.create()
+    host.publish(1, [FIRST.sha256, SECOND.sha256])
+    host.open('first', 'rota', FIRST.sha256)
+    host.open('second', 'rota', SECOND.sha256)
+    host.open('elsewhere', 'other', FIRST.sha256)
+    host.open('gone', 'rota', FIRST.sha256)
+    host.take({ kind: 'admission/caller-closed', caller: 'gone', service: 'rota' })
+    const told = host.publish(2, [SECOND.sha256])
+    expect(told.map(({ kind, caller }) => [kind, caller])).to.deep.equal([['requests/key-withdrawn', 'first']])
+    expect(told[0]!.failure).to.include({ code: 'wrong-key', effect: 'not-run' })
+    expect(host.ask(FIRST.sha256, undefined, 1)).to.equal('wrong-key')
+    expect(host.ask(SECOND.sha256, undefined, 1)).to.equal(undefined)
+  })
+
+  it('never goes back to an earlier document, and confirms nothing by a leader that lacks one', () => {
+    const host = FakeHost.create()
+    host.publish(2, [SECOND.sha256])
+    host.publish(1, [FIRST.sha256], LEASE_MS)
+    host.take({ kind: 'admission/documents-confirmed', askedAtMs: LEASE_MS }, LEASE_MS)
+    expect(host.ask(FIRST.sha256, undefined, LEASE_MS)).to.equal('wrong-key')
+    expect(host.ask(SECOND.sha256, undefined, LEASE_MS + 1)).to.equal('no-authority')
+    host.publish(3, [SECOND.sha256], LEASE_MS)
+    expect(host.ask(SECOND.sha256, undefined, LEASE_MS + 1)).to.equal(undefined)
+  })
+
+  it('refuses keyed requests and serves open routes once its knowledge is too old', () => {
+    const host = FakeHost.create()
+    host.publish(1, [FIRST.sha256])
+    expect(host.ask(FIRST.sha256, undefined, LEASE_MS)).to.equal(undefined)
+    expect(host.ask(FIRST.sha256, undefined, LEASE_MS + 1)).to.equal('no-authority')
+    expect(host.open('late', 'rota', FIRST.sha256, LEASE_MS + 1)).to.equal('no-authority')
+    expect(host.ask(FIRST.sha256, 'view', LEASE_MS + 1)).to.equal(undefined)
+    expect(host.ask(FIRST.sha256, 'view', LEASE_MS + 1, true)).to.equal('no-authority')
+  })
+})
--- a/src/admission/messages.ts
+++ b/src/admission/messages.ts
@@ -12,6 +12,13 @@
   readonly keyHash?: string
 }
 
+/** A caller that came with a key left. */
+export interface CallerClosed {
+  readonly kind: 'admission/caller-closed'
+  readonly caller: string
+  readonly service: string
+}
+
 /** A request wants to pass. */
 export interface CheckRequest extends WorkName {
   readonly kind: 'admission/check-request'
@@ -77,6 +84,7 @@
 export type AdmissionMessage =
   | CheckOpen
   | CheckRequest
+  | CallerClosed
   | DocumentsConfirmed
   | LeaderChanged
   | AskDue
--- a/src/admission/state.ts
+++ b/src/admission/state.ts
@@ -3,6 +3,7 @@
 import type { DocumentEntry } from '../membership/directory.js'
 import type { RouteRules, WorkName } from '../requests/messages.js'
 import type { Bucket } from './bucket.js'
+import { createKeyedCallers, type KeyedCallers } from './callers.js'
 
 /** This host's lease on its shares. */
 export interface Lease {
@@ -25,9 +26,13 @@
 /** What admission knows of all services. */
 export interface AdmissionShared {
   readonly documents: ReadonlyMap<string, DocumentEntry>
+  /** False while the leader's account lacks a document that this host holds. */
+  readonly complete: boolean
   /** When this host last asked and was confirmed; undefined before the first time. */
   readonly confirmedAtMs?: number
   readonly lease: Lease
+  /** Open connections that came with a key. */
+  readonly callers: KeyedCallers
 }
 
 /** A request that waits for tokens of the reserve. */
@@ -67,7 +72,7 @@
  */
 export function createAdmissionShared (): AdmissionShared {
   const lease: Lease = { epoch: 0, holder: '', round: 0, applied: 0, endsAtMs: 0, askedAtMs: new Map(), countedAtMs: 0, loans: 0 }
-  return { documents: new Map(), lease }
+  return { documents: new Map(), complete: true, lease, callers: createKeyedCallers() }
 }
 
 /**
--- a/src/requests/decide.ts
+++ b/src/requests/decide.ts
@@ -7,6 +7,7 @@
 import type { Admitted, Arrived, Drained, Finished, GrantsConfirmed, Open, OpenChecked, Output, PeerLost, RequestsMessage, Routed, SessionSet, WorkName } from './messages.js'
 import { MAX_RETRIES, RETRIES_PER_SUCCESS, type Caller, type OpenTransaction, type RequestsShared, type Running } from './state.js'
 import { createCancel, createFinished, createTimersCleared, readStatus, replaceCaller, type RequestsEffect, type RequestsStep, type RequestsStore } from './step.js'
+import { createCallerClosed, endWithdrawn, withdrawKey } from './withdrawal.js'
 import { sendPeer, setTimer, tell } from '../messages.js'
 
 /** How long a host may rely on a grant after it asked for its confirmation. */
@@ -19,6 +20,10 @@
  * @example decideRequests(store, { kind: 'requests/closed', caller: 'c1' }, moment)
  */
 export function decideRequests (store: RequestsStore, message: RequestsMessage, moment: Moment): RequestsStep {
+  return endWithdrawn(decideMessage(store, message, moment))
+}
+
+function decideMessage (store: RequestsStore, message: RequestsMessage, moment: Moment): RequestsStep {
   switch (message.kind) {
     case 'requests/open': return open(message)
     case 'requests/grants-confirmed': return holdGrants(store, message)
@@ -46,6 +51,7 @@
     case 'requests/output': return decideForRunning(caller, message, running => output(caller, running, message))
     case 'requests/finished': return decideForRunning(caller, message, running => finish(store.shared, caller, running, message, moment))
     case 'requests/deadline-passed': return caller.running?.request === message.request ? passDeadline(caller, caller.running) : UNCHANGED
+    case 'requests/key-withdrawn': return withdrawKey(caller, message)
     case 'requests/overdue': return failAcknowledgement(caller)
   }
 }
@@ -151,7 +157,7 @@
     attempt: running.attempt,
     ticket,
     service: caller.service,
-    workspace: caller.workspace,
+    workspace: running.rules?.open === true ? undefined : caller.workspace,
     target,
     intent: running.input.intent,
     transaction: caller.transaction?.began,
@@ -200,7 +206,7 @@
 }
 
 function close (caller: Caller): RequestsStep {
-  return { changes: [[caller.caller, undefined]], effects: [...createTimersCleared(caller.caller), ...createCancel(caller)] }
+  return { changes: [[caller.caller, undefined]], effects: [...createTimersCleared(caller.caller), ...createCancel(caller), ...createCallerClosed(caller)] }
 }
 
 function holdGrants (store: RequestsStore, message: GrantsConfirmed): RequestsStep {
--- a/src/requests/messages.ts
+++ b/src/requests/messages.ts
@@ -24,6 +24,8 @@
   readonly action: 'read' | 'write'
   readonly maxStalenessMs: number
   readonly idempotent: boolean
+  /** True on a route that needs no key: the request runs for no workspace. */
+  readonly open?: boolean
 }
 
 /** Where a request runs. */
@@ -152,6 +154,13 @@
   readonly caller: string
 }
 
+/** The key that a caller brought no longer stands in the document in force. */
+export interface KeyWithdrawn {
+  readonly kind: 'requests/key-withdrawn'
+  readonly caller: string
+  readonly failure: Failure
+}
+
 /** A caller left. */
 export interface Closed {
   readonly kind: 'requests/closed'
@@ -189,5 +198,6 @@
   | RetryDue
   | Overdue
   | Closed
+  | KeyWithdrawn
   | PeerLost
   | GrantsConfirmed
--- a/src/requests/state.ts
+++ b/src/requests/state.ts
@@ -1,4 +1,5 @@
 /** State of the requests slice: one record for each caller's connection. */
+import type { Failure } from '../core/errors.js'
 import type { Session } from '../sessions/token.js'
 import type { GrantEntry } from '../membership/directory.js'
 import type { Ticket } from '../transactions/messages.js'
@@ -53,6 +54,8 @@
   readonly ticket?: Ticket
   readonly transaction?: OpenTransaction
   readonly running?: Running
+  /** Set once the caller's key was withdrawn while a request ran. */
+  readonly withdrawn?: Failure
 }
 
 /** A grant, and the monotonic time at which this host's lease on it ends. */
