Lets a host learn the leader from its answer, and ignore a late one

Cause: hosts without a data folder learned the leader from hints, which only control hosts that do not lead give. With one control host, or while the others are down, a host never took an answered beat: its grants stayed empty (seen in test/badinput.test.ts: no primary for 20 s). Beside it: a late answer of the same epoch set the directory back. Ruled out: formation of the group (the leader had published nothing because host-2 never confirmed). Change: an answer of a later epoch names its leader; an answer behind the directory in force is ignored.

--- /dev/null
+++ b/src/membership/beats.test.ts
@@ -0,0 +1,39 @@
+/** Beats: what a host takes from a leader's answer. */
+import { expect } from 'chai'
+import type { Moment } from '../core/message.js'
+import { decideMembership } from './decide.js'
+import type { GrantEntry, HostEntry } from './directory.js'
+import type { MembershipMessage } from './messages.js'
+import { createMembershipState, type MembershipState } from './state.js'
+
+const SELF: HostEntry = { kind: 'host', host: 'host-2', incarnation: '1', failureDomain: 'east', peers: '', draining: false }
+const createMoment = (monotonicMs: number): Moment => ({ monotonicMs, wallMs: 0, random: 0 })
+const createGrant = (term: number): GrantEntry => ({ kind: 'grant', group: 'g', term, primary: 'db-1', members: ['db-1'] })
+
+const run = (messages: readonly MembershipMessage[]): MembershipState =>
+  messages.reduce((state, message, index) => decideMembership(state, message, createMoment(index * 10)).state, createMembershipState())
+
+const createAnswer = (round: number, epoch: number, count: number): MembershipMessage => ({
+  kind: 'membership/beat-answered',
+  from: 'host-1',
+  round,
+  revision: { epoch, count },
+  changes: [{ key: 'grant/g', count, entry: createGrant(count) }]
+})
+
+describe('beats', () => {
+  const start: MembershipMessage = { kind: 'membership/started', self: SELF, control: ['host-1'] }
+  const beat: MembershipMessage = { kind: 'membership/beat-due' }
+
+  it('learn the leader from its answer, when no other control host can name it', () => {
+    const state = run([start, beat, createAnswer(1, 3, 1)])
+    expect(state).to.include({ leader: 'host-1', epoch: 3 })
+    expect(state.directory.revision).to.deep.equal({ epoch: 3, count: 1 })
+  })
+
+  it('do not take the directory back with a late answer', () => {
+    const state = run([start, beat, beat, createAnswer(2, 3, 5), createAnswer(1, 3, 4)])
+    expect(state.directory.revision.count).to.equal(5)
+    expect(state.directory.changes.get('grant/g')?.entry).to.deep.equal(createGrant(5))
+  })
+})
--- a/src/membership/decide.ts
+++ b/src/membership/decide.ts
@@ -35,7 +35,7 @@
     case 'membership/leader-hint': return takeHint(state, message, moment)
     case 'membership/lease-extended': return takeLease(state, message.untilMs)
     case 'membership/beat-due': return sendBeat(state, moment)
-    case 'membership/beat-answered': return takeAnswer(state, message, moment)
+    case 'membership/beat-answered': return takeLeadersAnswer(state, message, moment)
     case 'membership/announced': return takeAnnouncement(state, message, moment)
     case 'membership/probe-due': return probeOwned(state, moment)
     case 'membership/probed': return takeProbe(state, message)
@@ -83,15 +83,27 @@
   return { state: { ...state, round, askedAtMs }, effects: [...targets.map(target => sendPeer(target, beat)), createBeatTimer()] }
 }
 
+// Only a leader answers, so an answer of a later epoch names its leader too.
+function takeLeadersAnswer (state: MembershipState, message: BeatAnswered, moment: Moment): MembershipStep {
+  if (message.from === undefined || message.revision.epoch <= state.epoch) return takeAnswer(state, message, moment)
+  const hinted = takeHint(state, { kind: 'membership/leader-hint', leader: message.from, epoch: message.revision.epoch }, moment)
+  const taken = takeAnswer(hinted.state, message, moment)
+  return { state: taken.state, effects: [...hinted.effects, ...taken.effects] }
+}
+
 function takeAnswer (state: MembershipState, message: BeatAnswered, moment: Moment): MembershipStep {
   const askedAtMs = state.askedAtMs.get(message.round)
-  if (askedAtMs === undefined || message.revision.epoch !== state.epoch) return keep(state)
+  if (askedAtMs === undefined || message.revision.epoch !== state.epoch || isOutdated(state.directory, message)) return keep(state)
   const changed = message.changes.length > 0 || message.revision.epoch !== state.directory.revision.epoch
   const directory = changed ? applyChanges(state.directory, message.revision, message.changes) : state.directory
   const next: MembershipState = { ...state, directory, answeredAtMs: moment.monotonicMs, statuses: keepOwned(state, directory) }
   return { state: next, effects: [...(changed ? tellChanged(next) : []), ...tellConfirmed(next, changed, askedAtMs)] }
 }
 
+function isOutdated (directory: Directory, { revision }: BeatAnswered): boolean {
+  return revision.epoch === directory.revision.epoch && revision.count < directory.revision.count
+}
+
 function tellConfirmed (state: MembershipState, changed: boolean, askedAtMs: number): readonly CoreEffect[] {
   const { directory } = state
   const documents = changed ? listEntries(directory, 'document') : undefined
--- a/src/membership/messages.ts
+++ b/src/membership/messages.ts
@@ -60,6 +60,8 @@
 /** The leader's answer to a beat. */
 export interface BeatAnswered {
   readonly kind: 'membership/beat-answered'
+  /** The leader; filled in by the receiving host. */
+  readonly from?: string
   readonly round: number
   readonly revision: Revision
   readonly changes: readonly DirectoryChange[]
