--- a/src/cli/system.ts
+++ b/src/cli/system.ts
@@ -2,6 +2,7 @@
 import { Command } from 'commander'
 import type { SystemStatus } from '../membership/operators.js'
 import { callHosts, type GlobalOptions } from './call.js'
+import { CliError, EXIT } from './exits.js'
 import { formatTable } from './table.js'
 import type { Terminal } from './terminal.js'
 
@@ -9,6 +10,19 @@
   readonly local?: boolean
 }
 
+interface MoveOptions extends GlobalOptions {
+  readonly wait?: boolean
+}
+
+interface MoveOutcome {
+  readonly accepted: boolean
+  readonly text?: string
+}
+
+/** How long a planned change of a primary may take, and how often it is looked for. */
+const MOVE_WITHIN_MS = 15_000
+const LOOK_EVERY_MS = 200
+
 /**
  * Creates the command that shows the system.
  * @example program.addCommand(createStatusCommand(terminal))
@@ -50,15 +64,28 @@
     .description('Makes a database the primary of its group; writes wait meanwhile, and none is lost.')
     .argument('<group>', 'the group')
     .argument('<database>', 'the next primary')
-    .addHelpText('after', '\nExample:\n  fulmartally primary move a a2')
+    .option('--wait', 'return only when the database is the primary')
+    .addHelpText('after', '\nExample:\n  fulmartally primary move a a2 --wait')
     .action(async (group: string, database: string, _options: unknown, command: Command) => {
-      const options = command.optsWithGlobals<GlobalOptions>()
-      const outcome = await callHosts(terminal, options, { name: 'primary/move', group, database })
-      terminal.write(options.json === true ? JSON.stringify(outcome) : `Database ${database} is the primary of group ${group}.`)
+      const options = command.optsWithGlobals<MoveOptions>()
+      const outcome = await callHosts<MoveOutcome>(terminal, options, { name: 'primacy/move', group, database })
+      if (options.json === true) terminal.write(JSON.stringify(outcome))
+      if (!outcome.accepted) throw CliError.create(EXIT.refused, outcome.text ?? 'Not accepted.')
+      if (options.wait === true) await waitForPrimary(terminal, options, group, database)
+      if (options.json !== true) terminal.write(`Group ${group} ${options.wait === true ? 'has moved' : 'moves'} to database ${database}.`)
     })
   return new Command('primary').description('Changes primaries.').addCommand(move)
 }
 
+async function waitForPrimary (terminal: Terminal, options: GlobalOptions, group: string, database: string): Promise<void> {
+  for (let waitedMs = 0; waitedMs < MOVE_WITHIN_MS; waitedMs += LOOK_EVERY_MS) {
+    const status = await callHosts<SystemStatus>(terminal, options, { name: 'status' })
+    if (status.groups.some(entry => entry.group === group && entry.primary === database)) return
+    await new Promise(resolve => setTimeout(resolve, LOOK_EVERY_MS))
+  }
+  throw CliError.create(EXIT.tryAgain, `Database ${database} is not yet the primary of group ${group}.`)
+}
+
 /**
  * Writes a status as tables.
  * @example formatStatus(status)
--- a/src/transactions/decide.ts
+++ b/src/transactions/decide.ts
@@ -94,7 +94,7 @@
   const { entry } = database
   const down = database.cooling && database.connections.size === 0
   if (database.leaving || entry.departing || down) return createFailure('no-database', entry.group)
-  if (target.purpose === 'primary' && database.term !== target.term) return createFailure('no-primary', entry.group)
+  if (target.purpose === 'primary' && (database.term !== target.term || database.closing === true)) return createFailure('no-primary', entry.group)
   if (target.purpose === 'replica' && !coversPosition(database.position, target.floor)) return createFailure('no-database', entry.group)
   return undefined
 }
