--- a/src/cli/system.ts
+++ b/src/cli/system.ts
@@ -68,7 +68,7 @@
     .addHelpText('after', '\nExample:\n  fulmartally primary move a a2 --wait')
     .action(async (group: string, database: string, _options: unknown, command: Command) => {
       const options = command.optsWithGlobals<MoveOptions>()
-      const outcome = await callHosts<MoveOutcome>(terminal, options, { name: 'primacy/move', group, database })
+      const outcome = await callHosts<MoveOutcome>(terminal, options, { name: 'primary/move', group, database })
       if (options.json === true) terminal.write(JSON.stringify(outcome))
       if (!outcome.accepted) throw CliError.create(EXIT.refused, outcome.text ?? 'Not accepted.')
       if (options.wait === true) await waitForPrimary(terminal, options, group, database)
--- a/src/operations/commands.ts
+++ b/src/operations/commands.ts
@@ -18,7 +18,7 @@
 /** Lists services with their versions. */
 const ListSchema = v.pipe(v.strictObject({ name: v.literal('document/list') }), v.readonly())
 /** Makes a database the primary of its group. */
-const MoveSchema = v.pipe(v.strictObject({ name: v.literal('primacy/move'), group: ShortName, database: ShortName }), v.readonly())
+const MoveSchema = v.pipe(v.strictObject({ name: v.literal('primary/move'), group: ShortName, database: ShortName }), v.readonly())
 /** Takes a host out of service. */
 const DrainSchema = v.pipe(v.strictObject({ name: v.literal('host/drain'), host: ShortName }), v.readonly())
 /** Shows hosts, databases, groups and the revision in force; with `local`, as the called host knows them. */
--- a/src/operations/decide.ts
+++ b/src/operations/decide.ts
@@ -58,7 +58,6 @@
 function send (leader: string, { operation, requestId, command }: Asked): CoreEffect | AnswerOperator {
   switch (command.name) {
     case 'document/apply': return sendPeer(leader, { kind: 'documents/apply', operation, requestId, text: command.text, version: command.version })
-    case 'primacy/move': return sendPeer(leader, { kind: 'primacy/move', operation, group: command.group, database: command.database })
     case 'status': return sendPeer(leader, { kind: 'membership/status-asked', operation })
     case 'primary/move': return sendPeer(leader, { kind: 'primacy/move', operation, group: command.group, database: command.database })
     default: return answer(operation, { error: 'unknown-command', text: `Command "${command.name}" is not known to this host.` })
--- a/test/cli.test.ts
+++ b/test/cli.test.ts
@@ -21,6 +21,10 @@
   workspaces: [{ name: 'parish', rate: 10, burst: 10, group: 'a', keys: [{ id: 'k1', sha256: KEY.sha256 }] }]
 }
 
+/** Longer than the command line itself waits for a host. */
+const HANGS_AFTER_MS = 25_000
+const hung: string[] = []
+
 interface Ended {
   readonly code: number
   readonly out: string
@@ -28,7 +32,10 @@
 }
 
 const runScript = async (script: string, ...args: readonly string[]): Promise<Ended> => await new Promise(resolve => {
-  execFile(process.execPath, [script, ...args], (error, out, errorText) => resolve({ code: Number(error?.code ?? 0), out, error: errorText }))
+  execFile(process.execPath, [script, ...args], { timeout: HANGS_AFTER_MS }, (error, out, errorText) => {
+    if (error?.killed === true) hung.push(args.join(' '))
+    resolve({ code: Number(error?.code ?? 0), out, error: errorText })
+  })
 })
 
 describe('the command line over processes', () => {
@@ -115,6 +122,10 @@
     expect(logs).to.not.include(KEY.key).and.not.include(KEY.sha256)
   })
 
+  it('never hangs', () => {
+    expect(hung).to.deep.equal([])
+  })
+
   it('does not start a daemon whose settings have findings, and prints them all', async () => {
     const file = join(directory, 'bad.jsonc')
     await writeFile(file, '{ "host": "h 1", "colour": 1, "callers": "nowhere", "peers": "127.0.0.1:0",\n  "operators": "127.0.0.1:99999", "control": [] }')
