--- a/src/cli/documents.ts
+++ b/src/cli/documents.ts
@@ -1,6 +1,7 @@
 /** `apply`, `show` and `list`: documents of services. */
 import { Command, InvalidArgumentError } from 'commander'
 import { formatFindings, type Finding } from '../core/findings.js'
+import type { Force } from '../documents/messages.js'
 import { callHosts, type GlobalOptions } from './call.js'
 import { CliError, EXIT } from './exits.js'
 import { formatTable } from './table.js'
@@ -13,8 +14,8 @@
   /** The version that stands instead. */
   readonly conflict?: number
   readonly findings?: readonly Finding[]
-  /** True when every host has it in force; absent where nobody waited. */
-  readonly inForce?: boolean
+  /** How far the version is in force. */
+  readonly force?: Force
 }
 
 /** A document as it stands. */
@@ -25,7 +26,11 @@
 }
 
 interface ListedDocuments {
-  readonly documents: ReadonlyArray<{ readonly service: string, readonly version: number }>
+  readonly services: ReadonlyArray<{ readonly service: string, readonly version: number, readonly owners: readonly string[] }>
+}
+
+interface ShowOptions extends GlobalOptions {
+  readonly force?: boolean
 }
 
 interface ApplyOptions extends GlobalOptions {
@@ -63,9 +68,11 @@
   return new Command('show')
     .description('Shows the document of a service as its owner wrote it.')
     .argument('<service>', 'the service')
-    .addHelpText('after', '\nExample:\n  fulmartally show rota > rota.jsonc')
+    .option('--force', 'show on which hosts the last version is in force instead')
+    .addHelpText('after', '\nExamples:\n  fulmartally show rota > rota.jsonc\n  fulmartally show rota --force')
     .action(async (service: string, _options: unknown, command: Command) => {
-      const options = command.optsWithGlobals<GlobalOptions>()
+      const options = command.optsWithGlobals<ShowOptions>()
+      if (options.force === true) return await showForce(terminal, options, service)
       const shown = await callHosts<ShownDocument>(terminal, options, { name: 'document/show', service })
       terminal.write(options.json === true ? JSON.stringify(shown) : shown.text)
       if (options.json !== true) terminal.writeError(`Version ${shown.version}.`)
@@ -83,17 +90,34 @@
     .action(async (_options: unknown, command: Command) => {
       const options = command.optsWithGlobals<GlobalOptions>()
       const listed = await callHosts<ListedDocuments>(terminal, options, { name: 'document/list' })
-      const rows = listed.documents.map(({ service, version }) => [service, String(version)])
-      terminal.write(options.json === true ? JSON.stringify(listed) : formatTable(['service', 'version'], rows))
+      const rows = listed.services.map(({ service, version, owners }) => [service, String(version), owners.join(' ')])
+      terminal.write(options.json === true ? JSON.stringify(listed) : formatTable(['service', 'version', 'owners'], rows))
     })
 }
 
-function reportApplied (terminal: Terminal, options: GlobalOptions, file: string, outcome: ApplyOutcome): void {
+async function showForce (terminal: Terminal, options: GlobalOptions, service: string): Promise<void> {
+  const outcome = await callHosts<ApplyOutcome>(terminal, options, { name: 'document/status', service })
+  terminal.write(options.json === true ? JSON.stringify(outcome) : `Version ${outcome.version ?? 'unknown'}${formatForce(outcome.force)}.`)
+}
+
+function reportApplied (terminal: Terminal, options: ApplyOptions, file: string, outcome: ApplyOutcome): void {
   if (options.json === true) terminal.write(JSON.stringify(outcome))
   if (outcome.findings !== undefined) throw CliError.create(EXIT.findings, formatFindings(file, outcome.findings))
   if (!outcome.accepted) throw CliError.create(EXIT.refused, `Not accepted: version ${outcome.conflict ?? 'unknown'} stands.`)
-  const reach = outcome.inForce === undefined ? '' : outcome.inForce ? ' and in force everywhere' : '; not yet in force everywhere'
-  if (options.json !== true) terminal.write(`Accepted as version ${outcome.version ?? 'unknown'}${reach}.`)
+  if (options.json !== true) terminal.write(`Accepted as version ${outcome.version ?? 'unknown'}${formatForce(outcome.force)}.`)
+  const pending = outcome.force?.pending ?? []
+  if (options.wait === true && pending.length > 0) throw CliError.create(EXIT.tryAgain, `Accepted for good, but not yet in force on ${pending.join(', ')}.`)
+}
+
+/**
+ * Writes how far a version is in force.
+ * @example formatForce({ confirmed: ['host-1'], lapsed: [], pending: [] }) // ', in force everywhere'
+ */
+export function formatForce (force: Force | undefined): string {
+  if (force === undefined) return ''
+  const { confirmed, lapsed, pending } = force
+  const cut = lapsed.length === 0 ? '' : `; without authority: ${lapsed.join(', ')}`
+  return pending.length === 0 ? `, in force everywhere${cut}` : `, in force on ${confirmed.length} hosts, pending on ${pending.join(', ')}${cut}`
 }
 
 function parseVersion (text: string): number {
--- a/src/cli/system.ts
+++ b/src/cli/system.ts
@@ -7,6 +7,7 @@
 import type { Terminal } from './terminal.js'
 
 interface StatusOptions extends GlobalOptions {
+  readonly control?: boolean
   readonly local?: boolean
 }
 
@@ -30,10 +31,12 @@
 export function createStatusCommand (terminal: Terminal): Command {
   return new Command('status')
     .description('Shows hosts, databases, groups, documents and the revision in force.')
+    .option('--control', 'what the named control host knows of its group, as JSON')
     .option('--local', 'what the named host has in force, without asking the leader')
     .addHelpText('after', '\nExamples:\n  fulmartally status\n  fulmartally status --local --host 10.0.0.7:6002')
     .action(async (_options: unknown, command: Command) => {
       const options = command.optsWithGlobals<StatusOptions>()
+      if (options.control === true) return terminal.write(JSON.stringify(await callHosts(terminal, options, { name: 'control/status' })))
       const status = await callHosts<SystemStatus>(terminal, options, { name: 'status', local: options.local })
       terminal.write(options.json === true ? JSON.stringify(status) : formatStatus(status))
     })
--- a/src/core/checkedtext.ts
+++ b/src/core/checkedtext.ts
@@ -21,8 +21,8 @@
  * @example parseChecked('{ "host": "a" }', v.strictObject({ host: v.string() }))
  * @returns the checked value, or every finding with line and column.
  */
-export function parseChecked<T> (text: string, schema: v.GenericSchema<unknown, T>, checkRules: CheckRules = () => []): Result<T, readonly Finding[]> {
-  if (text.length > MAX_TEXT_LENGTH) return Result.err([createFinding('', 0, [], `The text is longer than ${MAX_TEXT_LENGTH} characters.`)])
+export function parseChecked<T> (text: string, schema: v.GenericSchema<unknown, T>, checkRules: CheckRules = () => [], maxLength = MAX_TEXT_LENGTH): Result<T, readonly Finding[]> {
+  if (text.length > maxLength) return Result.err([createFinding('', 0, [], `The text is longer than ${maxLength} characters.`)])
   const deep = findDeepOffset(text)
   if (deep !== undefined) return Result.err([createFinding(text, deep, [], `Lists and objects stand in each other more than ${MAX_DEPTH} deep.`)])
   const errors: ParseError[] = []
--- a/src/operations/messages.ts
+++ b/src/operations/messages.ts
@@ -12,6 +12,8 @@
   readonly text?: string
   readonly findings?: readonly Finding[]
 }
+/** Applies a document. */
+export type ApplyCommand = Extract<Command, { readonly name: 'document/apply' }>
 
 /** An operator asks this host. */
 export interface Asked {
@@ -36,5 +38,10 @@
   readonly leader: string | undefined
 }
 
+/** Time to see whether calls wait in vain. */
+export interface RetryDue {
+  readonly kind: 'operations/retry-due'
+}
+
 /** Any message of the operations slice. */
-export type OperationsMessage = Asked | Answered | LeaderKnown
+export type OperationsMessage = Asked | Answered | LeaderKnown | RetryDue
--- a/src/peers/connect.ts
+++ b/src/peers/connect.ts
@@ -70,7 +70,8 @@
       return
     }
     const link = this.#links.get(effect.to) ?? this.#open(effect.to)
-    if (link?.queue.push(this.#encode(effect.message)) === false) this.#lose(effect.to, link)
+    const frame = this.#encode(effect.message)
+    if (link?.queue.push(frame, frame.body.length + frame.payload.length) === false) this.#lose(effect.to, link)
   }
 
   /** Adds the service that takes in other hosts' streams. */
--- a/test/cli.test.ts
+++ b/test/cli.test.ts
@@ -6,7 +6,8 @@
 import { fileURLToPath } from 'node:url'
 import { expect } from 'chai'
 import { endProcesses, startHosts, type StartedHost } from '../demo/processes.js'
-import { createKey } from '../src/admission/keys.js'
+import { createKey, hashKey } from '../src/admission/keys.js'
+import type { ApplyOutcome } from '../src/cli/documents.js'
 import type { SystemStatus } from '../src/membership/operators.js'
 import type { MergedTimeline } from '../src/timeline/messages.js'
 import { pollUntil } from './support/poll.js'
@@ -67,14 +68,28 @@
     expect(await runAt(hosts[2]!, 'apply', document)).to.include({ code: 1, error: 'Not accepted: version 1 stands.\n' })
   })
 
+  it('creates and withdraws a key over the leader, and waits until that is in force', async () => {
+    const created = await run('key', 'create', 'rota', 'parish', 'k2', '--wait')
+    expect(created.code).to.equal(0)
+    const shown = await runAt(hosts[1]!, 'show', 'rota')
+    expect(shown.out).to.include(hashKey(created.out.trim())).and.not.include(created.out.trim())
+    expect((await run('key', 'withdraw', 'rota', 'parish', 'k2', '--wait')).code).to.equal(0)
+    expect((await runAt(hosts[2]!, 'show', 'rota')).out).to.not.include(hashKey(created.out.trim()))
+    const force = JSON.parse((await run('show', 'rota', '--force', '--json')).out) as ApplyOutcome
+    expect(force).to.deep.include({ accepted: true, version: 3 })
+    expect(force.force).to.deep.include({ lapsed: [], pending: [] })
+    expect(force.force!.confirmed).to.have.members(['host-1', 'host-2', 'host-3'])
+    expect((await run('list', '--json')).out).to.include('"version":3')
+  })
+
   it('shows from every host what the leader knows, and what the host itself has in force', async () => {
     for (const host of hosts) {
       const status = JSON.parse((await runAt(host, 'status', '--json')).out) as SystemStatus
       expect(status.leads).to.equal(true)
-      expect(status.documents).to.deep.equal([{ service: 'rota', version: 1 }])
+      expect(status.documents).to.deep.equal([{ service: 'rota', version: 3 }])
       await pollUntil('the document in force', async () => {
         const local = JSON.parse((await runAt(host, 'status', '--local', '--json')).out) as SystemStatus
-        return local.host === host.plan.name && local.documents[0]?.version === 1
+        return local.host === host.plan.name && local.documents[0]?.version === 3
       })
     }
   })
