--- a/src/documents/document.ts
+++ b/src/documents/document.ts
@@ -42,6 +42,7 @@
 
 /** The schema of a service's document. */
 export const ServiceDocumentSchema = v.pipe(v.strictObject({
+  $schema: v.optional(v.pipe(v.string(), v.description('The JSON Schema, for editors.'))),
   service: Name,
   owners: v.pipe(v.array(Name), v.minLength(1, 'Expected at least one owner'), v.readonly()),
   authorityLeaseMs: v.optional(v.pipe(v.number(), v.minValue(500, 'Expected at least 500 ms'), v.maxValue(MAX_AUTHORITY_LEASE_MS, `Expected at most ${MAX_AUTHORITY_LEASE_MS} ms`)), DEFAULT_AUTHORITY_LEASE_MS),
--- a/src/settings/settings.test.ts
+++ b/src/settings/settings.test.ts
@@ -24,7 +24,7 @@
 describe('settings', () => {
   it('accept the examples', async () => {
     const readExample = async (name: string) => await readFile(new URL(`../../examples/deployments/${name}`, import.meta.url), 'utf8')
-    expect(listPaths(GOOD)).to.deep.equal([])
+    expect(listPaths({ $schema: './settings.schema.json', ...GOOD })).to.deep.equal([])
     expect(listPaths(await readExample('host.settings.jsonc'))).to.deep.equal([])
     for (const service of ['atelier', 'ramillete']) expect(parseDocument(await readExample(`${service}.document.jsonc`)).isOk, service).to.equal(true)
   })
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -39,6 +39,7 @@
 
 /** The schema of a host's settings. */
 export const SettingsSchema = v.pipe(v.strictObject({
+  $schema: v.optional(v.pipe(v.string(), v.description('The JSON Schema, for editors.'))),
   host: Name,
   failureDomain: Name,
   callers: v.pipe(Address, v.description('Where callers connect.')),
