--- a/src/monitoring/metrics.ts
+++ b/src/monitoring/metrics.ts
@@ -1,11 +1,12 @@
 /** Metrics of a process, counted from the messages and effects of its loop; slices know nothing of them. */
-import { collectDefaultMetrics, Counter, Gauge, Histogram, Registry } from 'prom-client'
+import { collectDefaultMetrics, Gauge, Histogram, Registry } from 'prom-client'
 import type { Effect } from '../core/message.js'
 import type { DatabaseEffect } from '../databases/driver.js'
 import type { CallerEffect } from '../frontends/frontend.js'
 import type { GrantEntry } from '../membership/directory.js'
 import type { HostMessage } from '../messages.js'
 import type { Traffic } from '../peers/traffic.js'
+import { Counts } from './counts.js'
 
 const PREFIX = 'fulmartally_'
 const DURATION_BUCKETS_SECONDS = [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5]
@@ -14,19 +15,19 @@
 /** Counts what passes the loop and the links. */
 export class Metrics {
   readonly #registry = new Registry()
-  readonly #messages = new Map<string, number>()
   readonly #startedAtMs = new Map<string, number>()
   readonly #choices = new Map<string, 'read' | 'write'>()
   readonly #callers = new Set<string>()
   readonly #connections = new Set<string>()
   readonly #terms = new Map<string, number>()
-  readonly #requests = this.#createCounter('requests_total', 'Requests of callers, by outcome.', ['outcome'])
-  readonly #refusals = this.#createCounter('refusals_total', 'Requests and callers that got an error, by its code.', ['code'])
-  readonly #routed = this.#createCounter('routed_total', 'Attempts that found a database, by what they do and by the role of the database.', ['action', 'role'])
-  readonly #beats = this.#createCounter('beats_total', 'Reports of this host to the leader, sent and answered.', ['outcome'])
-  readonly #events = this.#createCounter('events_total', 'Events of the time line, by name.', ['event'])
-  readonly #failovers = this.#createCounter('failovers_total', 'Changes of a primary that this host saw.', [])
-  readonly #peerBytes = this.#createCounter('peer_bytes_total', 'Bytes of messages between hosts, without TCP and TLS.', ['direction', 'purpose'])
+  readonly #messages = this.#createCounts('messages_total', 'Messages of the loop, by kind.', ['kind'])
+  readonly #requests = this.#createCounts('requests_total', 'Requests of callers, by outcome.', ['outcome'])
+  readonly #refusals = this.#createCounts('refusals_total', 'Requests and callers that got an error, by its code.', ['code'])
+  readonly #routed = this.#createCounts('routed_total', 'Attempts that found a database, by what they do and by the role of the database.', ['action', 'role'])
+  readonly #beats = this.#createCounts('beats_total', 'Reports of this host to the leader, sent and answered.', ['outcome'])
+  readonly #events = this.#createCounts('events_total', 'Events of the time line, by name.', ['event'])
+  readonly #failovers = this.#createCounts('failovers_total', 'Changes of a primary that this host saw.', [])
+  readonly #peerBytes = this.#createCounts('peer_bytes_total', 'Bytes of messages between hosts, without TCP and TLS.', ['direction', 'purpose'])
   readonly #duration = new Histogram({
     name: `${PREFIX}request_duration_seconds`,
     help: 'Time from the arrival of a request to the end of its answer.',
@@ -39,7 +40,6 @@
     this.#addGauge('requests_running', 'Requests that wait or run.', this.#startedAtMs)
     this.#addGauge('callers_connected', 'Connections of callers.', this.#callers)
     this.#addGauge('database_connections', 'Connections to databases that this host owns.', this.#connections)
-    this.#addMessageCounter()
   }
 
   /**
@@ -62,7 +62,7 @@
 
   /** Counts a message before its decision. */
   observeMessage (message: HostMessage): void {
-    this.#messages.set(message.kind, (this.#messages.get(message.kind) ?? 0) + 1)
+    this.#messages.add(message.kind)
     switch (message.kind) {
       case 'requests/open': this.#callers.add(message.caller); break
       case 'requests/arrived': this.#startedAtMs.set(message.caller, performance.now()); break
@@ -72,8 +72,8 @@
       case 'routing/directory-changed': this.#observeGrants(message.grants); break
       case 'transactions/open-failed':
       case 'transactions/broken': this.#connections.delete(message.connection); break
-      case 'membership/beat-due': this.#beats.inc({ outcome: 'sent' }); break
-      case 'membership/beat-answered': this.#beats.inc({ outcome: 'answered' }); break
+      case 'membership/beat-due': this.#beats.add('sent'); break
+      case 'membership/beat-answered': this.#beats.add('answered'); break
     }
   }
 
@@ -84,33 +84,33 @@
       case 'caller/finished': this.#endRequest(known.caller, 'finished'); break
       case 'caller/failed':
         this.#endRequest(known.caller, 'failed')
-        this.#refusals.inc({ code: known.failure.code })
+        this.#refusals.add(known.failure.code)
         break
       case 'caller/rolled-back': this.#endRequest(known.caller, 'rolled-back'); break
-      case 'caller/refused': this.#refusals.inc({ code: known.failure.code }); break
+      case 'caller/refused': this.#refusals.add(known.failure.code); break
       case 'database/open': this.#connections.add(known.connection); break
       case 'database/close': this.#connections.delete(known.connection); break
-      case 'timeline/record': this.#events.inc({ event: known.event }); break
+      case 'timeline/record': this.#events.add(known.event); break
     }
   }
 
   /** Counts the bytes of one message between hosts. */
   observeTraffic ({ direction, purpose, bytes }: Traffic): void {
-    this.#peerBytes.inc({ direction, purpose }, bytes)
+    this.#peerBytes.addMany(bytes, direction, purpose)
   }
 
   #observeRoute (caller: string, role: string): void {
     const action = this.#choices.get(caller)
     if (action === undefined) return
     this.#choices.delete(caller)
-    this.#routed.inc({ action, role })
+    this.#routed.add(action, role)
   }
 
   #observeGrants (grants: readonly GrantEntry[]): void {
     for (const { group, term, primary } of grants) {
       const known = this.#terms.get(group)
       if (primary === undefined || known === term) continue
-      if (known !== undefined) this.#failovers.inc()
+      if (known !== undefined) this.#failovers.add()
       this.#terms.set(group, term)
     }
   }
@@ -119,7 +119,7 @@
     const startedAtMs = this.#startedAtMs.get(caller)
     if (startedAtMs === undefined) return
     this.#startedAtMs.delete(caller)
-    this.#requests.inc({ outcome })
+    this.#requests.add(outcome)
     this.#duration.observe((performance.now() - startedAtMs) / MS_PER_SECOND)
   }
 
@@ -129,25 +129,11 @@
     this.#choices.delete(caller)
   }
 
-  #createCounter<L extends string> (name: string, help: string, labelNames: readonly L[]): Counter<L> {
-    return new Counter({ name: `${PREFIX}${name}`, help, labelNames, registers: [this.#registry] })
+  #createCounts (name: string, help: string, labels: readonly string[]): Counts {
+    return Counts.create({ registry: this.#registry, name: `${PREFIX}${name}`, help, labels })
   }
 
   #addGauge (name: string, help: string, counted: { readonly size: number }): void {
     const gauge: Gauge = new Gauge({ name: `${PREFIX}${name}`, help, registers: [this.#registry], collect: () => gauge.set(counted.size) })
   }
-
-  #addMessageCounter (): void {
-    const messages = this.#messages
-    const counter: Counter<'kind'> = new Counter({
-      name: `${PREFIX}messages_total`,
-      help: 'Messages of the loop, by kind.',
-      labelNames: ['kind'],
-      registers: [this.#registry],
-      collect: () => {
-        counter.reset()
-        for (const [kind, count] of messages) counter.inc({ kind }, count)
-      }
-    })
-  }
 }
--- a/src/operations/commands.ts
+++ b/src/operations/commands.ts
@@ -4,6 +4,8 @@
 import { parseChecked } from '../core/checkedtext.js'
 import type { Finding } from '../core/findings.js'
 
+/** Room for a document whose every character is escaped. */
+const MAX_COMMAND_LENGTH = 2_097_152
 const MAX_NAME_LENGTH = 200
 const MAX_SINCE_MS = 86_400_000
 
@@ -38,5 +40,5 @@
  * @example parseCommand('{ "name": "document/list" }')
  */
 export function parseCommand (text: string): Result<v.InferOutput<typeof CommandSchema>, readonly Finding[]> {
-  return parseChecked(text, CommandSchema)
+  return parseChecked(text, CommandSchema, undefined, MAX_COMMAND_LENGTH)
 }
