--- a/src/documents/decide.ts
+++ b/src/documents/decide.ts
@@ -37,13 +37,17 @@
   const published = leads ? Object.keys(table.services).map(service => publish(table, service)) : []
   const unknown = [...state.waiting.values()].map(call => answer(call, createUnknown()))
   const told = [...state.watches.values()].map(({ call, outcome }) => answer(call, outcome))
-  return { state: { leads, table, waiting: new Map(), watches: new Map() }, effects: [...unknown, ...told, ...published] }
+  return { state: { leads, table, waiting: new Map(), watches: new Map() }, effects: [...unknown, ...told, ...published, tellGroups(table)] }
 }
 
 function createUnknown (): { readonly error: string, readonly text: string } {
   return { error: 'outcome-unknown', text: 'The leader changed. Send the command again with the same request id.' }
 }
 
+function tellGroups (table: DocumentsTable): CoreEffect {
+  return tell({ kind: 'primacy/documents', groups: Object.values(table.services).flatMap(record => record.document.groups) })
+}
+
 function propose (state: DocumentsState, message: Apply): DocumentsStep {
   const call: WaitingCall = { from: message.from ?? '', operation: message.operation, wait: message.wait === true, leaseMs: 0 }
   if (!state.leads) return { state, effects: [answer(call, { error: 'not-leader', text: 'The host does not lead.' })] }
@@ -72,8 +76,8 @@
   const next: DocumentsState = { ...state, table, waiting }
   const changed = readOwn(state.table.services, service)?.version !== readOwn(table.services, service)?.version
   const published = state.leads && changed
-    ? [publish(table, service), recordEvent('document-accepted', `Document of ${service} is accepted at version ${table.services[service]!.version}.`, { request: command.requestId })]
-    : []
+    ? [tellGroups(table), publish(table, service), recordEvent('document-accepted', `Document of ${service} is accepted at version ${table.services[service]!.version}.`, { request: command.requestId })]
+    : [tellGroups(table)]
   if (call === undefined) return { state: next, effects: published }
   if (!outcome.accepted) return { state: next, effects: [...published, answer(call, outcome)] }
   const watched = startWatch(next, { call, service, outcome, untilMs: moment.monotonicMs + WATCH_MS })
--- a/src/membership/leader.ts
+++ b/src/membership/leader.ts
@@ -58,7 +58,7 @@
   }
   const answers = isAnswering(next, moment) ? [createAnswer(next, beat)] : []
   const answered = answers.length === 0 ? leading.answered : new Map(leading.answered).set(host, moment.monotonicMs)
-  const told = tell({ kind: 'primacy/reported', host, statuses: beat.statuses, databases: beat.databases, revision: beat.revision })
+  const told = tell({ kind: 'primacy/reported', host, failureDomain: beat.self.failureDomain, statuses: beat.statuses, databases: beat.databases, revision: beat.revision })
   return { state: { ...state, leading: { ...next, answered } }, effects: [...answers, told] }
 }
 
@@ -84,7 +84,9 @@
  * @example publishEntry(state, leading, grant)
  */
 export function publishEntry (state: MembershipState, leading: Leading, entry: DirectoryEntry): MembershipStep {
-  return { state: { ...state, leading: { ...leading, directory: putEntry(leading.directory, entry) } }, effects: [] }
+  const directory = putEntry(leading.directory, entry)
+  const told = entry.kind === 'grant' ? [tell({ kind: 'primacy/published', entry, revision: directory.revision })] : []
+  return { state: { ...state, leading: { ...leading, directory } }, effects: told }
 }
 
 /**
--- a/src/operations/commands.ts
+++ b/src/operations/commands.ts
@@ -14,11 +14,13 @@
 const ListSchema = v.pipe(v.strictObject({ name: v.literal('document/list') }), v.readonly())
 /** Tells how far a service's version is in force. */
 const StatusSchema = v.pipe(v.strictObject({ name: v.literal('document/status'), service: v.string() }), v.readonly())
+/** Makes another database of a group its primary, without losing or refusing a write. */
+const MoveSchema = v.pipe(v.strictObject({ name: v.literal('primacy/move'), group: v.string(), database: v.string() }), v.readonly())
 /** Tells what the called control host knows of its group. */
 const ControlSchema = v.pipe(v.strictObject({ name: v.literal('control/status') }), v.readonly())
 
 /** The schema of all commands. */
-export const CommandSchema = v.variant('name', [ApplySchema, ShowSchema, ListSchema, StatusSchema, ControlSchema])
+export const CommandSchema = v.variant('name', [ApplySchema, ShowSchema, ListSchema, StatusSchema, MoveSchema, ControlSchema])
 
 /**
  * Parses an operator's command.
--- a/src/operations/decide.ts
+++ b/src/operations/decide.ts
@@ -113,6 +113,7 @@
     case 'document/show': return sendPeer(leader, { kind: 'documents/ask', operation, service: command.service, about: 'text' })
     case 'document/status': return sendPeer(leader, { kind: 'documents/ask', operation, service: command.service, about: 'force' })
     case 'document/list': return sendPeer(leader, { kind: 'documents/ask', operation, about: 'text' })
+    case 'primacy/move': return sendPeer(leader, { kind: 'primacy/move', operation, group: command.group, database: command.database })
     case 'control/status': return tell({ kind: 'agreement/status-asked', operation })
   }
 }
