--- a/src/membership/decide.ts
+++ b/src/membership/decide.ts
@@ -8,6 +8,7 @@
 import type { Announced, Beat, BeatAnswered, MembershipMessage, Probed } from './messages.js'
 import { listOwned } from './owners.js'
 import type { MembershipState } from './state.js'
+import { answerStatus, drainHost } from './operators.js'
 import { sendPeer, setTimer, tell } from '../messages.js'
 
 /** Time between two beats of a host. */
@@ -41,6 +42,8 @@
     case 'membership/beat': return state.leading === undefined ? answerHint(state, message) : takeBeat(state, state.leading, message, moment)
     case 'membership/force-asked': return state.leading === undefined ? keep(state) : answerForce(state, state.leading, message, moment)
     case 'membership/sweep-due': return state.leading === undefined ? keep(state) : sweepSilent(state, state.leading, moment)
+    case 'membership/status-asked': return answerStatus(state, message, moment)
+    case 'membership/drain-asked': return drainHost(state, message)
     case 'membership/publish': return state.leading === undefined ? keep(state) : publishEntry(state, state.leading, message.entry)
   }
 }
@@ -106,6 +109,7 @@
   const grants = listEntries(directory, 'grant')
   return [
     { kind: 'peer/learn', addresses: hosts.map(({ host, peers }) => ({ host, peers })) },
+    tell({ kind: 'timeline/hosts-known', hosts: hosts.map(({ host }) => host) }),
     tell({ kind: 'routing/directory-changed', hosts, databases, grants }),
     tell({ kind: 'transactions/owned-changed', databases: listOwn(state, directory), grants })
   ]
--- a/src/operations/decide.ts
+++ b/src/operations/decide.ts
@@ -56,7 +56,8 @@
 }
 
 function takeCall (state: OperationsState, asked: Asked, moment: Moment): OperationsStep {
-  if (asked.command.name === 'control/status') return { state, effects: [tell({ kind: 'agreement/status-asked', operation: asked.operation })] }
+  const local = createLocalOrder(asked)
+  if (local !== undefined) return { state, effects: [local] }
   const call: PendingCall = { asked, untilMs: moment.monotonicMs + CALL_MS, left: false }
   const timer = setTimer('operations/retry', RETRY_EVERY_MS, { kind: 'operations/retry-due' })
   const sent = sendDue({ ...state, calls: new Map(state.calls).set(asked.operation, call) }, moment)
@@ -107,13 +108,25 @@
   return { state: { ...state, calls }, effects: due.map(([, call]) => send(leader, call.asked)) }
 }
 
-function send (leader: string, { operation, requestId, command }: Asked): CoreEffect {
+/** Commands that the called host itself answers, or passes on to the hosts that they are about. */
+function createLocalOrder ({ operation, command }: Asked): CoreEffect | undefined {
+  switch (command.name) {
+    case 'control/status': return tell({ kind: 'agreement/status-asked', operation })
+    case 'status': return command.local ? tell({ kind: 'membership/status-asked', operation }) : undefined
+    case 'host/drain': return tell({ kind: 'membership/drain-asked', operation, host: command.host })
+    case 'timeline/read': return tell({ kind: 'timeline/read', operation, query: command })
+    default: return undefined
+  }
+}
+
+function send (leader: string, { operation, requestId, command }: Asked): CoreEffect | AnswerOperator {
   switch (command.name) {
     case 'document/apply': return sendPeer(leader, { kind: 'documents/apply', operation, requestId, text: command.text, version: command.version, wait: command.wait })
     case 'document/show': return sendPeer(leader, { kind: 'documents/ask', operation, service: command.service, about: 'text' })
     case 'document/status': return sendPeer(leader, { kind: 'documents/ask', operation, service: command.service, about: 'force' })
     case 'document/list': return sendPeer(leader, { kind: 'documents/ask', operation, about: 'text' })
-    case 'primacy/move': return sendPeer(leader, { kind: 'primacy/move', operation, group: command.group, database: command.database })
-    case 'control/status': return tell({ kind: 'agreement/status-asked', operation })
+    case 'status': return sendPeer(leader, { kind: 'membership/status-asked', operation })
+    case 'primary/move': return sendPeer(leader, { kind: 'primacy/move', operation, group: command.group, database: command.database })
+    default: return { kind: 'operator/answer', operation, outcome: { error: 'unknown-command', text: `Command "${command.name}" is not known to this host.` } }
   }
 }
--- a/src/operations/messages.ts
+++ b/src/operations/messages.ts
@@ -1,12 +1,17 @@
 /** Messages of the operations slice: what operators ask of a host. */
 import type { InferOutput } from 'valibot'
+import type { Finding } from '../core/findings.js'
 import type { CommandSchema } from './commands.js'
 
 /** Any command of an operator. */
 export type Command = InferOutput<typeof CommandSchema>
 
-/** Applies a document. */
-export type ApplyCommand = Extract<Command, { readonly name: 'document/apply' }>
+/** The outcome of a command that was not carried out. */
+export interface CommandError {
+  readonly error: string
+  readonly text?: string
+  readonly findings?: readonly Finding[]
+}
 
 /** An operator asks this host. */
 export interface Asked {
