--- a/src/daemon/host.ts
+++ b/src/daemon/host.ts
@@ -2,6 +2,7 @@
 import { randomBytes } from 'node:crypto'
 import type { Catalog, CatalogCommand } from '../agreement/catalog.js'
 import { recoverReplica } from '../agreement/recover.js'
+import { TraceFile } from '../core/trace.js'
 import { SystemClock } from '../core/clock.js'
 import { Loop } from '../core/loop.js'
 import { PostgresDriver } from '../databases/postgres/driver.js'
@@ -48,11 +49,15 @@
     const log = Log.create({ host: settings.host, level: settings.logLevel })
     const monitor = Monitor.create(settings.host, log)
     const stamps = StampClock.create()
+    const trace = settings.trace === undefined ? undefined : TraceFile.create(settings.trace.file, settings.trace.slices)
     const loop = Loop.create({
       clock: SystemClock.create(),
       slices: createSlices(settings),
       onFault,
-      recorder: monitor.observeMessage,
+      recorder: (message, moment) => {
+        monitor.observeMessage(message)
+        trace?.record(message, moment)
+      },
       observer: monitor.observeEffect
     })
     const journal = settings.dataFolder === undefined ? undefined : await FileJournal.create(settings.dataFolder, loop.post, onFault)
@@ -75,7 +80,7 @@
     const callers = await frontEnd.listen(...splitAddress(settings.callers))
     startSlices(settings, loop, link, peers, journal)
     log.write('daemon', 'info', `Host ${settings.host} started; callers connect to ${callers}.`)
-    return new Host({ callers, peers: peers.address, operators: operators.address }, [frontEnd, operators, peers, link, driver, loop, ...(journal === undefined ? [] : [journal])])
+    return new Host({ callers, peers: peers.address, operators: operators.address }, [frontEnd, operators, peers, link, driver, loop, ...[journal, trace].filter(part => part !== undefined)])
   }
 
   async [Symbol.asyncDispose] (): Promise<void> {
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -37,6 +37,11 @@
   queueLength: v.optional(v.pipe(QueueLength, v.description('How many requests may wait for one database.')), 1_000)
 }), v.readonly())
 
+const TraceSchema = v.pipe(v.strictObject({
+  file: v.pipe(v.string(), v.minLength(1, 'Expected the path of a file')),
+  slices: v.pipe(v.array(Name), v.minLength(1, 'Expected at least one slice'), v.readonly())
+}), v.readonly())
+
 /** The schema of a host's settings. */
 export const SettingsSchema = v.pipe(v.strictObject({
   host: Name,
@@ -47,6 +52,7 @@
   dataFolder: v.optional(v.pipe(FolderPath, v.description('Where this host keeps the replicated log; only control hosts have one.'))),
   control: v.pipe(ControlSchema, v.description('The control hosts, with the addresses where other hosts connect to them.')),
   logLevel: v.optional(v.picklist(['debug', 'info', 'warn', 'error']), 'info'),
+  trace: v.optional(v.pipe(TraceSchema, v.description('Records the messages of some slices, for replay; opt-in, since it holds what they hold.'))),
   limits: v.optional(LimitsSchema, {})
 }), v.readonly())
 
--- a/test/agreement.test.ts
+++ b/test/agreement.test.ts
@@ -54,7 +54,7 @@
 
   after(async () => {
     await kill(...hosts)
-    if (process.env.KEEP === undefined) await rm(directory, { recursive: true, force: true })
+    await rm(directory, { recursive: true, force: true })
   })
 
   it('accept a document through any host, and tell that every host has it', async () => {
