--- a/src/documents/decide.ts
+++ b/src/documents/decide.ts
@@ -40,14 +40,14 @@
   return { state: { leads, table, waiting: new Map(), watches: new Map() }, effects: [...unknown, ...told, ...published, tellGroups(table)] }
 }
 
-function createUnknown (): { readonly error: string, readonly text: string } {
-  return { error: 'outcome-unknown', text: 'The leader changed. Send the command again with the same request id.' }
-}
-
 function tellGroups (table: DocumentsTable): CoreEffect {
   return tell({ kind: 'primacy/documents', groups: Object.values(table.services).flatMap(record => record.document.groups) })
 }
 
+function createUnknown (): { readonly error: string, readonly text: string } {
+  return { error: 'outcome-unknown', text: 'The leader changed. Send the command again with the same request id.' }
+}
+
 function propose (state: DocumentsState, message: Apply): DocumentsStep {
   const call: WaitingCall = { from: message.from ?? '', operation: message.operation, wait: message.wait === true, leaseMs: 0 }
   if (!state.leads) return { state, effects: [answer(call, { error: 'not-leader', text: 'The host does not lead.' })] }
@@ -76,12 +76,12 @@
   const next: DocumentsState = { ...state, table, waiting }
   const changed = readOwn(state.table.services, service)?.version !== readOwn(table.services, service)?.version
   const published = state.leads && changed
-    ? [tellGroups(table), publish(table, service), recordEvent('document-accepted', `Document of ${service} is accepted at version ${table.services[service]!.version}.`, { request: command.requestId })]
-    : [tellGroups(table)]
-  if (call === undefined) return { state: next, effects: published }
+    ? [publish(table, service), recordEvent('document-accepted', `Document of ${service} is accepted at version ${table.services[service]!.version}.`, { request: command.requestId })]
+    : []
+  if (call === undefined) return { state: next, effects: [...published, tellGroups(table)] }
   if (!outcome.accepted) return { state: next, effects: [...published, answer(call, outcome)] }
   const watched = startWatch(next, { call, service, outcome, untilMs: moment.monotonicMs + WATCH_MS })
-  return { state: watched.state, effects: [...published, ...watched.effects] }
+  return { state: watched.state, effects: [...published, tellGroups(table), ...watched.effects] }
 }
 
 function checkVersions (before: DocumentsTable, after: DocumentsTable, service: string): void {
--- a/src/operations/commands.ts
+++ b/src/operations/commands.ts
@@ -18,7 +18,7 @@
 /** Lists services with their versions. */
 const ListSchema = v.pipe(v.strictObject({ name: v.literal('document/list') }), v.readonly())
 /** Tells how far a service's version is in force. */
-const StatusSchema = v.pipe(v.strictObject({ name: v.literal('document/status'), service: ShortName }), v.readonly())
+const ForceSchema = v.pipe(v.strictObject({ name: v.literal('document/status'), service: ShortName }), v.readonly())
 /** Tells what the called control host knows of its group. */
 const ControlSchema = v.pipe(v.strictObject({ name: v.literal('control/status') }), v.readonly())
 /** Makes a database the primary of its group. */
@@ -31,7 +31,7 @@
 const TimelineSchema = v.pipe(v.strictObject({ name: v.literal('timeline/read'), sinceMs: Since, request: v.optional(ShortName), group: v.optional(ShortName) }), v.readonly())
 
 /** The schema of all commands. */
-export const CommandSchema = v.variant('name', [ApplySchema, ShowSchema, ListSchema, StatusSchema, ControlSchema, MoveSchema, DrainSchema, SystemSchema, TimelineSchema])
+export const CommandSchema = v.variant('name', [ApplySchema, ShowSchema, ListSchema, ForceSchema, ControlSchema, MoveSchema, DrainSchema, SystemSchema, TimelineSchema])
 
 /**
  * Parses an operator's command.
--- a/src/operations/decide.ts
+++ b/src/operations/decide.ts
@@ -108,7 +108,7 @@
   return { state: { ...state, calls }, effects: due.map(([, call]) => send(leader, call.asked)) }
 }
 
-/** Commands that the called host itself answers, or passes on to the hosts that they are about. */
+// Commands that the called host itself answers, or passes on to the hosts that they are about.
 function createLocalOrder ({ operation, command }: Asked): CoreEffect | undefined {
   switch (command.name) {
     case 'control/status': return tell({ kind: 'agreement/status-asked', operation })
@@ -119,14 +119,17 @@
   }
 }
 
-function send (leader: string, { operation, requestId, command }: Asked): CoreEffect | AnswerOperator {
+function send (leader: string, asked: Asked): CoreEffect {
+  const { operation, requestId, command } = asked
   switch (command.name) {
     case 'document/apply': return sendPeer(leader, { kind: 'documents/apply', operation, requestId, text: command.text, version: command.version, wait: command.wait })
     case 'document/show': return sendPeer(leader, { kind: 'documents/ask', operation, service: command.service, about: 'text' })
     case 'document/status': return sendPeer(leader, { kind: 'documents/ask', operation, service: command.service, about: 'force' })
     case 'document/list': return sendPeer(leader, { kind: 'documents/ask', operation, about: 'text' })
-    case 'status': return sendPeer(leader, { kind: 'membership/status-asked', operation })
     case 'primary/move': return sendPeer(leader, { kind: 'primacy/move', operation, group: command.group, database: command.database })
-    default: return { kind: 'operator/answer', operation, outcome: { error: 'unknown-command', text: `Command "${command.name}" is not known to this host.` } }
+    case 'status': return sendPeer(leader, { kind: 'membership/status-asked', operation })
+    case 'control/status':
+    case 'host/drain':
+    case 'timeline/read': return createLocalOrder(asked)!
   }
 }
--- a/src/operations/messages.ts
+++ b/src/operations/messages.ts
@@ -13,6 +13,9 @@
   readonly findings?: readonly Finding[]
 }
 
+/** Applies a document. */
+export type ApplyCommand = Extract<Command, { readonly name: 'document/apply' }>
+
 /** An operator asks this host. */
 export interface Asked {
   readonly kind: 'operations/asked'
