--- a/src/agreement/support/group.ts
+++ b/src/agreement/support/group.ts
@@ -349,7 +349,9 @@
     this.#leaders.set(key, state.incarnation)
   }
 
+  // A late answer may tell an old leader of a lease that ended; two that hold at one time are the fault.
   #checkLeases (leader: Process): void {
+    if (readLease(leader.state) <= this.#readLocal(leader)) return
     for (const other of this.#processes) {
       if (other === leader || !other.up || other.state.leading === undefined) continue
       if (readLease(other.state) > this.#readLocal(other)) throw new Error(`two leases: ${leader.host} and ${other.host}`)
