--- a/src/daemon/slices.ts
+++ b/src/daemon/slices.ts
@@ -1,7 +1,7 @@
 /** The slices of a host. */
-import { createAdmissionShared, decideAdmission } from '../admission/decide.js'
+import { decideAdmission } from '../admission/decide.js'
+import { checkAllowance, createAdmissionShared } from '../admission/state.js'
 import { createAgreementState, decideAgreement } from '../agreement/decide.js'
-import { checkBucket } from '../admission/bucket.js'
 import { DecidingSlice, type Slice } from '../core/slice.js'
 import { StoreSlice } from '../core/store.js'
 import { createDocumentsState, decideDocuments } from '../documents/decide.js'
@@ -15,6 +15,8 @@
 import { decideRouting } from '../routing/decide.js'
 import { createRoutingState } from '../routing/state.js'
 import { createTimelineShared, decideTimeline } from '../timeline/decide.js'
+import { decideShares } from '../shares/decide.js'
+import { checkSharesItem, createSharesShared } from '../shares/state.js'
 import type { Settings } from '../settings/settings.js'
 import { checkOwned } from '../transactions/check.js'
 import { decideTransactions } from '../transactions/decide.js'
@@ -27,7 +29,7 @@
 export function createSlices (settings: Settings): readonly Slice[] {
   const { host, failureDomain, limits } = settings
   return [
-    StoreSlice.create({ name: 'admission', shared: createAdmissionShared(), decide: decideAdmission, checkItem: checkBucket }),
+    StoreSlice.create({ name: 'admission', shared: createAdmissionShared(), decide: decideAdmission, checkItem: checkAllowance }),
     DecidingSlice.create({ name: 'agreement', initial: createAgreementState(), decide: decideAgreement }),
     DecidingSlice.create({ name: 'documents', initial: createDocumentsState(), decide: decideDocuments }),
     DecidingSlice.create({ name: 'membership', initial: createMembershipState(), decide: decideMembership }),
@@ -36,6 +38,7 @@
     StoreSlice.create({ name: 'requests', shared: createRequestsShared(limits.requestMs), decide: decideRequests }),
     DecidingSlice.create({ name: 'routing', initial: createRoutingState(host, failureDomain), decide: decideRouting }),
     StoreSlice.create({ name: 'timeline', shared: createTimelineShared(host), decide: decideTimeline }),
+    StoreSlice.create({ name: 'shares', shared: createSharesShared(), decide: decideShares, checkItem: checkSharesItem }),
     StoreSlice.create({ name: 'transactions', shared: createTransactionsShared(limits.queueLength, limits.idleTransactionMs), decide: decideTransactions, checkItem: checkOwned })
   ]
 }
--- a/src/membership/decide.ts
+++ b/src/membership/decide.ts
@@ -96,7 +96,7 @@
   const { directory } = state
   const documents = changed ? listEntries(directory, 'document') : undefined
   return [
-    tell({ kind: 'admission/documents-confirmed', documents, hosts: listEntries(directory, 'host').length, askedAtMs }),
+    tell({ kind: 'admission/documents-confirmed', documents, askedAtMs }),
     tell({ kind: 'requests/grants-confirmed', grants: listEntries(directory, 'grant'), askedAtMs }),
     tell({ kind: 'routing/grants-confirmed', askedAtMs })
   ]
