--- a/src/documents/decide.ts
+++ b/src/documents/decide.ts
@@ -96,7 +96,7 @@
   const { services } = state.table
   if (message.service === undefined) {
     const list = Object.entries(services).map(([service, { version, document }]) => ({ service, version, owners: document.owners }))
-    return { state, effects: [answer(call, { services: list })] }
+    return { state, effects: [answer(call, { documents: list })] }
   }
   const record = readOwn(services, message.service)
   if (record === undefined) return { state, effects: [answer(call, { error: 'unknown-service', text: `Service "${message.service}" is not known.` })] }
@@ -126,7 +126,7 @@
   watches.delete(message.watch)
   const { confirmed, lapsed, pending } = message
   const force: Force = { confirmed, lapsed, pending }
-  return { state: { ...state, watches }, effects: [answer(item.call, { ...item.outcome, force })] }
+  return { state: { ...state, watches }, effects: [answer(item.call, { ...item.outcome, inForce: pending.length === 0, force })] }
 }
 
 function nameCall (call: WaitingCall): string {
--- a/src/operations/messages.ts
+++ b/src/operations/messages.ts
@@ -12,6 +12,7 @@
   readonly text?: string
   readonly findings?: readonly Finding[]
 }
+
 /** Applies a document. */
 export type ApplyCommand = Extract<Command, { readonly name: 'document/apply' }>
 
