Keeps hosts running when a peer goes silent

Cause: with a domain frozen, the other two hosts ended with an unhandled 'PING timed out': the link aborted a session that its ping timeout had destroyed, and its late error had no listener (seen failing in two runs of test/primacy.test.ts). Ruled out: own pings, which would repeat the library's. Change: the session of a dropped link is aborted after its error was emitted; a test freezes the primary's whole domain.

--- a/src/peers/connect.ts
+++ b/src/peers/connect.ts
@@ -12,6 +12,7 @@
 
 const PING_EVERY_MS = 1_000
 const PING_TIMEOUT_MS = 2_000
+const ABORT_AFTER_MS = 500
 
 interface OpenLink {
   readonly address: string
@@ -143,7 +144,9 @@
     this.#links.delete(host)
     link.queue.close()
     link.abort.abort()
-    link.session.abort()
+    // A session that its ping timeout destroys ends its streams first and emits its error
+    // later; aborted between the two, it would emit the error without a listener.
+    setTimeout(() => link.session.abort(), ABORT_AFTER_MS).unref()
   }
 
   #report (host: string): void {
--- a/test/primacy.test.ts
+++ b/test/primacy.test.ts
@@ -171,7 +171,7 @@
   it('keeps each acknowledged write when the whole domain of the primary freezes, and shuts it out when it thaws', async () => {
     const [, second] = databases
     if (await findPrimary() !== second) {
-      await sendCommand(hosts[0]!.addresses.operators, { name: 'primacy/move', group: 'a', database: second!.plan.name })
+      await sendCommand(hosts[0]!.addresses.operators, { name: 'primary/move', group: 'a', database: second!.plan.name })
       await pollUntil('the moved primary', async () => (await readStatus(second!)).primary)
     }
     const domain = [hosts[1]!.process, second!.process]
