Ends requests at a replaced primary at once, at the entry host too

Cause: a request at an owner that froze with its primary waited for the link's ping timeout. Ruled out: a shorter ping timeout, which would drop links on a busy machine.

--- a/src/requests/decide.ts
+++ b/src/requests/decide.ts
@@ -3,7 +3,7 @@
 import { clearTimer, type CoreEffect, type Moment } from '../core/message.js'
 import { UNCHANGED } from '../core/store.js'
 import { advanceSession, parseToken, readSeen } from '../sessions/token.js'
-import { endWithFailure, failAcknowledgement, failAttempt, losePeer, passDeadline, rejectInput } from './failure.js'
+import { endWithFailure, failAcknowledgement, failAttempt, losePeer, loseReplaced, passDeadline, rejectInput } from './failure.js'
 import type { Admitted, Arrived, Drained, Finished, GrantsConfirmed, Open, OpenChecked, Output, PeerLost, RequestsMessage, Routed, SessionSet, WorkName } from './messages.js'
 import { MAX_RETRIES, RETRIES_PER_SUCCESS, type Caller, type OpenTransaction, type RequestsShared, type Running } from './state.js'
 import { createCancel, createFinished, createTimersCleared, readStatus, replaceCaller, type RequestsEffect, type RequestsStep, type RequestsStore } from './step.js'
@@ -21,7 +21,7 @@
 export function decideRequests (store: RequestsStore, message: RequestsMessage, moment: Moment): RequestsStep {
   switch (message.kind) {
     case 'requests/open': return open(message)
-    case 'requests/grants-confirmed': return holdGrants(store, message)
+    case 'requests/grants-confirmed': return holdGrants(store, message, moment)
     case 'requests/peer-lost': return losePeer(store, message, moment)
     default: return decideForCaller(store, message, moment)
   }
@@ -203,8 +203,9 @@
   return { changes: [[caller.caller, undefined]], effects: [...createTimersCleared(caller.caller), ...createCancel(caller)] }
 }
 
-function holdGrants (store: RequestsStore, message: GrantsConfirmed): RequestsStep {
+function holdGrants (store: RequestsStore, message: GrantsConfirmed, moment: Moment): RequestsStep {
   const leaseEndsMs = message.askedAtMs + GRANT_LEASE_MS
   const grants = new Map(message.grants.map(grant => [grant.group, { grant, leaseEndsMs }]))
-  return { shared: { ...store.shared, grants }, effects: [] }
+  const step = loseReplaced(store, grants, moment)
+  return { ...step, shared: { ...(step.shared ?? store.shared), grants } }
 }
--- a/src/requests/failure.ts
+++ b/src/requests/failure.ts
@@ -2,7 +2,8 @@
 import { createFailure, type Failure } from '../core/errors.js'
 import type { Moment } from '../core/message.js'
 import { UNCHANGED } from '../core/store.js'
-import type { Failed, PeerLost } from './messages.js'
+import type { GrantEntry } from '../membership/directory.js'
+import type { Failed, PeerLost, Target } from './messages.js'
 import type { Caller, RequestsShared, Running } from './state.js'
 import { createCancel, createTimersCleared, readStatus, replaceCaller, type RequestsStep, type RequestsStore } from './step.js'
 import { setTimer } from '../messages.js'
@@ -103,21 +104,43 @@
  * @example losePeer(store, { kind: 'requests/peer-lost', host: 'host-2' }, moment)
  */
 export function losePeer (store: RequestsStore, message: PeerLost, moment: Moment): RequestsStep {
+  return loseTargets(store, `host ${message.host} was lost`, target => target.owner === message.host, moment)
+}
+
+/**
+ * Decides for all callers whose requests or transactions were at a primary that was
+ * replaced: its answer would acknowledge nothing, and may never come.
+ * @example loseReplaced(store, grants, moment)
+ */
+export function loseReplaced (store: RequestsStore, grants: RequestsShared['grants'], moment: Moment): RequestsStep {
+  const replaced = [...grants].filter(([group, { grant }]) => isReplaced(store.shared.grants.get(group)?.grant, grant))
+  if (replaced.length === 0) return UNCHANGED
+  const groups = new Set(replaced.map(([group]) => group))
+  return loseTargets(store, 'the primary was replaced', (target, group) => target.purpose === 'primary' && groups.has(group), moment)
+}
+
+function isReplaced (before: GrantEntry | undefined, after: GrantEntry): boolean {
+  return before !== undefined && (before.term !== after.term || before.primary !== after.primary)
+}
+
+type IsLost = (target: Target, group: string) => boolean
+
+function loseTargets (store: RequestsStore, reason: string, isLost: IsLost, moment: Moment): RequestsStep {
   let { shared } = store
   const steps = [...store.items.values()].map(caller => {
-    const step = loseTarget(shared, caller, message.host, moment)
+    const step = loseTarget(shared, caller, reason, isLost, moment)
     shared = step.shared ?? shared
     return step
   })
   return { shared, changes: steps.flatMap(step => step.changes ?? []), effects: steps.flatMap(step => step.effects) }
 }
 
-function loseTarget (shared: RequestsShared, caller: Caller, host: string, moment: Moment): RequestsStep {
+function loseTarget (shared: RequestsShared, caller: Caller, reason: string, isLost: IsLost, moment: Moment): RequestsStep {
   const { running, transaction } = caller
-  if (running?.target?.owner === host) {
-    const failure = createFailure('outcome-unknown', `host ${host} was lost`)
+  if (running?.target !== undefined && isLost(running.target, running.rules?.group ?? '')) {
+    const failure = createFailure('outcome-unknown', reason)
     return failAttempt(shared, caller, running, { kind: 'requests/failed', caller: caller.caller, attempt: running.attempt, failure, retriable: true }, moment)
   }
-  if (transaction?.target.owner !== host) return UNCHANGED
+  if (transaction === undefined || !isLost(transaction.target, transaction.rules.group)) return UNCHANGED
   return replaceCaller({ ...caller, transaction: { ...transaction, phase: 'lost' } }, [])
 }
