--- a/src/membership/discovery.ts
+++ b/src/membership/discovery.ts
@@ -29,11 +29,12 @@
  */
 export function followLeader (state: MembershipState, message: LeaderChanged, moment: Moment): MembershipStep {
   const { leader, epoch } = message
-  if (epoch < state.epoch) return { state: { ...state, leading: undefined }, effects: [] }
+  if (epoch < state.epoch) return { state: { ...state, leading: undefined }, effects: [tell({ kind: 'shares/leadership', leads: false, epoch })] }
   const lostLeader = state.leader !== undefined && state.leader !== leader ? state.leader : state.lostLeader
   const following: MembershipState = { ...state, leader, lostLeader, epoch, leading: undefined, answeredAtMs: moment.monotonicMs }
   const leads = leader !== undefined && leader === state.self?.host
-  return leads ? startLeading(following, epoch, moment) : { state: following, effects: [] }
+  const step = leads ? startLeading(following, epoch, moment) : { state: following, effects: [] }
+  return { state: step.state, effects: [tell({ kind: 'shares/leadership', leads, epoch }), tell({ kind: 'admission/leader-changed', leader, epoch }), ...step.effects] }
 }
 
 /**
