--- a/src/membership/messages.ts
+++ b/src/membership/messages.ts
@@ -5,6 +5,8 @@
 export interface Started {
   readonly kind: 'membership/started'
   readonly self: HostEntry
+  /** The control hosts, which know the leader. */
+  readonly control: readonly string[]
 }
 
 /** The control hosts' leader changed, as far as this host knows. */
@@ -20,6 +22,30 @@
   readonly kind: 'membership/beat-due'
 }
 
+/** A host that does not lead tells which one does. */
+export interface LeaderHint {
+  readonly kind: 'membership/leader-hint'
+  readonly leader: string
+  readonly epoch: number
+}
+
+/** This host may act as the leader for a while longer. */
+export interface LeaseExtended {
+  readonly kind: 'membership/lease-extended'
+  /** A monotonic time of this host. */
+  readonly untilMs: number
+}
+
+/** The documents slice asks how far a version is in force. */
+export interface ForceAsked {
+  readonly kind: 'membership/force-asked'
+  readonly watch: string
+  readonly service: string
+  readonly version: number
+  /** The longest authority of a host under an earlier version. */
+  readonly leaseMs: number
+}
+
 /** A host's regular report to the leader. */
 export interface Beat {
   readonly kind: 'membership/beat'
@@ -71,11 +97,36 @@
   readonly entry: DirectoryEntry
 }
 
+/** An operator asks what this host knows of the system. */
+export interface StatusAsked {
+  readonly kind: 'membership/status-asked'
+  /** The host that the operator called; absent for this host. */
+  readonly from?: string
+  /** Names the operator's waiting call. */
+  readonly operation: string
+}
+
+/** An operator takes a host out of service. */
+export interface DrainAsked {
+  readonly kind: 'membership/drain-asked'
+  /** The host that the operator called; absent for this host. */
+  readonly from?: string
+  /** Names the operator's waiting call. */
+  readonly operation: string
+  /** The host to drain. */
+  readonly host: string
+}
+
 /** Any message of the membership slice. */
 export type MembershipMessage =
+  | StatusAsked
+  | DrainAsked
   | Publish
   | Started
   | LeaderChanged
+  | LeaderHint
+  | LeaseExtended
+  | ForceAsked
   | BeatDue
   | Beat
   | BeatAnswered
--- /dev/null
+++ b/src/operations/commands.ts
@@ -0,0 +1,42 @@
+/** Operators' commands, checked when they come in. */
+import type { Result } from 'true-myth'
+import * as v from 'valibot'
+import { parseChecked } from '../core/checkedtext.js'
+import type { Finding } from '../core/findings.js'
+
+const MAX_NAME_LENGTH = 200
+const MAX_SINCE_MS = 86_400_000
+
+const Version = v.pipe(v.number(), v.integer('Expected a whole number'), v.minValue(0, 'Expected a number from 0'))
+const ShortName = v.pipe(v.string(), v.minLength(1, 'Expected a name'), v.maxLength(MAX_NAME_LENGTH, `Expected at most ${MAX_NAME_LENGTH} characters`))
+const Since = v.pipe(v.number(), v.minValue(0, 'Expected milliseconds from 0'), v.maxValue(MAX_SINCE_MS, `Expected at most ${MAX_SINCE_MS} ms`))
+
+/** Applies a document; `version` is the one that the operator edited, 0 for a new service. */
+const ApplySchema = v.pipe(v.strictObject({ name: v.literal('document/apply'), text: v.string(), version: Version, wait: v.optional(v.boolean(), false) }), v.readonly())
+/** Returns a document's text and version. */
+const ShowSchema = v.pipe(v.strictObject({ name: v.literal('document/show'), service: ShortName }), v.readonly())
+/** Lists services with their versions. */
+const ListSchema = v.pipe(v.strictObject({ name: v.literal('document/list') }), v.readonly())
+/** Tells how far a service's version is in force. */
+const ForceSchema = v.pipe(v.strictObject({ name: v.literal('document/status'), service: ShortName }), v.readonly())
+/** Tells what the called control host knows of its group. */
+const ControlSchema = v.pipe(v.strictObject({ name: v.literal('control/status') }), v.readonly())
+/** Makes a database the primary of its group. */
+const MoveSchema = v.pipe(v.strictObject({ name: v.literal('primary/move'), group: ShortName, database: ShortName }), v.readonly())
+/** Takes a host out of service. */
+const DrainSchema = v.pipe(v.strictObject({ name: v.literal('host/drain'), host: ShortName }), v.readonly())
+/** Shows hosts, databases, groups and the revision in force; with `local`, as the called host knows them. */
+const SystemSchema = v.pipe(v.strictObject({ name: v.literal('status'), local: v.optional(v.boolean(), false) }), v.readonly())
+/** Merges the time lines of all processes. */
+const TimelineSchema = v.pipe(v.strictObject({ name: v.literal('timeline/read'), sinceMs: Since, request: v.optional(ShortName), group: v.optional(ShortName) }), v.readonly())
+
+/** The schema of all commands. */
+export const CommandSchema = v.variant('name', [ApplySchema, ShowSchema, ListSchema, ForceSchema, ControlSchema, MoveSchema, DrainSchema, SystemSchema, TimelineSchema])
+
+/**
+ * Parses an operator's command.
+ * @example parseCommand('{ "name": "document/list" }')
+ */
+export function parseCommand (text: string): Result<v.InferOutput<typeof CommandSchema>, readonly Finding[]> {
+  return parseChecked(text, CommandSchema)
+}
