Measures what is refused while the leader changes

Conclusion: hosts without a share of their own stand still until the leases before a new leader ran out; to be mended.

--- a/src/shares/shares.test.ts
+++ b/src/shares/shares.test.ts
@@ -49,12 +49,13 @@
 }
 
 // The parts of what was asked that are refused, after the start.
-function runQuiet (limit: FakeLimit, load: number, seed: number): Measured {
+function runQuiet (limit: FakeLimit, load: number, seed: number, leaders: readonly string[] = []): Measured {
   const random = createRandom(seed)
   const fromMs = 4_000
   const untilMs = 64_000
   const world = RatesWorld.create(UNEVEN.map(({ host }) => host), limit, NO_FAULTS, seed)
   world.changeLeader('h1', 0)
+  for (const [index, leader] of leaders.entries()) world.schedule(14_000 + 10_000 * index, () => world.changeLeader(leader, 500))
   const spread = UNEVEN.flatMap(({ host, weight }) => Array<string>(weight).fill(host))
   const arrivals: Array<{ readonly host: string, readonly atMs: number }> = []
   for (let atMs = 0; atMs < untilMs; atMs += -Math.log(1 - random()) * 1_000 / (limit.rate * load)) {
@@ -99,4 +100,13 @@
       expect(measured.shares).to.be.below(measured.fixed)
     })
   }
+
+  it('refuse less than fixed shares while the leader changes every 10 s', function () {
+    this.timeout(120_000)
+    for (const { limit, load } of cases) {
+      const measured = runQuiet(limit, load, SEED, ['h2', 'h3', 'h4', 'h5'])
+      this.test!.title += ` (rate ${limit.rate}: shares ${formatPart(measured.shares)}, fixed ${formatPart(measured.fixed)})`
+      expect(measured.shares).to.be.below(measured.fixed)
+    }
+  })
 })
