Lends from the reserve right after the leader changed

Cause: a new leader gave nothing for 2 s, so hosts without a share of their own refused all keyed requests. Change: half of every rate and burst is never given as shares, so that a new leader may lend it as soon as the loans of the one before are void. Asserted: committed shares leave that half whole. Ruled out: a shorter lease (a slower election would empty every host).

--- a/src/shares/decide.ts
+++ b/src/shares/decide.ts
@@ -10,7 +10,7 @@
 import { sendPeer, setTimer } from '../messages.js'
 import type { Asked, HeldShare, Leadership, LimitsChanged, SharesMessage, Wanted } from './messages.js'
 import { changeCommitted, chooseParts, createAllotment, endLoans, giveTokens, refillReserve } from './reserve.js'
-import { LEASE_SLACK_MS, SHARE_LEASE_MS, TOTAL_PARTS, readCommitted, type Allotment, type Grant, type Holder, type KnownLimit, type Share, type SharesItem, type SharesShared } from './state.js'
+import { LEASE_SLACK_MS, LOAN_MS, LOAN_SLACK_MS, RESERVE_PARTS, SHARE_LEASE_MS, TOTAL_PARTS, readCommitted, type Allotment, type Grant, type Holder, type KnownLimit, type Share, type SharesItem, type SharesShared } from './state.js'
 
 const SWEEP_EVERY_MS = 250
 /** A workspace that no document names any more: nothing is given of it. */
@@ -40,12 +40,13 @@
 }
 
 // What hosts hold of the leader before is in use until it ran out, so a new leader
-// starts with renewals only.
+// starts with renewals, and with loans from the part that is never given as shares.
 function takeLeadership (store: SharesStore, message: Leadership, moment: Moment): SharesStep {
   const { leads, epoch } = message
   const dropped = [...store.items.keys()].map(key => [key, undefined] as const)
+  const lendsFromMs = moment.monotonicMs + LOAN_MS + LOAN_SLACK_MS
   const quietUntilMs = moment.monotonicMs + SHARE_LEASE_MS + LEASE_SLACK_MS
-  return { shared: { ...store.shared, leads, epoch, quietUntilMs }, changes: dropped, effects: leads ? [createSweepTimer()] : [] }
+  return { shared: { ...store.shared, leads, epoch, lendsFromMs, quietUntilMs }, changes: dropped, effects: leads ? [createSweepTimer()] : [] }
 }
 
 function takeLimits (store: SharesStore, message: LimitsChanged, moment: Moment): SharesStep {
@@ -88,7 +89,7 @@
   const confirmed: Share = { perSecond: asked.perSecond, grants: keepUnconfirmed(share.grants, asked.applied) }
   const settled = applyShare(before, limit, share, confirmed)
   const parts = moment.monotonicMs < store.shared.quietUntilMs
-    ? Math.max(readCurrent(confirmed), Math.min(asked.held, TOTAL_PARTS - settled.committed))
+    ? Math.max(readCurrent(confirmed), Math.min(asked.held, TOTAL_PARTS - RESERVE_PARTS - settled.committed))
     : chooseParts(settled, limit, { perSecond: asked.perSecond, held: readCommitted(confirmed), current: readCurrent(confirmed) })
   if (parts === readCurrent(confirmed)) return { allotment: settled, share: confirmed }
   const next: Share = { ...confirmed, grants: [...confirmed.grants, { round: asked.round, parts }] }
@@ -126,7 +127,7 @@
 
 function findAllotment (store: SharesStore, workspace: string, limit: KnownLimit): Allotment {
   const known = store.items.get(`workspace/${workspace}`) as Allotment | undefined
-  return known ?? createAllotment(workspace, Math.max(store.shared.quietUntilMs, limit.sinceMs))
+  return known ?? createAllotment(workspace, Math.max(store.shared.lendsFromMs, limit.sinceMs), store.shared.quietUntilMs)
 }
 
 function createChange (allotment: Allotment): readonly [string, SharesItem] {
@@ -138,7 +139,6 @@
   const { from, workspace, holder, loan } = message
   const limit = shared.limits.get(workspace)
   if (!shared.leads || message.epoch !== shared.epoch || from === undefined || limit === undefined) return UNCHANGED
-  if (moment.monotonicMs < shared.quietUntilMs) return { effects: [sendPeer(from, { kind: 'admission/lent', holder, loan, workspace, tokens: 0 })] }
   const refilled = endLoans(refillReserve(findAllotment(store, workspace, limit), limit, moment.monotonicMs), message)
   const lent = giveTokens(refilled, limit, message, moment.monotonicMs)
   return {
--- a/src/shares/reserve.ts
+++ b/src/shares/reserve.ts
@@ -2,11 +2,9 @@
 import { assertInvariant } from '../core/invariant.js'
 import type { Wanted } from './messages.js'
 import type { KnownLimit, Allotment } from './state.js'
-import { LOAN_MS, LOAN_SLACK_MS, TOTAL_PARTS } from './state.js'
+import { LOAN_MS, LOAN_SLACK_MS, RESERVE_PARTS, TOTAL_PARTS } from './state.js'
 
 const MS_PER_SECOND = 1_000
-/** The least that stays in the reserve when demand is high. */
-const RESERVE_PARTS = TOTAL_PARTS / 8
 /** How much more of the rate a host gets than it asks for, while there is enough. */
 const HEADROOM = 1.5
 /** The least burst for which a host gets a share of its own. */
@@ -24,10 +22,10 @@
 
 /**
  * Creates the record of a workspace of which nobody holds a share.
- * @example createAllotment('rota/parish', moment.monotonicMs)
+ * @example createAllotment('rota/parish', shared.lendsFromMs, shared.quietUntilMs)
  */
-export function createAllotment (workspace: string, sinceMs: number): Allotment {
-  return { kind: 'workspace', workspace, committed: 0, perSecond: 0, tokens: 0, countedAtMs: sinceMs, loans: [] }
+export function createAllotment (workspace: string, sinceMs: number, quietUntilMs: number): Allotment {
+  return { kind: 'workspace', workspace, committed: 0, perSecond: 0, quietUntilMs, tokens: 0, countedAtMs: sinceMs, loans: [] }
 }
 
 /**
@@ -35,6 +33,12 @@
  * @example refillReserve(allotment, limit, moment.monotonicMs)
  */
 export function refillReserve (allotment: Allotment, limit: KnownLimit, nowMs: number): Allotment {
+  const quiet = refillUntil(allotment, limit, Math.min(nowMs, allotment.quietUntilMs))
+  if (nowMs < allotment.quietUntilMs) return quiet
+  return refillUntil({ ...quiet, quietUntilMs: -Infinity }, limit, nowMs)
+}
+
+function refillUntil (allotment: Allotment, limit: KnownLimit, nowMs: number): Allotment {
   const elapsedMs = Math.max(0, nowMs - allotment.countedAtMs)
   const came = elapsedMs * limit.rate * readReserved(allotment) / MS_PER_SECOND
   const tokens = allotment.tokens + came
@@ -91,7 +95,8 @@
 }
 
 function readReserved (allotment: Allotment): number {
-  return (TOTAL_PARTS - allotment.committed) / TOTAL_PARTS
+  const quiet = allotment.quietUntilMs > -Infinity
+  return (quiet ? RESERVE_PARTS : TOTAL_PARTS - allotment.committed) / TOTAL_PARTS
 }
 
 function readBurst (allotment: Allotment, limit: KnownLimit): number {
--- a/src/shares/state.ts
+++ b/src/shares/state.ts
@@ -4,6 +4,8 @@
 
 /** A whole rate and burst, in parts. */
 export const TOTAL_PARTS = 1_048_576
+/** What no leader ever gives as shares: a new leader lends from it while older shares may be in use. */
+export const RESERVE_PARTS = TOTAL_PARTS / 2
 /** How long a host may use its shares after it asked for their renewal. */
 export const SHARE_LEASE_MS = 2_000
 /** How long a host may use a loan after it asked for it. */
@@ -50,6 +52,8 @@
   /** The sum of the most that each holder may hold, in parts. */
   readonly committed: number
   readonly perSecond: number
+  /** Until then shares of the leader before may be in use, beside those committed. */
+  readonly quietUntilMs: number
   /** Tokens of the reserve. */
   readonly tokens: number
   readonly countedAtMs: number
@@ -68,7 +72,9 @@
 export interface SharesShared {
   readonly leads: boolean
   readonly epoch: number
-  /** Until then shares and loans of the leader before may be in use. */
+  /** Until then loans of the leader before may be in use. */
+  readonly lendsFromMs: number
+  /** Until then shares of the leader before may be in use. */
   readonly quietUntilMs: number
   readonly limits: ReadonlyMap<string, KnownLimit>
 }
@@ -78,7 +84,7 @@
  * @example createSharesShared().leads // false
  */
 export function createSharesShared (): SharesShared {
-  return { leads: false, epoch: 0, quietUntilMs: 0, limits: new Map() }
+  return { leads: false, epoch: 0, lendsFromMs: 0, quietUntilMs: 0, limits: new Map() }
 }
 
 /**
@@ -90,12 +96,12 @@
 }
 
 /**
- * Throws unless all shares of a workspace together are at most its whole rate and burst.
+ * Throws unless all shares of a workspace together leave the reserve whole.
  * @example checkSharesItem(allotment)
  */
 export function checkSharesItem (item: SharesItem): void {
   if (item.kind === 'holder') return
   const { committed, tokens, workspace } = item
-  assertInvariant(committed >= 0 && committed <= TOTAL_PARTS, 'shares within the whole', `${workspace}: ${committed} of ${TOTAL_PARTS}`)
+  assertInvariant(committed >= 0 && committed <= TOTAL_PARTS - RESERVE_PARTS, 'shares leave the reserve', `${workspace}: ${committed}`)
   assertInvariant(tokens >= 0, 'reserve not negative', `${workspace}: ${tokens}`)
 }
