--- a/src/admission/state.ts
+++ b/src/admission/state.ts
@@ -38,6 +38,7 @@
 /** A request that waits for tokens of the reserve. */
 export interface WaitingRequest extends WorkName {
   readonly rules: RouteRules
+  readonly sinceMs: number
 }
 
 /** A loan that was asked for. */
--- a/src/messages.ts
+++ b/src/messages.ts
@@ -9,6 +9,7 @@
 import type { RequestsMessage } from './requests/messages.js'
 import type { RoutingMessage } from './routing/messages.js'
 import type { SharesMessage } from './shares/messages.js'
+import type { TimelineMessage } from './timeline/messages.js'
 import type { TransactionsMessage } from './transactions/messages.js'
 
 /** Any message of a host. */
@@ -22,6 +23,7 @@
   | RequestsMessage
   | RoutingMessage
   | SharesMessage
+  | TimelineMessage
   | TransactionsMessage
 
 /** Puts a message into the inbox of a host's loop. */
--- a/src/operations/messages.ts
+++ b/src/operations/messages.ts
@@ -1,23 +1,19 @@
 /** Messages of the operations slice: what operators ask of a host. */
+import type { InferOutput } from 'valibot'
+import type { Finding } from '../core/findings.js'
+import type { CommandSchema } from './commands.js'
 
-/** A command of an operator. */
-export interface ApplyCommand {
-  readonly name: 'document/apply'
-  readonly text: string
-  /** The version that the operator edited; 0 for a new service. */
-  readonly version: number
-}
+/** Any command of an operator. */
+export type Command = InferOutput<typeof CommandSchema>
 
-/** Makes another database of a group its primary, without losing or refusing a write. */
-export interface MoveCommand {
-  readonly name: 'primacy/move'
-  readonly group: string
-  /** The database that becomes primary. */
-  readonly database: string
+/** The outcome of a command that was not carried out. */
+export interface CommandError {
+  readonly error: string
+  readonly text?: string
+  readonly findings?: readonly Finding[]
 }
-
-/** Any command of an operator. */
-export type Command = ApplyCommand | MoveCommand
+/** Applies a document. */
+export type ApplyCommand = Extract<Command, { readonly name: 'document/apply' }>
 
 /** An operator asks this host. */
 export interface Asked {
@@ -42,5 +38,10 @@
   readonly leader: string | undefined
 }
 
+/** Time to see whether calls wait in vain. */
+export interface RetryDue {
+  readonly kind: 'operations/retry-due'
+}
+
 /** Any message of the operations slice. */
-export type OperationsMessage = Asked | Answered | LeaderKnown
+export type OperationsMessage = Asked | Answered | LeaderKnown | RetryDue
--- a/src/shares/decide.ts
+++ b/src/shares/decide.ts
@@ -32,6 +32,7 @@
 export function decideShares (store: SharesStore, message: SharesMessage, moment: Moment): SharesStep {
   switch (message.kind) {
     case 'shares/leadership': return takeLeadership(store, message, moment)
+    case 'shares/lease-extended': return { shared: { ...store.shared, leaseUntilMs: message.untilMs }, effects: [] }
     case 'shares/limits-changed': return takeLimits(store, message, moment)
     case 'shares/asked': return answerAsked(store, message, moment)
     case 'shares/wanted': return answerWanted(store, message, moment)
@@ -43,10 +44,11 @@
 // starts with renewals, and with loans from the part that is never given as shares.
 function takeLeadership (store: SharesStore, message: Leadership, moment: Moment): SharesStep {
   const { leads, epoch } = message
+  if (leads === store.shared.leads && epoch === store.shared.epoch) return UNCHANGED
   const dropped = [...store.items.keys()].map(key => [key, undefined] as const)
   const lendsFromMs = moment.monotonicMs + LOAN_MS + LOAN_SLACK_MS
   const quietUntilMs = moment.monotonicMs + SHARE_LEASE_MS + LEASE_SLACK_MS
-  return { shared: { ...store.shared, leads, epoch, lendsFromMs, quietUntilMs }, changes: dropped, effects: leads ? [createSweepTimer()] : [] }
+  return { shared: { ...store.shared, leads, epoch, leaseUntilMs: -Infinity, lendsFromMs, quietUntilMs }, changes: dropped, effects: leads ? [createSweepTimer()] : [] }
 }
 
 function takeLimits (store: SharesStore, message: LimitsChanged, moment: Moment): SharesStep {
@@ -59,7 +61,7 @@
 
 function answerAsked (store: SharesStore, message: Asked, moment: Moment): SharesStep {
   const { shared } = store
-  if (!shared.leads || message.epoch !== shared.epoch || message.from === undefined) return UNCHANGED
+  if (!isAnswering(shared, message.epoch, moment) || message.from === undefined) return UNCHANGED
   const known = store.items.get(`holder/${message.holder}`) as Holder | undefined
   // A holder that this leader has dropped must start from nothing.
   if (known === undefined ? message.applied > 0 : message.round <= known.round) return UNCHANGED
@@ -73,7 +75,12 @@
   const shares = new Map(steps.filter(step => isUsed(step.share)).map(step => [step.allotment.workspace, step.share]))
   const holder: Holder = { kind: 'holder', holder: message.holder, round: message.round, answeredAtMs: moment.monotonicMs, shares }
   const answer = sendPeer(message.from, { kind: 'admission/shares-answered', holder: message.holder, epoch: shared.epoch, round: message.round, shares: listUnconfirmed(steps, message.applied) })
-  return { changes: [...steps.map(step => createChange(step.allotment)), [`holder/${message.holder}`, holder]], effects: [answer] }
+  return { changes: [...steps.map(step => createChange(step.allotment)), [`holder/${message.holder}`, holder]], effects: [{ ...answer, notAfterMs: shared.leaseUntilMs }] }
+}
+
+// Only while no other host leads: shares of two leaders could be more than the whole.
+function isAnswering (shared: SharesShared, epoch: number, moment: Moment): boolean {
+  return shared.leads && epoch === shared.epoch && moment.monotonicMs < shared.leaseUntilMs
 }
 
 interface AskedShare {
@@ -138,13 +145,11 @@
   const { shared } = store
   const { from, workspace, holder, loan } = message
   const limit = shared.limits.get(workspace)
-  if (!shared.leads || message.epoch !== shared.epoch || from === undefined || limit === undefined) return UNCHANGED
+  if (!isAnswering(shared, message.epoch, moment) || from === undefined || limit === undefined) return UNCHANGED
   const refilled = endLoans(refillReserve(findAllotment(store, workspace, limit), limit, moment.monotonicMs), message)
   const lent = giveTokens(refilled, limit, message, moment.monotonicMs)
-  return {
-    changes: [createChange(lent.allotment)],
-    effects: [sendPeer(from, { kind: 'admission/lent', holder, loan, workspace, tokens: lent.tokens })]
-  }
+  const answer = sendPeer(from, { kind: 'admission/lent', holder, loan, workspace, tokens: lent.tokens })
+  return { changes: [createChange(lent.allotment)], effects: [{ ...answer, notAfterMs: shared.leaseUntilMs }] }
 }
 
 function sweepHolders (store: SharesStore, moment: Moment): SharesStep {
--- a/src/shares/state.ts
+++ b/src/shares/state.ts
@@ -72,6 +72,8 @@
 export interface SharesShared {
   readonly leads: boolean
   readonly epoch: number
+  /** No answer leaves after it. */
+  readonly leaseUntilMs: number
   /** Until then loans of the leader before may be in use. */
   readonly lendsFromMs: number
   /** Until then shares of the leader before may be in use. */
@@ -84,7 +86,7 @@
  * @example createSharesShared().leads // false
  */
 export function createSharesShared (): SharesShared {
-  return { leads: false, epoch: 0, lendsFromMs: 0, quietUntilMs: 0, limits: new Map() }
+  return { leads: false, epoch: 0, leaseUntilMs: -Infinity, lendsFromMs: 0, quietUntilMs: 0, limits: new Map() }
 }
 
 /**
