--- a/src/fairness/queue.ts
+++ b/src/fairness/queue.ts
@@ -5,6 +5,7 @@
  * with the lowest virtual time is next. A flow that was idle starts at the queue's virtual
  * time, so it can't save up turns. Every operation is O(log n) and returns a new queue.
  */
+import { assertInvariant } from '../core/invariant.js'
 import { SortedMap } from './sortedmap.js'
 
 /** One item of a flow; its key is unique in the queue. */
@@ -128,6 +129,7 @@
   const next = queue.backlogged.first
   if (next === undefined) return undefined
   const [rank, name] = next
+  assertInvariant(rank.time >= queue.time, 'virtual time never goes back', `${rank.time} after ${queue.time}`)
   const flow = queue.flows.find(name)!
   const [, entry] = flow.entries.first!
   const served = { ...flow, rank: { time: rank.time + 1, sequence: queue.sequence } }
