--- a/src/admission/decide.ts
+++ b/src/admission/decide.ts
@@ -100,7 +100,7 @@
   if (permission.isErr) return refuse(message, permission.error)
   const { rules, workspace } = permission.value
   if (workspace === undefined || message.inTransaction) return { effects: [admit(message, rules)] }
-  return takeToken(store, message.service, workspace, { caller: message.caller, attempt: message.attempt, rules }, moment)
+  return takeToken(store, message.service, workspace, { caller: message.caller, attempt: message.attempt, rules, sinceMs: moment.monotonicMs }, moment)
 }
 
 // What runs in a workspace's transaction needs its key, whichever route it names.
--- a/src/admission/rates.ts
+++ b/src/admission/rates.ts
@@ -12,6 +12,8 @@
 
 /** How long a host that was lent too little asks for no more. */
 const LOAN_PAUSE_MS = 25
+/** How long a request waits for a leader that does not answer. */
+const MAX_WAIT_MS = 1_500
 /** Requests of a workspace that may wait for a loan at this host. */
 const MAX_WAITING = 64
 /** Tokens that a loan may bring beyond those that are waited for. */
@@ -26,7 +28,7 @@
 
 /**
  * Takes a token for a request, or lets the request wait for a loan.
- * @example takeToken(store, 'rota', workspace, { caller, attempt, rules }, moment)
+ * @example takeToken(store, 'rota', workspace, { caller, attempt, rules, sinceMs }, moment)
  */
 export function takeToken (store: AdmissionStore, service: string, workspace: Workspace, request: WaitingRequest, moment: Moment): AdmissionStep {
   const key = `${service}/${workspace.name}`
@@ -35,7 +37,7 @@
   const filled = refillAllowance(known, workspace, shared.lease.endsAtMs, moment.monotonicMs)
   const counted: Allowance = { ...filled, arrived: filled.arrived + 1 }
   if (counted.bucket.tokens >= 1) return { changes: [[key, takeTokens(counted, 1)]], effects: [admit(request, request.rules)] }
-  if (!hasHope(shared, counted, moment)) return { changes: [[key, counted]], effects: [refuse(request, key)] }
+  if (!hasHope(counted, moment)) return { changes: [[key, counted]], effects: [refuse(request, key)] }
   const waiting: Allowance = { ...counted, waiting: [...counted.waiting, request] }
   return waiting.loan === undefined ? askLoan(shared, key, waiting, moment) : { changes: [[key, waiting]], effects: [] }
 }
@@ -48,7 +50,7 @@
   const key = message.workspace
   const allowance = store.items.get(key)
   if (allowance?.loan === undefined || !isSameLoan(allowance.loan, message)) return UNCHANGED
-  if (moment.monotonicMs > allowance.loan.askedAtMs + LOAN_MS) return endLoan(key, allowance, moment)
+  if (moment.monotonicMs > allowance.loan.askedAtMs + LOAN_MS) return askAgain(store.shared, key, allowance, moment)
   const filled = refillAllowance(allowance, allowance, store.shared.lease.endsAtMs, moment.monotonicMs)
   const tokens = filled.bucket.tokens + message.tokens
   const count = Math.min(filled.waiting.length, Math.floor(tokens))
@@ -60,13 +62,13 @@
 }
 
 /**
- * Refuses those who wait for a loan that did not come.
+ * Asks again for a loan that did not come, and refuses those who have waited too long.
  * @example endOverdue(store, { kind: 'admission/loan-overdue', holder, loan, workspace }, moment)
  */
 export function endOverdue (store: AdmissionStore, message: LoanOverdue, moment: Moment): AdmissionStep {
   const allowance = store.items.get(message.workspace)
   if (allowance?.loan === undefined || !isSameLoan(allowance.loan, message)) return UNCHANGED
-  return endLoan(message.workspace, allowance, moment)
+  return askAgain(store.shared, message.workspace, allowance, moment)
 }
 
 /**
@@ -90,29 +92,38 @@
   return asked.holder === answered.holder && asked.loan === answered.loan
 }
 
-function hasHope ({ lease }: AdmissionShared, allowance: Allowance, moment: Moment): boolean {
-  return lease.leader !== undefined && allowance.waiting.length < MAX_WAITING && (allowance.loan !== undefined || moment.monotonicMs >= allowance.pausedUntilMs)
+function hasHope (allowance: Allowance, moment: Moment): boolean {
+  return allowance.waiting.length < MAX_WAITING && (allowance.loan !== undefined || moment.monotonicMs >= allowance.pausedUntilMs)
 }
 
 function askLoan (shared: AdmissionShared, key: string, allowance: Allowance, moment: Moment): AdmissionStep {
   const { lease } = shared
   const { holder, loans: loan } = lease
   const extra = Math.min(LOAN_EXTRA, Math.floor((allowance.bucket.burst - allowance.bucket.tokens) / LOAN_EXTRA_PART))
-  const wanted = sendPeer(lease.leader!, { kind: 'shares/wanted', epoch: lease.epoch, holder, loan, workspace: key, tokens: allowance.waiting.length + extra })
+  const tokens = allowance.waiting.length + extra
+  const wanted = lease.leader === undefined ? [] : [sendPeer(lease.leader, { kind: 'shares/wanted', epoch: lease.epoch, holder, loan, workspace: key, tokens })]
   return {
     shared: { ...shared, lease: { ...lease, loans: lease.loans + 1 } },
     changes: [[key, { ...allowance, loan: { holder, loan, askedAtMs: moment.monotonicMs } }]],
-    effects: [wanted, setTimer(nameTimer(key), LOAN_MS, { kind: 'admission/loan-overdue', holder, loan, workspace: key })]
+    effects: [...wanted, setTimer(nameTimer(key), LOAN_MS, { kind: 'admission/loan-overdue', holder, loan, workspace: key })]
   }
 }
 
 // More arrived while the loan was under way; when it brought nothing, asking again would not help.
 function continueLoan (shared: AdmissionShared, key: string, allowance: Allowance, lent: number, moment: Moment): AdmissionStep {
   if (allowance.waiting.length === 0) return { changes: [[key, allowance]], effects: [] }
-  if (lent > 0 && shared.lease.leader !== undefined) return askLoan(shared, key, allowance, moment)
+  if (lent > 0) return askLoan(shared, key, allowance, moment)
   return endLoan(key, allowance, moment)
 }
 
+function askAgain (shared: AdmissionShared, key: string, allowance: Allowance, moment: Moment): AdmissionStep {
+  const waiting = allowance.waiting.filter(request => moment.monotonicMs - request.sinceMs < MAX_WAIT_MS)
+  if (waiting.length === 0) return endLoan(key, allowance, moment)
+  const refused = allowance.waiting.filter(request => !waiting.includes(request)).map(request => refuse(request, key))
+  const step = askLoan(shared, key, { ...allowance, waiting }, moment)
+  return { ...step, effects: [...refused, ...step.effects] }
+}
+
 function endLoan (key: string, allowance: Allowance, moment: Moment): AdmissionStep {
   const next: Allowance = { ...allowance, waiting: [], loan: undefined, pausedUntilMs: moment.monotonicMs + LOAN_PAUSE_MS }
   return { changes: [[key, next]], effects: [clearTimer(nameTimer(key)), ...allowance.waiting.map(request => refuse(request, key))] }
--- a/src/membership/decide.ts
+++ b/src/membership/decide.ts
@@ -57,7 +57,8 @@
 }
 
 function takeLease (state: MembershipState, leaseUntilMs: number): MembershipStep {
-  return keep(state.leading === undefined ? state : { ...state, leading: { ...state.leading, leaseUntilMs } })
+  if (state.leading === undefined) return keep(state)
+  return { state: { ...state, leading: { ...state.leading, leaseUntilMs } }, effects: [tell({ kind: 'shares/lease-extended', untilMs: leaseUntilMs })] }
 }
 
 function answerHint (state: MembershipState, beat: Beat): MembershipStep {
--- a/src/membership/discovery.ts
+++ b/src/membership/discovery.ts
@@ -33,8 +33,9 @@
   const lostLeader = state.leader !== undefined && state.leader !== leader ? state.leader : state.lostLeader
   const following: MembershipState = { ...state, leader, lostLeader, epoch, leading: undefined, answeredAtMs: moment.monotonicMs }
   const leads = leader !== undefined && leader === state.self?.host
+  const told = [tell({ kind: 'shares/leadership', leads, epoch }), tell({ kind: 'admission/leader-changed', leader, epoch })]
   const step = leads ? startLeading(following, epoch, moment) : { state: following, effects: [] }
-  return { state: step.state, effects: [tell({ kind: 'shares/leadership', leads, epoch }), tell({ kind: 'admission/leader-changed', leader, epoch }), ...step.effects] }
+  return { state: step.state, effects: [...told, ...step.effects] }
 }
 
 /**
--- a/src/messages.ts
+++ b/src/messages.ts
@@ -8,8 +8,8 @@
 import type { PrimacyMessage } from './primacy/messages.js'
 import type { RequestsMessage } from './requests/messages.js'
 import type { RoutingMessage } from './routing/messages.js'
-import type { TimelineMessage } from './timeline/messages.js'
 import type { SharesMessage } from './shares/messages.js'
+import type { TimelineMessage } from './timeline/messages.js'
 import type { TransactionsMessage } from './transactions/messages.js'
 
 /** Any message of a host. */
@@ -22,8 +22,8 @@
   | PrimacyMessage
   | RequestsMessage
   | RoutingMessage
-  | TimelineMessage
   | SharesMessage
+  | TimelineMessage
   | TransactionsMessage
 
 /** Puts a message into the inbox of a host's loop. */
--- a/src/shares/messages.ts
+++ b/src/shares/messages.ts
@@ -56,6 +56,12 @@
   readonly epoch: number
 }
 
+/** A majority of the control hosts extended the leader's lease: until then no other host leads. */
+export interface LeaseExtended {
+  readonly kind: 'shares/lease-extended'
+  readonly untilMs: number
+}
+
 /** A service's document changed. */
 export interface LimitsChanged {
   readonly kind: 'shares/limits-changed'
@@ -70,4 +76,4 @@
 }
 
 /** Any message of the shares slice. */
-export type SharesMessage = Asked | Wanted | Leadership | LimitsChanged | SweepDue
+export type SharesMessage = Asked | Wanted | Leadership | LeaseExtended | LimitsChanged | SweepDue
--- a/test/support/rates.ts
+++ b/test/support/rates.ts
@@ -160,6 +160,7 @@
     const epoch = this.#epoch
     if (old !== undefined) this.#take(old, { kind: 'shares/leadership', leads: false, epoch })
     this.#take(this.#hosts.get(name)!, { kind: 'shares/leadership', leads: true, epoch })
+    this.#take(this.#hosts.get(name)!, { kind: 'shares/lease-extended', untilMs: Number.MAX_SAFE_INTEGER })
     for (const host of this.#hosts.values()) {
       const afterMs = host.name === name ? 0 : this.random() * learnWithinMs
       this.schedule(this.#nowMs + afterMs, () => { if (epoch === this.#epoch) this.#post(host, { kind: 'admission/leader-changed', leader: name, epoch }) })
