Stops a host without cutting a request

Cause: SIGTERM closed all connections at once. Then, with the drain in place, the restart of the control leader still ended six requests as unknown: their writes were stored, but the lease on the grant (1 s) lapsed before the next leader confirmed it. Ruled out: a change of primary (the grant's term stayed). Change: the stopping slice: nothing new, ownership handed over, nothing running, work refused as not run, leave. An acknowledgement whose lease lapsed waits for the same grant to be confirmed again, within its deadline; a replaced primary's is never given. Before: 6 requests of unknown outcome in a rolling restart of 6 hosts under load.

--- a/src/daemon/host.ts
+++ b/src/daemon/host.ts
@@ -18,6 +18,7 @@
 import type { Settings } from '../settings/settings.js'
 import { StampClock } from '../timeline/clock.js'
 import { TimelineRecorder } from '../timeline/record.js'
+import { ProcessExit } from './exit.js'
 import { listenForOperators, listenForPeers, type Listening } from './listen.js'
 import { createSlices } from './slices.js'
 
@@ -33,10 +34,16 @@
 /** A running host. */
 export class Host {
   readonly addresses: HostAddresses
+  /** Asks for a graceful stop; asking again changes nothing. */
+  readonly stop: () => void
+  /** Resolves when a graceful stop is over. */
+  readonly stopped: Promise<void>
   readonly #parts: ReadonlyArray<AsyncDisposable>
 
-  private constructor (addresses: HostAddresses, parts: ReadonlyArray<AsyncDisposable>) {
+  private constructor (addresses: HostAddresses, stop: () => void, stopped: Promise<void>, parts: ReadonlyArray<AsyncDisposable>) {
     this.addresses = addresses
+    this.stop = stop
+    this.stopped = stopped
     this.#parts = parts
   }
 
@@ -71,7 +78,8 @@
     const door = OperatorsDoor.create(loop.post)
     const recorder = TimelineRecorder.create({ host: settings.host, clock: stamps, post: loop.post })
     const announcements = ConnectAnnouncements.create(loop.post)
-    for (const adapter of [link, frontEnd, driver, door, log, recorder]) loop.addAdapter(adapter)
+    const exit = ProcessExit.create()
+    for (const adapter of [link, frontEnd, driver, door, log, recorder, exit]) loop.addAdapter(adapter)
     const peers = await listenForPeers(settings.peers, router => {
       link.addRoutes(router)
       announcements.addRoutes(router)
@@ -80,7 +88,10 @@
     const callers = await frontEnd.listen(...splitAddress(settings.callers))
     startSlices(settings, loop, link, peers, journal)
     log.write('daemon', 'info', `Host ${settings.host} started; callers connect to ${callers}.`)
-    return new Host({ callers, peers: peers.address, operators: operators.address }, [frontEnd, operators, peers, link, driver, loop, ...[journal, trace].filter(part => part !== undefined)])
+    const addresses: HostAddresses = { callers, peers: peers.address, operators: operators.address }
+    const post: HostPost = loop.post
+    const stop = (): void => post({ kind: 'stopping/asked', limitMs: settings.limits.drainMs })
+    return new Host(addresses, stop, exit.ended, [frontEnd, operators, peers, link, driver, loop, ...[journal, trace].filter(part => part !== undefined)])
   }
 
   async [Symbol.asyncDispose] (): Promise<void> {
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -38,9 +38,10 @@
     process.exit(EXIT_FAULT)
   }).catch((error: Error) => endWith(EXIT_ADDRESS, error))
   console.log(JSON.stringify({ ready: host.addresses }))
-  process.once('SIGTERM', () => {
-    host[Symbol.asyncDispose]().then(() => process.exit(0), () => process.exit(EXIT_FAULT))
-  })
+  process.on('SIGTERM', host.stop)
+  await host.stopped
+  await host[Symbol.asyncDispose]()
+  process.exit(0)
 }
 
 function endWith (code: number, error: Error): never {
--- a/src/daemon/slices.ts
+++ b/src/daemon/slices.ts
@@ -16,6 +16,7 @@
 import { createRoutingState } from '../routing/state.js'
 import { decideShares } from '../shares/decide.js'
 import { checkSharesItem, createSharesShared } from '../shares/state.js'
+import { createStoppingState, decideStopping } from '../stopping/decide.js'
 import { createTimelineShared, decideTimeline } from '../timeline/decide.js'
 import type { Settings } from '../settings/settings.js'
 import { checkOwned } from '../transactions/check.js'
@@ -38,6 +39,7 @@
     StoreSlice.create({ name: 'requests', shared: createRequestsShared(limits.requestMs), decide: decideRequests }),
     DecidingSlice.create({ name: 'routing', initial: createRoutingState(host, failureDomain), decide: decideRouting }),
     StoreSlice.create({ name: 'shares', shared: createSharesShared(), decide: decideShares, checkItem: checkSharesItem }),
+    DecidingSlice.create({ name: 'stopping', initial: createStoppingState(host), decide: decideStopping }),
     StoreSlice.create({ name: 'timeline', shared: createTimelineShared(host), decide: decideTimeline }),
     StoreSlice.create({ name: 'transactions', shared: createTransactionsShared(limits.queueLength, limits.idleTransactionMs), decide: decideTransactions, checkItem: checkOwned })
   ]
--- a/src/frontends/frontend.ts
+++ b/src/frontends/frontend.ts
@@ -48,14 +48,19 @@
   readonly caller: string
 }
 
-/** The effects that a front end carries out. */
+/** Takes no new callers, and ends each one's connection as soon as it is idle. */
+export interface StopAccepting extends Effect {
+  readonly kind: 'caller/stop-accepting'
+}
+
+/** The effects that name a caller. */
 export type CallerEffect = CallerRolledBack | CallerOpened | CallerRefused | CallerOutput | CallerFinished | CallerFailed
 
 /** Reads requests from callers and writes answers to them. */
 export abstract class FrontEnd extends Adapter {
   readonly name = 'caller'
 
-  abstract override carryOut (effect: CallerEffect): void
+  abstract override carryOut (effect: CallerEffect | StopAccepting): void
 
   /** Stops taking new callers, and ends each caller's connection once it has no request and no transaction. */
   abstract stopAccepting (): void
--- a/src/frontends/postgres/frontend.ts
+++ b/src/frontends/postgres/frontend.ts
@@ -3,7 +3,7 @@
 import { createServer, type AddressInfo, type Server, type Socket } from 'node:net'
 import { createFailure } from '../../core/errors.js'
 import type { HostPost } from '../../messages.js'
-import { FrontEnd, type CallerEffect } from '../frontend.js'
+import { FrontEnd, type CallerEffect, type StopAccepting } from '../frontend.js'
 import { CallerConnection } from './connection.js'
 
 const INCARNATION_BYTES = 4
@@ -47,7 +47,8 @@
     return `${ip}:${(this.#server.address() as AddressInfo).port}`
   }
 
-  carryOut (effect: CallerEffect): void {
+  carryOut (effect: CallerEffect | StopAccepting): void {
+    if (effect.kind === 'caller/stop-accepting') return this.stopAccepting()
     this.#connections.get(effect.caller)?.carryOut(effect)
   }
 
--- a/src/membership/decide.ts
+++ b/src/membership/decide.ts
@@ -4,7 +4,7 @@
 import { followLeader, listTargets, takeHint } from './discovery.js'
 import { answerForce } from './force.js'
 import { applyChanges, listEntries, type DatabaseEntry, type Directory, type HostEntry } from './directory.js'
-import { publishEntry, sweepSilent, takeBeat } from './leader.js'
+import { dropHost, publishEntry, sweepSilent, takeBeat } from './leader.js'
 import type { Announced, Beat, BeatAnswered, MembershipMessage, Probed } from './messages.js'
 import { listOwned } from './owners.js'
 import type { MembershipState } from './state.js'
@@ -44,6 +44,8 @@
     case 'membership/sweep-due': return state.leading === undefined ? keep(state) : sweepSilent(state, state.leading, moment)
     case 'membership/status-asked': return answerStatus(state, message, moment)
     case 'membership/drain-asked': return drainHost(state, message)
+    case 'membership/leave': return tellLeft(state)
+    case 'membership/left': return state.leading === undefined ? keep(state) : dropHost(state, state.leading, message)
     case 'membership/publish': return state.leading === undefined ? keep(state) : publishEntry(state, state.leading, message.entry)
   }
 }
@@ -56,6 +58,11 @@
   return { state: { ...state, self, control }, effects: [createBeatTimer(), createProbeTimer()] }
 }
 
+function tellLeft (state: MembershipState): MembershipStep {
+  if (state.leader === undefined || state.self === undefined) return keep(state)
+  return { state, effects: [sendPeer(state.leader, { kind: 'membership/left', incarnation: state.self.incarnation })] }
+}
+
 function takeLease (state: MembershipState, leaseUntilMs: number): MembershipStep {
   if (state.leading === undefined) return keep(state)
   return { state: { ...state, leading: { ...state.leading, leaseUntilMs } }, effects: [tell({ kind: 'shares/lease-extended', untilMs: leaseUntilMs })] }
--- a/src/membership/leader.ts
+++ b/src/membership/leader.ts
@@ -1,7 +1,7 @@
 /** The leader's side of membership: it writes the directory from the hosts' beats. */
 import type { CoreEffect, Moment, Step } from '../core/message.js'
 import { createDirectory, dropEntry, listChangesSince, listEntries, putEntry, type DatabaseEntry, type Directory, type DirectoryEntry } from './directory.js'
-import type { Beat } from './messages.js'
+import type { Beat, Left } from './messages.js'
 import type { Leading, MembershipState, ReportingHost } from './state.js'
 import { sendPeer, setTimer, tell } from '../messages.js'
 
@@ -89,6 +89,17 @@
   return { state: { ...state, leading: { ...leading, directory } }, effects: told }
 }
 
+/**
+ * Drops a host that left by request, without waiting for its silence.
+ * @example dropHost(state, leading, { kind: 'membership/left', from: 'host-2', incarnation: '1f' })
+ */
+export function dropHost (state: MembershipState, leading: Leading, { from, incarnation }: Left): MembershipStep {
+  if (from === undefined || leading.hosts.get(from)?.entry.incarnation !== incarnation) return { state, effects: [] }
+  const hosts = new Map(leading.hosts)
+  hosts.delete(from)
+  return { state: { ...state, leading: { ...leading, hosts, directory: dropEntry(leading.directory, `host/${from}`) } }, effects: [] }
+}
+
 /**
  * Drops hosts and databases that went silent.
  * @example sweepSilent(state, leading, moment)
--- a/src/membership/messages.ts
+++ b/src/membership/messages.ts
@@ -119,8 +119,22 @@
   readonly host: string
 }
 
+/** This host leaves: it tells the leader. */
+export interface Leave {
+  readonly kind: 'membership/leave'
+}
+
+/** A host left by request. */
+export interface Left {
+  readonly kind: 'membership/left'
+  readonly from?: string
+  readonly incarnation: string
+}
+
 /** Any message of the membership slice. */
 export type MembershipMessage =
+  | Leave
+  | Left
   | StatusAsked
   | DrainAsked
   | Publish
--- a/src/messages.ts
+++ b/src/messages.ts
@@ -9,6 +9,7 @@
 import type { RequestsMessage } from './requests/messages.js'
 import type { RoutingMessage } from './routing/messages.js'
 import type { SharesMessage } from './shares/messages.js'
+import type { StoppingMessage } from './stopping/messages.js'
 import type { TimelineMessage } from './timeline/messages.js'
 import type { TransactionsMessage } from './transactions/messages.js'
 
@@ -23,6 +24,7 @@
   | RequestsMessage
   | RoutingMessage
   | SharesMessage
+  | StoppingMessage
   | TimelineMessage
   | TransactionsMessage
 
--- a/src/requests/decide.test.ts
+++ b/src/requests/decide.test.ts
@@ -99,4 +99,22 @@
     expect(findFailed(late)).to.deep.include({ status: 'failed' })
     expect(late.some(effect => effect.kind === 'peer/send')).to.equal(true)
   })
+
+  it('holds an acknowledgement back while the lease has lapsed, and gives it once the same primary is confirmed', () => {
+    start('c')
+    nowMs = 1_200
+    expect(finish('c')).to.deep.equal([])
+    const [again] = take({ kind: 'requests/grants-confirmed', grants: GRANTS, askedAtMs: 1_150 }) as readonly Tell[]
+    expect(take(again!.message as RequestsMessage).some(effect => effect.kind === 'caller/finished')).to.equal(true)
+  })
+
+  it('never gives an acknowledgement that it held back for a primary that was replaced meanwhile', () => {
+    start('c', { ...RULES, idempotent: false })
+    nowMs = 1_200
+    finish('c')
+    const effects = take({ kind: 'requests/grants-confirmed', grants: [{ ...GRANTS[0]!, term: 2, primary: 'a2' }], askedAtMs: 1_150 })
+    expect(findFailed(effects)?.failure.effect).to.equal('unknown')
+    const again = effects.filter((effect): effect is Tell => effect.kind === 'loop/tell').flatMap(({ message }) => take(message as RequestsMessage))
+    expect(again).to.deep.equal([])
+  })
 })
--- a/src/requests/decide.ts
+++ b/src/requests/decide.ts
@@ -4,7 +4,7 @@
 import { UNCHANGED } from '../core/store.js'
 import { advanceSession, parseToken, readSeen } from '../sessions/token.js'
 import { endWithFailure, failAcknowledgement, failAttempt, losePeer, loseReplaced, passDeadline, rejectInput } from './failure.js'
-import type { Admitted, Arrived, Drained, Finished, GrantsConfirmed, Open, OpenChecked, Output, PeerLost, RequestsMessage, Routed, SessionSet, WorkName } from './messages.js'
+import type { Admitted, Arrived, CountAsked, Drained, Finished, GrantsConfirmed, Open, OpenChecked, Output, PeerLost, RequestsMessage, Routed, SessionSet, WorkName } from './messages.js'
 import { MAX_RETRIES, RETRIES_PER_SUCCESS, type Caller, type OpenTransaction, type RequestsShared, type Running } from './state.js'
 import { createCancel, createFinished, createTimersCleared, readStatus, replaceCaller, type RequestsEffect, type RequestsStep, type RequestsStore } from './step.js'
 import { createCallerClosed, endWithdrawn, withdrawKey } from './withdrawal.js'
@@ -28,11 +28,17 @@
     case 'requests/open': return open(message)
     case 'requests/grants-confirmed': return holdGrants(store, message, moment)
     case 'requests/peer-lost': return losePeer(store, message, moment)
+    case 'requests/count-asked': return countBusy(store)
     default: return decideForCaller(store, message, moment)
   }
 }
 
-type CallerMessage = Exclude<RequestsMessage, Open | GrantsConfirmed | PeerLost>
+type CallerMessage = Exclude<RequestsMessage, Open | GrantsConfirmed | PeerLost | CountAsked>
+
+function countBusy (store: RequestsStore): RequestsStep {
+  const busy = [...store.items.values()].filter(caller => caller.running !== undefined || caller.transaction !== undefined).length
+  return { effects: [tell({ kind: 'stopping/counted', part: 'requests', busy })] }
+}
 
 function decideForCaller (store: RequestsStore, message: CallerMessage, moment: Moment): RequestsStep {
   const caller = store.items.get(message.caller)
@@ -187,8 +193,11 @@
   if (rules === undefined || target === undefined) return UNCHANGED
   if (message.parts !== running.parts) return endWithFailure(caller, running, createFailure('outcome-unknown', 'a part of the answer was lost'))
   const held = shared.grants.get(rules.group)
-  const leased = target.purpose === 'replica' ? !message.wrote : (held?.grant.term === target.term && held.grant.primary === target.database && held.leaseEndsMs > moment.monotonicMs)
-  if (!leased) return endWithFailure(caller, running, createFailure('outcome-unknown', 'the primary was replaced'))
+  const stands = target.purpose === 'replica' ? !message.wrote : (held?.grant.term === target.term && held.grant.primary === target.database)
+  if (!stands) return endWithFailure(caller, running, createFailure('outcome-unknown', 'the primary was replaced'))
+  // The same grant may be confirmed again within the deadline, such as by the next leader.
+  const lapsed = target.purpose === 'primary' && held!.leaseEndsMs <= moment.monotonicMs
+  if (lapsed) return { ...UNCHANGED, shared: { ...shared, unconfirmed: [...shared.unconfirmed.filter(other => other.caller !== message.caller), message] } }
   const session = message.wrote ? advanceSession(caller.session, rules.group, message.position) : caller.session
   const next: Caller = { ...caller, session, transaction: followTransaction(caller, running, message), running: undefined }
   const finished = createFinished(next, message.payload)
@@ -213,5 +222,6 @@
   const leaseEndsMs = message.askedAtMs + GRANT_LEASE_MS
   const grants = new Map(message.grants.map(grant => [grant.group, { grant, leaseEndsMs }]))
   const step = loseReplaced(store, grants, moment)
-  return { ...step, shared: { ...(step.shared ?? store.shared), grants } }
+  const again = store.shared.unconfirmed.map(tell)
+  return { ...step, effects: [...step.effects, ...again], shared: { ...(step.shared ?? store.shared), grants, unconfirmed: [] } }
 }
--- a/src/requests/messages.ts
+++ b/src/requests/messages.ts
@@ -181,8 +181,14 @@
   readonly askedAtMs: number
 }
 
+/** The stopping slice wants to know how many callers have a request or a transaction. */
+export interface CountAsked {
+  readonly kind: 'requests/count-asked'
+}
+
 /** Any message of the requests slice. */
 export type RequestsMessage =
+  | CountAsked
   | Open
   | OpenChecked
   | Arrived
--- a/src/requests/state.ts
+++ b/src/requests/state.ts
@@ -3,7 +3,7 @@
 import type { Session } from '../sessions/token.js'
 import type { GrantEntry } from '../membership/directory.js'
 import type { Ticket } from '../transactions/messages.js'
-import type { RequestInput, RouteRules, Target } from './messages.js'
+import type { Finished, RequestInput, RouteRules, Target } from './messages.js'
 
 /** How far a request has come. */
 export type Phase = 'admitting' | 'routing' | 'waiting' | 'running'
@@ -74,6 +74,8 @@
   readonly sender?: string
   /** Counts orders to owners. */
   readonly orders: number
+  /** Answers that wait until the leader confirms again that their primary stands. */
+  readonly unconfirmed: readonly Finished[]
 }
 
 /** Retries that a host may spend before any request succeeded, and the most that it saves up. */
@@ -86,5 +88,5 @@
  * @example createRequestsShared(5_000)
  */
 export function createRequestsShared (requestMs: number): RequestsShared {
-  return { grants: new Map(), requestMs, retries: MAX_RETRIES, orders: 0 }
+  return { grants: new Map(), requestMs, retries: MAX_RETRIES, orders: 0, unconfirmed: [] }
 }
--- a/src/transactions/decide.ts
+++ b/src/transactions/decide.ts
@@ -3,7 +3,7 @@
 import type { Moment } from '../core/message.js'
 import { coversPosition } from '../core/position.js'
 import { UNCHANGED } from '../core/store.js'
-import { dropWaiting, enqueueEntry, findWaiting, listWaiting, type QueueLimits } from '../fairness/queue.js'
+import { countWaiting, dropWaiting, enqueueEntry, findWaiting, listWaiting, type QueueLimits } from '../fairness/queue.js'
 import type { Cancel, Credit, DatabaseFinished, DatabaseOutput, HostLost, PositionRead, Run, TimeOver, TransactionsMessage } from './messages.js'
 import { settleDatabase, takeOwned } from './ownership.js'
 import { closeUnit, createExecute, endCooling, findUnit, loseConnection, loseOpening, releaseUnit, startWaiting, takeConnection } from './pool.js'
@@ -11,7 +11,7 @@
 import { answerFailed, continueStep, createTimeOver, dropTimeOver, keepDatabase, refuseRun, type DatabaseStep, type TransactionsStep, type TransactionsStore } from './step.js'
 import { acknowledge, answerFinished } from './storing.js'
 import { isNewTicket, takeTicket } from './tickets.js'
-import { sendPeer } from '../messages.js'
+import { sendPeer, tell } from '../messages.js'
 
 /**
  * Decides on one message of the transactions slice.
@@ -23,6 +23,8 @@
     case 'transactions/cancel': return cancel(store, message)
     case 'transactions/owned-changed': return takeOwned(store, message)
     case 'transactions/host-lost': return loseHost(store, message)
+    case 'transactions/count-asked': return countBusy(store)
+    case 'transactions/refuse-work': return { shared: { ...store.shared, refusing: true }, effects: [] }
     case 'transactions/credit': return decideFor(store, message.database, database => passCredit(database, message))
     case 'transactions/time-over': return decideFor(store, message.database, database => endTime(database, message))
     case 'transactions/stored': return decideFor(store, message.database, database => acknowledge(database, message))
@@ -36,6 +38,11 @@
   }
 }
 
+function countBusy (store: TransactionsStore): TransactionsStep {
+  const counts = [...store.items.values()].map(({ units, queue, storing }) => units.size + countWaiting(queue) + storing.length)
+  return { effects: [tell({ kind: 'stopping/counted', part: 'transactions', busy: counts.reduce((sum, count) => sum + count, 0) })] }
+}
+
 function readDatabase (connection: string): string {
   return connection.slice(0, connection.lastIndexOf('#'))
 }
@@ -51,6 +58,7 @@
   const { from, ticket } = message
   if (from === undefined || !isNewTicket(store.shared, from, ticket)) return UNCHANGED
   const shared = takeTicket(store.shared, from, ticket)
+  if (shared.refusing && message.transaction === undefined) return { shared, effects: [refuseRun(message, createFailure('host-stopping'))] }
   if (!store.items.has(message.target.database)) return { shared, effects: [refuseMissing(message)] }
   const step = decideFor(store, message.target.database, database => startRun(shared, database, message))
   return { ...step, shared }
--- a/src/transactions/messages.ts
+++ b/src/transactions/messages.ts
@@ -123,8 +123,20 @@
   readonly database: string
 }
 
+/** The stopping slice wants to know how much work there is for owned databases. */
+export interface CountAsked {
+  readonly kind: 'transactions/count-asked'
+}
+
+/** The host stops: it takes no new work any more. */
+export interface RefuseWork {
+  readonly kind: 'transactions/refuse-work'
+}
+
 /** Any message of the transactions slice. */
 export type TransactionsMessage =
+  | CountAsked
+  | RefuseWork
   | Run
   | Cancel
   | Credit
--- a/src/transactions/state.ts
+++ b/src/transactions/state.ts
@@ -71,6 +71,8 @@
   readonly tickets: ReadonlyMap<string, readonly Ticket[]>
   /** Counts records of databases. */
   readonly generation: number
+  /** True once the host stops and takes no new work. */
+  readonly refusing: boolean
 }
 
 /**
@@ -78,5 +80,5 @@
  * @example createTransactionsShared(1_000, 10_000)
  */
 export function createTransactionsShared (queueLength: number, idleTransactionMs: number): TransactionsShared {
-  return { queueLength, idleTransactionMs, tickets: new Map(), generation: 0 }
+  return { queueLength, idleTransactionMs, tickets: new Map(), generation: 0, refusing: false }
 }
--- /dev/null
+++ b/test/stopping.test.ts
@@ -0,0 +1,125 @@
+/** Stopping: a rolling restart of all hosts under load cuts nothing. */
+import { mkdtemp, rm } from 'node:fs/promises'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { expect } from 'chai'
+import pg from 'pg'
+import { endProcesses, restartHost, startDatabases, startHosts, type StartedDatabase, type StartedHost } from '../demo/processes.js'
+import { createKey } from '../src/admission/keys.js'
+import { sendCommand } from '../src/operations/client.js'
+import { pollUntil } from './support/poll.js'
+
+const KEY = createKey()
+const DOMAINS = ['north', 'east', 'south']
+const CALLERS = 6
+const PAUSE_MS = 20
+/** The host is stopping: the request did not run, and the caller moves on. */
+const STOPPING = '57P01'
+const DOCUMENT = {
+  service: 'rota',
+  owners: ['ana'],
+  groups: [{ name: 'a', databases: 3 }],
+  workspaces: [{ name: 'parish', rate: 3_000, burst: 3_000, group: 'a', keys: [{ id: 'k1', sha256: KEY.sha256 }] }]
+}
+
+interface Seen {
+  readonly acknowledged: string[]
+  readonly cut: string[]
+  moves: number
+}
+
+describe('stopping', () => {
+  let directory: string
+  let hosts: readonly StartedHost[] = []
+  let databases: readonly StartedDatabase[] = []
+
+  const connect = async (host: StartedHost): Promise<pg.Client> => {
+    const [ip, port] = host.addresses.callers.split(':')
+    const client = new pg.Client({ host: ip, port: Number(port), database: 'rota', user: 'parish', password: KEY.key })
+    client.on('error', () => undefined)
+    await client.connect()
+    return client
+  }
+
+  const writeRows = async (name: string, seen: Seen, stopped: () => boolean): Promise<void> => {
+    let client: pg.Client | undefined
+    for (let number = 0; !stopped(); number++) {
+      const id = `${name}-${number}`
+      client ??= await connect(hosts[(number + seen.moves) % hosts.length]!).catch(() => undefined)
+      if (client === undefined || !await sendRequest(client, id, number, seen)) {
+        seen.moves += 1
+        await client?.end().catch(() => undefined)
+        client = undefined
+      }
+      await new Promise(resolve => setTimeout(resolve, PAUSE_MS))
+    }
+    await client?.end()
+  }
+
+  // False when the caller has to move to another host.
+  const sendRequest = async (client: pg.Client, id: string, number: number, seen: Seen): Promise<boolean> => {
+    try {
+      await runRequest(client, id, number)
+      seen.acknowledged.push(id)
+      return true
+    } catch (error) {
+      const { code = 'no code', message } = error as pg.DatabaseError
+      // The library knows that the connection ended before it sent anything.
+      const unsent = message.includes('is not queryable')
+      if (code !== STOPPING && !unsent) seen.cut.push(`${id}: ${code} ${message}`)
+      return false
+    }
+  }
+
+  const runRequest = async (client: pg.Client, id: string, number: number): Promise<void> => {
+    const insert = 'INSERT INTO swaps (id) VALUES ($1)'
+    const alone = number % 3 > 0
+    if (!alone) await client.query('BEGIN')
+    await client.query(insert, [id])
+    if (!alone) await client.query('COMMIT')
+  }
+
+  before(async () => {
+    directory = await mkdtemp(join(tmpdir(), 'fulmartally-'))
+    const plans = DOMAINS.flatMap((failureDomain, domain) => [1, 2].map(number => ({ name: `host-${domain * 2 + number}`, failureDomain, control: number === 1 })))
+    hosts = await startHosts(plans, directory)
+    databases = await startDatabases(DOMAINS.map((failureDomain, index) => ({ name: `a${index + 1}`, group: 'a', failureDomain, primary: index === 0 })), hosts, [KEY.key], directory)
+    await pollUntil('the document', async () => (await sendCommand<{ accepted: boolean }>(hosts[0]!.addresses.operators, { name: 'document/apply', text: JSON.stringify(DOCUMENT), version: 0 }, 'stopping')).accepted)
+    for (const host of hosts) {
+      await pollUntil(`the path through ${host.plan.name}`, async () => {
+        const client = await connect(host)
+        await client.query('CREATE TABLE IF NOT EXISTS swaps (id text)').finally(() => client.end())
+        return true
+      })
+    }
+  })
+
+  after(async () => {
+    await endProcesses([...hosts, ...databases].map(started => started.process))
+    await rm(directory, { recursive: true, force: true })
+  })
+
+  it('restarts each host in turn under load without cutting a request or losing a write', async () => {
+    const seen: Seen = { acknowledged: [], cut: [], moves: 0 }
+    let stopped = false
+    const writing = Promise.all(Array.from({ length: CALLERS }, (_, index) => writeRows(`caller-${index}`, seen, () => stopped)))
+    for (const host of hosts) {
+      const { child } = host.process
+      const ended = new Promise<number | null>(resolve => child.once('exit', resolve))
+      child.kill('SIGTERM')
+      child.kill('SIGTERM')
+      expect(await ended, `exit code of ${host.plan.name}`).to.equal(0)
+      await restartHost(host, directory)
+      await pollUntil(`${host.plan.name} to be ready`, async () => (await fetch(`http://${host.addresses.operators}/ready`)).ok)
+    }
+    stopped = true
+    await writing
+    const client = await connect(hosts[0]!)
+    const rows = (await client.query<{ id: string }>('SELECT id FROM swaps')).rows.map(row => row.id)
+    await client.end()
+    expect(seen.cut).to.deep.equal([])
+    expect(seen.acknowledged.filter(id => !rows.includes(id))).to.deep.equal([])
+    expect(rows.length).to.equal(new Set(rows).size)
+    expect(seen.acknowledged.length).to.be.greaterThan(100)
+  }).timeout(180_000)
+})
