Lets a read wait a moment for a replica that is about to catch up

Ruled out: asking for positions more often (bytes for control, and still old); the route's staleness (1 s covers it). Change: such a read goes to a replica that keeps up; its owner lets it wait up to 60 ms, without slot or connection, looking at the position every 8 ms, and sends it back as not run otherwise, to the primary at once.

--- a/demo/caller.ts
+++ b/demo/caller.ts
@@ -9,6 +9,9 @@
 const RATE_EXCEEDED = '53400'
 const OUTCOME_UNKNOWN = '40003'
 const PAUSE_AFTER_FAILURE_MS = 20
+const READS_BELOW = 0.5
+const WRITES_BELOW = 0.85
+const FIRST_CHOICE = READS_BELOW
 
 /** What a caller needs. */
 export interface CallerParts {
@@ -96,10 +99,11 @@
 
   async #send (client: pg.Client): Promise<boolean> {
     const { workspace, tally, random } = this.#parts
-    const choice = random()
+    // A session begins with a write, so that each of its reads finds rows.
+    const choice = this.#sequence === 0 ? FIRST_CHOICE : random()
     try {
-      if (choice < 0.5) await this.#read(client)
-      else if (choice < 0.85) await this.#write(client)
+      if (choice < READS_BELOW) await this.#read(client)
+      else if (choice < WRITES_BELOW) await this.#write(client)
       else await this.#runTransaction(client)
       tally.addRequest(workspace.name, true)
       return true
@@ -108,8 +112,8 @@
       tally.addFailure(code)
       tally.addRequest(workspace.name, false)
       if (code === RATE_EXCEEDED) tally.refusedWithinRate += 1
-      if (choice >= 0.5 && (code === OUTCOME_UNKNOWN || code === 'no connection')) tally.unknownWrites += 1
-      return code === RATE_EXCEEDED && choice < 0.85
+      if (choice >= READS_BELOW && (code === OUTCOME_UNKNOWN || code === 'no connection')) tally.unknownWrites += 1
+      return code === RATE_EXCEEDED && choice < WRITES_BELOW
     }
   }
 
--- a/src/documents/decide.ts
+++ b/src/documents/decide.ts
@@ -96,7 +96,7 @@
   const { services } = state.table
   if (message.service === undefined) {
     const list = Object.entries(services).map(([service, { version, document }]) => ({ service, version, owners: document.owners }))
-    return { state, effects: [answer(call, { documents: list })] }
+    return { state, effects: [answer(call, { services: list })] }
   }
   const record = readOwn(services, message.service)
   if (record === undefined) return { state, effects: [answer(call, { error: 'unknown-service', text: `Service "${message.service}" is not known.` })] }
--- a/src/requests/failure.ts
+++ b/src/requests/failure.ts
@@ -31,6 +31,8 @@
 // Looking for a place costs this host alone; an owner that refused is asked ever more rarely.
 function readPause (running: Running, moment: Moment): number {
   if (running.target === undefined) return RETRY_AFTER_MS
+  // The primary serves what a replica could not.
+  if (running.target.purpose === 'replica') return 0
   const pauseMs = Math.min(RETRY_AFTER_MS * 2 ** running.refusals, MAX_RETRY_AFTER_MS)
   return pauseMs / 2 + moment.random * pauseMs / 2
 }
--- a/src/routing/decide.ts
+++ b/src/routing/decide.ts
@@ -12,6 +12,9 @@
 /** Time between two rounds of asking for positions. */
 export const ASK_EVERY_MS = 100
 const ASK_HOLDS_MS = 2_000
+/** A replica that holds what the primary had this long ago is worth a short wait. */
+const KEEPING_UP_MS = 400
+const NEVER: LogPosition = { term: Number.MAX_SAFE_INTEGER, offset: 0 }
 
 type RoutingStep = Step<RoutingState, CoreEffect>
 
@@ -35,7 +38,7 @@
   const { rules } = message
   const grant = state.grants.get(rules.group)
   const floor = rules.action === 'read' && rules.maxStalenessMs > 0 ? findFloor(state, message, moment) : undefined
-  const replica = floor === undefined ? undefined : pickReplica(state, message, floor)
+  const replica = floor === undefined ? undefined : pickReplica(state, message, floor, moment)
   if (replica !== undefined && floor !== undefined) {
     return answer({ ...state, turn: state.turn + 1 }, message, createTarget(replica, 'replica', grant?.term ?? 0, floor))
   }
@@ -59,18 +62,35 @@
   return fresh === undefined ? undefined : pickLater(fresh, message.seen)
 }
 
-function pickReplica (state: RoutingState, message: Choose, floor: LogPosition): KnownDatabase | undefined {
+function pickReplica (state: RoutingState, message: Choose, floor: LogPosition, moment: Moment): KnownDatabase | undefined {
   const primary = state.grants.get(message.rules.group)?.primary
   const able = [...state.databases.values()].filter(database =>
     database.entry.group === message.rules.group &&
     database.entry.database !== primary &&
     database.owner !== undefined &&
     !database.entry.departing &&
-    !message.avoid.includes(database.entry.database) &&
-    coversPosition(state.held.get(database.entry.database)?.position ?? ORIGIN, floor))
-  const near = able.filter(database => database.entry.failureDomain === state.failureDomain)
-  const candidates = near.length > 0 ? near : able
-  return candidates[state.turn % Math.max(1, candidates.length)]
+    !message.avoid.includes(database.entry.database))
+  const covering = able.filter(database => coversPosition(readHeld(state, database), floor))
+  const near = covering.filter(database => isNear(state, database))
+  const candidates = near.length > 0 ? near : covering
+  if (candidates.length > 0) return candidates[state.turn % candidates.length]
+  const following = able.filter(database => coversPosition(readHeld(state, database), findRecent(state, message, moment)))
+  return following.find(database => isNear(state, database)) ?? following[state.turn % Math.max(1, following.length)]
+}
+
+// What this host knows of a replica is a little old. One that keeps up may hold the
+// position by now, or soon: its owner knows, and lets the read wait a moment for it.
+function findRecent (state: RoutingState, message: Choose, moment: Moment): LogPosition {
+  const recent = findFreshFloor(state.samples.get(message.rules.group) ?? [], moment.monotonicMs - KEEPING_UP_MS)
+  return recent ?? NEVER
+}
+
+function isNear (state: RoutingState, database: KnownDatabase): boolean {
+  return database.entry.failureDomain === state.failureDomain
+}
+
+function readHeld (state: RoutingState, database: KnownDatabase): LogPosition {
+  return state.held.get(database.entry.database)?.position ?? ORIGIN
 }
 
 function createTarget (database: KnownDatabase, purpose: Target['purpose'], term: number, floor: LogPosition): Target {
--- /dev/null
+++ b/src/transactions/behind.test.ts
@@ -0,0 +1,59 @@
+/** Reads at a replica that is a little behind. */
+import { expect } from 'chai'
+import type { Effect } from '../core/message.js'
+import { StoreSlice } from '../core/store.js'
+import type { DatabaseEntry } from '../membership/directory.js'
+import { checkOwned } from './check.js'
+import { decideTransactions } from './decide.js'
+import type { Run, TransactionsMessage } from './messages.js'
+import { createTransactionsShared } from './state.js'
+
+const ENTRY: DatabaseEntry = { kind: 'database', database: 'a2', group: 'a', failureDomain: 'east', address: '127.0.0.1:1', slots: 1, connectionLimit: 5, departing: false }
+
+describe('a read at a replica that is behind', () => {
+  const createSlice = () => StoreSlice.create({ name: 'transactions', shared: createTransactionsShared(10, 1_000), decide: decideTransactions, checkItem: checkOwned })
+  let slice = createSlice()
+  let nowMs = 0
+  const take = (message: TransactionsMessage): readonly Effect[] => slice.take(message, { monotonicMs: nowMs, wallMs: 0, random: 0 })
+  const listKinds = (effects: readonly Effect[]): readonly string[] => effects.map(effect => effect.kind)
+  const read: Run = {
+    kind: 'transactions/run',
+    from: 'host-1',
+    caller: 'c',
+    attempt: 1,
+    ticket: { sender: 's', order: 1 },
+    service: 'rota',
+    target: { database: 'a2', owner: 'host-2', purpose: 'replica', term: 1, floor: { term: 1, offset: 5 } },
+    intent: 'statement',
+    remainingMs: 1_000,
+    payload: new Uint8Array(0)
+  }
+
+  beforeEach(() => {
+    slice = createSlice()
+    nowMs = 0
+    take({ kind: 'transactions/owned-changed', databases: [ENTRY], grants: [] })
+    take({ kind: 'transactions/position-read', database: 'a2', position: { term: 1, offset: 4 } })
+  })
+
+  it('waits without a slot or a connection, and runs as soon as the replica has caught up', () => {
+    expect(listKinds(take(read))).to.deep.equal(['database/probe', 'timer/set'])
+    expect(slice.store.items.get('a2')?.units.size).to.equal(0)
+    const effects = take({ kind: 'transactions/position-read', database: 'a2', position: { term: 1, offset: 5 } })
+    expect(listKinds(effects)).to.include('database/open')
+  })
+
+  it('goes back as not run when the replica stays behind', () => {
+    take(read)
+    nowMs = 1_000
+    const [answer] = take({ kind: 'transactions/look-due', database: 'a2' })
+    expect(answer).to.deep.include({ kind: 'peer/send', to: 'host-1' })
+    expect(slice.store.items.get('a2')?.behind).to.deep.equal([])
+  })
+
+  it('is dropped when its caller leaves', () => {
+    take(read)
+    take({ kind: 'transactions/cancel', from: 'host-1', database: 'a2', caller: 'c', attempt: 1, ticket: { sender: 's', order: 2 } })
+    expect(slice.store.items.get('a2')?.behind).to.deep.equal([])
+  })
+})
--- a/src/transactions/decide.ts
+++ b/src/transactions/decide.ts
@@ -4,6 +4,7 @@
 import { coversPosition } from '../core/position.js'
 import { UNCHANGED } from '../core/store.js'
 import { countWaiting, dropWaiting, enqueueEntry, findWaiting, listWaiting, type QueueLimits } from '../fairness/queue.js'
+import { dropBehind, takeLook, takeCovered, waitForPosition } from './behind.js'
 import type { Cancel, Credit, DatabaseFinished, DatabaseOutput, HostLost, PositionRead, Run, TimeOver, TransactionsMessage } from './messages.js'
 import { settleDatabase, takeOwned } from './ownership.js'
 import { closeUnit, createExecute, endCooling, findUnit, loseConnection, loseOpening, releaseUnit, startWaiting, takeConnection } from './pool.js'
@@ -17,9 +18,9 @@
  * Decides on one message of the transactions slice.
  * @example decideTransactions(store, { kind: 'transactions/opened', connection: 'db-1#1.1' }, moment)
  */
-export function decideTransactions (store: TransactionsStore, message: TransactionsMessage, _moment: Moment): TransactionsStep {
+export function decideTransactions (store: TransactionsStore, message: TransactionsMessage, moment: Moment): TransactionsStep {
   switch (message.kind) {
-    case 'transactions/run': return run(store, message)
+    case 'transactions/run': return run(store, message, moment)
     case 'transactions/cancel': return cancel(store, message)
     case 'transactions/owned-changed': return takeOwned(store, message)
     case 'transactions/host-lost': return loseHost(store, message)
@@ -28,7 +29,8 @@
     case 'transactions/credit': return decideFor(store, message.database, database => passCredit(database, message))
     case 'transactions/time-over': return decideFor(store, message.database, database => endTime(database, message))
     case 'transactions/stored': return decideFor(store, message.database, database => acknowledge(database, message))
-    case 'transactions/position-read': return decideFor(store, message.database, database => readPosition(database, message))
+    case 'transactions/position-read': return decideFor(store, message.database, database => readPosition(store.shared, database, message))
+    case 'transactions/look-due': return decideFor(store, message.database, database => takeLook(database, moment))
     case 'transactions/cooled': return decideFor(store, message.database, endCooling)
     case 'transactions/opened': return decideFor(store, readDatabase(message.connection), database => takeConnection(database, message))
     case 'transactions/open-failed': return decideFor(store, readDatabase(message.connection), database => loseOpening(database, message))
@@ -39,7 +41,7 @@
 }
 
 function countBusy (store: TransactionsStore): TransactionsStep {
-  const counts = [...store.items.values()].map(({ units, queue, storing }) => units.size + countWaiting(queue) + storing.length)
+  const counts = [...store.items.values()].map(({ units, queue, behind, storing }) => units.size + countWaiting(queue) + behind.length + storing.length)
   return { effects: [tell({ kind: 'stopping/counted', part: 'transactions', busy: counts.reduce((sum, count) => sum + count, 0) })] }
 }
 
@@ -54,13 +56,13 @@
   return settleDatabase(step.database, step.effects)
 }
 
-function run (store: TransactionsStore, message: Run): TransactionsStep {
+function run (store: TransactionsStore, message: Run, moment: Moment): TransactionsStep {
   const { from, ticket } = message
   if (from === undefined || !isNewTicket(store.shared, from, ticket)) return UNCHANGED
   const shared = takeTicket(store.shared, from, ticket)
   if (shared.refusing && message.transaction === undefined) return { shared, effects: [refuseRun(message, createFailure('host-stopping'))] }
   if (!store.items.has(message.target.database)) return { shared, effects: [refuseMissing(message)] }
-  const step = decideFor(store, message.target.database, database => startRun(shared, database, message))
+  const step = decideFor(store, message.target.database, database => startRun(shared, database, message, moment))
   return { ...step, shared }
 }
 
@@ -69,9 +71,9 @@
   return answerFailed(message.from!, message, createFailure('transaction-lost', 'the database has another owner'), false)
 }
 
-function startRun (shared: TransactionsShared, database: OwnedDatabase, message: Run): DatabaseStep {
+function startRun (shared: TransactionsShared, database: OwnedDatabase, message: Run, moment: Moment): DatabaseStep {
   if (message.transaction !== undefined) return continueUnit(database, message)
-  return continueStep(dropWork(database, message.caller, message.attempt), earlier => enqueue(shared, earlier, message))
+  return continueStep(dropWork(database, message.caller, message.attempt), earlier => (isBehind(earlier, message) ? waitForPosition(earlier, message, moment) : enqueue(shared, earlier, message)))
 }
 
 function enqueue (shared: TransactionsShared, database: OwnedDatabase, message: Run): DatabaseStep {
@@ -97,6 +99,11 @@
   return { length: shared.queueLength, flowLength: Math.ceil(shared.queueLength / 2) }
 }
 
+function isBehind (database: OwnedDatabase, { target }: Run): boolean {
+  if (database.leaving || database.entry.departing || target.purpose !== 'replica') return false
+  return !coversPosition(database.position, target.floor)
+}
+
 function findRefusal (database: OwnedDatabase, message: Run): Failure | undefined {
   const { target } = message
   const { entry } = database
@@ -145,8 +152,9 @@
   return continueStep({ database: answer.database, effects: [timer, ...answer.effects] }, startWaiting)
 }
 
-function readPosition (database: OwnedDatabase, message: PositionRead): DatabaseStep {
-  return keepDatabase({ ...database, position: message.position })
+function readPosition (shared: TransactionsShared, database: OwnedDatabase, message: PositionRead): DatabaseStep {
+  const covered = takeCovered({ ...database, position: message.position })
+  return covered.ready.reduce((step, read) => continueStep(step, next => enqueue(shared, next, read)), keepDatabase(covered.database))
 }
 
 function cancel (store: TransactionsStore, message: Cancel): TransactionsStep {
@@ -156,7 +164,8 @@
 }
 
 // Ends all that a caller has here up to an attempt; later attempts are not meant.
-function dropWork (database: OwnedDatabase, caller: string, attempt: number): DatabaseStep {
+function dropWork (owned: OwnedDatabase, caller: string, attempt: number): DatabaseStep {
+  const database = dropBehind(owned, caller, attempt)
   const meant = (work: { readonly caller: string, readonly attempt: number }): boolean => work.caller === caller && work.attempt <= attempt
   const waiting = findWaiting(database.queue, caller)?.item
   const waits = waiting !== undefined && meant(waiting)
@@ -192,6 +201,6 @@
 }
 
 function dropCallers (database: OwnedDatabase, host: string): DatabaseStep {
-  const work = [...database.units.values(), ...listWaiting(database.queue).map(entry => entry.item), ...database.storing].filter(({ from }) => from === host)
+  const work = [...database.units.values(), ...listWaiting(database.queue).map(entry => entry.item), ...database.behind.map(read => read.run), ...database.storing].filter(({ from }) => from === host)
   return work.reduce((step, { caller }) => continueStep(step, next => dropWork(next, caller, Infinity)), keepDatabase(database))
 }
--- a/src/transactions/messages.ts
+++ b/src/transactions/messages.ts
@@ -123,6 +123,12 @@
   readonly database: string
 }
 
+/** Time to look whether a replica has caught up with the reads that wait for it. */
+export interface LookDue {
+  readonly kind: 'transactions/look-due'
+  readonly database: string
+}
+
 /** The stopping slice wants to know how much work there is for owned databases. */
 export interface CountAsked {
   readonly kind: 'transactions/count-asked'
@@ -136,6 +142,7 @@
 /** Any message of the transactions slice. */
 export type TransactionsMessage =
   | CountAsked
+  | LookDue
   | RefuseWork
   | Run
   | Cancel
--- a/src/transactions/ownership.ts
+++ b/src/transactions/ownership.ts
@@ -53,6 +53,7 @@
     opened: 0,
     units: new Map(),
     queue: createQueue(),
+    behind: [],
     storing: [],
     stored: ORIGIN
   }
--- a/src/transactions/pool.ts
+++ b/src/transactions/pool.ts
@@ -3,6 +3,7 @@
 import { setTimer } from '../messages.js'
 import type { DatabaseEffect } from '../databases/driver.js'
 import { countWaiting, createQueue, listWaiting, takeNext } from '../fairness/queue.js'
+import { refuseBehind } from './behind.js'
 import type { Broken, OpenFailed, Opened, Run } from './messages.js'
 import type { OwnedDatabase, Unit } from './state.js'
 import { answerFailed, continueStep, dropTimeOver, keepDatabase, refuseRun, type DatabaseStep } from './step.js'
@@ -107,7 +108,7 @@
 export function refuseWaiting (database: OwnedDatabase): DatabaseStep {
   const failure = createFailure('no-database', database.entry.group)
   const effects = listWaiting(database.queue).flatMap(({ item }) => [dropTimeOver(database.entry.database, item.caller), refuseRun(item, failure)])
-  return { database: { ...database, queue: createQueue() }, effects }
+  return continueStep({ database: { ...database, queue: createQueue() }, effects }, refuseBehind)
 }
 
 /**
--- a/src/transactions/state.ts
+++ b/src/transactions/state.ts
@@ -38,6 +38,13 @@
   readonly payload: Uint8Array
 }
 
+/** A read that waits for a replica to catch up. */
+export interface BehindRead {
+  readonly run: Run
+  /** When it goes back, to run at the primary. */
+  readonly untilMs: number
+}
+
 /** A database that this host owns. */
 export interface OwnedDatabase {
   readonly entry: DatabaseEntry
@@ -58,6 +65,7 @@
   readonly opened: number
   readonly units: ReadonlyMap<string, Unit>
   readonly queue: FairQueue<Run>
+  readonly behind: readonly BehindRead[]
   readonly storing: readonly StoringWrite[]
   readonly stored: LogPosition
 }
