--- a/bench/path.ts
+++ b/bench/path.ts
@@ -9,6 +9,7 @@
 const CLIENTS = 3
 const RATE = 150
 const SECONDS = 5
+const WARM_UP_SECONDS = 3
 const UNLIMITED = 1_000_000
 const READ = "/*route='orders.list'*/ SELECT id FROM orders WHERE id = 'none'"
 
@@ -33,6 +34,7 @@
 
 async function observeWay (way: string, config: pg.ClientConfig): Promise<Row> {
   const clients = await Promise.all(Array.from({ length: CLIENTS }, async () => await openClient(config)))
+  await findThroughput(CLIENTS, WARM_UP_SECONDS, async sender => await clients[sender]!.query(READ))
   const load = await runLoad({ rate: RATE, seconds: SECONDS, send: async index => await clients[index % CLIENTS]!.query(READ) })
   const statementsPerSecond = await findThroughput(CLIENTS, SECONDS, async sender => await clients[sender]!.query(READ))
   await closeClients(clients)
--- a/src/routing/decide.ts
+++ b/src/routing/decide.ts
@@ -1,6 +1,7 @@
 /** Decisions of the routing slice: which database serves a request. */
 import { createFailure, type ErrorCode } from '../core/errors.js'
 import type { CoreEffect, Moment, Step } from '../core/message.js'
+import { rankCandidates } from '../core/rendezvous.js'
 import { ORIGIN, coversPosition, pickLater, type LogPosition } from '../core/position.js'
 import { findOwner } from '../membership/owners.js'
 import type { Target } from '../requests/messages.js'
@@ -131,14 +132,22 @@
   return { state: { ...state, round, askedAtMs }, effects: [...asks, again] }
 }
 
-// Only the owners of primaries, and of the databases of this failure domain: what
-// other domains' replicas hold is of use only while this domain has none.
+// Only the owners of primaries and of this failure domain's databases; for a group
+// without a replica here, also the owner of one replica elsewhere.
 function listOwnersToAsk (state: RoutingState): readonly string[] {
   const primaries = new Set([...state.grants.values()].map(grant => grant.primary))
-  const owners = [...state.databases.values()]
-    .filter(database => primaries.has(database.entry.database) || database.entry.failureDomain === state.failureDomain)
-    .flatMap(database => (database.owner === undefined ? [] : [database.owner]))
-  return [...new Set(owners)]
+  const databases = [...state.databases.values()]
+  const replicas = databases.filter(database => !primaries.has(database.entry.database))
+  const served = new Set(replicas.filter(database => isNear(state, database)).map(database => database.entry.group))
+  const far = [...state.grants.keys()].filter(group => !served.has(group)).flatMap(group => pickFar(state, group, replicas))
+  const asked = databases.filter(database => primaries.has(database.entry.database) || isNear(state, database))
+  return [...new Set([...asked, ...far].flatMap(database => (database.owner === undefined ? [] : [database.owner])))]
+}
+
+function pickFar (state: RoutingState, group: string, replicas: readonly KnownDatabase[]): readonly KnownDatabase[] {
+  const candidates = replicas.filter(database => database.entry.group === group)
+  const [first] = rankCandidates(state.self, candidates.map(database => database.entry.database))
+  return candidates.filter(database => database.entry.database === first)
 }
 
 function tellPositions (state: RoutingState, message: PositionsAsked, moment: Moment): RoutingStep {
