--- /dev/null
+++ b/src/core/loop.test.ts
@@ -0,0 +1,72 @@
+/** The loop: one message at a time, and no effect after its time. */
+import { expect } from 'chai'
+import { pollUntil } from '../../test/support/poll.js'
+import { Adapter } from './adapter.js'
+import { Clock } from './clock.js'
+import { Loop } from './loop.js'
+import { tell, type Effect, type Message, type Moment } from './message.js'
+import { DecidingSlice } from './slice.js'
+
+class FakeClock extends Clock {
+  nowMs = 0
+  read (): Moment {
+    return { monotonicMs: this.nowMs, wallMs: 0, random: 0 }
+  }
+}
+
+class Outbox extends Adapter {
+  readonly name = 'out'
+  readonly sent: Effect[] = []
+  carryOut (effect: Effect): void {
+    this.sent.push(effect)
+  }
+}
+
+describe('the loop', () => {
+  const create = (decide: (message: Message) => readonly Effect[]) => {
+    const clock = new FakeClock()
+    const outbox = new Outbox()
+    const seen: string[] = []
+    const faults: unknown[] = []
+    const slice = DecidingSlice.create<undefined, Message, Effect>({
+      name: 'a',
+      initial: undefined,
+      decide: (state, message) => {
+        seen.push(message.kind)
+        return { state, effects: decide(message) }
+      }
+    })
+    const loop = Loop.create({ clock, slices: [slice], onFault: fault => faults.push(fault) })
+    loop.addAdapter(outbox)
+    return { clock, outbox, seen, faults, loop }
+  }
+
+  it('delivers what a slice tells after what was posted before, one at a time', async () => {
+    const { loop, seen } = create(message => (message.kind === 'a/first' ? [tell({ kind: 'a/told' })] : []))
+    loop.post({ kind: 'a/first' })
+    loop.post({ kind: 'a/second' })
+    await pollUntil('three messages', async () => seen.length === 3)
+    expect(seen).to.deep.equal(['a/first', 'a/second', 'a/told'])
+  })
+
+  it('replaces an effect whose lease ended between the decision and its leaving', async () => {
+    const { loop, clock, outbox, seen } = create(message => {
+      if (message.kind !== 'a/answer') return []
+      const effect: Effect = { kind: 'out/acknowledge', notAfterMs: 1_000, otherwise: { kind: 'a/overdue' } }
+      clock.nowMs += 900
+      return [effect]
+    })
+    loop.post({ kind: 'a/answer' })
+    loop.post({ kind: 'a/answer' })
+    await pollUntil('both answers', async () => seen.includes('a/overdue'))
+    expect(outbox.sent).to.have.length(1)
+  })
+
+  it('stops at a fault, and delivers nothing after it', async () => {
+    const { loop, seen, faults } = create(() => { throw new Error('broken') })
+    loop.post({ kind: 'a/first' })
+    loop.post({ kind: 'a/second' })
+    await pollUntil('the fault', async () => faults.length === 1)
+    expect(seen).to.deep.equal(['a/first'])
+  })
+})
