Leaves out messages of unknown kinds; keeps a withdrawal's word on what ran

Cause: a frame with a kind that this version does not know ended the host through the loop's invariant, so hosts of unlike versions could end each other; and a peer could post what only adapters may. Ruled out: the request having left (the slice drops its caller first). Change: one list of kinds between hosts, checked on both sides; a refusal by the slices goes out as they worded it; the test reads "services". The benches footprint and fairness use a folder for each run: they had found the documents of the run before.

--- a/bench/fairness.ts
+++ b/bench/fairness.ts
@@ -1,4 +1,6 @@
 /** Fairness and rates: what each workspace gets while one sends several times its rate. */
+import { mkdir } from 'node:fs/promises'
+import { join } from 'node:path'
 import { readDeployment, type Deployment, type DeploymentName, type KeyedWorkspace } from '../demo/deployment.js'
 import { startSystem, type RunningSystem } from '../demo/system.js'
 import { changeRates, closeClients, openClients } from './clients.js'
@@ -23,14 +25,15 @@
   const rows: Row[] = []
   for (const service of ['atelier', 'ramillete'] as const) {
     for (const times of [5, 10]) {
-      rows.push(await observeOverload(service, times, 'rates and fair queue', directory))
+      rows.push(await observeOverload(service, times, 'rates and fair queue', join(directory, `${service}-${times}`)))
     }
-    rows.push(await observeOverload(service, 10, 'no rates, fair queue alone', directory))
+    rows.push(await observeOverload(service, 10, 'no rates, fair queue alone', join(directory, `${service}-no-rates`)))
   }
   return rows
 }
 
 async function observeOverload (service: DeploymentName, times: number, way: string, directory: string): Promise<Row> {
+  await mkdir(directory, { recursive: true })
   const stated = await readDeployment(service)
   const limited = way.startsWith('rates')
   const deployment = limited ? stated : changeRates(stated, () => ({ rate: UNLIMITED, burst: UNLIMITED }))
--- a/bench/footprint.ts
+++ b/bench/footprint.ts
@@ -1,4 +1,6 @@
 /** Footprint: what control costs a host, against the number of hosts, databases, workspaces and changes. */
+import { mkdir } from 'node:fs/promises'
+import { join } from 'node:path'
 import { readDeployment, type Deployment } from '../demo/deployment.js'
 import type { DatabasePlan, HostPlan, StartedHost } from '../demo/processes.js'
 import { startSystem, type RunningSystem } from '../demo/system.js'
@@ -45,11 +47,12 @@
 /** Measures the first control host that leads, and a host that only serves callers. */
 export async function runFootprint (directory: string): Promise<readonly Row[]> {
   const rows: Row[] = []
-  for (const size of SIZES) rows.push(await observeSize(size, directory))
+  for (const [index, size] of SIZES.entries()) rows.push(await observeSize(size, join(directory, `size-${index}`)))
   return rows
 }
 
 async function observeSize (size: Size, directory: string): Promise<Row> {
+  await mkdir(directory, { recursive: true })
   const deployment = createDeployment(await readDeployment('atelier'), size)
   await using system = await startSystem(deployment, directory)
   const entry = system.hosts.find(host => !host.plan.control) ?? system.hosts[1]!
--- a/src/frontends/postgres/connection.ts
+++ b/src/frontends/postgres/connection.ts
@@ -138,7 +138,8 @@
 
   #refuse (failure: Failure): void {
     if (this.#opened !== undefined) this.#opened(failure)
-    else this.stop(failure)
+    // What the slices have not seen by now will not run, so their word on it stands.
+    else this.#parts.socket.end(encodeFailure(failure, 'FATAL'))
   }
 
   async #collect (message: BatchMessage): Promise<boolean> {
--- a/src/peers/connect.ts
+++ b/src/peers/connect.ts
@@ -4,7 +4,9 @@
 import type { Post } from '../core/adapter.js'
 import type { LearnPeers, Message, SendPeer } from '../core/message.js'
 import { Peers, type Frame } from '../gen/fulmartally_pb.js'
+import { assertInvariant } from '../core/invariant.js'
 import { decodeFrame, encodeFrame } from './frame.js'
+import { isPeerMessage } from './kinds.js'
 import { PeerLink, type PeerAddress } from './link.js'
 import { SendQueue } from './queue.js'
 import { countTraffic, type OnTraffic } from './traffic.js'
@@ -66,6 +68,7 @@
 
   carryOut (effect: SendPeer | LearnPeers): void {
     if (effect.kind === 'peer/learn') return this.learnAddresses(effect.addresses)
+    assertInvariant(isPeerMessage(effect.message), 'each message to a host is listed', effect.message.kind)
     if (effect.to === this.#self) {
       this.#post({ ...effect.message, from: this.#self } as Message)
       return
@@ -91,7 +94,7 @@
     try {
       for await (const frame of frames) {
         from = frame.from
-        this.#post(this.#decode(frame))
+        this.#takeFrame(frame)
       }
     } catch {
       // The stream broke: the same as its end.
@@ -106,6 +109,11 @@
     return frame
   }
 
+  #takeFrame (frame: Frame): void {
+    const message = this.#decode(frame)
+    if (isPeerMessage(message)) this.#post(message)
+  }
+
   #decode (frame: Frame): Message {
     const message = decodeFrame(frame)
     this.#watch.clock.merge({ wallMs: frame.stampWallMs, count: frame.stampCount })
@@ -126,7 +134,7 @@
 
   async #run (host: string, link: OpenLink, client: ReturnType<typeof createClient<typeof Peers>>): Promise<void> {
     try {
-      for await (const frame of client.connect(link.queue, { signal: link.abort.signal })) this.#post(this.#decode(frame))
+      for await (const frame of client.connect(link.queue, { signal: link.abort.signal })) this.#takeFrame(frame)
     } catch {
       // The stream broke: the same as its end.
     }
--- /dev/null
+++ b/src/peers/kinds.ts
@@ -0,0 +1,50 @@
+/** The messages that other hosts may send. */
+import type { Message } from '../core/message.js'
+import type { HostMessage } from '../messages.js'
+
+const KINDS = [
+  'admission/lent',
+  'admission/shares-answered',
+  'agreement/append',
+  'agreement/appended',
+  'agreement/install',
+  'agreement/installed',
+  'agreement/vote-answered',
+  'agreement/vote-asked',
+  'agreement/waiting',
+  'documents/apply',
+  'documents/ask',
+  'membership/beat',
+  'membership/beat-answered',
+  'membership/drain-asked',
+  'membership/leader-hint',
+  'membership/left',
+  'membership/status-asked',
+  'operations/answered',
+  'primacy/command',
+  'primacy/move',
+  'primacy/obeyed',
+  'requests/failed',
+  'requests/finished',
+  'requests/output',
+  'routing/positions-asked',
+  'routing/positions-told',
+  'shares/asked',
+  'shares/wanted',
+  'timeline/events-asked',
+  'timeline/events-told',
+  'transactions/cancel',
+  'transactions/credit',
+  'transactions/run'
+] as const satisfies ReadonlyArray<HostMessage['kind']>
+
+const KNOWN: ReadonlySet<string> = new Set(KINDS)
+
+/**
+ * Tells whether a message may come from another host. What a later version sends and
+ * this one does not know is left out, as if it were lost on the way.
+ * @example isPeerMessage({ kind: 'membership/beat' }) // true
+ */
+export function isPeerMessage (message: Message): boolean {
+  return KNOWN.has(message.kind)
+}
--- a/test/agreement.test.ts
+++ b/test/agreement.test.ts
@@ -142,8 +142,8 @@
     await Promise.all(hosts.map(async host => await restartHost(host, directory)))
     const started = performance.now()
     await pollUntil('the documents', async () => {
-      const list = await sendCommand<{ readonly documents?: readonly unknown[] }>(hosts[3]!.addresses.operators, { name: 'document/list' })
-      return (list.documents?.length ?? 0) >= 500
+      const list = await sendCommand<{ readonly services?: readonly unknown[] }>(hosts[3]!.addresses.operators, { name: 'document/list' })
+      return (list.services?.length ?? 0) >= 500
     })
     process.stdout.write(`restart after 500 documents: processes ready after ${Math.round(started - began)} ms, documents served after ${Math.round(performance.now() - began)} ms\n`)
     expect(await readVersion(hosts[3]!, 'bulk-499')).to.equal(1)
