--- a/src/daemon/host.ts
+++ b/src/daemon/host.ts
@@ -57,16 +57,7 @@
     const monitor = Monitor.create(settings.host, log)
     const stamps = StampClock.create()
     const trace = settings.trace === undefined ? undefined : TraceFile.create(settings.trace.file, settings.trace.slices)
-    const loop = Loop.create({
-      clock: SystemClock.create(),
-      slices: createSlices(settings),
-      onFault,
-      recorder: (message, moment) => {
-        monitor.observeMessage(message)
-        trace?.record(message, moment)
-      },
-      observer: monitor.observeEffect
-    })
+    const loop = createLoop(settings, monitor, trace, onFault)
     const journal = settings.dataFolder === undefined ? undefined : await FileJournal.create(settings.dataFolder, loop.post, onFault)
     if (journal !== undefined) loop.addAdapter(journal)
     const link = ConnectPeerLink.create(settings.host, loop.post, host => [
@@ -99,6 +90,19 @@
   }
 }
 
+function createLoop (settings: Settings, monitor: Monitor, trace: TraceFile | undefined, onFault: (fault: unknown) => void): Loop {
+  return Loop.create({
+    clock: SystemClock.create(),
+    slices: createSlices(settings),
+    onFault,
+    recorder: (message, moment) => {
+      monitor.observeMessage(message)
+      trace?.record(message, moment)
+    },
+    observer: monitor.observeEffect
+  })
+}
+
 function startSlices (settings: Settings, loop: Loop, link: ConnectPeerLink, peers: Listening, journal: FileJournal | undefined): void {
   const control = settings.control.map(entry => entry.host)
   link.learnAddresses(settings.control)
--- a/test/primacy.test.ts
+++ b/test/primacy.test.ts
@@ -3,11 +3,12 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { expect } from 'chai'
-import pg from 'pg'
+import type pg from 'pg'
 import { endProcesses, restartDatabase, startDatabases, startHosts, type StartedDatabase, type StartedHost } from '../demo/processes.js'
 import { createKey } from '../src/admission/keys.js'
 import { ControlConnection, type ReportedStatus } from '../src/databases/postgres/control.js'
 import { sendCommand } from '../src/operations/client.js'
+import { connectCaller } from './support/caller.js'
 import { pollUntil } from './support/poll.js'
 
 const DOMAINS = ['north', 'east', 'south']
@@ -34,13 +35,7 @@
   let databases: readonly StartedDatabase[] = []
   let written = 0
 
-  const connect = async (host: StartedHost): Promise<pg.Client> => {
-    const [ip, port] = host.addresses.callers.split(':')
-    const client = new pg.Client({ host: ip, port: Number(port), database: 'rota', user: 'parish', password: KEY.key })
-    client.on('error', () => undefined)
-    await client.connect()
-    return client
-  }
+  const connect = async (host: StartedHost): Promise<pg.Client> => await connectCaller(host, { workspace: 'parish', key: KEY.key })
 
   const write = async (host: StartedHost, tally: Tally, isOver: () => boolean): Promise<void> => {
     const client = await connect(host)
--- a/test/rates.test.ts
+++ b/test/rates.test.ts
@@ -4,10 +4,11 @@
 import { join } from 'node:path'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { expect } from 'chai'
-import pg from 'pg'
+import type pg from 'pg'
 import { endProcesses, restartHost, startDatabases, startHosts, type StartedDatabase, type StartedHost } from '../demo/processes.js'
 import { createKey } from '../src/admission/keys.js'
 import { sendCommand } from '../src/operations/client.js'
+import { connectCaller } from './support/caller.js'
 import { pollUntil } from './support/poll.js'
 
 const DOMAINS = ['north', 'east', 'south']
@@ -32,13 +33,7 @@
   let hosts: readonly StartedHost[] = []
   let databases: readonly StartedDatabase[] = []
 
-  const connect = async (host: StartedHost, workspace: typeof GREEDY): Promise<pg.Client> => {
-    const [ip, port] = host.addresses.callers.split(':')
-    const client = new pg.Client({ host: ip, port: Number(port), database: 'rota', user: workspace.name, password: workspace.key.key })
-    client.on('error', () => {})
-    await client.connect()
-    return client
-  }
+  const connect = async (host: StartedHost, workspace: typeof GREEDY): Promise<pg.Client> => await connectCaller(host, { workspace: workspace.name, key: workspace.key.key })
 
   const send = async (client: pg.Client, counts: Counts): Promise<void> => {
     counts.asked += 1
--- a/test/stopping.test.ts
+++ b/test/stopping.test.ts
@@ -3,10 +3,11 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { expect } from 'chai'
-import pg from 'pg'
+import type pg from 'pg'
 import { endProcesses, restartHost, startDatabases, startHosts, type StartedDatabase, type StartedHost } from '../demo/processes.js'
 import { createKey } from '../src/admission/keys.js'
 import { sendCommand } from '../src/operations/client.js'
+import { connectCaller } from './support/caller.js'
 import { pollUntil } from './support/poll.js'
 
 const KEY = createKey()
@@ -33,13 +34,7 @@
   let hosts: readonly StartedHost[] = []
   let databases: readonly StartedDatabase[] = []
 
-  const connect = async (host: StartedHost): Promise<pg.Client> => {
-    const [ip, port] = host.addresses.callers.split(':')
-    const client = new pg.Client({ host: ip, port: Number(port), database: 'rota', user: 'parish', password: KEY.key })
-    client.on('error', () => undefined)
-    await client.connect()
-    return client
-  }
+  const connect = async (host: StartedHost): Promise<pg.Client> => await connectCaller(host, { workspace: 'parish', key: KEY.key })
 
   const writeRows = async (name: string, seen: Seen, stopped: () => boolean): Promise<void> => {
     let client: pg.Client | undefined
