--- a/bench/fairness.ts
+++ b/bench/fairness.ts
@@ -18,6 +18,7 @@
   readonly asked: number
   readonly answered: number
   readonly refused: number
+  readonly seconds: number
 }
 
 /** Overloads with the first workspace, at 5 and at 10 times its rate; the baseline knows no rates. */
@@ -49,9 +50,9 @@
     times,
     worstSharePercent: roundFigure(100 * Math.min(...others.map(one => one.answered / one.asked))),
     refusedWithinRatePercent: roundFigure(100 * addUp(others, one => one.refused) / addUp(others, one => one.asked)),
-    greedyAnsweredPerSecond: roundFigure(greedy.answered / SECONDS),
+    greedyAnsweredPerSecond: roundFigure(greedy.answered / greedy.seconds),
     greedyRate: greedy.workspace.rate,
-    greedyOverBound: Math.max(0, Math.round(greedy.answered - greedy.workspace.burst - greedy.workspace.rate * SECONDS))
+    greedyOverBound: Math.max(0, Math.round(greedy.answered - greedy.workspace.burst - greedy.workspace.rate * greedy.seconds))
   }
 }
 
@@ -69,7 +70,7 @@
   }
   const load = await runLoad({ rate: stated.rate * times, seconds: SECONDS, send })
   await closeClients(clients)
-  return { workspace: stated, asked: load.asked, answered: load.answered, refused }
+  return { workspace: stated, asked: load.asked, answered: load.answered, refused, seconds: load.seconds }
 }
 
 function addUp<T> (items: readonly T[], read: (item: T) => number): number {
--- a/bench/openloop.ts
+++ b/bench/openloop.ts
@@ -9,6 +9,8 @@
   readonly asked: number
   readonly answered: number
   readonly failed: number
+  /** How long it took until the last request was over. */
+  readonly seconds: number
   readonly answeredPerSecond: number
   readonly p50Ms: number
   readonly p99Ms: number
@@ -48,6 +50,7 @@
     asked: total,
     answered: histogram.totalCount,
     failed,
+    seconds,
     answeredPerSecond: roundFigure(histogram.totalCount / seconds),
     p50Ms: roundFigure(histogram.getValueAtPercentile(50) / US_PER_MS),
     p99Ms: roundFigure(histogram.getValueAtPercentile(99) / US_PER_MS),
