Tries a failed start again in the demo and the tests

Cause: the tenth of ten demos in a row ended with "register-3-1 ended with 1 before it was ready": its port, picked as free, was taken before it could listen (a test suite ran beside it). Ruled out: a fault of the stand-in (it starts with the same arguments). Change: up to 5 starts, 300 ms apart.

--- a/demo/processes.ts
+++ b/demo/processes.ts
@@ -10,6 +10,8 @@
 
 const BUILT = fileURLToPath(new URL(import.meta.url.includes('/dist/') ? '..' : '../dist', import.meta.url))
 const READY_WITHIN_MS = 20_000
+const START_ATTEMPTS = 5
+const START_AGAIN_MS = 300
 
 /** A process that said it is ready. */
 export interface RunningProcess<Ready> {
@@ -73,14 +75,31 @@
   return ports
 }
 
-/** Starts a compiled program and waits until it prints its ready line. */
+/**
+ * Starts a compiled program and waits until it prints its ready line. A port that was
+ * free a moment ago may be taken by a passing connection, so a failed start is tried again.
+ */
 export async function startProcess<Ready> (name: string, script: string, args: readonly string[], directory: string): Promise<RunningProcess<Ready>> {
+  for (let attempt = 1; ; attempt++) {
+    try {
+      return await startOnce(name, script, args, directory)
+    } catch (error) {
+      if (attempt === START_ATTEMPTS) throw error
+      await new Promise(resolve => setTimeout(resolve, START_AGAIN_MS))
+    }
+  }
+}
+
+async function startOnce<Ready> (name: string, script: string, args: readonly string[], directory: string): Promise<RunningProcess<Ready>> {
   const child = spawn(process.execPath, [join(BUILT, script), ...args], { stdio: ['ignore', 'pipe', 'pipe'] })
   const log = createWriteStream(join(directory, `${name}.log`), { flags: 'a' })
   child.stdout.pipe(log)
   child.stderr.pipe(log)
   const ready = await new Promise<Ready>((resolve, reject) => {
-    const timer = setTimeout(() => reject(new Error(`${name} is not ready`)), READY_WITHIN_MS)
+    const timer = setTimeout(() => {
+      child.kill('SIGKILL')
+      reject(new Error(`${name} is not ready`))
+    }, READY_WITHIN_MS)
     child.once('exit', code => reject(new Error(`${name} ended with ${code} before it was ready`)))
     createInterface({ input: child.stdout }).on('line', line => {
       const said = parseReady<Ready>(line)
