Drops two members that nothing calls; one sleep serves demo and benches

Found reading the change: PostgresFrontEnd.busy and Monitor.markDraining were left behind when the stopping slice came to count what is under way. No behaviour changes.

--- a/bench/failover.ts
+++ b/bench/failover.ts
@@ -8,6 +8,7 @@
 import { checkWrites } from '../demo/verify.js'
 import { closeClients, openClients } from './clients.js'
 import type { Row } from './report.js'
+import { sleep } from '../demo/sleep.js'
 
 const RUNS = 5
 const WRITERS = 6
@@ -66,7 +67,3 @@
   }))
   await closeClients(clients)
 }
-
-function sleep (ms: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, ms))
-}
--- a/bench/footprint.ts
+++ b/bench/footprint.ts
@@ -9,6 +9,7 @@
 import { roundFigure } from './openloop.js'
 import type { Row } from './report.js'
 import { readUsage, type Usage } from './usage.js'
+import { sleep } from '../demo/sleep.js'
 
 const SETTLE_MS = 1_500
 const SECONDS = 5
@@ -125,7 +126,3 @@
 function nameDomain (index: number): string {
   return `domain-${index % DOMAINS + 1}`
 }
-
-function sleep (ms: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, ms))
-}
--- a/demo/caller.ts
+++ b/demo/caller.ts
@@ -3,6 +3,7 @@
 import type { Deployment, KeyedWorkspace } from './deployment.js'
 import type { StartedHost } from './processes.js'
 import type { Tally } from './tally.js'
+import { sleep } from './sleep.js'
 
 const REQUESTS_PER_STAY = 12
 const CONNECT_TIMEOUT_MS = 6_000
@@ -155,7 +156,3 @@
     for (const id of ids) tally.addWrite({ group: workspace.group, workspace: workspace.name, id, atMs })
   }
 }
-
-function sleep (ms: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, ms))
-}
--- a/demo/main.ts
+++ b/demo/main.ts
@@ -12,6 +12,7 @@
 import { startSystem, type RunningSystem } from './system.js'
 import { findGap, Tally } from './tally.js'
 import { checkWrites, type Verdict } from './verify.js'
+import { sleep } from './sleep.js'
 
 const EXIT_BROKEN = 1
 const CALLERS_PER_WORKSPACE = 4
@@ -169,7 +170,3 @@
     routes: (JSON.parse(deployment.documentText) as { routes: unknown }).routes
   }
 }
-
-function sleep (ms: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, ms))
-}
--- a/src/frontends/postgres/frontend.ts
+++ b/src/frontends/postgres/frontend.ts
@@ -57,11 +57,6 @@
     for (const connection of this.#connections.values()) connection.endWhenIdle()
   }
 
-  /** True when a caller has a request or a transaction under way. */
-  get busy (): boolean {
-    return [...this.#connections.values()].some(connection => !connection.idle)
-  }
-
   async [Symbol.asyncDispose] (): Promise<void> {
     this.#server.close()
     for (const connection of this.#connections.values()) connection.stop(createFailure('host-stopping'))
--- a/src/monitoring/monitor.ts
+++ b/src/monitoring/monitor.ts
@@ -38,11 +38,6 @@
     if (effect.kind === 'timeline/record') this.#log.write(slice, 'info', (effect as RecordEvent).text)
   }
 
-  /** Says from now on that the host is not ready. */
-  markDraining (): void {
-    this.#facts = { ...this.#facts, draining: true }
-  }
-
   /** Creates the handler of the pages `/metrics`, `/health` and `/ready`. */
   createPages (): HandlePage {
     return createPages({ metrics: this.metrics, checkReadiness: () => checkReadiness(this.#facts, performance.now()) })
