--- a/src/admission/decide.ts
+++ b/src/admission/decide.ts
@@ -3,9 +3,10 @@
 import { createFailure, type Failure } from '../core/errors.js'
 import type { CoreEffect, Moment } from '../core/message.js'
 import type { DocumentEntry } from '../membership/directory.js'
-import type { ServiceDocument, Workspace } from '../documents/document.js'
+import type { Route, ServiceDocument, Workspace } from '../documents/document.js'
 import type { RouteRules } from '../requests/messages.js'
 import { addCaller, checkCallers, dropCaller, type Checked, type KeyedCallers } from './callers.js'
+import { createIndex, type DocumentIndex } from './index.js'
 import { holdsKey } from './keys.js'
 import { askShares, followLeader, takeShares } from './lease.js'
 import type { AdmissionMessage, CallerClosed, CheckOpen, CheckRequest, DocumentsConfirmed } from './messages.js'
@@ -49,7 +50,8 @@
   const documents = new Map([...shared.documents, ...changed.map(entry => [entry.service, entry] as const)])
   const checked = checkChanged(shared.callers, changed)
   const limits = changed.map(entry => tellLimits(entry.service, entry.document.workspaces))
-  return { shared: { ...shared, documents, complete, confirmedAtMs, callers: checked.callers }, effects: [...limits, ...checked.effects] }
+  const indexes = new Map([...shared.indexes, ...changed.map(entry => [entry.service, createIndex(entry.document)] as const)])
+  return { shared: { ...shared, documents, indexes, complete, confirmedAtMs, callers: checked.callers }, effects: [...limits, ...checked.effects] }
 }
 
 function checkChanged (callers: KeyedCallers, changed: readonly DocumentEntry[]): Checked {
@@ -69,29 +71,42 @@
 }
 
 function checkOpen (shared: AdmissionShared, message: CheckOpen, moment: Moment): AdmissionStep {
-  const { caller, service, workspace, keyHash } = message
-  const failure = findOpenFailure(shared, message, moment)
-  const effects = [tell({ kind: 'requests/open-checked', caller, failure })]
-  if (failure !== undefined || workspace === undefined || keyHash === undefined) return { effects }
+  const { caller, service, keyHash } = message
+  const checked = checkCaller(shared, message, moment)
+  const failure = checked.isErr ? checked.error : undefined
+  const workspace = checked.isOk ? checked.value?.name : undefined
+  const effects = [tell({ kind: 'requests/open-checked', caller, workspace, failure })]
+  if (workspace === undefined || keyHash === undefined) return { effects }
   return { shared: { ...shared, callers: addCaller(shared.callers, service, { caller, workspace, keyHash }) }, effects }
 }
 
-function findOpenFailure (shared: AdmissionShared, message: CheckOpen, moment: Moment): Failure | undefined {
-  const document = shared.documents.get(message.service)?.document
-  if (document === undefined) return createFailure('unknown-service', message.service)
-  if (message.workspace === undefined) return undefined
-  return checkKey(shared, document, message.workspace, message.keyHash, moment).match({ Ok: () => undefined, Err: failure => failure })
+// A caller of an open route acts for no workspace, whatever key it brings.
+function checkCaller (shared: AdmissionShared, message: CheckOpen, moment: Moment): Result<Workspace | undefined, Failure> {
+  const index = shared.indexes.get(message.service)
+  if (index === undefined) return Result.err(createUnknown(shared, message.service))
+  const route = message.route === undefined ? undefined : index.routes.get(message.route)
+  if (message.route !== undefined && route === undefined) return Result.err(createFailure('unknown-route', message.route))
+  if (route?.access === 'open') return Result.ok(undefined)
+  if (message.workspace === undefined && message.keyHash === undefined) return message.route === undefined ? Result.ok(undefined) : Result.err(createFailure('key-needed', message.route))
+  const name = message.workspace ?? index.holders.get(message.keyHash!)?.name ?? ''
+  return checkKey(shared, index, name, message.keyHash, moment)
+}
+
+// Before the first confirmation a host does not know what it lacks.
+function createUnknown (shared: AdmissionShared, service: string): Failure {
+  return shared.confirmedAtMs === undefined ? createFailure('no-authority') : createFailure('unknown-service', service)
 }
 
-function checkKey (shared: AdmissionShared, document: ServiceDocument, name: string, keyHash: string | undefined, moment: Moment): Result<Workspace, Failure> {
-  if (!hasAuthority(shared, document, moment)) return Result.err(createFailure('no-authority'))
-  const workspace = document.workspaces.find(candidate => candidate.name === name)
+function checkKey (shared: AdmissionShared, index: DocumentIndex, name: string, keyHash: string | undefined, moment: Moment): Result<Workspace, Failure> {
+  if (!hasAuthority(shared, index.document, moment)) return Result.err(createFailure('no-authority'))
+  const workspace = index.workspaces.get(name)
   if (workspace === undefined) return Result.err(createFailure('unknown-workspace', name))
   if (keyHash === undefined || !holdsKey(workspace, keyHash)) return Result.err(createFailure('wrong-key', name))
   return Result.ok(workspace)
 }
 
 function hasAuthority (shared: AdmissionShared, document: ServiceDocument, moment: Moment): boolean {
+  if (shared.keepsAuthority) return shared.confirmedAtMs !== undefined
   return shared.confirmedAtMs !== undefined && moment.monotonicMs - shared.confirmedAtMs <= document.authorityLeaseMs
 }
 
@@ -109,25 +124,34 @@
 }
 
 function findPermission (shared: AdmissionShared, message: CheckRequest, moment: Moment): Result<Permission, Failure> {
-  const document = shared.documents.get(message.service)?.document
-  if (document === undefined) return Result.err(createFailure('unknown-service', message.service))
-  const route = message.route === undefined ? undefined : document.routes.find(candidate => candidate.name === message.route)
+  const index = shared.indexes.get(message.service)
+  if (index === undefined) return Result.err(createUnknown(shared, message.service))
+  const route = message.route === undefined ? undefined : index.routes.get(message.route)
   if (message.route !== undefined && route === undefined) return Result.err(createFailure('unknown-route', message.route))
   if (route?.access === 'open' && !isKeyedTransaction(message)) {
-    return Result.ok({ rules: { group: route.group!, action: route.action, maxStalenessMs: route.maxStalenessMs, idempotent: route.idempotent, open: true } })
+    return Result.ok({ rules: { ...createRules(route, route.group!, message), open: true } })
   }
   if (message.workspace === undefined) return Result.err(createFailure('key-needed', message.route ?? ''))
-  return checkKey(shared, document, message.workspace, message.keyHash, moment).map(workspace => ({
+  return checkKey(shared, index, message.workspace, message.keyHash, moment).map(workspace => ({
     workspace,
-    rules: {
-      group: route?.group ?? workspace.group,
-      action: route?.action ?? message.action,
-      maxStalenessMs: route?.maxStalenessMs ?? 0,
-      idempotent: route?.idempotent ?? false
-    }
+    rules: createRules(route, route?.group ?? workspace.group, message)
   }))
 }
 
+function createRules (route: Route | undefined, group: string, message: CheckRequest): RouteRules {
+  const { timeoutMs, idleTransactionMs, priority, latencyMs } = route ?? {}
+  return {
+    group,
+    action: route === undefined || route.action === 'either' ? message.action : route.action,
+    maxStalenessMs: route?.maxStalenessMs ?? 0,
+    idempotent: route?.idempotent ?? false,
+    timeoutMs,
+    idleTransactionMs,
+    priority,
+    latencyMs
+  }
+}
+
 function refuse (message: CheckRequest, failure: Failure): AdmissionStep {
   return { effects: [tell({ kind: 'requests/failed', caller: message.caller, attempt: message.attempt, failure })] }
 }
--- a/src/admission/messages.ts
+++ b/src/admission/messages.ts
@@ -8,6 +8,8 @@
   readonly kind: 'admission/check-open'
   readonly caller: string
   readonly service: string
+  /** The route that the caller names at its start. */
+  readonly route?: string
   readonly workspace?: string
   readonly keyHash?: string
 }
--- a/src/admission/state.ts
+++ b/src/admission/state.ts
@@ -2,6 +2,7 @@
 import { assertInvariant } from '../core/invariant.js'
 import type { DocumentEntry } from '../membership/directory.js'
 import type { RouteRules, WorkName } from '../requests/messages.js'
+import type { DocumentIndex } from './index.js'
 import type { Bucket } from './bucket.js'
 import { createKeyedCallers, type KeyedCallers } from './callers.js'
 
@@ -26,6 +27,9 @@
 /** What admission knows of all services. */
 export interface AdmissionShared {
   readonly documents: ReadonlyMap<string, DocumentEntry>
+  readonly indexes: ReadonlyMap<string, DocumentIndex>
+  /** True where a host that is cut off goes on with the last documents that it knows. */
+  readonly keepsAuthority: boolean
   /** False while the leader's account lacks a document that this host holds. */
   readonly complete: boolean
   /** When this host last asked and was confirmed; undefined before the first time. */
@@ -71,9 +75,9 @@
  * Creates the facts of a host that knows no document.
  * @example createAdmissionShared().documents.size // 0
  */
-export function createAdmissionShared (): AdmissionShared {
+export function createAdmissionShared (keepsAuthority = false): AdmissionShared {
   const lease: Lease = { epoch: 0, holder: '', round: 0, applied: 0, endsAtMs: 0, askedAtMs: new Map(), countedAtMs: 0, loans: 0 }
-  return { documents: new Map(), complete: true, lease, callers: createKeyedCallers() }
+  return { documents: new Map(), indexes: new Map(), keepsAuthority, complete: true, lease, callers: createKeyedCallers() }
 }
 
 /**
--- a/src/agreement/applying.ts
+++ b/src/agreement/applying.ts
@@ -21,10 +21,16 @@
   }
   const leading = state.leading && { ...state.leading, proposals }
   const next: ReplicaState<S, C> = { ...state, applied, committed, leading }
-  const snapshot = committed - state.log.base.index >= state.limits.snapshotEvery ? storeSnapshot<S, C, O>(next) : keep(next)
+  const snapshot = isSnapshotDue(state, committed) ? storeSnapshot<S, C, O>(next) : keep(next)
   return { state: snapshot.state, effects: [...effects, ...snapshot.effects] }
 }
 
+function isSnapshotDue<S, C> ({ log, limits }: ReplicaState<S, C>, committed: number): boolean {
+  if (committed - log.base.index >= limits.snapshotEvery) return true
+  const bytes = log.entries.reduce((sum, entry) => (entry.index > log.base.index ? sum + entry.bytes : sum), 0)
+  return bytes >= limits.snapshotBytes
+}
+
 /** Stores the applied state in place of the entries that led to it. */
 export function storeSnapshot<S, C extends LogCommand, O> (state: ReplicaState<S, C>): ReplicaStep<S, C, O> {
   const log = truncateLog(state.log, state.applied, state.committed, state.limits.entriesKept)
--- a/src/agreement/catalog.ts
+++ b/src/agreement/catalog.ts
@@ -1,23 +1,26 @@
 /** The catalog: the state that the control hosts agree on. */
-import { applyDocumentCommand, NO_DOCUMENTS, type DocumentCommand, type DocumentOutcome, type DocumentsTable } from '../documents/table.js'
+import { applyDocumentsCommand, NO_DOCUMENTS, type DocumentOutcome, type DocumentsCommand, type DocumentsTable } from '../documents/table.js'
 import { applyPrimacyCommand, type GroupsTable, type PrimacyCommand } from '../primacy/table.js'
+import { applySuccessionCommand, type SuccessionCommand, type SuccessionTable } from '../succession/table.js'
 import { StateMachine, type Applied } from './machine.js'
 
 /** Documents and groups, as plain JSON. */
 export interface Catalog {
   readonly documents: DocumentsTable
   readonly groups: GroupsTable
+  /** Primaries of groups whose databases fence themselves. */
+  readonly successions: SuccessionTable
 }
 
 /** Any command of the log. */
-export type CatalogCommand = DocumentCommand | PrimacyCommand
+export type CatalogCommand = DocumentsCommand | PrimacyCommand | SuccessionCommand
 
 /** The outcome of a command; undefined where nobody waits for it. */
 export type CatalogOutcome = DocumentOutcome | undefined
 
 /** Applies commands to the catalog. */
 export class CatalogMachine extends StateMachine<Catalog, CatalogCommand, CatalogOutcome> {
-  readonly initial: Catalog = { documents: NO_DOCUMENTS, groups: {} }
+  readonly initial: Catalog = { documents: NO_DOCUMENTS, groups: {}, successions: {} }
 
   /**
    * Creates the machine.
@@ -28,10 +31,16 @@
   }
 
   apply (state: Catalog, command: CatalogCommand): Applied<Catalog, CatalogOutcome> {
-    if (command.kind === 'documents/put') {
-      const applied = applyDocumentCommand(state.documents, command)
-      return { state: { ...state, documents: applied.state }, outcome: applied.outcome }
+    switch (command.kind) {
+      case 'documents/put':
+      case 'documents/replace':
+      case 'documents/confirm': {
+        const applied = applyDocumentsCommand(state.documents, command)
+        return { state: { ...state, documents: applied.state }, outcome: applied.outcome }
+      }
+      case 'succession/appoint':
+      case 'succession/settle': return { state: { ...state, successions: applySuccessionCommand(state.successions, command) }, outcome: undefined }
+      default: return { state: { ...state, groups: applyPrimacyCommand(state.groups, command) }, outcome: undefined }
     }
-    return { state: { ...state, groups: applyPrimacyCommand(state.groups, command) }, outcome: undefined }
   }
 }
--- a/src/agreement/decide.ts
+++ b/src/agreement/decide.ts
@@ -65,9 +65,14 @@
 }
 
 function tellApplied ({ proposal, command, outcome, state }: ReplicaApplied<Catalog, CatalogCommand, CatalogOutcome>): AgreementEffect {
-  return command.kind === 'documents/put'
-    ? tell({ kind: 'documents/applied', proposal, command, outcome: outcome!, table: state.documents })
-    : tell({ kind: 'primacy/applied', proposal, command, table: state.groups })
+  switch (command.kind) {
+    case 'documents/put':
+    case 'documents/replace':
+    case 'documents/confirm': return tell({ kind: 'documents/applied', proposal, command, outcome: outcome!, table: state.documents })
+    case 'succession/appoint':
+    case 'succession/settle': return tell({ kind: 'succession/applied', command, table: state.successions })
+    default: return tell({ kind: 'primacy/applied', proposal, command, table: state.groups })
+  }
 }
 
 function tellLeader ({ self }: AgreementState, { leader, term: epoch, state }: ReplicaLeader<Catalog>): readonly AgreementEffect[] {
@@ -76,7 +81,8 @@
     tell({ kind: 'membership/leader-changed', leader, epoch }),
     tell({ kind: 'operations/leader-known', leader }),
     tell({ kind: 'documents/leadership', leads, epoch, table: state.documents }),
-    tell({ kind: 'primacy/leadership', leads, epoch, table: state.groups })
+    tell({ kind: 'primacy/leadership', leads, epoch, table: state.groups }),
+    tell({ kind: 'succession/leadership', leads, epoch, table: state.successions })
   ]
 }
 
--- a/src/agreement/decidereplica.ts
+++ b/src/agreement/decidereplica.ts
@@ -1,5 +1,5 @@
 /** Decisions of one replica of the log, over any state machine. */
-import { setTimer, type Moment } from '../core/message.js'
+import { sendPeer, setTimer, type Moment } from '../core/message.js'
 import { askAround, drawElection, takeAsk, takeVote } from './election.js'
 import { takeAppend, takeInstall } from './following.js'
 import { announceWaiting, createGroup, takeEmpty } from './forming.js'
@@ -33,13 +33,15 @@
 
 function start<S, C extends LogCommand, O> (machine: StateMachine<S, C, O>, message: ReplicaStarted<S, C>, moment: Moment): ReplicaStep<S, C, O> {
   const fresh = createReplicaState<S, C>(machine.initial)
-  const { self, control, recovered, limits = fresh.limits } = message
+  const { self, control, forms = true, voters = 0, recovered, limits = fresh.limits } = message
   if (recovered === undefined) return keep({ ...fresh, self, control })
   const { incarnation, mark, snapshot = fresh.log.base, entries } = recovered
   const state: ReplicaState<S, C> = {
     ...fresh,
     self,
     control,
+    forms,
+    voters,
     incarnation,
     limits,
     mark,
@@ -67,5 +69,10 @@
 }
 
 function takeWaiting<S, C extends LogCommand, O> (state: ReplicaState<S, C>, message: Waiting, moment: Moment): ReplicaStep<S, C, O> {
-  return state.role === 'leader' ? takeLearner(state, message, moment) : takeEmpty(state, message, moment)
+  if (state.role === 'leader') return takeLearner(state, message, moment)
+  // A host that knows few others finds the leader through any of them.
+  const passes = state.leader !== undefined && message.host === undefined && message.from !== undefined
+  if (passes) return { state, effects: [sendPeer(state.leader!, { ...message, host: message.from })] }
+  // What was passed on is no word of the host that passed it on.
+  return message.host === undefined ? takeEmpty(state, message, moment) : keep(state)
 }
--- a/src/agreement/forming.ts
+++ b/src/agreement/forming.ts
@@ -37,7 +37,7 @@
  */
 export function createGroup<S, C extends LogCommand, O> (state: ReplicaState<S, C>, moment: Moment): ReplicaStep<S, C, O> {
   const { self, control, incarnation, mark } = state
-  const forms = incarnation !== '' && mark.group === undefined && control[0] === self
+  const forms = state.forms && incarnation !== '' && mark.group === undefined && control[0] === self
   if (!forms || !control.every(host => host === self || isEmpty(state, host, moment))) return keep(state)
   const members: Members = Object.fromEntries(control.map(host => [host, host === self ? incarnation : state.empty.get(host)!.incarnation]))
   const command = { kind: 'agreement/form', members } as const
--- a/src/agreement/leading.ts
+++ b/src/agreement/leading.ts
@@ -2,7 +2,7 @@
 import { assertInvariant } from '../core/invariant.js'
 import { sendPeer, type CoreEffect, type Moment } from '../core/message.js'
 import { learnTerm, readLease, loseLeader } from './election.js'
-import { appendEntries, findEntry, findTerm, listFrom, readLast, readQuorum, type ControlCommand, type Entry, type LogCommand } from './log.js'
+import { appendEntries, findEntry, findTerm, listFrom, readLast, readQuorum, type ControlCommand, type Entry, type LogCommand, type Members } from './log.js'
 import { applyCommitted } from './applying.js'
 import type { StateMachine } from './machine.js'
 import { continueWith, ELECTION_MIN_MS, keep, LEADER_BEAT_MS, listOthers, nameReplica, storeRecords, type Append, type Appended, type Install, type Installed, type Leading, type Outgoing, type Progress, type ReplicaState, type ReplicaStep, type Waiting } from './replica.js'
@@ -11,6 +11,8 @@
 const ENTRIES_UNDERWAY = 256
 /** How long a silent replica that counts in no quorum is remembered. */
 const LEARNER_SILENT_MS = 5_000
+/** How long a member is silent before a spare host takes its place: longer than a restart takes, shorter than a repair may. */
+const MEMBER_LOST_MS = 1_500
 
 /** Begins a term as its leader: with an entry of its own, since only those commit. */
 export function startLeading<S, C extends LogCommand, O> (state: ReplicaState<S, C>, moment: Moment): ReplicaStep<S, C, O> {
@@ -21,7 +23,7 @@
     const contactAtMs = vote?.incarnation === incarnation ? vote.sentAtMs : -Infinity
     progress.set(nameReplica(host, incarnation), { host, incarnation, matched: 0, next: last.index + 1, contactAtMs })
   }
-  const leading: Leading = { progress, began: last.index + 1, established: false, proposals: new Map(), beatAtMs: moment.monotonicMs, beatCommitted: state.committed }
+  const leading: Leading = { progress, began: last.index + 1, established: false, proposals: new Map(), ledAtMs: moment.monotonicMs, beatAtMs: moment.monotonicMs, beatCommitted: state.committed }
   const led: ReplicaState<S, C> = { ...state, role: 'leader', leader: state.self, leading, votes: new Map() }
   return appendOwn(led, { kind: 'agreement/lead', host: state.self }, undefined, moment)
 }
@@ -78,9 +80,10 @@
 
 /** Feeds a host that counts in no quorum yet. */
 export function takeLearner<S, C extends LogCommand, O> (state: ReplicaState<S, C>, message: Waiting, moment: Moment): ReplicaStep<S, C, O> {
-  const from = message.from ?? ''
+  const from = message.host ?? message.from ?? ''
   const foreign = message.group !== undefined && message.group !== state.mark.group
-  if (state.leading === undefined || foreign || !state.control.includes(from)) return keep(state)
+  const known = state.voters > 0 || state.control.includes(from)
+  if (state.leading === undefined || foreign || !known) return keep(state)
   const name = nameReplica(from, message.incarnation)
   if (state.leading.progress.has(name)) return keep(state)
   const fresh: Progress = { host: from, incarnation: message.incarnation, matched: 0, next: readLast(state.log).index + 1, contactAtMs: moment.monotonicMs }
@@ -136,10 +139,24 @@
   const { configuration, configuredAt } = state.log
   if (leading?.established !== true || configuration === undefined || configuredAt > state.committed) return keep(state)
   if (configuration.old !== undefined) return appendOwn(state, { kind: 'agreement/settle' }, undefined, moment)
-  const joining = [...leading.progress.values()].find(({ host, incarnation, matched, contactAtMs }) =>
+  const ready = [...leading.progress.values()].filter(({ host, incarnation, matched, contactAtMs }) =>
     configuration.members[host] !== incarnation && matched >= caughtUp && moment.monotonicMs - contactAtMs < ELECTION_MIN_MS)
+  const returning = ready.find(({ host }) => configuration.members[host] !== undefined)
+  const joining = returning ?? ready[0]
   if (joining === undefined) return keep(state)
-  return appendOwn(state, { kind: 'agreement/replace', host: joining.host, incarnation: joining.incarnation }, undefined, moment)
+  const { host, incarnation } = joining
+  if (returning !== undefined || Object.keys(configuration.members).length < state.voters) return appendOwn(state, { kind: 'agreement/replace', host, incarnation }, undefined, moment)
+  const instead = findLost(state, configuration.members, moment)
+  return instead === undefined ? keep(state) : appendOwn(state, { kind: 'agreement/replace', host, incarnation, instead }, undefined, moment)
+}
+
+// A member that was silent for so long gives its place to a host that is there.
+function findLost<S, C> ({ leading, self }: ReplicaState<S, C>, members: Members, moment: Moment): string | undefined {
+  const lost = Object.entries(members).filter(([host, incarnation]) => {
+    const contactAtMs = leading?.progress.get(nameReplica(host, incarnation))?.contactAtMs ?? -Infinity
+    return host !== self && moment.monotonicMs - Math.max(contactAtMs, leading?.ledAtMs ?? 0) > MEMBER_LOST_MS
+  })
+  return lost[0]?.[0]
 }
 
 function sendToAll<S, C extends LogCommand, O> (state: ReplicaState<S, C>, moment: Moment, beats: boolean): ReplicaStep<S, C, O> {
--- a/src/agreement/log.ts
+++ b/src/agreement/log.ts
@@ -14,7 +14,7 @@
 export type ControlCommand =
   | { readonly kind: 'agreement/form', readonly members: Members }
   | { readonly kind: 'agreement/lead', readonly host: string }
-  | { readonly kind: 'agreement/replace', readonly host: string, readonly incarnation: string }
+  | { readonly kind: 'agreement/replace', readonly host: string, readonly incarnation: string, readonly instead?: string }
   | { readonly kind: 'agreement/settle' }
 
 /** What a command is at least. */
@@ -149,12 +149,17 @@
 function changeConfiguration (known: Configuration | undefined, command: ControlCommand): Configuration | undefined {
   switch (command.kind) {
     case 'agreement/form': return { members: command.members }
-    case 'agreement/replace': return known && { members: { ...known.members, [command.host]: command.incarnation }, old: known.members }
+    case 'agreement/replace': return known && { members: replaceMember(known.members, command), old: known.members }
     case 'agreement/settle': return known && { members: known.members }
     case 'agreement/lead': return undefined
   }
 }
 
+function replaceMember (members: Members, { host, incarnation, instead }: Extract<ControlCommand, { kind: 'agreement/replace' }>): Members {
+  const kept = Object.entries(members).filter(([member]) => member !== instead)
+  return { ...Object.fromEntries(kept), [host]: incarnation }
+}
+
 function readConfigurationAt<S, C extends LogCommand> (log: Log<S, C>, index: number): Configuration | undefined {
   return collectConfiguration({ ...log, entries: log.entries.filter(entry => entry.index <= index) }).configuration
 }
--- a/src/agreement/replica.ts
+++ b/src/agreement/replica.ts
@@ -153,6 +153,8 @@
 export interface Waiting extends Message {
   readonly kind: 'agreement/waiting'
   readonly from?: string
+  /** The host that waits, when another one passes its message on. */
+  readonly host?: string
   readonly incarnation: string
   /** Absent while the host is empty. */
   readonly group?: string
@@ -175,6 +177,8 @@
 export interface ReplicaLimits {
   /** Committed entries after the last snapshot at which the next one is taken. */
   readonly snapshotEvery: number
+  /** Bytes of entries after the last snapshot at which the next one is taken. */
+  readonly snapshotBytes: number
   /** Entries before the snapshot that are kept for hosts that lag a little. */
   readonly entriesKept: number
   /** The most bytes of entries or of a snapshot in one message; a larger entry goes alone. */
@@ -182,13 +186,17 @@
 }
 
 /** The bounds that a host uses. */
-export const DEFAULT_LIMITS: ReplicaLimits = { snapshotEvery: 1_000, entriesKept: 256, messageBytes: 262_144 }
+export const DEFAULT_LIMITS: ReplicaLimits = { snapshotEvery: 1_000, snapshotBytes: 16_777_216, entriesKept: 256, messageBytes: 262_144 }
 
 /** The process has started. */
 export interface ReplicaStarted<S, C> extends Message {
   readonly kind: 'agreement/started'
   readonly self: string
   readonly control: readonly string[]
+  /** False where this start must not form a group, whatever the other hosts say; true when absent. */
+  readonly forms?: boolean
+  /** How many members the group should have; as many as it was formed with when absent. */
+  readonly voters?: number
   /** Absent on a host that keeps no log. */
   readonly recovered?: Recovered<S, C>
   readonly limits?: ReplicaLimits
@@ -233,6 +241,7 @@
   readonly began: number
   readonly established: boolean
   readonly proposals: ReadonlyMap<number, string>
+  readonly ledAtMs: number
   readonly beatAtMs: number
   /** What was committed at the beat before; who has synced it has caught up. */
   readonly beatCommitted: number
@@ -248,6 +257,9 @@
 export interface ReplicaState<S, C> {
   readonly self: string
   readonly control: readonly string[]
+  readonly forms: boolean
+  /** How many members the group should have; 0 for as many as it has. */
+  readonly voters: number
   /** Empty on a host that keeps no log. */
   readonly incarnation: string
   readonly limits: ReplicaLimits
@@ -280,6 +292,8 @@
   return {
     self: '',
     control: [],
+    forms: true,
+    voters: 0,
     incarnation: '',
     limits: DEFAULT_LIMITS,
     mark: { term: 0 },
--- a/src/core/errors.ts
+++ b/src/core/errors.ts
@@ -45,6 +45,8 @@
   readonly sqlState: string
   readonly text: string
   readonly effect: Effectiveness
+  /** When another try may be worth while; absent where nobody knows. */
+  readonly retryAfterMs?: number
 }
 
 /**
--- a/src/daemon/host.ts
+++ b/src/daemon/host.ts
@@ -1,16 +1,13 @@
 /** A host: its loop, its slices and its adapters, put together from its settings. */
-import { randomBytes } from 'node:crypto'
+import { randomBytes, randomUUID } from 'node:crypto'
 import type { Catalog, CatalogCommand } from '../agreement/catalog.js'
 import { recoverReplica } from '../agreement/recover.js'
 import { TraceFile } from '../core/trace.js'
-import { SystemClock } from '../core/clock.js'
+import { SystemClock, type Clock } from '../core/clock.js'
 import { Loop } from '../core/loop.js'
-import { PostgresDriver } from '../databases/postgres/driver.js'
-import { splitAddress } from '../databases/postgres/connection.js'
-import { PostgresFrontEnd } from '../frontends/postgres/frontend.js'
 import { FileJournal } from '../journal/files.js'
-import { ConnectAnnouncements } from '../membership/announcements.js'
 import type { HostPost } from '../messages.js'
+import type { Command } from '../operations/messages.js'
 import { OperatorsDoor } from '../operations/operators.js'
 import { Log } from '../monitoring/log.js'
 import { Monitor } from '../monitoring/monitor.js'
@@ -18,15 +15,18 @@
 import type { Settings } from '../settings/settings.js'
 import { StampClock } from '../timeline/clock.js'
 import { TimelineRecorder } from '../timeline/record.js'
+import type { Edge } from './edge.js'
 import { ProcessExit } from './exit.js'
 import { listenForOperators, listenForPeers, type Listening } from './listen.js'
+import { PostgresEdge } from './postgres.js'
 import { createSlices } from './slices.js'
 
 const INCARNATION_BYTES = 8
 
 /** The addresses that a host listens on. */
 export interface HostAddresses {
-  readonly callers: string
+  /** Absent on a host without callers. */
+  readonly callers?: string
   readonly peers: string
   readonly operators: string
 }
@@ -38,51 +38,59 @@
   readonly stop: () => void
   /** Resolves when a graceful stop is over. */
   readonly stopped: Promise<void>
+  readonly #post: HostPost
   readonly #parts: ReadonlyArray<AsyncDisposable>
 
-  private constructor (addresses: HostAddresses, stop: () => void, stopped: Promise<void>, parts: ReadonlyArray<AsyncDisposable>) {
+  private constructor (addresses: HostAddresses, stop: () => void, stopped: Promise<void>, post: HostPost, parts: ReadonlyArray<AsyncDisposable>) {
     this.addresses = addresses
     this.stop = stop
     this.stopped = stopped
+    this.#post = post
     this.#parts = parts
   }
 
   /**
    * Starts a host.
    * @example await using host = await Host.create(settings, fault => process.exit(70))
+   * @param edge how callers, databases and their announcements are spoken to; PostgreSQL when absent.
    * @throws when an address can't be listened on.
    */
-  static async create (settings: Settings, onFault: (fault: unknown) => void): Promise<Host> {
-    const log = Log.create({ host: settings.host, level: settings.logLevel })
-    const monitor = Monitor.create(settings.host, log)
+  static async create (settings: Settings, onFault: (fault: unknown) => void, edge: Edge = PostgresEdge.create()): Promise<Host> {
+    const log = Log.create({ host: settings.host, level: settings.logLevel, stream: edge.logStream })
+    const monitor = Monitor.create(settings.host, log, settings.authority === 'kept')
     const stamps = StampClock.create()
     const trace = settings.trace === undefined ? undefined : TraceFile.create(settings.trace.file, settings.trace.slices)
-    const loop = createLoop(settings, monitor, trace, onFault)
+    const clock = SystemClock.create()
+    const loop = createLoop(settings, clock, edge, monitor, trace, onFault)
     const journal = settings.dataFolder === undefined ? undefined : await FileJournal.create(settings.dataFolder, loop.post, onFault)
     if (journal !== undefined) loop.addAdapter(journal)
     const link = ConnectPeerLink.create(settings.host, loop.post, host => [
       { kind: 'requests/peer-lost', host },
       { kind: 'transactions/host-lost', host }
     ], { clock: stamps, onTraffic: traffic => monitor.metrics.observeTraffic(traffic) })
-    const frontEnd = PostgresFrontEnd.create({ host: settings.host, post: loop.post, messageBytes: settings.limits.messageBytes })
-    const driver = PostgresDriver.create(loop.post)
     const door = OperatorsDoor.create(loop.post)
+    const operate = async (command: Command): Promise<unknown> => await door.ask(randomUUID(), command)
+    const adapters = edge.createAdapters({ settings, clock, post: loop.post, checkReadiness: monitor.checkReadiness, operate })
     const recorder = TimelineRecorder.create({ host: settings.host, clock: stamps, post: loop.post })
-    const announcements = ConnectAnnouncements.create(loop.post)
     const exit = ProcessExit.create()
-    for (const adapter of [link, frontEnd, driver, door, log, recorder, exit]) loop.addAdapter(adapter)
+    for (const adapter of [link, ...adapters, door, log, recorder, exit]) loop.addAdapter(adapter)
     const peers = await listenForPeers(settings.peers, router => {
       link.addRoutes(router)
-      announcements.addRoutes(router)
+      edge.addRoutes(router)
     })
     const operators = await listenForOperators(settings.operators, router => door.addRoutes(router), monitor.createPages())
-    const callers = await frontEnd.listen(...splitAddress(settings.callers))
+    const callers = await edge.listen()
     startSlices(settings, loop, link, peers, journal)
-    log.write('daemon', 'info', `Host ${settings.host} started; callers connect to ${callers}.`)
+    log.write('daemon', 'info', `Host ${settings.host} started; ${callers === undefined ? 'it serves no callers' : `callers connect to ${callers}`}.`)
     const addresses: HostAddresses = { callers, peers: peers.address, operators: operators.address }
     const post: HostPost = loop.post
     const stop = (): void => post({ kind: 'stopping/asked', limitMs: settings.limits.drainMs })
-    return new Host(addresses, stop, exit.ended, [frontEnd, operators, peers, link, driver, loop, ...[journal, trace].filter(part => part !== undefined)])
+    return new Host(addresses, stop, exit.ended, post, [edge, operators, peers, link, loop, ...[journal, trace].filter(part => part !== undefined)])
+  }
+
+  /** Takes in the addresses of control hosts that changed in the settings. */
+  learnControl (control: readonly string[]): void {
+    this.#post({ kind: 'membership/control-changed', control })
   }
 
   async [Symbol.asyncDispose] (): Promise<void> {
@@ -90,10 +98,10 @@
   }
 }
 
-function createLoop (settings: Settings, monitor: Monitor, trace: TraceFile | undefined, onFault: (fault: unknown) => void): Loop {
+function createLoop (settings: Settings, clock: Clock, edge: Edge, monitor: Monitor, trace: TraceFile | undefined, onFault: (fault: unknown) => void): Loop {
   return Loop.create({
-    clock: SystemClock.create(),
-    slices: createSlices(settings),
+    clock,
+    slices: createSlices(settings, edge.guarantees),
     onFault,
     recorder: (message, moment) => {
       monitor.observeMessage(message)
@@ -115,11 +123,13 @@
       incarnation: randomBytes(INCARNATION_BYTES).toString('hex'),
       failureDomain: settings.failureDomain,
       peers: peers.address,
-      draining: false
+      draining: false,
+      control: settings.dataFolder !== undefined,
+      apart: settings.callers === undefined
     },
     control
   })
   const recovered = journal === undefined ? undefined : recoverReplica<Catalog, CatalogCommand>(journal.contents)
-  post({ kind: 'agreement/started', self: settings.host, control, recovered, damage: journal?.contents.damage })
+  post({ kind: 'agreement/started', self: settings.host, control, forms: settings.forms, voters: settings.voters, recovered, damage: journal?.contents.damage })
   post({ kind: 'routing/ask-due' })
 }
--- a/src/daemon/slices.ts
+++ b/src/daemon/slices.ts
@@ -4,6 +4,7 @@
 import { createAgreementState, decideAgreement } from '../agreement/decide.js'
 import { DecidingSlice, type Slice } from '../core/slice.js'
 import { StoreSlice } from '../core/store.js'
+import { POSTGRES_GUARANTEES, type DatabaseGuarantees } from '../databases/guarantees.js'
 import { createDocumentsState, decideDocuments } from '../documents/decide.js'
 import { decideMembership } from '../membership/decide.js'
 import { createMembershipState } from '../membership/state.js'
@@ -17,6 +18,8 @@
 import { decideShares } from '../shares/decide.js'
 import { checkSharesItem, createSharesShared } from '../shares/state.js'
 import { createStoppingState, decideStopping } from '../stopping/decide.js'
+import { decideSuccession } from '../succession/decide.js'
+import { createSuccessionState } from '../succession/state.js'
 import { createTimelineShared, decideTimeline } from '../timeline/decide.js'
 import type { Settings } from '../settings/settings.js'
 import { checkOwned } from '../transactions/check.js'
@@ -27,20 +30,21 @@
  * Creates the slices of a host from its settings.
  * @example createSlices(settings)
  */
-export function createSlices (settings: Settings): readonly Slice[] {
-  const { host, failureDomain, limits } = settings
+export function createSlices (settings: Settings, guarantees: DatabaseGuarantees = POSTGRES_GUARANTEES): readonly Slice[] {
+  const { host, failureDomain, limits, timing } = settings
   return [
-    StoreSlice.create({ name: 'admission', shared: createAdmissionShared(), decide: decideAdmission, checkItem: checkAllowance }),
+    StoreSlice.create({ name: 'admission', shared: createAdmissionShared(settings.authority === 'kept'), decide: decideAdmission, checkItem: checkAllowance }),
     DecidingSlice.create({ name: 'agreement', initial: createAgreementState(), decide: decideAgreement }),
     DecidingSlice.create({ name: 'documents', initial: createDocumentsState(), decide: decideDocuments }),
-    DecidingSlice.create({ name: 'membership', initial: createMembershipState(), decide: decideMembership }),
+    DecidingSlice.create({ name: 'membership', initial: createMembershipState(timing), decide: decideMembership }),
     DecidingSlice.create({ name: 'operations', initial: createOperationsState(), decide: decideOperations }),
-    DecidingSlice.create({ name: 'primacy', initial: createPrimacyState(), decide: decidePrimacy }),
-    StoreSlice.create({ name: 'requests', shared: createRequestsShared(limits.requestMs), decide: decideRequests }),
-    DecidingSlice.create({ name: 'routing', initial: createRoutingState(host, failureDomain), decide: decideRouting }),
+    DecidingSlice.create({ name: 'primacy', initial: createPrimacyState(!guarantees.selfFencing), decide: decidePrimacy }),
+    StoreSlice.create({ name: 'requests', shared: createRequestsShared(limits.requestMs, guarantees), decide: decideRequests }),
+    DecidingSlice.create({ name: 'routing', initial: createRoutingState(host, failureDomain, guarantees, timing.askEveryMs), decide: decideRouting }),
     StoreSlice.create({ name: 'shares', shared: createSharesShared(), decide: decideShares, checkItem: checkSharesItem }),
-    DecidingSlice.create({ name: 'stopping', initial: createStoppingState(host), decide: decideStopping }),
+    DecidingSlice.create({ name: 'stopping', initial: createStoppingState(host, limits.balancerMs), decide: decideStopping }),
+    DecidingSlice.create({ name: 'succession', initial: createSuccessionState(guarantees.selfFencing), decide: decideSuccession }),
     StoreSlice.create({ name: 'timeline', shared: createTimelineShared(host), decide: decideTimeline }),
-    StoreSlice.create({ name: 'transactions', shared: createTransactionsShared(limits.queueLength, limits.idleTransactionMs), decide: decideTransactions, checkItem: checkOwned })
+    StoreSlice.create({ name: 'transactions', shared: createTransactionsShared(limits.queueLength, limits.idleTransactionMs, guarantees), decide: decideTransactions, checkItem: checkOwned })
   ]
 }
--- a/src/databases/driver.ts
+++ b/src/databases/driver.ts
@@ -1,12 +1,18 @@
 /** What a database driver is: it carries statements and commands to databases, and decides nothing. */
 import { Adapter } from '../core/adapter.js'
 import type { Effect } from '../core/message.js'
+import type { LogPosition } from '../core/position.js'
+import type { Intent } from '../requests/messages.js'
 
 /** Opens a connection to a database. */
 export interface OpenConnection extends Effect {
   readonly kind: 'database/open'
   readonly connection: string
+  readonly database: string
   readonly address: string
+  readonly group: string
+  /** Whom the connection is for, where it belongs to one workspace. */
+  readonly workspace?: string
 }
 
 /** Runs a request on an open connection, in the name of a workspace. */
@@ -15,8 +21,12 @@
   readonly connection: string
   readonly service: string
   readonly workspace?: string
+  /** What the request means for its transaction. */
+  readonly intent: Intent
   /** True when the request must not write. */
   readonly readOnly: boolean
+  /** What a replica must hold to run it; absent inside a transaction and at the primary. */
+  readonly floor?: LogPosition
   readonly payload: Uint8Array
 }
 
@@ -38,6 +48,7 @@
   readonly kind: 'database/probe'
   readonly database: string
   readonly address: string
+  readonly group: string
   /** The monotonic time of the decision to probe; comes back with the outcome. */
   readonly askedAtMs: number
 }
--- a/src/documents/decide.ts
+++ b/src/documents/decide.ts
@@ -3,9 +3,9 @@
 import { recordEvent, type CoreEffect, type Moment, type Step } from '../core/message.js'
 import { sendPeer, setTimer, tell } from '../messages.js'
 import { parseDocument } from './document.js'
-import type { Applied, Apply, Ask, DocumentsMessage, Force, InForce, Leadership } from './messages.js'
+import type { Applied, Apply, Ask, DocumentsMessage, Force, InForce, Leadership, ReadCurrent, Replace } from './messages.js'
 import type { DocumentsState, WaitingCall, Watch } from './state.js'
-import { readOwn, type DocumentsTable } from './table.js'
+import { readOwn, type DocumentsCommand, type DocumentsTable } from './table.js'
 
 export { createDocumentsState } from './state.js'
 
@@ -15,6 +15,8 @@
 const WATCH_MS = 8_000
 const ASK_AGAIN_MS = 50
 
+const NOT_LEADER = { error: 'not-leader', text: 'The host does not lead.' }
+
 type DocumentsStep = Step<DocumentsState, CoreEffect>
 
 /**
@@ -25,6 +27,8 @@
   switch (message.kind) {
     case 'documents/leadership': return takeLeadership(state, message)
     case 'documents/apply': return propose(state, message)
+    case 'documents/replace-asked': return proposeReplace(state, message)
+    case 'documents/read-asked': return proposeRead(state, message)
     case 'documents/applied': return takeApplied(state, message, moment)
     case 'documents/ask': return answerAsk(state, message, moment)
     case 'documents/in-force': return takeForce(state, message, moment)
@@ -50,7 +54,7 @@
 
 function propose (state: DocumentsState, message: Apply): DocumentsStep {
   const call: WaitingCall = { from: message.from ?? '', operation: message.operation, wait: message.wait === true, leaseMs: 0 }
-  if (!state.leads) return { state, effects: [answer(call, { error: 'not-leader', text: 'The host does not lead.' })] }
+  if (!state.leads) return { state, effects: [answer(call, NOT_LEADER)] }
   const findings = message.text.length > MAX_TEXT_LENGTH
     ? [{ line: 1, column: 1, path: '', text: `The document is longer than ${MAX_TEXT_LENGTH} characters.` }]
     : undefined
@@ -66,9 +70,29 @@
   }
 }
 
+function proposeReplace (state: DocumentsState, message: Replace): DocumentsStep {
+  const { version, text, document } = message
+  return proposeFor(state, createCall(message), { kind: 'documents/replace', version, text, document })
+}
+
+// A read is an entry of the log of its own, so that a leader which was replaced answers none.
+function proposeRead (state: DocumentsState, message: ReadCurrent): DocumentsStep {
+  return proposeFor(state, { ...createCall(message), reads: message.service }, { kind: 'documents/confirm' })
+}
+
+function createCall ({ from, operation }: Replace | ReadCurrent | Ask): WaitingCall {
+  return { from: from ?? '', operation, wait: false, leaseMs: 0 }
+}
+
+function proposeFor (state: DocumentsState, call: WaitingCall, command: DocumentsCommand): DocumentsStep {
+  if (!state.leads) return { state, effects: [answer(call, NOT_LEADER)] }
+  const proposal = nameCall(call)
+  return { state: { ...state, waiting: new Map(state.waiting).set(proposal, call) }, effects: [tell({ kind: 'agreement/propose', proposal, command })] }
+}
+
 function takeApplied (state: DocumentsState, message: Applied, moment: Moment): DocumentsStep {
   const { command, outcome, proposal, table } = message
-  const { service } = command.document
+  const service = command.kind === 'documents/confirm' ? '' : command.document.service
   checkVersions(state.table, table, service)
   const call = proposal === undefined ? undefined : state.waiting.get(proposal)
   const waiting = new Map(state.waiting)
@@ -76,9 +100,11 @@
   const next: DocumentsState = { ...state, table, waiting }
   const changed = readOwn(state.table.services, service)?.version !== readOwn(table.services, service)?.version
   const published = state.leads && changed
-    ? [publish(table, service), recordEvent('document-accepted', `Document of ${service} is accepted at version ${table.services[service]!.version}.`, { request: command.requestId })]
+    ? [publish(table, service), recordEvent('document-accepted', `Document of ${service} is accepted at version ${table.services[service]!.version}.`, { request: command.kind === 'documents/put' ? command.requestId : undefined })]
     : []
   if (call === undefined) return { state: next, effects: [...published, tellGroups(table)] }
+  if (call.reads !== undefined) return { state: next, effects: [answer(call, createText(table, call.reads))] }
+  if (command.kind !== 'documents/put') return { state: next, effects: [...published, tellGroups(table), answer(call, outcome)] }
   if (!outcome.accepted) return { state: next, effects: [...published, answer(call, outcome)] }
   const watched = startWatch(next, { call, service, outcome, untilMs: moment.monotonicMs + WATCH_MS })
   return { state: watched.state, effects: [...published, tellGroups(table), ...watched.effects] }
@@ -91,21 +117,26 @@
 }
 
 function answerAsk (state: DocumentsState, message: Ask, moment: Moment): DocumentsStep {
-  const call: WaitingCall = { from: message.from ?? '', operation: message.operation, wait: false, leaseMs: 0 }
-  if (!state.leads) return { state, effects: [answer(call, { error: 'not-leader', text: 'The host does not lead.' })] }
+  const call = createCall(message)
+  if (!state.leads) return { state, effects: [answer(call, NOT_LEADER)] }
   const { services } = state.table
   if (message.service === undefined) {
     const list = Object.entries(services).map(([service, { version, document }]) => ({ service, version, owners: document.owners }))
     return { state, effects: [answer(call, { services: list })] }
   }
   const record = readOwn(services, message.service)
-  if (record === undefined) return { state, effects: [answer(call, { error: 'unknown-service', text: `Service "${message.service}" is not known.` })] }
-  const { version, text } = record
-  if (message.about === 'text') return { state, effects: [answer(call, { service: message.service, version, text })] }
+  if (record === undefined || message.about === 'text') return { state, effects: [answer(call, createText(state.table, message.service))] }
+  const { version } = record
   const leaseMs = record.document.authorityLeaseMs
   return startWatch(state, { call: { ...call, leaseMs }, service: message.service, outcome: { accepted: true, version }, untilMs: moment.monotonicMs })
 }
 
+function createText (table: DocumentsTable, service: string): unknown {
+  const record = readOwn(table.services, service)
+  if (record === undefined) return { error: 'unknown-service', text: `Service "${service}" is not known.` }
+  return { service, version: record.version, text: record.text }
+}
+
 function startWatch (state: DocumentsState, item: Watch): DocumentsStep {
   const name = nameCall(item.call)
   return askForce({ ...state, watches: new Map(state.watches).set(name, item) }, name)
--- a/src/documents/document.ts
+++ b/src/documents/document.ts
@@ -16,7 +16,12 @@
 const Staleness = v.pipe(v.number(), v.minValue(0, 'Expected milliseconds from 0'), v.maxValue(MAX_STALENESS_MS, `Expected at most ${MAX_STALENESS_MS} ms`))
 
 /** A database group and how many databases it has. */
-export const GroupSchema = v.pipe(v.strictObject({ name: Name, databases: PositiveCount }), v.readonly())
+export const GroupSchema = v.pipe(v.strictObject({
+  name: Name,
+  databases: PositiveCount,
+  connections: v.optional(v.pipe(PositiveCount, v.description('How many connections each database allows, where it does not say so itself.'))),
+  copies: v.optional(v.pipe(v.number(), v.integer('Expected a whole number'), v.minValue(0, 'Expected a number from 0'), v.description('How many replicas hold a write before the primary acknowledges it.')))
+}), v.readonly())
 
 /** A key of a workspace; the key itself is nowhere stored. */
 export const KeySchema = v.pipe(v.strictObject({ id: Name, sha256: Hash }), v.readonly())
@@ -34,9 +39,13 @@
 export const RouteSchema = v.pipe(v.strictObject({
   name: Name,
   access: v.optional(v.picklist(['keyed', 'open']), 'keyed'),
-  action: v.picklist(['read', 'write']),
+  action: v.pipe(v.picklist(['read', 'write', 'either']), v.description('What requests do; with either, each statement says so itself.')),
   maxStalenessMs: v.optional(Staleness, 0),
   idempotent: v.optional(v.boolean(), false),
+  timeoutMs: v.optional(v.pipe(PositiveCount, v.description('How long one statement may take.'))),
+  latencyMs: v.optional(v.pipe(PositiveCount, v.description('Within which time callers want their answer.'))),
+  priority: v.optional(v.pipe(v.number(), v.integer('Expected a whole number'), v.minValue(0, 'Expected a number from 0'), v.description('Who goes first; 0 before all others.'))),
+  idleTransactionMs: v.optional(v.pipe(PositiveCount, v.description('How long a transaction may wait for its caller.'))),
   group: v.optional(Name)
 }), v.readonly())
 
@@ -67,18 +76,34 @@
   return parseChecked(text, ServiceDocumentSchema, checkReferences)
 }
 
-function checkReferences (value: unknown): readonly LocatedText[] {
+/**
+ * Checks a document's references and names, whatever its shape.
+ * @example checkReferences(document).map(finding => finding.text)
+ */
+export function checkReferences (value: unknown): readonly LocatedText[] {
   const groups = new Set(readItems(value, 'groups').map(group => readProperty(group, 'name')))
   const workspaces = readItems(value, 'workspaces')
   const routes = readItems(value, 'routes')
   return [
     ...['groups', 'workspaces', 'routes'].flatMap(list => listDoubled(readItems(value, list), [list], 'name')),
     ...workspaces.flatMap((workspace, index) => listDoubled(readItems(workspace, 'keys'), ['workspaces', index, 'keys'], 'id')),
+    ...checkSharedKeys(workspaces),
     ...workspaces.flatMap((workspace, index) => checkGroup(groups, workspace, ['workspaces', index])),
     ...routes.flatMap((route, index) => [...checkGroup(groups, route, ['routes', index]), ...checkOpenRoute(route, index)])
   ]
 }
 
+// A key tells its workspace, so two workspaces never share one.
+function checkSharedKeys (workspaces: readonly unknown[]): readonly LocatedText[] {
+  const holders = new Map<unknown, number>()
+  return workspaces.flatMap((workspace, index) => readItems(workspace, 'keys').flatMap((key, place) => {
+    const sha256 = readProperty(key, 'sha256')
+    const holder = holders.get(sha256) ?? index
+    holders.set(sha256, holder)
+    return holder === index ? [] : [{ path: ['workspaces', index, 'keys', place], text: `The key is that of workspace ${String(readProperty(workspaces[holder], 'name'))}, too.` }]
+  }))
+}
+
 function checkOpenRoute (route: unknown, index: number): readonly LocatedText[] {
   const named = readProperty(route, 'group') !== undefined
   if (readProperty(route, 'access') !== 'open' || named) return []
--- a/src/documents/messages.ts
+++ b/src/documents/messages.ts
@@ -1,5 +1,6 @@
 /** Messages of the documents slice. */
-import type { DocumentCommand, DocumentOutcome, DocumentsTable } from './table.js'
+import type { ServiceDocument } from './document.js'
+import type { DocumentOutcome, DocumentsCommand, DocumentsTable } from './table.js'
 
 /** An operator applies a document. */
 export interface Apply {
@@ -16,6 +17,24 @@
   readonly wait?: boolean
 }
 
+/** An operator replaces a document by one of a higher version; a lower one is acknowledged and changes nothing. */
+export interface Replace {
+  readonly kind: 'documents/replace-asked'
+  readonly from?: string
+  readonly operation: string
+  readonly version: number
+  readonly text: string
+  readonly document: ServiceDocument
+}
+
+/** An operator wants the text that stands, surely no earlier than its call. */
+export interface ReadCurrent {
+  readonly kind: 'documents/read-asked'
+  readonly from?: string
+  readonly operation: string
+  readonly service: string
+}
+
 /** An operator asks what stands. */
 export interface Ask {
   readonly kind: 'documents/ask'
@@ -40,7 +59,7 @@
   readonly kind: 'documents/applied'
   /** The proposal that this host made, if it was this host's. */
   readonly proposal?: string
-  readonly command: DocumentCommand
+  readonly command: DocumentsCommand
   readonly outcome: DocumentOutcome
   readonly table: DocumentsTable
 }
@@ -68,4 +87,4 @@
 }
 
 /** Any message of the documents slice. */
-export type DocumentsMessage = Apply | Ask | Leadership | Applied | InForce | WatchDue
+export type DocumentsMessage = Apply | Replace | ReadCurrent | Ask | Leadership | Applied | InForce | WatchDue
--- a/src/documents/state.ts
+++ b/src/documents/state.ts
@@ -7,6 +7,8 @@
   readonly operation: string
   /** Whether the answer waits until the version is in force. */
   readonly wait: boolean
+  /** The service whose text the operator wants to read. */
+  readonly reads?: string
   /** The longest authority that a host may have under the version before. */
   readonly leaseMs: number
 }
--- a/src/documents/table.ts
+++ b/src/documents/table.ts
@@ -34,6 +34,22 @@
   readonly document: ServiceDocument
 }
 
+/** Puts a document in place of any of a lower version; one that is not higher changes nothing. */
+export interface ReplaceCommand {
+  readonly kind: 'documents/replace'
+  readonly version: number
+  readonly text: string
+  readonly document: ServiceDocument
+}
+
+/** Changes nothing: what is read once it is committed is current. */
+export interface ConfirmCommand {
+  readonly kind: 'documents/confirm'
+}
+
+/** Any command about documents. */
+export type DocumentsCommand = DocumentCommand | ReplaceCommand | ConfirmCommand
+
 /** Whether the document was accepted; if not, which version stands. */
 export type DocumentOutcome =
   | { readonly accepted: true, readonly version: number }
@@ -66,6 +82,25 @@
   return { state: { services: { ...table.services, [service]: record }, requests }, outcome }
 }
 
+/**
+ * Applies any command about documents.
+ * @example applyDocumentsCommand(NO_DOCUMENTS, { kind: 'documents/confirm' }).state // NO_DOCUMENTS
+ */
+export function applyDocumentsCommand (table: DocumentsTable, command: DocumentsCommand): AppliedDocument {
+  switch (command.kind) {
+    case 'documents/put': return applyDocumentCommand(table, command)
+    case 'documents/replace': return replaceDocument(table, command)
+    case 'documents/confirm': return { state: table, outcome: { accepted: true, version: 0 } }
+  }
+}
+
+function replaceDocument (table: DocumentsTable, { version, text, document }: ReplaceCommand): AppliedDocument {
+  const current = readOwn(table.services, document.service)?.version ?? 0
+  const outcome: DocumentOutcome = { accepted: true, version: Math.max(current, version) }
+  if (version <= current) return { state: table, outcome }
+  return { state: { ...table, services: { ...table.services, [document.service]: { version, text, document } } }, outcome }
+}
+
 /** Returns a service's value; undefined also for names that every object has. */
 export function readOwn<T> (values: Readonly<Record<string, T>>, service: string): T | undefined {
   return Object.hasOwn(values, service) ? values[service] : undefined
--- a/src/membership/decide.ts
+++ b/src/membership/decide.ts
@@ -3,20 +3,14 @@
 import type { Probe } from '../databases/driver.js'
 import { followLeader, listTargets, takeHint } from './discovery.js'
 import { answerForce } from './force.js'
-import { applyChanges, listEntries, type DatabaseEntry, type Directory, type HostEntry } from './directory.js'
-import { dropHost, publishEntry, sweepSilent, takeBeat } from './leader.js'
-import type { Announced, Beat, BeatAnswered, MembershipMessage, Probed } from './messages.js'
+import { applyChanges, listEntries, type DatabaseEntry, type DatabaseStatus, type Directory, type HostEntry } from './directory.js'
+import { dropDatabase, dropHost, publishEntry, sweepSilent, takeBeat } from './leader.js'
+import type { Announced, Answered, Beat, BeatAnswered, MembershipMessage, Probed, Withdrawn } from './messages.js'
 import { listOwned } from './owners.js'
-import type { MembershipState } from './state.js'
+import type { Announcement, MembershipState } from './state.js'
 import { answerStatus, drainHost } from './operators.js'
 import { sendPeer, setTimer, tell } from '../messages.js'
 
-/** Time between two beats of a host. */
-export const BEAT_EVERY_MS = 100
-/** Time between two reads of an owned database's status. */
-export const PROBE_EVERY_MS = 100
-/** How long a host reports a database that no longer announces itself. */
-const ANNOUNCEMENT_HOLDS_MS = 1_000
 /** How long an unanswered beat may still be answered. */
 const BEAT_HOLDS_MS = 5_000
 
@@ -39,6 +33,9 @@
     case 'membership/announced': return takeAnnouncement(state, message, moment)
     case 'membership/probe-due': return probeOwned(state, moment)
     case 'membership/probed': return takeProbe(state, message)
+    case 'membership/answered': return keep(takeAnswered(state, message))
+    case 'membership/withdrawn': return withdrawDatabase(state, message)
+    case 'membership/control-changed': return keep({ ...state, control: message.control })
     case 'membership/beat': return state.leading === undefined ? answerHint(state, message) : takeBeat(state, state.leading, message, moment)
     case 'membership/force-asked': return state.leading === undefined ? keep(state) : answerForce(state, state.leading, message, moment)
     case 'membership/sweep-due': return state.leading === undefined ? keep(state) : sweepSilent(state, state.leading, moment)
@@ -55,7 +52,7 @@
 }
 
 function start (state: MembershipState, self: HostEntry, control: readonly string[]): MembershipStep {
-  return { state: { ...state, self, control }, effects: [createBeatTimer(), createProbeTimer()] }
+  return { state: { ...state, self, control }, effects: [createBeatTimer(state), createProbeTimer(state)] }
 }
 
 function tellLeft (state: MembershipState): MembershipStep {
@@ -76,7 +73,7 @@
 
 function sendBeat (state: MembershipState, moment: Moment): MembershipStep {
   const targets = listTargets(state, moment)
-  if (state.self === undefined || targets.length === 0) return { state, effects: [createBeatTimer()] }
+  if (state.self === undefined || targets.length === 0) return { state, effects: [createBeatTimer(state)] }
   const round = state.round + 1
   const askedAtMs = new Map([...state.askedAtMs].filter(([, askedMs]) => moment.monotonicMs - askedMs < BEAT_HOLDS_MS))
   askedAtMs.set(round, moment.monotonicMs)
@@ -88,7 +85,7 @@
     databases: listAnnounced(state, moment),
     statuses: [...state.statuses.values()].map(held => ({ ...held.status, ageMs: moment.monotonicMs - held.askedAtMs }))
   }
-  return { state: { ...state, round, askedAtMs }, effects: [...targets.map(target => sendPeer(target, beat)), createBeatTimer()] }
+  return { state: { ...state, round, askedAtMs }, effects: [...targets.map(target => sendPeer(target, beat)), createBeatTimer(state)] }
 }
 
 // Only a leader answers, so an answer of a later epoch names its leader too.
@@ -137,7 +134,9 @@
 
 function listOwn (state: MembershipState, directory: Directory): readonly DatabaseEntry[] {
   if (state.self === undefined) return []
-  return listOwned(state.self.host, listEntries(directory, 'database'), listEntries(directory, 'host'))
+  const owned = listOwned(state.self.host, listEntries(directory, 'database'), listEntries(directory, 'host'))
+  const groups = new Map(listEntries(directory, 'document').flatMap(({ document }) => document.groups.map(group => [group.name, group.connections] as const)))
+  return owned.map(entry => (entry.connectionLimit > 0 ? entry : { ...entry, connectionLimit: groups.get(entry.group) ?? entry.slots }))
 }
 
 function keepOwned (state: MembershipState, directory: Directory): MembershipState['statuses'] {
@@ -146,21 +145,55 @@
 }
 
 function takeAnnouncement (state: MembershipState, message: Announced, moment: Moment): MembershipStep {
-  const announced = new Map(state.announced)
-  announced.set(message.entry.database, { entry: message.entry, heardAtMs: moment.monotonicMs })
+  const { entry, order } = message
+  const known = state.announced.get(entry.database)
+  if (isLate(known, order)) return keep(state)
+  const announced = new Map([...state.announced].filter(([, { heardAtMs }]) => moment.monotonicMs - heardAtMs <= state.timing.announcementHoldsMs))
+  announced.set(entry.database, { entry, heardAtMs: moment.monotonicMs, order })
   return keep({ ...state, announced })
 }
 
+function isLate (known: Announcement | undefined, order: Announced['order']): boolean {
+  if (known?.order === undefined || order === undefined) return false
+  return order.startedAtMs < known.order.startedAtMs || (order.startedAtMs === known.order.startedAtMs && order.sequence <= known.order.sequence)
+}
+
+// The leader learns it from the host that the database told.
+function withdrawDatabase (state: MembershipState, { database, from }: Withdrawn): MembershipStep {
+  const announced = new Map(state.announced)
+  announced.delete(database)
+  const next: MembershipState = { ...state, announced }
+  if (state.leading !== undefined) return { state: { ...next, leading: dropDatabase(state.leading, database) }, effects: [tell({ kind: 'succession/withdrawn', database })] }
+  if (from !== undefined || state.leader === undefined) return keep(next)
+  return { state: next, effects: [sendPeer(state.leader, { kind: 'membership/withdrawn', database })] }
+}
+
 function listAnnounced (state: MembershipState, moment: Moment): readonly DatabaseEntry[] {
   return [...state.announced.values()]
-    .filter(announcement => moment.monotonicMs - announcement.heardAtMs <= ANNOUNCEMENT_HOLDS_MS)
+    .filter(announcement => moment.monotonicMs - announcement.heardAtMs <= state.timing.announcementHoldsMs)
     .map(announcement => announcement.entry)
 }
 
 function probeOwned (state: MembershipState, moment: Moment): MembershipStep {
+  const primaries = new Set(listEntries(state.directory, 'grant').map(grant => grant.primary))
   const probes = listOwn(state, state.directory)
-    .map((entry): Probe => ({ kind: 'database/probe', database: entry.database, address: entry.address, askedAtMs: moment.monotonicMs }))
-  return { state, effects: [...probes, createProbeTimer()] }
+    .filter(({ database }) => isQuiet(state, database, primaries.has(database), moment))
+    .map((entry): Probe => ({ kind: 'database/probe', database: entry.database, address: entry.address, group: entry.group, askedAtMs: moment.monotonicMs }))
+  return { state, effects: [...probes, createProbeTimer(state)] }
+}
+
+// What answers requests need not be asked how it is.
+function isQuiet (state: MembershipState, database: string, primary: boolean, moment: Moment): boolean {
+  const held = state.statuses.get(database)
+  const quietMs = primary ? state.timing.quietMs : state.timing.replicaQuietMs
+  return held === undefined || !held.status.answering || moment.monotonicMs - held.askedAtMs >= quietMs
+}
+
+function takeAnswered (state: MembershipState, { database, position, askedAtMs, proven }: Answered): MembershipState {
+  const known = state.statuses.get(database)
+  if (known !== undefined && known.askedAtMs > askedAtMs) return state
+  const status: DatabaseStatus = { fencedTerm: 0, ...known?.status, database, answering: true, position, primary: proven }
+  return { ...state, statuses: new Map(state.statuses).set(database, { status, askedAtMs }) }
 }
 
 function takeProbe (state: MembershipState, message: Probed): MembershipStep {
@@ -172,10 +205,10 @@
   return { state: { ...state, statuses }, effects }
 }
 
-function createBeatTimer (): CoreEffect {
-  return setTimer('membership/beat', BEAT_EVERY_MS, { kind: 'membership/beat-due' })
+function createBeatTimer ({ timing }: MembershipState): CoreEffect {
+  return setTimer('membership/beat', timing.beatEveryMs, { kind: 'membership/beat-due' })
 }
 
-function createProbeTimer (): CoreEffect {
-  return setTimer('membership/probe', PROBE_EVERY_MS, { kind: 'membership/probe-due' })
+function createProbeTimer ({ timing }: MembershipState): CoreEffect {
+  return setTimer('membership/probe', timing.probeEveryMs, { kind: 'membership/probe-due' })
 }
--- a/src/membership/directory.ts
+++ b/src/membership/directory.ts
@@ -11,6 +11,10 @@
   readonly failureDomain: string
   readonly peers: string
   readonly draining: boolean
+  /** True on a host that keeps the log. */
+  readonly control?: boolean
+  /** True on a host that takes no work for databases. */
+  readonly apart?: boolean
 }
 
 /** A database as it announced itself. */
@@ -21,8 +25,11 @@
   readonly failureDomain: string
   readonly address: string
   readonly slots: number
+  /** 0 where the group's document says it. */
   readonly connectionLimit: number
   readonly departing: boolean
+  /** True while the database says that it is primary; absent where it does not say. */
+  readonly leads?: boolean
 }
 
 /** Which database of a group is primary, in which term; without a primary while it changes. */
--- a/src/membership/discovery.ts
+++ b/src/membership/discovery.ts
@@ -1,6 +1,7 @@
 /** Discovery: how a host finds the leader of the control hosts. */
 import type { CoreEffect, Moment, Step } from '../core/message.js'
 import { tell } from '../messages.js'
+import { listEntries } from './directory.js'
 import { startLeading } from './leader.js'
 import type { LeaderChanged, LeaderHint } from './messages.js'
 import type { MembershipState } from './state.js'
@@ -18,7 +19,8 @@
   const { control, leader, round, answeredAtMs } = state
   const leaders = leader === undefined ? [] : [leader]
   if (leader !== undefined && moment.monotonicMs - answeredAtMs < LEADER_SILENT_MS) return leaders
-  const others = control.filter(host => host !== leader && host !== state.self?.host)
+  const listed = listEntries(state.directory, 'host').filter(host => host.control === true).map(host => host.host)
+  const others = [...new Set([...control, ...listed])].filter(host => host !== leader && host !== state.self?.host)
   const next = others[round % others.length]
   return next === undefined ? leaders : [...leaders, next]
 }
--- a/src/membership/leader.ts
+++ b/src/membership/leader.ts
@@ -1,6 +1,6 @@
 /** The leader's side of membership: it writes the directory from the hosts' beats. */
 import type { CoreEffect, Moment, Step } from '../core/message.js'
-import { createDirectory, dropEntry, listChangesSince, listEntries, putEntry, type DatabaseEntry, type Directory, type DirectoryEntry } from './directory.js'
+import { createDirectory, dropEntry, listChangesSince, listEntries, putEntry, readEntryKey, type DatabaseEntry, type Directory, type DirectoryEntry } from './directory.js'
 import type { Beat, Left } from './messages.js'
 import type { Leading, MembershipState, ReportingHost } from './state.js'
 import { sendPeer, setTimer, tell } from '../messages.js'
@@ -10,6 +10,10 @@
 /** How long a database may go unreported before it leaves the directory. */
 export const DATABASE_SILENT_MS = 1_000
 const SWEEP_EVERY_MS = 200
+/** What a new leader adds for a database that has to find another host to announce itself to. */
+const ANNOUNCED_AGAIN_MS = 3_000
+/** How old an answer may be that shows a database to be there. */
+const ANSWERED_MS = 1_000
 /** Longer than any authority lasts. */
 const ANSWERED_KEPT_MS = 10_000
 
@@ -19,22 +23,25 @@
 const HOLD_MS = 500
 
 /**
- * Starts to lead: with an empty directory of the new epoch, which the hosts' beats fill.
+ * Starts to lead: with a directory of the new epoch, which the hosts' beats fill. Databases that this host knows
+ * of are in it from the start, since they may announce themselves only seconds later.
  * @example startLeading(state, 4, moment)
  */
 export function startLeading (state: MembershipState, epoch: number, moment: Moment): MembershipStep {
   const awaited = listEntries(state.directory, 'host').map(entry => entry.host).filter(host => host !== state.lostLeader)
+  const databases = listEntries(state.directory, 'database')
   const leading: Leading = {
-    directory: createDirectory(epoch),
+    directory: databases.reduce(putAnnounced, createDirectory(epoch)),
     hosts: new Map(),
-    databases: new Map(),
+    databases: markHeard(new Map(), databases, moment.monotonicMs + ANNOUNCED_AGAIN_MS),
     leaseUntilMs: -Infinity,
     ledAtMs: moment.monotonicMs,
     answered: new Map(),
     heldUntilMs: moment.monotonicMs + HOLD_MS,
     awaited
   }
-  return { state: { ...state, leading }, effects: [createSweepTimer()] }
+  const told = tell({ kind: 'succession/reported', host: state.self?.host ?? '', statuses: [], databases })
+  return { state: { ...state, leading }, effects: [told, createSweepTimer()] }
 }
 
 /**
@@ -54,12 +61,16 @@
     ...leading,
     directory,
     hosts: new Map(leading.hosts).set(host, report),
-    databases: markHeard(leading.databases, beat.databases, moment.monotonicMs)
+    databases: markAnswering(markHeard(leading.databases, beat.databases, moment.monotonicMs), beat, moment.monotonicMs)
   }
   const answers = isAnswering(next, moment) ? [createAnswer(next, beat)] : []
   const answered = answers.length === 0 ? leading.answered : new Map(leading.answered).set(host, moment.monotonicMs)
-  const told = tell({ kind: 'primacy/reported', host, failureDomain: beat.self.failureDomain, statuses: beat.statuses, databases: beat.databases, revision: beat.revision })
-  return { state: { ...state, leading: { ...next, answered } }, effects: [...answers, told] }
+  const { statuses, databases } = beat
+  const told = [
+    tell({ kind: 'primacy/reported', host, failureDomain: beat.self.failureDomain, statuses, databases, revision: beat.revision }),
+    tell({ kind: 'succession/reported', host, statuses, databases })
+  ]
+  return { state: { ...state, leading: { ...next, answered } }, effects: [...answers, ...told] }
 }
 
 // An answered beat renews what its host may do, so only a leader within its lease answers, and a new one
@@ -118,13 +129,35 @@
   return [...silentHosts, ...silentDatabases].reduce(dropEntry, directory)
 }
 
+// A database that said that it departs does not come back in the same lifetime; one host may have heard it earlier than another.
 function putAnnounced (directory: Directory, entry: DatabaseEntry): Directory {
-  return putEntry(directory, entry)
+  const known = directory.changes.get(readEntryKey(entry))?.entry
+  const departing = entry.departing || (known?.kind === 'database' && known.departing)
+  return putEntry(directory, departing === entry.departing ? entry : { ...entry, departing })
+}
+
+// A database that answers its owner is there, also while its announcements reach nobody.
+function markAnswering (heard: ReadonlyMap<string, number>, beat: Beat, nowMs: number): ReadonlyMap<string, number> {
+  const next = new Map(heard)
+  for (const { database, answering, ageMs = 0 } of beat.statuses) {
+    if (answering && ageMs < ANSWERED_MS && next.has(database)) next.set(database, Math.max(next.get(database)!, nowMs - ageMs))
+  }
+  return next
+}
+
+/**
+ * Drops a database that ended by its own word.
+ * @example dropDatabase(leading, 'a1')
+ */
+export function dropDatabase (leading: Leading, database: string): Leading {
+  const databases = new Map(leading.databases)
+  databases.delete(database)
+  return { ...leading, databases, directory: dropEntry(leading.directory, `database/${database}`) }
 }
 
 function markHeard (heard: ReadonlyMap<string, number>, databases: readonly DatabaseEntry[], nowMs: number): ReadonlyMap<string, number> {
   const next = new Map(heard)
-  for (const database of databases) next.set(database.database, nowMs)
+  for (const database of databases) next.set(database.database, Math.max(next.get(database.database) ?? 0, nowMs))
   return next
 }
 
--- a/src/membership/messages.ts
+++ b/src/membership/messages.ts
@@ -1,4 +1,5 @@
 /** Messages of the membership slice. */
+import type { LogPosition } from '../core/position.js'
 import type { DatabaseEntry, DatabaseStatus, DirectoryChange, DirectoryEntry, HostEntry, Revision } from './directory.js'
 
 /** The process has started and knows its own addresses. */
@@ -78,6 +79,32 @@
   readonly entry: DatabaseEntry
   readonly term: number
   readonly primary: boolean
+  /** When the database started, and its count of announcements since; a late one changes nothing. */
+  readonly order?: { readonly startedAtMs: number, readonly sequence: number }
+}
+
+/** A database ended, by its own word. */
+export interface Withdrawn {
+  readonly kind: 'membership/withdrawn'
+  /** The host that the database told; absent on that host. */
+  readonly from?: string
+  readonly database: string
+}
+
+/** The addresses of control hosts changed in the settings. */
+export interface ControlChanged {
+  readonly kind: 'membership/control-changed'
+  readonly control: readonly string[]
+}
+
+/** A database answered a request, and so told how it is. */
+export interface Answered {
+  readonly kind: 'membership/answered'
+  readonly database: string
+  readonly position: LogPosition
+  readonly askedAtMs: number
+  /** True when only a primary could have given the answer. */
+  readonly proven: boolean
 }
 
 /** The outcome of reading a database's status. */
@@ -133,6 +160,9 @@
 
 /** Any message of the membership slice. */
 export type MembershipMessage =
+  | Answered
+  | ControlChanged
+  | Withdrawn
   | Leave
   | Left
   | StatusAsked
--- a/src/membership/state.ts
+++ b/src/membership/state.ts
@@ -5,8 +5,26 @@
 export interface Announcement {
   readonly entry: DatabaseEntry
   readonly heardAtMs: number
+  readonly order?: { readonly startedAtMs: number, readonly sequence: number }
 }
 
+/** How often this host reports, and how long it relies on what it heard. */
+export interface Timing {
+  /** Time between two beats of a host. */
+  readonly beatEveryMs: number
+  /** Time between two looks at whether an owned database has to be asked. */
+  readonly probeEveryMs: number
+  /** How long a primary may be quiet before its status is read; 0 reads it at each look. */
+  readonly quietMs: number
+  /** How long a replica may be quiet before its status is read. */
+  readonly replicaQuietMs: number
+  /** How long a host reports a database that no longer announces itself. */
+  readonly announcementHoldsMs: number
+}
+
+/** The times for databases that announce themselves several times a second and whose answers tell no position. */
+export const DEFAULT_TIMING: Timing = { beatEveryMs: 100, probeEveryMs: 100, quietMs: 0, replicaQuietMs: 0, announcementHoldsMs: 1_000 }
+
 /** A status, and a time before it was read. */
 export interface HeldStatus {
   readonly status: DatabaseStatus
@@ -41,6 +59,7 @@
 
 /** State of the membership slice. */
 export interface MembershipState {
+  readonly timing: Timing
   readonly self?: HostEntry
   readonly control: readonly string[]
   readonly leader?: string
@@ -64,8 +83,9 @@
  * Creates the state of a host that knows nobody.
  * @example createMembershipState().round // 0
  */
-export function createMembershipState (): MembershipState {
+export function createMembershipState (timing: Timing = DEFAULT_TIMING): MembershipState {
   return {
+    timing,
     control: [],
     epoch: 0,
     answeredAtMs: 0,
--- a/src/messages.ts
+++ b/src/messages.ts
@@ -10,6 +10,7 @@
 import type { RoutingMessage } from './routing/messages.js'
 import type { SharesMessage } from './shares/messages.js'
 import type { StoppingMessage } from './stopping/messages.js'
+import type { SuccessionMessage } from './succession/messages.js'
 import type { TimelineMessage } from './timeline/messages.js'
 import type { TransactionsMessage } from './transactions/messages.js'
 
@@ -25,6 +26,7 @@
   | RoutingMessage
   | SharesMessage
   | StoppingMessage
+  | SuccessionMessage
   | TimelineMessage
   | TransactionsMessage
 
--- a/src/monitoring/monitor.ts
+++ b/src/monitoring/monitor.ts
@@ -4,26 +4,27 @@
 import type { Log } from './log.js'
 import { Metrics } from './metrics.js'
 import { createPages, type HandlePage } from './pages.js'
-import { checkReadiness, STARTING, updateReadiness, type ReadinessFacts } from './readiness.js'
+import { checkReadiness, STARTING, updateReadiness, type Readiness, type ReadinessFacts } from './readiness.js'
 
 /** Sees each message and each effect of a process. */
 export class Monitor {
   readonly metrics = Metrics.create()
   readonly #host: string
   readonly #log: Log
-  #facts: ReadinessFacts = STARTING
+  #facts: ReadinessFacts
 
-  private constructor (host: string, log: Log) {
+  private constructor (host: string, log: Log, keepsAuthority: boolean) {
     this.#host = host
     this.#log = log
+    this.#facts = { ...STARTING, keepsAuthority }
   }
 
   /**
    * Creates the monitor of a host.
    * @example Monitor.create('host-1', log)
    */
-  static create (host: string, log: Log): Monitor {
-    return new Monitor(host, log)
+  static create (host: string, log: Log, keepsAuthority = false): Monitor {
+    return new Monitor(host, log, keepsAuthority)
   }
 
   /** Takes in a message before its decision. */
@@ -38,8 +39,11 @@
     if (effect.kind === 'timeline/record') this.#log.write(slice, 'info', (effect as RecordEvent).text)
   }
 
+  /** Tells whether the balancer should send callers here. */
+  readonly checkReadiness = (): Readiness => checkReadiness(this.#facts, performance.now())
+
   /** Creates the handler of the pages `/metrics`, `/health` and `/ready`. */
   createPages (): HandlePage {
-    return createPages({ metrics: this.metrics, checkReadiness: () => checkReadiness(this.#facts, performance.now()) })
+    return createPages({ metrics: this.metrics, checkReadiness: this.checkReadiness })
   }
 }
--- a/src/monitoring/readiness.ts
+++ b/src/monitoring/readiness.ts
@@ -9,11 +9,15 @@
   /** The monotonic time at which this host asked for what the leader last confirmed. */
   readonly confirmedAtMs?: number
   readonly draining: boolean
+  /** True where a host that is cut off goes on with the last documents that it knows. */
+  readonly keepsAuthority?: boolean
 }
 
 /** Ready, or why not. */
 export interface Readiness {
   readonly ready: boolean
+  /** True while the leader confirms what the host has in force. */
+  readonly inTouch: boolean
   readonly reason?: 'starting' | 'draining' | 'no authority'
 }
 
@@ -22,13 +26,13 @@
 
 /**
  * Tells whether a host is ready.
- * @example checkReadiness({ draining: false, confirmedAtMs: 1_000 }, 1_500) // { ready: true }
+ * @example checkReadiness({ draining: false, confirmedAtMs: 1_000 }, 1_500) // { ready: true, inTouch: true }
  */
 export function checkReadiness (facts: ReadinessFacts, monotonicMs: number): Readiness {
-  if (facts.draining) return { ready: false, reason: 'draining' }
-  if (facts.confirmedAtMs === undefined) return { ready: false, reason: 'starting' }
-  const confirmed = monotonicMs - facts.confirmedAtMs <= CONFIRMATION_HOLDS_MS
-  return confirmed ? { ready: true } : { ready: false, reason: 'no authority' }
+  const inTouch = facts.confirmedAtMs !== undefined && monotonicMs - facts.confirmedAtMs <= CONFIRMATION_HOLDS_MS
+  if (facts.draining) return { ready: false, inTouch, reason: 'draining' }
+  if (facts.confirmedAtMs === undefined) return { ready: false, inTouch, reason: 'starting' }
+  return inTouch || facts.keepsAuthority === true ? { ready: true, inTouch } : { ready: false, inTouch, reason: 'no authority' }
 }
 
 /**
--- a/src/operations/decide.ts
+++ b/src/operations/decide.ts
@@ -123,6 +123,8 @@
   const { operation, requestId, command } = asked
   switch (command.name) {
     case 'document/apply': return sendPeer(leader, { kind: 'documents/apply', operation, requestId, text: command.text, version: command.version, wait: command.wait })
+    case 'configuration/replace': return sendPeer(leader, { kind: 'documents/replace-asked', operation, version: command.version, text: command.text, document: command.document })
+    case 'configuration/read': return sendPeer(leader, { kind: 'documents/read-asked', operation, service: command.service })
     case 'document/show': return sendPeer(leader, { kind: 'documents/ask', operation, service: command.service, about: 'text' })
     case 'document/status': return sendPeer(leader, { kind: 'documents/ask', operation, service: command.service, about: 'force' })
     case 'document/list': return sendPeer(leader, { kind: 'documents/ask', operation, about: 'text' })
--- a/src/operations/messages.ts
+++ b/src/operations/messages.ts
@@ -1,10 +1,25 @@
 /** Messages of the operations slice: what operators ask of a host. */
 import type { InferOutput } from 'valibot'
 import type { Finding } from '../core/findings.js'
+import type { ServiceDocument } from '../documents/document.js'
 import type { CommandSchema } from './commands.js'
 
+/** Replaces a document whose version is lower, as a front end of operators has checked it. */
+export interface ReplaceConfiguration {
+  readonly name: 'configuration/replace'
+  readonly version: number
+  readonly text: string
+  readonly document: ServiceDocument
+}
+
+/** Reads the text of a document, surely no earlier than the call. */
+export interface ReadConfiguration {
+  readonly name: 'configuration/read'
+  readonly service: string
+}
+
 /** Any command of an operator. */
-export type Command = InferOutput<typeof CommandSchema>
+export type Command = InferOutput<typeof CommandSchema> | ReplaceConfiguration | ReadConfiguration
 
 /** The outcome of a command that was not carried out. */
 export interface CommandError {
--- a/src/operations/operators.ts
+++ b/src/operations/operators.ts
@@ -47,10 +47,11 @@
   async #take (requestId: string, text: string): Promise<unknown> {
     if (requestId === '' || requestId.length > MAX_REQUEST_ID_LENGTH) return BAD_REQUEST_ID
     const command = parseCommand(text)
-    return command.isErr ? { error: 'bad-command', text: 'The command is not known or not valid.', findings: command.error } : await this.#ask(requestId, command.value)
+    return command.isErr ? { error: 'bad-command', text: 'The command is not known or not valid.', findings: command.error } : await this.ask(requestId, command.value)
   }
 
-  async #ask (requestId: string, command: Command): Promise<unknown> {
+  /** Has a command carried out, and waits for its outcome. */
+  async ask (requestId: string, command: Command): Promise<unknown> {
     const operation = randomUUID()
     return await new Promise(resolve => {
       const timer = setTimeout(() => this.carryOut({ kind: 'operator/answer', operation, outcome: NO_ANSWER }), ANSWER_WITHIN_MS)
--- a/src/peers/connect.ts
+++ b/src/peers/connect.ts
@@ -13,7 +13,9 @@
 import type { StampClock } from '../timeline/clock.js'
 
 const PING_EVERY_MS = 1_000
-const PING_TIMEOUT_MS = 2_000
+const PING_TIMEOUT_MS = 1_000
+/** How long a link may take to open: a lost opening packet is sent again after 1 s, and a new attempt is quicker. */
+const OPEN_WITHIN_MS = 1_000
 const ABORT_AFTER_MS = 500
 
 interface OpenLink {
@@ -122,13 +124,16 @@
   }
 
   #open (host: string): OpenLink | undefined {
-    const address = this.#addresses.get(host)
+    const address = this.#addresses.get(host) ?? findAddress(host)
     if (address === undefined || this.#closed) return undefined
     const session = new Http2SessionManager(`http://${address}`, { pingIntervalMs: PING_EVERY_MS, pingTimeoutMs: PING_TIMEOUT_MS, pingIdleConnection: true })
     const transport = createGrpcTransport({ baseUrl: `http://${address}`, sessionManager: session })
     const link: OpenLink = { address, queue: SendQueue.create(), abort: new AbortController(), session }
     this.#links.set(host, link)
     this.#run(host, link, createClient(Peers, transport)).catch(() => this.#lose(host, link))
+    setTimeout(() => {
+      if (session.state() === 'connecting') this.#lose(host, link)
+    }, OPEN_WITHIN_MS).unref()
     return link
   }
 
@@ -163,3 +168,8 @@
     for (const message of this.#onLost(host)) this.#post(message)
   }
 }
+
+// A host that is known by its address alone is named by it.
+function findAddress (host: string): string | undefined {
+  return /^\d+(\.\d+){3}:\d+$/.test(host) ? host : undefined
+}
--- a/src/primacy/decide.ts
+++ b/src/primacy/decide.ts
@@ -23,6 +23,7 @@
  * @example decidePrimacy(state, { kind: 'primacy/check-due' }, moment)
  */
 export function decidePrimacy (state: PrimacyState, message: PrimacyMessage, moment: Moment): PrimacyStep {
+  if (!state.active) return { state, effects: [] }
   const nowMs = moment.monotonicMs
   switch (message.kind) {
     case 'primacy/leadership': return takeLeadership(state, message, nowMs)
--- a/src/primacy/state.ts
+++ b/src/primacy/state.ts
@@ -36,6 +36,8 @@
 
 /** State of the primacy slice; all but the table is of use on the leader alone. */
 export interface PrimacyState {
+  /** False where databases fence themselves: the slice then decides nothing. */
+  readonly active: boolean
   readonly leads: boolean
   readonly epoch: number
   /** Until then a host may rely on grants of the former leader. */
@@ -56,8 +58,9 @@
  * Creates the state of a host that does not lead.
  * @example createPrimacyState().leads // false
  */
-export function createPrimacyState (): PrimacyState {
+export function createPrimacyState (active = true): PrimacyState {
   return {
+    active,
     leads: false,
     epoch: 0,
     graceEndsMs: 0,
--- a/src/requests/decide.ts
+++ b/src/requests/decide.ts
@@ -4,7 +4,7 @@
 import { UNCHANGED } from '../core/store.js'
 import { advanceSession, parseToken, readSeen } from '../sessions/token.js'
 import { endWithFailure, failAcknowledgement, failAttempt, losePeer, loseReplaced, passDeadline, rejectInput } from './failure.js'
-import type { Admitted, Arrived, CountAsked, Drained, Finished, GrantsConfirmed, Open, OpenChecked, Output, PeerLost, RequestsMessage, Routed, SessionSet, WorkName } from './messages.js'
+import type { Admitted, Arrived, CountAsked, Drained, Finished, GrantsConfirmed, Open, OpenChecked, Output, PeerLost, RequestInput, RequestsMessage, Routed, RouteRules, SessionSet, WorkName } from './messages.js'
 import { MAX_RETRIES, RETRIES_PER_SUCCESS, type Caller, type OpenTransaction, type RequestsShared, type Running } from './state.js'
 import { createCancel, createFinished, createTimersCleared, readStatus, replaceCaller, type RequestsEffect, type RequestsStep, type RequestsStore } from './step.js'
 import { createCallerClosed, endWithdrawn, withdrawKey } from './withdrawal.js'
@@ -51,7 +51,7 @@
     case 'requests/drained': return passCredit(caller, message)
     case 'requests/closed': return close(caller)
     case 'requests/retry-due': return decideForRunning(caller, message, running => chooseAgain(caller, running))
-    case 'requests/admitted': return decideForRunning(caller, message, running => admit(caller, running, message))
+    case 'requests/admitted': return decideForRunning(caller, message, running => admit(caller, running, message, moment))
     case 'requests/routed': return decideForRunning(caller, message, running => run(store.shared, caller, running, message, moment))
     case 'requests/failed': return decideForRunning(caller, message, running => failAttempt(store.shared, caller, running, message, moment))
     case 'requests/output': return decideForRunning(caller, message, running => output(caller, running, message))
@@ -69,15 +69,16 @@
 }
 
 function open (message: Open): RequestsStep {
-  const { caller, service, workspace, keyHash } = message
+  const { caller, service, route, workspace, keyHash } = message
   const session = parseToken(service, message.session ?? '')
   if (session.isErr) return { effects: [{ kind: 'caller/refused', caller, failure: session.error }] }
   const record: Caller = { caller, service, workspace, keyHash, session: session.value, open: false, attempts: 0 }
-  return replaceCaller(record, [tell({ kind: 'admission/check-open', caller, service, workspace, keyHash })])
+  return replaceCaller(record, [tell({ kind: 'admission/check-open', caller, service, route, workspace, keyHash })])
 }
 
 function finishOpen (caller: Caller, message: OpenChecked): RequestsStep {
-  if (message.failure === undefined) return replaceCaller({ ...caller, open: true }, [{ kind: 'caller/opened', caller: caller.caller }])
+  const workspace = message.workspace ?? caller.workspace
+  if (message.failure === undefined) return replaceCaller({ ...caller, workspace, open: true }, [{ kind: 'caller/opened', caller: caller.caller }])
   return { changes: [[caller.caller, undefined]], effects: [{ kind: 'caller/refused', caller: caller.caller, failure: message.failure }] }
 }
 
@@ -92,6 +93,7 @@
   const limitMs = Math.min(message.input.deadlineMs ?? shared.requestMs, shared.requestMs)
   const running: Running = {
     request: attempt,
+    startedAtMs: moment.monotonicMs,
     attempt,
     input: message.input,
     payload: message.payload,
@@ -112,12 +114,16 @@
     workspace: caller.workspace,
     keyHash: caller.keyHash,
     route: message.input.route,
-    action: message.input.intent === 'begin-read-only' ? 'read' : 'write',
+    action: readAction(message.input),
     inTransaction: caller.transaction !== undefined
   })
   return replaceCaller(next, [check, createDeadline(caller.caller, attempt, limitMs)])
 }
 
+function readAction ({ action, intent }: RequestInput): 'read' | 'write' {
+  return action ?? (intent === 'begin-read-only' ? 'read' : 'write')
+}
+
 // The owner of the database counts the same deadline and knows whether the request
 // ran, so its answer goes first.
 function createDeadline (caller: string, request: number, afterMs: number): CoreEffect {
@@ -131,10 +137,20 @@
   return replaceCaller(next, [{ kind: 'caller/rolled-back', caller: caller.caller }])
 }
 
-function admit (caller: Caller, running: Running, message: Admitted): RequestsStep {
+function admit (caller: Caller, admitted: Running, message: Admitted, moment: Moment): RequestsStep {
+  const rules = caller.transaction?.rules ?? message.rules
+  const endsAtMs = rules.timeoutMs === undefined ? admitted.endsAtMs : Math.min(admitted.endsAtMs, admitted.startedAtMs + rules.timeoutMs)
+  const limited = endsAtMs < admitted.endsAtMs
+  const running: Running = limited ? { ...admitted, endsAtMs } : admitted
+  const step = place(caller, running, message.rules)
+  if (!limited || step.changes?.[0]?.[1]?.running === undefined) return step
+  return { ...step, effects: [...step.effects, createDeadline(caller.caller, running.request, endsAtMs - moment.monotonicMs)] }
+}
+
+function place (caller: Caller, running: Running, rules: RouteRules): RequestsStep {
   const { transaction } = caller
   if (transaction?.phase === 'lost') return endWithFailure(caller, running, createFailure('transaction-lost', 'its host was lost'))
-  if (transaction === undefined) return chooseAgain(caller, { ...running, rules: message.rules })
+  if (transaction === undefined) return chooseAgain(caller, { ...running, rules })
   const next: Running = { ...running, rules: transaction.rules, phase: 'routing' }
   const routed = tell({ kind: 'requests/routed', caller: caller.caller, attempt: running.attempt, target: transaction.target })
   return replaceCaller({ ...caller, running: next }, [routed])
@@ -168,6 +184,8 @@
     intent: running.input.intent,
     transaction: caller.transaction?.began,
     remainingMs: Math.max(0, running.endsAtMs - moment.monotonicMs),
+    idleMs: running.rules?.idleTransactionMs,
+    priority: running.rules?.priority,
     payload: running.payload
   })
   const next: Caller = { ...caller, ticket, running: { ...running, phase: 'running', target } }
@@ -192,16 +210,18 @@
   const { rules, target } = running
   if (rules === undefined || target === undefined) return UNCHANGED
   if (message.parts !== running.parts) return endWithFailure(caller, running, createFailure('outcome-unknown', 'a part of the answer was lost'))
+  const { selfFencing } = shared.guarantees
   const held = shared.grants.get(rules.group)
-  const stands = target.purpose === 'replica' ? !message.wrote : (held?.grant.term === target.term && held.grant.primary === target.database)
+  const granted = selfFencing || (held?.grant.term === target.term && held.grant.primary === target.database)
+  const stands = target.purpose === 'replica' ? !message.wrote : granted
   if (!stands) return endWithFailure(caller, running, createFailure('outcome-unknown', 'the primary was replaced'))
   // The same grant may be confirmed again within the deadline, such as by the next leader.
-  const lapsed = target.purpose === 'primary' && held!.leaseEndsMs <= moment.monotonicMs
+  const lapsed = target.purpose === 'primary' && !selfFencing && held!.leaseEndsMs <= moment.monotonicMs
   if (lapsed) return { ...UNCHANGED, shared: { ...shared, unconfirmed: [...shared.unconfirmed.filter(other => other.caller !== message.caller), message] } }
   const session = message.wrote ? advanceSession(caller.session, rules.group, message.position) : caller.session
   const next: Caller = { ...caller, session, transaction: followTransaction(caller, running, message), running: undefined }
   const finished = createFinished(next, message.payload)
-  const guarded = target.purpose === 'replica'
+  const guarded = target.purpose === 'replica' || selfFencing
     ? finished
     : { ...finished, notAfterMs: held!.leaseEndsMs, otherwise: { kind: 'requests/overdue', caller: caller.caller } }
   const retries = Math.min(MAX_RETRIES, shared.retries + RETRIES_PER_SUCCESS)
@@ -221,7 +241,8 @@
 function holdGrants (store: RequestsStore, message: GrantsConfirmed, moment: Moment): RequestsStep {
   const leaseEndsMs = message.askedAtMs + GRANT_LEASE_MS
   const grants = new Map(message.grants.map(grant => [grant.group, { grant, leaseEndsMs }]))
-  const step = loseReplaced(store, grants, moment)
+  // The answer of a primary that fences itself stands, whichever host is primary by now.
+  const step = store.shared.guarantees.selfFencing ? UNCHANGED : loseReplaced(store, grants, moment)
   const again = store.shared.unconfirmed.map(tell)
-  return { ...step, effects: [...step.effects, ...again], shared: { ...(step.shared ?? store.shared), grants, unconfirmed: [] } }
+  return { ...step, effects: [...step.effects, ...again], shared: { ...('shared' in step && step.shared !== undefined ? step.shared : store.shared), grants, unconfirmed: [] } }
 }
--- a/src/requests/messages.ts
+++ b/src/requests/messages.ts
@@ -12,6 +12,8 @@
 /** One request, as the front end read it. The payload is opaque to all slices. */
 export interface RequestInput {
   readonly intent: Intent
+  /** What the statement does, where the protocol tells. */
+  readonly action?: 'read' | 'write'
   readonly route?: string
   readonly requestId?: string
   /** Milliseconds that the caller gives the request; the host's limit when absent. */
@@ -24,6 +26,14 @@
   readonly action: 'read' | 'write'
   readonly maxStalenessMs: number
   readonly idempotent: boolean
+  /** How long one statement may take; the host's limit when absent. */
+  readonly timeoutMs?: number
+  /** Who goes first among a workspace's requests; 0 before all others. */
+  readonly priority?: number
+  /** Within which time callers want their answer. */
+  readonly latencyMs?: number
+  /** How long the transaction may wait for its caller; the host's limit when absent. */
+  readonly idleTransactionMs?: number
   /** True on a route that needs no key: the request runs for no workspace. */
   readonly open?: boolean
 }
@@ -50,8 +60,11 @@
   readonly kind: 'requests/open'
   readonly caller: string
   readonly service: string
+  /** The route that all requests of the caller take, where its protocol names it at the start. */
+  readonly route?: string
+  /** Absent with a key when the key alone tells the workspace. */
   readonly workspace?: string
-  /** SHA-256 of the key that came with the workspace. */
+  /** SHA-256 of the key. */
   readonly keyHash?: string
   /** The session token that the caller brought. */
   readonly session?: string
@@ -61,6 +74,8 @@
 export interface OpenChecked {
   readonly kind: 'requests/open-checked'
   readonly caller: string
+  /** The workspace that the key belongs to. */
+  readonly workspace?: string
   readonly failure?: Failure
 }
 
--- a/src/requests/state.ts
+++ b/src/requests/state.ts
@@ -1,5 +1,6 @@
 /** State of the requests slice: one record for each caller's connection. */
 import type { Failure } from '../core/errors.js'
+import { POSTGRES_GUARANTEES, type DatabaseGuarantees } from '../databases/guarantees.js'
 import type { Session } from '../sessions/token.js'
 import type { GrantEntry } from '../membership/directory.js'
 import type { Ticket } from '../transactions/messages.js'
@@ -12,6 +13,7 @@
 export interface Running {
   /** The number of the request's first attempt. */
   readonly request: number
+  readonly startedAtMs: number
   /** The number of its present attempt. */
   readonly attempt: number
   readonly input: RequestInput
@@ -68,6 +70,7 @@
 export interface RequestsShared {
   readonly grants: ReadonlyMap<string, HeldGrant>
   readonly requestMs: number
+  readonly guarantees: DatabaseGuarantees
   /** Retries of requests that may have run which are still allowed. */
   readonly retries: number
   /** Names this process in its tickets; drawn with the first one. */
@@ -87,6 +90,6 @@
  * Creates the facts of a host that holds no grant.
  * @example createRequestsShared(5_000)
  */
-export function createRequestsShared (requestMs: number): RequestsShared {
-  return { grants: new Map(), requestMs, retries: MAX_RETRIES, orders: 0, unconfirmed: [] }
+export function createRequestsShared (requestMs: number, guarantees: DatabaseGuarantees = POSTGRES_GUARANTEES): RequestsShared {
+  return { grants: new Map(), requestMs, guarantees, retries: MAX_RETRIES, orders: 0, unconfirmed: [] }
 }
--- a/src/routing/decide.ts
+++ b/src/routing/decide.ts
@@ -5,13 +5,12 @@
 import { ORIGIN, coversPosition, pickLater, type LogPosition } from '../core/position.js'
 import { findOwner } from '../membership/owners.js'
 import type { Target } from '../requests/messages.js'
-import type { Choose, DirectoryChanged, PositionsAsked, PositionsTold, RoutingMessage, StatusRead, ToldPosition } from './messages.js'
-import { addSample, findFreshFloor } from './staleness.js'
-import type { HeldPosition, KnownDatabase, RoutingState } from './state.js'
+import type { Answered, Choose, DirectoryChanged, PositionsAsked, PositionsTold, RoutingMessage, StatusRead, ToldPosition } from './messages.js'
+import { addSample, findFreshFloor, findProvenFloor } from './staleness.js'
+import { pickLightest } from './placement.js'
+import type { HeldPosition, KnownDatabase, PrimarySample, RoutingState } from './state.js'
 import { sendPeer, setTimer, tell } from '../messages.js'
 
-/** Time between two rounds of asking for positions. */
-export const ASK_EVERY_MS = 100
 const ASK_HOLDS_MS = 2_000
 /** A replica that holds what the primary had this long ago is worth a short wait. */
 const KEEPING_UP_MS = 400
@@ -32,6 +31,8 @@
     case 'routing/ask-due': return askPositions(state, moment)
     case 'routing/positions-asked': return tellPositions(state, message, moment)
     case 'routing/positions-told': return takePositions(state, message)
+    case 'routing/answered': return { state: takeAnswer(state, message), effects: [] }
+    case 'routing/load-changed': return { state: { ...state, loads: new Map(state.loads).set(message.database, message.load) }, effects: [] }
   }
 }
 
@@ -39,7 +40,7 @@
   const { rules } = message
   const grant = state.grants.get(rules.group)
   const floor = rules.action === 'read' && rules.maxStalenessMs > 0 ? findFloor(state, message, moment) : undefined
-  const replica = floor === undefined ? undefined : pickReplica(state, message, floor, moment)
+  const replica = floor === undefined ? undefined : state.guarantees.selfFencing ? pickLightest(state, message) : pickReplica(state, message, floor, moment)
   if (replica !== undefined && floor !== undefined) {
     return answer({ ...state, turn: state.turn + 1 }, message, createTarget(replica, 'replica', grant?.term ?? 0, floor))
   }
@@ -54,6 +55,7 @@
 // deposed primary that is cut off goes on answering.
 function findFloor (state: RoutingState, message: Choose, moment: Moment): LogPosition | undefined {
   const { group, maxStalenessMs } = message.rules
+  if (state.guarantees.selfFencing) return findProvenFloor(state.samples.get(group) ?? [], message.seen, moment.monotonicMs - maxStalenessMs)
   const grant = state.grants.get(group)
   const proven = (state.samples.get(group) ?? []).filter(sample =>
     sample.database === grant?.primary &&
@@ -128,7 +130,7 @@
   const askedAtMs = new Map([...state.askedAtMs].filter(([, askedMs]) => moment.monotonicMs - askedMs < ASK_HOLDS_MS))
   askedAtMs.set(round, moment.monotonicMs)
   const asks = owners.map(owner => sendPeer(owner, { kind: 'routing/positions-asked', round }))
-  const again = setTimer('routing/ask', ASK_EVERY_MS, { kind: 'routing/ask-due' })
+  const again = setTimer('routing/ask', state.askEveryMs, { kind: 'routing/ask-due' })
   return { state: { ...state, round, askedAtMs }, effects: [...asks, again] }
 }
 
@@ -157,11 +159,29 @@
     .flatMap((database): readonly ToldPosition[] => {
       const held = state.held.get(database.entry.database)
       if (held === undefined) return []
-      return [{ database: database.entry.database, position: held.position, ageMs: moment.monotonicMs - held.askedAtMs }]
+      return [{ database: database.entry.database, position: held.position, ageMs: moment.monotonicMs - held.askedAtMs, ...tellProof(state, database, moment) }]
     })
   return { state, effects: [sendPeer(message.from, { kind: 'routing/positions-told', round: message.round, positions })] }
 }
 
+function tellProof (state: RoutingState, { entry }: KnownDatabase, moment: Moment): Pick<ToldPosition, 'provenAgeMs' | 'provenPosition' | 'load'> {
+  const proof = state.proofs.get(entry.database)
+  const load = state.loads.get(entry.database)
+  return proof === undefined ? { load } : { load, provenPosition: proof.position, provenAgeMs: moment.monotonicMs - proof.askedAtMs }
+}
+
+function takeAnswer (state: RoutingState, { database, position, askedAtMs, proven }: Answered): RoutingState {
+  const held = holdPosition(state, database, { position, askedAtMs })
+  if (!proven) return held
+  const proved: RoutingState = { ...held, proofs: new Map(state.proofs).set(database, { position, askedAtMs }) }
+  const group = state.databases.get(database)?.entry.group
+  return group === undefined ? proved : putSample(proved, group, { database, askedAtMs, position })
+}
+
+function putSample (state: RoutingState, group: string, sample: PrimarySample): RoutingState {
+  return { ...state, samples: new Map(state.samples).set(group, addSample(state.samples.get(group) ?? [], sample)) }
+}
+
 function takePositions (state: RoutingState, message: PositionsTold): RoutingStep {
   const askedAtMs = state.askedAtMs.get(message.round)
   if (askedAtMs === undefined) return { state, effects: [] }
@@ -170,9 +190,12 @@
 
 function takePosition (state: RoutingState, told: ToldPosition, roundAskedAtMs: number): RoutingState {
   const askedAtMs = roundAskedAtMs - told.ageMs
-  const next = holdPosition(state, told.database, { position: told.position, askedAtMs })
+  const loads = told.load === undefined ? state.loads : new Map(state.loads).set(told.database, told.load)
+  const next: RoutingState = { ...holdPosition(state, told.database, { position: told.position, askedAtMs }), loads }
   const group = state.databases.get(told.database)?.entry.group
-  if (group === undefined || state.grants.get(group)?.primary !== told.database) return next
-  const samples = addSample(state.samples.get(group) ?? [], { database: told.database, askedAtMs, position: told.position })
-  return { ...next, samples: new Map(state.samples).set(group, samples) }
+  if (group !== undefined && told.provenAgeMs !== undefined && told.provenPosition !== undefined) {
+    return putSample(next, group, { database: told.database, askedAtMs: roundAskedAtMs - told.provenAgeMs, position: told.provenPosition })
+  }
+  if (state.guarantees.selfFencing || group === undefined || state.grants.get(group)?.primary !== told.database) return next
+  return putSample(next, group, { database: told.database, askedAtMs, position: told.position })
 }
--- a/src/routing/messages.ts
+++ b/src/routing/messages.ts
@@ -40,6 +40,12 @@
   readonly database: string
   readonly position: LogPosition
   readonly ageMs: number
+  /** The age of the last answer that proved the database to be primary; absent without one. */
+  readonly provenAgeMs?: number
+  /** What that answer proved the primary to hold. */
+  readonly provenPosition?: LogPosition
+  /** Requests that run or wait for each slot. */
+  readonly load?: number
 }
 
 /** Time to ask the owners of databases for their positions. */
@@ -62,5 +68,23 @@
   readonly positions: readonly ToldPosition[]
 }
 
+/** A database that this host owns answered, and told where it stands. */
+export interface Answered {
+  readonly kind: 'routing/answered'
+  readonly database: string
+  readonly position: LogPosition
+  /** When the request left. */
+  readonly askedAtMs: number
+  /** True when only a primary could have given the answer. */
+  readonly proven: boolean
+}
+
+/** How much work an owned database has. */
+export interface LoadChanged {
+  readonly kind: 'routing/load-changed'
+  readonly database: string
+  readonly load: number
+}
+
 /** Any message of the routing slice. */
-export type RoutingMessage = Choose | DirectoryChanged | StatusRead | AskDue | PositionsAsked | PositionsTold | GrantsConfirmed
+export type RoutingMessage = Choose | DirectoryChanged | StatusRead | AskDue | PositionsAsked | PositionsTold | GrantsConfirmed | Answered | LoadChanged
--- a/src/routing/staleness.ts
+++ b/src/routing/staleness.ts
@@ -1,5 +1,5 @@
 /** The staleness estimate: conservative, and free of any comparison of two hosts' clocks. */
-import type { LogPosition } from '../core/position.js'
+import { pickLater, type LogPosition } from '../core/position.js'
 import type { PrimarySample } from './state.js'
 
 const SAMPLES_KEPT = 128
@@ -22,3 +22,16 @@
 export function findFreshFloor (samples: readonly PrimarySample[], sinceMs: number): LogPosition | undefined {
   return samples.find(sample => sample.askedAtMs >= sinceMs)?.position
 }
+
+/**
+ * Returns the floor of a read by samples that each proved their database to be primary. A position of an
+ * earlier term than the last sample's may have been rolled back; what was kept of it is in that sample.
+ * @example findProvenFloor(samples, session, moment.monotonicMs - 2_000)
+ */
+export function findProvenFloor (samples: readonly PrimarySample[], seen: LogPosition, sinceMs: number): LogPosition | undefined {
+  const last = samples[samples.length - 1]
+  const fresh = findFreshFloor(samples, sinceMs)
+  if (last === undefined || fresh === undefined) return undefined
+  const floor = fresh.term < last.position.term ? last.position : fresh
+  return seen.term < last.position.term ? pickLater(floor, seen.offset === 0 ? floor : last.position) : pickLater(floor, seen)
+}
--- a/src/routing/state.ts
+++ b/src/routing/state.ts
@@ -1,7 +1,11 @@
 /** State of the routing slice. */
 import type { LogPosition } from '../core/position.js'
+import { POSTGRES_GUARANTEES, type DatabaseGuarantees } from '../databases/guarantees.js'
 import type { DatabaseEntry, GrantEntry, HostEntry } from '../membership/directory.js'
 
+/** Time between two rounds of asking for positions, unless the settings say otherwise. */
+export const ASK_EVERY_MS = 100
+
 /** A primary's position, and a time at which it had at least that much. */
 export interface PrimarySample {
   readonly database: string
@@ -26,6 +30,9 @@
 export interface RoutingState {
   readonly self: string
   readonly failureDomain: string
+  readonly guarantees: DatabaseGuarantees
+  /** Time between two rounds of asking for positions. */
+  readonly askEveryMs: number
   readonly hosts: readonly HostEntry[]
   readonly databases: ReadonlyMap<string, KnownDatabase>
   readonly grants: ReadonlyMap<string, GrantEntry>
@@ -35,6 +42,10 @@
   readonly held: ReadonlyMap<string, HeldPosition>
   /** The primaries' positions by group, oldest first. */
   readonly samples: ReadonlyMap<string, readonly PrimarySample[]>
+  /** On the owner: what each primary proved to hold, and when it was asked. */
+  readonly proofs: ReadonlyMap<string, HeldPosition>
+  /** Requests that run or wait for each slot, by database. */
+  readonly loads: ReadonlyMap<string, number>
   readonly round: number
   readonly askedAtMs: ReadonlyMap<number, number>
   /** Counts choices, to spread reads over equal replicas. */
@@ -45,16 +56,20 @@
  * Creates the state of a host that knows no database.
  * @example createRoutingState('host-1', 'domain-1')
  */
-export function createRoutingState (self: string, failureDomain: string): RoutingState {
+export function createRoutingState (self: string, failureDomain: string, guarantees: DatabaseGuarantees = POSTGRES_GUARANTEES, askEveryMs = ASK_EVERY_MS): RoutingState {
   return {
     self,
     failureDomain,
+    guarantees,
+    askEveryMs,
     hosts: [],
     databases: new Map(),
     grants: new Map(),
     confirmedAtMs: 0,
     held: new Map(),
     samples: new Map(),
+    proofs: new Map(),
+    loads: new Map(),
     round: 0,
     askedAtMs: new Map(),
     turn: 0
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -6,6 +6,8 @@
 import type { Finding } from '../core/findings.js'
 import { listDoubled, readItems, readProperty, type LocatedText } from '../core/loose.js'
 import { Name } from '../core/names.js'
+import { DEFAULT_TIMING } from '../membership/state.js'
+import { ASK_EVERY_MS } from '../routing/state.js'
 
 const MAX_DURATION_MS = 3_600_000
 const MAX_MESSAGE_BYTES = 1_073_741_824
@@ -19,6 +21,7 @@
 )
 const ReachableAddress = v.pipe(Address, v.check(address => !isWildcard(address), 'Expected an address at which other hosts reach this one'))
 const Milliseconds = v.pipe(v.number(), v.integer('Expected whole milliseconds'), v.minValue(1, 'Expected at least 1 ms'), v.maxValue(MAX_DURATION_MS, `Expected at most ${MAX_DURATION_MS} ms`))
+const Quiet = v.pipe(v.number(), v.integer('Expected whole milliseconds'), v.minValue(0, 'Expected milliseconds from 0'), v.maxValue(MAX_DURATION_MS, `Expected at most ${MAX_DURATION_MS} ms`))
 const Bytes = v.pipe(v.number(), v.integer('Expected whole bytes'), v.minValue(1024, 'Expected at least 1024 bytes'), v.maxValue(MAX_MESSAGE_BYTES, `Expected at most ${MAX_MESSAGE_BYTES} bytes`))
 
 const QueueLength = v.pipe(v.number(), v.integer('Expected a whole number'), v.minValue(1, 'Expected at least 1'), v.maxValue(MAX_QUEUE_LENGTH, `Expected at most ${MAX_QUEUE_LENGTH}`))
@@ -34,9 +37,19 @@
   requestMs: v.optional(v.pipe(Milliseconds, v.description('How long a request may take when the caller states no deadline.')), 5_000),
   idleTransactionMs: v.optional(v.pipe(Milliseconds, v.description('How long a transaction may wait for its caller.')), 10_000),
   drainMs: v.optional(v.pipe(Milliseconds, v.description('How long a graceful stop may take.')), 30_000),
+  balancerMs: v.optional(v.pipe(Quiet, v.description('How long a stopping host still takes callers, until the balancer has noticed.')), 0),
   queueLength: v.optional(v.pipe(QueueLength, v.description('How many requests may wait for one database.')), 1_000)
 }), v.readonly())
 
+const TimingSchema = v.pipe(v.strictObject({
+  beatEveryMs: v.optional(v.pipe(Milliseconds, v.description('Time between two reports of a host to the leader.')), DEFAULT_TIMING.beatEveryMs),
+  probeEveryMs: v.optional(v.pipe(Milliseconds, v.description('Time between two looks at the databases that a host owns.')), DEFAULT_TIMING.probeEveryMs),
+  quietMs: v.optional(v.pipe(Quiet, v.description('How long a primary may be quiet before its status is read.')), DEFAULT_TIMING.quietMs),
+  replicaQuietMs: v.optional(v.pipe(Quiet, v.description('How long a replica may be quiet before its status is read.')), DEFAULT_TIMING.replicaQuietMs),
+  announcementHoldsMs: v.optional(v.pipe(Milliseconds, v.description('How long a database counts as there after its last announcement.')), DEFAULT_TIMING.announcementHoldsMs),
+  askEveryMs: v.optional(v.pipe(Milliseconds, v.description('Time between two questions for the positions of databases.')), ASK_EVERY_MS)
+}), v.readonly())
+
 const TraceSchema = v.pipe(v.strictObject({
   file: v.pipe(v.string(), v.minLength(1, 'Expected the path of a file')),
   slices: v.pipe(v.array(Name), v.minLength(1, 'Expected at least one slice'), v.readonly())
@@ -47,11 +60,15 @@
   $schema: v.optional(v.pipe(v.string(), v.description('The JSON Schema, for editors.'))),
   host: Name,
   failureDomain: Name,
-  callers: v.pipe(Address, v.description('Where callers connect.')),
+  callers: v.optional(v.pipe(Address, v.description('Where callers connect; a host without it serves no callers and no databases.'))),
   peers: v.pipe(ReachableAddress, v.description('Where other hosts and databases connect.')),
   operators: v.pipe(Address, v.description('Where operators connect, and where metrics and health are read.')),
   dataFolder: v.optional(v.pipe(FolderPath, v.description('Where this host keeps the replicated log; only control hosts have one.'))),
   control: v.pipe(ControlSchema, v.description('The control hosts, with the addresses where other hosts connect to them.')),
+  forms: v.optional(v.pipe(v.boolean(), v.description('Whether a first start may form the control group.')), true),
+  voters: v.optional(v.pipe(v.number(), v.integer('Expected a whole number'), v.minValue(0, 'Expected a number from 0'), v.description('How many control hosts the group should have; 0 for those listed. With more, any control host that reaches the group may join it.')), 0),
+  authority: v.optional(v.pipe(v.picklist(['leased', 'kept']), v.description('Whether a host that is out of touch with the leader refuses keyed requests, or goes on with the last documents.')), 'leased'),
+  timing: v.optional(TimingSchema, {}),
   logLevel: v.optional(v.picklist(['debug', 'info', 'warn', 'error']), 'info'),
   trace: v.optional(v.pipe(TraceSchema, v.description('Records the messages of some slices, for replay; opt-in, since it holds what they hold.'))),
   limits: v.optional(LimitsSchema, {})
--- a/src/stopping/decide.ts
+++ b/src/stopping/decide.ts
@@ -17,6 +17,8 @@
 /** State of the stopping slice. */
 export interface StoppingState {
   readonly host: string
+  /** How long callers are still taken, until the balancer has noticed that the host is not ready. */
+  readonly balancerMs: number
   readonly phase: Phase
   /** When the present phase began. */
   readonly sinceMs: number
@@ -30,14 +32,16 @@
   readonly cut: number
 }
 
+const STOP_ACCEPTING: StopAccepting = { kind: 'caller/stop-accepting' }
+
 type StoppingStep = Step<StoppingState, CoreEffect | ExitProcess | StopAccepting>
 
 /**
  * Creates the state of a host that runs.
  * @example createStoppingState('host-1').phase // 'running'
  */
-export function createStoppingState (host: string): StoppingState {
-  return { host, phase: 'running', sinceMs: 0, busy: { requests: 0, transactions: 0 } }
+export function createStoppingState (host: string, balancerMs = 0): StoppingState {
+  return { host, balancerMs, phase: 'running', sinceMs: 0, busy: { requests: 0, transactions: 0 } }
 }
 
 /**
@@ -48,6 +52,7 @@
   switch (message.kind) {
     case 'stopping/asked': return state.phase === 'running' ? start(state, message, moment) : { state, effects: [] }
     case 'stopping/check-due': return state.phase === 'gone' ? { state, effects: [] } : { state, effects: [...askCounts(), createCheckTimer()] }
+    case 'stopping/balancer-noticed': return { state, effects: [STOP_ACCEPTING] }
     case 'stopping/counted': return takeCount(state, message, moment)
     case 'stopping/limit-passed': return state.phase === 'gone' ? { state, effects: [] } : endStop(state, moment, state.busy.requests + state.busy.transactions)
   }
@@ -59,7 +64,7 @@
   return {
     state: next,
     effects: [
-      { kind: 'caller/stop-accepting' },
+      ...(state.balancerMs === 0 ? [STOP_ACCEPTING] : [setTimer('stopping/balancer', state.balancerMs, { kind: 'stopping/balancer-noticed' })]),
       tell({ kind: 'membership/drain-asked', operation: 'stopping', host: state.host }),
       recordEvent('stop-asked', 'The host is asked to stop.'),
       setTimer('stopping/limit', message.limitMs, { kind: 'stopping/limit-passed' }),
@@ -80,7 +85,7 @@
   const counted: StoppingState = { ...state, busy: { ...state.busy, [message.part]: message.busy } }
   const elapsedMs = moment.monotonicMs - state.sinceMs
   const rests = counted.busy.requests === 0 && counted.busy.transactions === 0
-  if (state.phase === 'draining' && elapsedMs >= HANDOVER_MS && rests) return refuseWork(counted, moment)
+  if (state.phase === 'draining' && elapsedMs >= Math.max(HANDOVER_MS, state.balancerMs) && rests) return refuseWork(counted, moment)
   if (state.phase === 'refusing' && elapsedMs >= REFUSE_MS && rests) return endStop(counted, moment, 0)
   return { state: counted, effects: [] }
 }
--- a/src/stopping/messages.ts
+++ b/src/stopping/messages.ts
@@ -24,8 +24,13 @@
   readonly kind: 'stopping/limit-passed'
 }
 
+/** The balancer sends no new callers any more. */
+export interface BalancerNoticed {
+  readonly kind: 'stopping/balancer-noticed'
+}
+
 /** The parts that must come to rest: callers of this host, and work for the databases it owns. */
 export type Part = 'requests' | 'transactions'
 
 /** Any message of the stopping slice. */
-export type StoppingMessage = Asked | CheckDue | Counted | LimitPassed
+export type StoppingMessage = Asked | CheckDue | Counted | LimitPassed | BalancerNoticed
--- /dev/null
+++ b/src/succession/choose.ts
@@ -0,0 +1,67 @@
+/** Which database leads a group, whether it has to be replaced, and by which. */
+import { comparePositions, ORIGIN } from '../core/position.js'
+import type { KnownDatabase, SuccessionState } from './state.js'
+
+/** How long a primary may be silent: longer than a crowded one takes for a status, well below a requester's patience. */
+export const SILENT_MS = 700
+/** How long a host counts as in touch after its last report: three of its beats. */
+const HOST_HEARD_MS = 350
+/** How long the next owner takes to report, after the former one went silent: the directory drops a host after 1 s. */
+const OWNER_MOVES_MS = 2_000
+/** How long a candidate's last answer may be old: two of a quiet replica's status reads. */
+const CANDIDATE_ANSWERED_MS = 2_500
+/** How long after an appointment another database's proof counts against it: longer than a promotion takes. */
+const PROOF_AFTER_MS = 3_000
+/** How long a new leader waits until it takes a primary that nobody announced for gone: an announcement that found no host comes again by then. */
+const NEWS_MS = 3_000
+/** How long a new leader waits for the hosts' reports. */
+const REPORTS_MS = 400
+
+/** Why a primary has to be replaced. */
+export type Reason = 'silent' | 'departing' | 'gone'
+
+/**
+ * Returns the database that leads a group, as far as the leader knows.
+ * @example findPrimary(state, 'a')
+ */
+export function findPrimary (state: SuccessionState, group: string): KnownDatabase | undefined {
+  const members = listMembers(state, group)
+  const proven = members.filter(known => known.provenAtMs !== undefined).sort((a, b) => b.provenAtMs! - a.provenAtMs!)[0]
+  const succession = state.table[group]
+  if (succession === undefined) return proven ?? pickClaiming(members)
+  const appointed = state.databases.get(succession.database)
+  const changedAtMs = state.changedAtMs.get(group) ?? state.ledAtMs
+  const overruled = proven !== undefined && proven.provenAtMs! > Math.max(changedAtMs + PROOF_AFTER_MS, appointed?.provenAtMs ?? 0)
+  return overruled ? proven : appointed
+}
+
+/**
+ * Tells why a group's primary has to be replaced; undefined while it stands.
+ * @example findReason(state, primary, nowMs)
+ */
+export function findReason (state: SuccessionState, primary: KnownDatabase | undefined, nowMs: number): Reason | undefined {
+  if (primary === undefined) return nowMs - state.ledAtMs > NEWS_MS ? 'gone' : undefined
+  if (primary.entry.departing) return 'departing'
+  const sinceMs = Math.max(primary.answeredAtMs ?? primary.knownSinceMs + OWNER_MOVES_MS, state.ledAtMs + REPORTS_MS)
+  const ownerHeardMs = nowMs - (state.hosts.get(primary.owner ?? '') ?? -Infinity)
+  const patienceMs = ownerHeardMs < HOST_HEARD_MS ? SILENT_MS : OWNER_MOVES_MS
+  return nowMs - sinceMs >= patienceMs ? 'silent' : undefined
+}
+
+/**
+ * Picks the database that should lead next: of those that answer, the one that holds the most.
+ * @example pickSuccessor(state, 'a', primary, nowMs)
+ */
+export function pickSuccessor (state: SuccessionState, group: string, primary: KnownDatabase | undefined, nowMs: number): KnownDatabase | undefined {
+  const able = listMembers(state, group).filter(known =>
+    known !== primary && !known.entry.departing && nowMs - (known.answeredAtMs ?? -Infinity) < CANDIDATE_ANSWERED_MS)
+  return able.sort((a, b) => comparePositions(b.status?.position ?? ORIGIN, a.status?.position ?? ORIGIN))[0]
+}
+
+function listMembers (state: SuccessionState, group: string): KnownDatabase[] {
+  return [...state.databases.values()].filter(known => known.entry.group === group)
+}
+
+function pickClaiming (members: readonly KnownDatabase[]): KnownDatabase | undefined {
+  return members.find(known => known.entry.leads === true)
+}
--- /dev/null
+++ b/src/succession/state.ts
@@ -0,0 +1,74 @@
+/** State of the succession slice; all but the table is of use on the leader alone. */
+import type { Effect } from '../core/message.js'
+import type { DatabaseEntry, DatabaseStatus } from '../membership/directory.js'
+import type { SuccessionTable } from './table.js'
+
+/** Makes a database the primary of its group; posts `succession/answered`. */
+export interface AppointPrimary extends Effect {
+  readonly kind: 'promotion/appoint'
+  readonly group: string
+  readonly database: string
+  readonly appointment: number
+  /** Grows with the leader's epoch and with the appointment. */
+  readonly fence: number
+}
+
+/** A database as hosts reported it. */
+export interface KnownDatabase {
+  readonly entry: DatabaseEntry
+  readonly knownSinceMs: number
+  /** When a host last reported its announcement. */
+  readonly heardAtMs: number
+  readonly owner?: string
+  readonly status?: DatabaseStatus
+  /** A time before its last answer; undefined before any. */
+  readonly answeredAtMs?: number
+  /** A time before its last answer that proved it to be primary. */
+  readonly provenAtMs?: number
+}
+
+/** The call for an appointment. */
+export interface Call {
+  readonly appointment: number
+  readonly calledAtMs: number
+  /** When the next try is due; undefined while one is under way. */
+  readonly dueAtMs?: number
+  readonly tries: number
+}
+
+/** State of the succession slice. */
+export interface SuccessionState {
+  /** False where databases do not fence themselves: the slice then decides nothing. */
+  readonly active: boolean
+  readonly leads: boolean
+  readonly epoch: number
+  readonly ledAtMs: number
+  readonly table: SuccessionTable
+  readonly databases: ReadonlyMap<string, KnownDatabase>
+  /** When each host last reported. */
+  readonly hosts: ReadonlyMap<string, number>
+  readonly calls: ReadonlyMap<string, Call>
+  /** The primary that each group's hosts were told of, and since when. */
+  readonly published: ReadonlyMap<string, { readonly database: string | undefined, readonly sinceMs: number }>
+  /** When each group's last appointment was proposed or settled. */
+  readonly changedAtMs: ReadonlyMap<string, number>
+}
+
+/**
+ * Creates the state of a host that does not lead.
+ * @example createSuccessionState(true).leads // false
+ */
+export function createSuccessionState (active: boolean): SuccessionState {
+  return {
+    active,
+    leads: false,
+    epoch: 0,
+    ledAtMs: 0,
+    table: {},
+    databases: new Map(),
+    hosts: new Map(),
+    calls: new Map(),
+    published: new Map(),
+    changedAtMs: new Map()
+  }
+}
--- a/src/transactions/behind.ts
+++ b/src/transactions/behind.ts
@@ -68,9 +68,9 @@
 }
 
 function createLook (database: OwnedDatabase, moment: Moment): readonly TransactionsEffect[] {
-  const { database: name, address } = database.entry
+  const { database: name, address, group } = database.entry
   return [
-    { kind: 'database/probe', database: name, address, askedAtMs: moment.monotonicMs },
+    { kind: 'database/probe', database: name, address, group, askedAtMs: moment.monotonicMs },
     setTimer(`transactions/behind/${name}`, LOOK_EVERY_MS, { kind: 'transactions/look-due', database: name })
   ]
 }
--- a/src/transactions/decide.ts
+++ b/src/transactions/decide.ts
@@ -53,7 +53,21 @@
   const database = store.items.get(name)
   if (database === undefined) return UNCHANGED
   const step = decide(database)
-  return settleDatabase(step.database, step.effects)
+  return settleDatabase(step.database, [...step.effects, ...tellLoad(database, step.database)])
+}
+
+// Routing places reads by the load that owners tell.
+function tellLoad (before: OwnedDatabase, after: OwnedDatabase): DatabaseStep['effects'] {
+  if (!after.guarantees.slotPerStatement) return []
+  const load = countWork(after)
+  if (load === countWork(before)) return []
+  return [tell({ kind: 'routing/load-changed', database: after.entry.database, load: load / after.entry.slots })]
+}
+
+function countWork ({ units, queue }: OwnedDatabase): number {
+  let running = 0
+  for (const unit of units.values()) if (unit.phase === 'running') running += 1
+  return running + countWaiting(queue)
 }
 
 function run (store: TransactionsStore, message: Run, moment: Moment): TransactionsStep {
@@ -100,6 +114,8 @@
 }
 
 function isBehind (database: OwnedDatabase, { target }: Run): boolean {
+  // A database that is asked with the position refuses by itself what it lacks.
+  if (database.guarantees.selfFencing) return false
   if (database.leaving || database.entry.departing || target.purpose !== 'replica') return false
   return !coversPosition(database.position, target.floor)
 }
@@ -109,8 +125,9 @@
   const { entry } = database
   const down = database.cooling && database.connections.size === 0
   if (database.leaving || entry.departing || down) return createFailure('no-database', entry.group)
-  if (target.purpose === 'primary' && (database.term !== target.term || database.closing === true)) return createFailure('no-primary', entry.group)
-  if (target.purpose === 'replica' && !coversPosition(database.position, target.floor)) return createFailure('no-database', entry.group)
+  const replaced = !database.guarantees.selfFencing && database.term !== target.term
+  if (target.purpose === 'primary' && (replaced || database.closing === true)) return createFailure('no-primary', entry.group)
+  if (isBehind(database, message)) return createFailure('no-database', entry.group)
   return undefined
 }
 
@@ -145,11 +162,26 @@
   if (unit?.phase !== 'running') return keepDatabase(database)
   const ended = message.status === 'idle'
   const rest = ended ? releaseUnit(database, unit) : replaceUnit(database, { ...unit, phase: 'idle' })
-  const timer = ended ? dropTimeOver(database.entry.database, unit.caller) : createTimeOver(unit.run, shared.idleTransactionMs)
-  const answer = message.refused && ended && unit.parts === 0
-    ? { database: rest, effects: [refuseRun(unit.run, createFailure('no-primary', database.entry.group))] }
+  const timer = ended ? dropTimeOver(database.entry.database, unit.caller) : createTimeOver(unit.run, unit.run.idleMs ?? shared.idleTransactionMs)
+  const answer = message.refused && ended && unit.parts === 0 && unit.run.transaction === undefined
+    ? { database: rest, effects: [refuseRun(unit.run, createRefusal(rest, message))] }
     : answerFinished(rest, unit, message)
-  return continueStep({ database: answer.database, effects: [timer, ...answer.effects] }, startWaiting)
+  return continueStep({ database: answer.database, effects: [timer, ...tellShown(database, message), ...answer.effects] }, startWaiting)
+}
+
+// Where a database stands, and that it leads, follows from its answers.
+function tellShown ({ entry }: OwnedDatabase, { shown }: DatabaseFinished): DatabaseStep['effects'] {
+  if (shown === undefined) return []
+  const answered = { database: entry.database, ...shown }
+  return [tell({ kind: 'routing/answered', ...answered }), tell({ kind: 'membership/answered', ...answered })]
+}
+
+function createRefusal ({ entry }: OwnedDatabase, { refusal }: DatabaseFinished): Failure {
+  switch (refusal) {
+    case 'busy': return createFailure('queue-full', entry.database)
+    case 'behind': return createFailure('no-database', entry.group)
+    default: return createFailure('no-primary', entry.group)
+  }
 }
 
 function readPosition (shared: TransactionsShared, database: OwnedDatabase, message: PositionRead): DatabaseStep {
--- a/src/transactions/messages.ts
+++ b/src/transactions/messages.ts
@@ -26,6 +26,10 @@
   /** The attempt that began the caller's open transaction; absent outside of one. */
   readonly transaction?: number
   readonly remainingMs: number
+  /** How long the transaction may wait for its caller; the host's limit when absent. */
+  readonly idleMs?: number
+  /** Who goes first among a workspace's requests; 0 before all others. */
+  readonly priority?: number
   readonly payload: Uint8Array
 }
 
@@ -66,6 +70,15 @@
   readonly payload: Uint8Array
 }
 
+/** Where a database stood when it answered a request. */
+export interface ShownState {
+  readonly position: LogPosition
+  /** When the request was sent. */
+  readonly askedAtMs: number
+  /** True when only a primary could have given the answer. */
+  readonly proven: boolean
+}
+
 /** A database finished a request. */
 export interface DatabaseFinished {
   readonly kind: 'transactions/finished'
@@ -73,8 +86,12 @@
   readonly status: TransactionStatus
   /** The position after a write; absent when nothing was written. */
   readonly position?: LogPosition
-  /** True when the database refused the request because it is not the primary. */
+  /** True when the database refused the request before it ran. */
   readonly refused: boolean
+  /** Why it refused; that it is not the primary when absent. */
+  readonly refusal?: 'not-primary' | 'behind' | 'busy'
+  /** What the answer shows of the database beside; absent where answers do not tell. */
+  readonly shown?: ShownState
   readonly payload: Uint8Array
 }
 
--- a/src/transactions/ownership.ts
+++ b/src/transactions/ownership.ts
@@ -2,6 +2,7 @@
 import { createFailure, type Failure } from '../core/errors.js'
 import { ORIGIN } from '../core/position.js'
 import type { DatabaseEffect } from '../databases/driver.js'
+import type { DatabaseGuarantees } from '../databases/guarantees.js'
 import { createQueue, dropWaiting, listWaiting } from '../fairness/queue.js'
 import type { DatabaseEntry, GrantEntry } from '../membership/directory.js'
 import type { OwnedChanged } from './messages.js'
@@ -18,7 +19,7 @@
   const generation = store.shared.generation + 1
   const gone = [...store.items.values()].filter(database => !kept.has(database.entry.database)).map(giveUp)
   const owned = message.databases.map(entry => {
-    const known = store.items.get(entry.database) ?? createOwned(entry, generation)
+    const known = store.items.get(entry.database) ?? createOwned(entry, generation, store.shared.guarantees)
     return takeEntry(known, entry, message.grants.find(grant => grant.group === entry.group))
   })
   const settled = [...gone, ...owned].map(step => settleDatabase(step.database, step.effects))
@@ -41,9 +42,10 @@
   return { changes: [[name, undefined]], effects: [...effects, ...closes] }
 }
 
-function createOwned (entry: DatabaseEntry, generation: number): OwnedDatabase {
+function createOwned (entry: DatabaseEntry, generation: number, guarantees: DatabaseGuarantees): OwnedDatabase {
   return {
     entry,
+    guarantees,
     leaving: false,
     cooling: false,
     members: [],
@@ -77,7 +79,7 @@
   const term = grant?.primary === name ? grant.term : undefined
   const members = grant?.members ?? database.members
   const closing = grant?.closing === true
-  if (term === database.term) return keepDatabase({ ...database, members, closing })
+  if (term === database.term || database.guarantees.selfFencing) return keepDatabase({ ...database, term, members, closing })
   const replaced = createFailure('outcome-unknown', 'the primary was replaced')
   const failed = database.storing.map(write => answerFailed(write.from, write, replaced, false))
   const lost = listWaiting(database.queue).map(waiting => waiting.item).filter(message => message.target.purpose === 'primary')
--- a/src/transactions/pool.ts
+++ b/src/transactions/pool.ts
@@ -5,7 +5,7 @@
 import { countWaiting, createQueue, listWaiting, takeNext } from '../fairness/queue.js'
 import { refuseBehind } from './behind.js'
 import type { Broken, OpenFailed, Opened, Run } from './messages.js'
-import type { OwnedDatabase, Unit } from './state.js'
+import type { Connection, OwnedDatabase, Unit } from './state.js'
 import { answerFailed, continueStep, dropTimeOver, keepDatabase, refuseRun, type DatabaseStep } from './step.js'
 
 /** How long no connection is opened after one could not be. */
@@ -19,31 +19,60 @@
  */
 export function startWaiting (database: OwnedDatabase): DatabaseStep {
   const next = takeNext(database.queue)
-  if (next === undefined || database.units.size >= database.entry.slots) return keepDatabase(database)
-  const idle = [...database.connections.values()].find(connection => connection.phase === 'idle')
-  if (idle === undefined) return openConnection(database)
-  return continueStep(bindUnit({ ...database, queue: next.queue }, next.entry.item, idle.connection), startWaiting)
+  if (next === undefined || countTaken(database) >= database.entry.slots) return keepDatabase(database)
+  const idle = findIdle(database, next.entry.item)
+  if (idle === undefined) return openConnection(database, next.entry.item)
+  return continueStep(bindUnit({ ...database, queue: next.queue }, next.entry.item, idle), startWaiting)
 }
 
-function openConnection (database: OwnedDatabase): DatabaseStep {
-  const opening = [...database.connections.values()].filter(connection => connection.phase === 'opening').length
+// Where an idle transaction holds no slot, only what runs and what opens takes one.
+function countTaken ({ guarantees, units, connections }: OwnedDatabase): number {
+  if (!guarantees.slotPerStatement) return units.size
+  const running = [...units.values()].filter(unit => unit.phase === 'running').length
+  return running + [...connections.values()].filter(connection => connection.phase === 'opening').length
+}
+
+// The last one that was used is the least likely to have been closed meanwhile.
+function findIdle (database: OwnedDatabase, { workspace }: Run): Connection | undefined {
+  const any = !database.guarantees.connectionPerWorkspace
+  return [...database.connections.values()].findLast(connection => connection.phase === 'idle' && (any || connection.workspace === workspace))
+}
+
+function openConnection (database: OwnedDatabase, message: Run): DatabaseStep {
+  const { connectionPerWorkspace } = database.guarantees
+  const own = [...database.connections.values()].filter(connection => connection.phase === 'opening' && (!connectionPerWorkspace || connection.workspace === message.workspace)).length
   const wanted = Math.min(countWaiting(database.queue), database.entry.slots - database.units.size)
-  const full = database.connections.size >= database.entry.connectionLimit
-  if (database.cooling || opening >= wanted || full) return keepDatabase(database)
+  const enough = connectionPerWorkspace ? own > 0 : own >= wanted
+  if (database.cooling || enough) return keepDatabase(database)
+  const room = closeSpare(database)
+  if (room.database.connections.size >= database.entry.connectionLimit) return keepDatabase(database)
   const opened = database.opened + 1
   const connection = `${database.entry.database}#${database.generation}.${opened}`
-  const connections = new Map(database.connections).set(connection, { connection, phase: 'opening' as const })
-  const open: DatabaseEffect = { kind: 'database/open', connection, address: database.entry.address }
-  return continueStep({ database: { ...database, opened, connections }, effects: [open] }, openConnection)
+  const workspace = connectionPerWorkspace ? message.workspace : undefined
+  const connections = new Map(room.database.connections).set(connection, { connection, phase: 'opening' as const, workspace })
+  const { address, group } = database.entry
+  const open: DatabaseEffect = { kind: 'database/open', connection, database: database.entry.database, address, group, workspace }
+  const step: DatabaseStep = { database: { ...room.database, opened, connections }, effects: [...room.effects, open] }
+  return connectionPerWorkspace ? step : continueStep(step, next => openConnection(next, message))
 }
 
-function bindUnit (database: OwnedDatabase, message: Run, connection: string): DatabaseStep {
+// At the limit, the connection of another workspace that was idle for longest makes room.
+function closeSpare (database: OwnedDatabase): DatabaseStep {
+  const { connections, entry, guarantees } = database
+  if (!guarantees.connectionPerWorkspace || connections.size < entry.connectionLimit) return keepDatabase(database)
+  const spare = [...connections.values()].find(connection => connection.phase === 'idle')
+  if (spare === undefined) return keepDatabase(database)
+  return { database: dropConnection(database, spare.connection), effects: [{ kind: 'database/close', connection: spare.connection }] }
+}
+
+function bindUnit (database: OwnedDatabase, message: Run, idle: Connection): DatabaseStep {
   const { caller, attempt } = message
+  const { connection } = idle
   const unit: Unit = { caller, from: message.from!, connection, phase: 'running', began: attempt, run: message, parts: 0 }
   const next: OwnedDatabase = {
     ...database,
     units: new Map(database.units).set(caller, unit),
-    connections: new Map(database.connections).set(connection, { connection, phase: 'bound', caller })
+    connections: new Map(database.connections).set(connection, { ...idle, phase: 'bound', caller })
   }
   return { database: next, effects: [createExecute(message, connection)] }
 }
@@ -54,8 +83,9 @@
  * @example createExecute(message, 'a1#1.1')
  */
 export function createExecute (message: Run, connection: string): DatabaseEffect {
-  const { service, workspace, payload } = message
-  return { kind: 'database/execute', connection, service, workspace, readOnly: message.target.purpose === 'replica', payload }
+  const { service, workspace, intent, target, payload } = message
+  const alone = message.transaction === undefined
+  return { kind: 'database/execute', connection, service, workspace, intent, readOnly: target.purpose === 'replica', floor: alone && target.purpose === 'replica' ? target.floor : undefined, payload }
 }
 
 /**
@@ -73,8 +103,9 @@
  */
 export function takeConnection (database: OwnedDatabase, message: Opened): DatabaseStep {
   const { connection } = message
-  if (database.connections.get(connection)?.phase !== 'opening') return { database, effects: [{ kind: 'database/close', connection }] }
-  const connections = new Map(database.connections).set(connection, { connection, phase: 'idle' as const })
+  const opening = database.connections.get(connection)
+  if (opening?.phase !== 'opening') return { database, effects: [{ kind: 'database/close', connection }] }
+  const connections = new Map(database.connections).set(connection, { ...opening, phase: 'idle' as const })
   return startWaiting({ ...database, connections })
 }
 
@@ -119,7 +150,11 @@
   const { connection } = unit
   const units = new Map(database.units)
   units.delete(unit.caller)
-  return { ...database, units, connections: new Map(database.connections).set(connection, { connection, phase: 'idle' }) }
+  const { workspace } = database.connections.get(connection)!
+  // The last one in the map is the last one that was used.
+  const connections = new Map(database.connections)
+  connections.delete(connection)
+  return { ...database, units, connections: connections.set(connection, { connection, phase: 'idle', workspace }) }
 }
 
 /**
--- a/src/transactions/state.ts
+++ b/src/transactions/state.ts
@@ -1,5 +1,6 @@
 /** State of the transactions slice: one record for each database that this host owns. */
 import type { LogPosition } from '../core/position.js'
+import { POSTGRES_GUARANTEES, type DatabaseGuarantees } from '../databases/guarantees.js'
 import type { FairQueue } from '../fairness/queue.js'
 import type { DatabaseEntry } from '../membership/directory.js'
 import type { TransactionStatus } from '../requests/messages.js'
@@ -10,6 +11,8 @@
   readonly connection: string
   readonly phase: 'opening' | 'idle' | 'bound'
   readonly caller?: string
+  /** Whom the connection was opened for, where it belongs to one workspace. */
+  readonly workspace?: string
 }
 
 /** A request or transaction that holds a slot and a connection. */
@@ -48,6 +51,7 @@
 /** A database that this host owns. */
 export interface OwnedDatabase {
   readonly entry: DatabaseEntry
+  readonly guarantees: DatabaseGuarantees
   /** True once another host owns the database: what runs here ends, and then the record goes. */
   readonly leaving: boolean
   /** True after a connection could not be opened, until the next one may be tried. */
@@ -75,6 +79,7 @@
   readonly queueLength: number
   /** How long a transaction may wait for its caller. */
   readonly idleTransactionMs: number
+  readonly guarantees: DatabaseGuarantees
   /** The last orders of each host's latest processes. */
   readonly tickets: ReadonlyMap<string, readonly Ticket[]>
   /** Counts records of databases. */
@@ -87,6 +92,6 @@
  * Creates the facts of a host that got no order yet.
  * @example createTransactionsShared(1_000, 10_000)
  */
-export function createTransactionsShared (queueLength: number, idleTransactionMs: number): TransactionsShared {
-  return { queueLength, idleTransactionMs, tickets: new Map(), generation: 0, refusing: false }
+export function createTransactionsShared (queueLength: number, idleTransactionMs: number, guarantees: DatabaseGuarantees = POSTGRES_GUARANTEES): TransactionsShared {
+  return { queueLength, idleTransactionMs, guarantees, tickets: new Map(), generation: 0, refusing: false }
 }
--- a/src/transactions/storing.ts
+++ b/src/transactions/storing.ts
@@ -13,8 +13,9 @@
   const { caller, parts } = unit
   const { attempt } = unit.run
   const { status, payload, position } = message
-  if (position === undefined) {
-    return { database, effects: [sendPeer(unit.from, { kind: 'requests/finished', caller, attempt, status, wrote: false, position: database.position, parts, payload })] }
+  if (position === undefined || database.guarantees.selfFencing) {
+    const wrote = position !== undefined
+    return { database, effects: [sendPeer(unit.from, { kind: 'requests/finished', caller, attempt, status, wrote, position: position ?? database.position, parts, payload })] }
   }
   const write: StoringWrite = { from: unit.from, caller, attempt, status, position, parts, payload }
   const storing: OwnedDatabase = { ...database, storing: [...database.storing, write] }
