--- a/src/core/message.ts
+++ b/src/core/message.ts
@@ -80,8 +80,13 @@
   readonly kind: 'log/write'
   readonly level: LogLevel
   readonly text: string
+  /** What the line is about, and what decided it. */
+  readonly fields?: LogFields
 }
 
+/** Fields of a log line: names of requests, hosts and databases, ages in milliseconds, versions. Never a key, never a row. */
+export type LogFields = Readonly<Record<string, string | number | boolean | readonly string[] | undefined>>
+
 /** The effects that any slice may use. */
 export type CoreEffect = Tell | SetTimer | ClearTimer | SendPeer | LearnPeers | RecordEvent | WriteLog
 
@@ -129,8 +134,8 @@
  * Creates the effect that writes a short sentence to the log. Events of the time line are logged already.
  * @example writeLog('warn', 'Host host-2 went silent.')
  */
-export function writeLog (level: LogLevel, text: string): WriteLog {
-  return { kind: 'log/write', level, text }
+export function writeLog (level: LogLevel, text: string, fields?: LogFields): WriteLog {
+  return { kind: 'log/write', level, text, fields }
 }
 
 /**
--- a/src/daemon/edge.ts
+++ b/src/daemon/edge.ts
@@ -4,6 +4,7 @@
 import type { Clock } from '../core/clock.js'
 import type { DatabaseGuarantees } from '../databases/guarantees.js'
 import type { HostPost } from '../messages.js'
+import type { LineStream } from '../monitoring/outlet.js'
 import type { Readiness } from '../monitoring/readiness.js'
 import type { Command } from '../operations/messages.js'
 import type { Settings } from '../settings/settings.js'
@@ -23,7 +24,7 @@
   /** What the databases behind this edge guarantee by themselves. */
   abstract readonly guarantees: DatabaseGuarantees
   /** Where log lines go; standard error when absent. */
-  readonly logStream?: NodeJS.WritableStream
+  readonly logStream?: LineStream
 
   /** Creates the adapters that carry out effects for callers and databases. */
   abstract createAdapters (parts: EdgeParts): readonly Adapter[]
--- a/src/daemon/host.ts
+++ b/src/daemon/host.ts
@@ -57,10 +57,10 @@
    */
   static async create (settings: Settings, onFault: (fault: unknown) => void, edge: Edge = PostgresEdge.create()): Promise<Host> {
     const log = Log.create({ host: settings.host, level: settings.logLevel, stream: edge.logStream })
-    const monitor = Monitor.create(settings.host, log, settings.authority === 'kept')
+    const clock = SystemClock.create()
+    const monitor = Monitor.create(settings.host, log, clock, settings.authority === 'kept')
     const stamps = StampClock.create()
     const trace = settings.trace === undefined ? undefined : TraceFile.create(settings.trace.file, settings.trace.slices)
-    const clock = SystemClock.create()
     const loop = createLoop(settings, clock, edge, monitor, trace, onFault)
     const journal = settings.dataFolder === undefined ? undefined : await FileJournal.create(settings.dataFolder, loop.post, onFault)
     if (journal !== undefined) loop.addAdapter(journal)
--- a/src/monitoring/log.ts
+++ b/src/monitoring/log.ts
@@ -1,7 +1,9 @@
 /** Logs: one JSON line for each, by bunyan, with a fixed prefix for each part. */
 import bunyan from 'bunyan'
 import { Adapter } from '../core/adapter.js'
-import type { LogLevel, WriteLog } from '../core/message.js'
+import type { LogFields, LogLevel, WriteLog } from '../core/message.js'
+import { LineBudget } from './budget.js'
+import type { LineStream } from './outlet.js'
 
 /** What a log is made of. */
 export interface LogParts {
@@ -9,13 +11,14 @@
   /** The least level that is written. */
   readonly level: LogLevel
   /** Where lines go; standard error when absent. */
-  readonly stream?: NodeJS.WritableStream
+  readonly stream?: LineStream
 }
 
 /** Writes short sentences, each after the prefix of its part. */
 export class Log extends Adapter {
   readonly name = 'log'
   readonly #logger: bunyan
+  readonly #budget = LineBudget.create()
 
   private constructor (logger: bunyan) {
     super()
@@ -27,15 +30,18 @@
    * @example Log.create({ host: 'host-1', level: 'info' }).write('daemon', 'info', 'Started.')
    */
   static create ({ host, level, stream = process.stderr }: LogParts): Log {
-    return new Log(bunyan.createLogger({ name: 'fulmartallyd', host, level, stream }))
+    return new Log(bunyan.createLogger({ name: 'fulmartallyd', host, level, stream: stream as NodeJS.WritableStream }))
   }
 
   carryOut (effect: WriteLog, part = 'daemon'): void {
-    this.write(part, effect.level, effect.text)
+    this.write(part, effect.level, effect.text, effect.fields)
   }
 
-  /** Writes a sentence of a part. */
-  write (part: string, level: LogLevel, text: string): void {
-    this.#logger[level](`${part}: ${text}`)
+  /** Writes a sentence of a part, unless there were too many within a second. */
+  write (part: string, level: LogLevel, text: string, fields: LogFields = {}): void {
+    if (!this.#budget.take(level, performance.now())) return
+    const left = this.#budget.drainLeftOut()
+    if (left !== undefined) this.#logger.warn({ left }, 'daemon: Lines were left out.')
+    this.#logger[level](fields, `${part}: ${text}`)
   }
 }
--- a/src/monitoring/monitor.ts
+++ b/src/monitoring/monitor.ts
@@ -1,4 +1,5 @@
 /** Watches the loop of a process: metrics, readiness and logs, without touching a slice. */
+import { SystemClock, type Clock } from '../core/clock.js'
 import type { Effect, Message, RecordEvent } from '../core/message.js'
 import type { HostMessage } from '../messages.js'
 import type { Log } from './log.js'
@@ -11,20 +12,22 @@
   readonly metrics = Metrics.create()
   readonly #host: string
   readonly #log: Log
+  readonly #clock: Clock
   #facts: ReadinessFacts
 
-  private constructor (host: string, log: Log, keepsAuthority: boolean) {
+  private constructor (host: string, log: Log, clock: Clock, keepsAuthority: boolean) {
     this.#host = host
     this.#log = log
+    this.#clock = clock
     this.#facts = { ...STARTING, keepsAuthority }
   }
 
   /**
    * Creates the monitor of a host.
-   * @example Monitor.create('host-1', log)
+   * @example Monitor.create('host-1', log, SystemClock.create())
    */
-  static create (host: string, log: Log, keepsAuthority = false): Monitor {
-    return new Monitor(host, log, keepsAuthority)
+  static create (host: string, log: Log, clock: Clock = SystemClock.create(), keepsAuthority = false): Monitor {
+    return new Monitor(host, log, clock, keepsAuthority)
   }
 
   /** Takes in a message before its decision. */
@@ -36,11 +39,15 @@
   /** Takes in an effect as it leaves; events of the time line are logged, too. */
   readonly observeEffect = (effect: Effect, slice: string): void => {
     this.metrics.observeEffect(effect)
-    if (effect.kind === 'timeline/record') this.#log.write(slice, 'info', (effect as RecordEvent).text)
+    if (effect.kind === 'timeline/record') this.#recordEvent(effect as RecordEvent, slice)
+  }
+
+  #recordEvent ({ event, text, group, request }: RecordEvent, slice: string): void {
+    this.#log.write(slice, 'info', text, { event, group, request })
   }
 
   /** Tells whether the balancer should send callers here. */
-  readonly checkReadiness = (): Readiness => checkReadiness(this.#facts, performance.now())
+  readonly checkReadiness = (): Readiness => checkReadiness(this.#facts, this.#clock.read().monotonicMs)
 
   /** Creates the handler of the pages `/metrics`, `/health` and `/ready`. */
   createPages (): HandlePage {
--- a/src/requests/decide.ts
+++ b/src/requests/decide.ts
@@ -4,6 +4,7 @@
 import { UNCHANGED } from '../core/store.js'
 import { advanceSession, parseToken, readSeen } from '../sessions/token.js'
 import { endWithFailure, failAcknowledgement, failAttempt, losePeer, loseReplaced, passDeadline, rejectInput } from './failure.js'
+import { logRequests } from './log.js'
 import type { Admitted, Arrived, CountAsked, Drained, Finished, GrantsConfirmed, Open, OpenChecked, Output, PeerLost, RequestInput, RequestsMessage, Routed, RouteRules, SessionSet, WorkName } from './messages.js'
 import { MAX_RETRIES, RETRIES_PER_SUCCESS, type Caller, type OpenTransaction, type RequestsShared, type Running } from './state.js'
 import { createCancel, createFinished, createTimersCleared, readStatus, replaceCaller, type RequestsEffect, type RequestsStep, type RequestsStore } from './step.js'
@@ -20,7 +21,7 @@
  * @example decideRequests(store, { kind: 'requests/closed', caller: 'c1' }, moment)
  */
 export function decideRequests (store: RequestsStore, message: RequestsMessage, moment: Moment): RequestsStep {
-  return endWithdrawn(decideMessage(store, message, moment))
+  return logRequests(store, message, endWithdrawn(decideMessage(store, message, moment)), moment)
 }
 
 function decideMessage (store: RequestsStore, message: RequestsMessage, moment: Moment): RequestsStep {
--- a/src/transactions/pool.ts
+++ b/src/transactions/pool.ts
@@ -8,6 +8,11 @@
 import type { Connection, OwnedDatabase, Unit } from './state.js'
 import { answerFailed, continueStep, dropTimeOver, keepDatabase, refuseRun, type DatabaseStep } from './step.js'
 
+/**
+ * The part of a database's connections that an owner uses where opening one is dear: the next owner finds room
+ * while those of the last one, which may be frozen, still stand.
+ */
+const OWN_PART = 0.5
 /** How long no connection is opened after one could not be. */
 const COOLING_MS = 100
 
@@ -45,7 +50,7 @@
   const enough = connectionPerWorkspace ? own > 0 : own >= wanted
   if (database.cooling || enough) return keepDatabase(database)
   const room = closeSpare(database)
-  if (room.database.connections.size >= database.entry.connectionLimit) return keepDatabase(database)
+  if (room.database.connections.size >= readLimit(database)) return keepDatabase(database)
   const opened = database.opened + 1
   const connection = `${database.entry.database}#${database.generation}.${opened}`
   const workspace = connectionPerWorkspace ? message.workspace : undefined
@@ -56,10 +61,14 @@
   return connectionPerWorkspace ? step : continueStep(step, next => openConnection(next, message))
 }
 
+function readLimit ({ entry, guarantees }: OwnedDatabase): number {
+  return guarantees.connectionPerWorkspace ? Math.max(1, Math.floor(entry.connectionLimit * OWN_PART)) : entry.connectionLimit
+}
+
 // At the limit, the connection of another workspace that was idle for longest makes room.
 function closeSpare (database: OwnedDatabase): DatabaseStep {
-  const { connections, entry, guarantees } = database
-  if (!guarantees.connectionPerWorkspace || connections.size < entry.connectionLimit) return keepDatabase(database)
+  const { connections, guarantees } = database
+  if (!guarantees.connectionPerWorkspace || connections.size < readLimit(database)) return keepDatabase(database)
   const spare = [...connections.values()].find(connection => connection.phase === 'idle')
   if (spare === undefined) return keepDatabase(database)
   return { database: dropConnection(database, spare.connection), effects: [{ kind: 'database/close', connection: spare.connection }] }
