--- a/src/daemon/host.ts
+++ b/src/daemon/host.ts
@@ -38,11 +38,14 @@
   readonly stop: () => void
   /** Resolves when a graceful stop is over. */
   readonly stopped: Promise<void>
+  /** Writes lines of the process itself. */
+  readonly log: Log
   readonly #post: HostPost
   readonly #parts: ReadonlyArray<AsyncDisposable>
 
-  private constructor (addresses: HostAddresses, stop: () => void, stopped: Promise<void>, post: HostPost, parts: ReadonlyArray<AsyncDisposable>) {
+  private constructor (addresses: HostAddresses, stop: () => void, stopped: Promise<void>, post: HostPost, log: Log, parts: ReadonlyArray<AsyncDisposable>) {
     this.addresses = addresses
+    this.log = log
     this.stop = stop
     this.stopped = stopped
     this.#post = post
@@ -85,7 +88,7 @@
     const addresses: HostAddresses = { callers, peers: peers.address, operators: operators.address }
     const post: HostPost = loop.post
     const stop = (): void => post({ kind: 'stopping/asked', limitMs: settings.limits.drainMs })
-    return new Host(addresses, stop, exit.ended, post, [edge, operators, peers, link, loop, ...[journal, trace].filter(part => part !== undefined)])
+    return new Host(addresses, stop, exit.ended, post, log, [edge, operators, peers, link, loop, ...[journal, trace].filter(part => part !== undefined)])
   }
 
   /** Takes in the addresses of control hosts that changed in the settings. */
--- a/src/peers/connect.ts
+++ b/src/peers/connect.ts
@@ -75,7 +75,7 @@
       this.#post({ ...effect.message, from: this.#self } as Message)
       return
     }
-    const link = this.#links.get(effect.to) ?? this.#open(effect.to)
+    const link = this.#findOpen(effect.to) ?? this.#open(effect.to)
     const frame = this.#encode(effect.message)
     if (link?.queue.push(frame, frame.body.length + frame.payload.length) === false) this.#lose(effect.to, link)
   }
@@ -123,6 +123,14 @@
     return message
   }
 
+  // A peer that ends its session may leave the stream on it without an end.
+  #findOpen (host: string): OpenLink | undefined {
+    const link = this.#links.get(host)
+    const state = link?.session.state()
+    if (state === 'closed' || state === 'error') this.#lose(host, link!)
+    return this.#links.get(host)
+  }
+
   #open (host: string): OpenLink | undefined {
     const address = this.#addresses.get(host) ?? findAddress(host)
     if (address === undefined || this.#closed) return undefined
