--- a/src/membership/leader.ts
+++ b/src/membership/leader.ts
@@ -40,7 +40,7 @@
     heldUntilMs: moment.monotonicMs + HOLD_MS,
     awaited
   }
-  const told = tell({ kind: 'succession/reported', host: state.self?.host ?? '', statuses: [], databases })
+  const told = tell({ kind: 'succession/reported', host: state.self?.host ?? '', failureDomain: state.self?.failureDomain ?? '', apart: true, statuses: [], databases })
   return { state: { ...state, leading }, effects: [told, createSweepTimer()] }
 }
 
@@ -68,7 +68,7 @@
   const { statuses, databases } = beat
   const told = [
     tell({ kind: 'primacy/reported', host, failureDomain: beat.self.failureDomain, statuses, databases, revision: beat.revision }),
-    tell({ kind: 'succession/reported', host, statuses, databases })
+    tell({ kind: 'succession/reported', host, failureDomain: beat.self.failureDomain, apart: beat.self.apart === true, statuses, databases })
   ]
   return { state: { ...state, leading: { ...next, answered } }, effects: [...answers, ...told] }
 }
--- a/src/succession/choose.ts
+++ b/src/succession/choose.ts
@@ -43,11 +43,17 @@
   if (primary === undefined) return nowMs - state.ledAtMs > NEWS_MS ? 'gone' : undefined
   if (primary.entry.departing) return 'departing'
   const sinceMs = Math.max(primary.answeredAtMs ?? primary.knownSinceMs + OWNER_MOVES_MS, state.ledAtMs + REPORTS_MS)
-  const ownerHeardMs = nowMs - (state.hosts.get(primary.owner ?? '') ?? -Infinity)
-  const patienceMs = ownerHeardMs < HOST_HEARD_MS ? SILENT_MS : OWNER_MOVES_MS
+  const patienceMs = isOwnerMoving(state, primary, nowMs) ? OWNER_MOVES_MS : SILENT_MS
   return nowMs - sinceMs >= patienceMs ? 'silent' : undefined
 }
 
+// Only the owner is silent: another host of the failure domain takes its place. Where all of them are silent, the domain is cut off.
+function isOwnerMoving (state: SuccessionState, { entry, owner }: KnownDatabase, nowMs: number): boolean {
+  const isHeard = (heardAtMs: number): boolean => nowMs - heardAtMs < HOST_HEARD_MS
+  if (isHeard(state.hosts.get(owner ?? '')?.heardAtMs ?? -Infinity)) return false
+  return [...state.hosts.values()].some(host => !host.apart && host.failureDomain === entry.failureDomain && isHeard(host.heardAtMs))
+}
+
 /**
  * Picks the database that should lead next: of those that answer, the one that holds the most.
  * @example pickSuccessor(state, 'a', primary, nowMs)
--- a/src/succession/decide.ts
+++ b/src/succession/decide.ts
@@ -60,11 +60,11 @@
   return state.leads && changed ? checkGroup(next, group, nowMs) : keep(next)
 }
 
-function takeReport (state: SuccessionState, { host, statuses, databases }: Reported, nowMs: number): SuccessionState {
+function takeReport (state: SuccessionState, { host, failureDomain, apart, statuses, databases }: Reported, nowMs: number): SuccessionState {
   const known = new Map(state.databases)
   for (const entry of databases) known.set(entry.database, { knownSinceMs: nowMs, ...known.get(entry.database), entry, heardAtMs: nowMs })
   for (const status of statuses) takeStatus(known, host, status, nowMs)
-  return { ...state, databases: known, hosts: new Map(state.hosts).set(host, nowMs) }
+  return { ...state, databases: known, hosts: new Map(state.hosts).set(host, { heardAtMs: nowMs, failureDomain, apart }) }
 }
 
 function takeStatus (databases: Map<string, KnownDatabase>, host: string, status: DatabaseStatus, nowMs: number): void {
--- a/src/succession/messages.ts
+++ b/src/succession/messages.ts
@@ -21,6 +21,9 @@
 export interface Reported {
   readonly kind: 'succession/reported'
   readonly host: string
+  readonly failureDomain: string
+  /** True for a host that takes no work for databases. */
+  readonly apart: boolean
   readonly statuses: readonly DatabaseStatus[]
   readonly databases: readonly DatabaseEntry[]
 }
--- a/src/succession/state.ts
+++ b/src/succession/state.ts
@@ -27,6 +27,13 @@
   readonly provenAtMs?: number
 }
 
+/** A host that reported to this leader. */
+export interface HeardHost {
+  readonly heardAtMs: number
+  readonly failureDomain: string
+  readonly apart: boolean
+}
+
 /** The call for an appointment. */
 export interface Call {
   readonly appointment: number
@@ -45,8 +52,7 @@
   readonly ledAtMs: number
   readonly table: SuccessionTable
   readonly databases: ReadonlyMap<string, KnownDatabase>
-  /** When each host last reported. */
-  readonly hosts: ReadonlyMap<string, number>
+  readonly hosts: ReadonlyMap<string, HeardHost>
   readonly calls: ReadonlyMap<string, Call>
   /** The primary that each group's hosts were told of, and since when. */
   readonly published: ReadonlyMap<string, { readonly database: string | undefined, readonly sinceMs: number }>
