Adds a stand-in of the platform and tests of the whole path against it; refuses at once what an unreachable host would serve

Change: a link that never opened reports that nothing left; hosts that leave three questions unanswered get no requests; shares last 4 s.

Test: test/platform.test.ts, 4 tests over 6 hosts and 3 stand-in databases.

--- a/src/daemon/host.ts
+++ b/src/daemon/host.ts
@@ -2,6 +2,7 @@
 import { randomBytes, randomUUID } from 'node:crypto'
 import type { Catalog, CatalogCommand } from '../agreement/catalog.js'
 import { recoverReplica } from '../agreement/recover.js'
+import type { Message } from '../core/message.js'
 import { TraceFile } from '../core/trace.js'
 import { SystemClock, type Clock } from '../core/clock.js'
 import { Loop } from '../core/loop.js'
@@ -67,9 +68,9 @@
     const loop = createLoop(settings, clock, edge, monitor, trace, onFault)
     const journal = settings.dataFolder === undefined ? undefined : await FileJournal.create(settings.dataFolder, loop.post, onFault)
     if (journal !== undefined) loop.addAdapter(journal)
-    const link = ConnectPeerLink.create(settings.host, loop.post, host => [
-      { kind: 'requests/peer-lost', host },
-      { kind: 'transactions/host-lost', host }
+    const link = ConnectPeerLink.create(settings.host, loop.post, (host, opened) => [
+      { kind: 'requests/peer-lost', host, reached: opened } as Message,
+      { kind: 'transactions/host-lost', host } as Message
     ], { clock: stamps, onTraffic: traffic => monitor.metrics.observeTraffic(traffic) })
     const door = OperatorsDoor.create(loop.post)
     const operate = async (command: Command): Promise<unknown> => await door.ask(randomUUID(), command)
--- a/src/peers/connect.ts
+++ b/src/peers/connect.ts
@@ -5,6 +5,7 @@
 import type { LearnPeers, Message, SendPeer } from '../core/message.js'
 import { Peers, type Frame } from '../gen/fulmartally_pb.js'
 import { assertInvariant } from '../core/invariant.js'
+import type { HostMessage } from '../messages.js'
 import { decodeFrame, encodeFrame } from './frame.js'
 import { isPeerMessage } from './kinds.js'
 import { PeerLink, type PeerAddress } from './link.js'
@@ -18,15 +19,22 @@
 const OPEN_WITHIN_MS = 1_000
 const ABORT_AFTER_MS = 500
 
+/** How long a host that could not be reached is not tried again: attempts then cost little, and what is meant for it is refused at once. */
+const TRY_AGAIN_MS = 200
+/** What somebody waits for an answer to. */
+const AWAITED_KIND: HostMessage['kind'] = 'transactions/run'
+
 interface OpenLink {
   readonly address: string
   readonly queue: SendQueue<Frame>
   readonly abort: AbortController
   readonly session: Http2SessionManager
+  /** True once the other host accepted the connection. */
+  opened: boolean
 }
 
-/** What happens when a link from or to a host ends. */
-export type OnLost = (host: string) => readonly Message[]
+/** What happens when a link from or to a host ends; nothing that waited for it has left when it never opened. */
+export type OnLost = (host: string, opened: boolean) => readonly Message[]
 
 /** What watches the links: the clock that stamps messages, and who counts their bytes. */
 export interface LinkWatch {
@@ -42,6 +50,8 @@
   readonly #watch: LinkWatch
   readonly #addresses = new Map<string, string>()
   readonly #links = new Map<string, OpenLink>()
+  /** Hosts that could not be reached, and until when they are not tried again. */
+  readonly #unreachable = new Map<string, number>()
   #closed = false
 
   private constructor (self: string, post: Post, onLost: OnLost, watch: LinkWatch) {
@@ -75,6 +85,10 @@
       this.#post({ ...effect.message, from: this.#self } as Message)
       return
     }
+    if (this.#isUnreachable(effect.to)) {
+      if (effect.message.kind === AWAITED_KIND) this.#report(effect.to, false)
+      return
+    }
     const link = this.#findOpen(effect.to) ?? this.#open(effect.to)
     const frame = this.#encode(effect.message)
     if (link?.queue.push(frame, frame.body.length + frame.payload.length) === false) this.#lose(effect.to, link)
@@ -101,7 +115,7 @@
     } catch {
       // The stream broke: the same as its end.
     }
-    if (from !== undefined) this.#report(from)
+    if (from !== undefined) this.#report(from, true)
     yield * []
   }
 
@@ -123,6 +137,14 @@
     return message
   }
 
+  #isUnreachable (host: string): boolean {
+    const untilMs = this.#unreachable.get(host)
+    if (untilMs === undefined) return false
+    if (performance.now() < untilMs) return true
+    this.#unreachable.delete(host)
+    return false
+  }
+
   // A peer that ends its session may leave the stream on it without an end.
   #findOpen (host: string): OpenLink | undefined {
     const link = this.#links.get(host)
@@ -136,11 +158,15 @@
     if (address === undefined || this.#closed) return undefined
     const session = new Http2SessionManager(`http://${address}`, { pingIntervalMs: PING_EVERY_MS, pingTimeoutMs: PING_TIMEOUT_MS, pingIdleConnection: true })
     const transport = createGrpcTransport({ baseUrl: `http://${address}`, sessionManager: session })
-    const link: OpenLink = { address, queue: SendQueue.create(), abort: new AbortController(), session }
+    const link: OpenLink = { address, queue: SendQueue.create(), abort: new AbortController(), session, opened: false }
     this.#links.set(host, link)
     this.#run(host, link, createClient(Peers, transport)).catch(() => this.#lose(host, link))
+    session.connect().then(state => {
+      link.opened = state !== 'error'
+      if (!link.opened) this.#lose(host, link)
+    }, () => this.#lose(host, link))
     setTimeout(() => {
-      if (session.state() === 'connecting') this.#lose(host, link)
+      if (!link.opened) this.#lose(host, link)
     }, OPEN_WITHIN_MS).unref()
     return link
   }
@@ -156,8 +182,10 @@
 
   #lose (host: string, link: OpenLink): void {
     if (this.#links.get(host) !== link) return
+    const opened = link?.opened === true
+    if (!opened) this.#unreachable.set(host, performance.now() + TRY_AGAIN_MS)
     this.#drop(host)
-    this.#report(host)
+    this.#report(host, opened)
   }
 
   #drop (host: string): void {
@@ -171,9 +199,9 @@
     setTimeout(() => link.session.abort(), ABORT_AFTER_MS).unref()
   }
 
-  #report (host: string): void {
+  #report (host: string, opened: boolean): void {
     if (this.#closed) return
-    for (const message of this.#onLost(host)) this.#post(message)
+    for (const message of this.#onLost(host, opened)) this.#post(message)
   }
 }
 
--- a/src/requests/failure.ts
+++ b/src/requests/failure.ts
@@ -106,7 +106,7 @@
  * @example losePeer(store, { kind: 'requests/peer-lost', host: 'host-2' }, moment)
  */
 export function losePeer (store: RequestsStore, message: PeerLost, moment: Moment): RequestsStep {
-  return loseTargets(store, `host ${message.host} was lost`, target => target.owner === message.host, moment)
+  return loseTargets(store, `host ${message.host} was lost`, target => target.owner === message.host, moment, message.reached !== false)
 }
 
 /**
@@ -127,20 +127,20 @@
 
 type IsLost = (target: Target, group: string) => boolean
 
-function loseTargets (store: RequestsStore, reason: string, isLost: IsLost, moment: Moment): RequestsStep {
+function loseTargets (store: RequestsStore, reason: string, isLost: IsLost, moment: Moment, reached = true): RequestsStep {
   let { shared } = store
   const steps = [...store.items.values()].map(caller => {
-    const step = loseTarget(shared, caller, reason, isLost, moment)
+    const step = loseTarget(shared, caller, reason, isLost, moment, reached)
     shared = step.shared ?? shared
     return step
   })
   return { shared, changes: steps.flatMap(step => step.changes ?? []), effects: steps.flatMap(step => step.effects) }
 }
 
-function loseTarget (shared: RequestsShared, caller: Caller, reason: string, isLost: IsLost, moment: Moment): RequestsStep {
+function loseTarget (shared: RequestsShared, caller: Caller, reason: string, isLost: IsLost, moment: Moment, reached: boolean): RequestsStep {
   const { running, transaction } = caller
   if (running?.target !== undefined && isLost(running.target, running.rules?.group ?? '')) {
-    const failure = createFailure('outcome-unknown', reason)
+    const failure = reached ? createFailure('outcome-unknown', reason) : createFailure('no-database', running.rules?.group)
     return failAttempt(shared, caller, running, { kind: 'requests/failed', caller: caller.caller, attempt: running.attempt, failure, retriable: true }, moment)
   }
   if (transaction === undefined || !isLost(transaction.target, transaction.rules.group)) return UNCHANGED
--- a/src/requests/messages.ts
+++ b/src/requests/messages.ts
@@ -186,6 +186,8 @@
 export interface PeerLost {
   readonly kind: 'requests/peer-lost'
   readonly host: string
+  /** False when the host could not be reached, so that nothing has left for it; true when absent. */
+  readonly reached?: boolean
 }
 
 /** The grants in force, as the leader confirmed them. */
--- a/src/routing/decide.ts
+++ b/src/routing/decide.ts
@@ -7,7 +7,7 @@
 import type { Target } from '../requests/messages.js'
 import type { Answered, Choose, DirectoryChanged, PositionsAsked, PositionsTold, RoutingMessage, StatusRead, ToldPosition } from './messages.js'
 import { addSample, findFreshFloor, findProvenFloor } from './staleness.js'
-import { pickLightest } from './placement.js'
+import { isSilentOwner, pickLightest } from './placement.js'
 import type { HeldPosition, KnownDatabase, PrimarySample, RoutingState } from './state.js'
 import { sendPeer, setTimer, tell } from '../messages.js'
 
@@ -45,7 +45,7 @@
     return answer({ ...state, turn: state.turn + 1 }, message, createTarget(replica, 'replica', grant?.term ?? 0, floor))
   }
   const primary = grant?.primary === undefined ? undefined : state.databases.get(grant.primary)
-  if (grant === undefined || grant.closing === true || primary?.owner === undefined) return refuse(state, message, 'no-primary')
+  if (grant === undefined || grant.closing === true || primary?.owner === undefined || isSilentOwner(state, primary.owner)) return refuse(state, message, 'no-primary')
   return answer(state, message, createTarget(primary, 'primary', grant.term, ORIGIN))
 }
 
@@ -131,12 +131,15 @@
   askedAtMs.set(round, moment.monotonicMs)
   const asks = owners.map(owner => sendPeer(owner, { kind: 'routing/positions-asked', round }))
   const again = setTimer('routing/ask', state.askEveryMs, { kind: 'routing/ask-due' })
-  return { state: { ...state, round, askedAtMs }, effects: [...asks, again] }
+  const unanswered = new Map(owners.map(owner => [owner, (state.unanswered.get(owner) ?? -1) + 1]))
+  return { state: { ...state, round, askedAtMs, unanswered }, effects: [...asks, again] }
 }
 
 // Only the owners of primaries and of this failure domain's databases; for a group
 // without a replica here, also the owner of one replica elsewhere.
 function listOwnersToAsk (state: RoutingState): readonly string[] {
+  // Where reads go to any database with room, the load of each counts.
+  if (state.guarantees.selfFencing) return [...new Set([...state.databases.values()].flatMap(({ owner }) => (owner === undefined ? [] : [owner])))]
   const primaries = new Set([...state.grants.values()].map(grant => grant.primary))
   const databases = [...state.databases.values()]
   const replicas = databases.filter(database => !primaries.has(database.entry.database))
@@ -185,7 +188,8 @@
 function takePositions (state: RoutingState, message: PositionsTold): RoutingStep {
   const askedAtMs = state.askedAtMs.get(message.round)
   if (askedAtMs === undefined) return { state, effects: [] }
-  return { state: message.positions.reduce((next, told) => takePosition(next, told, askedAtMs), state), effects: [] }
+  const heard: RoutingState = message.from === undefined ? state : { ...state, unanswered: new Map(state.unanswered).set(message.from, -1) }
+  return { state: message.positions.reduce((next, told) => takePosition(next, told, askedAtMs), heard), effects: [] }
 }
 
 function takePosition (state: RoutingState, told: ToldPosition, roundAskedAtMs: number): RoutingState {
--- a/src/routing/state.ts
+++ b/src/routing/state.ts
@@ -48,6 +48,8 @@
   readonly loads: ReadonlyMap<string, number>
   readonly round: number
   readonly askedAtMs: ReadonlyMap<number, number>
+  /** Rounds that each asked host left without an answer. */
+  readonly unanswered: ReadonlyMap<string, number>
   /** Counts choices, to spread reads over equal replicas. */
   readonly turn: number
 }
@@ -72,6 +74,7 @@
     loads: new Map(),
     round: 0,
     askedAtMs: new Map(),
+    unanswered: new Map(),
     turn: 0
   }
 }
--- a/src/shares/state.ts
+++ b/src/shares/state.ts
@@ -6,8 +6,8 @@
 export const TOTAL_PARTS = 1_048_576
 /** What no leader ever gives as shares: a new leader lends from it while older shares may be in use. */
 export const RESERVE_PARTS = TOTAL_PARTS / 2
-/** How long a host may use its shares after it asked for their renewal. */
-export const SHARE_LEASE_MS = 2_000
+/** How long a host may use its shares after it asked for their renewal: longer than the control hosts need to restart and to elect a leader. */
+export const SHARE_LEASE_MS = 4_000
 /** How long a host may use a loan after it asked for it. */
 export const LOAN_MS = 60
 /** What is added to a loan before it has surely run out, for clocks that differ in rate. */
--- /dev/null
+++ b/test/platform.test.ts
@@ -0,0 +1,108 @@
+import { expect } from 'chai'
+import { WireDeployment, Requester } from './support/wire.js'
+
+const KEY = 'k-parish-1'
+const OTHER_KEY = 'k-school-1'
+const POLL_MS = 50
+
+const createState = (version: number, change: object = {}): object => ({
+  version,
+  routes: [
+    { name: 'r1', host: 'orders', path_prefix: '/', type: 'primary', timeout_ms: 2_000, target_latency_ms: 150, priority: 0, service: 'rota', public: false },
+    { name: 'r2', host: 'views', path_prefix: '/', type: 'read_your_writes', timeout_ms: 2_000, target_latency_ms: 150, priority: 1, service: 'rota', max_staleness_ms: 2_500, public: false }
+  ],
+  services: [{ name: 'rota', max_conns: 20, sync_replicas: 0 }],
+  limits: { txn_idle_ms: 3_000 },
+  tenants: [
+    { name: 'parish', api_keys: [KEY], priority: 1, rate_per_s: 500, burst: 500 },
+    { name: 'school', api_keys: [OTHER_KEY], priority: 1, rate_per_s: 500, burst: 500 }
+  ],
+  ...change
+})
+
+async function pollUntil (condition: () => Promise<boolean>): Promise<void> {
+  while (!await condition()) await new Promise(resolve => setTimeout(resolve, POLL_MS))
+}
+
+async function connectWhenReady (deployment: WireDeployment, at = 0, database = 'orders'): Promise<Requester> {
+  let requester: Requester | undefined
+  await pollUntil(async () => {
+    const [session, answer] = await Requester.create(deployment.callers[at]!, database, KEY)
+    const served = answer.error === undefined && (await session.query('w0', 'READ a')).error === undefined
+    if (served) requester = session
+    else session.close()
+    return served
+  })
+  return requester!
+}
+
+describe('a deployment in the platform\'s manner', () => {
+  it('serves statements and transactions, each session with its own values and names, and is told of no key', async () => {
+    await using deployment = await WireDeployment.create()
+    await pollUntil(async () => await deployment.putConfiguration(createState(3)) === 200)
+    const first = await connectWhenReady(deployment, 0)
+    const [second] = await Requester.create(deployment.callers[1]!, 'views', OTHER_KEY)
+    expect((await first.query('q1', 'SET colour red')).lines).to.deep.equal(['DONE -'])
+    expect((await first.query('q2', 'PREPARE s WRITE shape-1')).error).to.equal(undefined)
+    expect((await second.query('q3', 'PREPARE s READ shape-2')).error).to.equal(undefined)
+    expect((await first.query('q4', 'EXECUTE s a one')).error).to.equal(undefined)
+    expect((await second.query('q5', 'EXECUTE s a')).error).to.equal(undefined)
+    expect((await first.query('q6', 'READ a')).lines[0]).to.equal('ROW one')
+    expect((await first.query('q7', 'BEGIN')).status).to.equal('open')
+    await first.query('q8', 'WRITE a two')
+    expect((await first.query('q9', 'READ a')).lines[0]).to.equal('ROW two')
+    expect((await first.query('q10', 'ROLLBACK')).status).to.equal('idle')
+    expect((await first.query('q11', 'READ a')).lines[0]).to.equal('ROW one')
+    expect((await first.query('q12', 'EXECUTE unknown a')).error).to.equal('NOSTMT')
+    const run = (id: string) => deployment.runs.find(candidate => candidate.id === id)!
+    expect(run('q4').values).to.deep.equal({ colour: 'red' })
+    expect(run('q4').text).to.include('WRITE shape-1')
+    expect(run('q5').values).to.deep.equal({})
+    expect(run('q5').text).to.include('READ shape-2')
+    expect([run('q4').who, run('q5').who]).to.deep.equal(['parish', 'school'])
+    expect(JSON.stringify(deployment.runs)).not.to.include(KEY)
+    const [, unknown] = await Requester.create(deployment.callers[0]!, 'orders', 'no-such-key')
+    expect(unknown.error).to.equal('UNAUTH')
+    const [, missing] = await Requester.create(deployment.callers[0]!, 'no-such-database', KEY)
+    expect(missing.error).to.equal('NODB')
+  })
+
+  it('keeps the highest version, acknowledges lower ones, and refuses what is invalid', async () => {
+    await using deployment = await WireDeployment.create()
+    await pollUntil(async () => await deployment.putConfiguration(createState(7)) === 200)
+    expect(await deployment.putConfiguration(createState(5), 1)).to.equal(200)
+    expect(await deployment.putConfiguration(createState(7, { routes: [] }), 2)).to.equal(200)
+    expect(await deployment.readConfiguration(1)).to.deep.equal({ status: 200, version: 7 })
+    const shared = { tenants: [{ name: 'a', api_keys: ['k'], rate_per_s: 1, burst: 1 }, { name: 'b', api_keys: ['k'], rate_per_s: 1, burst: 1 }] }
+    expect(await deployment.putConfiguration(createState(9, shared))).to.equal(400)
+    expect(await deployment.putConfiguration(createState(9, { services: [] }))).to.equal(400)
+    expect(await deployment.putConfiguration(createState(11), 2)).to.equal(200)
+    expect(await deployment.readConfiguration(0)).to.deep.equal({ status: 200, version: 11 })
+  })
+
+  it('lets another database lead when the primary ends, with a fence that grows, and loses no session', async () => {
+    await using deployment = await WireDeployment.create()
+    await pollUntil(async () => await deployment.putConfiguration(createState(3)) === 200)
+    const requester = await connectWhenReady(deployment, 1)
+    const lost = deployment.group.primary
+    expect((await requester.query('q1', 'WRITE a one')).error).to.equal(undefined)
+    await pollUntil(async () => [...deployment.group.members.values()].every(member => member.log.length === 1))
+    deployment.databases.find(database => database.member.id === lost)!.stop()
+    let tries = 0
+    await pollUntil(async () => (await requester.query(`w${tries += 1}`, 'WRITE a two')).error === undefined)
+    expect(deployment.group.primary).not.to.equal(lost)
+    expect((await requester.query('r1', 'READ a')).lines[0]).to.equal('ROW two')
+    expect(deployment.group.fences.every((fence, index) => index === 0 || fence >= deployment.group.fences[index - 1]!)).to.equal(true)
+  })
+
+  it('closes the sessions of a key that is taken away', async () => {
+    await using deployment = await WireDeployment.create()
+    await pollUntil(async () => await deployment.putConfiguration(createState(3)) === 200)
+    const requester = await connectWhenReady(deployment, 2)
+    const tenants = [{ name: 'parish', api_keys: ['k-parish-2'], priority: 1, rate_per_s: 500, burst: 500 }]
+    expect(await deployment.putConfiguration(createState(4, { tenants }))).to.equal(200)
+    await pollUntil(async () => ['UNAUTH', 'closed'].includes((await requester.query('q1', 'READ a')).error ?? ''))
+    const [, answer] = await Requester.create(deployment.callers[0]!, 'orders', KEY)
+    expect(answer.error).to.equal('UNAUTH')
+  })
+})
--- /dev/null
+++ b/test/support/wire.ts
@@ -0,0 +1,157 @@
+/** A deployment on loopback in the platform's manner: hosts of the product, stand-in databases, a requester. */
+import { mkdtemp, rm } from 'node:fs/promises'
+import { connect, createServer, type AddressInfo, type Socket } from 'node:net'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { Host } from '../../src/daemon/host.js'
+import { PlatformEdge } from '../../platform/edge.js'
+import { collectLine, type Answer } from '../../platform/answer.js'
+import { formatLines, LineReader } from '../../platform/lines.js'
+import { parsePlatformSettings } from '../../platform/settings.js'
+import { WireDatabase } from '../../standin/wire/database.js'
+import { WireGroup } from '../../standin/wire/group.js'
+import { WirePlatform } from '../../standin/wire/platform.js'
+import type { StatementRun } from '../../standin/wire/session.js'
+
+const ZONES = ['zone-a', 'zone-b', 'zone-c'] as const
+
+/** A requester's session. */
+export class Requester {
+  readonly #socket: Socket
+  readonly #reader = LineReader.create()
+  #lines: string[] = []
+  #answered: ((answer: Answer) => void) | undefined
+
+  private constructor (socket: Socket) {
+    this.#socket = socket
+    socket.setEncoding('utf8')
+    socket.on('error', () => socket.destroy())
+    // A refused START has an ERROR line and no READY after it.
+    socket.on('close', () => this.#answered?.({ lines: this.#lines, status: 'idle', error: this.#lines[0]?.split(' ')[1] ?? 'closed' }))
+    socket.on('data', chunk => {
+      for (const line of this.#reader.read(chunk as unknown as string)) this.#take(line)
+    })
+  }
+
+  /** Connects and starts a session; the answer to START comes with it. */
+  static async create (address: string, database: string, key: string): Promise<readonly [Requester, Answer]> {
+    const [host, port] = address.split(':')
+    const socket = connect({ host: host!, port: Number(port), noDelay: true })
+    const requester = new Requester(socket)
+    return [requester, await requester.#send(`START ${database} ${key}`)]
+  }
+
+  /** Runs a statement. */
+  async query (id: string, text: string): Promise<Answer> {
+    return await this.#send(`QUERY ${id} ${text}`)
+  }
+
+  close (): void {
+    this.#socket.destroy()
+  }
+
+  async #send (line: string): Promise<Answer> {
+    if (this.#socket.destroyed) return { lines: [], status: 'idle', error: 'closed' }
+    return await new Promise(resolve => {
+      this.#answered = resolve
+      this.#socket.write(formatLines(line))
+    })
+  }
+
+  #take (line: string): void {
+    const answer = collectLine(this.#lines, line)
+    if (answer === undefined) {
+      this.#lines.push(line)
+      return
+    }
+    this.#lines = []
+    this.#answered?.(answer)
+  }
+}
+
+/** Three control hosts, three entry hosts, and one group of three databases. */
+export class WireDeployment {
+  readonly group = WireGroup.create('rota')
+  readonly runs: StatementRun[] = []
+  readonly databases: WireDatabase[] = []
+  readonly control: string[] = []
+  readonly callers: string[] = []
+  readonly #folder: string
+  readonly #hosts: Host[] = []
+  #platform!: WirePlatform
+
+  private constructor (folder: string) {
+    this.#folder = folder
+  }
+
+  /**
+   * Starts a deployment; nothing is configured yet.
+   * @example await using deployment = await WireDeployment.create()
+   */
+  static async create (): Promise<WireDeployment> {
+    const deployment = new WireDeployment(await mkdtemp(join(tmpdir(), 'wire-')))
+    await deployment.#start()
+    return deployment
+  }
+
+  /** Puts a desired state at a control host; returns the status. */
+  async putConfiguration (state: unknown, at = 0): Promise<number> {
+    const response = await fetch(`http://${this.control[at]}/-/config/put`, { method: 'POST', body: JSON.stringify(state) })
+    await response.text()
+    return response.status
+  }
+
+  /** Reads the desired state at a control host. */
+  async readConfiguration (at = 0): Promise<{ readonly status: number, readonly version?: number }> {
+    const response = await fetch(`http://${this.control[at]}/-/config/get`)
+    const body = await response.json() as { readonly version?: number }
+    return { status: response.status, version: body.version }
+  }
+
+  async [Symbol.asyncDispose] (): Promise<void> {
+    for (const database of this.databases) database.stop()
+    await Promise.all(this.#hosts.map(async host => await host[Symbol.asyncDispose]()))
+    await this.#platform[Symbol.asyncDispose]()
+    await rm(this.#folder, { recursive: true, force: true })
+  }
+
+  async #start (): Promise<void> {
+    this.#platform = await WirePlatform.create([this.group])
+    const peers = await reservePorts(2)
+    const [front, ready, control] = await reservePorts(3)
+    const base = (process.pid % 200) + 20
+    const ips = Array.from({ length: 6 }, (_, index) => `127.${base}.0.${index + 1}`)
+    const seeds = ips.slice(0, 3).map(ip => `${ip}:${control}`).join(',')
+    for (const [index, ip] of ips.entries()) {
+      const controls = index < 3
+      const settings = [
+        `node=host-${index}`,
+        `ip=${ip}`,
+        `zone=${ZONES[index % 3]}`,
+        `internal_ports=${peers.join(',')}`,
+        `seeds=${seeds}`,
+        'bootstrap=true',
+        'beat_interval_ms=300',
+        'tolerate.machines=1',
+        `cloud.address=${this.#platform.address}`,
+        ...(controls ? [`listen.control=${ip}:${control}`, `data_dir=${join(this.#folder, String(index))}`] : [`listen.front=${ip}:${front}`, `listen.ready=${ip}:${ready}`])
+      ].join('\n')
+      const platform = parsePlatformSettings(settings)
+      const quiet = { ...platform, settings: { ...platform.settings, logLevel: 'error' as const } }
+      this.#hosts.push(await Host.create(quiet.settings, fault => { throw fault }, PlatformEdge.create(quiet)))
+      if (controls) this.control.push(`${ip}:${control}`)
+      else this.callers.push(`${ip}:${front}`)
+    }
+    for (const [index, zone] of ZONES.entries()) {
+      this.databases.push(await WireDatabase.create({ id: `i-${index}`, zone, group: this.group, control: this.control, onRun: run => this.runs.push(run) }))
+    }
+  }
+}
+
+async function reservePorts (count: number): Promise<readonly number[]> {
+  const servers = Array.from({ length: count }, () => createServer())
+  await Promise.all(servers.map(async server => await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))))
+  const ports = servers.map(server => (server.address() as AddressInfo).port)
+  for (const server of servers) server.close()
+  return ports
+}
