--- a/src/succession/choose.ts
+++ b/src/succession/choose.ts
@@ -29,6 +29,7 @@
   const proven = members.filter(known => known.provenAtMs !== undefined).sort((a, b) => b.provenAtMs! - a.provenAtMs!)[0]
   const succession = state.table[group]
   if (succession === undefined) return proven ?? pickClaiming(members)
+  if (succession.outcome === 'failed') return proven
   const appointed = state.databases.get(succession.database)
   const changedAtMs = state.changedAtMs.get(group) ?? state.ledAtMs
   const overruled = proven !== undefined && proven.provenAtMs! > Math.max(changedAtMs + PROOF_AFTER_MS, appointed?.provenAtMs ?? 0)
--- /dev/null
+++ b/src/succession/decide.test.ts
@@ -0,0 +1,148 @@
+import { expect } from 'chai'
+import type { Effect, Moment, Tell } from '../core/message.js'
+import type { DatabaseEntry, DatabaseStatus } from '../membership/directory.js'
+import { decideSuccession } from './decide.js'
+import type { SuccessionMessage } from './messages.js'
+import { createSuccessionState, type AppointPrimary, type SuccessionState } from './state.js'
+import { applySuccessionCommand, type SuccessionCommand } from './table.js'
+
+const DOMAINS = ['a', 'b', 'c'] as const
+const STEP_MS = 50
+
+const createEntry = (index: number): DatabaseEntry => ({
+  kind: 'database',
+  database: `db-${index}`,
+  group: 'g',
+  failureDomain: DOMAINS[index]!,
+  address: `127.0.0.1:${7_000 + index}`,
+  slots: 3,
+  connectionLimit: 10,
+  departing: false,
+  leads: index === 0
+})
+
+/** A leader of a log that commits at once, and hosts that report. */
+class Leader {
+  readonly calls: AppointPrimary[] = []
+  readonly published: Array<string | undefined> = []
+  #state: SuccessionState = createSuccessionState(true)
+  #nowMs = 10_000
+  readonly #entries = new Map(DOMAINS.map((_, index) => [index, createEntry(index)]))
+  readonly silentHosts = new Set<number>()
+  readonly silentDatabases = new Set<number>()
+  readonly offsets = [50, 48, 49]
+
+  static create (): Leader {
+    const leader = new Leader()
+    leader.#take({ kind: 'succession/leadership', leads: true, epoch: 3, table: {} })
+    return leader
+  }
+
+  lead (epoch: number): void {
+    this.#take({ kind: 'succession/leadership', leads: true, epoch, table: this.#state.table })
+  }
+
+  depart (index: number): void {
+    this.#entries.set(index, { ...this.#entries.get(index)!, departing: true })
+  }
+
+  answer (outcome: 'done' | 'refused' | 'unanswered'): void {
+    const { group, appointment } = this.calls[this.calls.length - 1]!
+    this.#take({ kind: 'succession/answered', group, appointment, outcome })
+  }
+
+  run (ms: number, primary = 0): void {
+    for (let passed = 0; passed < ms; passed += STEP_MS) {
+      this.#nowMs += STEP_MS
+      for (const index of DOMAINS.keys()) {
+        if (!this.silentHosts.has(index)) this.#report(index, primary)
+      }
+      this.#take({ kind: 'succession/check-due' })
+    }
+  }
+
+  #report (index: number, primary: number): void {
+    const entry = this.#entries.get(index)!
+    const answering = !this.silentDatabases.has(index)
+    const status: DatabaseStatus = { database: entry.database, answering, primary: index === primary, position: { term: 1, offset: this.offsets[index]! }, fencedTerm: 0, ageMs: 0 }
+    this.#take({ kind: 'succession/reported', host: `host-${index}`, failureDomain: entry.failureDomain, apart: false, statuses: [status], databases: [entry] })
+  }
+
+  #take (message: SuccessionMessage): void {
+    const moment: Moment = { monotonicMs: this.#nowMs, wallMs: 0, random: 0.5 }
+    const step = decideSuccession(this.#state, message, moment)
+    this.#state = step.state
+    for (const effect of step.effects) this.#carryOut(effect)
+  }
+
+  #carryOut (effect: Effect): void {
+    if (effect.kind === 'promotion/appoint') this.calls.push(effect as AppointPrimary)
+    if (effect.kind !== 'loop/tell') return
+    const told = (effect as Tell).message as { readonly kind: string, readonly command?: SuccessionCommand, readonly entry?: { readonly primary?: string } }
+    if (told.kind === 'membership/publish') this.published.push(told.entry?.primary)
+    if (told.kind === 'agreement/propose') this.#take({ kind: 'succession/applied', command: told.command!, table: applySuccessionCommand(this.#state.table, told.command!) })
+  }
+}
+
+describe('the succession of a primary', () => {
+  it('publishes the primary that databases prove, and calls for nothing while it answers', () => {
+    const leader = Leader.create()
+    leader.run(10_000)
+    expect(leader.published).to.deep.equal(['db-0'])
+    expect(leader.calls).to.deep.equal([])
+  })
+
+  it('appoints the database that holds the most within a second of silence, and publishes it once the call is done', () => {
+    const leader = Leader.create()
+    leader.run(3_000)
+    leader.silentDatabases.add(0)
+    leader.run(1_000)
+    expect(leader.calls.map(call => call.database)).to.deep.equal(['db-2'])
+    expect(leader.published).to.deep.equal(['db-0', undefined])
+    leader.answer('done')
+    expect(leader.published).to.deep.equal(['db-0', undefined, 'db-2'])
+  })
+
+  it('waits for another owner while only the owner of the primary is silent, and not where its whole failure domain is', () => {
+    const leader = Leader.create()
+    leader.run(3_000)
+    leader.silentHosts.add(0)
+    leader.run(1_000)
+    expect(leader.calls.length).to.equal(1)
+  })
+
+  it('keeps a departing primary published until the next one leads', () => {
+    const leader = Leader.create()
+    leader.run(3_000)
+    leader.depart(0)
+    leader.run(100)
+    expect(leader.calls.length).to.equal(1)
+    expect(leader.published).to.deep.equal(['db-0'])
+    leader.answer('done')
+    expect(leader.published).to.deep.equal(['db-0', 'db-2'])
+  })
+
+  it('raises the fence with each appointment and each leader, and never calls again after a refusal', () => {
+    const leader = Leader.create()
+    leader.run(3_000)
+    leader.silentDatabases.add(0)
+    leader.run(1_000)
+    leader.answer('refused')
+    leader.run(1_000)
+    leader.lead(4)
+    leader.run(3_000)
+    const fences = leader.calls.map(call => call.fence)
+    expect(fences.length).to.be.greaterThan(2)
+    expect(fences.every((fence, index) => index === 0 || fence > fences[index - 1]!)).to.equal(true)
+  })
+
+  it('calls again with the same fence when no answer came, and only then', () => {
+    const leader = Leader.create()
+    leader.run(3_000)
+    leader.silentDatabases.add(0)
+    leader.run(1_000)
+    leader.answer('unanswered')
+    leader.run(400)
+    expect(leader.calls.map(call => call.fence)).to.deep.equal([leader.calls[0]!.fence, leader.calls[0]!.fence])
+  })
+})
--- a/src/succession/decide.ts
+++ b/src/succession/decide.ts
@@ -95,7 +95,7 @@
 
 function checkGroup (state: SuccessionState, group: string, nowMs: number): SuccessionStep {
   const succession = state.table[group]
-  if (succession?.settled === false) return makeCall(state, group, nowMs)
+  if (succession !== undefined && succession.outcome === undefined) return makeCall(state, group, nowMs)
   const primary = findPrimary(state, group)
   const reason = findReason(state, primary, nowMs)
   if (reason === undefined) return publish(state, group, primary?.entry.database, nowMs)
@@ -143,14 +143,14 @@
 
 function takeAnswer (state: SuccessionState, { group, appointment, outcome }: Answered, nowMs: number): SuccessionStep {
   const call = state.calls.get(group)
-  if (call?.appointment !== appointment || state.table[group]?.settled !== false) return keep(state)
+  if (call?.appointment !== appointment || state.table[group]?.outcome !== undefined) return keep(state)
   const event = recordEvent('promotion-answered', `Group ${group}: the call for appointment ${appointment} was ${outcome} after ${Math.round(nowMs - call.calledAtMs)} ms.`, { group })
   const ended = outcome === 'done' || outcome === 'refused' || (outcome === 'unanswered' && call.tries >= MAX_TRIES)
   if (!ended) {
     const pauseMs = outcome === 'throttled' ? THROTTLED_MS : CALL_AGAIN_MS
     return { state: { ...state, calls: new Map(state.calls).set(group, { ...call, dueAtMs: nowMs + pauseMs }) }, effects: [event] }
   }
-  const settled = tell({ kind: 'agreement/propose', proposal: `succession/${group}/${appointment}/settle`, command: { kind: 'succession/settle', group, appointment } })
+  const settled = tell({ kind: 'agreement/propose', proposal: `succession/${group}/${appointment}/settle`, command: { kind: 'succession/settle', group, appointment, outcome: outcome === 'done' ? 'done' : 'failed' } })
   // Hosts look for the next primary at once; until it leads, it refuses.
   const shown = outcome === 'done' ? publish(state, group, state.table[group]!.database, nowMs) : keep({ ...state, changedAtMs: new Map(state.changedAtMs).set(group, nowMs - APPOINT_AGAIN_MS + CALL_AGAIN_MS) })
   return { state: shown.state, effects: [event, settled, ...shown.effects] }
--- a/src/succession/table.ts
+++ b/src/succession/table.ts
@@ -6,8 +6,8 @@
   /** Counts the appointments of the group; the fence of the call grows with it. */
   readonly appointment: number
   readonly database: string
-  /** True once the appointed database leads, or the appointment was refused. */
-  readonly settled: boolean
+  /** How the call ended: the database leads, or nobody knows that it does; undefined while the call is under way. */
+  readonly outcome?: 'done' | 'failed'
 }
 
 /** Appointments by group. */
@@ -27,6 +27,7 @@
   readonly kind: 'succession/settle'
   readonly group: string
   readonly appointment: number
+  readonly outcome: 'done' | 'failed'
 }
 
 /** Any command about appointments. */
@@ -46,7 +47,7 @@
 
 function changeSuccession (known: Succession | undefined, command: SuccessionCommand): Succession | undefined {
   const { appointment } = command
-  if (command.kind === 'succession/settle') return known?.appointment === appointment ? { ...known, settled: true } : known
+  if (command.kind === 'succession/settle') return known?.appointment === appointment ? { ...known, outcome: command.outcome } : known
   if (appointment !== (known?.appointment ?? 0) + 1) return known
-  return { appointment, database: command.database, settled: false }
+  return { appointment, database: command.database }
 }
