--- a/eslint.config.js
+++ b/eslint.config.js
@@ -20,7 +20,7 @@
 }
 
 export default [
-  ...neostandard({ ts: true, ignores: ['dist/**', 'src/gen/**', 'run/**'] }),
+  ...neostandard({ ts: true, ignores: ['dist/**', 'src/gen/**', 'run/**', 'target/**', 'journal/**'] }),
   {
     plugins: { fulmartally: { rules: { verb: verbRule } } },
     rules: {
--- a/scripts/unit.js
+++ b/scripts/unit.js
@@ -2,7 +2,7 @@
 import { spawnSync } from 'node:child_process'
 import { existsSync, readFileSync } from 'node:fs'
 
-const SPECS = ['src/**/*.test.ts', 'standin/**/*.test.ts', 'test/**/*.test.ts']
+const SPECS = ['src/**/*.test.ts', 'platform/**/*.test.ts', 'standin/**/*.test.ts', 'test/**/*.test.ts']
 const red = existsSync('KNOWN-RED.txt') ? readFileSync('KNOWN-RED.txt', 'utf8') : ''
 const titles = [...red.matchAll(/^test: (.+)$/gm)].map(match => match[1].replace(/[.*+?^${}()|[\]\\]/g, '\\$&'))
 const passedOver = titles.length === 0 ? [] : ['--grep', titles.join('|'), '--invert']
--- a/src/succession/decide.test.ts
+++ b/src/succession/decide.test.ts
@@ -42,7 +42,7 @@
     this.#take({ kind: 'succession/leadership', leads: true, epoch, table: this.#state.table })
   }
 
-  depart (index: number): void {
+  announceDeparture (index: number): void {
     this.#entries.set(index, { ...this.#entries.get(index)!, departing: true })
   }
 
@@ -114,7 +114,7 @@
   it('keeps a departing primary published until the next one leads', () => {
     const leader = Leader.create()
     leader.run(3_000)
-    leader.depart(0)
+    leader.announceDeparture(0)
     leader.run(100)
     expect(leader.calls.length).to.equal(1)
     expect(leader.published).to.deep.equal(['db-0'])
--- a/src/succession/decide.ts
+++ b/src/succession/decide.ts
@@ -95,7 +95,7 @@
 
 function checkGroup (state: SuccessionState, group: string, nowMs: number): SuccessionStep {
   const succession = state.table[group]
-  if (succession !== undefined && succession.outcome === undefined) return makeCall(state, group, nowMs)
+  if (succession !== undefined && succession.outcome === undefined) return callPlatform(state, group, nowMs)
   const primary = findPrimary(state, group)
   const reason = findReason(state, primary, nowMs)
   if (reason === undefined) return publish(state, group, primary?.entry.database, nowMs)
@@ -127,7 +127,7 @@
 }
 
 // A primary that is about to depart serves until the next one leads; one that is silent serves nobody.
-function makeCall (state: SuccessionState, group: string, nowMs: number): SuccessionStep {
+function callPlatform (state: SuccessionState, group: string, nowMs: number): SuccessionStep {
   const { appointment, database } = state.table[group]!
   const known = state.calls.get(group)
   const call: Call = known?.appointment === appointment ? known : { appointment, calledAtMs: 0, dueAtMs: nowMs, tries: 0 }
--- a/standin/wire/database.ts
+++ b/standin/wire/database.ts
@@ -41,8 +41,8 @@
   static async create (parts: WireDatabaseParts): Promise<WireDatabase> {
     const database = new WireDatabase(parts)
     await new Promise<void>(resolve => database.#server.listen(0, '127.0.0.1', resolve))
-    database.#beats = setInterval(() => database.#beat(), BEAT_EVERY_MS)
-    database.#beat()
+    database.#beats = setInterval(() => database.#sendBeat(), BEAT_EVERY_MS)
+    database.#sendBeat()
     return database
   }
 
@@ -61,7 +61,7 @@
     WireSession.create({ socket, group, member: this.member, onRun })
   }
 
-  #beat (): void {
+  #sendBeat (): void {
     const { id, zone, group, control } = this.#parts
     const { port } = this.#server.address() as AddressInfo
     this.#sequence += 1
--- a/standin/wire/group.ts
+++ b/standin/wire/group.ts
@@ -62,7 +62,7 @@
     const primary = this.members.get(id)!
     const number = (primary.log[primary.log.length - 1]?.number ?? 0) + 1
     primary.log = [...primary.log, ...writes.map(([item, data]) => ({ term: this.#term, number, item, data }))]
-    setTimeout(() => this.#replicate(), LAG_MS)
+    setTimeout(() => this.#copyLog(), LAG_MS)
   }
 
   /** Makes a database primary, unless its fence is older than one that was seen. */
@@ -77,7 +77,7 @@
     return true
   }
 
-  #replicate (): void {
+  #copyLog (): void {
     const primary = this.members.get(this.#primary)
     if (primary === undefined) return
     for (const member of this.members.values()) {
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -89,7 +89,10 @@
     await pollUntil(async () => [...deployment.group.members.values()].every(member => member.log.length === 1))
     deployment.databases.find(database => database.member.id === lost)!.stop()
     let tries = 0
-    await pollUntil(async () => (await requester.query(`w${tries += 1}`, 'WRITE a two')).error === undefined)
+    await pollUntil(async () => {
+      tries += 1
+      return (await requester.query(`w${tries}`, 'WRITE a two')).error === undefined
+    })
     expect(deployment.group.primary).not.to.equal(lost)
     expect((await requester.query('r1', 'READ a')).lines[0]).to.equal('ROW two')
     expect(deployment.group.fences.every((fence, index) => index === 0 || fence >= deployment.group.fences[index - 1]!)).to.equal(true)
--- a/test/support/wire.ts
+++ b/test/support/wire.ts
@@ -117,8 +117,8 @@
 
   async #start (): Promise<void> {
     this.#platform = await WirePlatform.create([this.group])
-    const peers = await reservePorts(2)
-    const [front, ready, control] = await reservePorts(3)
+    const peers = await pickPorts(2)
+    const [front, ready, control] = await pickPorts(3)
     const base = (process.pid % 200) + 20
     const ips = Array.from({ length: 6 }, (_, index) => `127.${base}.0.${index + 1}`)
     const seeds = ips.slice(0, 3).map(ip => `${ip}:${control}`).join(',')
@@ -148,7 +148,7 @@
   }
 }
 
-async function reservePorts (count: number): Promise<readonly number[]> {
+async function pickPorts (count: number): Promise<readonly number[]> {
   const servers = Array.from({ length: count }, () => createServer())
   await Promise.all(servers.map(async server => await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))))
   const ports = servers.map(server => (server.address() as AddressInfo).port)
