Gives all that is not reserved of a rate, also to hosts without requests yet

Ruled out: more headroom alone (nothing before the first request). Change: shares follow demand plus a fiftieth of the rate for each host, and fill from when they are given.

--- a/src/admission/lease.ts
+++ b/src/admission/lease.ts
@@ -1,6 +1,7 @@
 /** Decisions on this host's lease: it tells the leader the demand here, and holds the shares that the leader leases to it. */
 import type { CoreEffect, Moment } from '../core/message.js'
 import { UNCHANGED } from '../core/store.js'
+import type { Workspace } from '../documents/document.js'
 import { sendPeer, setTimer } from '../messages.js'
 import type { Demand, HeldShare } from '../shares/messages.js'
 import { SHARE_LEASE_MS } from '../shares/state.js'
@@ -46,7 +47,7 @@
   const demands = counted.filter(([, item]) => all || isNews(item)).map(([workspace, item]): Demand => ({ workspace, perSecond: item.perSecond }))
   const lease: Lease = { ...current, round, countedAtMs: moment.monotonicMs, askedAtMs: markAsked(current, round, moment) }
   const changes = counted.map(([key, item]) => [key, createTold(item, all)] as const)
-  const asks = lease.leader === undefined || (counted.length === 0 && lease.applied > 0) ? [] : [sendAsk(lease, demands, listHeld(lease, counted))]
+  const asks = lease.leader === undefined || !shared.serves || (counted.length === 0 && lease.applied > 0) ? [] : [sendAsk(lease, demands, listHeld(lease, counted))]
   return { shared: { ...shared, lease }, changes, effects: [...asks, createAskTimer()] }
 }
 
@@ -63,7 +64,7 @@
   // The first answer of a leader is its whole account of this host.
   const dropped = lease.applied > 0 ? [] : [...store.items.keys()].filter(key => !parts.has(key)).map(key => [key, 0] as const)
   const changes = [...parts, ...dropped].map(([key, given]) => {
-    const known = store.items.get(key) ?? createAllowance({ rate: 0, burst: 0 }, moment.monotonicMs)
+    const known = store.items.get(key) ?? createAllowance(findLimit(store, key), moment.monotonicMs)
     const filled = refillAllowance(known, known, lease.endsAtMs, moment.monotonicMs)
     return [key, changeParts(filled, given, moment.monotonicMs)] as const
   })
@@ -71,6 +72,12 @@
   return { shared: { ...store.shared, lease: next }, changes, effects: [] }
 }
 
+// A share fills from when it is given, also before the first request.
+function findLimit ({ shared }: AdmissionStore, key: string): Pick<Workspace, 'rate' | 'burst'> {
+  const slash = key.indexOf('/')
+  return shared.indexes.get(key.slice(0, slash))?.workspaces.get(key.slice(slash + 1)) ?? { rate: 0, burst: 0 }
+}
+
 // After its lease a host holds nothing, and says so by another name.
 function dropEnded (lease: Lease, moment: Moment): Lease {
   const ended = lease.endsAtMs > 0 && moment.monotonicMs > lease.endsAtMs
--- a/src/admission/state.ts
+++ b/src/admission/state.ts
@@ -30,6 +30,8 @@
   readonly indexes: ReadonlyMap<string, DocumentIndex>
   /** True where a host that is cut off goes on with the last documents that it knows. */
   readonly keepsAuthority: boolean
+  /** False on a host without callers, which needs no share. */
+  readonly serves: boolean
   /** False while the leader's account lacks a document that this host holds. */
   readonly complete: boolean
   /** When this host last asked and was confirmed; undefined before the first time. */
@@ -75,9 +77,9 @@
  * Creates the facts of a host that knows no document.
  * @example createAdmissionShared().documents.size // 0
  */
-export function createAdmissionShared (keepsAuthority = false): AdmissionShared {
+export function createAdmissionShared (keepsAuthority = false, serves = true): AdmissionShared {
   const lease: Lease = { epoch: 0, holder: '', round: 0, applied: 0, endsAtMs: 0, askedAtMs: new Map(), countedAtMs: 0, loans: 0 }
-  return { documents: new Map(), indexes: new Map(), keepsAuthority, complete: true, lease, callers: createKeyedCallers() }
+  return { documents: new Map(), indexes: new Map(), keepsAuthority, serves, complete: true, lease, callers: createKeyedCallers() }
 }
 
 /**
--- a/src/daemon/slices.ts
+++ b/src/daemon/slices.ts
@@ -33,7 +33,7 @@
 export function createSlices (settings: Settings, guarantees: DatabaseGuarantees = POSTGRES_GUARANTEES): readonly Slice[] {
   const { host, failureDomain, limits, timing } = settings
   return [
-    StoreSlice.create({ name: 'admission', shared: createAdmissionShared(settings.authority === 'kept'), decide: decideAdmission, checkItem: checkAllowance }),
+    StoreSlice.create({ name: 'admission', shared: createAdmissionShared(settings.authority === 'kept', settings.callers !== undefined), decide: decideAdmission, checkItem: checkAllowance }),
     DecidingSlice.create({ name: 'agreement', initial: createAgreementState(), decide: decideAgreement }),
     DecidingSlice.create({ name: 'documents', initial: createDocumentsState(), decide: decideDocuments }),
     DecidingSlice.create({ name: 'membership', initial: createMembershipState(timing), decide: decideMembership }),
--- /dev/null
+++ b/src/peers/reopen.test.ts
@@ -0,0 +1,47 @@
+import { expect } from 'chai'
+import type { Message } from '../core/message.js'
+import { listenForPeers } from '../daemon/listen.js'
+import { StampClock } from '../timeline/clock.js'
+import { ConnectPeerLink } from './connect.js'
+
+const POLL_MS = 20
+const WATCH = { clock: StampClock.create(), onTraffic: () => undefined }
+const HINT: Message & { readonly leader: string, readonly epoch: number } = { kind: 'membership/leader-hint', leader: 'h1', epoch: 1 }
+
+async function pollUntil (condition: () => boolean): Promise<void> {
+  while (!condition()) await new Promise(resolve => setTimeout(resolve, POLL_MS))
+}
+
+describe('a link between hosts', () => {
+  it('opens anew after the other host ended its session and came back at the same address', async () => {
+    const taken: Message[] = []
+    await using link = ConnectPeerLink.create('h1', () => undefined, () => [], WATCH)
+    const receiver = ConnectPeerLink.create('h2', message => { taken.push(message) }, () => [], WATCH)
+    const first = await listenForPeers('127.0.0.1:0', router => receiver.addRoutes(router))
+    link.learnAddresses([{ host: 'h2', peers: first.address }])
+    link.carryOut({ kind: 'peer/send', to: 'h2', message: HINT })
+    await pollUntil(() => taken.length === 1)
+    await first[Symbol.asyncDispose]()
+    await using second = await listenForPeers(first.address, router => receiver.addRoutes(router))
+    expect(second.address).to.equal(first.address)
+    await pollUntil(() => {
+      link.carryOut({ kind: 'peer/send', to: 'h2', message: HINT })
+      return taken.length > 1
+    })
+  })
+
+  it('tells that nothing left for a host that could not be reached', async () => {
+    const lost: boolean[] = []
+    const gone = await listenForPeers('127.0.0.1:0', () => undefined)
+    await gone[Symbol.asyncDispose]()
+    await using link = ConnectPeerLink.create('h1', () => undefined, (_host, opened) => {
+      lost.push(opened)
+      return []
+    }, WATCH)
+    const run = { kind: 'transactions/run' } as const
+    link.carryOut({ kind: 'peer/send', to: gone.address, message: run })
+    await pollUntil(() => lost.length === 1)
+    link.carryOut({ kind: 'peer/send', to: gone.address, message: run })
+    expect(lost).to.deep.equal([false, false])
+  })
+})
--- /dev/null
+++ b/src/routing/placement.test.ts
@@ -0,0 +1,61 @@
+import { expect } from 'chai'
+import { ORIGIN } from '../core/position.js'
+import type { DatabaseEntry } from '../membership/directory.js'
+import { isSilentOwner, pickLightest } from './placement.js'
+import { findProvenFloor } from './staleness.js'
+import { createRoutingState, type RoutingState } from './state.js'
+
+const GUARANTEES = { selfFencing: true, slotPerStatement: true, connectionPerWorkspace: true }
+const RULES = { group: 'g', action: 'read', maxStalenessMs: 1_500, idempotent: false } as const
+const DOMAINS = ['a', 'b', 'c'] as const
+
+function createState (loads: readonly number[], unanswered: ReadonlyMap<string, number> = new Map()): RoutingState {
+  const entries = DOMAINS.map((failureDomain, index): DatabaseEntry => ({ kind: 'database', database: `db-${index}`, group: 'g', failureDomain, address: '', slots: 3, connectionLimit: 10, departing: false }))
+  return {
+    ...createRoutingState('host-0', 'a', GUARANTEES),
+    databases: new Map(entries.map((entry, index) => [entry.database, { entry, owner: `host-${index}` }])),
+    grants: new Map([['g', { kind: 'grant', group: 'g', term: 1, primary: 'db-2', members: [] }]]),
+    loads: new Map(loads.map((load, index) => [`db-${index}`, load])),
+    unanswered
+  }
+}
+
+const pick = (state: RoutingState, avoid: readonly string[] = []): string | undefined =>
+  pickLightest(state, { kind: 'routing/choose', caller: 'c', attempt: 1, rules: RULES, seen: ORIGIN, avoid })?.entry.database
+
+describe('the placement of reads', () => {
+  it('prefers the near replica, and leaves a crowded one for a freer one', () => {
+    expect(pick(createState([0, 0, 0]))).to.equal('db-0')
+    expect(pick(createState([2, 0, 0]))).to.equal('db-1')
+    expect(pick(createState([4, 4, 0]))).to.equal('db-2')
+  })
+
+  it('spares the primary while replicas are as free', () => {
+    expect(pick(createState([0, 0, 0]), ['db-0'])).to.equal('db-1')
+  })
+
+  it('sends nothing to a host that leaves questions unanswered', () => {
+    const silent = createState([0, 0, 0], new Map([['host-0', 3]]))
+    expect(isSilentOwner(silent, 'host-0')).to.equal(true)
+    expect(pick(silent)).to.equal('db-1')
+    expect(pick(createState([0, 0, 0], new Map([['host-0', 2]])))).to.equal('db-0')
+  })
+})
+
+describe('the floor of a read by proofs', () => {
+  const samples = [
+    { database: 'db-0', askedAtMs: 100, position: { term: 1, offset: 40 } },
+    { database: 'db-1', askedAtMs: 900, position: { term: 2, offset: 38 } }
+  ]
+
+  it('takes the first sample that is fresh enough, and none when all are too old', () => {
+    expect(findProvenFloor(samples.slice(0, 1), ORIGIN, 50)).to.deep.equal({ term: 1, offset: 40 })
+    expect(findProvenFloor(samples, ORIGIN, 950)).to.equal(undefined)
+  })
+
+  it('is not held back by a position of an earlier term, which may have been rolled back', () => {
+    expect(findProvenFloor(samples, ORIGIN, 50)).to.deep.equal({ term: 2, offset: 38 })
+    expect(findProvenFloor(samples, { term: 1, offset: 45 }, 500)).to.deep.equal({ term: 2, offset: 38 })
+    expect(findProvenFloor(samples, { term: 2, offset: 39 }, 500)).to.deep.equal({ term: 2, offset: 39 })
+  })
+})
--- a/src/shares/decide.ts
+++ b/src/shares/decide.ts
@@ -72,7 +72,7 @@
   const unregistered = shared.holders !== undefined && shared.holders[from] !== message.holder
   const perSecond = new Map(message.demands.map(demand => [demand.workspace, demand.perSecond]))
   const held = new Map(known === undefined ? message.held?.map(share => [share.workspace, share.parts]) : [])
-  const steps = [...new Set([...known?.shares.keys() ?? [], ...perSecond.keys(), ...held.keys()])].map(workspace => {
+  const steps = [...new Set([...shared.limits.keys(), ...known?.shares.keys() ?? [], ...perSecond.keys(), ...held.keys()])].map(workspace => {
     const share = known?.shares.get(workspace) ?? NO_SHARE
     const asked = { round: message.round, applied: message.applied, perSecond: perSecond.get(workspace) ?? share.perSecond, held: held.get(workspace) ?? 0, mayGrow: !unregistered }
     return updateShare(store, workspace, share, asked, moment)
@@ -112,12 +112,18 @@
   const settled = applyShare(before, limit, share, confirmed)
   const parts = moment.monotonicMs < store.shared.quietUntilMs || !asked.mayGrow
     ? Math.max(readCurrent(confirmed), Math.min(asked.held, TOTAL_PARTS - RESERVE_PARTS - settled.committed))
-    : chooseParts(settled, limit, { perSecond: asked.perSecond, held: readCommitted(confirmed), current: readCurrent(confirmed) })
+    : chooseParts(settled, limit, { perSecond: asked.perSecond, held: readCommitted(confirmed), current: readCurrent(confirmed) }, countHolders(store))
   if (parts === readCurrent(confirmed)) return { allotment: settled, share: confirmed }
   const next: Share = { ...confirmed, grants: [...confirmed.grants, { round: asked.round, parts }] }
   return { allotment: applyShare(settled, limit, confirmed, next), share: next }
 }
 
+function countHolders (store: SharesStore): number {
+  let holders = 0
+  for (const item of store.items.values()) if (item.kind === 'holder') holders += 1
+  return holders
+}
+
 // The last grant that the host confirmed, and all after it: it may come to hold any of them.
 function keepUnconfirmed (grants: readonly Grant[], applied: number): readonly Grant[] {
   const confirmed = grants.filter(grant => grant.round <= applied)
--- a/src/shares/reserve.ts
+++ b/src/shares/reserve.ts
@@ -5,10 +5,10 @@
 import { LOAN_MS, LOAN_SLACK_MS, RESERVE_PARTS, TOTAL_PARTS } from './state.js'
 
 const MS_PER_SECOND = 1_000
-/** How much more of the rate a host gets than it asks for, while there is enough. */
-const HEADROOM = 1.5
+/** The demand that each host counts for beside its own, as a part of the rate: a host has a share before its first request. */
+const IDLE_PART = 0.02
 /** The least burst for which a host gets a share of its own. */
-const USEFUL_TOKENS = 8
+const USEFUL_TOKENS = 4
 /** A share is left as it is until its target is this many times its size. */
 const GROWS_FROM = 1.25
 /** A share is left as it is until its target is this part of its size. */
@@ -77,18 +77,21 @@
 }
 
 /**
- * Chooses the share of a holder by its part of the demand, from what is free.
+ * Chooses the share of a holder by its part of the demand, from what is free. All that is not reserved is given,
+ * so that a host which is cut off can serve what its callers usually ask for, and more.
  * @param held the most that the holder may hold at present, in parts.
  * @param current the share that it was last given.
- * @example chooseParts(allotment, limit, { perSecond: 40, held: 0, current: 0 })
+ * @param holders how many hosts hold shares or ask for them.
+ * @example chooseParts(allotment, limit, { perSecond: 40, held: 0, current: 0 }, 9)
  */
-export function chooseParts (allotment: Allotment, limit: KnownLimit, holder: { readonly perSecond: number, readonly held: number, readonly current: number }): number {
-  if (holder.perSecond === 0 || limit.rate === 0) return 0
-  const even = (TOTAL_PARTS - RESERVE_PARTS) * holder.perSecond / Math.max(allotment.perSecond, holder.perSecond)
-  const enough = TOTAL_PARTS * HEADROOM * holder.perSecond / limit.rate
+export function chooseParts (allotment: Allotment, limit: KnownLimit, holder: { readonly perSecond: number, readonly held: number, readonly current: number }, holders: number): number {
+  if (limit.rate === 0) return 0
+  const idle = limit.rate * IDLE_PART
+  const weights = Math.max(allotment.perSecond, holder.perSecond) + idle * Math.max(1, holders)
+  const fair = (TOTAL_PARTS - RESERVE_PARTS) * (holder.perSecond + idle) / weights
   const reserved = Math.max(RESERVE_PARTS, Math.ceil(TOTAL_PARTS * countLent(allotment) / limit.burst))
   const free = Math.max(0, TOTAL_PARTS - allotment.committed - reserved) + holder.held
-  const parts = Math.floor(Math.min(even, enough, free))
+  const parts = Math.floor(Math.min(fair, free))
   if (parts * limit.burst < USEFUL_TOKENS * TOTAL_PARTS) return 0
   const near = parts >= holder.current * SHRINKS_FROM && parts <= holder.current * GROWS_FROM
   return near ? holder.current : parts
