Compares replicas only after they stopped receiving, where a replica's copy is the acknowledgement

Positions that are read while the primary may still acknowledge prove nothing. Test: two of src/succession/decide.test.ts.

--- a/src/agreement/decide.ts
+++ b/src/agreement/decide.ts
@@ -93,7 +93,7 @@
   const { self } = after
   const damage = message.kind === 'agreement/started' ? (message as Started).damage : undefined
   if (damage !== undefined) events.push(recordEvent('journal-damaged', `Host ${self} starts anew: ${damage}.`))
-  if (before.mark.group === undefined && after.mark.group === after.incarnation && after.log.configuredAt === 1) events.push(recordEvent('group-formed', `Host ${self} formed the control group.`))
+  if (message.kind !== 'agreement/started' && before.mark.group === undefined && after.mark.group === after.incarnation && after.log.configuredAt === 1) events.push(recordEvent('group-formed', `Host ${self} formed the control group.`))
   if (after.leading?.established === true && before.leading?.established !== true) events.push(recordEvent('leader-elected', `Host ${self} leads the control hosts in term ${after.mark.term}.`))
   if (before.leading !== undefined && after.leading === undefined) events.push(recordEvent('leader-ended', `Host ${self} no longer leads the control hosts.`))
   if (after.leading !== undefined && before.log.configuration?.old !== undefined && after.log.configuration?.old === undefined) events.push(recordEvent('control-replaced', 'A control host that lost its disk is replaced.'))
--- a/src/agreement/trace.test.ts
+++ b/src/agreement/trace.test.ts
@@ -11,8 +11,9 @@
   log: { term: 3, committed: 6 }
 }
 
-// The trace is older than the succession slice, which is told of leaders, too.
-const isRecorded = (effect: Effect): boolean => effect.kind !== 'loop/tell' || !(effect as Tell).message.kind.startsWith('succession/')
+// The trace is older than two messages that other slices get of each leader; all else has to be the same.
+const LATER = ['succession/leadership', 'shares/registered']
+const isRecorded = (effect: Effect): boolean => effect.kind !== 'loop/tell' || !LATER.includes((effect as Tell).message.kind)
 
 describe('a recorded trace of the agreement slice', () => {
   it('replays a restart, a kill of the leader and two documents to the same effects, twice', () => {
--- a/src/databases/driver.ts
+++ b/src/databases/driver.ts
@@ -75,8 +75,19 @@
   readonly asker: string
 }
 
+/** Stops a replica from receiving, or lets it go on; one that stopped posts `succession/fenced`. */
+export interface FenceReplica extends Effect {
+  readonly kind: 'database/fence'
+  readonly group: string
+  readonly database: string
+  readonly address: string
+  /** Above every term that the group had. */
+  readonly term: number
+  readonly receives: boolean
+}
+
 /** The effects that a driver carries out. */
-export type DatabaseEffect = OpenConnection | Execute | GrantCredit | CloseConnection | Probe | AwaitStored | CommandDatabase
+export type DatabaseEffect = FenceReplica | OpenConnection | Execute | GrantCredit | CloseConnection | Probe | AwaitStored | CommandDatabase
 
 /** Carries statements and commands to databases. */
 export abstract class DatabaseDriver extends Adapter {
--- a/src/databases/postgres/driver.ts
+++ b/src/databases/postgres/driver.ts
@@ -44,6 +44,8 @@
       case 'database/probe': return this.#probe(effect)
       case 'database/await-stored': return this.#awaitStored(effect)
       case 'database/command': return this.#command(effect)
+      // These databases are fenced by the commands above.
+      case 'database/fence':
     }
   }
 
--- a/src/documents/decide.ts
+++ b/src/documents/decide.ts
@@ -41,13 +41,18 @@
   const published = leads ? Object.keys(table.services).map(service => publish(table, service)) : []
   const unknown = [...state.waiting.values()].map(call => answer(call, createUnknown()))
   const told = [...state.watches.values()].map(({ call, outcome }) => answer(call, outcome))
-  return { state: { leads, table, waiting: new Map(), watches: new Map() }, effects: [...unknown, ...told, ...published, tellGroups(table)] }
+  return { state: { leads, table, waiting: new Map(), watches: new Map() }, effects: [...unknown, ...told, ...published, tellGroups(table), tellCopies(table)] }
 }
 
 function tellGroups (table: DocumentsTable): CoreEffect {
   return tell({ kind: 'primacy/documents', groups: Object.values(table.services).flatMap(record => record.document.groups) })
 }
 
+function tellCopies (table: DocumentsTable): CoreEffect {
+  const groups = Object.values(table.services).flatMap(record => record.document.groups)
+  return tell({ kind: 'succession/documents', copies: new Map(groups.map(group => [group.name, group.copies ?? 0])) })
+}
+
 function createUnknown (): { readonly error: string, readonly text: string } {
   return { error: 'outcome-unknown', text: 'The leader changed. Send the command again with the same request id.' }
 }
@@ -102,12 +107,12 @@
   const published = state.leads && changed
     ? [publish(table, service), recordEvent('document-accepted', `Document of ${service} is accepted at version ${table.services[service]!.version}.`, { request: command.kind === 'documents/put' ? command.requestId : undefined })]
     : []
-  if (call === undefined) return { state: next, effects: [...published, tellGroups(table)] }
+  if (call === undefined) return { state: next, effects: [...published, tellGroups(table), tellCopies(table)] }
   if (call.reads !== undefined) return { state: next, effects: [answer(call, createText(table, call.reads))] }
-  if (command.kind !== 'documents/put') return { state: next, effects: [...published, tellGroups(table), answer(call, outcome)] }
+  if (command.kind !== 'documents/put') return { state: next, effects: [...published, tellGroups(table), tellCopies(table), answer(call, outcome)] }
   if (!outcome.accepted) return { state: next, effects: [...published, answer(call, outcome)] }
   const watched = startWatch(next, { call, service, outcome, untilMs: moment.monotonicMs + WATCH_MS })
-  return { state: watched.state, effects: [...published, tellGroups(table), ...watched.effects] }
+  return { state: watched.state, effects: [...published, tellGroups(table), tellCopies(table), ...watched.effects] }
 }
 
 function checkVersions (before: DocumentsTable, after: DocumentsTable, service: string): void {
--- a/src/succession/choose.ts
+++ b/src/succession/choose.ts
@@ -1,5 +1,5 @@
 /** Which database leads a group, whether it has to be replaced, and by which. */
-import { comparePositions, ORIGIN } from '../core/position.js'
+import { comparePositions, ORIGIN, type LogPosition } from '../core/position.js'
 import type { KnownDatabase, SuccessionState } from './state.js'
 
 /** How long a primary may be silent: longer than a crowded one takes for a status, well below a requester's patience. */
@@ -14,6 +14,8 @@
 const PROOF_AFTER_MS = 3_000
 /** How long a new leader waits until it takes a primary that nobody announced for gone: an announcement that found no host comes again by then. */
 const NEWS_MS = 3_000
+/** How long before the primary's last answer a replica has to be silent to hold nothing that was acknowledged last: many times the replication delay. */
+const LONG_SILENT_MS = 3_000
 /** How long a new leader waits for the hosts' reports. */
 const REPORTS_MS = 400
 
@@ -65,6 +67,29 @@
   return able.sort((a, b) => comparePositions(b.status?.position ?? ORIGIN, a.status?.position ?? ORIGIN))[0]
 }
 
+/** What is known of the replicas that stopped receiving: who is still awaited, and who would lead. */
+export interface FencedChoice {
+  readonly awaited: readonly KnownDatabase[]
+  readonly successor?: KnownDatabase
+}
+
+/**
+ * Picks the next primary where a replica's copy is the acknowledgement: the one that holds the most, once every
+ * replica that may hold an acknowledged write has stopped receiving. One that was silent long before the primary
+ * holds nothing that the primary acknowledged since, so it is not waited for where another covers the primary.
+ * @example pickFenced(state, 'a', primary).successor
+ */
+export function pickFenced (state: SuccessionState, group: string, primary: KnownDatabase | undefined): FencedChoice {
+  const positions = state.fences.get(group)?.positions ?? new Map<string, LogPosition>()
+  const others = [...state.members.values()].filter(known => known.entry.group === group && known.entry.database !== primary?.entry.database)
+  const left = others.filter(known => !positions.has(known.entry.database))
+  const held = others.filter(known => positions.has(known.entry.database))
+  const best = held.sort((a, b) => comparePositions(positions.get(b.entry.database)!, positions.get(a.entry.database)!) || Number(a.entry.departing) - Number(b.entry.departing))[0]
+  const covers = best !== undefined && primary?.status !== undefined && comparePositions(positions.get(best.entry.database)!, primary.status.position) >= 0
+  const awaited = covers ? left.filter(known => (known.answeredAtMs ?? 0) > (primary.answeredAtMs ?? 0) - LONG_SILENT_MS) : left
+  return awaited.length === 0 && best !== undefined ? { awaited, successor: best } : { awaited }
+}
+
 function listMembers (state: SuccessionState, group: string): KnownDatabase[] {
   return [...state.databases.values()].filter(known => known.entry.group === group)
 }
--- a/src/succession/decide.test.ts
+++ b/src/succession/decide.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai'
 import type { Effect, Moment, Tell } from '../core/message.js'
+import type { FenceReplica } from '../databases/driver.js'
 import type { DatabaseEntry, DatabaseStatus } from '../membership/directory.js'
 import { decideSuccession } from './decide.js'
 import type { SuccessionMessage } from './messages.js'
@@ -25,6 +26,8 @@
 class Leader {
   readonly calls: AppointPrimary[] = []
   readonly published: Array<string | undefined> = []
+  /** Replicas that were told to stop receiving or to go on, in order. */
+  readonly fences: FenceReplica[] = []
   #state: SuccessionState = createSuccessionState(true)
   #nowMs = 10_000
   readonly #entries = new Map(DOMAINS.map((_, index) => [index, createEntry(index)]))
@@ -51,6 +54,10 @@
     this.#take({ kind: 'succession/answered', group, appointment, outcome })
   }
 
+  requireCopies (copies: number): void {
+    this.#take({ kind: 'succession/documents', copies: new Map([['g', copies]]) })
+  }
+
   run (ms: number, primary = 0): void {
     for (let passed = 0; passed < ms; passed += STEP_MS) {
       this.#nowMs += STEP_MS
@@ -75,8 +82,16 @@
     for (const effect of step.effects) this.#carryOut(effect)
   }
 
+  #fence (effect: FenceReplica): void {
+    this.fences.push(effect)
+    const index = Number(effect.database.slice('db-'.length))
+    if (effect.receives || this.silentDatabases.has(index)) return
+    this.#take({ kind: 'succession/fenced', group: 'g', database: effect.database, position: { term: 1, offset: this.offsets[index]! } })
+  }
+
   #carryOut (effect: Effect): void {
     if (effect.kind === 'promotion/appoint') this.calls.push(effect as AppointPrimary)
+    if (effect.kind === 'database/fence') this.#fence(effect as FenceReplica)
     if (effect.kind !== 'loop/tell') return
     const told = (effect as Tell).message as { readonly kind: string, readonly command?: SuccessionCommand, readonly entry?: { readonly primary?: string } }
     if (told.kind === 'membership/publish') this.published.push(told.entry?.primary)
@@ -136,6 +151,29 @@
     expect(fences.every((fence, index) => index === 0 || fence > fences[index - 1]!)).to.equal(true)
   })
 
+  it('stops all replicas before it compares them, where a replica\'s copy is the acknowledgement', () => {
+    const leader = Leader.create()
+    leader.requireCopies(1)
+    leader.run(3_000)
+    leader.silentDatabases.add(0)
+    leader.run(1_500)
+    expect(leader.fences.slice(0, 2).map(({ database, term, receives }) => [database, term, receives])).to.deep.equal([['db-1', 2, false], ['db-2', 2, false]])
+    expect(leader.calls.map(call => call.database)).to.deep.equal(['db-2'])
+  })
+
+  it('appoints nobody while a replica that may hold the last writes is silent, and lets the others go on when the primary answers again', () => {
+    const leader = Leader.create()
+    leader.requireCopies(1)
+    leader.run(3_000)
+    leader.silentDatabases.add(0).add(2)
+    leader.run(3_000)
+    expect(leader.calls).to.deep.equal([])
+    leader.silentDatabases.clear()
+    leader.run(200)
+    expect(leader.calls).to.deep.equal([])
+    expect(leader.fences.filter(fence => fence.receives).map(fence => fence.database)).to.include.members(['db-1', 'db-2'])
+  })
+
   it('calls again with the same fence when no answer came, and only then', () => {
     const leader = Leader.create()
     leader.run(3_000)
--- a/src/succession/decide.ts
+++ b/src/succession/decide.ts
@@ -2,8 +2,9 @@
 import { recordEvent, type CoreEffect, type Moment, type Step } from '../core/message.js'
 import type { DatabaseStatus } from '../membership/directory.js'
 import { setTimer, tell } from '../messages.js'
-import { findPrimary, findReason, pickSuccessor, type Reason } from './choose.js'
-import type { Answered, Applied, Leadership, Reported, SuccessionMessage } from './messages.js'
+import type { FenceReplica } from '../databases/driver.js'
+import { findPrimary, findReason, pickFenced, pickSuccessor, type Reason } from './choose.js'
+import type { Answered, Applied, Fenced, Leadership, Reported, SuccessionMessage } from './messages.js'
 import type { AppointPrimary, Call, KnownDatabase, SuccessionState } from './state.js'
 
 /** Time between two looks at all groups. */
@@ -18,12 +19,14 @@
 const CALL_AGAIN_MS = 300
 /** The pause after the platform said that there are too many calls. */
 const THROTTLED_MS = 500
+/** The pause before replicas that did not answer are asked again to stop receiving. */
+const FENCE_AGAIN_MS = 400
 /** Tries without an answer after which the appointment is given up, if another database can lead. */
 const MAX_TRIES = 4
 /** Appointments of a group that one epoch has room for in a fence. */
 const FENCE_ROOM = 1_048_576
 
-type SuccessionEffect = CoreEffect | AppointPrimary
+type SuccessionEffect = CoreEffect | AppointPrimary | FenceReplica
 type SuccessionStep = Step<SuccessionState, SuccessionEffect>
 
 /**
@@ -38,6 +41,8 @@
     case 'succession/applied': return takeApplied(state, message, nowMs)
     case 'succession/reported': return state.leads ? keep(takeReport(state, message, nowMs)) : keep(state)
     case 'succession/withdrawn': return keep(dropDatabase(state, message.database))
+    case 'succession/documents': return keep({ ...state, copies: message.copies })
+    case 'succession/fenced': return keep(takeFenced(state, message))
     case 'succession/check-due': return state.leads ? checkAll(state, nowMs) : keep(state)
     case 'succession/answered': return state.leads ? takeAnswer(state, message, nowMs) : keep(state)
   }
@@ -48,7 +53,7 @@
 }
 
 function takeLeadership (state: SuccessionState, { leads, epoch, table }: Leadership, nowMs: number): SuccessionStep {
-  const next: SuccessionState = { ...state, leads, epoch, table, ledAtMs: nowMs, databases: new Map(), hosts: new Map(), calls: new Map(), published: new Map(), changedAtMs: new Map() }
+  const next: SuccessionState = { ...state, leads, epoch, table, ledAtMs: nowMs, databases: new Map(), hosts: new Map(), members: new Map(), fences: new Map(), calls: new Map(), published: new Map(), changedAtMs: new Map() }
   return { state: next, effects: leads ? [createCheckTimer()] : [] }
 }
 
@@ -64,7 +69,8 @@
   const known = new Map(state.databases)
   for (const entry of databases) known.set(entry.database, { knownSinceMs: nowMs, ...known.get(entry.database), entry, heardAtMs: nowMs })
   for (const status of statuses) takeStatus(known, host, status, nowMs)
-  return { ...state, databases: known, hosts: new Map(state.hosts).set(host, { heardAtMs: nowMs, failureDomain, apart }) }
+  const members = new Map([...state.members, ...known])
+  return { ...state, databases: known, members, hosts: new Map(state.hosts).set(host, { heardAtMs: nowMs, failureDomain, apart }) }
 }
 
 function takeStatus (databases: Map<string, KnownDatabase>, host: string, status: DatabaseStatus, nowMs: number): void {
@@ -80,7 +86,9 @@
 function dropDatabase (state: SuccessionState, database: string): SuccessionState {
   const databases = new Map(state.databases)
   databases.delete(database)
-  return { ...state, databases }
+  const members = new Map(state.members)
+  members.delete(database)
+  return { ...state, databases, members }
 }
 
 function checkAll (state: SuccessionState, nowMs: number): SuccessionStep {
@@ -98,12 +106,51 @@
   if (succession !== undefined && succession.outcome === undefined) return callPlatform(state, group, nowMs)
   const primary = findPrimary(state, group)
   const reason = findReason(state, primary, nowMs)
-  if (reason === undefined) return publish(state, group, primary?.entry.database, nowMs)
+  if (reason === undefined) return endFence(publish(state, group, primary?.entry.database, nowMs), group)
+  if ((state.copies.get(group) ?? 0) > 0) return fenceGroup(state, group, primary, reason, nowMs)
   const successor = isSettling(state, group, nowMs) ? undefined : pickSuccessor(state, group, primary, nowMs)
   if (successor === undefined) return publish(state, group, primary?.entry.database, nowMs)
   return appoint(state, group, successor, reason, nowMs)
 }
 
+// Where a replica's copy is the acknowledgement, replicas stop receiving before their positions are compared:
+// what is acknowledged after that is acknowledged by nobody.
+function fenceGroup (state: SuccessionState, group: string, primary: KnownDatabase | undefined, reason: Reason, nowMs: number): SuccessionStep {
+  if (isSettling(state, group, nowMs)) return publish(state, group, primary?.entry.database, nowMs)
+  const { awaited, successor } = pickFenced(state, group, primary)
+  if (successor !== undefined && state.fences.has(group)) {
+    const appointed = appoint(state, group, successor, reason, nowMs)
+    const fences = new Map(state.fences)
+    fences.delete(group)
+    return { state: { ...appointed.state, fences }, effects: appointed.effects }
+  }
+  const fence = state.fences.get(group)
+  if (fence !== undefined && nowMs - fence.askedAtMs < FENCE_AGAIN_MS) return keep(state)
+  const next = { askedAtMs: nowMs, positions: fence?.positions ?? new Map() }
+  return { state: { ...state, fences: new Map(state.fences).set(group, next) }, effects: awaited.map(known => createFence(state, known, false)) }
+}
+
+function takeFenced (state: SuccessionState, { group, database, position }: Fenced): SuccessionState {
+  const fence = state.fences.get(group)
+  if (fence === undefined) return state
+  return { ...state, fences: new Map(state.fences).set(group, { ...fence, positions: new Map(fence.positions).set(database, position) }) }
+}
+
+// The primary answers again: its replicas go on receiving.
+function endFence (step: SuccessionStep, group: string): SuccessionStep {
+  if (!step.state.fences.has(group)) return step
+  const fences = new Map(step.state.fences)
+  fences.delete(group)
+  const members = [...step.state.members.values()].filter(known => known.entry.group === group)
+  return { state: { ...step.state, fences }, effects: [...step.effects, ...members.map(known => createFence(step.state, known, true))] }
+}
+
+function createFence (state: SuccessionState, { entry }: KnownDatabase, receives: boolean): FenceReplica {
+  const { group, database, address } = entry
+  const terms = [...state.members.values()].filter(known => known.entry.group === group).map(known => known.status?.position.term ?? 0)
+  return { kind: 'database/fence', group, database, address, term: Math.max(0, ...terms) + 1, receives }
+}
+
 // A new leader first hears who is there, and one appointment ends before the next begins.
 function isSettling (state: SuccessionState, group: string, nowMs: number): boolean {
   const changedAtMs = state.changedAtMs.get(group)
--- a/src/succession/messages.ts
+++ b/src/succession/messages.ts
@@ -1,4 +1,5 @@
 /** Messages of the succession slice: who leads a group whose databases fence themselves. */
+import type { LogPosition } from '../core/position.js'
 import type { DatabaseEntry, DatabaseStatus } from '../membership/directory.js'
 import type { SuccessionCommand, SuccessionTable } from './table.js'
 
@@ -34,6 +35,20 @@
   readonly database: string
 }
 
+/** How many replicas hold a write of each group before its primary acknowledges it. */
+export interface Documents {
+  readonly kind: 'succession/documents'
+  readonly copies: ReadonlyMap<string, number>
+}
+
+/** A replica stopped receiving from its primary, and told where it stands. */
+export interface Fenced {
+  readonly kind: 'succession/fenced'
+  readonly group: string
+  readonly database: string
+  readonly position: LogPosition
+}
+
 /** Time for the leader to look at all groups. */
 export interface CheckDue {
   readonly kind: 'succession/check-due'
@@ -51,4 +66,4 @@
 }
 
 /** Any message of the succession slice. */
-export type SuccessionMessage = Leadership | Applied | Reported | Withdrawn | CheckDue | Answered
+export type SuccessionMessage = Leadership | Applied | Reported | Withdrawn | Documents | Fenced | CheckDue | Answered
--- a/src/succession/state.ts
+++ b/src/succession/state.ts
@@ -1,5 +1,6 @@
 /** State of the succession slice; all but the table is of use on the leader alone. */
 import type { Effect } from '../core/message.js'
+import type { LogPosition } from '../core/position.js'
 import type { DatabaseEntry, DatabaseStatus } from '../membership/directory.js'
 import type { SuccessionTable } from './table.js'
 
@@ -27,6 +28,13 @@
   readonly provenAtMs?: number
 }
 
+/** The replicas of a group that are to stop receiving before one of them is appointed. */
+export interface Fence {
+  readonly askedAtMs: number
+  /** Where those stand that stopped. */
+  readonly positions: ReadonlyMap<string, LogPosition>
+}
+
 /** A host that reported to this leader. */
 export interface HeardHost {
   readonly heardAtMs: number
@@ -54,6 +62,11 @@
   readonly databases: ReadonlyMap<string, KnownDatabase>
   readonly hosts: ReadonlyMap<string, HeardHost>
   readonly calls: ReadonlyMap<string, Call>
+  /** How many replicas hold a write of each group before it is acknowledged. */
+  readonly copies: ReadonlyMap<string, number>
+  readonly fences: ReadonlyMap<string, Fence>
+  /** All members of each group that have not ended by their own word, also those that are silent. */
+  readonly members: ReadonlyMap<string, KnownDatabase>
   /** The primary that each group's hosts were told of, and since when. */
   readonly published: ReadonlyMap<string, { readonly database: string | undefined, readonly sinceMs: number }>
   /** When each group's last appointment was proposed or settled. */
@@ -74,6 +87,9 @@
     databases: new Map(),
     hosts: new Map(),
     calls: new Map(),
+    copies: new Map(),
+    fences: new Map(),
+    members: new Map(),
     published: new Map(),
     changedAtMs: new Map()
   }
