--- a/src/requests/decide.ts
+++ b/src/requests/decide.ts
@@ -5,7 +5,7 @@
 import { advanceSession, parseToken, readSeen } from '../sessions/token.js'
 import { endWithFailure, failAcknowledgement, failAttempt, losePeer, loseReplaced, passDeadline, rejectInput } from './failure.js'
 import { logRequests } from './log.js'
-import type { Admitted, Arrived, CountAsked, Drained, Finished, GrantsConfirmed, Open, OpenChecked, Output, PeerLost, RequestInput, RequestsMessage, Routed, RouteRules, SessionSet, WorkName } from './messages.js'
+import type { Admitted, Arrived, CountAsked, Drained, Finished, GrantsConfirmed, Late, Open, OpenChecked, Output, PeerLost, RequestInput, RequestsMessage, Routed, RouteRules, SessionSet, WorkName } from './messages.js'
 import { MAX_RETRIES, RETRIES_PER_SUCCESS, type Caller, type OpenTransaction, type RequestsShared, type Running } from './state.js'
 import { createCancel, createFinished, createTimersCleared, readStatus, replaceCaller, type RequestsEffect, type RequestsStep, type RequestsStore } from './step.js'
 import { createCallerClosed, endWithdrawn, withdrawKey } from './withdrawal.js'
@@ -13,6 +13,8 @@
 
 /** How long a host may rely on a grant after it asked for its confirmation. */
 export const GRANT_LEASE_MS = 1_000
+/** The part of a route's latency target after which a read leaves a replica that has not answered: enough is left for another one. */
+const LATE_PART = 0.6
 /** How long after a deadline the answer of the database's owner is awaited. */
 const DEADLINE_GRACE_MS = 100
 
@@ -54,6 +56,7 @@
     case 'requests/retry-due': return decideForRunning(caller, message, running => chooseAgain(caller, running))
     case 'requests/admitted': return decideForRunning(caller, message, running => admit(caller, running, message, moment))
     case 'requests/routed': return decideForRunning(caller, message, running => run(store.shared, caller, running, message, moment))
+    case 'requests/late': return decideForRunning(caller, message, running => retryLate(store.shared, caller, running, message, moment))
     case 'requests/failed': return decideForRunning(caller, message, running => failAttempt(store.shared, caller, running, message, moment))
     case 'requests/output': return decideForRunning(caller, message, running => output(caller, running, message))
     case 'requests/finished': return decideForRunning(caller, message, running => finish(store.shared, caller, running, message, moment))
@@ -184,13 +187,29 @@
     target,
     intent: running.input.intent,
     transaction: caller.transaction?.began,
-    remainingMs: Math.max(0, running.endsAtMs - moment.monotonicMs),
+    remainingMs: Math.max(0, Math.round(running.endsAtMs - moment.monotonicMs)),
     idleMs: running.rules?.idleTransactionMs,
     priority: running.rules?.priority,
     payload: running.payload
   })
   const next: Caller = { ...caller, ticket, running: { ...running, phase: 'running', target } }
-  return { ...replaceCaller(next, [order]), shared: { ...shared, sender, orders: ticket.order } }
+  return { ...replaceCaller(next, [order, ...createLateTimer(next)]), shared: { ...shared, sender, orders: ticket.order } }
+}
+
+// Answers the load pattern of a database that runs reads and loses their answers.
+function createLateTimer ({ caller, transaction, running }: Caller): readonly CoreEffect[] {
+  const latencyMs = running?.rules?.latencyMs
+  const single = running?.target?.purpose === 'replica' && transaction === undefined && running.input.intent === 'statement'
+  if (!single || latencyMs === undefined) return []
+  return [setTimer(`requests/late/${caller}`, latencyMs * LATE_PART, { kind: 'requests/late', caller, attempt: running.attempt })]
+}
+
+// What a replica runs changes nothing, so another one may run it again, within the budget of retries.
+function retryLate (shared: RequestsShared, caller: Caller, running: Running, message: Late, moment: Moment): RequestsStep {
+  if (running.phase !== 'running' || running.parts > 0 || shared.retries < 1) return UNCHANGED
+  const failure = createFailure('outcome-unknown', 'the replica did not answer')
+  const step = failAttempt(shared, caller, running, { ...message, kind: 'requests/failed', failure, retriable: true }, moment)
+  return { ...step, effects: [...createCancel(caller), ...step.effects] }
 }
 
 // A part that is missing can't be made good: the rest of the answer is not the caller's.
--- a/src/requests/messages.ts
+++ b/src/requests/messages.ts
@@ -158,6 +158,11 @@
   readonly request: number
 }
 
+/** A replica has left a read without an answer for a good part of its latency target. */
+export interface Late extends WorkName {
+  readonly kind: 'requests/late'
+}
+
 /** Time to look for a place again. */
 export interface RetryDue extends WorkName {
   readonly kind: 'requests/retry-due'
@@ -219,6 +224,7 @@
   | Drained
   | DeadlinePassed
   | RetryDue
+  | Late
   | Overdue
   | Closed
   | KeyWithdrawn
--- a/src/requests/step.ts
+++ b/src/requests/step.ts
@@ -54,5 +54,5 @@
  * @example createTimersCleared('host-1/4f/7')
  */
 export function createTimersCleared (caller: string): readonly CoreEffect[] {
-  return [clearTimer(`requests/deadline/${caller}`), clearTimer(`requests/retry/${caller}`)]
+  return [clearTimer(`requests/deadline/${caller}`), clearTimer(`requests/retry/${caller}`), clearTimer(`requests/late/${caller}`)]
 }
--- a/src/routing/placement.ts
+++ b/src/routing/placement.ts
@@ -3,9 +3,9 @@
 import type { KnownDatabase, RoutingState } from './state.js'
 
 /** Rounds without an answer after which a host gets no requests until it answers: more than a busy host misses. */
-const SILENT_ROUNDS = 3
+const SILENT_ROUNDS = 2
 /** What a database of another failure domain has to be less loaded by, in requests for each slot. */
-const DISTANCE = 0.7
+const DISTANCE = 1.3
 /** The same for the primary, whose slots writes wait for. */
 const PRIMARY = 0.7
 
