Takes held-up reports for as old as they are, and replaces a primary that proves no lead

Change: the leader tells its time in answers, beats carry it back; a primary's owner asks for its role when nothing proved it for 1 s; one that answers for 5 s without a proof is replaced by the database that holds the most.

--- a/src/membership/decide.ts
+++ b/src/membership/decide.ts
@@ -11,6 +11,8 @@
 import { answerStatus, drainHost } from './operators.js'
 import { sendPeer, setTimer, tell } from '../messages.js'
 
+/** How long a primary may go without an answer that proves its lead, such as while only its reads are asked for. */
+const UNPROVEN_MS = 1_000
 /** How long an unanswered beat may still be answered. */
 const BEAT_HOLDS_MS = 5_000
 
@@ -81,6 +83,7 @@
     kind: 'membership/beat',
     round,
     self: state.self,
+    leftAtMs: state.leaderAheadMs === undefined ? undefined : moment.monotonicMs + state.leaderAheadMs,
     revision: state.directory.revision,
     databases: listAnnounced(state, moment),
     statuses: [...state.statuses.values()].map(held => ({ ...held.status, ageMs: moment.monotonicMs - held.askedAtMs }))
@@ -101,7 +104,9 @@
   if (askedAtMs === undefined || message.revision.epoch !== state.epoch || isOutdated(state.directory, message)) return keep(state)
   const changed = message.changes.length > 0 || message.revision.epoch !== state.directory.revision.epoch
   const directory = changed ? applyChanges(state.directory, message.revision, message.changes) : state.directory
-  const next: MembershipState = { ...state, directory, answeredAtMs: moment.monotonicMs, statuses: keepOwned(state, directory) }
+  // The answer was on its way for a while, so the time that it tells is a little too early, never too late.
+  const leaderAheadMs = message.leaderMs === undefined ? undefined : message.leaderMs - moment.monotonicMs
+  const next: MembershipState = { ...state, directory, leaderAheadMs, answeredAtMs: moment.monotonicMs, statuses: keepOwned(state, directory) }
   return { state: next, effects: [...(changed ? tellChanged(next) : []), ...tellConfirmed(next, changed, askedAtMs)] }
 }
 
@@ -186,18 +191,21 @@
 function isQuiet (state: MembershipState, database: string, primary: boolean, moment: Moment): boolean {
   const held = state.statuses.get(database)
   const quietMs = primary ? state.timing.quietMs : state.timing.replicaQuietMs
-  return held === undefined || !held.status.answering || moment.monotonicMs - held.askedAtMs >= quietMs
+  if (held === undefined || !held.status.answering || moment.monotonicMs - held.askedAtMs >= quietMs) return true
+  return primary && moment.monotonicMs - (held.provenAtMs ?? -Infinity) >= UNPROVEN_MS
 }
 
 function takeAnswered (state: MembershipState, { database, position, askedAtMs, proven }: Answered): MembershipState {
   const known = state.statuses.get(database)
   if (known !== undefined && known.askedAtMs > askedAtMs) return state
   const status: DatabaseStatus = { fencedTerm: 0, ...known?.status, database, answering: true, position, primary: proven }
-  return { ...state, statuses: new Map(state.statuses).set(database, { status, askedAtMs }) }
+  return { ...state, statuses: new Map(state.statuses).set(database, { status, askedAtMs, provenAtMs: proven ? askedAtMs : known?.provenAtMs }) }
 }
 
 function takeProbe (state: MembershipState, message: Probed): MembershipStep {
-  const statuses = new Map(state.statuses).set(message.status.database, { status: message.status, askedAtMs: message.askedAtMs })
+  const { status, askedAtMs } = message
+  const provenAtMs = status.primary ? askedAtMs : state.statuses.get(status.database)?.provenAtMs
+  const statuses = new Map(state.statuses).set(status.database, { status, askedAtMs, provenAtMs })
   const effects: CoreEffect[] = [tell({ kind: 'routing/status-read', status: message.status, askedAtMs: message.askedAtMs })]
   if (message.status.answering) {
     effects.push(tell({ kind: 'transactions/position-read', database: message.status.database, position: message.status.position }))
--- a/src/membership/discovery.ts
+++ b/src/membership/discovery.ts
@@ -33,7 +33,7 @@
   const { leader, epoch } = message
   if (epoch < state.epoch) return { state: { ...state, leading: undefined }, effects: [tell({ kind: 'shares/leadership', leads: false, epoch })] }
   const lostLeader = state.leader !== undefined && state.leader !== leader ? state.leader : state.lostLeader
-  const following: MembershipState = { ...state, leader, lostLeader, epoch, leading: undefined, answeredAtMs: moment.monotonicMs }
+  const following: MembershipState = { ...state, leader, lostLeader, epoch, leading: undefined, leaderAheadMs: undefined, answeredAtMs: moment.monotonicMs }
   const leads = leader !== undefined && leader === state.self?.host
   const told = [tell({ kind: 'shares/leadership', leads, epoch }), tell({ kind: 'admission/leader-changed', leader, epoch })]
   const step = leads ? startLeading(following, epoch, moment) : { state: following, effects: [] }
--- a/src/membership/leader.ts
+++ b/src/membership/leader.ts
@@ -63,12 +63,12 @@
     hosts: new Map(leading.hosts).set(host, report),
     databases: markAnswering(markHeard(leading.databases, beat.databases, moment.monotonicMs), beat, moment.monotonicMs)
   }
-  const answers = isAnswering(next, moment) ? [createAnswer(next, beat)] : []
+  const answers = isAnswering(next, moment) ? [createAnswer(next, beat, moment)] : []
   const answered = answers.length === 0 ? leading.answered : new Map(leading.answered).set(host, moment.monotonicMs)
   const { statuses, databases } = beat
   const told = [
     tell({ kind: 'primacy/reported', host, failureDomain: beat.self.failureDomain, statuses, databases, revision: beat.revision }),
-    tell({ kind: 'succession/reported', host, failureDomain: beat.self.failureDomain, apart: beat.self.apart === true, statuses, databases })
+    tell({ kind: 'succession/reported', host, failureDomain: beat.self.failureDomain, apart: beat.self.apart === true, leftAtMs: beat.leftAtMs, statuses, databases })
   ]
   return { state: { ...state, leading: { ...next, answered } }, effects: [...answers, ...told] }
 }
@@ -80,10 +80,11 @@
   return moment.monotonicMs >= leading.heldUntilMs || leading.awaited.every(host => leading.hosts.has(host))
 }
 
-function createAnswer ({ directory, leaseUntilMs }: Leading, beat: Beat): CoreEffect {
+function createAnswer ({ directory, leaseUntilMs }: Leading, beat: Beat, moment: Moment): CoreEffect {
   const answer = sendPeer(beat.self.host, {
     kind: 'membership/beat-answered',
     round: beat.round,
+    leaderMs: moment.monotonicMs,
     revision: directory.revision,
     changes: listChangesSince(directory, beat.revision)
   })
--- a/src/membership/messages.ts
+++ b/src/membership/messages.ts
@@ -52,6 +52,8 @@
   readonly kind: 'membership/beat'
   readonly round: number
   readonly self: HostEntry
+  /** The leader's time at which the beat left, as its last answer lets the host reckon it; absent before any. */
+  readonly leftAtMs?: number
   /** The revision that the host has in force. */
   readonly revision: Revision
   readonly databases: readonly DatabaseEntry[]
@@ -64,6 +66,8 @@
   /** The leader; filled in by the receiving host. */
   readonly from?: string
   readonly round: number
+  /** The leader's time as it answered. */
+  readonly leaderMs?: number
   readonly revision: Revision
   readonly changes: readonly DirectoryChange[]
 }
--- a/src/membership/state.ts
+++ b/src/membership/state.ts
@@ -29,6 +29,8 @@
 export interface HeldStatus {
   readonly status: DatabaseStatus
   readonly askedAtMs: number
+  /** The same of the last answer that proved the database to be primary. */
+  readonly provenAtMs?: number
 }
 
 /** A host as the leader knows it. */
@@ -68,6 +70,8 @@
   readonly epoch: number
   /** When the leader was learned, or last answered. */
   readonly answeredAtMs: number
+  /** The leader's clock less this host's, as far as its last answer shows; absent for a leader that has not answered. */
+  readonly leaderAheadMs?: number
   /** The number of the last beat, and when it left. */
   readonly round: number
   readonly askedAtMs: ReadonlyMap<number, number>
--- a/src/succession/choose.ts
+++ b/src/succession/choose.ts
@@ -16,11 +16,13 @@
 const NEWS_MS = 3_000
 /** How long before the primary's last answer a replica has to be silent to hold nothing that was acknowledged last: many times the replication delay. */
 const LONG_SILENT_MS = 3_000
+/** How long a primary may answer without a proof of its lead: several of its owner's questions, and a promotion. */
+const UNPROVEN_MS = 5_000
 /** How long a new leader waits for the hosts' reports. */
 const REPORTS_MS = 400
 
 /** Why a primary has to be replaced. */
-export type Reason = 'silent' | 'departing' | 'gone'
+export type Reason = 'silent' | 'departing' | 'gone' | 'unproven'
 
 /**
  * Returns the database that leads a group, as far as the leader knows.
@@ -47,7 +49,10 @@
   if (primary.entry.departing) return 'departing'
   const sinceMs = Math.max(primary.answeredAtMs ?? primary.knownSinceMs + OWNER_MOVES_MS, state.ledAtMs + REPORTS_MS)
   const patienceMs = isOwnerMoving(state, primary, nowMs) ? OWNER_MOVES_MS : SILENT_MS
-  return nowMs - sinceMs >= patienceMs ? 'silent' : undefined
+  if (nowMs - sinceMs >= patienceMs) return 'silent'
+  // Its owner asks a primary for its role each second, so one that answers and proves nothing does not lead.
+  const provenSinceMs = Math.max(primary.provenAtMs ?? primary.knownSinceMs, state.ledAtMs, state.changedAtMs.get(primary.entry.group) ?? 0)
+  return nowMs - provenSinceMs >= UNPROVEN_MS ? 'unproven' : undefined
 }
 
 // Only the owner is silent: another host of the failure domain takes its place. Where all of them are silent, the domain is cut off.
--- a/src/succession/decide.test.ts
+++ b/src/succession/decide.test.ts
@@ -34,6 +34,8 @@
   readonly silentHosts = new Set<number>()
   readonly silentDatabases = new Set<number>()
   readonly offsets = [50, 48, 49]
+  /** How long reports are on their way. */
+  delayMs = 0
 
   static create (): Leader {
     const leader = new Leader()
@@ -72,7 +74,7 @@
     const entry = this.#entries.get(index)!
     const answering = !this.silentDatabases.has(index)
     const status: DatabaseStatus = { database: entry.database, answering, primary: index === primary, position: { term: 1, offset: this.offsets[index]! }, fencedTerm: 0, ageMs: 0 }
-    this.#take({ kind: 'succession/reported', host: `host-${index}`, failureDomain: entry.failureDomain, apart: false, statuses: [status], databases: [entry] })
+    this.#take({ kind: 'succession/reported', host: `host-${index}`, failureDomain: entry.failureDomain, apart: false, leftAtMs: this.#nowMs - this.delayMs, statuses: [status], databases: [entry] })
   }
 
   #take (message: SuccessionMessage): void {
@@ -137,6 +139,30 @@
     expect(leader.published).to.deep.equal(['db-0', 'db-2'])
   })
 
+  it('takes a report that was held up on its way for as old as it is', () => {
+    const leader = Leader.create()
+    leader.run(3_000)
+    leader.silentDatabases.add(0)
+    leader.run(1_000)
+    leader.answer('done')
+    leader.silentDatabases.clear()
+    leader.run(6_000, 2)
+    // What the former primary proved before the change arrives long after it.
+    leader.delayMs = 8_000
+    leader.run(100, 0)
+    leader.delayMs = 0
+    leader.run(500, -1)
+    expect(leader.published).to.deep.equal(['db-0', undefined, 'db-2'])
+  })
+
+  it('appoints the database that holds the most when the one that was published answers and proves no lead', () => {
+    const leader = Leader.create()
+    leader.run(3_000)
+    leader.offsets[1] = 60
+    leader.run(6_000, -1)
+    expect(leader.calls.map(call => call.database)).to.deep.equal(['db-1'])
+  })
+
   it('raises the fence with each appointment and each leader, and never calls again after a refusal', () => {
     const leader = Leader.create()
     leader.run(3_000)
--- a/src/succession/decide.ts
+++ b/src/succession/decide.ts
@@ -65,21 +65,23 @@
   return state.leads && changed ? checkGroup(next, group, nowMs) : keep(next)
 }
 
-function takeReport (state: SuccessionState, { host, failureDomain, apart, statuses, databases }: Reported, nowMs: number): SuccessionState {
+function takeReport (state: SuccessionState, { host, failureDomain, apart, leftAtMs, statuses, databases }: Reported, nowMs: number): SuccessionState {
   const known = new Map(state.databases)
   for (const entry of databases) known.set(entry.database, { knownSinceMs: nowMs, ...known.get(entry.database), entry, heardAtMs: nowMs })
-  for (const status of statuses) takeStatus(known, host, status, nowMs)
+  // A report that was held up on its way is as old as it is; of one whose age is not known nothing is proven.
+  const sentAtMs = Math.min(nowMs, leftAtMs ?? nowMs)
+  for (const status of statuses) takeStatus(known, host, leftAtMs === undefined ? { ...status, primary: false } : status, sentAtMs)
   const members = new Map([...state.members, ...known])
   return { ...state, databases: known, members, hosts: new Map(state.hosts).set(host, { heardAtMs: nowMs, failureDomain, apart }) }
 }
 
-function takeStatus (databases: Map<string, KnownDatabase>, host: string, status: DatabaseStatus, nowMs: number): void {
+function takeStatus (databases: Map<string, KnownDatabase>, host: string, status: DatabaseStatus, sentAtMs: number): void {
   const known = databases.get(status.database)
   if (known === undefined) return
-  const answeredAtMs = nowMs - (status.ageMs ?? 0)
+  const answeredAtMs = sentAtMs - (status.ageMs ?? 0)
   if (!status.answering) databases.set(status.database, { ...known, owner: host })
   else if (answeredAtMs >= (known.answeredAtMs ?? 0)) {
-    databases.set(status.database, { ...known, owner: host, status, answeredAtMs, heardAtMs: nowMs, provenAtMs: status.primary ? answeredAtMs : known.provenAtMs })
+    databases.set(status.database, { ...known, owner: host, status, answeredAtMs, heardAtMs: Math.max(known.heardAtMs, sentAtMs), provenAtMs: status.primary ? answeredAtMs : known.provenAtMs })
   }
 }
 
--- a/src/succession/messages.ts
+++ b/src/succession/messages.ts
@@ -25,6 +25,8 @@
   readonly failureDomain: string
   /** True for a host that takes no work for databases. */
   readonly apart: boolean
+  /** The leader's time at which the report left; absent when the host could not reckon it. */
+  readonly leftAtMs?: number
   readonly statuses: readonly DatabaseStatus[]
   readonly databases: readonly DatabaseEntry[]
 }
