--- a/scripts/pages.ts
+++ b/scripts/pages.ts
@@ -35,7 +35,7 @@
   })
   return `# Errors
 
-Every error that a caller may see. The detail of an error says "not run" only where that is certain; such a request may be sent again. Where the effect is unknown, the request may have run. This page is written by \`npm run pages\` from \`src/core/errors.ts\`. What an operator does about them stands in [OPERATORS.md](OPERATORS.md).
+Every error that a caller may see. The detail of an error says "not run" only where that is certain; such a request may be sent again. Where the effect is unknown, the request may have run. This page is written by \`npm run pages\` from \`src/core/errors.ts\`. What an operator does about them stands in [OPERATIONS.md](OPERATIONS.md).
 
 | code | SQLSTATE | effect | text |
 |---|---|---|---|
