Tells the end of a link when it ends, and gives owners time to report to a new leader

Links whose peer had ended its session gracefully were found closed only with the next message for that peer, so when a restarted host took its databases back, the first requests sent to it failed as unknown ('host was lost') though they had left on the new link. A second cause, by reading: a primary that had not been reported to a new leader yet was replaced after 1 s, for only a primary with a known owner had the longer patience. Change: sessions are looked at every 100 ms; a primary that nobody has reported to this leader counts as moving. The test of the decision fails without the change. The test of the link passed before, too: on loopback within one process the stream does end.

--- a/src/peers/connect.ts
+++ b/src/peers/connect.ts
@@ -21,6 +21,8 @@
 
 /** How long a host that could not be reached is not tried again: attempts then cost little, and what is meant for it is refused at once. */
 const TRY_AGAIN_MS = 200
+/** Time between two looks at the sessions: within it, a host that left gracefully gets no new requests. */
+const LOOK_EVERY_MS = 100
 /** What somebody waits for an answer to. */
 const AWAITED_KIND: HostMessage['kind'] = 'transactions/run'
 
@@ -52,6 +54,7 @@
   readonly #links = new Map<string, OpenLink>()
   /** Hosts that could not be reached, and until when they are not tried again. */
   readonly #unreachable = new Map<string, number>()
+  readonly #looking: NodeJS.Timeout
   #closed = false
 
   private constructor (self: string, post: Post, onLost: OnLost, watch: LinkWatch) {
@@ -60,6 +63,7 @@
     this.#post = post
     this.#onLost = onLost
     this.#watch = watch
+    this.#looking = setInterval(() => this.#loseClosed(), LOOK_EVERY_MS).unref()
   }
 
   /**
@@ -102,6 +106,7 @@
 
   async [Symbol.asyncDispose] (): Promise<void> {
     this.#closed = true
+    clearInterval(this.#looking)
     for (const host of [...this.#links.keys()]) this.#drop(host)
   }
 
@@ -145,14 +150,17 @@
     return false
   }
 
-  // A peer that ends its session may leave the stream on it without an end.
   #findOpen (host: string): OpenLink | undefined {
     const link = this.#links.get(host)
-    const state = link?.session.state()
-    if (state === 'closed' || state === 'error') this.#lose(host, link!)
+    if (link !== undefined && isClosed(link)) this.#lose(host, link)
     return this.#links.get(host)
   }
 
+  // A peer that ends its session may leave the stream on it without an end.
+  #loseClosed (): void {
+    for (const [host, link] of this.#links) if (isClosed(link)) this.#lose(host, link)
+  }
+
   #open (host: string): OpenLink | undefined {
     const address = this.#addresses.get(host) ?? findAddress(host)
     if (address === undefined || this.#closed) return undefined
@@ -205,6 +213,11 @@
   }
 }
 
+function isClosed ({ session }: OpenLink): boolean {
+  const state = session.state()
+  return state === 'closed' || state === 'error'
+}
+
 // A host that is known by its address alone is named by it.
 function findAddress (host: string): string | undefined {
   return /^\d+(\.\d+){3}:\d+$/.test(host) ? host : undefined
--- a/src/peers/reopen.test.ts
+++ b/src/peers/reopen.test.ts
@@ -5,6 +5,8 @@
 import { ConnectPeerLink } from './connect.js'
 
 const POLL_MS = 20
+/** Longer than a message takes on loopback. */
+const SETTLE_MS = 200
 const WATCH = { clock: StampClock.create(), onTraffic: () => undefined }
 const HINT: Message & { readonly leader: string, readonly epoch: number } = { kind: 'membership/leader-hint', leader: 'h1', epoch: 1 }
 
@@ -30,6 +32,26 @@
     })
   })
 
+  it('tells the end of a session when it ends, not with the next message for the host that came back', async () => {
+    const lost: string[] = []
+    await using link = ConnectPeerLink.create('h1', () => undefined, host => {
+      lost.push(host)
+      return []
+    }, WATCH)
+    const receiver = ConnectPeerLink.create('h2', () => undefined, () => [], WATCH)
+    const first = await listenForPeers('127.0.0.1:0', router => receiver.addRoutes(router))
+    link.learnAddresses([{ host: 'h2', peers: first.address }])
+    link.carryOut({ kind: 'peer/send', to: 'h2', message: HINT })
+    await new Promise(resolve => setTimeout(resolve, SETTLE_MS))
+    await first[Symbol.asyncDispose]()
+    await pollUntil(() => lost.length > 0)
+    await using second = await listenForPeers(first.address, router => receiver.addRoutes(router))
+    expect(second.address).to.equal(first.address)
+    link.carryOut({ kind: 'peer/send', to: 'h2', message: { kind: 'transactions/run' } })
+    await new Promise(resolve => setTimeout(resolve, SETTLE_MS))
+    expect(lost).to.deep.equal(['h2'])
+  })
+
   it('tells that nothing left for a host that could not be reached', async () => {
     const lost: boolean[] = []
     const gone = await listenForPeers('127.0.0.1:0', () => undefined)
--- a/src/primacy/decide.test.ts
+++ b/src/primacy/decide.test.ts
@@ -72,6 +72,21 @@
     expect(listKinds(fake)).to.deep.equal([])
   })
 
+  it('gives the owner of a primary time to report to a new leader, and replaces one that nobody reports', () => {
+    const look = (ownerReportsFromMs: number): readonly string[] => {
+      const fake = createLeader()
+      for (let nowMs = 0; nowMs <= 4_000; nowMs += 100) {
+        report(fake, 'h2', 'east', [['d2', 4]], nowMs)
+        report(fake, 'h3', 'south', [['d3', 4]], nowMs)
+        if (nowMs >= ownerReportsFromMs) report(fake, 'h4', 'north', [['d1', 4]], nowMs)
+        send(fake, { kind: 'primacy/check-due' }, nowMs)
+      }
+      return listKinds(fake)
+    }
+    expect(look(1_900)).to.deep.equal([])
+    expect(look(Infinity)).to.include('primacy/end')
+  })
+
   it('makes changes of a flapping primary wait longer and longer, within a bound', () => {
     const changed = (...times: readonly number[]): PrimacyState => ({ ...createPrimacyState(), changedAtMs: new Map([['g', times]]) })
     const waits = [[], [0], [0, 0], [0, 0, 0], [0, 0, 0, 0, 0, 0]].map(times => readDampedUntil(changed(...times), 'g', 10))
--- a/src/primacy/detect.ts
+++ b/src/primacy/detect.ts
@@ -74,11 +74,12 @@
   return silentMs >= (isOwnershipMoving(state, database, nowMs) ? OWNERSHIP_MOVES_MS : SILENT_MS)
 }
 
-// The owner went silent, and another host of the failure domain will take its place.
+// The owner went silent, and another host of the failure domain will take its place; or it has yet to report to this leader.
 function isOwnershipMoving (state: PrimacyState, database: string, nowMs: number): boolean {
   const known = state.databases.get(database)
-  const owner = known?.owner === undefined ? undefined : state.hosts.get(known.owner)
-  if (known === undefined || (owner !== undefined && nowMs - owner.heardAtMs < SILENT_MS)) return false
+  if (known?.owner === undefined) return true
+  const owner = state.hosts.get(known.owner)
+  if (owner !== undefined && nowMs - owner.heardAtMs < SILENT_MS) return false
   return [...state.hosts.values()].some(host => host.failureDomain === known.entry.failureDomain && nowMs - host.heardAtMs < SILENT_MS)
 }
 
