Lets requests wait for a token that comes in time, and tells refused ones when to come back

Cause: a leader's reserve starts empty, and a host that was lent nothing refused all that waited, though a token was milliseconds away; a restarted host has nothing but loans. Ruled out: lost loans (the lease and the leader answered), a rate that was used up (6 callers with 20 ms pauses). Change: the leader tells when its reserve has another token; a request waits while a token of the own share or of the reserve comes within half of its latency target (250 ms where there is none), ordered by priority and then by the time left; all others are refused at once with the time to come back, spread by a random part.

--- a/src/admission/decide.ts
+++ b/src/admission/decide.ts
@@ -10,7 +10,7 @@
 import { holdsKey } from './keys.js'
 import { askShares, followLeader, takeShares } from './lease.js'
 import type { AdmissionMessage, CallerClosed, CheckOpen, CheckRequest, DocumentsConfirmed } from './messages.js'
-import { admit, endOverdue, takeLent, takeToken, type AdmissionStep, type AdmissionStore } from './rates.js'
+import { admit, endOverdue, takeDue, takeLent, takeToken, type AdmissionStep, type AdmissionStore } from './rates.js'
 import type { AdmissionShared } from './state.js'
 import { tell } from '../messages.js'
 
@@ -34,6 +34,7 @@
     case 'admission/shares-answered': return takeShares(store, message, moment)
     case 'admission/lent': return takeLent(store, message, moment)
     case 'admission/loan-overdue': return endOverdue(store, message, moment)
+    case 'admission/tokens-due': return takeDue(store, message, moment)
   }
 }
 
--- a/src/admission/messages.ts
+++ b/src/admission/messages.ts
@@ -72,6 +72,8 @@
   readonly loan: number
   readonly workspace: string
   readonly tokens: number
+  /** How long the reserve takes for another token; 0 when it has more. */
+  readonly nextMs: number
 }
 
 /** A loan was not answered in time. */
@@ -82,6 +84,12 @@
   readonly workspace: string
 }
 
+/** A token of the share has come in, or a loan may be asked for again. */
+export interface TokensDue {
+  readonly kind: 'admission/tokens-due'
+  readonly workspace: string
+}
+
 /** Any message of the admission slice. */
 export type AdmissionMessage =
   | CheckOpen
@@ -93,3 +101,4 @@
   | SharesAnswered
   | Lent
   | LoanOverdue
+  | TokensDue
--- a/src/admission/state.ts
+++ b/src/admission/state.ts
@@ -41,7 +41,7 @@
   readonly callers: KeyedCallers
 }
 
-/** A request that waits for tokens of the reserve. */
+/** A request that waits for a token. */
 export interface WaitingRequest extends WorkName {
   readonly rules: RouteRules
   readonly sinceMs: number
@@ -71,6 +71,8 @@
   readonly loan?: AskedLoan
   /** No loan is asked for before this time: the last one brought too little. */
   readonly pausedUntilMs: number
+  /** How long the leader's reserve takes for another token, as it last told. */
+  readonly nextMs?: number
 }
 
 /**
--- /dev/null
+++ b/src/admission/waiting.test.ts
@@ -0,0 +1,77 @@
+import { expect } from 'chai'
+import { createRandom, RatesWorld } from '../../test/support/rates.js'
+import type { RouteRules } from '../requests/messages.js'
+import { createAllowance } from './allowance.js'
+import type { Allowance, WaitingRequest } from './state.js'
+import { addWaiting, keepHopeful, readRetryMs } from './waiting.js'
+
+const HOSTS = Array.from({ length: 9 }, (_, index) => `h${index + 1}`)
+const NO_FAULTS = { dropped: 0, doubled: 0, late: 0 }
+const LIMIT = { rate: 84, burst: 84 }
+const MOMENT = { monotonicMs: 1_000, wallMs: 0, random: 0.5 }
+
+function createRequest (caller: string, latencyMs?: number, priority?: number, sinceMs = 1_000): WaitingRequest {
+  const rules: RouteRules = { group: 'a', action: 'read', maxStalenessMs: 0, idempotent: false, latencyMs, priority }
+  return { caller, attempt: 1, rules, sinceMs }
+}
+
+function createWaiting (rate: number, ...waiting: readonly WaitingRequest[]): Allowance {
+  return { ...createAllowance(LIMIT, 1_000), bucket: { rate, burst: 10, tokens: 0, countedAtMs: 1_000 }, waiting }
+}
+
+function listNames (requests: readonly WaitingRequest[]): readonly string[] {
+  return requests.map(request => request.caller)
+}
+
+// The part of what is asked within the rate that is refused in the first 2 s after all hosts and the leader started.
+function runRestart (seed: number): number {
+  const random = createRandom(seed)
+  const world = RatesWorld.create(HOSTS, LIMIT, NO_FAULTS, seed, true)
+  world.changeLeader('h1', 0)
+  world.schedule(4_000, () => {
+    for (const host of HOSTS) world.restart(host)
+    world.changeLeader('h2', 100)
+  })
+  for (let atMs = 4_200; atMs < 6_200; atMs += -Math.log(1 - random()) * 1_000 / (LIMIT.rate * 0.8)) {
+    const host = HOSTS[Math.floor(random() * HOSTS.length)]!
+    world.schedule(atMs, () => world.arrive(host))
+  }
+  world.run(8_000)
+  return world.decided.filter(one => !one.admitted).length / world.decided.length
+}
+
+describe('waiting for a token', () => {
+  it('serves what is within the rate after all hosts and the leader have started, when every bucket is empty', () => {
+    const refused = Array.from({ length: 20 }, (_, seed) => runRestart(seed + 1)).reduce((sum, part) => sum + part, 0) / 20
+    expect(refused).to.be.below(0.05)
+  })
+
+  it('lets a request wait for a token that comes within half of its latency target, and refuses any other at once', () => {
+    const waiting = [createRequest('soon', 500), createRequest('later', 500), createRequest('hopeless', 500)]
+    const { kept, refused } = keepHopeful(createWaiting(10, ...waiting), MOMENT)
+    expect(listNames(kept)).to.deep.equal(['soon', 'later'])
+    expect(listNames(refused)).to.deep.equal(['hopeless'])
+  })
+
+  it('lets a request that waited for a new leader wait on while the token that the leader told of is near', () => {
+    const allowance: Allowance = { ...createWaiting(0, createRequest('a', undefined, undefined, 200)), nextMs: 20, pausedUntilMs: 1_025 }
+    expect(listNames(keepHopeful(allowance, MOMENT).kept)).to.deep.equal(['a'])
+    expect(listNames(keepHopeful({ ...allowance, pausedUntilMs: 1_300 }, MOMENT).refused)).to.deep.equal(['a'])
+  })
+
+  it('refuses at once where neither this host nor the leader has a rate to give', () => {
+    expect(listNames(keepHopeful(createWaiting(0, createRequest('a')), MOMENT).refused)).to.deep.equal(['a'])
+  })
+
+  it('orders by priority, then by the time that is left', () => {
+    const requests = [createRequest('idle', 500, 2), createRequest('none', 100), createRequest('urgent', 500, 1), createRequest('short', 100, 2)]
+    const waiting = requests.reduce<readonly WaitingRequest[]>(addWaiting, [])
+    expect(listNames(waiting)).to.deep.equal(['urgent', 'short', 'idle', 'none'])
+  })
+
+  it('tells a refused caller to come back after those before it, at a time of its own', () => {
+    const allowance = createWaiting(10, createRequest('a', 500), createRequest('b', 500))
+    expect([0, 0.5].map(random => readRetryMs(allowance, { ...MOMENT, random }))).to.deep.equal([300, 450])
+    expect(readRetryMs(createWaiting(0), MOMENT)).to.equal(1_500)
+  })
+})
--- a/src/shares/decide.ts
+++ b/src/shares/decide.ts
@@ -9,7 +9,7 @@
 import { UNCHANGED, type Store, type StoreStep } from '../core/store.js'
 import { sendPeer, setTimer, tell } from '../messages.js'
 import type { Asked, HeldShare, Leadership, LimitsChanged, SharesMessage, Wanted } from './messages.js'
-import { changeCommitted, chooseParts, createAllotment, endLoans, giveTokens, refillReserve } from './reserve.js'
+import { changeCommitted, chooseParts, createAllotment, endLoans, giveTokens, readNextMs, refillReserve } from './reserve.js'
 import { LEASE_SLACK_MS, LOAN_MS, LOAN_SLACK_MS, RESERVE_PARTS, SHARE_LEASE_MS, TOTAL_PARTS, readCommitted, type Allotment, type Grant, type Holder, type KnownLimit, type Share, type SharesItem, type SharesShared } from './state.js'
 
 const SWEEP_EVERY_MS = 250
@@ -171,7 +171,7 @@
   if (!isAnswering(shared, message.epoch, moment) || from === undefined || limit === undefined) return UNCHANGED
   const refilled = endLoans(refillReserve(findAllotment(store, workspace, limit), limit, moment.monotonicMs), message)
   const lent = giveTokens(refilled, limit, message, moment.monotonicMs)
-  const answer = sendPeer(from, { kind: 'admission/lent', holder, loan, workspace, tokens: lent.tokens })
+  const answer = sendPeer(from, { kind: 'admission/lent', holder, loan, workspace, tokens: lent.tokens, nextMs: readNextMs(lent.allotment, limit, moment.monotonicMs) })
   return { changes: [createChange(lent.allotment)], effects: [{ ...answer, notAfterMs: shared.leaseUntilMs }] }
 }
 
--- a/src/shares/reserve.ts
+++ b/src/shares/reserve.ts
@@ -7,6 +7,8 @@
 const MS_PER_SECOND = 1_000
 /** The demand that each host counts for beside its own, as a part of the rate: a host has a share before its first request. */
 const IDLE_PART = 0.02
+/** What stands for never in a message: far beyond any wait. */
+const NEVER_MS = 3_600_000
 /** The least burst for which a host gets a share of its own. */
 const USEFUL_TOKENS = 4
 /** A share is left as it is until its target is this many times its size. */
@@ -76,6 +78,18 @@
   return { allotment: next, tokens }
 }
 
+/**
+ * Tells how long the reserve takes until it has a whole token; 0 when it has one.
+ * @example readNextMs(lent.allotment, limit, moment.monotonicMs)
+ */
+export function readNextMs (allotment: Allotment, limit: KnownLimit, nowMs: number): number {
+  if (limit.rate === 0) return NEVER_MS
+  if (allotment.tokens >= 1) return 0
+  // Without room for another token, the end of a loan makes it.
+  if (readBurst(allotment, limit) - countLent(allotment) < 1) return LOAN_MS
+  return Math.max(0, allotment.countedAtMs - nowMs) + (1 - allotment.tokens) * MS_PER_SECOND / (limit.rate * readReserved(allotment))
+}
+
 /**
  * Chooses the share of a holder by its part of the demand, from what is free. All that is not reserved is given,
  * so that a host which is cut off can serve what its callers usually ask for, and more.
