Recovers sooner after all hosts were restarted or the leader's zone was cut off

Change: a primary of which the leader knows from the directory before it, and of whose failure domain no host has reported since, counts as silent from the start of the lead; members that have all just started elect at once; the control hosts remember the databases of the directory in their log. Remembered databases are no sign of a cut. Figures: a cut zone's primary is replaced within 1 s of the next leader (decide.test.ts; no call within 1 s before).

--- a/src/agreement/catalog.ts
+++ b/src/agreement/catalog.ts
@@ -1,5 +1,6 @@
 /** The catalog: the state that the control hosts agree on. */
 import { applyDocumentsCommand, NO_DOCUMENTS, type DocumentOutcome, type DocumentsCommand, type DocumentsTable } from '../documents/table.js'
+import { applyRememberCommand, type RememberCommand, type RememberedTable } from '../membership/remembered.js'
 import { applyPrimacyCommand, type GroupsTable, type PrimacyCommand } from '../primacy/table.js'
 import { applyRegisterCommand, type HoldersTable, type RegisterCommand } from '../shares/holders.js'
 import { applySuccessionCommand, type SuccessionCommand, type SuccessionTable } from '../succession/table.js'
@@ -13,10 +14,12 @@
   readonly successions: SuccessionTable
   /** Hosts that may hold shares of rates. */
   readonly holders: HoldersTable
+  /** The databases of the leader's directory; absent in a snapshot that is older than it. */
+  readonly databases?: RememberedTable
 }
 
 /** Any command of the log. */
-export type CatalogCommand = DocumentsCommand | PrimacyCommand | RegisterCommand | SuccessionCommand
+export type CatalogCommand = DocumentsCommand | PrimacyCommand | RegisterCommand | RememberCommand | SuccessionCommand
 
 /** The outcome of a command; undefined where nobody waits for it. */
 export type CatalogOutcome = DocumentOutcome | undefined
@@ -44,6 +47,7 @@
       case 'succession/appoint':
       case 'succession/settle': return { state: { ...state, successions: applySuccessionCommand(state.successions, command) }, outcome: undefined }
       case 'shares/register': return { state: { ...state, holders: applyRegisterCommand(state.holders, command) }, outcome: undefined }
+      case 'membership/remember': return { state: { ...state, databases: applyRememberCommand(state.databases ?? {}, command) }, outcome: undefined }
       default: return { state: { ...state, groups: applyPrimacyCommand(state.groups, command) }, outcome: undefined }
     }
   }
--- a/src/agreement/decide.ts
+++ b/src/agreement/decide.ts
@@ -72,6 +72,7 @@
     case 'succession/appoint':
     case 'succession/settle': return tell({ kind: 'succession/applied', command, table: state.successions })
     case 'shares/register': return tell({ kind: 'shares/registered', holders: state.holders })
+    case 'membership/remember': return tell({ kind: 'membership/remembered', databases: state.databases ?? {} })
     default: return tell({ kind: 'primacy/applied', proposal, command, table: state.groups })
   }
 }
@@ -80,6 +81,7 @@
   const leads = leader === self
   return [
     tell({ kind: 'shares/registered', holders: state.holders }),
+    tell({ kind: 'membership/remembered', databases: state.databases ?? {} }),
     tell({ kind: 'membership/leader-changed', leader, epoch }),
     tell({ kind: 'operations/leader-known', leader }),
     tell({ kind: 'documents/leadership', leads, epoch, table: state.documents }),
--- a/src/agreement/decidereplica.ts
+++ b/src/agreement/decidereplica.ts
@@ -1,6 +1,6 @@
 /** Decisions of one replica of the log, over any state machine. */
 import { sendPeer, setTimer, type Moment } from '../core/message.js'
-import { askAround, drawElection, takeAsk, takeVote } from './election.js'
+import { askAround, askCold, drawElection, isColdAsker, takeAsk, takeVote } from './election.js'
 import { takeAppend, takeInstall } from './following.js'
 import { announceWaiting, createGroup, takeEmpty } from './forming.js'
 import { appendOwn, lead, startLeading, takeAppended, takeInstalled, takeLearner } from './leading.js'
@@ -50,6 +50,8 @@
     applied: snapshot.state,
     // A vote or an answer to a leader may have left just before the restart.
     heardAtMs: moment.monotonicMs,
+    cold: mark.group !== undefined,
+    startedAtMs: moment.monotonicMs,
     electionAtMs: drawElection(moment)
   }
   return { state, effects: [setTimer('agreement/tick', TICK_MS, { kind: 'agreement/tick' })] }
@@ -60,7 +62,10 @@
   return continueWith(ticked, next => {
     if (next.role === 'leader') return lead(next, moment)
     const waiting = continueWith(announceWaiting<S, C, O>(next), announced => createGroup(announced, moment))
-    return continueWith(waiting, formed => (moment.monotonicMs >= formed.electionAtMs ? askAround(formed, moment) : keep(formed)))
+    return continueWith(waiting, formed => {
+      if (moment.monotonicMs >= formed.electionAtMs) return askAround(formed, moment)
+      return isColdAsker(formed, moment) ? askCold(formed, moment) : keep(formed)
+    })
   })
 }
 
--- a/src/agreement/election.ts
+++ b/src/agreement/election.ts
@@ -2,7 +2,7 @@
 import { assertInvariant } from '../core/invariant.js'
 import { sendPeer, type CoreEffect, type Moment } from '../core/message.js'
 import { hasQuorum, readLast, readQuorum, type LogCommand, type LogPoint } from './log.js'
-import { continueWith, ELECTION_MIN_MS, ELECTION_SPREAD_MS, isMember, keep, LEADER_LEASE_MS, listOthers, matchesSelf, nameReplica, sendSynced, storeRecords, type JournalRecord, type Mark, type ReplicaEffect, type ReplicaState, type ReplicaStep, type VoteAnswered, type VoteAsked } from './replica.js'
+import { COLD_STEP_MS, continueWith, ELECTION_MIN_MS, ELECTION_SPREAD_MS, isMember, keep, LEADER_LEASE_MS, listOthers, matchesSelf, nameReplica, sendSynced, storeRecords, type JournalRecord, type Mark, type ReplicaEffect, type ReplicaState, type ReplicaStep, type Vote, type VoteAnswered, type VoteAsked } from './replica.js'
 
 /** Draws the time of the next election. */
 export function drawElection (moment: Moment): number {
@@ -40,12 +40,34 @@
   const electionAtMs = drawElection(moment)
   if (!isMember(state) || state.mark.group === undefined) return keep({ ...state, electionAtMs })
   return continueWith(loseLeader<S, C, O>({ ...state, electionAtMs }), down => {
-    const votes = new Map([[state.self, { incarnation: state.incarnation, sentAtMs: moment.monotonicMs }]])
-    const asking: ReplicaState<S, C> = { ...down, role: 'asking', votes }
-    return continueWith<S, C, O>({ state: asking, effects: createAsks(asking, true, state.mark.term + 1, moment) }, asked => advanceIfWanted(asked, moment))
+    const asking: ReplicaState<S, C> = { ...down, role: 'asking', votes: createOwnVote(state, moment) }
+    return continueWith<S, C, O>({ state: asking, effects: createAsks(asking, { pre: true, cold: false }, state.mark.term + 1, moment) }, asked => advanceIfWanted(asked, moment))
   })
 }
 
+/**
+ * Tells whether this host may ask the others before its election is due: it has heard no leader since it
+ * started, and the members that come before it have had their chance.
+ */
+export function isColdAsker<S, C extends LogCommand> (state: ReplicaState<S, C>, moment: Moment): boolean {
+  if (!state.cold || !hasHeardLeader(state, moment) || !isMember(state) || state.role === 'candidate') return false
+  const place = [...listOthers(state).map(([host]) => host), state.self].sort().indexOf(state.self)
+  return moment.monotonicMs - state.startedAtMs >= place * COLD_STEP_MS
+}
+
+/**
+ * Asks whether all members have just started, too: then no leader's lease is in use, and nobody has to wait
+ * until one would have ended.
+ */
+export function askCold<S, C extends LogCommand, O> (state: ReplicaState<S, C>, moment: Moment): ReplicaStep<S, C, O> {
+  const asking: ReplicaState<S, C> = { ...state, role: 'asking', votes: createOwnVote(state, moment) }
+  return { state: asking, effects: createAsks(asking, { pre: true, cold: true }, state.mark.term + 1, moment) }
+}
+
+function createOwnVote<S, C> (state: ReplicaState<S, C>, moment: Moment): ReadonlyMap<string, Vote> {
+  return new Map([[state.self, { incarnation: state.incarnation, sentAtMs: moment.monotonicMs, ...markCold(hasHeardLeader(state, moment)) }]])
+}
+
 /** Answers a candidate. A vote is stored before it is answered. */
 export function takeAsk<S, C extends LogCommand, O> (state: ReplicaState<S, C>, message: VoteAsked, moment: Moment): ReplicaStep<S, C, O> {
   if (!matchesSelf(state, message)) return keep(state)
@@ -58,7 +80,7 @@
   if (message.known > state.mark.term) return { step: learnTerm(state, message.known), elected: false }
   const wanted = message.pre ? state.role === 'asking' && message.term === state.mark.term + 1 : state.role === 'candidate' && message.term === state.mark.term
   if (!wanted || !message.granted) return { step: keep(state), elected: false }
-  const votes = new Map(state.votes).set(message.from ?? '', { incarnation: message.incarnation, sentAtMs: message.sentAtMs })
+  const votes = new Map(state.votes).set(message.from ?? '', { incarnation: message.incarnation, sentAtMs: message.sentAtMs, ...markCold(message.cold === true) })
   const counted: ReplicaState<S, C> = { ...state, votes }
   if (message.pre) return { step: advanceIfWanted(counted, moment), elected: false }
   return { step: keep(counted), elected: isWanted(counted) }
@@ -75,45 +97,60 @@
   return { kind: 'mark', mark: state.mark }
 }
 
+// Votes of members that have just started count where all members gave theirs: a leader's lease could rest on any other.
 function isWanted<S, C extends LogCommand> (state: ReplicaState<S, C>): boolean {
-  return state.log.configuration !== undefined && hasQuorum(state.log.configuration, (host, incarnation) => state.votes.get(host)?.incarnation === incarnation)
+  const { configuration } = state.log
+  if (configuration === undefined) return false
+  const votesFor = (host: string, incarnation: string): boolean => state.votes.get(host)?.incarnation === incarnation
+  return hasQuorum(configuration, votesFor) && (!isColdElection(state) || listOthers(state).every(([host, incarnation]) => votesFor(host, incarnation)))
+}
+
+function isColdElection<S, C> (state: ReplicaState<S, C>): boolean {
+  return [...state.votes.values()].some(vote => vote.cold === true)
 }
 
 function advanceIfWanted<S, C extends LogCommand, O> (state: ReplicaState<S, C>, moment: Moment): ReplicaStep<S, C, O> {
   if (!isWanted(state)) return keep(state)
   const term = state.mark.term + 1
   const voted = markVote({ ...state, mark: { group: state.mark.group, term } }, state.self)
-  const standing: ReplicaState<S, C> = { ...voted, role: 'candidate', votes: new Map(), electionAtMs: drawElection(moment) }
+  const standing: ReplicaState<S, C> = { ...voted, role: 'candidate', cold: false, votes: new Map(), electionAtMs: drawElection(moment) }
   const own = sendPeer(state.self, createAnswer(standing, { pre: false, term, group: voted.mark.group!, sentAtMs: moment.monotonicMs }, true))
-  return storeRecords(standing, [createMarkRecord(standing)], [own, ...createAsks(standing, false, term, moment)])
+  const asks = createAsks(standing, { pre: false, cold: isColdElection(state) }, term, moment)
+  return storeRecords(standing, [createMarkRecord(standing)], [own, ...asks])
 }
 
-function createAsks<S, C> (state: ReplicaState<S, C>, pre: boolean, term: number, moment: Moment): readonly CoreEffect[] {
+function createAsks<S, C> (state: ReplicaState<S, C>, { pre, cold }: { readonly pre: boolean, readonly cold: boolean }, term: number, moment: Moment): readonly CoreEffect[] {
   return listOthers(state).map(([host, incarnation]) => sendPeer<VoteAsked>(host, {
     kind: 'agreement/vote-asked',
     group: state.mark.group!,
     term,
     pre,
+    ...markCold(cold),
     for: incarnation,
     last: readLast(state.log),
     sentAtMs: moment.monotonicMs
   }))
 }
 
+function markCold (cold: boolean): { readonly cold?: true } {
+  return cold ? { cold } : {}
+}
+
 function answerPreVote<S, C, O> (state: ReplicaState<S, C>, message: VoteAsked, moment: Moment): ReplicaStep<S, C, O> {
-  const granted = message.term > state.mark.term && !hasHeardLeader(state, moment) && coversLog(message.last, readLast(state.log))
-  return { state, effects: [sendPeer(message.from ?? '', createAnswer(state, message, granted))] }
+  const heard = hasHeardLeader(state, moment)
+  const granted = message.term > state.mark.term && (!heard || isBothCold(state, message)) && coversLog(message.last, readLast(state.log))
+  return { state, effects: [sendPeer(message.from ?? '', { ...createAnswer(state, message, granted), ...markCold(granted && heard) })] }
 }
 
 function vote<S, C extends LogCommand, O> (state: ReplicaState<S, C>, message: VoteAsked, moment: Moment): ReplicaStep<S, C, O> {
   const from = message.from ?? ''
-  if (hasHeardLeader(state, moment) || message.term < state.mark.term) return keep(state)
+  if ((hasHeardLeader(state, moment) && !isBothCold(state, message)) || message.term < state.mark.term) return keep(state)
   return continueWith(beginTerm<S, C, O>(state, message.group, message.term), entered => {
     const { votedFor } = entered.mark
     if (votedFor === from) return sendSynced(entered, sendPeer(from, createAnswer(entered, message, true)))
     const granted = votedFor === undefined && coversLog(message.last, readLast(entered.log))
     if (!granted) return storeRecords(entered, [createMarkRecord(entered)], [sendPeer(from, createAnswer(entered, message, false))])
-    const voted: ReplicaState<S, C> = { ...markVote(entered, from), heardAtMs: moment.monotonicMs, electionAtMs: drawElection(moment) }
+    const voted: ReplicaState<S, C> = { ...markVote(entered, from), heardAtMs: moment.monotonicMs, cold: false, electionAtMs: drawElection(moment) }
     return storeRecords(voted, [createMarkRecord(voted)], [sendPeer(from, createAnswer(voted, message, true))])
   })
 }
@@ -128,6 +165,10 @@
   return { kind: 'agreement/vote-answered', group, term, pre, sentAtMs, granted, incarnation: state.incarnation, known: state.mark.term }
 }
 
+function isBothCold<S, C> (state: ReplicaState<S, C>, message: VoteAsked): boolean {
+  return state.cold && message.cold === true
+}
+
 function hasHeardLeader<S, C> (state: ReplicaState<S, C>, moment: Moment): boolean {
   if (state.role === 'leader') return moment.monotonicMs < readLease(state)
   return moment.monotonicMs - state.heardAtMs < ELECTION_MIN_MS
--- a/src/agreement/following.ts
+++ b/src/agreement/following.ts
@@ -27,7 +27,7 @@
   const from = message.from ?? ''
   return continueWith(beginTerm<S, C, O>(state, message.group, message.term), entered => {
     assertInvariant(entered.leader === undefined || entered.leader === from, 'one leader in a term', `${entered.leader} and ${from} in ${message.term}`)
-    const next: ReplicaState<S, C> = { ...entered, role: 'follower', votes: new Map(), leader: from, heardAtMs: moment.monotonicMs, electionAtMs: drawElection(moment) }
+    const next: ReplicaState<S, C> = { ...entered, role: 'follower', votes: new Map(), leader: from, heardAtMs: moment.monotonicMs, cold: false, electionAtMs: drawElection(moment) }
     if (entered.leader === from) return keep(next)
     return { state: next, effects: [{ kind: 'replica/leader', leader: from, term: message.term, state: next.applied }] }
   })
--- a/src/agreement/replica.ts
+++ b/src/agreement/replica.ts
@@ -13,6 +13,8 @@
  * ELECTION_MIN_MS by a fifth, which bounds the drift between two clocks' rates.
  */
 export const LEADER_LEASE_MS = 400
+/** The head start that each control host leaves to the one before it when all of them have just started: two round trips and a tick. */
+export const COLD_STEP_MS = 100
 /** Time between two looks at the clock. */
 export const TICK_MS = 50
 
@@ -97,6 +99,8 @@
 export interface VoteAsked extends Envelope {
   readonly kind: 'agreement/vote-asked'
   readonly pre: boolean
+  /** Set while the candidate has heard no leader since its process started, and counts on the same of all others. */
+  readonly cold?: true
   /** The incarnation that is asked. */
   readonly for: string
   readonly last: LogPoint
@@ -107,6 +111,8 @@
   readonly kind: 'agreement/vote-answered'
   readonly pre: boolean
   readonly granted: boolean
+  /** Set where the vote is given just because the voter has heard no leader since its process started. */
+  readonly cold?: true
   readonly incarnation: string
   /** The voter's own term. */
   readonly known: number
@@ -253,6 +259,13 @@
   readonly effects: readonly CoreEffect[]
 }
 
+/** A vote that this host was given. */
+export interface Vote {
+  readonly incarnation: string
+  readonly sentAtMs: number
+  readonly cold?: true
+}
+
 /** State of a replica. */
 export interface ReplicaState<S, C> {
   readonly self: string
@@ -272,9 +285,12 @@
   /** The leader of the current term. */
   readonly leader?: string
   readonly heardAtMs: number
+  /** True until this process hears a leader or votes: no leader's lease can rest on it. */
+  readonly cold: boolean
+  readonly startedAtMs: number
   readonly electionAtMs: number
   /** Votes for this host, with the time at which they were asked for. */
-  readonly votes: ReadonlyMap<string, { readonly incarnation: string, readonly sentAtMs: number }>
+  readonly votes: ReadonlyMap<string, Vote>
   readonly leading?: Leading
   readonly writes: number
   readonly stored: number
@@ -302,6 +318,8 @@
     applied: initial,
     role: 'follower',
     heardAtMs: 0,
+    cold: false,
+    startedAtMs: 0,
     electionAtMs: 0,
     votes: new Map(),
     writes: 0,
--- a/src/agreement/support/group.ts
+++ b/src/agreement/support/group.ts
@@ -127,6 +127,24 @@
     if (!this.#isQuiet(answered, committed)) throw new Error(`no agreement after the faults: ${this.#describe()}`)
   }
 
+  /** Forms the group, restarts all but some followers at about the same time, and returns how long it takes until one leads. */
+  runRestart (spared: number): number {
+    this.#faulty = false
+    for (const process of this.#processes) this.#start(process)
+    this.#run(() => this.#findLeader() !== undefined)
+    const leader = this.#findLeader()!
+    const restarted = [leader, ...this.#processes.filter(process => process !== leader).slice(spared)]
+    for (const process of restarted) this.#fail(process)
+    for (const process of restarted) this.#schedule(this.#random() * 30, () => { if (!process.up) this.#start(process) })
+    const fromMs = this.#nowMs
+    this.#run(() => this.#findLeader() !== undefined)
+    return this.#nowMs - fromMs
+  }
+
+  #findLeader (): Process | undefined {
+    return this.#processes.find(({ up, state }) => up && state.leading?.established === true)
+  }
+
   // Equal entries up to the same index, and none answered beyond it, so none is lost.
   #isQuiet (answered: number, committed: number): boolean {
     return this.#answered.size >= answered && this.#processes.every(({ state }) =>
@@ -254,7 +272,7 @@
   }
 
   #propose (): void {
-    const leader = this.#processes.find(({ up, state }) => up && state.leading?.established === true)
+    const leader = this.#findLeader()
     if (leader !== undefined) {
       for (let count = this.#random(); count < 1.5; count++) this.#proposeOne(leader)
     }
--- a/src/membership/decide.ts
+++ b/src/membership/decide.ts
@@ -39,6 +39,7 @@
     case 'membership/withdrawn': return withdrawDatabase(state, message)
     case 'membership/control-changed': return keep({ ...state, control: message.control })
     case 'membership/beat': return state.leading === undefined ? answerHint(state, message) : takeBeat(state, state.leading, message, moment)
+    case 'membership/remembered': return keep({ ...state, remembered: message.databases })
     case 'membership/force-asked': return state.leading === undefined ? keep(state) : answerForce(state, state.leading, message, moment)
     case 'membership/sweep-due': return state.leading === undefined ? keep(state) : sweepSilent(state, state.leading, moment)
     case 'membership/status-asked': return answerStatus(state, message, moment)
--- a/src/membership/leader.ts
+++ b/src/membership/leader.ts
@@ -3,6 +3,7 @@
 import { createDirectory, dropEntry, listChangesSince, listEntries, putEntry, readEntryKey, type DatabaseEntry, type Directory, type DirectoryEntry } from './directory.js'
 import type { Beat, Left } from './messages.js'
 import type { Leading, MembershipState, ReportingHost } from './state.js'
+import { proposeRemembered } from './remembered.js'
 import { sendPeer, setTimer, tell } from '../messages.js'
 
 /** How long a host may be silent before it leaves the directory. */
@@ -24,12 +25,14 @@
 
 /**
  * Starts to lead: with a directory of the new epoch, which the hosts' beats fill. Databases that this host knows
- * of are in it from the start, since they may announce themselves only seconds later.
+ * of, or that the control hosts remember, are in it from the start, since they may announce themselves only seconds later.
  * @example startLeading(state, 4, moment)
  */
 export function startLeading (state: MembershipState, epoch: number, moment: Moment): MembershipStep {
   const awaited = listEntries(state.directory, 'host').map(entry => entry.host).filter(host => host !== state.lostLeader)
-  const databases = listEntries(state.directory, 'database')
+  const followed = listEntries(state.directory, 'database')
+  const remembered = Object.values(state.remembered).filter(entry => !followed.some(other => other.database === entry.database))
+  const databases = [...followed, ...remembered]
   const leading: Leading = {
     directory: databases.reduce(putAnnounced, createDirectory(epoch)),
     hosts: new Map(),
@@ -40,8 +43,9 @@
     heldUntilMs: moment.monotonicMs + HOLD_MS,
     awaited
   }
-  const told = tell({ kind: 'succession/reported', host: state.self?.host ?? '', failureDomain: state.self?.failureDomain ?? '', apart: true, statuses: [], databases })
-  return { state: { ...state, leading }, effects: [told, createSweepTimer()] }
+  const report = { kind: 'succession/reported', host: state.self?.host ?? '', failureDomain: state.self?.failureDomain ?? '', apart: true, statuses: [] } as const
+  const told = [tell({ ...report, databases: followed }), tell({ ...report, databases: remembered, remembered: true })]
+  return { state: { ...state, leading }, effects: [...told, createSweepTimer()] }
 }
 
 /**
@@ -121,7 +125,7 @@
   const databases = new Map([...leading.databases].filter(([, heardAtMs]) => moment.monotonicMs - heardAtMs <= DATABASE_SILENT_MS))
   const directory = dropSilent(leading.directory, hosts, databases)
   const answered = new Map([...leading.answered].filter(([, answeredAtMs]) => moment.monotonicMs - answeredAtMs <= ANSWERED_KEPT_MS))
-  return { state: { ...state, leading: { ...leading, directory, hosts, databases, answered } }, effects: [createSweepTimer()] }
+  return { state: { ...state, leading: { ...leading, directory, hosts, databases, answered } }, effects: [...proposeRemembered(state.remembered, directory), createSweepTimer()] }
 }
 
 function dropSilent (directory: Directory, hosts: ReadonlyMap<string, unknown>, databases: ReadonlyMap<string, unknown>): Directory {
--- a/src/membership/messages.ts
+++ b/src/membership/messages.ts
@@ -1,6 +1,7 @@
 /** Messages of the membership slice. */
 import type { LogPosition } from '../core/position.js'
 import type { DatabaseEntry, DatabaseStatus, DirectoryChange, DirectoryEntry, HostEntry, Revision } from './directory.js'
+import type { RememberedTable } from './remembered.js'
 
 /** The process has started and knows its own addresses. */
 export interface Started {
@@ -130,6 +131,12 @@
   readonly entry: DirectoryEntry
 }
 
+/** The control hosts agreed on the databases to remember. */
+export interface Remembered {
+  readonly kind: 'membership/remembered'
+  readonly databases: RememberedTable
+}
+
 /** An operator asks what this host knows of the system. */
 export interface StatusAsked {
   readonly kind: 'membership/status-asked'
@@ -184,3 +191,4 @@
   | Announced
   | Probed
   | ProbeDue
+  | Remembered
--- a/src/membership/state.ts
+++ b/src/membership/state.ts
@@ -1,5 +1,6 @@
 /** State of the membership slice. */
 import { createDirectory, type DatabaseEntry, type DatabaseStatus, type Directory, type HostEntry, type Revision } from './directory.js'
+import type { RememberedTable } from './remembered.js'
 
 /** A database that announced itself to this host, and when it last did. */
 export interface Announcement {
@@ -79,6 +80,8 @@
   readonly statuses: ReadonlyMap<string, HeldStatus>
   /** The directory that this host has in force. */
   readonly directory: Directory
+  /** The databases that the control hosts remember, as far as this host has applied their log. */
+  readonly remembered: RememberedTable
   /** Set on the leader alone. */
   readonly leading?: Leading
 }
@@ -97,6 +100,7 @@
     askedAtMs: new Map(),
     announced: new Map(),
     statuses: new Map(),
-    directory: createDirectory(0)
+    directory: createDirectory(0),
+    remembered: {}
   }
 }
--- a/src/succession/choose.ts
+++ b/src/succession/choose.ts
@@ -1,9 +1,9 @@
 /** Which database leads a group, whether it has to be replaced, and by which. */
 import { comparePositions, ORIGIN, type LogPosition } from '../core/position.js'
-import type { KnownDatabase, SuccessionState } from './state.js'
+import type { HeardHost, KnownDatabase, SuccessionState } from './state.js'
 
 /** How long a primary may be silent: longer than a crowded one takes for a status, well below a requester's patience. */
-export const SILENT_MS = 700
+const SILENT_MS = 700
 /** How long a host counts as in touch after its last report: three of its beats. */
 const HOST_HEARD_MS = 350
 /** How long the next owner takes to report, after the former one went silent: the directory drops a host after 1 s. */
@@ -47,7 +47,7 @@
 export function findReason (state: SuccessionState, primary: KnownDatabase | undefined, nowMs: number): Reason | undefined {
   if (primary === undefined) return nowMs - state.ledAtMs > NEWS_MS ? 'gone' : undefined
   if (primary.entry.departing) return 'departing'
-  const sinceMs = Math.max(primary.answeredAtMs ?? primary.knownSinceMs + OWNER_MOVES_MS, state.ledAtMs + REPORTS_MS)
+  const sinceMs = isCutOff(state, primary) ? state.ledAtMs : Math.max(primary.answeredAtMs ?? primary.knownSinceMs + OWNER_MOVES_MS, state.ledAtMs + REPORTS_MS)
   const patienceMs = isOwnerMoving(state, primary, nowMs) ? OWNER_MOVES_MS : SILENT_MS
   if (nowMs - sinceMs >= patienceMs) return 'silent'
   // Its owner asks a primary for its role each second, so one that answers and proves nothing does not lead.
@@ -56,10 +56,20 @@
 }
 
 // Only the owner is silent: another host of the failure domain takes its place. Where all of them are silent, the domain is cut off.
-function isOwnerMoving (state: SuccessionState, { entry, owner }: KnownDatabase, nowMs: number): boolean {
+function isOwnerMoving (state: SuccessionState, known: KnownDatabase, nowMs: number): boolean {
   const isHeard = (heardAtMs: number): boolean => nowMs - heardAtMs < HOST_HEARD_MS
-  if (isHeard(state.hosts.get(owner ?? '')?.heardAtMs ?? -Infinity)) return false
-  return [...state.hosts.values()].some(host => !host.apart && host.failureDomain === entry.failureDomain && isHeard(host.heardAtMs))
+  if (isHeard(state.hosts.get(known.owner ?? '')?.heardAtMs ?? -Infinity)) return false
+  return listDomain(state, known).some(host => isHeard(host.heardAtMs))
+}
+
+// A database that was there under the leader before, and of whose failure domain no host has reported since. After a
+// restart of all hosts, their silence shows nothing.
+function isCutOff (state: SuccessionState, known: KnownDatabase): boolean {
+  return known.answeredAtMs === undefined && known.remembered !== true && known.knownSinceMs <= state.ledAtMs + REPORTS_MS && listDomain(state, known).length === 0
+}
+
+function listDomain (state: SuccessionState, { entry }: KnownDatabase): readonly HeardHost[] {
+  return [...state.hosts.values()].filter(host => !host.apart && host.failureDomain === entry.failureDomain)
 }
 
 /**
@@ -100,5 +110,6 @@
 }
 
 function pickClaiming (members: readonly KnownDatabase[]): KnownDatabase | undefined {
-  return members.find(known => known.entry.leads === true)
+  // One that is just remembered may have ended since.
+  return members.filter(known => known.entry.leads === true).sort((a, b) => b.heardAtMs - a.heardAtMs)[0]
 }
--- a/src/succession/decide.test.ts
+++ b/src/succession/decide.test.ts
@@ -47,6 +47,11 @@
     this.#take({ kind: 'succession/leadership', leads: true, epoch, table: this.#state.table })
   }
 
+  /** What a new leader knows from the directory of the one before it. */
+  learnDirectory (remembered?: true): void {
+    this.#take({ kind: 'succession/reported', host: 'control-1', failureDomain: 'b', apart: true, statuses: [], databases: [...this.#entries.values()], remembered })
+  }
+
   announceDeparture (index: number): void {
     this.#entries.set(index, { ...this.#entries.get(index)!, departing: true })
   }
@@ -128,6 +133,42 @@
     expect(leader.calls.length).to.equal(1)
   })
 
+  it('replaces a primary whose whole failure domain was cut off together with the leader within a second of the next leader', () => {
+    const leader = Leader.create()
+    leader.run(3_000)
+    leader.silentHosts.add(0)
+    leader.lead(4)
+    leader.learnDirectory()
+    leader.run(600)
+    expect(leader.calls.length).to.equal(0)
+    leader.run(400)
+    expect(leader.calls.map(call => call.database)).to.deep.equal(['db-2'])
+  })
+
+  it('takes the silence of a failure domain for no cut after all hosts were restarted', () => {
+    const leader = Leader.create()
+    leader.silentHosts.add(0)
+    leader.learnDirectory(true)
+    leader.run(2_000)
+    expect(leader.published).to.deep.equal(['db-0'])
+    leader.silentHosts.delete(0)
+    leader.run(3_000)
+    expect(leader.calls.length).to.equal(0)
+  })
+
+  it('waits longer for the owner of a primary that a new leader has not heard of yet, while its failure domain lives', () => {
+    const leader = Leader.create()
+    leader.run(3_000)
+    leader.lead(4)
+    leader.learnDirectory()
+    leader.silentDatabases.add(0)
+    leader.run(2_000)
+    expect(leader.calls.length).to.equal(0)
+    leader.silentDatabases.delete(0)
+    leader.run(3_000)
+    expect(leader.calls.length).to.equal(0)
+  })
+
   it('keeps a departing primary published until the next one leads', () => {
     const leader = Leader.create()
     leader.run(3_000)
--- a/src/succession/decide.ts
+++ b/src/succession/decide.ts
@@ -65,9 +65,9 @@
   return state.leads && changed ? checkGroup(next, group, nowMs) : keep(next)
 }
 
-function takeReport (state: SuccessionState, { host, failureDomain, apart, leftAtMs, statuses, databases }: Reported, nowMs: number): SuccessionState {
+function takeReport (state: SuccessionState, { host, failureDomain, apart, leftAtMs, statuses, databases, remembered }: Reported, nowMs: number): SuccessionState {
   const known = new Map(state.databases)
-  for (const entry of databases) known.set(entry.database, { knownSinceMs: nowMs, ...known.get(entry.database), entry, heardAtMs: nowMs })
+  for (const entry of databases) known.set(entry.database, { knownSinceMs: nowMs, remembered, ...known.get(entry.database), entry, heardAtMs: nowMs })
   // A report that was held up on its way is as old as it is; of one whose age is not known nothing is proven.
   const sentAtMs = Math.min(nowMs, leftAtMs ?? nowMs)
   for (const status of statuses) takeStatus(known, host, leftAtMs === undefined ? { ...status, primary: false } : status, sentAtMs)
--- a/src/succession/messages.ts
+++ b/src/succession/messages.ts
@@ -29,6 +29,8 @@
   readonly leftAtMs?: number
   readonly statuses: readonly DatabaseStatus[]
   readonly databases: readonly DatabaseEntry[]
+  /** True for databases that nobody has seen since the control hosts were restarted. */
+  readonly remembered?: true
 }
 
 /** A database ended, by its own word. */
--- a/src/succession/state.ts
+++ b/src/succession/state.ts
@@ -20,6 +20,8 @@
   readonly knownSinceMs: number
   /** When a host last reported its announcement. */
   readonly heardAtMs: number
+  /** True where nobody had seen it since the control hosts were restarted when this leader began. */
+  readonly remembered?: true
   readonly owner?: string
   readonly status?: DatabaseStatus
   /** A time before its last answer; undefined before any. */
