Gives the tokens that nobody spent after a restart, asks for shares at once, and explains requests from the logs

Ruled out: the log (registrations commit within 10 ms), the leader's lease. Change: a host asks a new leader for shares at once, and every 50 ms until it has some; a leader that knows since when nobody can have held anything counts what came in since then, and tokens for which the reserve has no room go with the share that took it; a request waits for a fifth of its latency target. A control host that runs as another incarnation counts as gone in an election after a restart of all. Also: fulmartally explain ID [LOGS...] prints the cause and the story of a request; log lines carry the hybrid clock.

--- a/src/admission/allowance.ts
+++ b/src/admission/allowance.ts
@@ -41,6 +41,15 @@
   return { ...allowance, parts, bucket: changed ? resizeBucket(bucket, wanted.rate, wanted.burst, nowMs) : refillBucket(bucket, nowMs) }
 }
 
+/**
+ * Adds tokens that came with a share; those over its burst are lost.
+ * @example addTokens(allowance, 12).bucket.tokens
+ */
+export function addTokens (allowance: Allowance, tokens: number): Allowance {
+  const { bucket } = allowance
+  return { ...allowance, bucket: { ...bucket, tokens: Math.min(bucket.burst, bucket.tokens + tokens) } }
+}
+
 /**
  * Counts the demand since the last time.
  * @example updateDemand(allowance, 200).perSecond
--- a/src/admission/lease.ts
+++ b/src/admission/lease.ts
@@ -4,14 +4,16 @@
 import type { Workspace } from '../documents/document.js'
 import { sendPeer, setTimer } from '../messages.js'
 import type { Demand, HeldShare } from '../shares/messages.js'
-import { SHARE_LEASE_MS } from '../shares/state.js'
-import { changeParts, createAllowance, isUnused, refillAllowance, updateDemand } from './allowance.js'
+import { LOAN_MS, SHARE_LEASE_MS } from '../shares/state.js'
+import { addTokens, changeParts, createAllowance, isUnused, refillAllowance, updateDemand } from './allowance.js'
 import type { LeaderChanged, SharesAnswered } from './messages.js'
 import type { AdmissionStep, AdmissionStore } from './rates.js'
 import type { Allowance, Lease } from './state.js'
 
 /** Time between two renewals of the lease. */
 export const ASK_EVERY_MS = 200
+/** The same while this host holds no share: its first ones come with the second answer. */
+const ASK_SOON_MS = 50
 /** A demand is told again once it differs by more than this part from what was told. */
 const DEMAND_TOLERANCE = 0.2
 /** After this many rounds every demand is told, in case an ask was lost. */
@@ -25,8 +27,11 @@
   const { lease } = store.shared
   const holder = lease.holder === '' ? drawHolder(moment) : lease.holder
   const moved = message.epoch === lease.epoch ? lease : { ...lease, applied: 0, askedAtMs: new Map() }
-  const next: Lease = { ...moved, leader: message.leader, epoch: message.epoch, holder }
-  return { shared: { ...store.shared, lease: next }, effects: [createAskTimer()] }
+  // A loan of the leader before may still arrive.
+  const emptySinceMs = lease.loans > 0 && moved !== lease ? moment.monotonicMs + LOAN_MS : lease.emptySinceMs
+  const next: Lease = { ...moved, leader: message.leader, epoch: message.epoch, holder, emptySinceMs }
+  // A new leader gives shares once all hosts have reported; they don't all do so at the same moment.
+  return { shared: { ...store.shared, lease: next }, effects: [createAskTimer(moment.random * ASK_SOON_MS)] }
 }
 
 /**
@@ -47,8 +52,9 @@
   const demands = counted.filter(([, item]) => all || isNews(item)).map(([workspace, item]): Demand => ({ workspace, perSecond: item.perSecond }))
   const lease: Lease = { ...current, round, countedAtMs: moment.monotonicMs, askedAtMs: markAsked(current, round, moment) }
   const changes = counted.map(([key, item]) => [key, createTold(item, all)] as const)
-  const asks = lease.leader === undefined || !shared.serves || (counted.length === 0 && lease.applied > 0) ? [] : [sendAsk(lease, demands, listHeld(lease, counted))]
-  return { shared: { ...shared, lease }, changes, effects: [...asks, createAskTimer()] }
+  const asks = lease.leader === undefined || !shared.serves || (counted.length === 0 && lease.applied > 0) ? [] : [sendAsk(lease, demands, listHeld(lease, counted), moment)]
+  const holds = counted.some(([, item]) => item.parts > 0)
+  return { shared: { ...shared, lease }, changes, effects: [...asks, createAskTimer(holds || !shared.serves ? ASK_EVERY_MS : ASK_SOON_MS)] }
 }
 
 /**
@@ -61,12 +67,13 @@
   const late = askedAtMs === undefined || moment.monotonicMs > askedAtMs + SHARE_LEASE_MS
   if (late || message.holder !== lease.holder || message.epoch !== lease.epoch || message.round <= lease.applied) return UNCHANGED
   const parts = new Map(message.shares.map(share => [share.workspace, share.parts]))
+  const tokens = new Map(message.shares.map(share => [share.workspace, share.tokens ?? 0]))
   // The first answer of a leader is its whole account of this host.
   const dropped = lease.applied > 0 ? [] : [...store.items.keys()].filter(key => !parts.has(key)).map(key => [key, 0] as const)
   const changes = [...parts, ...dropped].map(([key, given]) => {
     const known = store.items.get(key) ?? createAllowance(findLimit(store, key), moment.monotonicMs)
     const filled = refillAllowance(known, known, lease.endsAtMs, moment.monotonicMs)
-    return [key, changeParts(filled, given, moment.monotonicMs)] as const
+    return [key, addTokens(changeParts(filled, given, moment.monotonicMs), tokens.get(key) ?? 0)] as const
   })
   const next: Lease = { ...lease, applied: message.round, endsAtMs: Math.max(lease.endsAtMs, askedAtMs + SHARE_LEASE_MS) }
   return { shared: { ...store.shared, lease: next }, changes, effects: [] }
@@ -81,7 +88,7 @@
 // After its lease a host holds nothing, and says so by another name.
 function dropEnded (lease: Lease, moment: Moment): Lease {
   const ended = lease.endsAtMs > 0 && moment.monotonicMs > lease.endsAtMs
-  return ended ? { ...lease, holder: drawHolder(moment), applied: 0, endsAtMs: 0, askedAtMs: new Map() } : lease
+  return ended ? { ...lease, holder: drawHolder(moment), emptySinceMs: moment.monotonicMs, applied: 0, endsAtMs: 0, askedAtMs: new Map() } : lease
 }
 
 function drawHolder (moment: Moment): string {
@@ -108,11 +115,12 @@
   return counted.filter(([, item]) => item.parts > 0).map(([workspace, item]) => ({ workspace, parts: item.parts }))
 }
 
-function sendAsk (lease: Lease, demands: readonly Demand[], held: readonly HeldShare[] | undefined): CoreEffect {
-  const { holder, epoch, round, applied } = lease
-  return sendPeer(lease.leader!, { kind: 'shares/asked', holder, epoch, round, applied, demands, held })
+function sendAsk (lease: Lease, demands: readonly Demand[], held: readonly HeldShare[] | undefined, moment: Moment): CoreEffect {
+  const { holder, epoch, round, applied, endsAtMs } = lease
+  const emptyForMs = endsAtMs === 0 ? moment.monotonicMs - lease.emptySinceMs : undefined
+  return sendPeer(lease.leader!, { kind: 'shares/asked', holder, epoch, round, applied, demands, held, emptyForMs })
 }
 
-function createAskTimer (): CoreEffect {
-  return setTimer('admission/ask', ASK_EVERY_MS, { kind: 'admission/ask-due' })
+function createAskTimer (afterMs: number): CoreEffect {
+  return setTimer('admission/ask', afterMs, { kind: 'admission/ask-due' })
 }
--- a/src/admission/state.ts
+++ b/src/admission/state.ts
@@ -12,6 +12,8 @@
   readonly epoch: number
   /** Drawn when this host holds nothing; empty before the first time. */
   readonly holder: string
+  /** Since when this host has held nothing under this name before the first answer to it. */
+  readonly emptySinceMs: number
   readonly round: number
   /** The last answer of this epoch that is in force; 0 before the first. */
   readonly applied: number
@@ -77,10 +79,11 @@
 
 /**
  * Creates the facts of a host that knows no document.
+ * @param startedAtMs the time of the host's clock.
  * @example createAdmissionShared().documents.size // 0
  */
-export function createAdmissionShared (keepsAuthority = false, serves = true): AdmissionShared {
-  const lease: Lease = { epoch: 0, holder: '', round: 0, applied: 0, endsAtMs: 0, askedAtMs: new Map(), countedAtMs: 0, loans: 0 }
+export function createAdmissionShared (keepsAuthority = false, serves = true, startedAtMs = 0): AdmissionShared {
+  const lease: Lease = { epoch: 0, holder: '', emptySinceMs: startedAtMs, round: 0, applied: 0, endsAtMs: 0, askedAtMs: new Map(), countedAtMs: 0, loans: 0 }
   return { documents: new Map(), indexes: new Map(), keepsAuthority, serves, complete: true, lease, callers: createKeyedCallers() }
 }
 
--- a/src/admission/waiting.ts
+++ b/src/admission/waiting.ts
@@ -3,8 +3,11 @@
 import type { Allowance, WaitingRequest } from './state.js'
 
 const MS_PER_SECOND = 1_000
-/** The part of a route's latency target that a request may wait for a token: the other half is left to run it. */
-const WAIT_PART = 0.5
+/**
+ * The part of a route's latency target that a request may wait for a token. Where a workspace asks for more than its
+ * rate all the time, each of its requests waits that long: it has to be little enough to be answered in time after it.
+ */
+const WAIT_PART = 0.2
 /** How far off the token of a request without a latency target may be: what a person does not notice. */
 const NEAR_MS = 250
 /** How long a request without a latency target waits in all: an election, and the news of it. */
--- a/src/agreement/decidereplica.ts
+++ b/src/agreement/decidereplica.ts
@@ -79,5 +79,6 @@
   const passes = state.leader !== undefined && message.host === undefined && message.from !== undefined
   if (passes) return { state, effects: [sendPeer(state.leader!, { ...message, host: message.from })] }
   // What was passed on is no word of the host that passed it on.
-  return message.host === undefined ? takeEmpty(state, message, moment) : keep(state)
+  if (message.host !== undefined || message.from === undefined) return keep(state)
+  return takeEmpty({ ...state, told: new Map(state.told).set(message.from, message.incarnation) }, message, moment)
 }
--- a/src/agreement/election.ts
+++ b/src/agreement/election.ts
@@ -102,7 +102,9 @@
   const { configuration } = state.log
   if (configuration === undefined) return false
   const votesFor = (host: string, incarnation: string): boolean => state.votes.get(host)?.incarnation === incarnation
-  return hasQuorum(configuration, votesFor) && (!isColdElection(state) || listOthers(state).every(([host, incarnation]) => votesFor(host, incarnation)))
+  // Where a host runs as another incarnation, the process of the member is gone.
+  const isGone = (host: string, incarnation: string): boolean => (state.told.get(host) ?? incarnation) !== incarnation
+  return hasQuorum(configuration, votesFor) && (!isColdElection(state) || listOthers(state).every(([host, incarnation]) => votesFor(host, incarnation) || isGone(host, incarnation)))
 }
 
 function isColdElection<S, C> (state: ReplicaState<S, C>): boolean {
--- a/src/agreement/replica.ts
+++ b/src/agreement/replica.ts
@@ -296,6 +296,8 @@
   readonly stored: number
   readonly held: readonly HeldEffects[]
   readonly incoming?: { readonly from: string, readonly index: number, readonly text: string }
+  /** The incarnation that each control host last told of itself, while it waited. */
+  readonly told: ReadonlyMap<string, string>
   /** Empty hosts that this host heard, while it is empty itself. */
   readonly empty: ReadonlyMap<string, { readonly incarnation: string, readonly heard?: string, readonly atMs: number }>
 }
@@ -325,6 +327,7 @@
     writes: 0,
     stored: 0,
     held: [],
+    told: new Map(),
     empty: new Map()
   }
 }
--- a/src/agreement/support/group.ts
+++ b/src/agreement/support/group.ts
@@ -127,14 +127,18 @@
     if (!this.#isQuiet(answered, committed)) throw new Error(`no agreement after the faults: ${this.#describe()}`)
   }
 
-  /** Forms the group, restarts all but some followers at about the same time, and returns how long it takes until one leads. */
-  runRestart (spared: number): number {
+  /**
+   * Forms the group, restarts all but some followers at about the same time, some of the others with an empty disk,
+   * and returns how long it takes until one leads.
+   */
+  runRestart ({ spared = 0, wiped = 0 }: { readonly spared?: number, readonly wiped?: number }): number {
     this.#faulty = false
     for (const process of this.#processes) this.#start(process)
     this.#run(() => this.#findLeader() !== undefined)
     const leader = this.#findLeader()!
     const restarted = [leader, ...this.#processes.filter(process => process !== leader).slice(spared)]
     for (const process of restarted) this.#fail(process)
+    for (const process of restarted.slice(1, 1 + wiped)) process.disk = this.#createDisk()
     for (const process of restarted) this.#schedule(this.#random() * 30, () => { if (!process.up) this.#start(process) })
     const fromMs = this.#nowMs
     this.#run(() => this.#findLeader() !== undefined)
--- a/src/cli/program.test.ts
+++ b/src/cli/program.test.ts
@@ -24,6 +24,7 @@
   write (text: string): void { this.printed.push(text) }
   writeError (text: string): void { this.errors.push(text) }
   async readFile (): Promise<string> { return this.text }
+  async * readLines (): AsyncGenerator<string> { yield * this.text.split('\n') }
   async writeFile (): Promise<void> {}
 
   async send (host: string, command: CommandInput, requestId: string): Promise<unknown> {
--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -4,6 +4,7 @@
 import { createCheckCommand } from './check.js'
 import { createApplyCommand, createListCommand, createShowCommand } from './documents.js'
 import { CliError, EXIT, EXIT_HELP } from './exits.js'
+import { createExplainCommand } from './explain.js'
 import { createKeyCommand } from './keys.js'
 import { createDrainCommand, createPrimaryCommand, createStatusCommand } from './system.js'
 import type { Terminal } from './terminal.js'
@@ -45,7 +46,8 @@
     createStatusCommand(terminal),
     createDrainCommand(terminal),
     createPrimaryCommand(terminal),
-    createTimelineCommand(terminal)
+    createTimelineCommand(terminal),
+    createExplainCommand(terminal)
   ]
   for (const command of commands) program.addCommand(command)
   program.hook('preAction', () => {
--- a/src/cli/terminal.ts
+++ b/src/cli/terminal.ts
@@ -1,5 +1,8 @@
 /** Where the command line reads and writes: an abstract class, so that tests need no processes. */
-import { readFile, writeFile } from 'node:fs/promises'
+import { createReadStream } from 'node:fs'
+import { readdir, readFile, stat, writeFile } from 'node:fs/promises'
+import { join } from 'node:path'
+import { createInterface } from 'node:readline'
 import { sendCommand, type CommandInput } from '../operations/client.js'
 import { CliError, EXIT } from './exits.js'
 
@@ -14,6 +17,9 @@
   /** Reads a file. */
   abstract readFile (file: string): Promise<string>
 
+  /** Reads the lines of files, and of the files in folders, one by one; those of standard input when none is named. */
+  abstract readLines (paths: readonly string[]): AsyncIterable<string>
+
   /** Writes a file. */
   abstract writeFile (file: string, text: string): Promise<void>
 
@@ -43,6 +49,11 @@
     return await readFile(file, 'utf8').catch((error: Error) => { throw CliError.create(EXIT.noInput, error.message) })
   }
 
+  async * readLines (paths: readonly string[]): AsyncGenerator<string> {
+    if (paths.length === 0) yield * createInterface({ input: process.stdin, crlfDelay: Infinity })
+    for (const file of await listFiles(paths)) yield * createInterface({ input: createReadStream(file), crlfDelay: Infinity })
+  }
+
   async writeFile (file: string, text: string): Promise<void> {
     await writeFile(file, text).catch((error: Error) => { throw CliError.create(EXIT.noInput, error.message) })
   }
@@ -51,3 +62,13 @@
     return await sendCommand(host, command, requestId)
   }
 }
+
+async function listFiles (paths: readonly string[]): Promise<readonly string[]> {
+  const listed = await Promise.all(paths.map(async path => {
+    const found = await stat(path).catch((error: Error) => { throw CliError.create(EXIT.noInput, error.message) })
+    if (!found.isDirectory()) return [path]
+    const entries = await readdir(path, { withFileTypes: true })
+    return entries.filter(entry => entry.isFile()).map(entry => join(path, entry.name)).sort()
+  }))
+  return listed.flat()
+}
--- a/src/daemon/host.ts
+++ b/src/daemon/host.ts
@@ -60,10 +60,10 @@
    * @throws when an address can't be listened on.
    */
   static async create (settings: Settings, onFault: (fault: unknown) => void, edge: Edge = PostgresEdge.create()): Promise<Host> {
-    const log = Log.create({ host: settings.host, level: settings.logLevel, stream: edge.logStream })
+    const stamps = StampClock.create()
+    const log = Log.create({ host: settings.host, level: settings.logLevel, stream: edge.logStream, clock: stamps })
     const clock = SystemClock.create()
     const monitor = Monitor.create(settings.host, log, clock, settings.authority === 'kept')
-    const stamps = StampClock.create()
     const trace = settings.trace === undefined ? undefined : TraceFile.create(settings.trace.file, settings.trace.slices)
     const loop = createLoop(settings, clock, edge, monitor, trace, onFault)
     const journal = settings.dataFolder === undefined ? undefined : await FileJournal.create(settings.dataFolder, loop.post, onFault)
@@ -105,7 +105,7 @@
 function createLoop (settings: Settings, clock: Clock, edge: Edge, monitor: Monitor, trace: TraceFile | undefined, onFault: (fault: unknown) => void): Loop {
   return Loop.create({
     clock,
-    slices: createSlices(settings, edge.guarantees),
+    slices: createSlices(settings, edge.guarantees, clock.read().monotonicMs),
     onFault,
     recorder: (message, moment) => {
       monitor.observeMessage(message)
--- a/src/daemon/slices.ts
+++ b/src/daemon/slices.ts
@@ -4,7 +4,7 @@
 import { createAgreementState, decideAgreement } from '../agreement/decide.js'
 import { DecidingSlice, type Slice } from '../core/slice.js'
 import { StoreSlice } from '../core/store.js'
-import { POSTGRES_GUARANTEES, type DatabaseGuarantees } from '../databases/guarantees.js'
+import type { DatabaseGuarantees } from '../databases/guarantees.js'
 import { createDocumentsState, decideDocuments } from '../documents/decide.js'
 import { decideMembership } from '../membership/decide.js'
 import { createMembershipState } from '../membership/state.js'
@@ -28,12 +28,13 @@
 
 /**
  * Creates the slices of a host from its settings.
- * @example createSlices(settings)
+ * @param startedAtMs the time of the host's clock.
+ * @example createSlices(settings, POSTGRES_GUARANTEES, clock.read().monotonicMs)
  */
-export function createSlices (settings: Settings, guarantees: DatabaseGuarantees = POSTGRES_GUARANTEES): readonly Slice[] {
+export function createSlices (settings: Settings, guarantees: DatabaseGuarantees, startedAtMs: number): readonly Slice[] {
   const { host, failureDomain, limits, timing } = settings
   return [
-    StoreSlice.create({ name: 'admission', shared: createAdmissionShared(settings.authority === 'kept', settings.callers !== undefined), decide: decideAdmission, checkItem: checkAllowance }),
+    StoreSlice.create({ name: 'admission', shared: createAdmissionShared(settings.authority === 'kept', settings.callers !== undefined, startedAtMs), decide: decideAdmission, checkItem: checkAllowance }),
     DecidingSlice.create({ name: 'agreement', initial: createAgreementState(), decide: decideAgreement }),
     DecidingSlice.create({ name: 'documents', initial: createDocumentsState(), decide: decideDocuments }),
     DecidingSlice.create({ name: 'membership', initial: createMembershipState(timing), decide: decideMembership }),
--- /dev/null
+++ b/src/explaining/story.test.ts
@@ -0,0 +1,63 @@
+import { expect } from 'chai'
+import { formatStory } from '../cli/explain.js'
+import { findCause } from './causes.js'
+import { StoryReader, type Story } from './story.js'
+
+const AT_MS = Date.parse('2026-12-04T10:00:00.000Z')
+
+function createLine (afterMs: number, host: string, msg: string, fields: object = {}): string {
+  const wallMs = AT_MS + afterMs
+  return JSON.stringify({ name: 'fulmartallyd', host, level: 30, ...fields, stamp: [wallMs, 0], msg, time: new Date(wallMs).toISOString(), v: 0 })
+}
+
+function createEnd (afterMs: number, outcome: string, fields: object): string {
+  return createLine(afterMs, 'h1', `requests: Request r1 was ${outcome}.`, { request: 'r1', workspace: 'parish', group: 'a', elapsedMs: 30, ...fields })
+}
+
+function readStory (lines: readonly string[]): Story {
+  const reader = StoryReader.create('r1')
+  for (const line of lines) reader.take(line)
+  return reader.finish()
+}
+
+const NOISE = [
+  createLine(-60_000, 'h1', 'daemon: Host h1 started; callers connect to h1:1.'),
+  createLine(-20, 'h1', 'requests: Request r2 was answered.', { request: 'r2' }),
+  'Error: not a line of the log',
+  '{"half":'
+]
+
+describe('the story of a request', () => {
+  it('finds the start of a host behind a refusal within the rate', () => {
+    const started = createLine(-700, 'h1', 'daemon: Host h1 started; callers connect to h1:1.')
+    const cause = findCause(readStory([createEnd(0, 'failed', { phase: 'admitting', failure: 'rate-exceeded' }), ...NOISE, started]))!
+    expect(cause.kind).to.equal('rate')
+    expect(cause.text).to.include('had started 700 ms before')
+  })
+
+  it('finds the change of primary behind an unknown outcome, in lines of other hosts, before or after', () => {
+    const silent = createLine(900, 'h9', 'succession: Group a: the primary is silent; a2 is appointed (appointment 1), at 1.22.', { event: 'primary-appointed', group: 'a' })
+    const other = createLine(100, 'h9', 'succession: Group b: the primary is silent.', { event: 'primary-appointed', group: 'b' })
+    const story = readStory([...NOISE, silent, other, createEnd(0, 'failed', { phase: 'running', failure: 'outcome-unknown', database: 'a1', owner: 'h2' })])
+    const cause = findCause(story)!
+    expect(cause.kind).to.equal('primary-changed')
+    expect(cause.evidence.map(line => line.host)).to.deep.equal(['h9'])
+    expect(formatStory(story, cause).split('\n')[0]).to.match(/^Cause: The primary of group a was being replaced/)
+  })
+
+  it('finds the database that left a late request without an answer', () => {
+    const first = createEnd(-10, 'tried again', { phase: 'running', database: 'a2', owner: 'h2', attempt: 1 })
+    const cause = findCause(readStory([createEnd(0, 'answered', { phase: 'running', database: 'a3', owner: 'h3', attempt: 2, elapsedMs: 400 }), first, ...NOISE]))!
+    expect(cause.kind).to.equal('database-silent')
+    expect(cause.text).to.include('a2 through host h2')
+  })
+
+  it('is told in the order of cause and effect, whatever the order of the files, with or without names before the lines', () => {
+    const lines = [createEnd(0, 'failed', { reason: 'x' }), `12.5 h1 ${createEnd(-10, 'tried again', {})}`]
+    expect(readStory(lines).lines.map(line => line.stamp.wallMs - AT_MS)).to.deep.equal([-10, 0])
+  })
+
+  it('says nothing of a request without a line', () => {
+    expect(findCause(readStory(NOISE))).to.equal(undefined)
+  })
+})
--- a/src/monitoring/log.ts
+++ b/src/monitoring/log.ts
@@ -2,6 +2,7 @@
 import bunyan from 'bunyan'
 import { Adapter } from '../core/adapter.js'
 import type { LogFields, LogLevel, WriteLog } from '../core/message.js'
+import type { StampClock } from '../timeline/clock.js'
 import { LineBudget } from './budget.js'
 import type { LineStream } from './outlet.js'
 
@@ -12,25 +13,29 @@
   readonly level: LogLevel
   /** Where lines go; standard error when absent. */
   readonly stream?: LineStream
+  /** Stamps each line, so that lines of several processes can be put in the order of cause and effect. */
+  readonly clock?: StampClock
 }
 
 /** Writes short sentences, each after the prefix of its part. */
 export class Log extends Adapter {
   readonly name = 'log'
   readonly #logger: bunyan
+  readonly #clock: StampClock | undefined
   readonly #budget = LineBudget.create()
 
-  private constructor (logger: bunyan) {
+  private constructor (logger: bunyan, clock: StampClock | undefined) {
     super()
     this.#logger = logger
+    this.#clock = clock
   }
 
   /**
    * Creates the log of a process.
    * @example Log.create({ host: 'host-1', level: 'info' }).write('daemon', 'info', 'Started.')
    */
-  static create ({ host, level, stream = process.stderr }: LogParts): Log {
-    return new Log(bunyan.createLogger({ name: 'fulmartallyd', host, level, stream: stream as NodeJS.WritableStream }))
+  static create ({ host, level, stream = process.stderr, clock }: LogParts): Log {
+    return new Log(bunyan.createLogger({ name: 'fulmartallyd', host, level, stream: stream as NodeJS.WritableStream }), clock)
   }
 
   carryOut (effect: WriteLog, part = 'daemon'): void {
@@ -42,6 +47,12 @@
     if (!this.#budget.take(level, performance.now())) return
     const left = this.#budget.drainLeftOut()
     if (left !== undefined) this.#logger.warn({ left }, 'daemon: Lines were left out.')
-    this.#logger[level](fields, `${part}: ${text}`)
+    this.#logger[level]({ ...fields, ...this.#readStamp() }, `${part}: ${text}`)
+  }
+
+  #readStamp (): { readonly stamp?: readonly [number, number] } {
+    if (this.#clock === undefined) return {}
+    const { wallMs, count } = this.#clock.advance()
+    return { stamp: [wallMs, count] }
   }
 }
--- a/src/shares/decide.ts
+++ b/src/shares/decide.ts
@@ -23,6 +23,8 @@
 interface ShareStep {
   readonly allotment: Allotment
   readonly share: Share
+  /** Tokens that come with a share that grew. */
+  readonly tokens?: number
 }
 
 /**
@@ -51,7 +53,8 @@
   const awaited = new Set(Object.keys(store.shared.holders ?? {}))
   const known = store.shared.holders !== undefined && awaited.size === 0
   const quietUntilMs = known ? moment.monotonicMs : moment.monotonicMs + SHARE_LEASE_MS + LEASE_SLACK_MS
-  return { shared: { ...store.shared, leads, epoch, leaseUntilMs: -Infinity, lendsFromMs, quietUntilMs, awaited }, changes: dropped, effects: leads ? [createSweepTimer()] : [] }
+  const emptySinceMs = awaited.size === 0 ? Infinity : -Infinity
+  return { shared: { ...store.shared, leads, epoch, leaseUntilMs: -Infinity, lendsFromMs, quietUntilMs, awaited, emptySinceMs }, changes: dropped, effects: leads ? [createSweepTimer()] : [] }
 }
 
 function takeLimits (store: SharesStore, message: LimitsChanged, moment: Moment): SharesStep {
@@ -81,15 +84,17 @@
   const holder: Holder = { kind: 'holder', holder: message.holder, round: message.round, answeredAtMs: moment.monotonicMs, shares }
   const answer = sendPeer(from, { kind: 'admission/shares-answered', holder: message.holder, epoch: shared.epoch, round: message.round, shares: listUnconfirmed(steps, message.applied) })
   const registration = unregistered ? [tell({ kind: 'agreement/propose', proposal: `shares/${message.holder}`, command: { kind: 'shares/register', host: from, holder: message.holder } })] : []
-  return { shared: endAwaiting(shared, from, moment), changes: [...steps.map(step => createChange(step.allotment)), [`holder/${message.holder}`, holder]], effects: [{ ...answer, notAfterMs: shared.leaseUntilMs }, ...registration] }
+  return { shared: endAwaiting(shared, message, moment), changes: [...steps.map(step => createChange(step.allotment)), [`holder/${message.holder}`, holder]], effects: [{ ...answer, notAfterMs: shared.leaseUntilMs }, ...registration] }
 }
 
 // Once all that may hold shares of the leader before have reported, or hold nothing under a new name, nothing is unknown.
-function endAwaiting (shared: SharesShared, host: string, moment: Moment): SharesShared {
-  if (!shared.awaited.has(host)) return shared
+function endAwaiting (shared: SharesShared, { from = '', holder, emptyForMs }: Asked, moment: Moment): SharesShared {
+  if (!shared.awaited.has(from)) return shared
   const awaited = new Set(shared.awaited)
-  awaited.delete(host)
-  return { ...shared, awaited, quietUntilMs: awaited.size === 0 ? Math.min(shared.quietUntilMs, moment.monotonicMs) : shared.quietUntilMs }
+  awaited.delete(from)
+  const isNew = emptyForMs !== undefined && shared.holders?.[from] !== holder
+  const emptySinceMs = Math.max(shared.emptySinceMs, isNew ? moment.monotonicMs - emptyForMs : Infinity)
+  return { ...shared, awaited, emptySinceMs, quietUntilMs: awaited.size === 0 ? Math.min(shared.quietUntilMs, moment.monotonicMs) : shared.quietUntilMs }
 }
 
 // Only while no other host leads: shares of two leaders could be more than the whole.
@@ -115,7 +120,14 @@
     : chooseParts(settled, limit, { perSecond: asked.perSecond, held: readCommitted(confirmed), current: readCurrent(confirmed) }, countHolders(store))
   if (parts === readCurrent(confirmed)) return { allotment: settled, share: confirmed }
   const next: Share = { ...confirmed, grants: [...confirmed.grants, { round: asked.round, parts }] }
-  return { allotment: applyShare(settled, limit, confirmed, next), share: next }
+  const allotment = applyShare(settled, limit, confirmed, next)
+  return { allotment, share: next, tokens: readOverflow(settled, allotment, limit) }
+}
+
+// Tokens for which the reserve has no room any more go with the share that took it.
+function readOverflow (before: Allotment, after: Allotment, limit: KnownLimit): number | undefined {
+  const tokens = Math.min(before.tokens - after.tokens, limit.burst * (after.committed - before.committed) / TOTAL_PARTS)
+  return tokens > 0 ? tokens : undefined
 }
 
 function countHolders (store: SharesStore): number {
@@ -146,7 +158,7 @@
 function listUnconfirmed (steps: readonly ShareStep[], applied: number): readonly HeldShare[] {
   return steps
     .filter(({ share }) => (share.grants[share.grants.length - 1]?.round ?? 0) > applied)
-    .map(({ allotment, share }) => ({ workspace: allotment.workspace, parts: readCurrent(share) }))
+    .map(({ allotment, share, tokens }) => ({ workspace: allotment.workspace, parts: readCurrent(share), tokens }))
 }
 
 function findLimit (shared: SharesShared, workspace: string): KnownLimit {
@@ -155,9 +167,10 @@
 
 function findAllotment (store: SharesStore, workspace: string, limit: KnownLimit): Allotment {
   const known = store.items.get(`workspace/${workspace}`) as Allotment | undefined
-  const { quietUntilMs } = store.shared
-  if (known !== undefined) return known.quietUntilMs > quietUntilMs ? { ...known, quietUntilMs } : known
-  return createAllotment(workspace, Math.max(store.shared.lendsFromMs, limit.sinceMs), store.shared.quietUntilMs)
+  const { quietUntilMs, awaited, lendsFromMs } = store.shared
+  const emptySinceMs = awaited.size === 0 ? store.shared.emptySinceMs : Infinity
+  if (known !== undefined) return known.quietUntilMs > quietUntilMs ? { ...known, quietUntilMs, emptySinceMs } : known
+  return { ...createAllotment(workspace, Math.max(lendsFromMs, limit.sinceMs), quietUntilMs), emptySinceMs }
 }
 
 function createChange (allotment: Allotment): readonly [string, SharesItem] {
--- a/src/shares/messages.ts
+++ b/src/shares/messages.ts
@@ -12,6 +12,8 @@
 export interface HeldShare {
   readonly workspace: string
   readonly parts: number
+  /** Tokens of the reserve that come with a share as it is first given. */
+  readonly tokens?: number
 }
 
 /** The whole rate and burst of a workspace. */
@@ -37,6 +39,8 @@
   readonly demands: readonly Demand[]
   /** What the host holds from the leader before; absent once this leader answered. */
   readonly held?: readonly HeldShare[]
+  /** How long the host has held nothing, as nobody has given it anything under this name; absent otherwise. */
+  readonly emptyForMs?: number
 }
 
 /** A host has no token left and asks for some of the reserve. */
--- a/src/shares/reserve.ts
+++ b/src/shares/reserve.ts
@@ -27,7 +27,7 @@
  * @example createAllotment('rota/parish', shared.lendsFromMs, shared.quietUntilMs)
  */
 export function createAllotment (workspace: string, sinceMs: number, quietUntilMs: number): Allotment {
-  return { kind: 'workspace', workspace, committed: 0, perSecond: 0, quietUntilMs, tokens: 0, countedAtMs: sinceMs, loans: [] }
+  return { kind: 'workspace', workspace, committed: 0, perSecond: 0, quietUntilMs, emptySinceMs: Infinity, countsFromMs: sinceMs, tokens: 0, countedAtMs: sinceMs, loans: [] }
 }
 
 /**
@@ -37,7 +37,16 @@
 export function refillReserve (allotment: Allotment, limit: KnownLimit, nowMs: number): Allotment {
   const quiet = refillUntil(allotment, limit, Math.min(nowMs, allotment.quietUntilMs))
   if (nowMs < allotment.quietUntilMs) return quiet
-  return refillUntil({ ...quiet, quietUntilMs: -Infinity }, limit, nowMs)
+  return refillUntil({ ...quiet, quietUntilMs: -Infinity, tokens: quiet.tokens + readUnspent(quiet, limit) }, limit, nowMs)
+}
+
+// After a restart of all hosts, what came in since the last of them started was spent by nobody, but for what the
+// reserve gave meanwhile.
+function readUnspent ({ quietUntilMs, emptySinceMs, countsFromMs }: Allotment, limit: KnownLimit): number {
+  const fromMs = Math.max(emptySinceMs, limit.sinceMs)
+  if (fromMs >= quietUntilMs) return 0
+  const countedMs = Math.max(0, quietUntilMs - Math.max(fromMs, countsFromMs))
+  return limit.rate * (quietUntilMs - fromMs - countedMs * RESERVE_PARTS / TOTAL_PARTS) / MS_PER_SECOND
 }
 
 function refillUntil (allotment: Allotment, limit: KnownLimit, nowMs: number): Allotment {
--- a/src/shares/state.ts
+++ b/src/shares/state.ts
@@ -55,6 +55,10 @@
   readonly perSecond: number
   /** Until then shares of the leader before may be in use, beside those committed. */
   readonly quietUntilMs: number
+  /** From when on nobody can have held anything of the leaders before; Infinity where that is not known. */
+  readonly emptySinceMs: number
+  /** From when on this leader counts tokens of the reserve. */
+  readonly countsFromMs: number
   /** Tokens of the reserve. */
   readonly tokens: number
   readonly countedAtMs: number
@@ -84,6 +88,8 @@
   readonly holders?: HoldersTable
   /** Hosts that may hold shares of the leader before, and have not reported to this one. */
   readonly awaited: ReadonlySet<string>
+  /** From when on nobody can have held anything of the leaders before; Infinity where a host still may. */
+  readonly emptySinceMs: number
 }
 
 /**
@@ -91,7 +97,7 @@
  * @example createSharesShared().leads // false
  */
 export function createSharesShared (): SharesShared {
-  return { leads: false, epoch: 0, leaseUntilMs: -Infinity, lendsFromMs: 0, quietUntilMs: 0, limits: new Map(), awaited: new Set() }
+  return { leads: false, epoch: 0, leaseUntilMs: -Infinity, lendsFromMs: 0, quietUntilMs: 0, limits: new Map(), awaited: new Set(), emptySinceMs: Infinity }
 }
 
 /**
