Asks a silent leader for loans ever more rarely, and refuses at once what no leader can help

Hosts without tokens asked it for a loan every 60 ms for each workspace (over 800 requests a second arrived), and for shares every 50 ms; a process that has just started is slow, missed its beats, and the unanswered loans were asked again. Ruled out: the cold election (the log was established in 43.649 s, and votes came from all), the packing (the same links carried the second lead). Change: a loan without an answer makes the host's next one of any workspace wait for 30 to 480 ms, doubling; shares are asked for every 100 ms while there are none. Separately: without a primary, a host that hears no leader for 1.5 s refuses at once with the time to come back instead of looking again until the deadline, and all look ever more rarely.

--- a/src/admission/lease.ts
+++ b/src/admission/lease.ts
@@ -13,7 +13,7 @@
 /** Time between two renewals of the lease. */
 export const ASK_EVERY_MS = 200
 /** The same while this host holds no share: its first ones come with the second answer. */
-const ASK_SOON_MS = 50
+const ASK_SOON_MS = 100
 /** A demand is told again once it differs by more than this part from what was told. */
 const DEMAND_TOLERANCE = 0.2
 /** After this many rounds every demand is told, in case an ask was lost. */
--- a/src/admission/rates.ts
+++ b/src/admission/rates.ts
@@ -15,6 +15,8 @@
 const LOAN_PAUSE_MS = 25
 /** A token of the own share that comes within this time is waited for without a loan: it saves the leader two messages. */
 const OWN_NEAR_MS = 30
+/** How often the pause after an unanswered loan doubles: up to 0.5 s, so that hosts do not swamp a leader that has just started. */
+const MAX_DOUBLINGS = 3
 /** How long after the leader's last word a host counts as out of touch: seven beats. */
 const OUT_OF_TOUCH_MS = 700
 /** Tokens that a loan may bring beyond those that are waited for. */
@@ -52,18 +54,23 @@
   if (moment.monotonicMs > allowance.loan.askedAtMs + LOAN_MS) return settle(store.shared, key, filled, moment)
   const pausedUntilMs = message.nextMs === 0 ? 0 : moment.monotonicMs + Math.max(LOAN_PAUSE_MS, message.nextMs)
   const bucket = { ...filled.bucket, tokens: filled.bucket.tokens + message.tokens }
-  const step = settle(store.shared, key, { ...filled, bucket, pausedUntilMs, nextMs: message.nextMs }, moment)
-  return { ...step, effects: [clearTimer(nameTimer(key)), ...step.effects] }
+  const shared: AdmissionShared = { ...store.shared, lease: { ...store.shared.lease, overdue: 0, loansFromMs: 0 } }
+  const step = settle(shared, key, { ...filled, bucket, pausedUntilMs, nextMs: message.nextMs }, moment)
+  return { shared, ...step, effects: [clearTimer(nameTimer(key)), ...step.effects] }
 }
 
 /**
- * Asks again for a loan that did not come, and refuses those who have waited too long.
+ * Takes a loan that did not come for a sign that the leader is silent or swamped: this host asks it ever more rarely,
+ * and refuses those for whom no token is near.
  * @example endOverdue(store, { kind: 'admission/loan-overdue', holder, loan, workspace }, moment)
  */
 export function endOverdue (store: AdmissionStore, message: LoanOverdue, moment: Moment): AdmissionStep {
   const allowance = store.items.get(message.workspace)
   if (allowance?.loan === undefined || !isSameLoan(allowance.loan, message)) return UNCHANGED
-  return settleAgain(store, message.workspace, { ...allowance, loan: undefined }, moment)
+  const { lease } = store.shared
+  const pauseMs = LOAN_MS * 2 ** Math.min(MAX_DOUBLINGS, lease.overdue) * (1 + moment.random) / 2
+  const shared: AdmissionShared = { ...store.shared, lease: { ...lease, overdue: lease.overdue + 1, loansFromMs: moment.monotonicMs + pauseMs } }
+  return { shared, ...settleAgain({ ...store, shared }, message.workspace, { ...allowance, loan: undefined }, moment) }
 }
 
 /**
@@ -104,14 +111,16 @@
   const count = Math.min(allowance.waiting.length, Math.floor(bucket.tokens))
   const admitted = allowance.waiting.slice(0, count).map(request => admit(request, request.rules))
   const tokens = Math.min(bucket.burst, bucket.tokens - count)
-  const left: Allowance = { ...allowance, bucket: { ...bucket, tokens }, waiting: allowance.waiting.slice(count) }
+  const { overdue, loansFromMs } = shared.lease
+  const pausedUntilMs = Math.max(allowance.pausedUntilMs, loansFromMs)
+  const left: Allowance = { ...allowance, bucket: { ...bucket, tokens }, waiting: allowance.waiting.slice(count), pausedUntilMs, unanswered: overdue > 0 }
   if (left.waiting.length === 0) return { changes: [[key, left]], effects: admitted }
   const asked = isAskable(shared, left, moment) ? askLoan(shared, key, left, moment) : { allowance: left, effects: [] }
   const { kept, refused } = keepHopeful(asked.allowance, moment)
   const next: Allowance = { ...asked.allowance, waiting: kept }
   const retryMs = readRetryMs(next, moment)
   return {
-    shared: asked.shared,
+    ...(asked.shared === undefined ? {} : { shared: asked.shared }),
     changes: [[key, next]],
     effects: [...admitted, ...refused.map(request => refuse(request, key, retryMs)), ...asked.effects, ...createTimer(key, next, moment)]
   }
--- a/src/admission/state.ts
+++ b/src/admission/state.ts
@@ -24,6 +24,9 @@
   readonly countedAtMs: number
   /** Counts loans, for their names. */
   readonly loans: number
+  /** How many loans in turn the leader left without an answer, and until when no other is asked for. */
+  readonly overdue: number
+  readonly loansFromMs: number
 }
 
 /** What admission knows of all services. */
@@ -73,6 +76,8 @@
   readonly loan?: AskedLoan
   /** No loan is asked for before this time: the last one brought too little. */
   readonly pausedUntilMs: number
+  /** True while the leader leaves this host's loans without an answer. */
+  readonly unanswered?: boolean
   /** How long the leader's reserve takes for another token, as it last told. */
   readonly nextMs?: number
 }
@@ -83,7 +88,7 @@
  * @example createAdmissionShared().documents.size // 0
  */
 export function createAdmissionShared (keepsAuthority = false, serves = true, startedAtMs = 0): AdmissionShared {
-  const lease: Lease = { epoch: 0, holder: '', emptySinceMs: startedAtMs, round: 0, applied: 0, endsAtMs: 0, askedAtMs: new Map(), countedAtMs: 0, loans: 0 }
+  const lease: Lease = { epoch: 0, holder: '', emptySinceMs: startedAtMs, round: 0, applied: 0, endsAtMs: 0, askedAtMs: new Map(), countedAtMs: 0, loans: 0, overdue: 0, loansFromMs: 0 }
   return { documents: new Map(), indexes: new Map(), keepsAuthority, serves, complete: true, lease, callers: createKeyedCallers() }
 }
 
--- a/src/admission/waiting.test.ts
+++ b/src/admission/waiting.test.ts
@@ -7,6 +7,8 @@
 
 const HOSTS = Array.from({ length: 9 }, (_, index) => `h${index + 1}`)
 const NO_FAULTS = { dropped: 0, doubled: 0, late: 0 }
+/** Two a second at the longest pause, and those before it. */
+const MAX_LOANS = 12
 const RESTARTS = 20
 const LIMIT = { rate: 84, burst: 84 }
 const MOMENT = { monotonicMs: 1_000, wallMs: 0, random: 0.5 }
@@ -87,3 +89,14 @@
     expect(readRetryMs(createWaiting(0), MOMENT)).to.equal(1_500)
   })
 })
+
+describe('a host whose leader answers no loan', () => {
+  it('asks ever more rarely, whatever its callers ask for', () => {
+    const rates = RatesWorld.create(HOSTS, LIMIT, NO_FAULTS, 1, true)
+    rates.changeLeader('h1', 0)
+    rates.schedule(100, () => rates.holdUp('h1', 2_000))
+    for (let atMs = 110; atMs < 2_000; atMs += 5) rates.schedule(atMs, () => rates.arrive('h2'))
+    rates.run(2_000)
+    expect(rates.countSent('shares/wanted', 'h2')).to.be.at.most(MAX_LOANS)
+  })
+})
--- a/src/admission/waiting.ts
+++ b/src/admission/waiting.ts
@@ -48,7 +48,7 @@
  * @example readWaitMs(allowance, 0, moment)
  */
 export function readWaitMs (allowance: Allowance, place: number, moment: Moment): number {
-  const { pausedUntilMs, nextMs } = allowance
+  const { pausedUntilMs, unanswered, nextMs = unanswered === true ? 0 : undefined } = allowance
   const lentMs = nextMs === undefined ? Infinity : Math.max(0, pausedUntilMs - moment.monotonicMs) + place * nextMs
   return Math.min(readOwnMs(allowance, place), lentMs)
 }
@@ -79,7 +79,8 @@
 
 function isHopeful (allowance: Allowance, request: WaitingRequest, place: number, moment: Moment): boolean {
   const nowMs = moment.monotonicMs
-  if (allowance.loan !== undefined) return nowMs < readEndMs(request)
+  const patient = allowance.unanswered === true && request.rules.latencyMs === undefined
+  if (allowance.loan !== undefined || patient) return nowMs < readEndMs(request)
   const waitMs = readWaitMs(allowance, place, moment)
   return nowMs + waitMs <= readEndMs(request) && (request.rules.latencyMs !== undefined || waitMs <= NEAR_MS)
 }
--- a/src/requests/decide.test.ts
+++ b/src/requests/decide.test.ts
@@ -75,6 +75,14 @@
     expect(findFailed(ended)?.failure).to.include({ code: 'outcome-unknown', sqlState: '40003' })
   })
 
+  it('tells when to come back where the primary is missing, each caller a time of its own', () => {
+    take({ kind: 'requests/arrived', caller: 'c', input: { intent: 'statement' }, payload: Buffer.alloc(0) })
+    take({ kind: 'requests/admitted', caller: 'c', attempt: readAttempt('c'), rules: RULES })
+    const failure = createFailure('no-primary', 'a')
+    const ended = take({ kind: 'requests/failed', caller: 'c', attempt: readAttempt('c'), failure, retriable: false })
+    expect(findFailed(ended)?.failure).to.include({ code: 'no-primary', effect: 'not-run', retryAfterMs: 1_000 })
+  })
+
   it('passes the remaining time on with each attempt', () => {
     start('c')
     nowMs = 200
--- a/src/requests/failure.ts
+++ b/src/requests/failure.ts
@@ -1,5 +1,5 @@
 /** Decisions on requests that failed: another attempt, or the end with what is known of the effect. */
-import { createFailure, type Failure } from '../core/errors.js'
+import { createFailure, type ErrorCode, type Failure } from '../core/errors.js'
 import type { Moment } from '../core/message.js'
 import { UNCHANGED } from '../core/store.js'
 import type { GrantEntry } from '../membership/directory.js'
@@ -8,8 +8,12 @@
 import { createCancel, createTimersCleared, readStatus, replaceCaller, type RequestsStep, type RequestsStore } from './step.js'
 import { setTimer } from '../messages.js'
 
-/** How long a request that found no place waits before it looks again. */
+/** How long a request that found no place waits before it looks again, the first time. */
 const RETRY_AFTER_MS = 25
+/** The longest such pause: a tenth of a second after a change of primary, all that waited have found the new one. */
+const MAX_LOOK_AFTER_MS = 100
+/** When what was missing is there again, in most cases: a change of primary, another owner, the work of a queue. */
+const COMES_BACK_MS: Readonly<Partial<Record<ErrorCode, number>>> = { 'no-primary': 1_000, 'no-database': 500, 'queue-full': 200 }
 /** The longest pause of a request that owners refuse again and again. */
 const MAX_RETRY_AFTER_MS = 400
 
@@ -24,13 +28,20 @@
   const allowed = message.retriable === true && inTime && running.parts === 0 && caller.transaction === undefined
   if (allowed && message.failure.effect === 'not-run') return retry(caller, running, pauseMs)
   const harmless = running.rules?.idempotent === true || running.target?.purpose === 'replica'
-  if (!allowed || !harmless || shared.retries < 1) return endWithFailure(caller, running, message.failure)
+  if (!allowed || !harmless || shared.retries < 1) return endWithFailure(caller, running, addRetryTime(message.failure, moment))
   return { ...retry(caller, { ...running, mayHaveRun: true }, pauseMs), shared: { ...shared, retries: shared.retries - 1 } }
 }
 
+// Callers that were refused for the same reason come back one after the other.
+function addRetryTime (failure: Failure, moment: Moment): Failure {
+  const afterMs = COMES_BACK_MS[failure.code]
+  if (failure.effect !== 'not-run' || failure.retryAfterMs !== undefined || afterMs === undefined) return failure
+  return { ...failure, retryAfterMs: Math.ceil(afterMs * (0.5 + moment.random)) }
+}
+
 // Looking for a place costs this host alone; an owner that refused is asked ever more rarely.
 function readPause (running: Running, moment: Moment): number {
-  if (running.target === undefined) return RETRY_AFTER_MS
+  if (running.target === undefined) return Math.min(MAX_LOOK_AFTER_MS, RETRY_AFTER_MS * (1 + (running.attempt - running.request) / 2))
   // The primary serves what a replica could not.
   if (running.target.purpose === 'replica') return 0
   const pauseMs = Math.min(RETRY_AFTER_MS * 2 ** running.refusals, MAX_RETRY_AFTER_MS)
--- a/src/routing/decide.ts
+++ b/src/routing/decide.ts
@@ -14,6 +14,8 @@
 const ASK_HOLDS_MS = 2_000
 /** How long after its last request a group's positions are still asked for: longer than callers pause between requests. */
 const USED_MS = 10_000
+/** A host that the leader has not confirmed for this long hears of no other primary: longer than an election takes. */
+const OUT_OF_TOUCH_MS = 1_500
 /** A replica that holds what the primary had this long ago is worth a short wait. */
 const KEEPING_UP_MS = 400
 const NEVER: LogPosition = { term: Number.MAX_SAFE_INTEGER, offset: 0 }
@@ -48,7 +50,7 @@
     return answer({ ...state, turn: state.turn + 1 }, message, createTarget(replica, 'replica', grant?.term ?? 0, floor))
   }
   const primary = grant?.primary === undefined ? undefined : state.databases.get(grant.primary)
-  if (grant === undefined || grant.closing === true || primary?.owner === undefined || isSilentOwner(state, primary.owner)) return refuse(state, message, 'no-primary')
+  if (grant === undefined || grant.closing === true || primary?.owner === undefined || isSilentOwner(state, primary.owner)) return refuse(state, message, 'no-primary', moment)
   return answer(state, message, createTarget(primary, 'primary', grant.term, ORIGIN))
 }
 
@@ -107,9 +109,11 @@
   return { state, effects: [tell({ kind: 'requests/routed', caller: message.caller, attempt: message.attempt, target })] }
 }
 
-function refuse (state: RoutingState, message: Choose, code: ErrorCode): RoutingStep {
+// Looking again is of use while the leader may name another primary.
+function refuse (state: RoutingState, message: Choose, code: ErrorCode, moment: Moment): RoutingStep {
   const failure = createFailure(code, message.rules.group)
-  return { state, effects: [tell({ kind: 'requests/failed', caller: message.caller, attempt: message.attempt, failure, retriable: true })] }
+  const retriable = moment.monotonicMs - state.confirmedAtMs < OUT_OF_TOUCH_MS
+  return { state, effects: [tell({ kind: 'requests/failed', caller: message.caller, attempt: message.attempt, failure, retriable })] }
 }
 
 function takeDirectory (state: RoutingState, message: DirectoryChanged): RoutingStep {
--- a/src/routing/placement.test.ts
+++ b/src/routing/placement.test.ts
@@ -1,6 +1,8 @@
 import { expect } from 'chai'
+import type { Tell } from '../core/message.js'
 import { ORIGIN } from '../core/position.js'
 import type { DatabaseEntry } from '../membership/directory.js'
+import { decideRouting } from './decide.js'
 import { isSilentOwner, pickLightest } from './placement.js'
 import { findProvenFloor } from './staleness.js'
 import { createRoutingState, type RoutingState } from './state.js'
@@ -42,6 +44,20 @@
   })
 })
 
+describe('a request without a primary', () => {
+  const refuse = (nowMs: number): unknown => {
+    const state: RoutingState = { ...createState([0, 0, 0]), grants: new Map(), confirmedAtMs: 10_000 }
+    const choose = { kind: 'routing/choose', caller: 'c', attempt: 1, rules: { ...RULES, action: 'write' }, seen: ORIGIN, avoid: [] } as const
+    const [effect] = decideRouting(state, choose, { monotonicMs: nowMs, wallMs: 0, random: 0 }).effects
+    return (effect as Tell).message
+  }
+
+  it('looks again while the leader may name one, and is refused at once where no leader is heard', () => {
+    expect(refuse(11_000)).to.include({ kind: 'requests/failed', retriable: true })
+    expect(refuse(12_000)).to.include({ kind: 'requests/failed', retriable: false })
+  })
+})
+
 describe('the floor of a read by proofs', () => {
   const samples = [
     { database: 'db-0', askedAtMs: 100, position: { term: 1, offset: 40 } },
--- a/test/support/rates.ts
+++ b/test/support/rates.ts
@@ -110,6 +110,7 @@
 /** Hosts with the real decisions, and everything around them made up. */
 export class RatesWorld {
   readonly decided: Decided[] = []
+  readonly #sent = new Map<string, number>()
   readonly random: () => number
   readonly #limit: FakeLimit
   readonly #faults: LinkFaults
@@ -195,6 +196,11 @@
     this.#post(this.#hosts.get(name)!, { kind: 'admission/check-request', caller: name2, attempt: 1, service: 'rota', workspace: 'parish', keyHash: KEY_HASH, action: 'read', inTransaction: false })
   }
 
+  /** Counts what a host has sent of a kind. */
+  countSent (kind: string, name: string): number {
+    return this.#sent.get(`${name} ${kind}`) ?? 0
+  }
+
   #start (host: FakeHost): void {
     host.life += 1
     host.frozenUntilMs = 0
@@ -263,6 +269,8 @@
 
   #send (host: FakeHost, effect: SendPeer): void {
     const to = this.#hosts.get(effect.to)!
+    const sent = `${host.name} ${effect.message.kind}`
+    this.#sent.set(sent, (this.#sent.get(sent) ?? 0) + 1)
     const message = { ...effect.message, from: host.name } as unknown as HostMessage
     const local = to === host
     if (!local && (this.#isCut(host) || this.#isCut(to) || this.random() < this.#faults.dropped)) return
