Counts requests by route, workspace and database

Change: counters by outcome and a histogram by route, with labels of their own for the first 200 names of a kind.

--- a/src/monitoring/metrics.ts
+++ b/src/monitoring/metrics.ts
@@ -6,6 +6,7 @@
 import type { GrantEntry } from '../membership/directory.js'
 import type { HostMessage } from '../messages.js'
 import type { Traffic } from '../peers/traffic.js'
+import { Breakdown } from './breakdown.js'
 import { Counts } from './counts.js'
 
 const PREFIX = 'fulmartally_'
@@ -28,6 +29,7 @@
   readonly #events = this.#createCounts('events_total', 'Events of the time line, by name.', ['event'])
   readonly #failovers = this.#createCounts('failovers_total', 'Changes of a primary that this host saw.', [])
   readonly #peerBytes = this.#createCounts('peer_bytes_total', 'Bytes of messages between hosts, without TCP and TLS.', ['direction', 'purpose'])
+  readonly #breakdown = Breakdown.create(this.#registry)
   readonly #duration = new Histogram({
     name: `${PREFIX}request_duration_seconds`,
     help: 'Time from the arrival of a request to the end of its answer.',
@@ -63,6 +65,7 @@
   /** Counts a message before its decision. */
   observeMessage (message: HostMessage): void {
     this.#messages.add(message.kind)
+    this.#breakdown.observeMessage(message)
     switch (message.kind) {
       case 'requests/open': this.#callers.add(message.caller); break
       case 'requests/arrived': this.#startedAtMs.set(message.caller, performance.now()); break
@@ -81,12 +84,12 @@
   observeEffect (effect: Effect): void {
     const known = effect as CallerEffect | DatabaseEffect | { readonly kind: 'timeline/record', readonly event: string }
     switch (known.kind) {
-      case 'caller/finished': this.#endRequest(known.caller, 'finished'); break
+      case 'caller/finished': this.#endRequest(known.caller, 'finished', 'finished'); break
       case 'caller/failed':
-        this.#endRequest(known.caller, 'failed')
+        this.#endRequest(known.caller, 'failed', known.failure.code)
         this.#refusals.add(known.failure.code)
         break
-      case 'caller/rolled-back': this.#endRequest(known.caller, 'rolled-back'); break
+      case 'caller/rolled-back': this.#endRequest(known.caller, 'rolled-back', 'rolled-back'); break
       case 'caller/refused': this.#refusals.add(known.failure.code); break
       case 'database/open': this.#connections.add(known.connection); break
       case 'database/close': this.#connections.delete(known.connection); break
@@ -115,12 +118,14 @@
     }
   }
 
-  #endRequest (caller: string, outcome: string): void {
+  #endRequest (caller: string, outcome: string, detail: string): void {
     const startedAtMs = this.#startedAtMs.get(caller)
     if (startedAtMs === undefined) return
     this.#startedAtMs.delete(caller)
     this.#requests.add(outcome)
-    this.#duration.observe((performance.now() - startedAtMs) / MS_PER_SECOND)
+    const seconds = (performance.now() - startedAtMs) / MS_PER_SECOND
+    this.#duration.observe(seconds)
+    this.#breakdown.endRequest(caller, detail, seconds)
   }
 
   #dropCaller (caller: string): void {
--- a/src/monitoring/monitor.test.ts
+++ b/src/monitoring/monitor.test.ts
@@ -17,7 +17,7 @@
     const leave = (effect: unknown): void => monitor.observeEffect(effect as Effect, 'requests')
     for (const caller of ['c1', 'c2', 'c3']) {
       take({ kind: 'requests/open', caller })
-      take({ kind: 'requests/arrived', caller })
+      take({ kind: 'requests/arrived', caller, input: { intent: 'statement' } })
       take({ kind: 'routing/choose', caller, rules: { action: 'read' } })
       take({ kind: 'requests/routed', caller, target: { purpose: 'replica' } })
     }
