--- a/src/daemon/listen.ts
+++ b/src/daemon/listen.ts
@@ -5,7 +5,7 @@
 import { connectNodeAdapter } from '@connectrpc/connect-node'
 import type { ConnectRouter } from '@connectrpc/connect'
 import type { HandlePage } from '../monitoring/pages.js'
-import { splitAddress } from '../databases/postgres/connection.js'
+import { splitAddress } from '../core/address.js'
 
 /** The largest command of an operator. */
 const MAX_COMMAND_BYTES = 4_194_304
--- a/src/daemon/postgres.ts
+++ b/src/daemon/postgres.ts
@@ -2,7 +2,7 @@
 import type { ConnectRouter } from '@connectrpc/connect'
 import type { Adapter } from '../core/adapter.js'
 import { POSTGRES_GUARANTEES } from '../databases/guarantees.js'
-import { splitAddress } from '../databases/postgres/connection.js'
+import { splitAddress } from '../core/address.js'
 import { PostgresDriver } from '../databases/postgres/driver.js'
 import { PostgresFrontEnd } from '../frontends/postgres/frontend.js'
 import { ConnectAnnouncements } from '../membership/announcements.js'
--- a/src/databases/postgres/connection.ts
+++ b/src/databases/postgres/connection.ts
@@ -1,6 +1,7 @@
 /** One pooled connection to a PostgreSQL database. */
 import { connect, type Socket } from 'node:net'
 import { serialize } from 'pg-protocol'
+import { splitAddress } from '../../core/address.js'
 import type { HostPost } from '../../messages.js'
 import type { Execute } from '../driver.js'
 import { createAnswer, takeMessage, type Answer } from './answer.js'
@@ -159,12 +160,3 @@
   const named = `${work.service}/${work.workspace ?? ''}`.replaceAll("'", "''")
   return `SELECT set_config('${WORKSPACE_SETTING}', '${named}', false), set_config('${READ_ONLY_SETTING}', '${work.readOnly ? 'on' : 'off'}', false)`
 }
-
-/**
- * Splits an address into its IP and its port.
- * @example splitAddress('127.0.0.1:5432') // ['127.0.0.1', 5432]
- */
-export function splitAddress (address: string): readonly [ip: string, port: number] {
-  const colon = address.lastIndexOf(':')
-  return [address.slice(0, colon).replace(/^\[|\]$/g, ''), Number(address.slice(colon + 1))]
-}
--- a/src/databases/postgres/control.ts
+++ b/src/databases/postgres/control.ts
@@ -1,6 +1,6 @@
 /** The control connection to one database: its status, and commands to it. */
 import pg from 'pg'
-import { splitAddress } from './connection.js'
+import { splitAddress } from '../../core/address.js'
 import { parsePosition } from './answer.js'
 import type { LogPosition } from '../../core/position.js'
 
--- a/src/requests/decide.ts
+++ b/src/requests/decide.ts
@@ -189,7 +189,6 @@
     transaction: caller.transaction?.began,
     remainingMs: Math.max(0, Math.round(running.endsAtMs - moment.monotonicMs)),
     idleMs: running.rules?.idleTransactionMs,
-    priority: running.rules?.priority,
     payload: running.payload
   })
   const next: Caller = { ...caller, ticket, running: { ...running, phase: 'running', target } }
--- a/src/succession/decide.ts
+++ b/src/succession/decide.ts
@@ -108,17 +108,17 @@
   if (succession !== undefined && succession.outcome === undefined) return callPlatform(state, group, nowMs)
   const primary = findPrimary(state, group)
   const reason = findReason(state, primary, nowMs)
-  if (reason === undefined) return endFence(publish(state, group, primary?.entry.database, nowMs), group)
+  if (reason === undefined) return endFence(publish(state, group, primary?.entry.database), group)
   if ((state.copies.get(group) ?? 0) > 0) return fenceGroup(state, group, primary, reason, nowMs)
   const successor = isSettling(state, group, nowMs) ? undefined : pickSuccessor(state, group, primary, nowMs)
-  if (successor === undefined) return publish(state, group, primary?.entry.database, nowMs)
+  if (successor === undefined) return publish(state, group, primary?.entry.database)
   return appoint(state, group, successor, reason, nowMs)
 }
 
 // Where a replica's copy is the acknowledgement, replicas stop receiving before their positions are compared:
 // what is acknowledged after that is acknowledged by nobody.
 function fenceGroup (state: SuccessionState, group: string, primary: KnownDatabase | undefined, reason: Reason, nowMs: number): SuccessionStep {
-  if (isSettling(state, group, nowMs)) return publish(state, group, primary?.entry.database, nowMs)
+  if (isSettling(state, group, nowMs)) return publish(state, group, primary?.entry.database)
   const { awaited, successor } = pickFenced(state, group, primary)
   if (successor !== undefined && state.fences.has(group)) {
     const appointed = appoint(state, group, successor, reason, nowMs)
@@ -186,7 +186,7 @@
   const published = state.published.get(group)?.database
   const former = published === undefined ? undefined : state.databases.get(published)
   const serves = former?.entry.departing === true && findReason(state, { ...former, entry: { ...former.entry, departing: false } }, nowMs) === undefined
-  const hidden = serves ? keep(state) : publish(state, group, undefined, nowMs)
+  const hidden = serves ? keep(state) : publish(state, group, undefined)
   return { state: { ...hidden.state, calls: new Map(state.calls).set(group, next) }, effects: [...hidden.effects, effect] }
 }
 
@@ -201,17 +201,17 @@
   }
   const settled = tell({ kind: 'agreement/propose', proposal: `succession/${group}/${appointment}/settle`, command: { kind: 'succession/settle', group, appointment, outcome: outcome === 'done' ? 'done' : 'failed' } })
   // Hosts look for the next primary at once; until it leads, it refuses.
-  const shown = outcome === 'done' ? publish(state, group, state.table[group]!.database, nowMs) : keep({ ...state, changedAtMs: new Map(state.changedAtMs).set(group, nowMs - APPOINT_AGAIN_MS + CALL_AGAIN_MS) })
+  const shown = outcome === 'done' ? publish(state, group, state.table[group]!.database) : keep({ ...state, changedAtMs: new Map(state.changedAtMs).set(group, nowMs - APPOINT_AGAIN_MS + CALL_AGAIN_MS) })
   return { state: shown.state, effects: [event, settled, ...shown.effects] }
 }
 
-function publish (state: SuccessionState, group: string, database: string | undefined, nowMs: number): SuccessionStep {
+function publish (state: SuccessionState, group: string, database: string | undefined): SuccessionStep {
   const known = state.published.get(group)
   if (known !== undefined && known.database === database) return keep(state)
   if (known === undefined && database === undefined) return keep(state)
   const term = state.table[group]?.appointment ?? 0
   return {
-    state: { ...state, published: new Map(state.published).set(group, { database, sinceMs: nowMs }) },
+    state: { ...state, published: new Map(state.published).set(group, { database }) },
     effects: [
       tell({ kind: 'membership/publish', entry: { kind: 'grant', group, term, primary: database, members: [] } }),
       recordEvent('primary-published', `Group ${group}: hosts are told of primary ${database ?? 'none'}.`, { group })
--- a/src/succession/state.ts
+++ b/src/succession/state.ts
@@ -69,8 +69,8 @@
   readonly fences: ReadonlyMap<string, Fence>
   /** All members of each group that have not ended by their own word, also those that are silent. */
   readonly members: ReadonlyMap<string, KnownDatabase>
-  /** The primary that each group's hosts were told of, and since when. */
-  readonly published: ReadonlyMap<string, { readonly database: string | undefined, readonly sinceMs: number }>
+  /** The primary that each group's hosts were told of. */
+  readonly published: ReadonlyMap<string, { readonly database: string | undefined }>
   /** When each group's last appointment was proposed or settled. */
   readonly changedAtMs: ReadonlyMap<string, number>
 }
--- a/src/transactions/messages.ts
+++ b/src/transactions/messages.ts
@@ -28,8 +28,6 @@
   readonly remainingMs: number
   /** How long the transaction may wait for its caller; the host's limit when absent. */
   readonly idleMs?: number
-  /** Who goes first among a workspace's requests; 0 before all others. */
-  readonly priority?: number
   readonly payload: Uint8Array
 }
 
