Refuses at once at hosts that are out of touch, whatever the leader lent before

Cause: found by reading. A host that hears no leader went by the time that the leader's last answer had named for the next token: its requests looked again every millisecond for a fifth of their latency target and were then refused. Ruled out: hosts in touch (there a loan is asked for, or the pause has an end). Change: out of touch, nothing is expected of the leader. Figures: the test of the refusal fails before (a timer in place of the answer).

--- a/src/admission/rates.ts
+++ b/src/admission/rates.ts
@@ -111,9 +111,7 @@
   const count = Math.min(allowance.waiting.length, Math.floor(bucket.tokens))
   const admitted = allowance.waiting.slice(0, count).map(request => admit(request, request.rules))
   const tokens = Math.min(bucket.burst, bucket.tokens - count)
-  const { overdue, loansFromMs } = shared.lease
-  const pausedUntilMs = Math.max(allowance.pausedUntilMs, loansFromMs)
-  const left: Allowance = { ...allowance, bucket: { ...bucket, tokens }, waiting: allowance.waiting.slice(count), pausedUntilMs, unanswered: overdue > 0 }
+  const left = updateLoans(shared, { ...allowance, bucket: { ...bucket, tokens }, waiting: allowance.waiting.slice(count) }, moment)
   if (left.waiting.length === 0) return { changes: [[key, left]], effects: admitted }
   const asked = isAskable(shared, left, moment) ? askLoan(shared, key, left, moment) : { allowance: left, effects: [] }
   const { kept, refused } = keepHopeful(asked.allowance, moment)
@@ -126,9 +124,19 @@
   }
 }
 
-// A host that is out of touch gets no loan.
+// What the last loans tell of the next one. A host that is out of touch gets none.
+function updateLoans (shared: AdmissionShared, allowance: Allowance, moment: Moment): Allowance {
+  if (isOutOfTouch(shared, moment)) return { ...allowance, unanswered: false, nextMs: undefined }
+  const { overdue, loansFromMs } = shared.lease
+  return { ...allowance, pausedUntilMs: Math.max(allowance.pausedUntilMs, loansFromMs), unanswered: overdue > 0 }
+}
+
+function isOutOfTouch (shared: AdmissionShared, moment: Moment): boolean {
+  return shared.keepsAuthority && moment.monotonicMs - (shared.confirmedAtMs ?? -Infinity) > OUT_OF_TOUCH_MS
+}
+
 function isAskable (shared: AdmissionShared, allowance: Allowance, moment: Moment): boolean {
-  if (shared.keepsAuthority && moment.monotonicMs - (shared.confirmedAtMs ?? -Infinity) > OUT_OF_TOUCH_MS) return false
+  if (isOutOfTouch(shared, moment)) return false
   if (readOwnMs(allowance, allowance.waiting.length - 1) <= OWN_NEAR_MS) return false
   return allowance.loan === undefined && moment.monotonicMs >= allowance.pausedUntilMs
 }
--- a/src/admission/waiting.test.ts
+++ b/src/admission/waiting.test.ts
@@ -1,8 +1,13 @@
 import { expect } from 'chai'
 import { createRandom, RatesWorld } from '../../test/support/rates.js'
+import type { Effect, SendPeer, Tell } from '../core/message.js'
+import { StoreSlice } from '../core/store.js'
+import { parseDocument } from '../documents/document.js'
 import type { RouteRules } from '../requests/messages.js'
 import { createAllowance } from './allowance.js'
-import type { Allowance, WaitingRequest } from './state.js'
+import { decideAdmission } from './decide.js'
+import type { AdmissionMessage } from './messages.js'
+import { checkAllowance, createAdmissionShared, type Allowance, type WaitingRequest } from './state.js'
 import { addWaiting, keepHopeful, readRetryMs } from './waiting.js'
 
 const HOSTS = Array.from({ length: 9 }, (_, index) => `h${index + 1}`)
@@ -11,6 +16,7 @@
 const MAX_LOANS = 12
 const RESTARTS = 20
 const LIMIT = { rate: 84, burst: 84 }
+const KEY_HASH = 'ab'.repeat(32)
 const MOMENT = { monotonicMs: 1_000, wallMs: 0, random: 0.5 }
 
 function createRequest (caller: string, latencyMs?: number, priority?: number, sinceMs = 1_000): WaitingRequest {
@@ -100,3 +106,26 @@
     expect(rates.countSent('shares/wanted', 'h2')).to.be.at.most(MAX_LOANS)
   })
 })
+
+describe('a host that is out of touch', () => {
+  const document = parseDocument(JSON.stringify({
+    service: 'rota',
+    owners: ['ana'],
+    groups: [{ name: 'a', databases: 3 }],
+    workspaces: [{ name: 'parish', rate: 10, burst: 10, group: 'a', keys: [{ id: 'k1', sha256: KEY_HASH }] }],
+    routes: [{ name: 'view', action: 'read', latencyMs: 500 }]
+  })).unwrapOr(undefined as never)
+
+  it('refuses at once what its own share has no token for, also where the leader lent some before', () => {
+    const slice = StoreSlice.create({ name: 'admission', shared: createAdmissionShared(true, true, 0), decide: decideAdmission, checkItem: checkAllowance })
+    const take = (message: AdmissionMessage, nowMs: number): readonly Effect[] => slice.take(message, { monotonicMs: nowMs, wallMs: 0, random: 0.5 })
+    const ask = (caller: string, nowMs: number): readonly Effect[] => take({ kind: 'admission/check-request', caller, attempt: 1, service: 'rota', workspace: 'parish', route: 'view', keyHash: KEY_HASH, action: 'read', inTransaction: false }, nowMs)
+    take({ kind: 'admission/documents-confirmed', documents: [{ kind: 'document', service: 'rota', version: 1, document }], askedAtMs: 1_000 }, 1_000)
+    take({ kind: 'admission/leader-changed', leader: 'h1', epoch: 1 }, 1_000)
+    const wanted = ask('c1', 1_010).find((effect): effect is SendPeer => effect.kind === 'peer/send')!.message as unknown as { readonly holder: string, readonly loan: number }
+    take({ kind: 'admission/lent', holder: wanted.holder, loan: wanted.loan, workspace: 'rota/parish', tokens: 1, nextMs: 40 }, 1_012)
+    const effects = ask('c2', 5_000)
+    expect(effects.map(effect => effect.kind)).to.deep.equal(['loop/tell'])
+    expect((effects[0] as Tell).message).to.include({ kind: 'requests/failed', caller: 'c2' })
+  })
+})
