Says the guard of votes, the prefix of metrics and the outcome of requests once

Cause: read once more: the condition under which a host may not vote stood twice in the election; the prefix of metrics in two files; an outcome was passed twice where it has no detail; a test of a step's type was needed for a missing annotation. Change: one function, one constant, a default, an annotation; nothing behaves differently.

--- a/src/agreement/election.ts
+++ b/src/agreement/election.ts
@@ -140,13 +140,13 @@
 
 function answerPreVote<S, C, O> (state: ReplicaState<S, C>, message: VoteAsked, moment: Moment): ReplicaStep<S, C, O> {
   const heard = hasHeardLeader(state, moment)
-  const granted = message.term > state.mark.term && (!heard || isBothCold(state, message)) && coversLog(message.last, readLast(state.log))
+  const granted = message.term > state.mark.term && !isBound(state, message, moment) && coversLog(message.last, readLast(state.log))
   return { state, effects: [sendPeer(message.from ?? '', { ...createAnswer(state, message, granted), ...markCold(granted && heard) })] }
 }
 
 function vote<S, C extends LogCommand, O> (state: ReplicaState<S, C>, message: VoteAsked, moment: Moment): ReplicaStep<S, C, O> {
   const from = message.from ?? ''
-  if ((hasHeardLeader(state, moment) && !isBothCold(state, message)) || message.term < state.mark.term) return keep(state)
+  if (isBound(state, message, moment) || message.term < state.mark.term) return keep(state)
   return continueWith(beginTerm<S, C, O>(state, message.group, message.term), entered => {
     const { votedFor } = entered.mark
     if (votedFor === from) return sendSynced(entered, sendPeer(from, createAnswer(entered, message, true)))
@@ -167,8 +167,9 @@
   return { kind: 'agreement/vote-answered', group, term, pre, sentAtMs, granted, incarnation: state.incarnation, known: state.mark.term }
 }
 
-function isBothCold<S, C> (state: ReplicaState<S, C>, message: VoteAsked): boolean {
-  return state.cold && message.cold === true
+// A leader that this host heard, or may have heard before its process started, still relies on it.
+function isBound<S, C> (state: ReplicaState<S, C>, message: VoteAsked, moment: Moment): boolean {
+  return hasHeardLeader(state, moment) && !(state.cold && message.cold === true)
 }
 
 function hasHeardLeader<S, C> (state: ReplicaState<S, C>, moment: Moment): boolean {
--- a/src/monitoring/breakdown.ts
+++ b/src/monitoring/breakdown.ts
@@ -1,9 +1,8 @@
 /** Requests by route, workspace and database: which of them fails or is late, with bounded sets of labels. */
 import { Histogram, type Registry } from 'prom-client'
 import type { HostMessage } from '../messages.js'
-import { Counts } from './counts.js'
+import { Counts, METRIC_PREFIX } from './counts.js'
 
-const PREFIX = 'fulmartally_'
 /** Names of one kind that get labels of their own; 200 names with 10 outcomes are 2,000 lines on the page. */
 const MAX_NAMES = 200
 /** The label of all names beyond them. */
@@ -28,10 +27,10 @@
   readonly #durations: Histogram
 
   private constructor (registry: Registry) {
-    this.#workspaces = Counts.create({ registry, name: `${PREFIX}workspace_requests_total`, help: 'Requests that ended, by workspace, and by outcome: finished, rolled-back, or the code of the error.', labels: ['workspace', 'outcome'] })
-    this.#routes = Counts.create({ registry, name: `${PREFIX}route_requests_total`, help: 'The same by route.', labels: ['route', 'outcome'] })
-    this.#databases = Counts.create({ registry, name: `${PREFIX}database_requests_total`, help: 'The same by the database of the last attempt.', labels: ['database', 'outcome'] })
-    this.#durations = new Histogram({ name: `${PREFIX}route_request_duration_seconds`, help: 'Time from the arrival of a request to the end of its answer, by route.', labelNames: ['route'], buckets: ROUTE_BUCKETS_SECONDS, registers: [registry] })
+    this.#workspaces = Counts.create({ registry, name: `${METRIC_PREFIX}workspace_requests_total`, help: 'Requests that ended, by workspace, and by outcome: finished, rolled-back, or the code of the error.', labels: ['workspace', 'outcome'] })
+    this.#routes = Counts.create({ registry, name: `${METRIC_PREFIX}route_requests_total`, help: 'The same by route.', labels: ['route', 'outcome'] })
+    this.#databases = Counts.create({ registry, name: `${METRIC_PREFIX}database_requests_total`, help: 'The same by the database of the last attempt.', labels: ['database', 'outcome'] })
+    this.#durations = new Histogram({ name: `${METRIC_PREFIX}route_request_duration_seconds`, help: 'Time from the arrival of a request to the end of its answer, by route.', labelNames: ['route'], buckets: ROUTE_BUCKETS_SECONDS, registers: [registry] })
   }
 
   /**
--- a/src/monitoring/counts.ts
+++ b/src/monitoring/counts.ts
@@ -1,6 +1,8 @@
 /** Counters that cost a map's entry on the hot path; prom-client sees them only when they are read. */
 import { Counter, type Registry } from 'prom-client'
 
+/** Begins the name of each metric. */
+export const METRIC_PREFIX = 'fulmartally_'
 const SEPARATOR = '\n'
 
 /** What a counter is made of. */
--- a/src/monitoring/metrics.ts
+++ b/src/monitoring/metrics.ts
@@ -7,9 +7,8 @@
 import type { HostMessage } from '../messages.js'
 import type { Traffic } from '../peers/traffic.js'
 import { Breakdown } from './breakdown.js'
-import { Counts } from './counts.js'
+import { Counts, METRIC_PREFIX } from './counts.js'
 
-const PREFIX = 'fulmartally_'
 const DURATION_BUCKETS_SECONDS = [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5]
 const MS_PER_SECOND = 1_000
 
@@ -31,14 +30,14 @@
   readonly #peerBytes = this.#createCounts('peer_bytes_total', 'Bytes of messages between hosts, without TCP and TLS.', ['direction', 'purpose'])
   readonly #breakdown = Breakdown.create(this.#registry)
   readonly #duration = new Histogram({
-    name: `${PREFIX}request_duration_seconds`,
+    name: `${METRIC_PREFIX}request_duration_seconds`,
     help: 'Time from the arrival of a request to the end of its answer.',
     buckets: DURATION_BUCKETS_SECONDS,
     registers: [this.#registry]
   })
 
   private constructor () {
-    collectDefaultMetrics({ register: this.#registry, prefix: PREFIX })
+    collectDefaultMetrics({ register: this.#registry, prefix: METRIC_PREFIX })
     this.#addGauge('requests_running', 'Requests that wait or run.', this.#startedAtMs)
     this.#addGauge('callers_connected', 'Connections of callers.', this.#callers)
     this.#addGauge('database_connections', 'Connections to databases that this host owns.', this.#connections)
@@ -84,12 +83,12 @@
   observeEffect (effect: Effect): void {
     const known = effect as CallerEffect | DatabaseEffect | { readonly kind: 'timeline/record', readonly event: string }
     switch (known.kind) {
-      case 'caller/finished': this.#endRequest(known.caller, 'finished', 'finished'); break
+      case 'caller/finished': this.#endRequest(known.caller, 'finished'); break
       case 'caller/failed':
         this.#endRequest(known.caller, 'failed', known.failure.code)
         this.#refusals.add(known.failure.code)
         break
-      case 'caller/rolled-back': this.#endRequest(known.caller, 'rolled-back', 'rolled-back'); break
+      case 'caller/rolled-back': this.#endRequest(known.caller, 'rolled-back'); break
       case 'caller/refused': this.#refusals.add(known.failure.code); break
       case 'database/open': this.#connections.add(known.connection); break
       case 'database/close': this.#connections.delete(known.connection); break
@@ -118,7 +117,7 @@
     }
   }
 
-  #endRequest (caller: string, outcome: string, detail: string): void {
+  #endRequest (caller: string, outcome: string, detail = outcome): void {
     const startedAtMs = this.#startedAtMs.get(caller)
     if (startedAtMs === undefined) return
     this.#startedAtMs.delete(caller)
@@ -135,10 +134,10 @@
   }
 
   #createCounts (name: string, help: string, labels: readonly string[]): Counts {
-    return Counts.create({ registry: this.#registry, name: `${PREFIX}${name}`, help, labels })
+    return Counts.create({ registry: this.#registry, name: `${METRIC_PREFIX}${name}`, help, labels })
   }
 
   #addGauge (name: string, help: string, counted: { readonly size: number }): void {
-    const gauge: Gauge = new Gauge({ name: `${PREFIX}${name}`, help, registers: [this.#registry], collect: () => gauge.set(counted.size) })
+    const gauge: Gauge = new Gauge({ name: `${METRIC_PREFIX}${name}`, help, registers: [this.#registry], collect: () => gauge.set(counted.size) })
   }
 }
--- a/src/requests/decide.ts
+++ b/src/requests/decide.ts
@@ -261,7 +261,7 @@
   const leaseEndsMs = message.askedAtMs + GRANT_LEASE_MS
   const grants = new Map(message.grants.map(grant => [grant.group, { grant, leaseEndsMs }]))
   // The answer of a primary that fences itself stands, whichever host is primary by now.
-  const step = store.shared.guarantees.selfFencing ? UNCHANGED : loseReplaced(store, grants, moment)
+  const step: RequestsStep = store.shared.guarantees.selfFencing ? UNCHANGED : loseReplaced(store, grants, moment)
   const again = store.shared.unconfirmed.map(tell)
-  return { ...step, effects: [...step.effects, ...again], shared: { ...('shared' in step && step.shared !== undefined ? step.shared : store.shared), grants, unconfirmed: [] } }
+  return { ...step, effects: [...step.effects, ...again], shared: { ...(step.shared ?? store.shared), grants, unconfirmed: [] } }
 }
