Explain: blames an election only where the new leader's reserve decided the refusal

Cause: explain took any election up to 2 s before a refusal as its cause, and any start of the host, although a workspace whose burst is used up is refused under every leader. The slow read's test froze the replica before its host had a fresh sample of the primary's position, so no read ever met it. Ruled out: a shorter window (the true cause can lie as far back), dropping the cause. Change: the leader tells with each loan how many tokens its reserve lacks because it started empty; a refusal logs share, its remaining time, tokens, queue and what is known of the reserve; explain reads these. Old lines are judged as before. The slow read's test waits until a read was served by the replica.

--- a/src/admission/messages.ts
+++ b/src/admission/messages.ts
@@ -74,6 +74,8 @@
   readonly tokens: number
   /** Time until the reserve has another token; 0 when it has more now. */
   readonly nextMs: number
+  /** Tokens that the reserve still lacks because the leader is new; absent below 1. */
+  readonly shortfall?: number
 }
 
 /** A loan request was not answered in time. */
--- a/src/admission/rates.ts
+++ b/src/admission/rates.ts
@@ -1,11 +1,11 @@
 /** Rate-limit decisions: tokens of this host's shares, loans from the leader's reserve, and waiting requests. */
-import { createFailure } from '../core/errors.js'
+import { createFailure, type Failure } from '../core/errors.js'
 import { clearTimer, type CoreEffect, type Moment } from '../core/message.js'
 import { UNCHANGED, type Store, type StoreStep } from '../core/store.js'
 import type { Workspace } from '../documents/document.js'
 import { sendPeer, setTimer, tell } from '../messages.js'
 import type { RouteRules, AttemptId } from '../requests/messages.js'
-import { LOAN_MS } from '../shares/state.js'
+import { LOAN_MS, TOTAL_PARTS } from '../shares/state.js'
 import { createAllowance, refillAllowance } from './allowance.js'
 import type { LoanAnswered, LoanTimedOut, TokensDue } from './messages.js'
 import type { AdmissionShared, Allowance, PendingLoan, WaitingRequest } from './state.js'
@@ -24,6 +24,8 @@
 /** Beyond the waiting requests, a loan requests at most the free space of the bucket divided by this. */
 const EXTRA_TOKENS_DIVISOR = 4
 
+/** What a host knows of the leader's reserve when it refuses a request. */
+export type ReserveState = 'complete' | 'incomplete' | 'unanswered' | 'unreachable'
 /** Store of the admission slice. */
 export type AdmissionStore = Store<AdmissionShared, Allowance>
 /** The outcome of a decision of the admission slice. */
@@ -55,7 +57,7 @@
   const nextLoanAtMs = message.nextMs === 0 ? 0 : moment.monotonicMs + Math.max(MIN_LOAN_INTERVAL_MS, message.nextMs)
   const bucket = { ...filled.bucket, tokens: filled.bucket.tokens + message.tokens }
   const shared: AdmissionShared = { ...store.shared, lease: { ...store.shared.lease, unansweredLoans: 0, loanBackoffUntilMs: 0 } }
-  const step = processWaiting(shared, key, { ...filled, bucket, nextLoanAtMs, nextMs: message.nextMs }, moment)
+  const step = processWaiting(shared, key, { ...filled, bucket, nextLoanAtMs, nextMs: message.nextMs, reserveShortfall: message.shortfall }, moment)
   return { shared, ...step, effects: [clearTimer(formatTimerName(key)), ...step.effects] }
 }
 
@@ -91,9 +93,9 @@
   return tell({ kind: 'requests/admitted', caller: attempt.caller, attempt: attempt.attempt, rules })
 }
 
-function refuseRequest (attempt: AttemptId, key: string, retryAfterMs: number): CoreEffect {
+function refuseRequest (attempt: AttemptId, key: string, retryAfterMs: number, inputs: Failure['inputs']): CoreEffect {
   const workspace = key.slice(key.indexOf('/') + 1)
-  const failure = { ...createFailure('rate-exceeded', workspace), retryAfterMs }
+  const failure = { ...createFailure('rate-exceeded', workspace), retryAfterMs, inputs }
   return tell({ kind: 'requests/failed', caller: attempt.caller, attempt: attempt.attempt, failure })
 }
 
@@ -115,15 +117,32 @@
   if (remaining.waiting.length === 0) return { changes: [[key, remaining]], effects: admitted }
   const requested = isLoanNeeded(shared, remaining, moment) ? requestLoan(shared, key, remaining, moment) : { allowance: remaining, effects: [] }
   const { kept, refused } = splitWaiting(requested.allowance, moment)
-  const next: Allowance = { ...requested.allowance, waiting: kept }
+  const { reserveShortfall = 0 } = requested.allowance
+  const next: Allowance = { ...requested.allowance, waiting: kept, reserveShortfall: Math.max(0, reserveShortfall - refused.length) }
   const retryMs = computeRetryAfterMs(next, moment)
   return {
     ...(requested.shared === undefined ? {} : { shared: requested.shared }),
     changes: [[key, next]],
-    effects: [...admitted, ...refused.map(request => refuseRequest(request, key, retryMs)), ...requested.effects, ...createTokenTimer(key, next, moment)]
+    effects: [...admitted, ...refused.map((request, index) => refuseRequest(request, key, retryMs, describeTokens(shared, { ...next, reserveShortfall: reserveShortfall - index }, moment))), ...requested.effects, ...createTokenTimer(key, next, moment)]
   }
 }
 
+function describeTokens (shared: AdmissionShared, allowance: Allowance, moment: Moment): Failure['inputs'] {
+  return {
+    tokens: Number(allowance.bucket.tokens.toFixed(2)),
+    share: Number((allowance.parts / TOTAL_PARTS).toFixed(3)),
+    shareLeftMs: Math.max(0, Math.round(shared.lease.endsAtMs - moment.monotonicMs)),
+    queued: allowance.waiting.length,
+    reserve: describeReserve(shared, allowance, moment)
+  }
+}
+
+function describeReserve (shared: AdmissionShared, allowance: Allowance, moment: Moment): ReserveState {
+  if (isIsolated(shared, moment)) return 'unreachable'
+  if (shared.lease.unansweredLoans > 0 || allowance.nextMs === undefined) return 'unanswered'
+  return (allowance.reserveShortfall ?? 0) >= 1 ? 'incomplete' : 'complete'
+}
+
 // Applies this host's loan backoff, which holds for all workspaces. An isolated host expects no loans.
 function applyLoanBackoff (shared: AdmissionShared, allowance: Allowance, moment: Moment): Allowance {
   if (isIsolated(shared, moment)) return { ...allowance, unanswered: false, nextMs: undefined }
--- a/src/admission/state.ts
+++ b/src/admission/state.ts
@@ -80,6 +80,8 @@
   readonly unanswered?: boolean
   /** Time until the leader's reserve has another token, as last reported. */
   readonly nextMs?: number
+  /** Tokens that the reserve lacked because its leader was new, as last reported, less the requests refused since. */
+  readonly reserveShortfall?: number
 }
 
 /**
--- a/src/admission/waiting.test.ts
+++ b/src/admission/waiting.test.ts
@@ -15,6 +15,10 @@
 /** Loan requests within 2 s: two per second at the longest backoff, plus those sent before it is reached. */
 const MAX_LOANS = 12
 const RESTARTS = 20
+/** A limit too small for shares: all tokens are lent. */
+const SMALL_LIMIT = { rate: 2, burst: 2 }
+const BURST_REQUESTS = 30
+const BURST_INTERVAL_MS = 10
 const LIMIT = { rate: 84, burst: 84 }
 const KEY_HASH = 'ab'.repeat(32)
 const MOMENT = { monotonicMs: 1_000, wallMs: 0, random: 0.5 }
@@ -96,6 +100,26 @@
   })
 })
 
+describe('a refusal after an election', () => {
+  // Returns what the host knew of the reserve at each refusal of a burst that follows the first election.
+  const refuseBurst = (afterElectionMs: number): ReadonlyArray<string | number | undefined> => {
+    const rates = RatesSimulation.create(HOSTS, SMALL_LIMIT, NO_FAULTS, 1, true)
+    rates.changeLeader('h1', 0)
+    for (let number = 0; number < BURST_REQUESTS; number++) rates.schedule(afterElectionMs + number * BURST_INTERVAL_MS, () => rates.sendRequest('h2'))
+    rates.run(afterElectionMs + 1_000)
+    return rates.decisions.filter(decision => !decision.admitted).map(decision => decision.reserve)
+  }
+
+  it('names the reserve as incomplete while the tokens that a new leader lacks would have admitted it', () => {
+    expect(refuseBurst(100)[0]).to.equal('incomplete')
+  })
+
+  it('names the reserve as complete once the workspace has exceeded what any leader could lend', () => {
+    expect(refuseBurst(867).at(-1)).to.equal('complete')
+    expect(refuseBurst(100).at(-1)).to.equal('complete')
+  })
+})
+
 describe('a host whose leader answers no loan request', () => {
   it('backs off, regardless of the load', () => {
     const rates = RatesSimulation.create(HOSTS, LIMIT, NO_FAULTS, 1, true)
--- a/src/core/errors.ts
+++ b/src/core/errors.ts
@@ -47,6 +47,8 @@
   readonly effect: RequestEffect
   /** The earliest useful retry, in milliseconds from now; absent where it cannot be estimated. */
   readonly retryAfterMs?: number
+  /** What decided the failure, for the log alone. */
+  readonly inputs?: Readonly<Record<string, string | number>>
 }
 
 /**
--- a/src/explaining/causes.ts
+++ b/src/explaining/causes.ts
@@ -37,13 +37,14 @@
   }
 
   explain ({ events }: RequestHistory, last: LogLine): Conclusion | undefined {
-    const { failure, workspace } = last.fields
+    const { failure, workspace, shareLeftMs, reserve } = last.fields
     if (failure !== 'rate-exceeded') return undefined
+    if (reserve === 'unreachable') return this.createConclusion(`Host ${last.host} could not reach the leader, and its share of the rate of workspace ${String(workspace)} was used up.`)
     const recent = events.filter(event => event.stamp.wallMs <= last.stamp.wallMs && last.stamp.wallMs - event.stamp.wallMs <= TOKEN_SHORTAGE_MS)
-    const started = recent.filter(event => event.host === last.host && event.text.startsWith('daemon: Host') && event.text.includes(' started'))
+    const started = shareLeftMs !== undefined && shareLeftMs !== 0 ? [] : recent.filter(event => event.host === last.host && event.text.startsWith('daemon: Host') && event.text.includes(' started'))
     if (started.length > 0) return this.createConclusion(`Host ${last.host} had started ${calculateGapMs(started, last)} ms before, so its share of the rate of workspace ${String(workspace)} was empty.`, started)
-    const elected = recent.filter(event => event.fields.event === 'leader-elected')
-    if (elected.length > 0) return this.createConclusion(`A new leader had been elected ${calculateGapMs(elected, last)} ms before and had not granted shares of the rate yet.`, elected)
+    const elected = reserve === 'complete' ? [] : recent.filter(event => event.fields.event === 'leader-elected')
+    if (elected.length > 0) return this.createConclusion(`A new leader had been elected ${calculateGapMs(elected, last)} ms before and had not all tokens of the rate to lend yet.`, elected)
     return this.createConclusion(`Workspace ${String(workspace)} exceeded its rate and burst: host ${last.host} had no token left in its share, and got none from the leader's reserve in time.`)
   }
 }
--- a/src/explaining/history.test.ts
+++ b/src/explaining/history.test.ts
@@ -35,6 +35,22 @@
     expect(cause.text).to.include('had started 700 ms before')
   })
 
+  it('attributes a refusal to an election only when the reserve of the new leader decided it', () => {
+    const elected = createLine(-867, 'h9', 'agreement: Host h9 was elected leader.', { event: 'leader-elected' })
+    const findText = (fields: object): string => findCause(readHistory([createEnd(0, 'failed', { phase: 'admitting', failure: 'rate-exceeded', share: 0, shareLeftMs: 9_500, ...fields }), elected, ...NOISE]))!.text
+    expect(findText({ reserve: 'incomplete' })).to.include('elected 867 ms before')
+    expect(findText({ reserve: 'unanswered' })).to.include('elected 867 ms before')
+    expect(findText({ reserve: 'complete' })).to.include('parish exceeded its rate and burst')
+    expect(findText({ reserve: 'unreachable' })).to.include('could not reach the leader')
+  })
+
+  it('attributes a refusal to the start of the host only while the host had no share yet', () => {
+    const started = createLine(-700, 'h1', 'daemon: Host h1 started; callers connect to h1:1.')
+    const findText = (fields: object): string => findCause(readHistory([createEnd(0, 'failed', { phase: 'admitting', failure: 'rate-exceeded', reserve: 'complete', ...fields }), started, ...NOISE]))!.text
+    expect(findText({ share: 0, shareLeftMs: 0 })).to.include('had started 700 ms before')
+    expect(findText({ share: 0.1, shareLeftMs: 9_500 })).to.include('parish exceeded its rate and burst')
+  })
+
   it('attributes an unknown outcome to a change of the primary that other hosts logged before or after it', () => {
     const silent = createLine(900, 'h9', 'succession: Group a: the primary is silent; a2 is appointed (appointment 1), at 1.22.', { event: 'primary-appointed', group: 'a' })
     const other = createLine(100, 'h9', 'succession: Group b: the primary is silent.', { event: 'primary-appointed', group: 'b' })
--- a/src/requests/log.ts
+++ b/src/requests/log.ts
@@ -49,6 +49,7 @@
     leftMs: Math.round(running.deadlineAtMs - moment.monotonicMs),
     failure: failure?.code,
     effect: failure?.effect,
-    reason: failure?.text
+    reason: failure?.text,
+    ...failure?.inputs
   })
 }
--- a/src/shares/decide.ts
+++ b/src/shares/decide.ts
@@ -185,7 +185,7 @@
   if (!isWithinLease(shared, message.epoch, moment) || from === undefined || limit === undefined) return UNCHANGED
   const refilled = releaseLoans(refillReserve(findQuota(store, workspace, limit), limit, moment.monotonicMs), message)
   const granted = grantLoan(refilled, limit, message, moment.monotonicMs)
-  const answer = sendPeer(from, { kind: 'admission/lent', holder, loan, workspace, tokens: granted.tokens, nextMs: estimateNextTokenMs(granted.quota, limit, moment.monotonicMs) })
+  const answer = sendPeer(from, { kind: 'admission/lent', holder, loan, workspace, tokens: granted.tokens, nextMs: estimateNextTokenMs(granted.quota, limit, moment.monotonicMs), shortfall: granted.shortfall < 1 ? undefined : granted.shortfall })
   return { changes: [createChange(granted.quota)], effects: [{ ...answer, notAfterMs: shared.leaseUntilMs }] }
 }
 
--- a/src/shares/reserve.ts
+++ b/src/shares/reserve.ts
@@ -20,6 +20,8 @@
 export interface LoanGrant {
   readonly quota: WorkspaceQuota
   readonly tokens: number
+  /** Tokens that a leader that had led for long could have lent beyond these. */
+  readonly shortfall: number
 }
 
 /**
@@ -27,7 +29,7 @@
  * @example createQuota('rota/parish', shared.priorLoansUntilMs, shared.priorSharesUntilMs)
  */
 export function createQuota (workspace: string, accruesFromMs: number, priorSharesUntilMs: number): WorkspaceQuota {
-  return { kind: 'workspace', workspace, committed: 0, perSecond: 0, priorSharesUntilMs, emptySinceMs: Infinity, accruesFromMs, tokens: 0, refilledAtMs: accruesFromMs, loans: [] }
+  return { kind: 'workspace', workspace, committed: 0, perSecond: 0, priorSharesUntilMs, emptySinceMs: Infinity, accruesFromMs, tokens: 0, shortfall: Infinity, refilledAtMs: accruesFromMs, loans: [] }
 }
 
 /**
@@ -80,11 +82,14 @@
  */
 export function grantLoan (quota: WorkspaceQuota, limit: KnownLimit, request: LoanRequested, nowMs: number): LoanGrant {
   const tokens = Math.max(0, Math.min(Math.floor(request.tokens), Math.floor(quota.tokens)))
-  if (tokens === 0) return { quota, tokens }
+  const shortfall = quota.priorSharesUntilMs > -Infinity ? limit.burst : quota.shortfall
+  // What was not lent would have come from the missing tokens, so these explain it only once.
+  const remaining: WorkspaceQuota = { ...quota, shortfall: Math.max(0, quota.shortfall - (request.tokens - tokens)) }
+  if (tokens === 0) return { quota: remaining, tokens, shortfall }
   const loans = [...quota.loans, { holder: request.holder, loan: request.loan, tokens, expiresAtMs: nowMs + LOAN_MS + LOAN_DRIFT_MARGIN_MS }]
-  const next: WorkspaceQuota = { ...quota, loans, tokens: quota.tokens - tokens }
+  const next: WorkspaceQuota = { ...remaining, loans, tokens: quota.tokens - tokens }
   assertInvariant(next.tokens + countLentTokens(next) <= getReserveBurst(next, limit) + Number.EPSILON * limit.burst, 'reserve and loans within burst', quota.workspace)
-  return { quota: next, tokens }
+  return { quota: next, tokens, shortfall }
 }
 
 /**
@@ -135,5 +140,7 @@
 
 function truncateToBurst (quota: WorkspaceQuota, limit: KnownLimit): WorkspaceQuota {
   const available = Math.max(0, getReserveBurst(quota, limit) - countLentTokens(quota))
-  return { ...quota, tokens: Math.min(quota.tokens, available) }
+  const tokens = Math.min(quota.tokens, available)
+  if (quota.priorSharesUntilMs > -Infinity) return { ...quota, tokens }
+  return { ...quota, tokens, shortfall: Math.min(quota.shortfall, available - tokens) }
 }
--- a/src/shares/state.ts
+++ b/src/shares/state.ts
@@ -61,6 +61,8 @@
   readonly accruesFromMs: number
   /** Tokens in the reserve. */
   readonly tokens: number
+  /** Tokens that the reserve lacks because this leader started with an empty one; what prior shares keep back is not counted. */
+  readonly shortfall: number
   readonly refilledAtMs: number
   readonly loans: readonly Loan[]
 }
--- a/test/explain.test.ts
+++ b/test/explain.test.ts
@@ -33,7 +33,7 @@
 interface Explanation {
   readonly cause: string
   readonly text: string
-  readonly lines: readonly unknown[]
+  readonly lines: ReadonlyArray<{ readonly fields: Readonly<Record<string, unknown>> }>
 }
 
 /** Captures the output; delegates everything else to the terminal of the process. */
@@ -113,6 +113,14 @@
 
   it('traces a slow read to an unresponsive replica', async () => {
     const client = await connect(1)
+    // Reads go to the primary until the host has a fresh sample of the primary's position.
+    let warmups = 0
+    await pollUntil('a read through the replica', async () => {
+      const id = `warmup-${++warmups}`
+      await client.query(`/*request='${id}',route='view'*/ SELECT count(*) FROM swaps`)
+      const { lines } = await awaitExplanation(id)
+      return lines.some(line => line.fields.database === 'a2' && line.fields.purpose === 'replica')
+    })
     const replica = findDatabase('a2').process.child
     replica.kill('SIGSTOP')
     try {
--- a/test/support/ratessimulation.ts
+++ b/test/support/ratessimulation.ts
@@ -35,6 +35,8 @@
   readonly host: string
   readonly atMs: number
   readonly admitted: boolean
+  /** What the host knew of the leader's reserve when it refused the request. */
+  readonly reserve?: string | number
 }
 
 interface SimulatedHost {
@@ -249,7 +251,8 @@
   }
 
   #recordDecision (host: SimulatedHost, message: HostMessage): void {
-    this.decisions.push({ host: host.name, atMs: this.#nowMs, admitted: message.kind === 'requests/admitted' })
+    const reserve = message.kind === 'requests/failed' ? message.failure.inputs?.reserve : undefined
+    this.decisions.push({ host: host.name, atMs: this.#nowMs, admitted: message.kind === 'requests/admitted', reserve })
   }
 
   #executeEffect (host: SimulatedHost, effect: Effect): void {
