Test of the withdrawn key: waits for the state, and a new test shows the bound

Cause, traced: hosts hear of a version with their next beat, one after the other. The promise is config_apply_ms, 3,000 ms after the acknowledgement, at every host. Change: the test waits for host 0; a new one opens sessions at every host for 3,050 ms after the acknowledgement and demands a refusal from the first one on.

--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -4,6 +4,8 @@
 const KEY = 'k-parish-1'
 const OTHER_KEY = 'k-school-1'
 const POLL_INTERVAL_MS = 50
+/** The promised time from the acknowledgement of a version until it is in force at every host. */
+const CONFIG_APPLY_MS = 3_000
 
 const createDesiredState = (version: number, change: object = {}): object => ({
   version,
@@ -36,6 +38,13 @@
   return requester!
 }
 
+// Opens a session and closes it; returns the error code of a refusal.
+async function openSession (address: string, key: string): Promise<string | undefined> {
+  const [session, answer] = await Requester.create(address, 'orders', key)
+  session.close()
+  return answer.error
+}
+
 describe('a deployment on the platform\'s protocols', () => {
   it('serves statements and transactions, isolates session values and statement names, and passes no key to a database', async () => {
     await using deployment = await WireDeployment.create()
@@ -105,7 +114,26 @@
     const tenants = [{ name: 'parish', api_keys: ['k-parish-2'], priority: 1, rate_per_s: 500, burst: 500 }]
     expect(await deployment.putConfiguration(createDesiredState(4, { tenants }))).to.equal(200)
     await pollUntil(async () => ['UNAUTH', 'closed'].includes((await requester.query('q1', 'READ a')).error ?? ''))
-    const [, answer] = await Requester.create(deployment.callers[0]!, 'orders', KEY)
-    expect(answer.error).to.equal('UNAUTH')
+    // Hosts learn of a version one after the other, so another host may still accept the key at this moment.
+    await pollUntil(async () => await openSession(deployment.callers[0]!, KEY) === 'UNAUTH')
+  })
+
+  it('refuses a withdrawn key at every host within the promised time, and never accepts it again', async () => {
+    await using deployment = await WireDeployment.create()
+    await pollUntil(async () => await deployment.putConfiguration(createDesiredState(3)) === 200)
+    for (const address of deployment.callers) await pollUntil(async () => await openSession(address, KEY) === undefined)
+    const tenants = [{ name: 'parish', api_keys: ['k-parish-2'], priority: 1, rate_per_s: 500, burst: 500 }]
+    expect(await deployment.putConfiguration(createDesiredState(4, { tenants }))).to.equal(200)
+    const acknowledgedAtMs = performance.now()
+    const outcomes = await Promise.all(deployment.callers.map(async address => {
+      const errors: Array<string | undefined> = []
+      while (performance.now() - acknowledgedAtMs < CONFIG_APPLY_MS + POLL_INTERVAL_MS) errors.push(await openSession(address, KEY))
+      return errors
+    }))
+    for (const errors of outcomes) {
+      const firstRefusal = errors.indexOf('UNAUTH')
+      expect(firstRefusal).to.be.above(-1)
+      expect(new Set(errors.slice(firstRefusal))).to.deep.equal(new Set(['UNAUTH']))
+    }
   })
 })
