Explain: an unanswered loan has a cause of its own unless an election explains the silence

Cause: a host whose loan request had no answer was told of any election in the last 2 s; the silence of a leader elected long before has another cause. Change: an unanswered loan is put down to an election only within 500 ms of it.

--- a/src/explaining/causes.ts
+++ b/src/explaining/causes.ts
@@ -4,6 +4,9 @@
 /** How long a host may lack tokens after its start or an election: its share must arrive first, then the bucket fills within a second. */
 const TOKEN_SHORTAGE_MS = 2_000
 
+/** How long after an election a refusal may follow from it, by what the host knew of the reserve; TOKEN_SHORTAGE_MS where it did not say. */
+const ELECTION_WINDOWS_MS: ReadonlyMap<string, number> = new Map([['complete', -Infinity], ['unanswered', 500]])
+
 /** Failures that a change of the primary may cause. */
 const PRIMARY_FAILURES: ReadonlySet<string> = new Set(['no-primary', 'outcome-unknown', 'transaction-lost', 'deadline-passed'])
 /** Events that begin a change of the primary. */
@@ -43,8 +46,10 @@
     const recent = events.filter(event => event.stamp.wallMs <= last.stamp.wallMs && last.stamp.wallMs - event.stamp.wallMs <= TOKEN_SHORTAGE_MS)
     const started = shareLeftMs !== undefined && shareLeftMs !== 0 ? [] : recent.filter(event => event.host === last.host && event.text.startsWith('daemon: Host') && event.text.includes(' started'))
     if (started.length > 0) return this.createConclusion(`Host ${last.host} had started ${calculateGapMs(started, last)} ms before, so its share of the rate of workspace ${String(workspace)} was empty.`, started)
-    const elected = reserve === 'complete' ? [] : recent.filter(event => event.fields.event === 'leader-elected')
+    const electionWindowMs = ELECTION_WINDOWS_MS.get(String(reserve)) ?? TOKEN_SHORTAGE_MS
+    const elected = recent.filter(event => event.fields.event === 'leader-elected' && last.stamp.wallMs - event.stamp.wallMs <= electionWindowMs)
     if (elected.length > 0) return this.createConclusion(`A new leader had been elected ${calculateGapMs(elected, last)} ms before and had not all tokens of the rate to lend yet.`, elected)
+    if (reserve === 'unanswered') return this.createConclusion(`Host ${last.host} had no token left in its share of the rate of workspace ${String(workspace)}, and the leader did not answer its requests for a loan.`)
     return this.createConclusion(`Workspace ${String(workspace)} exceeded its rate and burst: host ${last.host} had no token left in its share, and got none from the leader's reserve in time.`)
   }
 }
--- a/src/explaining/history.test.ts
+++ b/src/explaining/history.test.ts
@@ -37,9 +37,11 @@
 
   it('attributes a refusal to an election only when the reserve of the new leader decided it', () => {
     const elected = createLine(-867, 'h9', 'agreement: Host h9 was elected leader.', { event: 'leader-elected' })
-    const findText = (fields: object): string => findCause(readHistory([createEnd(0, 'failed', { phase: 'admitting', failure: 'rate-exceeded', share: 0, shareLeftMs: 9_500, ...fields }), elected, ...NOISE]))!.text
+    const justElected = createLine(-300, 'h9', 'agreement: Host h9 was elected leader.', { event: 'leader-elected' })
+    const findText = (fields: object, event = elected): string => findCause(readHistory([createEnd(0, 'failed', { phase: 'admitting', failure: 'rate-exceeded', share: 0, shareLeftMs: 9_500, ...fields }), event, ...NOISE]))!.text
     expect(findText({ reserve: 'incomplete' })).to.include('elected 867 ms before')
-    expect(findText({ reserve: 'unanswered' })).to.include('elected 867 ms before')
+    expect(findText({ reserve: 'unanswered' })).to.include('workspace parish').and.include('did not answer')
+    expect(findText({ reserve: 'unanswered' }, justElected)).to.include('elected 300 ms before')
     expect(findText({ reserve: 'complete' })).to.include('parish exceeded its rate and burst')
     expect(findText({ reserve: 'unreachable' })).to.include('could not reach the leader')
   })
