Limits in bytes count bytes of UTF-8

Ruled out: encoding first and splitting bytes (a part could end inside a character, and offsets in characters stand in the messages of hosts that run now).

--- a/src/agreement/forming.ts
+++ b/src/agreement/forming.ts
@@ -1,7 +1,7 @@
 /** Forming and joining a control group. A host whose data folder was lost can't form a second group on its own. */
 import { sendPeer, type Moment } from '../core/message.js'
 import { createHardStateRecord, drawElectionTime } from './election.js'
-import { appendEntries, type Entry, type LogCommand, type Members } from './log.js'
+import { appendEntries, createEntry, type LogCommand, type Members } from './log.js'
 import { isMember, keepState, storeRecords, type ReplicaState, type ReplicaStep, type MembershipRequest } from './replica.js'
 
 /** How long a host counts as reachable and empty after its last message. */
@@ -41,7 +41,7 @@
   if (!mayForm || !control.every(host => host === self || isKnownEmpty(state, host, moment))) return keepState(state)
   const members: Members = Object.fromEntries(control.map(host => [host, host === self ? incarnation : state.emptyHosts.get(host)!.incarnation]))
   const command = { kind: 'agreement/form', members } as const
-  const entry: Entry<C> = { index: 1, term: 0, command, bytes: JSON.stringify(command).length }
+  const entry = createEntry<C>(1, 0, command)
   const formed: ReplicaState<S, C> = {
     ...state,
     hardState: { ...hardState, group: incarnation },
--- a/src/agreement/leading.ts
+++ b/src/agreement/leading.ts
@@ -1,8 +1,9 @@
 /** The leader's side of replication: proposals, heartbeats, commitment and membership changes. */
 import { assertInvariant } from '../core/invariant.js'
+import { truncateToBytes } from '../core/bytes.js'
 import { sendPeer, type CoreEffect, type Moment } from '../core/message.js'
 import { learnTerm, calculateLeaseEnd, clearLeader } from './election.js'
-import { appendEntries, findEntry, findTerm, listEntriesFrom, findLastPoint, calculateQuorumValue, type ControlCommand, type Entry, type LogCommand, type Members } from './log.js'
+import { appendEntries, createEntry, findEntry, findTerm, listEntriesFrom, findLastPoint, calculateQuorumValue, type ControlCommand, type LogCommand, type Members } from './log.js'
 import { applyCommitted } from './commit.js'
 import type { StateMachine } from './statemachine.js'
 import { continueWith, MIN_ELECTION_TIMEOUT_MS, keepState, HEARTBEAT_INTERVAL_MS, listOthers, nameReplica, storeRecords, type AppendRequest, type AppendResponse, type SnapshotChunk, type SnapshotChunkResponse, type LeaderState, type OutgoingSnapshot, type Progress, type ReplicaState, type ReplicaStep, type MembershipRequest } from './replica.js'
@@ -33,7 +34,7 @@
   const { leaderState } = state
   if (leaderState === undefined) return keepState(state)
   const index = findLastPoint(state.log).index + 1
-  const entry: Entry<C> = { index, term: state.hardState.term, command, bytes: JSON.stringify(command).length }
+  const entry = createEntry<C>(index, state.hardState.term, command)
   const proposals = proposal === undefined ? leaderState.proposals : new Map(leaderState.proposals).set(index, proposal)
   const next: ReplicaState<S, C> = { ...state, log: appendEntries(state.log, [entry], state.committed), leaderState: { ...leaderState, proposals } }
   const ownResponse: AppendResponse = { kind: 'agreement/appended', group: state.hardState.group!, term: state.hardState.term, sentAtMs: moment.monotonicMs, incarnation: state.incarnation, accepted: true, index }
@@ -194,7 +195,8 @@
 
 function sendSnapshot<S, C extends LogCommand, O> (state: ReplicaState<S, C>, progress: Progress, moment: Moment): ReplicaStep<S, C, O> {
   const outgoingSnapshot = progress.outgoingSnapshot ?? createOutgoingSnapshot(state)
-  const text = outgoingSnapshot.text.slice(outgoingSnapshot.offset, outgoingSnapshot.offset + state.limits.messageBytes)
+  const { messageBytes } = state.limits
+  const text = truncateToBytes(outgoingSnapshot.text.slice(outgoingSnapshot.offset, outgoingSnapshot.offset + messageBytes), messageBytes)
   const chunk: SnapshotChunk = {
     kind: 'agreement/install',
     group: state.hardState.group!,
--- a/src/agreement/log.ts
+++ b/src/agreement/log.ts
@@ -27,10 +27,18 @@
   readonly index: number
   readonly term: number
   readonly command: C | ControlCommand
-  /** Length of the command as JSON, in characters. */
+  /** Size of the command as JSON, in bytes of UTF-8. */
   readonly bytes: number
 }
 
+/**
+ * Creates an entry and measures its command.
+ * @example createEntry(7, 2, { kind: 'documents/put' }).bytes
+ */
+export function createEntry<C> (index: number, term: number, command: C | ControlCommand): Entry<C> {
+  return { index, term, command, bytes: Buffer.byteLength(JSON.stringify(command)) }
+}
+
 /** A position in the log. */
 export interface LogPoint {
   readonly index: number
