--- a/src/agreement/decide.ts
+++ b/src/agreement/decide.ts
@@ -3,7 +3,7 @@
 import { tell } from '../messages.js'
 import { CatalogMachine, type Catalog, type CatalogCommand, type CatalogOutcome } from './catalog.js'
 import { decideReplica } from './decidereplica.js'
-import { findLastPoint } from './log.js'
+import { findLastPoint, type Members } from './log.js'
 import type { AgreementMessage, ControlStatus, HostStarted } from './messages.js'
 import { createReplicaState, type AppendRecords, type CommandApplied, type ReplicaEffect, type LeaderChanged, type ReplicaState, type StoreSnapshot } from './replica.js'
 
@@ -90,6 +90,22 @@
   ]
 }
 
+/**
+ * Describes a completed change of the control group.
+ * @example describeMemberChange({ 'host-1': 'a' }, { 'host-1': 'b' }) // 'Control host host-1 counts again under a new incarnation: it had lost its disk.'
+ */
+export function describeMemberChange (old: Members, members: Members): string {
+  const renewed = Object.keys(members).filter(host => old[host] !== undefined && old[host] !== members[host])
+  const added = Object.keys(members).filter(host => old[host] === undefined)
+  const removed = Object.keys(old).filter(host => members[host] === undefined)
+  return [
+    ...renewed.map(host => `Control host ${host} counts again under a new incarnation: it had lost its disk.`),
+    ...(added.length > 0 && removed.length > 0 ? [`Control host ${removed.join(', ')} is replaced by ${added.join(', ')}.`] : []),
+    ...(removed.length === 0 ? added.map(host => `Control host ${host} is added.`) : []),
+    ...(added.length === 0 ? removed.map(host => `Control host ${host} is removed.`) : [])
+  ].join(' ')
+}
+
 function recordChanges (before: AgreementState, after: AgreementState, message: AgreementMessage): readonly CoreEffect[] {
   const events: CoreEffect[] = []
   const { self } = after
@@ -98,6 +114,8 @@
   if (message.kind !== 'agreement/started' && before.hardState.group === undefined && after.hardState.group === after.incarnation && after.log.configurationIndex === 1) events.push(recordEvent('group-formed', `Host ${self} formed the control group.`))
   if (after.leaderState?.established === true && before.leaderState?.established !== true) events.push(recordEvent('leader-elected', `Host ${self} leads the control hosts in term ${after.hardState.term}.`))
   if (before.leaderState !== undefined && after.leaderState === undefined) events.push(recordEvent('leader-ended', `Host ${self} no longer leads the control hosts.`))
-  if (after.leaderState !== undefined && before.log.configuration?.old !== undefined && after.log.configuration?.old === undefined) events.push(recordEvent('control-replaced', 'A control host that lost its disk is replaced.'))
+  const { old } = before.log.configuration ?? {}
+  const { configuration } = after.log
+  if (after.leaderState !== undefined && old !== undefined && configuration?.old === undefined) events.push(recordEvent('control-replaced', describeMemberChange(old, configuration?.members ?? {})))
   return events
 }
--- a/src/daemon/edge.ts
+++ b/src/daemon/edge.ts
@@ -5,6 +5,7 @@
 import type { DatabaseGuarantees } from '../databases/guarantees.js'
 import type { HostPost } from '../messages.js'
 import type { LineStream } from '../monitoring/linewriter.js'
+import type { Log } from '../monitoring/log.js'
 import type { Readiness } from '../monitoring/readiness.js'
 import type { Command } from '../operations/messages.js'
 import type { Settings } from '../settings/settings.js'
@@ -17,6 +18,8 @@
   readonly checkReadiness: () => Readiness
   /** Submits an operator's command and resolves with its outcome. */
   readonly operate: (command: Command) => Promise<unknown>
+  /** Writes what fails outside of the slices. */
+  readonly log: Log
 }
 
 /** Translates between the slices and one set of protocols; it makes no decisions. */
--- a/src/daemon/host.ts
+++ b/src/daemon/host.ts
@@ -75,7 +75,7 @@
     ], { clock: stamps, onTraffic: traffic => monitor.metrics.observeTraffic(traffic) })
     const operatorsApi = OperatorsServer.create(loop.post)
     const operate = async (command: Command): Promise<unknown> => await operatorsApi.runCommand(randomUUID(), command)
-    const adapters = edge.createAdapters({ settings, clock, post: loop.post, checkReadiness: monitor.checkReadiness, operate })
+    const adapters = edge.createAdapters({ settings, clock, post: loop.post, checkReadiness: monitor.checkReadiness, operate, log })
     const recorder = TimelineRecorder.create({ host: settings.host, clock: stamps, post: loop.post })
     const exit = ProcessExit.create()
     for (const adapter of [link, ...adapters, operatorsApi, log, recorder, exit]) loop.addAdapter(adapter)
--- a/src/explaining/causes.ts
+++ b/src/explaining/causes.ts
@@ -10,7 +10,7 @@
 /** Failures that a change of the primary may cause. */
 const PRIMARY_FAILURES: ReadonlySet<string> = new Set(['no-primary', 'outcome-unknown', 'transaction-lost', 'deadline-passed'])
 /** Events that begin a change of the primary. */
-const PRIMARY_EVENTS: ReadonlySet<string> = new Set(['primary-silent', 'grant-ended', 'primary-closing', 'primary-appointed', 'primary-chosen'])
+const PRIMARY_EVENTS: ReadonlySet<string> = new Set(['primary-silent', 'primary-role-lost', 'grant-ended', 'primary-closing', 'primary-appointed', 'primary-chosen'])
 
 /** The cause of a failed or late request, with its evidence. */
 export interface Conclusion {
--- a/src/monitoring/monitor.ts
+++ b/src/monitoring/monitor.ts
@@ -51,6 +51,10 @@
 
   /** Creates the handler of the pages `/metrics`, `/health` and `/ready`. */
   createPages (): HandlePage {
-    return createPages({ metrics: this.metrics, checkReadiness: this.checkReadiness })
+    return createPages({
+      metrics: this.metrics,
+      checkReadiness: this.checkReadiness,
+      onError: (path, error) => this.#log.write('monitoring', 'error', 'A page could not be rendered.', { path, reason: String(error) })
+    })
   }
 }
--- a/src/monitoring/pages.ts
+++ b/src/monitoring/pages.ts
@@ -15,6 +15,8 @@
 export interface PageParts {
   readonly metrics: Metrics
   readonly checkReadiness: () => Readiness
+  /** Called with the path and the error of a page that could not be rendered. */
+  readonly onError: (path: string, error: unknown) => void
 }
 
 interface Page {
@@ -28,17 +30,20 @@
 
 /**
  * Creates the handler of the pages `/metrics`, `/health` and `/ready`.
- * @example createPages({ metrics, checkReadiness: () => ({ ready: true, inTouch: true }) })
+ * @example createPages({ metrics, checkReadiness: () => ({ ready: true, inTouch: true }), onError: (path, error) => log(path, error) })
  */
 export function createPages (parts: PageParts): HandlePage {
   return (request, response) => {
-    createPage(parts, request).then(page => writePage(response, page), () => writePage(response, { status: INTERNAL_ERROR, type: TEXT, body: 'The page could not be rendered: try again.\n' }))
+    createPage(parts, request).then(page => writePage(response, page), (error: unknown) => {
+      parts.onError(readPath(request), error)
+      writePage(response, { status: INTERNAL_ERROR, type: TEXT, body: 'The page could not be rendered: try again.\n' })
+    })
   }
 }
 
 async function createPage ({ metrics, checkReadiness }: PageParts, request: IncomingMessage): Promise<Page> {
   if (request.method !== 'GET' && request.method !== 'HEAD') return { status: METHOD_NOT_ALLOWED, type: TEXT, body: 'Method not allowed: use GET or HEAD.\n' }
-  switch (request.url?.split('?')[0]) {
+  switch (readPath(request)) {
     case '/metrics': return { status: OK, type: metrics.contentType, body: await metrics.render() }
     case '/health': return { status: OK, type: JSON_TYPE, body: '{"healthy":true}\n' }
     case '/ready': return createReadyPage(checkReadiness())
@@ -46,6 +51,10 @@
   }
 }
 
+function readPath (request: IncomingMessage): string {
+  return (request.url ?? '').split('?')[0]!
+}
+
 function createReadyPage (readiness: Readiness): Page {
   return { status: readiness.ready ? OK : UNAVAILABLE, type: JSON_TYPE, body: `${JSON.stringify(readiness)}\n` }
 }
--- a/src/primacy/decide.test.ts
+++ b/src/primacy/decide.test.ts
@@ -1,6 +1,6 @@
 /** Decisions of the primacy slice that the random schedules reach too rarely. */
 import { expect } from 'chai'
-import type { Effect } from '../core/message.js'
+import type { Effect, RecordEvent } from '../core/message.js'
 import type { DatabaseEntry, DatabaseStatus } from '../membership/directory.js'
 import { decidePrimacy } from './decide.js'
 import { calculateBackoffEnd } from './detect.js'
@@ -14,10 +14,11 @@
 interface FakeLeader {
   state: PrimacyState
   readonly proposed: PrimacyCommand[]
+  readonly events: string[]
 }
 
 function createLeader (): FakeLeader {
-  const leader: FakeLeader = { state: createPrimacyState(), proposed: [] }
+  const leader: FakeLeader = { state: createPrimacyState(), proposed: [], events: [] }
   send(leader, LEADS, 0)
   send(leader, { kind: 'primacy/documents', groups: [{ name: 'g', databases: 3 }] }, 0)
   return leader
@@ -27,6 +28,7 @@
   const step = decidePrimacy(leader.state, message, { monotonicMs: nowMs, wallMs: 0, random: 0 })
   leader.state = step.state
   leader.proposed.push(...step.effects.flatMap(readProposal))
+  leader.events.push(...step.effects.flatMap(effect => (effect.kind === 'timeline/record' ? [(effect as RecordEvent).event] : [])))
 }
 
 function readProposal (effect: Effect): readonly PrimacyCommand[] {
@@ -61,6 +63,22 @@
     expect(listKinds(leader)).to.include('primacy/end')
   })
 
+  it('names a primary that answers without its role apart from one that is silent', () => {
+    const listEvents = (d1Answers: boolean): readonly string[] => {
+      const leader = createLeader()
+      for (let nowMs = 0; nowMs <= 5_000; nowMs += 100) {
+        report(leader, 'h2', 'east', [['d2', 4]], nowMs)
+        report(leader, 'h3', 'south', [['d3', 4]], nowMs)
+        // A primary that restarted without its data answers in an earlier term.
+        if (d1Answers) report(leader, 'h1', 'north', [['d1', 3]], nowMs)
+        send(leader, { kind: 'primacy/check-due' }, nowMs)
+      }
+      return leader.events
+    }
+    expect(new Set(listEvents(true))).to.deep.equal(new Set(['primary-role-lost']))
+    expect(new Set(listEvents(false))).to.deep.equal(new Set(['primary-silent']))
+  })
+
   it('keeps a primary whose silent owner is replaced by another host in time', () => {
     const leader = createLeader()
     for (let nowMs = 0; nowMs <= 6_000; nowMs += 100) {
--- a/src/primacy/detect.ts
+++ b/src/primacy/detect.ts
@@ -39,11 +39,14 @@
  */
 export function checkPrimary (state: PrimacyState, group: string, record: GroupRecord, nowMs: number): PrimacyStep {
   const { primary, term } = record
-  if (primary === undefined || !(isSilent(state, primary, nowMs) || hasLostRole(state, group, record, nowMs))) return { state, effects: [] }
+  const silent = primary !== undefined && isSilent(state, primary, nowMs)
+  if (primary === undefined || !(silent || hasLostRole(state, group, record, nowMs))) return { state, effects: [] }
   if (!isMajority(record, database => database !== primary && isAnswering(state, database, nowMs))) return { state, effects: [] }
   if (nowMs < calculateBackoffEnd(state, group, nowMs)) return { state, effects: [] }
   const step = propose(state, { kind: 'primacy/end', group, term }, nowMs)
-  const event = recordEvent('primary-silent', `Primary ${primary} of group ${group} does not answer; its grant ends.`, { group })
+  const event = silent
+    ? recordEvent('primary-silent', `Primary ${primary} of group ${group} does not answer; its grant ends.`, { group })
+    : recordEvent('primary-role-lost', `Database ${primary} of group ${group} answers, but is no longer primary in term ${term}; its grant ends.`, { group })
   return step.effects.length === 0 ? step : { state: step.state, effects: [...step.effects, event] }
 }
 
--- a/src/stopping/decide.test.ts
+++ b/src/stopping/decide.test.ts
@@ -39,6 +39,13 @@
     expect(decide({ kind: 'stopping/asked', limitMs: 1 })).to.deep.equal([])
   })
 
+  it('counts the transaction of its own caller once', () => {
+    decide({ kind: 'stopping/counted', part: 'requests', busy: 2 })
+    decide({ kind: 'stopping/counted', part: 'transactions', busy: 3, local: 2 })
+    const step = decideStopping(state, { kind: 'stopping/limit-passed' }, { monotonicMs: 30_000, wallMs: 0, random: 0 })
+    expect(step.effects.at(-1)).to.deep.equal({ kind: 'process/exit', abortedRequests: 3 })
+  })
+
   it('ends at its time limit, and reports the aborted requests', () => {
     countAll(3)
     const step = decideStopping(state, { kind: 'stopping/limit-passed' }, { monotonicMs: 30_000, wallMs: 0, random: 0 })
--- a/src/stopping/decide.ts
+++ b/src/stopping/decide.ts
@@ -24,6 +24,8 @@
   readonly sinceMs: number
   /** The work in flight at the last count. */
   readonly busy: Readonly<Record<DrainedSlice, number>>
+  /** How many of the busy transactions are those of this host's own callers. */
+  readonly localTransactions: number
 }
 
 /** Ends the process. */
@@ -42,7 +44,7 @@
  * @example createStoppingState('host-1').phase // 'running'
  */
 export function createStoppingState (host: string, balancerMs = 0): StoppingState {
-  return { host, balancerMs, phase: 'running', sinceMs: 0, busy: { requests: 0, transactions: 0 } }
+  return { host, balancerMs, phase: 'running', sinceMs: 0, busy: { requests: 0, transactions: 0 }, localTransactions: 0 }
 }
 
 /**
@@ -52,16 +54,16 @@
 export function decideStopping (state: StoppingState, message: StoppingMessage, moment: Moment): StoppingStep {
   switch (message.kind) {
     case 'stopping/asked': return state.phase === 'running' ? startStop(state, message, moment) : { state, effects: [] }
-    case 'stopping/check-due': return state.phase === 'gone' ? { state, effects: [] } : { state, effects: [...requestCounts(), createCheckTimer()] }
+    case 'stopping/check-due': return state.phase === 'gone' ? { state, effects: [] } : { state, effects: [...requestCounts(state.host), createCheckTimer()] }
     case 'stopping/balancer-noticed': return { state, effects: [STOP_ACCEPTING] }
     case 'stopping/counted': return updateCount(state, message, moment)
-    case 'stopping/limit-passed': return state.phase === 'gone' ? { state, effects: [] } : endStop(state, moment, state.busy.requests + state.busy.transactions)
+    case 'stopping/limit-passed': return state.phase === 'gone' ? { state, effects: [] } : endStop(state, moment, state.busy.requests + state.busy.transactions - state.localTransactions)
   }
 }
 
 function startStop (state: StoppingState, message: StopRequested, moment: Moment): StoppingStep {
   // Assumes one of each in flight until the first counts arrive.
-  const next: StoppingState = { ...state, phase: 'draining', sinceMs: moment.monotonicMs, busy: { requests: 1, transactions: 1 } }
+  const next: StoppingState = { ...state, phase: 'draining', sinceMs: moment.monotonicMs, busy: { requests: 1, transactions: 1 }, localTransactions: 0 }
   return {
     state: next,
     effects: [
@@ -74,8 +76,8 @@
   }
 }
 
-function requestCounts (): readonly CoreEffect[] {
-  return [tell({ kind: 'requests/count-asked' }), tell({ kind: 'transactions/count-asked' })]
+function requestCounts (host: string): readonly CoreEffect[] {
+  return [tell({ kind: 'requests/count-asked' }), tell({ kind: 'transactions/count-asked', host })]
 }
 
 function createCheckTimer (): CoreEffect {
@@ -83,7 +85,8 @@
 }
 
 function updateCount (state: StoppingState, message: WorkCounted, moment: Moment): StoppingStep {
-  const counted: StoppingState = { ...state, busy: { ...state.busy, [message.part]: message.busy } }
+  const localTransactions = message.part === 'transactions' ? message.local ?? 0 : state.localTransactions
+  const counted: StoppingState = { ...state, busy: { ...state.busy, [message.part]: message.busy }, localTransactions }
   const elapsedMs = moment.monotonicMs - state.sinceMs
   const drained = counted.busy.requests === 0 && counted.busy.transactions === 0
   if (state.phase === 'draining' && elapsedMs >= Math.max(HANDOVER_PERIOD_MS, state.balancerMs) && drained) return refuseWork(counted, moment)
--- a/src/stopping/messages.ts
+++ b/src/stopping/messages.ts
@@ -16,8 +16,10 @@
 export interface WorkCounted {
   readonly kind: 'stopping/counted'
   readonly part: DrainedSlice
-  /** The number of requests or transactions in flight. */
+  /** The number of callers with a request or transaction in flight. */
   readonly busy: number
+  /** How many of them are connected to this host, and are thus counted by the requests slice as well. */
+  readonly local?: number
 }
 
 /** The time limit of the stop has passed. */
--- a/src/transactions/decide.test.ts
+++ b/src/transactions/decide.test.ts
@@ -104,6 +104,20 @@
     expect(listOpened(handle(createRun('c5', 1)))).to.have.length(1)
   })
 
+  it('logs why a connection could not be opened', () => {
+    const [connection] = listOpened(handle(createRun('c1', 1)))
+    const line = handle({ kind: 'transactions/open-failed', connection: connection!, text: 'ERROR TOOMANY' }).find(effect => effect.kind === 'log/write')
+    expect(line).to.deep.include({ level: 'warn', fields: { database: 'a1', connection, reason: 'ERROR TOOMANY', left: 0 } })
+  })
+
+  it('counts a caller once in a stop, also when it has a transaction and a queued statement, and says which callers are its own', () => {
+    start(createRun('c1', 1))
+    start(createRun('c2', 1, { from: 'o' }))
+    handle(createRun('c3', 1))
+    handle(createRun('c1', 2))
+    expect(handle({ kind: 'transactions/count-asked', host: 'o' })).to.deep.equal([{ kind: 'loop/tell', message: { kind: 'stopping/counted', part: 'transactions', busy: 3, local: 1 } }])
+  })
+
   it('runs a duplicate request once, and ignores a request that arrives after its cancel', () => {
     const run = createRun('c1', 1)
     const connection = start(run)
--- a/src/transactions/decide.ts
+++ b/src/transactions/decide.ts
@@ -24,7 +24,7 @@
     case 'transactions/cancel': return handleCancel(store, message)
     case 'transactions/owned-changed': return updateOwnership(store, message)
     case 'transactions/host-lost': return handleHostLost(store, message)
-    case 'transactions/count-asked': return reportWorkCount(store)
+    case 'transactions/count-asked': return reportWorkCount(store, message.host)
     case 'transactions/refuse-work': return { shared: { ...store.shared, stopping: true }, effects: [] }
     case 'transactions/credit': return decideFor(store, message.database, database => forwardCredit(database, message))
     case 'transactions/time-over': return decideFor(store, message.database, database => expireDeadline(database, message))
@@ -40,9 +40,11 @@
   }
 }
 
-function reportWorkCount (store: TransactionsStore): TransactionsStep {
-  const counts = [...store.items.values()].map(({ units, queue, catchUpReads, pendingWrites }) => units.size + countEntries(queue) + catchUpReads.length + pendingWrites.length)
-  return { effects: [tell({ kind: 'stopping/counted', part: 'transactions', busy: counts.reduce((sum, count) => sum + count, 0) })] }
+function reportWorkCount (store: TransactionsStore, self: string): TransactionsStep {
+  // A caller with an open transaction may also have a statement in the queue.
+  const hostByCaller = new Map([...store.items.values()].flatMap(listWork).map(({ caller, from }) => [caller, from]))
+  const local = [...hostByCaller.values()].filter(host => host === self).length
+  return { effects: [tell({ kind: 'stopping/counted', part: 'transactions', busy: hostByCaller.size, local })] }
 }
 
 function parseDatabaseName (connection: string): string {
@@ -232,7 +234,11 @@
   return { changes: steps.flatMap(step => step.changes ?? []), effects: steps.flatMap(step => step.effects) }
 }
 
+function listWork ({ units, queue, catchUpReads, pendingWrites }: OwnedDatabase): ReadonlyArray<Pick<RunRequest, 'caller'> & { readonly from?: string }> {
+  return [...units.values(), ...listEntries(queue).map(entry => entry.item), ...catchUpReads.map(read => read.run), ...pendingWrites]
+}
+
 function cancelCallers (database: OwnedDatabase, host: string): DatabaseStep {
-  const work = [...database.units.values(), ...listEntries(database.queue).map(entry => entry.item), ...database.catchUpReads.map(read => read.run), ...database.pendingWrites].filter(({ from }) => from === host)
+  const work = listWork(database).filter(({ from }) => from === host)
   return work.reduce((step, { caller }) => continueStep(step, next => cancelWork(next, caller, Infinity)), createEmptyStep(database))
 }
--- a/src/transactions/messages.ts
+++ b/src/transactions/messages.ts
@@ -147,6 +147,8 @@
 /** The stopping slice asks how much work the owned databases still have. */
 export interface WorkCountRequested {
   readonly kind: 'transactions/count-asked'
+  /** This host. */
+  readonly host: string
 }
 
 /** The host is stopping and accepts no new work. */
--- a/src/transactions/pool.ts
+++ b/src/transactions/pool.ts
@@ -1,5 +1,6 @@
 /** Slots and connections of an owned database: which request starts, on which connection, and which connections close. */
 import { createFailure } from '../core/errors.js'
+import { writeLog } from '../core/message.js'
 import { setTimer } from '../messages.js'
 import type { DatabaseEffect } from '../databases/driver.js'
 import { countEntries, createQueue, listEntries, dequeueEntry } from '../fairness/queue.js'
@@ -128,9 +129,10 @@
   connections.delete(message.connection)
   const name = database.entry.database
   const backoffTimer = setTimer(`transactions/cooled/${name}`, OPEN_BACKOFF_MS, { kind: 'transactions/cooled', database: name })
+  const effects = [backoffTimer, writeLog('warn', `A connection to database ${name} could not be opened.`, { database: name, connection: message.connection, reason: message.text, left: connections.size })]
   const next: OwnedDatabase = { ...database, connections, backingOff: true }
-  if (connections.size > 0) return { database: next, effects: [backoffTimer] }
-  return continueStep({ database: next, effects: [backoffTimer] }, refuseQueued)
+  if (connections.size > 0) return { database: next, effects }
+  return continueStep({ database: next, effects }, refuseQueued)
 }
 
 /**
--- a/standin/database.test.ts
+++ b/standin/database.test.ts
@@ -6,6 +6,7 @@
 import { StandInDatabase } from './database.js'
 import { FileJournal } from './journal.js'
 
+const MICROTASKS = 12
 const OPTIONS = { name: 'a1', group: 'a', slots: 1, statementMs: 0 }
 
 describe('the stand-in database', () => {
@@ -30,6 +31,30 @@
       .to.deep.equal({ primary: true, term: 3, fencedTerm: 3, position: { term: 3, offset: 2 }, tables: ['t'] })
   })
 
+  it('never runs more tasks than it has slots, also when one arrives as another hands its slot over', async () => {
+    const database = await openDatabase()
+    let running = 0
+    let most = 0
+    let end = (): void => undefined
+    const ended = new Promise<void>(resolve => { end = resolve })
+    const runTask = async (): Promise<void> => await database.useSlot(async () => {
+      running += 1
+      most = Math.max(most, running)
+      await new Promise(resolve => setTimeout(resolve, 1))
+      running -= 1
+      end()
+    })
+    const waiting = [runTask(), runTask()]
+    // Arrives some microtasks after the end of the first task; one of the depths falls between the end and the waiter's turn.
+    const arrivals = Array.from({ length: MICROTASKS }, async (_, depth) => {
+      await ended
+      for (let turn = 0; turn < depth; turn++) await undefined
+      await runTask()
+    })
+    await Promise.all([...waiting, ...arrivals])
+    expect(most).to.equal(OPTIONS.slots)
+  })
+
   it('sends replicas only entries that are synced to disk', async () => {
     const database = await openDatabase()
     database.fence(1)
--- a/standin/database.ts
+++ b/standin/database.ts
@@ -87,13 +87,15 @@
   /** Runs a task in an execution slot; waits while all slots are in use. */
   async useSlot<T> (task: () => Promise<T>): Promise<T> {
     if (this.#usedSlots >= this.parts.slots) await new Promise<void>(resolve => this.#slotWaiters.push(resolve))
-    this.#usedSlots += 1
+    else this.#usedSlots += 1
     try {
       await new Promise(resolve => setTimeout(resolve, this.parts.statementMs))
       return await task()
     } finally {
-      this.#usedSlots -= 1
-      this.#slotWaiters.shift()?.()
+      // The next waiter takes over the slot, so that no other task can take it before the waiter continues.
+      const next = this.#slotWaiters.shift()
+      if (next === undefined) this.#usedSlots -= 1
+      else next()
     }
   }
 
