Shares: neighbours return what they hold beyond their part while a host is short

Cause: while a host is down its callers raise the demand of its neighbours, which grow into the freed parts. Ruled out: no hysteresis at all (each change of demand would move shares). Change: chooseParts says whether a holder is short; while one is, the others keep only what is within 0.9 of their part.

--- a/src/shares/decide.ts
+++ b/src/shares/decide.ts
@@ -78,7 +78,7 @@
   const held = new Map(known === undefined ? message.held?.map(share => [share.workspace, share.parts]) : [])
   const steps = [...new Set([...shared.limits.keys(), ...known?.shares.keys() ?? [], ...perSecond.keys(), ...held.keys()])].map(workspace => {
     const share = known?.shares.get(workspace) ?? NO_SHARE
-    const request = { round: message.round, applied: message.applied, perSecond: perSecond.get(workspace) ?? share.perSecond, held: held.get(workspace) ?? 0, mayGrow: !unregistered }
+    const request: ShareRequest = { holder: message.holder, round: message.round, applied: message.applied, perSecond: perSecond.get(workspace) ?? share.perSecond, held: held.get(workspace) ?? 0, mayGrow: !unregistered }
     return updateShare(store, workspace, share, request, moment)
   })
   const shares = new Map(steps.filter(step => isUsed(step.share)).map(step => [step.quota.workspace, step.share]))
@@ -105,6 +105,7 @@
 }
 
 interface ShareRequest {
+  readonly holder: string
   readonly round: number
   readonly applied: number
   readonly perSecond: number
@@ -117,15 +118,21 @@
   const refilled = refillReserve(findQuota(store, workspace, limit), limit, moment.monotonicMs)
   const confirmed: Share = { perSecond: request.perSecond, grants: keepUnconfirmed(share.grants, request.applied) }
   const current = replaceShare(refilled, limit, share, confirmed)
-  const parts = moment.monotonicMs < store.shared.priorSharesUntilMs || !request.mayGrow
-    ? Math.max(getCurrentParts(confirmed), Math.min(request.held, TOTAL_PARTS - RESERVE_PARTS - current.committed))
-    : chooseParts(current, limit, { perSecond: request.perSecond, held: getCommittedParts(confirmed), current: getCurrentParts(confirmed) }, countHolders(store))
-  if (parts === getCurrentParts(confirmed)) return { quota: current, share: confirmed }
+  const { parts, isShort } = moment.monotonicMs < store.shared.priorSharesUntilMs || !request.mayGrow
+    ? { parts: Math.max(getCurrentParts(confirmed), Math.min(request.held, TOTAL_PARTS - RESERVE_PARTS - current.committed)), isShort: false }
+    : chooseParts(current, limit, { holder: request.holder, perSecond: request.perSecond, held: getCommittedParts(confirmed), current: getCurrentParts(confirmed) }, countHolders(store))
+  const marked: WorkspaceQuota = { ...current, shortHolder: updateShortHolder(current.shortHolder, request.holder, isShort) }
+  if (parts === getCurrentParts(confirmed)) return { quota: marked, share: confirmed }
   const next: Share = { ...confirmed, grants: [...confirmed.grants, { round: request.round, parts }] }
-  const quota = replaceShare(current, limit, confirmed, next)
+  const quota = replaceShare(marked, limit, confirmed, next)
   return { quota, share: next, tokens: computeOverflow(current, quota, limit) }
 }
 
+function updateShortHolder (known: string | undefined, holder: string, isShort: boolean): string | undefined {
+  if (isShort) return holder
+  return known === holder ? undefined : known
+}
+
 // Reserve tokens above the smaller reserve's burst are granted with the larger share.
 function computeOverflow (before: WorkspaceQuota, after: WorkspaceQuota, limit: KnownLimit): number | undefined {
   const tokens = Math.min(before.tokens - after.tokens, limit.burst * (after.committed - before.committed) / TOTAL_PARTS)
@@ -197,8 +204,8 @@
   const successors = new Map(holders.filter(holder => holder.isConfirmed).sort((a, b) => a.firstSeenAtMs - b.firstSeenAtMs).map(holder => [holder.host, holder]))
   const expired = holders.filter(holder => holder.renewedAtMs < expiredBeforeMs || isSucceeded(holder, successors.get(holder.host)))
   const released = new Map<string, WorkspaceQuota>()
-  for (const { shares } of expired) {
-    for (const [workspace, share] of shares) released.set(workspace, releaseShare(store, released.get(workspace), workspace, share, moment))
+  for (const { holder, shares } of expired) {
+    for (const [workspace, share] of shares) released.set(workspace, releaseShare(store, released.get(workspace), workspace, holder, share, moment))
   }
   return {
     changes: [...expired.map(holder => [`holder/${holder.holder}`, undefined] as const), ...[...released.values()].map(createChange)],
@@ -212,10 +219,10 @@
   return successor !== undefined && successor.firstSeenAtMs > holder.firstSeenAtMs
 }
 
-function releaseShare (store: SharesStore, released: WorkspaceQuota | undefined, workspace: string, share: Share, moment: Moment): WorkspaceQuota {
+function releaseShare (store: SharesStore, released: WorkspaceQuota | undefined, workspace: string, holder: string, share: Share, moment: Moment): WorkspaceQuota {
   const limit = findLimit(store.shared, workspace)
   const refilled = refillReserve(released ?? findQuota(store, workspace, limit), limit, moment.monotonicMs)
-  return replaceShare(refilled, limit, share, NO_SHARE)
+  return replaceShare({ ...refilled, shortHolder: updateShortHolder(refilled.shortHolder, holder, false) }, limit, share, NO_SHARE)
 }
 
 function createSweepTimer (): CoreEffect {
--- a/src/shares/reserve.ts
+++ b/src/shares/reserve.ts
@@ -13,8 +13,10 @@
 const MIN_SHARE_TOKENS = 4
 /** A share grows only when its target exceeds this multiple of its size. */
 const GROW_THRESHOLD = 1.25
-/** A share shrinks only when its target falls below this fraction of its size. */
+/** A share shrinks only when its target falls below this fraction of its size; a holder with less than this fraction of its target is short. */
 const SHRINK_THRESHOLD = 0.6
+/** The same while another holder is short. */
+const SHRINK_THRESHOLD_FOR_OTHERS = 0.9
 
 /** Lent tokens, and the quota without them. */
 export interface LoanGrant {
@@ -24,6 +26,13 @@
   readonly shortfall: number
 }
 
+/** The next share of a holder. */
+export interface ShareChoice {
+  readonly parts: number
+  /** True when others hold what this holder should have. */
+  readonly isShort: boolean
+}
+
 /**
  * Creates the quota of a workspace without shares.
  * @example createQuota('rota/parish', shared.priorLoansUntilMs, shared.priorSharesUntilMs)
@@ -106,23 +115,27 @@
 
 /**
  * Chooses the share of a holder in proportion to its demand, from the free parts. Everything outside the reserve is
- * granted, so that an isolated host can serve at least the usual demand of its callers.
+ * granted, so that an isolated host can serve at least the usual demand of its callers. While a holder is short, such
+ * as a restarted host whose callers were elsewhere meanwhile, the others return what they hold beyond their part.
  * @param holder.held the most that the holder may currently hold, in parts.
  * @param holder.current the share that it was last granted, in parts.
  * @param holders the number of hosts that hold or request shares.
- * @example chooseParts(quota, limit, { perSecond: 40, held: 0, current: 0 }, 9)
+ * @example chooseParts(quota, limit, { holder: 'h', perSecond: 40, held: 0, current: 0 }, 9).parts
  */
-export function chooseParts (quota: WorkspaceQuota, limit: KnownLimit, holder: { readonly perSecond: number, readonly held: number, readonly current: number }, holders: number): number {
-  if (limit.rate === 0) return 0
+export function chooseParts (quota: WorkspaceQuota, limit: KnownLimit, holder: { readonly holder: string, readonly perSecond: number, readonly held: number, readonly current: number }, holders: number): ShareChoice {
+  if (limit.rate === 0) return { parts: 0, isShort: false }
   const idleDemand = limit.rate * IDLE_DEMAND_FRACTION
   const totalDemand = Math.max(quota.perSecond, holder.perSecond) + idleDemand * Math.max(1, holders)
   const fairParts = (TOTAL_PARTS - RESERVE_PARTS) * (holder.perSecond + idleDemand) / totalDemand
   const reservedParts = Math.max(RESERVE_PARTS, Math.ceil(TOTAL_PARTS * countLentTokens(quota) / limit.burst))
   const freeParts = Math.max(0, TOTAL_PARTS - quota.committed - reservedParts) + holder.held
   const parts = Math.floor(Math.min(fairParts, freeParts))
-  if (parts * limit.burst < MIN_SHARE_TOKENS * TOTAL_PARTS) return 0
-  const unchanged = parts >= holder.current * SHRINK_THRESHOLD && parts <= holder.current * GROW_THRESHOLD
-  return unchanged ? holder.current : parts
+  const minParts = MIN_SHARE_TOKENS * TOTAL_PARTS / limit.burst
+  const isShort = fairParts >= minParts && parts < fairParts * SHRINK_THRESHOLD
+  if (parts < minParts) return { parts: 0, isShort }
+  const shrinkThreshold = quota.shortHolder === undefined || quota.shortHolder === holder.holder ? SHRINK_THRESHOLD : SHRINK_THRESHOLD_FOR_OTHERS
+  const unchanged = parts >= holder.current * shrinkThreshold && parts <= holder.current * GROW_THRESHOLD
+  return { parts: unchanged ? holder.current : parts, isShort }
 }
 
 function getReserveFraction (quota: WorkspaceQuota): number {
--- a/src/shares/shares.test.ts
+++ b/src/shares/shares.test.ts
@@ -8,6 +8,9 @@
 const ROLL_STARTS_MS = 4_000
 /** The gap between two restarts: shorter than the lease of a share. */
 const ROLL_GAP_MS = 1_000
+/** When the restarted host is back, and when the leader is cut off. */
+const RETURN_MS = 10_000
+const CUT_MS = 13_000
 const ROLL_SEEDS = Array.from({ length: 10 }, (_, index) => index + 1)
 const NO_FAULTS = { dropped: 0, doubled: 0, late: 0 }
 
@@ -98,6 +101,26 @@
   return decided.filter(decision => !decision.admitted).length / decided.length
 }
 
+// The callers of one host go to its neighbours while it is down and come back when it has restarted; then the leader is cut
+// off, so that each host has its share alone. Returns the fraction of the restarted host's requests that is refused.
+function runReturn (seed: number): number {
+  const random = createRandom(seed)
+  const limit = { rate: 84, burst: 84 }
+  const hosts = ['h2', 'h3', 'h4']
+  const world = RatesSimulation.create(['h1', ...hosts], limit, NO_FAULTS, seed, true)
+  world.changeLeader('h1', 0)
+  world.schedule(RETURN_MS, () => world.restart('h2'))
+  world.schedule(CUT_MS, () => world.disconnectHost('h1', 10_000))
+  for (let atMs = 0; atMs < CUT_MS + 3_000; atMs += -Math.log(1 - random()) * 1_000 / (limit.rate * 0.6)) {
+    const isDown = atMs > RETURN_MS - 3_000 && atMs < RETURN_MS
+    world.schedule(atMs, () => world.sendRequest(pickRandom(random, isDown ? ['h3', 'h4'] : hosts)))
+  }
+  world.run(CUT_MS + 4_000)
+  expect(computeMaxExcess(world.decisions, limit)).to.be.at.most(0)
+  const decided = world.decisions.filter(({ host, atMs }) => host === 'h2' && atMs >= CUT_MS)
+  return decided.filter(({ admitted }) => !admitted).length / decided.length
+}
+
 describe('shares of a rate', () => {
   it(`never admit more than burst and rate in any window, under restarts, leader changes, freezes, partitions and lossy links (seeds ${SEED} to ${SEED + RUNS - 1})`, function () {
     this.timeout(600_000)
@@ -132,6 +155,13 @@
     expect(refused).to.be.below(0.01)
   })
 
+  it('return to a restarted host from the neighbours that served its callers, so it can serve them when the leader is cut off', function () {
+    this.timeout(120_000)
+    const refused = ROLL_SEEDS.map(runReturn).reduce((sum, fraction) => sum + fraction, 0) / ROLL_SEEDS.length
+    this.test!.title += ` (refused ${formatFraction(refused)})`
+    expect(refused).to.be.below(0.01)
+  })
+
   it('refuse fewer requests than fixed shares while the leader changes every 10 s', function () {
     this.timeout(120_000)
     for (const { limit, load } of cases) {
--- a/src/shares/state.ts
+++ b/src/shares/state.ts
@@ -57,6 +57,8 @@
   /** Sum of the largest share that each holder may hold, in parts. */
   readonly committed: number
   readonly perSecond: number
+  /** A holder whose share is far below its demand because others hold the rest; the last one found. */
+  readonly shortHolder?: string
   /** Until then shares of the previous leader may be in use beside the committed ones. */
   readonly priorSharesUntilMs: number
   /** Time since which no host can have held anything of previous leaders; Infinity when unknown. */
