--- a/src/core/loop.test.ts
+++ b/src/core/loop.test.ts
@@ -57,7 +57,6 @@
   it('handles what an urgent slice gets before a backlog of the others, which waits for the next turn once a turn takes too long', async () => {
     const clock = new FakeClock()
     const seen: string[] = []
-    let loop!: Loop
     const createSlice = (name: string) => DecidingSlice.create<undefined, Message, Effect>({
       name,
       initial: undefined,
@@ -69,7 +68,7 @@
         return { state, effects: [] }
       }
     })
-    loop = Loop.create({ clock, slices: [createSlice('a'), createSlice('urgent')], urgentSlices: new Set(['urgent']), onFault: fault => { throw fault } })
+    const loop: Loop = Loop.create({ clock, slices: [createSlice('a'), createSlice('urgent')], urgentSlices: new Set(['urgent']), onFault: fault => { throw fault } })
     for (let number = 0; number < BACKLOG; number++) loop.post({ kind: `a/${number}` })
     await pollUntil('all messages', async () => seen.length === BACKLOG + 1)
     expect(seen.indexOf('urgent/heartbeat')).to.be.at.most(MAX_HANDLED_BEFORE)
