--- a/src/membership/decide.ts
+++ b/src/membership/decide.ts
@@ -107,7 +107,9 @@
   const directory = changed ? applyChanges(state.directory, message.revision, message.changes) : state.directory
   // The answer's transit time makes this offset too small, never too large.
   const leaderClockOffsetMs = message.leaderMs === undefined ? undefined : message.leaderMs - moment.monotonicMs
-  const next: MembershipState = { ...state, directory, leaderClockOffsetMs, leaderAnsweredAtMs: moment.monotonicMs, statuses: filterOwnedStatuses(state, directory) }
+  const ownedDatabases = changed ? listOwnDatabases(state, directory) : state.ownedDatabases
+  const statuses = filterOwnedStatuses(state.statuses, ownedDatabases)
+  const next: MembershipState = { ...state, directory, ownedDatabases, leaderClockOffsetMs, leaderAnsweredAtMs: moment.monotonicMs, statuses }
   return { state: next, effects: [...(changed ? notifyChanged(next) : []), ...notifyConfirmed(next, changed, askedAtMs)] }
 }
 
@@ -134,20 +136,19 @@
     { kind: 'peer/learn', addresses: hosts.map(({ host, peers }) => ({ host, peers })) },
     tell({ kind: 'timeline/hosts-known', hosts: hosts.map(({ host }) => host) }),
     tell({ kind: 'routing/directory-changed', hosts, databases, grants }),
-    tell({ kind: 'transactions/owned-changed', databases: listOwnDatabases(state, directory), grants })
+    tell({ kind: 'transactions/owned-changed', databases: [...state.ownedDatabases.values()], grants })
   ]
 }
 
-function listOwnDatabases (state: MembershipState, directory: Directory): readonly DatabaseEntry[] {
-  if (state.self === undefined) return []
+function listOwnDatabases (state: MembershipState, directory: Directory): MembershipState['ownedDatabases'] {
+  if (state.self === undefined) return new Map()
   const owned = listOwned(state.self.host, listEntries(directory, 'database'), listEntries(directory, 'host'))
   const groups = new Map(listEntries(directory, 'document').flatMap(({ document }) => document.groups.map(group => [group.name, group.connections] as const)))
-  return owned.map(entry => (entry.connectionLimit > 0 ? entry : { ...entry, connectionLimit: groups.get(entry.group) ?? entry.slots }))
+  return new Map(owned.map(entry => [entry.database, entry.connectionLimit > 0 ? entry : { ...entry, connectionLimit: groups.get(entry.group) ?? entry.slots }]))
 }
 
-function filterOwnedStatuses (state: MembershipState, directory: Directory): MembershipState['statuses'] {
-  const owned = new Set(listOwnDatabases(state, directory).map(entry => entry.database))
-  return new Map([...state.statuses].filter(([database]) => owned.has(database)))
+function filterOwnedStatuses (statuses: MembershipState['statuses'], owned: MembershipState['ownedDatabases']): MembershipState['statuses'] {
+  return new Map([...statuses].filter(([database]) => owned.has(database)))
 }
 
 function recordAnnouncement (state: MembershipState, message: DatabaseAnnounced, moment: Moment): MembershipStep {
@@ -182,7 +183,7 @@
 
 function probeOwned (state: MembershipState, moment: Moment): MembershipStep {
   const primaries = new Set(listEntries(state.directory, 'grant').map(grant => grant.primary))
-  const probes = listOwnDatabases(state, state.directory)
+  const probes = [...state.ownedDatabases.values()]
     .filter(({ database }) => isProbeNeeded(state, database, primaries.has(database), moment))
     .map((entry): ProbeDatabase => ({ kind: 'database/probe', database: entry.database, address: entry.address, group: entry.group, askedAtMs: moment.monotonicMs }))
   return { state, effects: [...probes, createProbeTimer(state)] }
--- a/src/membership/state.ts
+++ b/src/membership/state.ts
@@ -81,6 +81,8 @@
   readonly statuses: ReadonlyMap<string, TimedStatus>
   /** This host's copy of the directory. */
   readonly directory: Directory
+  /** The databases of that directory that this host owns, with their connection limits. */
+  readonly ownedDatabases: ReadonlyMap<string, DatabaseEntry>
   /** The databases stored in the control hosts' log, as far as this host has applied it. */
   readonly storedDatabases: StoredDatabaseTable
   /** Set on the leader only. */
@@ -102,6 +104,7 @@
     announcements: new Map(),
     statuses: new Map(),
     directory: createDirectory(0),
+    ownedDatabases: new Map(),
     storedDatabases: {}
   }
 }
--- a/src/routing/decide.ts
+++ b/src/routing/decide.ts
@@ -3,7 +3,7 @@
 import type { CoreEffect, Moment, Step } from '../core/message.js'
 import { rankCandidates } from '../core/rendezvous.js'
 import { ORIGIN, coversPosition, pickLater, type LogPosition } from '../core/position.js'
-import { findOwner } from '../membership/owners.js'
+import { findOwner, listCandidates } from '../membership/owners.js'
 import type { Target } from '../requests/messages.js'
 import type { DatabaseAnswered, ChooseTarget, DirectoryChanged, PositionsRequested, PositionsReported, RoutingMessage, StatusRead, ReportedPosition } from './messages.js'
 import { addSample, findFreshFloor, findProvenFloor } from './staleness.js'
@@ -118,7 +118,8 @@
 }
 
 function updateDirectory (state: RoutingState, message: DirectoryChanged): RoutingStep {
-  const databases = new Map(message.databases.map(entry => [entry.database, { entry, owner: findOwner(entry, message.hosts) }]))
+  const candidates = listCandidates(message.hosts)
+  const databases = new Map(message.databases.map(entry => [entry.database, { entry, owner: findOwner(entry, candidates) }]))
   const grants = new Map(message.grants.map(grant => [grant.group, grant]))
   return { state: { ...state, hosts: message.hosts, databases, grants }, effects: [] }
 }
