Routing: the owner of a database determines the floor of a bounded read, and hosts poll no owners but their groups'

Cause: each host polled the owners of all databases in use every 400 ms, to know floors and loads. Ruled out: a longer interval (the growth with hosts times databases stays); a question for each read (two more messages on the path of every request). Change: a request names its staleness bound and what its session has seen; the owner computes the floor when the request arrives there, from samples that only the owners of a group exchange. Without a sample within the bound it refuses as not run with the age of the last one, and the request goes to the primary. Answers carry the load of the database, used for 1 s. An owner is polled while it leaves a request unanswered. Tests: polls at 60, 200 and 2,000 hosts; an unanswered owner; loads by answers; floors and refusals at the owner.

--- a/src/requests/decide.test.ts
+++ b/src/requests/decide.test.ts
@@ -92,6 +92,17 @@
     expect(dispatched!.message).to.include({ kind: 'transactions/run', remainingMs: 300, attempt: 2 })
   })
 
+  it('asks for the primary once an owner could not determine the floor of a read, and reports each owner that answers', () => {
+    const bounded: Target = { ...TARGET, database: 'a2', purpose: 'replica', bound: { maxStalenessMs: 1_500, seen: ORIGIN } }
+    take({ kind: 'requests/arrived', caller: 'c', input: { intent: 'statement', action: 'read' }, payload: Buffer.alloc(0) })
+    take({ kind: 'requests/admitted', caller: 'c', attempt: 1, rules: { ...RULES, action: 'read', maxStalenessMs: 1_500 } })
+    take({ kind: 'requests/routed', caller: 'c', attempt: 1, target: bounded })
+    const refused = take({ kind: 'requests/failed', from: 'o', caller: 'c', attempt: 1, failure: createFailure('no-primary', 'a'), retriable: true, load: 0.5 })
+    expect(refused).to.deep.include({ kind: 'loop/tell', message: { kind: 'routing/owner-answered', owner: 'o', database: 'a2', load: 0.5 } })
+    const [choose] = take({ kind: 'requests/retry-due', caller: 'c', attempt: 2 }) as readonly Tell[]
+    expect(choose!.message).to.include({ kind: 'routing/choose', primaryOnly: true })
+  })
+
   it('closes the transaction after a commit even when its outcome is unknown', () => {
     start('c', RULES, 'begin')
     finish('c', 'open')
--- a/src/requests/decide.ts
+++ b/src/requests/decide.ts
@@ -5,7 +5,7 @@
 import { advanceSession, parseToken, getSeenPosition } from '../sessions/token.js'
 import { expireRequest, failAcknowledgement, failAttempt, failReplacedPrimaries, failRequest, handlePeerLost, rejectInput } from './failure.js'
 import { logRequests } from './log.js'
-import type { AttemptFinished, CallerConnected, ConnectionChecked, CountRequested, GrantsConfirmed, OutputDrained, OutputReceived, PeerLost, ReplicaSlow, RequestAdmitted, RequestArrived, RequestInput, RequestRouted, RequestsMessage, RouteRules, SessionReplaced, AttemptId } from './messages.js'
+import type { AttemptFailed, AttemptFinished, CallerConnected, ConnectionChecked, CountRequested, GrantsConfirmed, OutputDrained, OutputReceived, PeerLost, ReplicaSlow, RequestAdmitted, RequestArrived, RequestInput, RequestRouted, RequestsMessage, RouteRules, SessionReplaced, AttemptId } from './messages.js'
 import { MAX_RETRY_BUDGET, RETRY_BUDGET_PER_SUCCESS, type Caller, type InFlightRequest, type OpenTransaction, type RequestsShared } from './state.js'
 import { clearTimers, createCancelEffects, createFinishedEffect, getTransactionStatus, replaceCaller, type RequestsEffect, type RequestsStep, type RequestsStore } from './step.js'
 import { closeRevoked, createCallerClosedEffects, revokeKey } from './withdrawal.js'
@@ -57,9 +57,9 @@
     case 'requests/admitted': return decideForAttempt(caller, message, running => admitRequest(caller, running, message, moment))
     case 'requests/routed': return decideForAttempt(caller, message, running => dispatchRequest(store.shared, caller, running, message, moment))
     case 'requests/late': return decideForAttempt(caller, message, running => retrySlowRead(store.shared, caller, running, message, moment))
-    case 'requests/failed': return decideForAttempt(caller, message, running => failAttempt(store.shared, caller, running, message, moment))
+    case 'requests/failed': return decideForAttempt(caller, message, running => reportOwner(running, message, failAttempt(store.shared, caller, running, message, moment)))
     case 'requests/output': return decideForAttempt(caller, message, running => forwardOutput(caller, running, message))
-    case 'requests/finished': return decideForAttempt(caller, message, running => finishRequest(store.shared, caller, running, message, moment))
+    case 'requests/finished': return decideForAttempt(caller, message, running => reportOwner(running, message, finishRequest(store.shared, caller, running, message, moment)))
     case 'requests/deadline-passed': return caller.running?.request === message.request ? expireRequest(caller, caller.running) : UNCHANGED
     case 'requests/key-withdrawn': return revokeKey(caller, message)
     case 'requests/overdue': return failAcknowledgement(caller)
@@ -72,6 +72,12 @@
   return running?.attempt === message.attempt ? decide(running) : UNCHANGED
 }
 
+// Routing places requests by the load that owners report, and avoids owners that do not answer.
+function reportOwner ({ target }: InFlightRequest, { from, load }: AttemptFailed | AttemptFinished, step: RequestsStep): RequestsStep {
+  if (from === undefined || target === undefined) return step
+  return { ...step, effects: [...step.effects, tell({ kind: 'routing/owner-answered', owner: from, database: target.database, load })] }
+}
+
 function openConnection (message: CallerConnected): RequestsStep {
   const { caller, service, route, workspace, keyHash } = message
   const session = parseToken(service, message.session ?? '')
@@ -168,7 +174,8 @@
     attempt: running.attempt,
     rules: running.rules,
     seen: getSeenPosition(caller.session, running.rules.group),
-    avoid: running.excluded
+    avoid: running.excluded,
+    primaryOnly: running.primaryOnly
   })
   return replaceCaller({ ...caller, running: { ...running, phase: 'routing' } }, [choose])
 }
--- a/src/requests/failure.ts
+++ b/src/requests/failure.ts
@@ -26,12 +26,16 @@
   const delayMs = computeBackoffMs(running, moment)
   const inTime = moment.monotonicMs + delayMs < running.deadlineAtMs
   const allowed = message.retriable === true && inTime && running.parts === 0 && caller.transaction === undefined
-  if (allowed && message.failure.effect === 'not-run') return retry(caller, running, delayMs)
+  if (allowed && message.failure.effect === 'not-run') return retry(caller, markUnbounded(running, message.failure), delayMs)
   const repeatable = running.rules?.idempotent === true || running.target?.purpose === 'replica'
   if (!allowed || !repeatable || shared.retryBudget < 1) return failRequest(caller, running, addRetryAfter(message.failure, moment))
   return { ...retry(caller, { ...running, mayHaveRun: true }, delayMs), shared: { ...shared, retryBudget: shared.retryBudget - 1 } }
 }
 
+function markUnbounded (running: InFlightRequest, failure: Failure): InFlightRequest {
+  return failure.code === 'no-primary' && running.target?.bound !== undefined ? { ...running, primaryOnly: true } : running
+}
+
 // The jitter spreads the retries of callers that were refused for the same reason.
 function addRetryAfter (failure: Failure, moment: Moment): Failure {
   const recoveryMs = RECOVERY_MS[failure.code]
--- a/src/requests/messages.ts
+++ b/src/requests/messages.ts
@@ -47,6 +47,14 @@
   readonly term: number
   /** The log position that a replica must have applied. */
   readonly floor: LogPosition
+  /** Set where the owner of the database determines the floor. */
+  readonly bound?: StalenessBound
+}
+
+/** How stale a read may be, and the latest position of its group that the caller's session has seen. */
+export interface StalenessBound {
+  readonly maxStalenessMs: number
+  readonly seen: LogPosition
 }
 
 /** Identifies one attempt of one request of one caller. */
@@ -113,8 +121,16 @@
   readonly target: Target
 }
 
+/** What an owner says of a database with each answer; set by the receiving host and the owner. */
+export interface OwnerReport {
+  /** The owner; absent if a slice of this host ended the attempt. */
+  readonly from?: string
+  /** Running and queued requests per slot; absent where placement does not need it. */
+  readonly load?: number
+}
+
 /** The attempt failed; the failure tells whether it may have run. */
-export interface AttemptFailed extends AttemptId {
+export interface AttemptFailed extends AttemptId, OwnerReport {
   readonly kind: 'requests/failed'
   readonly failure: Failure
   /** True when another attempt may find a database that can serve the request. */
@@ -130,7 +146,7 @@
 }
 
 /** The attempt completed, and its writes are stored on a majority of the group. */
-export interface AttemptFinished extends AttemptId {
+export interface AttemptFinished extends AttemptId, OwnerReport {
   readonly kind: 'requests/finished'
   readonly status: TransactionStatus
   /** True when the request changed data. */
--- a/src/requests/state.ts
+++ b/src/requests/state.ts
@@ -24,6 +24,8 @@
   readonly target?: Target
   /** Databases that could not serve an earlier attempt. */
   readonly excluded: readonly string[]
+  /** True once an owner could not determine the floor of the read: the other owners of the group can't either. */
+  readonly primaryOnly?: boolean
   /** Number of answer parts sent to the caller. */
   readonly parts: number
   /** Number of refusals so far; determines the backoff before the next attempt. */
--- a/src/routing/decide.ts
+++ b/src/routing/decide.ts
@@ -4,9 +4,10 @@
 import { rankCandidates } from '../core/rendezvous.js'
 import { ORIGIN, coversPosition, pickLater, type LogPosition } from '../core/position.js'
 import { findOwner, listCandidates } from '../membership/owners.js'
+import type { GrantEntry } from '../membership/directory.js'
 import type { Target } from '../requests/messages.js'
-import type { DatabaseAnswered, ChooseTarget, DirectoryChanged, PositionsRequested, PositionsReported, RoutingMessage, StatusRead, ReportedPosition } from './messages.js'
-import { addSample, findFreshFloor, findProvenFloor } from './staleness.js'
+import type { DatabaseAnswered, ChooseTarget, DirectoryChanged, OwnerAnswered, PositionsRequested, PositionsReported, RoutingMessage, StatusRead, ReportedPosition } from './messages.js'
+import { addSample, findFreshFloor } from './staleness.js'
 import { isUnresponsiveOwner, pickLeastLoaded } from './placement.js'
 import type { TimedPosition, DatabaseWithOwner, PrimarySample, RoutingState } from './state.js'
 import { sendPeer, setTimer, tell } from '../messages.js'
@@ -15,6 +16,10 @@
 const POLL_TTL_MS = 2_000
 /** How long positions are polled after a group's last request: longer than callers usually pause between requests. */
 const GROUP_IN_USE_MS = 10_000
+/** How long a reported load is used; a database that gets no requests is tried again after it. */
+const LOAD_MAX_AGE_MS = 1_000
+/** Time without an answer after which an owner is polled, to tell a slow request from an unresponsive host. */
+const OWNER_POLL_AFTER_MS = 100
 /** Without a confirmation by the leader for this long, a host expects no news of another primary: longer than an election takes. */
 const LEADER_CONTACT_MS = 1_500
 /** A replica whose lag is at most this may be chosen although the read has to wait briefly until it reaches the floor. */
@@ -35,9 +40,10 @@
     case 'routing/grants-confirmed': return { state: { ...state, grantsConfirmedAtMs: Math.max(state.grantsConfirmedAtMs, message.askedAtMs) }, effects: [] }
     case 'routing/ask-due': return pollPositions(state, moment)
     case 'routing/positions-asked': return reportPositions(state, message, moment)
-    case 'routing/positions-told': return recordReport(state, message)
-    case 'routing/answered': return { state: recordAnswer(state, message), effects: [] }
+    case 'routing/positions-told': return createSampledStep(state, recordReport(state, message))
+    case 'routing/answered': return createSampledStep(state, recordAnswer(state, message))
     case 'routing/load-changed': return { state: { ...state, loads: new Map(state.loads).set(message.database, message.load) }, effects: [] }
+    case 'routing/owner-answered': return { state: recordOwnerAnswer(state, message, moment), effects: [] }
   }
 }
 
@@ -45,23 +51,34 @@
   const { rules } = message
   const state: RoutingState = { ...before, groupUsedAtMs: new Map(before.groupUsedAtMs).set(rules.group, moment.monotonicMs) }
   const grant = state.grants.get(rules.group)
-  const floor = rules.action === 'read' && rules.maxStalenessMs > 0 ? findFloor(state, message, moment) : undefined
-  const replica = floor === undefined ? undefined : state.guarantees.selfFencing ? pickLeastLoaded(state, message) : pickReplica(state, message, floor, moment)
-  if (replica !== undefined && floor !== undefined) {
-    return answerTarget({ ...state, roundRobinCounter: state.roundRobinCounter + 1 }, message, createTarget(replica, 'replica', grant?.term ?? 0, floor))
-  }
+  const mayBeStale = rules.action === 'read' && rules.maxStalenessMs > 0 && message.primaryOnly !== true
+  const target = !mayBeStale ? undefined : state.guarantees.selfFencing ? chooseBounded(state, message, grant) : chooseCovering(state, message, grant, moment)
+  if (target !== undefined) return answerTarget({ ...state, roundRobinCounter: state.roundRobinCounter + 1 }, message, target, moment)
   const primary = grant?.primary === undefined ? undefined : state.databases.get(grant.primary)
   if (grant === undefined || grant.closing === true || primary?.owner === undefined || isUnresponsiveOwner(state, primary.owner)) return refuse(state, message, 'no-primary', moment)
-  return answerTarget(state, message, createTarget(primary, 'primary', grant.term, ORIGIN))
+  return answerTarget(state, message, createTarget(primary, 'primary', grant.term, ORIGIN), moment)
+}
+
+// A self-fencing database refuses a read whose floor it lacks, so any replica may be chosen. Its owner determines the
+// floor: only the owners of a group exchange its positions, which would cost each host of a large fleet more than its requests.
+function chooseBounded (state: RoutingState, message: ChooseTarget, grant: GrantEntry | undefined): Target | undefined {
+  const replica = pickLeastLoaded(state, message)
+  if (replica === undefined) return undefined
+  const bound = { maxStalenessMs: message.rules.maxStalenessMs, seen: message.seen }
+  return { ...createTarget(replica, 'replica', grant?.term ?? 0, ORIGIN), bound }
+}
+
+function chooseCovering (state: RoutingState, message: ChooseTarget, grant: GrantEntry | undefined, moment: Moment): Target | undefined {
+  const floor = findFloor(state, message, moment)
+  const replica = floor === undefined ? undefined : pickReplica(state, message, floor, moment)
+  return replica === undefined || floor === undefined ? undefined : createTarget(replica, 'replica', grant?.term ?? 0, floor)
 }
 
 // The floor is the later of two positions: what the session has seen, and what the
-// primary held at the start of the route's staleness window. Unless the databases fence
-// themselves, only samples taken before the last confirmation of the grant count: a
-// deposed primary behind a partition keeps answering.
+// primary held at the start of the route's staleness window. Only samples taken before the
+// last confirmation of the grant count: a deposed primary behind a partition keeps answering.
 function findFloor (state: RoutingState, message: ChooseTarget, moment: Moment): LogPosition | undefined {
   const { group, maxStalenessMs } = message.rules
-  if (state.guarantees.selfFencing) return findProvenFloor(state.samples.get(group) ?? [], message.seen, moment.monotonicMs - maxStalenessMs)
   const grant = state.grants.get(group)
   const proven = (state.samples.get(group) ?? []).filter(sample =>
     sample.database === grant?.primary &&
@@ -106,7 +123,9 @@
   return { database: database.entry.database, owner: database.owner!, purpose, term, floor }
 }
 
-function answerTarget (state: RoutingState, message: ChooseTarget, target: Target): RoutingStep {
+function answerTarget (before: RoutingState, message: ChooseTarget, target: Target, moment: Moment): RoutingStep {
+  const awaited = !before.guarantees.selfFencing || target.owner === before.self || before.awaitedOwners.has(target.owner)
+  const state: RoutingState = awaited ? before : { ...before, awaitedOwners: new Map(before.awaitedOwners).set(target.owner, moment.monotonicMs) }
   return { state, effects: [tell({ kind: 'requests/routed', caller: message.caller, attempt: message.attempt, target })] }
 }
 
@@ -121,7 +140,9 @@
   const candidates = listCandidates(message.hosts)
   const databases = new Map(message.databases.map(entry => [entry.database, { entry, owner: findOwner(entry, candidates) }]))
   const grants = new Map(message.grants.map(grant => [grant.group, grant]))
-  return { state: { ...state, hosts: message.hosts, databases, grants }, effects: [] }
+  const owners = new Set([...databases.values()].map(({ owner }) => owner))
+  const awaitedOwners = new Map([...state.awaitedOwners].filter(([owner]) => owners.has(owner)))
+  return { state: { ...state, hosts: message.hosts, databases, grants, awaitedOwners }, effects: [] }
 }
 
 function recordStatus (state: RoutingState, message: StatusRead): RoutingState {
@@ -141,15 +162,46 @@
   const polls = owners.map(owner => sendPeer(owner, { kind: 'routing/positions-asked', round }))
   const nextPoll = setTimer('routing/ask', state.askEveryMs, { kind: 'routing/ask-due' })
   const unansweredPolls = new Map(owners.map(owner => [owner, (state.unansweredPolls.get(owner) ?? -1) + 1]))
-  return { state: { ...state, pollRound: round, pollSentAtMs, unansweredPolls }, effects: [...polls, nextPoll] }
+  return { state: { ...dropOldLoads(state, moment), pollRound: round, pollSentAtMs, unansweredPolls }, effects: [...polls, nextPoll] }
+}
+
+function dropOldLoads (state: RoutingState, moment: Moment): RoutingState {
+  const old = [...state.loadReportedAtMs].filter(([, reportedAtMs]) => moment.monotonicMs - reportedAtMs > LOAD_MAX_AGE_MS).map(([database]) => database)
+  if (old.length === 0) return state
+  const loads = new Map(state.loads)
+  const loadReportedAtMs = new Map(state.loadReportedAtMs)
+  for (const database of old) {
+    loads.delete(database)
+    loadReportedAtMs.delete(database)
+  }
+  return { ...state, loads, loadReportedAtMs }
+}
+
+function recordOwnerAnswer (state: RoutingState, { owner, database, load }: OwnerAnswered, moment: Moment): RoutingState {
+  const next = load === undefined || owner === state.self ? state : recordLoad(state, database, load, moment.monotonicMs)
+  return state.awaitedOwners.has(owner) ? markAnswering(next, owner) : next
+}
+
+function recordLoad (state: RoutingState, database: string, load: number, reportedAtMs: number): RoutingState {
+  return { ...state, loads: new Map(state.loads).set(database, load), loadReportedAtMs: new Map(state.loadReportedAtMs).set(database, reportedAtMs) }
+}
+
+function listOwnersToPoll (state: RoutingState, moment: Moment): readonly string[] {
+  return state.guarantees.selfFencing ? listPeerOwners(state, moment) : listOwnersInUse(state, moment)
+}
+
+// The owners of the groups of which this host owns a database, and those that leave requests of this host unanswered.
+function listPeerOwners (state: RoutingState, moment: Moment): readonly string[] {
+  const databases = [...state.databases.values()]
+  const groups = new Set(databases.filter(({ owner }) => owner === state.self).map(({ entry }) => entry.group))
+  const isAwaited = (owner: string): boolean => moment.monotonicMs - (state.awaitedOwners.get(owner) ?? Infinity) >= OWNER_POLL_AFTER_MS
+  return [...new Set(databases.flatMap(({ entry, owner }) => (owner !== undefined && owner !== state.self && (groups.has(entry.group) || isAwaited(owner)) ? [owner] : [])))]
 }
 
 // For groups in use on this host: the owners of the primaries and of the databases in this failure
 // domain. A group without a local replica adds the owner of one remote replica.
-function listOwnersToPoll (state: RoutingState, moment: Moment): readonly string[] {
+function listOwnersInUse (state: RoutingState, moment: Moment): readonly string[] {
   const databases = [...state.databases.values()].filter(({ entry }) => moment.monotonicMs - (state.groupUsedAtMs.get(entry.group) ?? -Infinity) < GROUP_IN_USE_MS)
-  // Self-fencing databases are chosen by load, so all owners are polled.
-  if (state.guarantees.selfFencing) return [...new Set(databases.flatMap(({ owner }) => (owner === undefined ? [] : [owner])))]
   const primaries = new Set([...state.grants.values()].map(grant => grant.primary))
   const replicas = databases.filter(database => !primaries.has(database.entry.database))
   const locallyServedGroups = new Set(replicas.filter(database => isLocal(state, database)).map(database => database.entry.group))
@@ -194,17 +246,30 @@
   return { ...state, samples: new Map(state.samples).set(group, addSample(state.samples.get(group) ?? [], sample)) }
 }
 
-function recordReport (state: RoutingState, message: PositionsReported): RoutingStep {
+function recordReport (state: RoutingState, message: PositionsReported): RoutingState {
   const askedAtMs = state.pollSentAtMs.get(message.round)
-  if (askedAtMs === undefined) return { state, effects: [] }
-  const withAnswer: RoutingState = message.from === undefined ? state : { ...state, unansweredPolls: new Map(state.unansweredPolls).set(message.from, -1) }
-  return { state: message.positions.reduce((next, reported) => recordReportedPosition(next, reported, askedAtMs), withAnswer), effects: [] }
+  if (askedAtMs === undefined) return state
+  const withAnswer = message.from === undefined ? state : markAnswering(state, message.from)
+  return message.positions.reduce((next, reported) => recordReportedPosition(next, reported, askedAtMs), withAnswer)
+}
+
+function markAnswering (state: RoutingState, owner: string): RoutingState {
+  const awaitedOwners = new Map(state.awaitedOwners)
+  awaitedOwners.delete(owner)
+  return { ...state, awaitedOwners, unansweredPolls: new Map(state.unansweredPolls).set(owner, -1) }
+}
+
+// The owner of a database determines the floors of its reads from these samples.
+function createSampledStep (before: RoutingState, state: RoutingState): RoutingStep {
+  if (!state.guarantees.selfFencing || state.samples === before.samples) return { state, effects: [] }
+  const changed = [...state.samples].filter(([group, samples]) => before.samples.get(group) !== samples)
+  return { state, effects: changed.map(([group, samples]) => tell({ kind: 'transactions/primary-sampled', group, samples })) }
 }
 
 function recordReportedPosition (state: RoutingState, reported: ReportedPosition, roundAskedAtMs: number): RoutingState {
   const askedAtMs = roundAskedAtMs - reported.ageMs
-  const loads = reported.load === undefined ? state.loads : new Map(state.loads).set(reported.database, reported.load)
-  const next: RoutingState = { ...recordPosition(state, reported.database, { position: reported.position, askedAtMs }), loads }
+  const withLoad = reported.load === undefined ? state : recordLoad(state, reported.database, reported.load, roundAskedAtMs)
+  const next = recordPosition(withLoad, reported.database, { position: reported.position, askedAtMs })
   const group = state.databases.get(reported.database)?.entry.group
   if (group !== undefined && reported.provenAgeMs !== undefined && reported.provenPosition !== undefined) {
     return recordSample(next, group, { database: reported.database, askedAtMs: roundAskedAtMs - reported.provenAgeMs, position: reported.provenPosition })
--- a/src/routing/messages.ts
+++ b/src/routing/messages.ts
@@ -11,6 +11,8 @@
   readonly seen: LogPosition
   /** Databases that failed an earlier attempt. */
   readonly avoid: readonly string[]
+  /** True when no owner of a replica can determine the floor of the read. */
+  readonly primaryOnly?: boolean
 }
 
 /** Hosts, databases or grants of the directory changed. */
@@ -86,5 +88,13 @@
   readonly load: number
 }
 
+/** The owner of a database answered a request of this host. */
+export interface OwnerAnswered {
+  readonly kind: 'routing/owner-answered'
+  readonly owner: string
+  readonly database: string
+  readonly load?: number
+}
+
 /** Any message of the routing slice. */
-export type RoutingMessage = ChooseTarget | DirectoryChanged | StatusRead | PollDue | PositionsRequested | PositionsReported | GrantsConfirmed | DatabaseAnswered | LoadChanged
+export type RoutingMessage = OwnerAnswered | ChooseTarget | DirectoryChanged | StatusRead | PollDue | PositionsRequested | PositionsReported | GrantsConfirmed | DatabaseAnswered | LoadChanged
--- /dev/null
+++ b/src/routing/polling.test.ts
@@ -0,0 +1,101 @@
+/** Which hosts exchange positions, and how that cost depends on the size of the fleet. */
+import { expect } from 'chai'
+import type { Effect, SendPeer, Tell } from '../core/message.js'
+import { ORIGIN } from '../core/position.js'
+import type { DatabaseEntry, GrantEntry, HostEntry } from '../membership/directory.js'
+import { findOwner, listCandidates } from '../membership/owners.js'
+import type { RunRequest } from '../transactions/messages.js'
+import { decideRouting } from './decide.js'
+import type { RoutingMessage } from './messages.js'
+import { createRoutingState, type RoutingState } from './state.js'
+
+const GUARANTEES = { selfFencing: true, slotPerStatement: true, connectionPerWorkspace: true }
+const DOMAINS = ['a', 'b', 'c', 'd', 'e']
+const GROUPS = 14
+const COPIES = 3
+const REQUESTS = 200
+const RULES = { action: 'read', maxStalenessMs: 1_500, idempotent: false } as const
+
+interface Fleet {
+  readonly hosts: readonly HostEntry[]
+  readonly databases: readonly DatabaseEntry[]
+  readonly grants: readonly GrantEntry[]
+}
+
+function createFleet (size: number): Fleet {
+  const hosts = Array.from({ length: size }, (_, index): HostEntry => ({ kind: 'host', host: `host-${index}`, incarnation: '1', failureDomain: DOMAINS[index % DOMAINS.length]!, peers: '', draining: false }))
+  const databases = Array.from({ length: GROUPS * COPIES }, (_, index): DatabaseEntry => ({ kind: 'database', database: `db-${index}`, group: `g${index % GROUPS}`, failureDomain: DOMAINS[index % COPIES]!, address: '', slots: 3, connectionLimit: 100, departing: false }))
+  const grants = Array.from({ length: GROUPS }, (_, index): GrantEntry => ({ kind: 'grant', group: `g${index}`, term: 1, primary: `db-${index}`, members: [] }))
+  return { hosts, databases, grants }
+}
+
+function createState (fleet: Fleet, host: HostEntry): RoutingState {
+  return decide(createRoutingState(host.host, host.failureDomain, GUARANTEES), { kind: 'routing/directory-changed', ...fleet }, 0).state
+}
+
+function decide (state: RoutingState, message: RoutingMessage, nowMs: number): { readonly state: RoutingState, readonly effects: readonly Effect[] } {
+  return decideRouting(state, message, { monotonicMs: nowMs, wallMs: 0, random: 0 })
+}
+
+// Sends reads of all groups within one second, each answered, and returns the polls of the next round.
+function countPolls (size: number, owns: boolean): number {
+  const fleet = createFleet(size)
+  const owners = new Set(fleet.databases.map(database => findOwner(database, listCandidates(fleet.hosts))))
+  const host = fleet.hosts.find(entry => owners.has(entry.host) === owns)!
+  let state = createState(fleet, host)
+  for (let number = 0; number < REQUESTS; number++) {
+    const chosen = decide(state, { kind: 'routing/choose', caller: 'c', attempt: number, rules: { ...RULES, group: `g${number % GROUPS}` }, seen: ORIGIN, avoid: [] }, number)
+    const { target } = (chosen.effects[0] as Tell).message as unknown as { readonly target: RunRequest['target'] }
+    state = decide(chosen.state, { kind: 'routing/owner-answered', owner: target.owner, database: target.database, load: 0 }, number + 1).state
+  }
+  return decide(state, { kind: 'routing/ask-due' }, 1_000).effects.filter(effect => effect.kind === 'peer/send').length
+}
+
+const listPolled = (state: RoutingState, nowMs: number): readonly string[] =>
+  decide(state, { kind: 'routing/ask-due' }, nowMs).effects.filter((effect): effect is SendPeer => effect.kind === 'peer/send').map(effect => effect.to)
+
+describe('the exchange of positions', () => {
+  for (const size of [60, 200, 2_000]) {
+    it(`costs a host of ${size} nothing for the groups that it only reads`, () => {
+      expect(countPolls(size, false)).to.equal(0)
+      expect(countPolls(size, true)).to.be.at.most(GROUPS)
+    })
+  }
+
+  it('polls an owner that leaves a request unanswered until it answers, and avoids it meanwhile', () => {
+    const fleet = createFleet(60)
+    const candidates = listCandidates(fleet.hosts)
+    const owners = new Set(fleet.databases.map(database => findOwner(database, candidates)))
+    let state = createState(fleet, fleet.hosts.find(entry => !owners.has(entry.host))!)
+    const choose = (nowMs: number): string => {
+      const step = decide(state, { kind: 'routing/choose', caller: 'c', attempt: 1, rules: { ...RULES, group: 'g0' }, seen: ORIGIN, avoid: [] }, nowMs)
+      state = step.state
+      return ((step.effects[0] as Tell).message as unknown as { readonly target: RunRequest['target'] }).target.owner
+    }
+    const silent = choose(0)
+    for (const nowMs of [400, 800, 1_200]) {
+      expect(listPolled(state, nowMs)).to.deep.equal([silent])
+      state = decide(state, { kind: 'routing/ask-due' }, nowMs).state
+    }
+    const other = choose(1_300)
+    expect(other).to.not.equal(silent)
+    state = decide(state, { kind: 'routing/owner-answered', owner: other, database: 'db-0' }, 1_310).state
+    state = decide(state, { kind: 'routing/positions-told', from: silent, round: 3, positions: [] }, 1_320).state
+    expect(listPolled(state, 1_600)).to.deep.equal([])
+    expect(choose(1_600)).to.equal(silent)
+  })
+
+  it('leaves a database whose answers report a high load, and tries it again after a second', () => {
+    const fleet = createFleet(60)
+    let state = createState(fleet, fleet.hosts[3]!)
+    const chooseDatabase = (nowMs: number): string => {
+      const step = decide(state, { kind: 'routing/choose', caller: 'c', attempt: 1, rules: { ...RULES, group: 'g0' }, seen: ORIGIN, avoid: [] }, nowMs)
+      return ((step.effects[0] as Tell).message as unknown as { readonly target: RunRequest['target'] }).target.database
+    }
+    const first = chooseDatabase(0)
+    state = decide(state, { kind: 'routing/owner-answered', owner: 'host-9', database: first, load: 4 }, 10).state
+    expect(chooseDatabase(20)).to.not.equal(first)
+    state = decide(state, { kind: 'routing/ask-due' }, 1_100).state
+    expect(chooseDatabase(1_110)).to.equal(first)
+  })
+})
--- a/src/routing/state.ts
+++ b/src/routing/state.ts
@@ -46,8 +46,12 @@
   readonly primaryProofs: ReadonlyMap<string, TimedPosition>
   /** Running and queued requests per slot, by database. */
   readonly loads: ReadonlyMap<string, number>
+  /** When another host reported the load of a database; absent for the databases of this host. */
+  readonly loadReportedAtMs: ReadonlyMap<string, number>
   /** The monotonic time of this host's last request to each group. */
   readonly groupUsedAtMs: ReadonlyMap<string, number>
+  /** Owners that have not answered since a request was sent to them, and when it was. */
+  readonly awaitedOwners: ReadonlyMap<string, number>
   readonly pollRound: number
   readonly pollSentAtMs: ReadonlyMap<number, number>
   /** Consecutive polls without an answer, by polled host. The latest poll doesn't count yet, so an answer sets -1. */
@@ -74,7 +78,9 @@
     samples: new Map(),
     primaryProofs: new Map(),
     loads: new Map(),
+    loadReportedAtMs: new Map(),
     groupUsedAtMs: new Map(),
+    awaitedOwners: new Map(),
     pollRound: 0,
     pollSentAtMs: new Map(),
     unansweredPolls: new Map(),
--- a/src/transactions/decide.ts
+++ b/src/transactions/decide.ts
@@ -3,12 +3,14 @@
 import type { Moment } from '../core/message.js'
 import { coversPosition } from '../core/position.js'
 import { UNCHANGED } from '../core/store.js'
-import { countEntries, removeEntry, enqueueEntry, findEntry, listEntries, type QueueLimits } from '../fairness/queue.js'
+import { removeEntry, enqueueEntry, findEntry, listEntries, type QueueLimits } from '../fairness/queue.js'
 import { dropCatchUpRead, pollPosition, splitCovered, waitForCatchUp } from './catchup.js'
 import type { CancelRequest, CreditGranted, DatabaseFinished, DatabaseOutput, HostLost, PositionRead, RunRequest, DeadlineExpired, TransactionsMessage } from './messages.js'
 import { completeStep, updateOwnership } from './ownership.js'
 import { abortUnit, createExecute, endOpenBackoff, findUnit, handleConnectionBroken, handleOpenFailed, releaseUnit, startQueued, acceptConnection } from './pool.js'
-import type { OwnedDatabase, TransactionsShared, UnitOfWork } from './state.js'
+import type { StalenessBound } from '../requests/messages.js'
+import { findProvenFloor } from '../routing/staleness.js'
+import { computeLoad, type OwnedDatabase, type TransactionsShared, type UnitOfWork } from './state.js'
 import { answerFailed, continueStep, setDeadlineTimer, clearDeadlineTimer, createEmptyStep, refuseRun, type DatabaseStep, type TransactionsStep, type TransactionsStore } from './step.js'
 import { acknowledgeDurableWrites, answerFinished } from './durability.js'
 import { isNewSequenceNumber, recordSequenceNumber } from './sequence.js'
@@ -25,6 +27,7 @@
     case 'transactions/owned-changed': return updateOwnership(store, message)
     case 'transactions/host-lost': return handleHostLost(store, message)
     case 'transactions/count-asked': return reportWorkCount(store, message.host)
+    case 'transactions/primary-sampled': return { shared: { ...store.shared, samples: new Map(store.shared.samples).set(message.group, message.samples) }, effects: [] }
     case 'transactions/refuse-work': return { shared: { ...store.shared, stopping: true }, effects: [] }
     case 'transactions/credit': return decideFor(store, message.database, database => forwardCredit(database, message))
     case 'transactions/time-over': return decideFor(store, message.database, database => expireDeadline(database, message))
@@ -60,16 +63,8 @@
 
 // Routing balances reads by the load that owners report.
 function reportLoad (before: OwnedDatabase, after: OwnedDatabase): DatabaseStep['effects'] {
-  if (!after.guarantees.slotPerStatement) return []
-  const load = countLoad(after)
-  if (load === countLoad(before)) return []
-  return [tell({ kind: 'routing/load-changed', database: after.entry.database, load: load / after.entry.slots })]
-}
-
-function countLoad ({ units, queue }: OwnedDatabase): number {
-  let running = 0
-  for (const unit of units.values()) if (unit.phase === 'running') running += 1
-  return running + countEntries(queue)
+  const load = computeLoad(after)
+  return load === undefined || load === computeLoad(before) ? [] : [tell({ kind: 'routing/load-changed', database: after.entry.database, load })]
 }
 
 function handleRun (store: TransactionsStore, message: RunRequest, moment: Moment): TransactionsStep {
@@ -89,12 +84,26 @@
 
 function startRun (shared: TransactionsShared, database: OwnedDatabase, message: RunRequest, moment: Moment): DatabaseStep {
   if (message.transaction !== undefined) return continueUnit(database, message)
-  return continueStep(cancelWork(database, message.caller, message.attempt), earlier => (isBehind(earlier, message) ? waitForCatchUp(earlier, message, moment) : enqueue(shared, earlier, message)))
+  return continueStep(cancelWork(database, message.caller, message.attempt), earlier => {
+    if (message.target.bound !== undefined) return startBoundedRead(shared, earlier, message, message.target.bound, moment)
+    return isBehind(earlier, message) ? waitForCatchUp(earlier, message, moment) : enqueue(shared, earlier, message)
+  })
+}
+
+// The time counts from the arrival here, which is later than the caller's, so the floor is never too low.
+function startBoundedRead (shared: TransactionsShared, database: OwnedDatabase, message: RunRequest, { maxStalenessMs, seen }: StalenessBound, moment: Moment): DatabaseStep {
+  const { group } = database.entry
+  const samples = shared.samples.get(group) ?? []
+  const floor = findProvenFloor(samples, seen, moment.monotonicMs - maxStalenessMs)
+  if (floor !== undefined) return enqueue(shared, database, { ...message, target: { ...message.target, floor, bound: undefined } })
+  const lastSample = samples[samples.length - 1]
+  const inputs: Failure['inputs'] = lastSample === undefined ? {} : { proofAgeMs: Math.round(moment.monotonicMs - lastSample.askedAtMs) }
+  return { database, effects: [refuseRun(message, { ...createFailure('no-primary', group), inputs }, database)] }
 }
 
 function enqueue (shared: TransactionsShared, database: OwnedDatabase, message: RunRequest): DatabaseStep {
   const refusal = findRefusal(database, message)
-  if (refusal !== undefined) return { database, effects: [refuseRun(message, refusal)] }
+  if (refusal !== undefined) return { database, effects: [refuseRun(message, refusal, database)] }
   const { queue, refused } = enqueueEntry(database.queue, { flow: nameFlow(message), key: message.caller, item: message }, createLimits(shared))
   const queued = { database: { ...database, queue }, effects: [setDeadlineTimer(message, message.remainingMs), ...refuseDisplaced(database, refused?.item)] }
   return continueStep(queued, startQueued)
@@ -103,7 +112,7 @@
 function refuseDisplaced (database: OwnedDatabase, message: RunRequest | undefined): DatabaseStep['effects'] {
   if (message === undefined) return []
   const { database: name } = database.entry
-  return [clearDeadlineTimer(name, message.caller), refuseRun(message, createFailure('queue-full', name))]
+  return [clearDeadlineTimer(name, message.caller), refuseRun(message, createFailure('queue-full', name), database)]
 }
 
 function nameFlow (message: RunRequest): string {
@@ -166,7 +175,7 @@
   const next = ended ? releaseUnit(database, unit) : replaceUnit(database, { ...unit, phase: 'idle' })
   const timer = ended ? clearDeadlineTimer(database.entry.database, unit.caller) : setDeadlineTimer(unit.run, unit.run.idleMs ?? shared.idleTransactionMs)
   const answer = message.refused && ended && unit.partsSent === 0 && unit.run.transaction === undefined
-    ? { database: next, effects: [refuseRun(unit.run, createRefusal(next, message))] }
+    ? { database: next, effects: [refuseRun(unit.run, createRefusal(next, message), next)] }
     : answerFinished(next, unit, message)
   return continueStep({ database: answer.database, effects: [timer, ...reportObserved(database, message), ...answer.effects] }, startQueued)
 }
--- a/src/transactions/durability.ts
+++ b/src/transactions/durability.ts
@@ -1,7 +1,7 @@
 /** Answers to finished requests. The answer to a write waits until a majority of its group stores the write. */
 import { pickLater } from '../core/position.js'
 import type { DatabaseFinished, PositionStored } from './messages.js'
-import type { OwnedDatabase, PendingWrite, UnitOfWork } from './state.js'
+import { computeLoad, type OwnedDatabase, type PendingWrite, type UnitOfWork } from './state.js'
 import type { DatabaseStep, TransactionsEffect } from './step.js'
 import { sendPeer } from '../messages.js'
 
@@ -15,7 +15,7 @@
   const { status, payload, position } = message
   if (position === undefined || database.guarantees.selfFencing) {
     const wrote = position !== undefined
-    return { database, effects: [sendPeer(unit.from, { kind: 'requests/finished', caller, attempt, status, wrote, position: position ?? database.position, parts, payload })] }
+    return { database, effects: [sendPeer(unit.from, { kind: 'requests/finished', caller, attempt, status, wrote, position: position ?? database.position, parts, payload, load: computeLoad(database) })] }
   }
   const write: PendingWrite = { from: unit.from, caller, attempt, status, position, parts, payload }
   const next: OwnedDatabase = { ...database, pendingWrites: [...database.pendingWrites, write] }
--- a/src/transactions/messages.ts
+++ b/src/transactions/messages.ts
@@ -1,6 +1,7 @@
 /** Messages of the transactions slice, which runs requests on the databases that this host owns. */
 import type { LogPosition } from '../core/position.js'
 import type { DatabaseEntry, GrantEntry } from '../membership/directory.js'
+import type { PrimarySample } from '../routing/state.js'
 import type { Intent, Target, TransactionStatus, AttemptId } from '../requests/messages.js'
 
 /**
@@ -156,8 +157,17 @@
   readonly kind: 'transactions/refuse-work'
 }
 
+/** Samples of the primary's position in a group; the owners of its replicas determine the floors of bounded reads from them. */
+export interface PrimarySampled {
+  readonly kind: 'transactions/primary-sampled'
+  readonly group: string
+  /** Oldest first. */
+  readonly samples: readonly PrimarySample[]
+}
+
 /** Any message of the transactions slice. */
 export type TransactionsMessage =
+  | PrimarySampled
   | WorkCountRequested
   | PositionPollDue
   | StopAcceptingWork
--- a/src/transactions/state.ts
+++ b/src/transactions/state.ts
@@ -1,9 +1,10 @@
 /** State of the transactions slice: one record per database that this host owns. */
 import type { LogPosition } from '../core/position.js'
 import { POSTGRES_GUARANTEES, type DatabaseGuarantees } from '../databases/guarantees.js'
-import type { FairQueue } from '../fairness/queue.js'
+import { countEntries, type FairQueue } from '../fairness/queue.js'
 import type { DatabaseEntry } from '../membership/directory.js'
 import type { TransactionStatus } from '../requests/messages.js'
+import type { PrimarySample } from '../routing/state.js'
 import type { RunRequest, SequenceNumber } from './messages.js'
 
 /** A connection to a database: opening, idle, or bound to one caller's unit of work. */
@@ -86,6 +87,19 @@
   readonly generation: number
   /** True once the host is stopping and accepts no new work. */
   readonly stopping: boolean
+  /** Positions of the primaries by group, oldest first; empty unless the databases fence themselves. */
+  readonly samples: ReadonlyMap<string, readonly PrimarySample[]>
+}
+
+/**
+ * Returns the running and queued requests per slot; undefined where placement does not need it.
+ * @example computeLoad(database) // 1.33
+ */
+export function computeLoad ({ guarantees, units, queue, entry }: OwnedDatabase): number | undefined {
+  if (!guarantees.slotPerStatement) return undefined
+  let running = 0
+  for (const unit of units.values()) if (unit.phase === 'running') running += 1
+  return (running + countEntries(queue)) / entry.slots
 }
 
 /**
@@ -93,5 +107,5 @@
  * @example createTransactionsShared(1_000, 10_000)
  */
 export function createTransactionsShared (queueLength: number, idleTransactionMs: number, guarantees: DatabaseGuarantees = POSTGRES_GUARANTEES): TransactionsShared {
-  return { queueLength, idleTransactionMs, guarantees, sequenceNumbers: new Map(), generation: 0, stopping: false }
+  return { queueLength, idleTransactionMs, guarantees, sequenceNumbers: new Map(), generation: 0, stopping: false, samples: new Map() }
 }
--- a/src/transactions/step.ts
+++ b/src/transactions/step.ts
@@ -5,7 +5,7 @@
 import type { DatabaseEffect } from '../databases/driver.js'
 import type { AttemptId } from '../requests/messages.js'
 import type { RunRequest } from './messages.js'
-import type { OwnedDatabase, TransactionsShared } from './state.js'
+import { computeLoad, type OwnedDatabase, type TransactionsShared } from './state.js'
 import { sendPeer, setTimer } from '../messages.js'
 
 /** The effects of the transactions slice. */
@@ -42,16 +42,17 @@
  * Creates the answer to a request that failed here.
  * @example answerFailed('host-2', { caller: 'c1', attempt: 3 }, failure, false)
  */
-export function answerFailed (from: string, name: AttemptId, failure: Failure, retriable: boolean): CoreEffect {
-  return sendPeer(from, { kind: 'requests/failed', caller: name.caller, attempt: name.attempt, failure, retriable })
+export function answerFailed (from: string, name: AttemptId, failure: Failure, retriable: boolean, load?: number): CoreEffect {
+  return sendPeer(from, { kind: 'requests/failed', caller: name.caller, attempt: name.attempt, failure, retriable, load })
 }
 
 /**
  * Creates the answer to a request that did not run here and may be retried at another database.
+ * @param database the database that refused it, whose load the answer reports.
  * @example refuseRun(message, createFailure('queue-full', 'a1'))
  */
-export function refuseRun (message: RunRequest, failure: Failure): CoreEffect {
-  return answerFailed(message.from!, message, failure, true)
+export function refuseRun (message: RunRequest, failure: Failure, database?: OwnedDatabase): CoreEffect {
+  return answerFailed(message.from!, message, failure, true, database === undefined ? undefined : computeLoad(database))
 }
 
 /**
