--- a/src/admission/lease.ts
+++ b/src/admission/lease.ts
@@ -12,8 +12,12 @@
 
 /** Interval between two renewals of the lease. */
 export const RENEWAL_INTERVAL_MS = 200
-/** Renewal interval while this host holds no share; the first shares arrive with the second answer. */
+/** Renewal interval of the first rounds without a share; the first shares arrive with the second answer. */
 const FIRST_RENEWAL_INTERVAL_MS = 100
+/** The number of these rounds. */
+const FIRST_RENEWAL_ROUNDS = 10
+/** Renewal interval of a host that got no share in these rounds: the workspaces are spread over too many hosts to be divided. */
+const EMPTY_RENEWAL_INTERVAL_MS = 1_000
 /** A demand is reported again once it differs by more than this fraction from the last reported value. */
 const DEMAND_TOLERANCE = 0.2
 /** Every demand is reported again after this many rounds, in case a renewal was lost. */
@@ -29,7 +33,7 @@
   const switched = message.epoch === lease.epoch ? lease : { ...lease, applied: 0, sentAtMsByRound: new Map() }
   // A loan from the previous leader may still arrive.
   const emptySinceMs = lease.nextLoanId > 0 && switched !== lease ? moment.monotonicMs + LOAN_MS : lease.emptySinceMs
-  const next: ShareLease = { ...switched, leader: message.leader, epoch: message.epoch, holder, emptySinceMs }
+  const next: ShareLease = { ...switched, leader: message.leader, epoch: message.epoch, holder, emptySinceMs, emptyRounds: 0 }
   // A new leader grants shares once all hosts have reported; the jitter spreads their reports.
   return { shared: { ...store.shared, lease: next }, effects: [createRenewalTimer(moment.random * FIRST_RENEWAL_INTERVAL_MS)] }
 }
@@ -54,7 +58,13 @@
   const changes = counted.map(([key, item]) => [key, markReported(item, reportsAll)] as const)
   const renewals = lease.leader === undefined || !shared.acceptsCallers || (counted.length === 0 && lease.applied > 0) ? [] : [sendRenewal(lease, demands, listHeld(lease, counted), moment)]
   const holds = counted.some(([, item]) => item.parts > 0)
-  return { shared: { ...shared, lease }, changes, effects: [...renewals, createRenewalTimer(holds || !shared.acceptsCallers ? RENEWAL_INTERVAL_MS : FIRST_RENEWAL_INTERVAL_MS)] }
+  const emptyRounds = holds || renewals.length === 0 ? 0 : current.emptyRounds + 1
+  return { shared: { ...shared, lease: { ...lease, emptyRounds } }, changes, effects: [...renewals, createRenewalTimer(computeRenewalIntervalMs(emptyRounds))] }
+}
+
+function computeRenewalIntervalMs (emptyRounds: number): number {
+  if (emptyRounds === 0) return RENEWAL_INTERVAL_MS
+  return emptyRounds <= FIRST_RENEWAL_ROUNDS ? FIRST_RENEWAL_INTERVAL_MS : EMPTY_RENEWAL_INTERVAL_MS
 }
 
 /**
--- a/src/admission/state.ts
+++ b/src/admission/state.ts
@@ -22,6 +22,8 @@
   readonly sentAtMsByRound: ReadonlyMap<number, number>
   /** When demand was last updated. */
   readonly demandUpdatedAtMs: number
+  /** Consecutive renewals without a share. */
+  readonly emptyRounds: number
   /** Id of the next loan. */
   readonly nextLoanId: number
   /** Consecutive loan requests that the leader did not answer, and the time until which no other is sent. */
@@ -90,7 +92,7 @@
  * @example createAdmissionShared().documents.size // 0
  */
 export function createAdmissionShared (servesWhenIsolated = false, acceptsCallers = true, startedAtMs = 0): AdmissionShared {
-  const lease: ShareLease = { epoch: 0, holder: '', emptySinceMs: startedAtMs, round: 0, applied: 0, endsAtMs: 0, sentAtMsByRound: new Map(), demandUpdatedAtMs: 0, nextLoanId: 0, unansweredLoans: 0, loanBackoffUntilMs: 0 }
+  const lease: ShareLease = { epoch: 0, holder: '', emptySinceMs: startedAtMs, round: 0, applied: 0, endsAtMs: 0, sentAtMsByRound: new Map(), demandUpdatedAtMs: 0, emptyRounds: 0, nextLoanId: 0, unansweredLoans: 0, loanBackoffUntilMs: 0 }
   return { documents: new Map(), indexes: new Map(), servesWhenIsolated, acceptsCallers, leaderIsCurrent: true, lease, callers: createCallersByService() }
 }
 
--- a/src/admission/waiting.test.ts
+++ b/src/admission/waiting.test.ts
@@ -14,6 +14,8 @@
 const NO_FAULTS = { dropped: 0, doubled: 0, late: 0 }
 /** Loan requests within 2 s: two per second at the longest backoff, plus those sent before it is reached. */
 const MAX_LOANS = 12
+/** Renewals of a host without a share in 21 s: the first ones, twice since the simulation begins without demand, and one a second. */
+const MAX_RENEWALS = 2 * 10 + 21
 const RESTARTS = 20
 /** A limit too small for shares: all tokens are lent. */
 const SMALL_LIMIT = { rate: 2, burst: 2 }
@@ -131,6 +133,34 @@
   })
 })
 
+describe('a workspace that is spread over too many hosts to be divided', () => {
+  const fleet = Array.from({ length: 24 }, (_, index) => `h${index + 1}`)
+  const limit = { rate: 20, burst: 20 }
+  const secondsMs = 20_000
+
+  const runFleet = (): RatesSimulation => {
+    const rates = RatesSimulation.create(fleet, limit, { ...NO_FAULTS, slowMs: 100 }, 1, true)
+    const random = createRandom(1)
+    rates.changeLeader('h1', 0)
+    for (let atMs = 2_000; atMs < secondsMs; atMs += -Math.log(1 - random()) * 1_000 / (limit.rate * 0.6)) {
+      const host = fleet[Math.floor(random() * fleet.length)]!
+      rates.schedule(atMs, () => rates.sendRequest(host))
+    }
+    rates.run(secondsMs + 1_000)
+    return rates
+  }
+
+  it('is served from loans although hosts are short of processor time and answer late', () => {
+    const { decisions } = runFleet()
+    expect(decisions.filter(({ admitted }) => !admitted).length / decisions.length).to.be.below(0.01)
+  })
+
+  it('is asked for about once a second by each host, not with each of the frequent first renewals', () => {
+    const rates = runFleet()
+    for (const host of fleet) expect(rates.countSent('shares/asked', host)).to.be.below(MAX_RENEWALS)
+  })
+})
+
 describe('an isolated host', () => {
   const document = parseDocument(JSON.stringify({
     service: 'rota',
--- a/src/admission/waiting.ts
+++ b/src/admission/waiting.ts
@@ -62,8 +62,8 @@
 }
 
 /**
- * Splits the queue into requests that keep waiting and requests that are refused at once. While a
- * loan is in flight, its tokens are unknown, so requests are kept until their wait deadline.
+ * Splits the queue into requests that keep waiting and requests that are refused at once. Requests are kept while a
+ * loan is in flight: its tokens are unknown, and a lender that is short of processor time answers late.
  * @example splitWaiting(allowance, moment).refused
  */
 export function splitWaiting (allowance: Allowance, moment: Moment): SplitQueue {
@@ -79,8 +79,10 @@
 
 function isTokenInTime (allowance: Allowance, request: WaitingRequest, position: number, moment: Moment): boolean {
   const nowMs = moment.monotonicMs
+  // The answer is due soon, and tells whether there is a token.
+  if (allowance.loan !== undefined) return true
   const waitsForLeader = allowance.unanswered === true && request.rules.latencyMs === undefined
-  if (allowance.loan !== undefined || waitsForLeader) return nowMs < computeWaitDeadlineMs(request)
+  if (waitsForLeader) return nowMs < computeWaitDeadlineMs(request)
   const waitMs = estimateWaitMs(allowance, position, moment)
   return nowMs + waitMs <= computeWaitDeadlineMs(request) && (request.rules.latencyMs !== undefined || waitMs <= MAX_TOKEN_WAIT_MS)
 }
--- a/src/shares/decide.ts
+++ b/src/shares/decide.ts
@@ -10,7 +10,7 @@
 import { UNCHANGED, type Store, type StoreStep } from '../core/store.js'
 import { sendPeer, setTimer, tell } from '../messages.js'
 import type { HeldShare, LeadershipChanged, LimitsChanged, LoanRequested, RenewalRequested, SharesMessage } from './messages.js'
-import { chooseParts, createQuota, estimateNextTokenMs, grantLoan, refillReserve, releaseLoans, setCommitted } from './reserve.js'
+import { chooseParts, createQuota, hasIdleShare, estimateNextTokenMs, grantLoan, refillReserve, releaseLoans, setCommitted } from './reserve.js'
 import { getCommittedParts, LEASE_DRIFT_MARGIN_MS, LOAN_DRIFT_MARGIN_MS, LOAN_MS, RESERVE_PARTS, SHARE_LEASE_MS, TOTAL_PARTS, type Holder, type KnownLimit, type Share, type ShareGrant, type SharesItem, type SharesShared, type WorkspaceQuota } from './state.js'
 
 const SWEEP_INTERVAL_MS = 250
@@ -76,9 +76,11 @@
   const unregistered = shared.holders !== undefined && shared.holders[from] !== message.holder
   const perSecond = new Map(message.demands.map(demand => [demand.workspace, demand.perSecond]))
   const held = new Map(known === undefined ? message.held?.map(share => [share.workspace, share.parts]) : [])
-  const steps = [...new Set([...shared.limits.keys(), ...known?.shares.keys() ?? [], ...perSecond.keys(), ...held.keys()])].map(workspace => {
+  const holders = countHolders(store)
+  const idle = [...shared.limits.values()].filter(limit => hasIdleShare(limit, holders)).map(limit => limit.workspace)
+  const steps = [...new Set([...idle, ...known?.shares.keys() ?? [], ...perSecond.keys(), ...held.keys()])].map(workspace => {
     const share = known?.shares.get(workspace) ?? NO_SHARE
-    const request: ShareRequest = { holder: message.holder, round: message.round, applied: message.applied, perSecond: perSecond.get(workspace) ?? share.perSecond, held: held.get(workspace) ?? 0, mayGrow: !unregistered }
+    const request: ShareRequest = { holder: message.holder, round: message.round, applied: message.applied, perSecond: perSecond.get(workspace) ?? share.perSecond, held: held.get(workspace) ?? 0, mayGrow: !unregistered, holders }
     return updateShare(store, workspace, share, request, moment)
   })
   const shares = new Map(steps.filter(step => isUsed(step.share)).map(step => [step.quota.workspace, step.share]))
@@ -111,6 +113,7 @@
   readonly perSecond: number
   readonly held: number
   readonly mayGrow: boolean
+  readonly holders: number
 }
 
 function updateShare (store: SharesStore, workspace: string, share: Share, request: ShareRequest, moment: Moment): ShareUpdate {
@@ -120,7 +123,7 @@
   const current = replaceShare(refilled, limit, share, confirmed)
   const { parts, isShort } = moment.monotonicMs < store.shared.priorSharesUntilMs || !request.mayGrow
     ? { parts: Math.max(getCurrentParts(confirmed), Math.min(request.held, TOTAL_PARTS - RESERVE_PARTS - current.committed)), isShort: false }
-    : chooseParts(current, limit, { holder: request.holder, perSecond: request.perSecond, held: getCommittedParts(confirmed), current: getCurrentParts(confirmed) }, countHolders(store))
+    : chooseParts(current, limit, { holder: request.holder, perSecond: request.perSecond, held: getCommittedParts(confirmed), current: getCurrentParts(confirmed) }, request.holders)
   const marked: WorkspaceQuota = { ...current, shortHolder: updateShortHolder(current.shortHolder, request.holder, isShort) }
   if (parts === getCurrentParts(confirmed)) return { quota: marked, share: confirmed }
   const next: Share = { ...confirmed, grants: [...confirmed.grants, { round: request.round, parts }] }
--- a/src/shares/reserve.ts
+++ b/src/shares/reserve.ts
@@ -1,6 +1,6 @@
 /** The reserve of a workspace: the part that no host holds. Its tokens and outstanding loans stay within its part of the burst. */
 import { assertInvariant } from '../core/invariant.js'
-import type { LoanRequested } from './messages.js'
+import type { Limit, LoanRequested } from './messages.js'
 import type { KnownLimit, WorkspaceQuota } from './state.js'
 import { LOAN_DRIFT_MARGIN_MS, LOAN_MS, RESERVE_PARTS, TOTAL_PARTS } from './state.js'
 
@@ -113,6 +113,14 @@
   return Math.max(0, quota.refilledAtMs - nowMs) + (1 - quota.tokens) * MS_PER_SECOND / (limit.rate * getReserveFraction(quota))
 }
 
+/**
+ * Tells whether a holder without demand may get a share: an equal part of a small workspace among many holders is too small.
+ * @example hasIdleShare({ workspace: 'rota/parish', rate: 20, burst: 20 }, 200) // false
+ */
+export function hasIdleShare (limit: Limit, holders: number): boolean {
+  return limit.burst * (TOTAL_PARTS - RESERVE_PARTS) / TOTAL_PARTS >= MIN_SHARE_TOKENS * Math.max(1, holders)
+}
+
 /**
  * Chooses the share of a holder in proportion to its demand, from the free parts. Everything outside the reserve is
  * granted, so that an isolated host can serve at least the usual demand of its callers. While a holder is short, such
--- a/src/shares/state.ts
+++ b/src/shares/state.ts
@@ -10,7 +10,7 @@
 /** How long a host may use its shares after it requested their renewal: longer than most network partitions between failure domains. */
 export const SHARE_LEASE_MS = 10_000
 /** How long a host may use a loan after it requested it. */
-export const LOAN_MS = 60
+export const LOAN_MS = 250
 /** Margin beyond the duration of a loan after which the leader counts it as expired, since clocks differ in rate. */
 export const LOAN_DRIFT_MARGIN_MS = 2
 /** Margin beyond the duration of a lease after which the leader counts it as expired, since clocks differ in rate. */
--- a/test/support/ratessimulation.ts
+++ b/test/support/ratessimulation.ts
@@ -28,6 +28,8 @@
   readonly dropped: number
   readonly doubled: number
   readonly late: number
+  /** The most that a host short of processor time adds to each message, in milliseconds. */
+  readonly slowMs?: number
 }
 
 /** The admission decision of a host on one request. */
@@ -283,7 +285,7 @@
     const copies = !local && this.random() < this.#faults.doubled ? 2 : 1
     for (let copy = 0; copy < copies; copy++) {
       const delayed = !local && this.random() < this.#faults.late
-      const delayMs = local ? 0 : delayed ? this.random() * 4_000 : 0.3 + this.random() * 1.2
+      const delayMs = local ? 0 : delayed ? this.random() * 4_000 : 0.3 + this.random() * (1.2 + (this.#faults.slowMs ?? 0))
       this.schedule(this.#nowMs + delayMs, () => this.#deliver(to, message))
     }
   }
