Membership: control hosts relay the heartbeats of a large fleet

Cause: every host sent ten heartbeats a second to the one leader and got ten answers: 4,000 messages a second with 200 hosts, 0.17 ms of processor time each at the leader. Weighed: a longer interval (delays every change of the directory), gossip (no host could tell how old its view is), a tree of hosts (its inner nodes come and go), one relay for each failure domain. Control hosts are the relays: they are few, stay, have more processor time, and the leader's own heartbeats reach them anyway. Change: from 16 hosts on, a host sends its heartbeat to a control host of its failure domain, which holds it until its own next one, 100 ms at most; the leader answers once, and the relay answers from its copy of the directory. A host that owns no database sends five a second. While the relay is silent for 600 ms heartbeats go to the leader as well, then to the other control hosts. Leases count as before from the time at which their host sent.

--- a/src/membership/decide.ts
+++ b/src/membership/decide.ts
@@ -9,6 +9,7 @@
 import { listOwned } from './owners.js'
 import type { Announcement, MembershipState } from './state.js'
 import { answerStatus, drainHost } from './operators.js'
+import { answerRelayed, findRelay, holdHeartbeat, isRelayed, forwardHeld } from './relay.js'
 import { sendPeer, setTimer, tell } from '../messages.js'
 
 /** Age of the last answer that proved the primary role, after which a primary is probed although it answers: reads prove nothing. */
@@ -16,6 +17,9 @@
 /** How long an answer to a heartbeat is accepted. */
 const HEARTBEAT_TTL_MS = 5_000
 
+/** The intervals between two heartbeats of a host with a relay and without databases. */
+const RELAYED_INTERVALS = 2
+
 /** The effects of the membership slice. */
 export type MembershipEffect = CoreEffect | ProbeDatabase
 type MembershipStep = Step<MembershipState, MembershipEffect>
@@ -38,7 +42,7 @@
     case 'membership/answered': return createStep(recordAnswer(state, message))
     case 'membership/withdrawn': return withdrawDatabase(state, message)
     case 'membership/control-changed': return createStep({ ...state, control: message.control })
-    case 'membership/beat': return state.leaderState === undefined ? sendLeaderHint(state, message) : receiveHeartbeat(state, state.leaderState, message, moment)
+    case 'membership/beat': return acceptHeartbeat(state, message, moment)
     case 'membership/remembered': return createStep({ ...state, storedDatabases: message.databases })
     case 'membership/force-asked': return state.leaderState === undefined ? createStep(state) : reportRollout(state, state.leaderState, message, moment)
     case 'membership/sweep-due': return state.leaderState === undefined ? createStep(state) : evictSilent(state, state.leaderState, moment)
@@ -68,6 +72,11 @@
   return { state: { ...state, leaderState: { ...state.leaderState, leaseUntilMs } }, effects: [tell({ kind: 'shares/lease-extended', untilMs: leaseUntilMs })] }
 }
 
+function acceptHeartbeat (state: MembershipState, message: Heartbeat, moment: Moment): MembershipStep {
+  if (state.leaderState !== undefined) return receiveHeartbeat(state, state.leaderState, message, moment)
+  return isRelayed(state, message, moment) ? holdHeartbeat(state, message) : sendLeaderHint(state, message)
+}
+
 function sendLeaderHint (state: MembershipState, heartbeat: Heartbeat): MembershipStep {
   const { leader, epoch } = state
   if (leader === undefined || leader === state.self?.host || leader === heartbeat.self.host) return createStep(state)
@@ -80,6 +89,7 @@
   const round = state.heartbeatRound + 1
   const heartbeatSentAtMs = new Map([...state.heartbeatSentAtMs].filter(([, sentAtMs]) => moment.monotonicMs - sentAtMs < HEARTBEAT_TTL_MS))
   heartbeatSentAtMs.set(round, moment.monotonicMs)
+  const next = forwardHeld({ ...state, heartbeatRound: round, heartbeatSentAtMs }, round)
   const heartbeat: Heartbeat = {
     kind: 'membership/beat',
     round,
@@ -87,15 +97,17 @@
     leftAtMs: state.leaderClockOffsetMs === undefined ? undefined : moment.monotonicMs + state.leaderClockOffsetMs,
     revision: state.directory.revision,
     databases: listAnnounced(state, moment),
-    statuses: [...state.statuses.values()].map(known => ({ ...known.status, ageMs: moment.monotonicMs - known.askedAtMs }))
+    statuses: [...state.statuses.values()].map(known => ({ ...known.status, ageMs: moment.monotonicMs - known.askedAtMs })),
+    relayed: next.relayedHeartbeats.get(round)
   }
-  return { state: { ...state, heartbeatRound: round, heartbeatSentAtMs }, effects: [...targets.map(target => sendPeer(target, heartbeat)), createHeartbeatTimer(state)] }
+  return { state: next, effects: [...targets.map(target => sendPeer(target, heartbeat)), createHeartbeatTimer(state)] }
 }
 
-// Only a leader answers, so the sender of an answer with a later epoch is the leader of that epoch.
+// Only a leader answers, through a relay or not, so an answer with a later epoch shows the leader of that epoch.
 function receiveAnswer (state: MembershipState, message: HeartbeatAnswered, moment: Moment): MembershipStep {
-  if (message.from === undefined || message.revision.epoch <= state.epoch) return applyAnswer(state, message, moment)
-  const followed = followHint(state, { kind: 'membership/leader-hint', leader: message.from, epoch: message.revision.epoch }, moment)
+  const leader = message.leader ?? message.from
+  if (leader === undefined || message.revision.epoch <= state.epoch) return applyAnswer(state, message, moment)
+  const followed = followHint(state, { kind: 'membership/leader-hint', leader, epoch: message.revision.epoch }, moment)
   const applied = applyAnswer(followed.state, message, moment)
   return { state: applied.state, effects: [...followed.effects, ...applied.effects] }
 }
@@ -109,8 +121,10 @@
   const leaderClockOffsetMs = message.leaderMs === undefined ? undefined : message.leaderMs - moment.monotonicMs
   const ownedDatabases = changed ? listOwnDatabases(state, directory) : state.ownedDatabases
   const statuses = filterOwnedStatuses(state.statuses, ownedDatabases)
-  const next: MembershipState = { ...state, directory, ownedDatabases, leaderClockOffsetMs, leaderAnsweredAtMs: moment.monotonicMs, statuses }
-  return { state: next, effects: [...(changed ? notifyChanged(next) : []), ...notifyConfirmed(next, changed, askedAtMs)] }
+  const relay = changed ? findRelay(directory, state.self) : state.relay
+  const next: MembershipState = { ...state, directory, ownedDatabases, relay, leaderClockOffsetMs, leaderAnsweredAtMs: moment.monotonicMs, statuses }
+  const answered = answerRelayed(next, message)
+  return { state: answered.state, effects: [...(changed ? notifyChanged(next) : []), ...notifyConfirmed(next, changed, askedAtMs), ...answered.effects] }
 }
 
 function isOutdated (directory: Directory, { revision }: HeartbeatAnswered): boolean {
@@ -215,8 +229,10 @@
   return { state: { ...state, statuses }, effects }
 }
 
-function createHeartbeatTimer ({ timing }: MembershipState): CoreEffect {
-  return setTimer('membership/beat', timing.beatEveryMs, { kind: 'membership/beat-due' })
+// A host that owns no database reports nothing that is urgent, so where a relay serves many, it sends fewer heartbeats.
+function createHeartbeatTimer ({ timing, relay, ownedDatabases }: MembershipState): CoreEffect {
+  const intervals = relay !== undefined && ownedDatabases.size === 0 ? RELAYED_INTERVALS : 1
+  return setTimer('membership/beat', timing.beatEveryMs * intervals, { kind: 'membership/beat-due' })
 }
 
 function createProbeTimer ({ timing }: MembershipState): CoreEffect {
--- a/src/membership/discovery.ts
+++ b/src/membership/discovery.ts
@@ -8,17 +8,27 @@
 
 /** Without an answer for this long, the leader may have been replaced. */
 const LEADER_TIMEOUT_MS = 300
+/** Without an answer for this long, the relay may be down: two intervals of a host without databases, and the relay's own. */
+const RELAY_TIMEOUT_MS = 600
 
 type MembershipStep = Step<MembershipState, CoreEffect>
 
 /**
- * Lists the targets of the next heartbeat: the leader, and while it does not answer, also one control host in turn.
+ * Lists the targets of the next heartbeat: the relay or the leader. While the relay does not answer, also the leader, and
+ * while the leader does not either, also one control host in turn.
  * @example listHeartbeatTargets(state, moment)
  */
 export function listHeartbeatTargets (state: MembershipState, moment: Moment): readonly string[] {
-  const { control, leader, heartbeatRound, leaderAnsweredAtMs } = state
+  const { relay, leader, leaderAnsweredAtMs } = state
+  const unansweredMs = moment.monotonicMs - leaderAnsweredAtMs
+  if (relay === undefined || relay === leader) return listLeaderTargets(state, unansweredMs)
+  return [relay, ...(unansweredMs < RELAY_TIMEOUT_MS ? [] : listLeaderTargets(state, unansweredMs - RELAY_TIMEOUT_MS).filter(host => host !== relay))]
+}
+
+function listLeaderTargets (state: MembershipState, unansweredMs: number): readonly string[] {
+  const { control, leader, heartbeatRound } = state
   const leaderTargets = leader === undefined ? [] : [leader]
-  if (leader !== undefined && moment.monotonicMs - leaderAnsweredAtMs < LEADER_TIMEOUT_MS) return leaderTargets
+  if (leader !== undefined && unansweredMs < LEADER_TIMEOUT_MS) return leaderTargets
   const controlHosts = listEntries(state.directory, 'host').filter(host => host.control === true).map(host => host.host)
   const others = [...new Set([...control, ...controlHosts])].filter(host => host !== leader && host !== state.self?.host)
   const next = others[heartbeatRound % others.length]
@@ -34,7 +44,7 @@
   const { leader, epoch } = message
   if (epoch < state.epoch) return { state: { ...state, leaderState: undefined }, effects: [tell({ kind: 'shares/leadership', leads: false, epoch })] }
   const previousLeader = state.leader !== undefined && state.leader !== leader ? state.leader : state.previousLeader
-  const following: MembershipState = { ...state, leader, previousLeader, epoch, leaderState: undefined, leaderClockOffsetMs: undefined, leaderAnsweredAtMs: moment.monotonicMs }
+  const following: MembershipState = { ...state, leader, previousLeader, epoch, leaderState: undefined, heldHeartbeats: new Map(), leaderClockOffsetMs: undefined, leaderAnsweredAtMs: moment.monotonicMs }
   const leads = leader !== undefined && leader === state.self?.host
   const notifications = [tell({ kind: 'shares/leadership', leads, epoch }), tell({ kind: 'admission/leader-changed', leader, epoch })]
   const step = leads ? startLeading(following, epoch, moment) : { state: following, effects: [] }
--- a/src/membership/leader.ts
+++ b/src/membership/leader.ts
@@ -1,8 +1,8 @@
 /** The leader's side of membership: builds the directory from the heartbeats of hosts. */
 import type { CoreEffect, Moment, Step } from '../core/message.js'
-import { createDirectory, removeEntry, listChangesSince, listEntries, putEntry, getEntryKey, type DatabaseEntry, type Directory, type DirectoryEntry } from './directory.js'
+import { createDirectory, removeEntry, listChangesSince, listEntries, putEntry, getEntryKey, type DatabaseEntry, type DatabaseStatus, type Directory, type DirectoryEntry } from './directory.js'
 import type { Heartbeat, HostLeft } from './messages.js'
-import type { LeaderState, MembershipState, ReportingHost } from './state.js'
+import type { LeaderState, MembershipState } from './state.js'
 import { proposeStoredDatabases } from './stored.js'
 import { sendPeer, setTimer, tell } from '../messages.js'
 
@@ -33,10 +33,12 @@
   const knownDatabases = listEntries(state.directory, 'database')
   const storedDatabases = Object.values(state.storedDatabases).filter(entry => !knownDatabases.some(other => other.database === entry.database))
   const databases = [...knownDatabases, ...storedDatabases]
+  const databaseReportedAtMs = new Map<string, number>()
+  markReported(databaseReportedAtMs, databases, moment.monotonicMs + REANNOUNCEMENT_GRACE_MS)
   const leaderState: LeaderState = {
     directory: databases.reduce(putAnnouncedDatabase, createDirectory(epoch)),
     hosts: new Map(),
-    databaseReportedAtMs: markReported(new Map(), databases, moment.monotonicMs + REANNOUNCEMENT_GRACE_MS),
+    databaseReportedAtMs,
     leaseUntilMs: -Infinity,
     leadingSinceMs: moment.monotonicMs,
     hostAnsweredAtMs: new Map(),
@@ -49,32 +51,39 @@
 }
 
 /**
- * Applies a host's heartbeat and answers with the changes since the host's revision.
+ * Applies a host's heartbeat and those that it relays, and answers with the changes since the host's revision.
  * @example receiveHeartbeat(state, leaderState, heartbeat, moment)
  */
 export function receiveHeartbeat (state: MembershipState, leaderState: LeaderState, heartbeat: Heartbeat, moment: Moment): MembershipStep {
-  const host = heartbeat.self.host
-  const report: ReportingHost = {
-    entry: heartbeat.self,
-    lastHeartbeatAtMs: moment.monotonicMs,
-    confirmedRevision: heartbeat.revision,
-    databases: heartbeat.databases
-  }
-  const directory = heartbeat.databases.reduce(putAnnouncedDatabase, putEntry(leaderState.directory, heartbeat.self))
-  const next: LeaderState = {
-    ...leaderState,
-    directory,
-    hosts: new Map(leaderState.hosts).set(host, report),
-    databaseReportedAtMs: markAnswered(markReported(leaderState.databaseReportedAtMs, heartbeat.databases, moment.monotonicMs), heartbeat, moment.monotonicMs)
+  const heartbeats = [heartbeat, ...(heartbeat.relayed ?? [])]
+  const next = recordHeartbeats(leaderState, heartbeats, moment)
+  const notifications = heartbeats.flatMap(notifyReported)
+  if (!isReadyToAnswer(next, moment)) return { state: { ...state, leaderState: next }, effects: notifications }
+  const hostAnsweredAtMs = new Map(next.hostAnsweredAtMs)
+  for (const { self } of heartbeats) hostAnsweredAtMs.set(self.host, moment.monotonicMs)
+  return { state: { ...state, leaderState: { ...next, hostAnsweredAtMs } }, effects: [createHeartbeatAnswer(next, heartbeat, moment), ...notifications] }
+}
+
+// The maps are copied once for all heartbeats of a message, since relays bring those of many hosts.
+function recordHeartbeats (leaderState: LeaderState, heartbeats: readonly Heartbeat[], moment: Moment): LeaderState {
+  const hosts = new Map(leaderState.hosts)
+  const reportedAtMs = new Map(leaderState.databaseReportedAtMs)
+  let { directory } = leaderState
+  for (const { self, revision, databases, statuses } of heartbeats) {
+    directory = databases.reduce(putAnnouncedDatabase, putEntry(directory, self))
+    hosts.set(self.host, { entry: self, lastHeartbeatAtMs: moment.monotonicMs, confirmedRevision: revision, databases })
+    markReported(reportedAtMs, databases, moment.monotonicMs)
+    markAnswered(reportedAtMs, statuses, moment.monotonicMs)
   }
-  const answers = isReadyToAnswer(next, moment) ? [createHeartbeatAnswer(next, heartbeat, moment)] : []
-  const hostAnsweredAtMs = answers.length === 0 ? leaderState.hostAnsweredAtMs : new Map(leaderState.hostAnsweredAtMs).set(host, moment.monotonicMs)
-  const { statuses, databases } = heartbeat
-  const notifications = [
-    tell({ kind: 'primacy/reported', host, failureDomain: heartbeat.self.failureDomain, statuses, databases, revision: heartbeat.revision }),
-    tell({ kind: 'succession/reported', host, failureDomain: heartbeat.self.failureDomain, apart: heartbeat.self.apart === true, leftAtMs: heartbeat.leftAtMs, statuses, databases })
+  return { ...leaderState, directory, hosts, databaseReportedAtMs: reportedAtMs }
+}
+
+function notifyReported ({ self, leftAtMs, revision, statuses, databases }: Heartbeat): readonly CoreEffect[] {
+  const { host, failureDomain } = self
+  return [
+    tell({ kind: 'primacy/reported', host, failureDomain, statuses, databases, revision }),
+    tell({ kind: 'succession/reported', host, failureDomain, apart: self.apart === true, leftAtMs, statuses, databases })
   ]
-  return { state: { ...state, leaderState: { ...next, hostAnsweredAtMs } }, effects: [...answers, ...notifications] }
 }
 
 // An answer renews the leases of the host, so a leader answers only within its own lease. A new leader
@@ -90,7 +99,8 @@
     round: heartbeat.round,
     leaderMs: moment.monotonicMs,
     revision: directory.revision,
-    changes: listChangesSince(directory, heartbeat.revision)
+    changes: listChangesSince(directory, heartbeat.revision),
+    relayed: heartbeat.relayed?.map(({ self }) => self.host)
   })
   return { ...answer, notAfterMs: leaseUntilMs }
 }
@@ -143,12 +153,10 @@
 }
 
 // An answer to its owner keeps a database in the directory while its announcements reach no host.
-function markAnswered (reportedAtMs: ReadonlyMap<string, number>, heartbeat: Heartbeat, nowMs: number): ReadonlyMap<string, number> {
-  const next = new Map(reportedAtMs)
-  for (const { database, answering, ageMs = 0 } of heartbeat.statuses) {
-    if (answering && ageMs < ANSWER_MAX_AGE_MS && next.has(database)) next.set(database, Math.max(next.get(database)!, nowMs - ageMs))
+function markAnswered (reportedAtMs: Map<string, number>, statuses: readonly DatabaseStatus[], nowMs: number): void {
+  for (const { database, answering, ageMs = 0 } of statuses) {
+    if (answering && ageMs < ANSWER_MAX_AGE_MS && reportedAtMs.has(database)) reportedAtMs.set(database, Math.max(reportedAtMs.get(database)!, nowMs - ageMs))
   }
-  return next
 }
 
 /**
@@ -161,10 +169,8 @@
   return { ...leaderState, databaseReportedAtMs, directory: removeEntry(leaderState.directory, `database/${database}`) }
 }
 
-function markReported (reportedAtMs: ReadonlyMap<string, number>, databases: readonly DatabaseEntry[], nowMs: number): ReadonlyMap<string, number> {
-  const next = new Map(reportedAtMs)
-  for (const database of databases) next.set(database.database, Math.max(next.get(database.database) ?? 0, nowMs))
-  return next
+function markReported (reportedAtMs: Map<string, number>, databases: readonly DatabaseEntry[], nowMs: number): void {
+  for (const { database } of databases) reportedAtMs.set(database, Math.max(reportedAtMs.get(database) ?? 0, nowMs))
 }
 
 function createSweepTimer (): CoreEffect {
--- a/src/membership/messages.ts
+++ b/src/membership/messages.ts
@@ -59,13 +59,19 @@
   readonly revision: Revision
   readonly databases: readonly DatabaseEntry[]
   readonly statuses: readonly DatabaseStatus[]
+  /** Heartbeats of other hosts that the sender relays. */
+  readonly relayed?: readonly Heartbeat[]
 }
 
 /** The leader's answer to a heartbeat. */
 export interface HeartbeatAnswered {
   readonly kind: 'membership/beat-answered'
-  /** The leader; set by the receiving host. */
+  /** The sender, which is the leader or a relay; set by the receiving host. */
   readonly from?: string
+  /** The leader, if a relay sends its answer on. */
+  readonly leader?: string
+  /** The hosts whose relayed heartbeats the leader answers. */
+  readonly relayed?: readonly string[]
   readonly round: number
   /** The leader's monotonic time when it answered. */
   readonly leaderMs?: number
--- /dev/null
+++ b/src/membership/relay.ts
@@ -0,0 +1,82 @@
+/**
+ * Relays of a large fleet: control hosts that pass heartbeats on to the leader with their own ones. The leader then
+ * receives a few messages in place of one from every host, and only a relay's answer crosses between failure domains.
+ * Leases stay what they are, since each counts from the time at which its own host sent a heartbeat.
+ */
+import { pickHeaviest } from '../core/rendezvous.js'
+import type { CoreEffect, Moment, Step } from '../core/message.js'
+import { sendPeer } from '../messages.js'
+import { listChangesSince, listEntries, type Directory } from './directory.js'
+import type { Heartbeat, HeartbeatAnswered } from './messages.js'
+import type { MembershipState } from './state.js'
+
+/** The number of hosts from which on heartbeats are relayed; a leader serves fewer directly, which is faster. */
+const MIN_RELAYED_HOSTS = 16
+/** How long a relay holds heartbeats without an answer of the leader: three of its own. */
+const RELAY_CONTACT_MS = 300
+/** The number of own heartbeats for which an answer of the leader is awaited. */
+const MAX_PENDING_ROUNDS = 20
+
+/**
+ * Returns the control host that relays this host's heartbeats: one of its failure domain if there is any. Undefined in a
+ * small fleet, and on a control host.
+ * @example findRelay(directory, self) // 'host-2'
+ */
+export function findRelay (directory: Directory, self: MembershipState['self']): string | undefined {
+  if (self === undefined || self.control === true) return undefined
+  const hosts = listEntries(directory, 'host')
+  if (hosts.length < MIN_RELAYED_HOSTS) return undefined
+  const control = hosts.filter(host => host.control === true && !host.draining)
+  const near = control.filter(host => host.failureDomain === self.failureDomain)
+  return pickHeaviest(self.host, (near.length > 0 ? near : control).map(host => host.host))
+}
+
+/**
+ * Tells whether this host relays a heartbeat, rather than redirecting its sender to the leader.
+ * @example isRelayed(state, heartbeat, moment)
+ */
+export function isRelayed (state: MembershipState, heartbeat: Heartbeat, moment: Moment): boolean {
+  if (state.self?.control !== true || state.leader === undefined || heartbeat.self.control === true) return false
+  if (moment.monotonicMs - state.leaderAnsweredAtMs > RELAY_CONTACT_MS) return false
+  return listEntries(state.directory, 'host').length >= MIN_RELAYED_HOSTS
+}
+
+/**
+ * Holds a heartbeat until this host sends its own.
+ * @example holdHeartbeat(state, heartbeat)
+ */
+export function holdHeartbeat (state: MembershipState, heartbeat: Heartbeat): Step<MembershipState, CoreEffect> {
+  return { state: { ...state, heldHeartbeats: new Map(state.heldHeartbeats).set(heartbeat.self.host, heartbeat) }, effects: [] }
+}
+
+/**
+ * Moves the held heartbeats into this host's own one of a round.
+ * @example forwardHeld(state, 7).relayedHeartbeats.get(7)
+ */
+export function forwardHeld (state: MembershipState, round: number): MembershipState {
+  const pending = [...state.relayedHeartbeats].filter(([earlier]) => earlier > round - MAX_PENDING_ROUNDS)
+  if (state.heldHeartbeats.size === 0 && pending.length === state.relayedHeartbeats.size) return state
+  return { ...state, heldHeartbeats: new Map(), relayedHeartbeats: new Map([...pending, [round, [...state.heldHeartbeats.values()]]]) }
+}
+
+/**
+ * Answers the relayed heartbeats that the leader answered, from this host's copy of the directory.
+ * @example answerRelayed(state, answered).effects.length
+ */
+export function answerRelayed (state: MembershipState, { round, relayed = [], leaderMs }: HeartbeatAnswered): Step<MembershipState, CoreEffect> {
+  const sent = state.relayedHeartbeats.get(round)
+  if (sent === undefined) return { state, effects: [] }
+  const answered = new Set(relayed)
+  const { directory, leader } = state
+  const answers = sent.filter(heartbeat => answered.has(heartbeat.self.host)).map(heartbeat => sendPeer(heartbeat.self.host, {
+    kind: 'membership/beat-answered',
+    leader,
+    round: heartbeat.round,
+    leaderMs,
+    revision: directory.revision,
+    changes: listChangesSince(directory, heartbeat.revision)
+  }))
+  const relayedHeartbeats = new Map(state.relayedHeartbeats)
+  relayedHeartbeats.delete(round)
+  return { state: { ...state, relayedHeartbeats }, effects: answers }
+}
--- a/src/membership/state.ts
+++ b/src/membership/state.ts
@@ -1,5 +1,6 @@
 /** State of the membership slice. */
 import { createDirectory, type DatabaseEntry, type DatabaseStatus, type Directory, type HostEntry, type Revision } from './directory.js'
+import type { Heartbeat } from './messages.js'
 import type { StoredDatabaseTable } from './stored.js'
 
 /** The last announcement of a database to this host. */
@@ -77,6 +78,12 @@
   readonly heartbeatRound: number
   /** The send times of recent heartbeats, by number. */
   readonly heartbeatSentAtMs: ReadonlyMap<number, number>
+  /** On a relay: the last heartbeat of each host that waits for the relay's next own one. */
+  readonly heldHeartbeats: ReadonlyMap<string, Heartbeat>
+  /** On a relay: the heartbeats that went with its own ones, by their number. */
+  readonly relayedHeartbeats: ReadonlyMap<number, readonly Heartbeat[]>
+  /** The control host that relays this host's heartbeats; undefined if they go to the leader. */
+  readonly relay?: string
   readonly announcements: ReadonlyMap<string, Announcement>
   readonly statuses: ReadonlyMap<string, TimedStatus>
   /** This host's copy of the directory. */
@@ -101,6 +108,8 @@
     leaderAnsweredAtMs: 0,
     heartbeatRound: 0,
     heartbeatSentAtMs: new Map(),
+    heldHeartbeats: new Map(),
+    relayedHeartbeats: new Map(),
     announcements: new Map(),
     statuses: new Map(),
     directory: createDirectory(0),
