Membership: hosts that start together reach the leader through the control hosts they know

Change: a control host relays newcomers also before it knows a large fleet, and a host that has just started asks four times before it tries the next control host, each host in an order of its own. Test: 200 hosts that start together.

--- a/src/membership/discovery.ts
+++ b/src/membership/discovery.ts
@@ -1,5 +1,6 @@
 /** Leader discovery: how a host finds the leader of the control hosts. */
 import type { CoreEffect, Moment, Step } from '../core/message.js'
+import { rankCandidates } from '../core/rendezvous.js'
 import { tell } from '../messages.js'
 import { listEntries } from './directory.js'
 import { startLeading } from './leader.js'
@@ -11,6 +12,9 @@
 /** Without an answer for this long, the relay may be down: two intervals of a host without databases, and the relay's own. */
 const RELAY_TIMEOUT_MS = 600
 
+/** Heartbeats to one control host before a host that has just started tries the next one: time for a link to open, and for a relay. */
+const FIRST_TARGET_ROUNDS = 4
+
 type MembershipStep = Step<MembershipState, CoreEffect>
 
 /**
@@ -30,8 +34,9 @@
   const leaderTargets = leader === undefined ? [] : [leader]
   if (leader !== undefined && unansweredMs < LEADER_TIMEOUT_MS) return leaderTargets
   const controlHosts = listEntries(state.directory, 'host').filter(host => host.control === true).map(host => host.host)
-  const others = [...new Set([...control, ...controlHosts])].filter(host => host !== leader && host !== state.self?.host)
-  const next = others[heartbeatRound % others.length]
+  const others = rankCandidates(state.self?.host ?? '', [...new Set([...control, ...controlHosts])].filter(host => host !== leader && host !== state.self?.host))
+  const rounds = state.directory.changes.size === 0 ? FIRST_TARGET_ROUNDS : 1
+  const next = others[Math.floor(heartbeatRound / rounds) % others.length]
   return next === undefined ? leaderTargets : [...leaderTargets, next]
 }
 
--- a/src/membership/relay.test.ts
+++ b/src/membership/relay.test.ts
@@ -15,6 +15,8 @@
 const MAX_CONFIRMATION_AGE_MS = 700
 /** Heartbeats of four relays and one leader, their answers being counted apart: ten a second each. */
 const MAX_RELAYS_MESSAGES = 50
+/** Hosts choose among three control hosts by hash, so one gets more than a third of them. */
+const MAX_SEED_SPREAD = 20
 /** Time within which hosts must be confirmed again after their relay, or relay and leader, failed. */
 const RECOVERY_MS = 3_000
 
@@ -30,6 +32,7 @@
   readonly hosts = new Map<string, SimulatedHost>()
   /** Messages received, by receiving host and kind. */
   readonly received = new Map<string, number>()
+  readonly #sent = new Map<string, number>()
   readonly #random = createRandom(1)
   #steps: Array<{ readonly atMs: number, readonly run: () => void }> = []
   #nowMs = 0
@@ -88,6 +91,10 @@
     return Math.max(...[...this.hosts.values()].filter(host => !host.down).map(host => this.#nowMs - host.confirmedAtMs))
   }
 
+  countSent (from: string, to: string): number {
+    return this.#sent.get(`${from} ${to}`) ?? 0
+  }
+
   #execute (host: string, simulated: SimulatedHost, effect: Effect): void {
     if (effect.kind === 'peer/send') return this.#send(host, effect as SendPeer)
     if (effect.kind === 'timer/set') return this.#setTimer(host, simulated, effect as SetTimer)
@@ -97,6 +104,7 @@
   }
 
   #send (from: string, { to, message }: SendPeer): void {
+    this.#sent.set(`${from} ${to}`, this.countSent(from, to) + 1)
     this.schedule(0.3 + this.#random() * 5, () => {
       const key = `${to} ${message.kind}`
       this.received.set(key, (this.received.get(key) ?? 0) + 1)
@@ -131,6 +139,16 @@
     })
   }
 
+  it('of hosts that start together reach the leader through the control hosts that they know', function () {
+    this.timeout(60_000)
+    const fleet = FleetSimulation.create(200)
+    fleet.run(SECOND_MS)
+    const senders = new Set([...fleet.hosts.keys()].filter(host => fleet.countSent(host, LEADER) > 0))
+    const own = 200 / DOMAINS.length
+    expect(senders.size).to.be.at.most(own + (200 - own) / 3 + DOMAINS.length + MAX_SEED_SPREAD)
+    expect(fleet.findOldestAgeMs()).to.be.below(MAX_CONFIRMATION_AGE_MS)
+  })
+
   it('go to the leader itself in a small fleet', () => {
     const fleet = FleetSimulation.create(9)
     fleet.run(3 * SECOND_MS)
--- a/src/membership/relay.ts
+++ b/src/membership/relay.ts
@@ -6,7 +6,7 @@
 import { pickHeaviest } from '../core/rendezvous.js'
 import type { CoreEffect, Moment, Step } from '../core/message.js'
 import { sendPeer } from '../messages.js'
-import { listChangesSince, listEntries, type Directory } from './directory.js'
+import { listChangesSince, listEntries, type Directory, type HostEntry } from './directory.js'
 import type { Heartbeat, HeartbeatAnswered } from './messages.js'
 import type { MembershipState } from './state.js'
 
@@ -38,7 +38,13 @@
 export function isRelayed (state: MembershipState, heartbeat: Heartbeat, moment: Moment): boolean {
   if (state.self?.control !== true || state.leader === undefined || heartbeat.self.control === true) return false
   if (moment.monotonicMs - state.leaderAnsweredAtMs > RELAY_CONTACT_MS) return false
-  return listEntries(state.directory, 'host').length >= MIN_RELAYED_HOSTS
+  return isNewcomer(state.directory, heartbeat.self) || listEntries(state.directory, 'host').length >= MIN_RELAYED_HOSTS
+}
+
+// When a whole fleet starts at once, redirecting each host would open a link from all of them to the leader.
+function isNewcomer (directory: Directory, { host, incarnation }: HostEntry): boolean {
+  const known = directory.changes.get(`host/${host}`)?.entry
+  return known?.kind !== 'host' || known.incarnation !== incarnation
 }
 
 /**
