Admission: in a large fleet one control host lends the tokens of a workspace

Cause: 140 workspaces on 195 hosts leave no host a share of four tokens, so each request asked the leader for a loan: 820 a second, 0.34 ms of processor time each at the leader beside everything else, and none while it changes. Weighed: larger loans kept at the hosts (a host sees a workspace once in minutes; tokens would lie idle where they are not needed), shares by failure domain (a fifth of a small burst is below four tokens), the workspace's own lender. Change: from 16 hosts on, hosts hold no shares and borrow from the control host that a workspace's name picks. What it lent takes up room in its bucket until no borrower can use it. While a lender does not answer, every other loan is asked of the leader. A lender whose leader is gone goes on with its share.

--- a/src/admission/allowance.ts
+++ b/src/admission/allowance.ts
@@ -16,7 +16,7 @@
  */
 export function createAllowance (limit: Pick<Workspace, 'rate' | 'burst'>, nowMs: number): Allowance {
   const { rate, burst } = limit
-  return { rate, burst, parts: 0, bucket: createBucket(0, 0, nowMs), arrived: 0, perSecond: 0, reportedPerSecond: 0, waiting: [], nextLoanAtMs: 0 }
+  return { rate, burst, parts: 0, bucket: createBucket(0, 0, nowMs), arrived: 0, perSecond: 0, reportedPerSecond: 0, waiting: [], lent: [], nextLoanAtMs: 0 }
 }
 
 /**
@@ -26,8 +26,17 @@
  */
 export function refillAllowance (allowance: Allowance, limit: Pick<Workspace, 'rate' | 'burst'>, leaseEndsAtMs: number, nowMs: number): Allowance {
   const current = { ...allowance, rate: limit.rate, burst: limit.burst }
-  if (nowMs <= leaseEndsAtMs) return resizeShare(current, allowance.parts, nowMs)
-  return { ...current, bucket: createBucket(0, 0, nowMs) }
+  if (nowMs <= leaseEndsAtMs) return keepRoomForLent(resizeShare(current, allowance.parts, nowMs), nowMs)
+  return { ...current, bucket: createBucket(0, 0, nowMs), lent: [] }
+}
+
+// A borrower may use its tokens later than the lender spent them, so their place is refilled only when it no longer can.
+function keepRoomForLent (allowance: Allowance, nowMs: number): Allowance {
+  if (allowance.lent.length === 0) return allowance
+  const lent = allowance.lent.filter(loan => loan.expiresAtMs > nowMs)
+  const lentTokens = lent.reduce((sum, loan) => sum + loan.tokens, 0)
+  const { bucket } = allowance
+  return { ...allowance, lent, bucket: { ...bucket, tokens: Math.min(bucket.tokens, Math.max(0, bucket.burst - lentTokens)) } }
 }
 
 /**
--- a/src/admission/decide.ts
+++ b/src/admission/decide.ts
@@ -10,7 +10,7 @@
 import { matchesKey } from './keys.js'
 import { applyShares, changeLeader, renewLease } from './lease.js'
 import type { AdmissionMessage, CallerDisconnected, CheckConnection, CheckRequest, DocumentsConfirmed } from './messages.js'
-import { acceptLoan, acquireToken, admitRequest, expireLoan, retryWaiting, type AdmissionStep, type AdmissionStore } from './rates.js'
+import { acceptLoan, acquireToken, expireLoan, acceptLoanRequest, retryWaiting, type AdmissionStep, type AdmissionStore } from './rates.js'
 import type { AdmissionShared } from './state.js'
 import { tell } from '../messages.js'
 
@@ -32,6 +32,8 @@
     case 'admission/leader-changed': return changeLeader(store, message, moment)
     case 'admission/ask-due': return renewLease(store, moment)
     case 'admission/shares-answered': return applyShares(store, message, moment)
+    case 'admission/lenders-changed': return { shared: { ...store.shared, lenders: message.lenders }, effects: [] }
+    case 'admission/loan-wanted': return acceptLoanRequest(store, message, moment)
     case 'admission/lent': return acceptLoan(store, message, moment)
     case 'admission/loan-overdue': return expireLoan(store, message, moment)
     case 'admission/tokens-due': return retryWaiting(store, message, moment)
@@ -115,7 +117,7 @@
   const permission = findPermission(store.shared, message, moment)
   if (permission.isErr) return refuseRequest(message, permission.error)
   const { rules, workspace } = permission.value
-  if (workspace === undefined || message.inTransaction) return { effects: [admitRequest(message, rules)] }
+  if (workspace === undefined || message.inTransaction) return { effects: [tell({ kind: 'requests/admitted', caller: message.caller, attempt: message.attempt, rules })] }
   return acquireToken(store, message.service, workspace, { caller: message.caller, attempt: message.attempt, rules, sinceMs: moment.monotonicMs }, moment)
 }
 
--- a/src/admission/lease.ts
+++ b/src/admission/lease.ts
@@ -1,14 +1,14 @@
 /** Decisions on this host's lease: it reports the local demand to the leader and applies the shares that the leader leases to it. */
 import type { CoreEffect, Moment } from '../core/message.js'
 import { UNCHANGED } from '../core/store.js'
-import type { Workspace } from '../documents/document.js'
 import { sendPeer, setTimer } from '../messages.js'
 import type { Demand, HeldShare } from '../shares/messages.js'
 import { LOAN_MS, SHARE_LEASE_MS } from '../shares/state.js'
 import { addTokens, createAllowance, isUnused, refillAllowance, resizeShare, updateDemand } from './allowance.js'
+import { getSharesEndMs } from './lending.js'
 import type { LeaderChanged, LeaseRenewed } from './messages.js'
 import type { AdmissionStep, AdmissionStore } from './rates.js'
-import type { Allowance, ShareLease } from './state.js'
+import { findLimit, type Allowance, type ShareLease } from './state.js'
 
 /** Interval between two renewals of the lease. */
 export const RENEWAL_INTERVAL_MS = 200
@@ -20,6 +20,8 @@
 const EMPTY_RENEWAL_INTERVAL_MS = 1_000
 /** A demand is reported again once it differs by more than this fraction from the last reported value. */
 const DEMAND_TOLERANCE = 0.2
+/** Limit of a workspace that is in no document any more. */
+const NO_LIMIT = { rate: 0, burst: 0 }
 /** Every demand is reported again after this many rounds, in case a renewal was lost. */
 const FULL_REPORT_ROUNDS = 5
 
@@ -50,13 +52,17 @@
   const reportsAll = current.applied === 0 || round % FULL_REPORT_ROUNDS === 0
   const elapsedMs = moment.monotonicMs - current.demandUpdatedAtMs
   const counted = [...store.items].map(([key, item]) => {
-    const filled = refillAllowance(item, item, current.endsAtMs, moment.monotonicMs)
+    const filled = refillAllowance(item, item, getSharesEndMs({ ...shared, lease: current }), moment.monotonicMs)
     return [key, updateDemand(expired ? { ...filled, parts: 0 } : filled, elapsedMs)] as const
   })
-  const demands = counted.filter(([, item]) => reportsAll || isDemandChanged(item)).map(([workspace, item]): Demand => ({ workspace, perSecond: item.perSecond }))
+  const borrows = shared.acceptsCallers && shared.lenders.length > 0
+  const demands = counted
+    .filter(([, item]) => (borrows ? isHeldOrReported(item) : reportsAll || isDemandChanged(item)))
+    .map(([workspace, item]): Demand => ({ workspace, perSecond: borrows ? 0 : item.perSecond }))
   const lease: ShareLease = { ...current, round, demandUpdatedAtMs: moment.monotonicMs, sentAtMsByRound: recordRound(current, round, moment) }
-  const changes = counted.map(([key, item]) => [key, markReported(item, reportsAll)] as const)
-  const renewals = lease.leader === undefined || !shared.acceptsCallers || (counted.length === 0 && lease.applied > 0) ? [] : [sendRenewal(lease, demands, listHeld(lease, counted), moment)]
+  const changes = counted.map(([key, item]) => [key, borrows ? markReported({ ...item, reportedPerSecond: 0 }, false, 0) : markReported(item, reportsAll, item.perSecond)] as const)
+  const needsNone = borrows ? demands.length === 0 : counted.length === 0 && (lease.applied > 0 || !shared.acceptsCallers)
+  const renewals = lease.leader === undefined || needsNone ? [] : [sendRenewal(lease, demands, listHeld(lease, counted), !shared.acceptsCallers, moment)]
   const holds = counted.some(([, item]) => item.parts > 0)
   const emptyRounds = holds || renewals.length === 0 ? 0 : current.emptyRounds + 1
   return { shared: { ...shared, lease: { ...lease, emptyRounds } }, changes, effects: [...renewals, createRenewalTimer(computeRenewalIntervalMs(emptyRounds))] }
@@ -81,20 +87,15 @@
   // The first answer of a leader lists all shares of this host.
   const dropped = lease.applied > 0 ? [] : [...store.items.keys()].filter(key => !parts.has(key)).map(key => [key, 0] as const)
   const changes = [...parts, ...dropped].map(([key, given]) => {
-    const known = store.items.get(key) ?? createAllowance(findLimit(store, key), moment.monotonicMs)
-    const filled = refillAllowance(known, known, lease.endsAtMs, moment.monotonicMs)
+    // A share accrues tokens from the time it is granted, even before the first request.
+    const known = store.items.get(key) ?? createAllowance(findLimit(store.shared, key) ?? NO_LIMIT, moment.monotonicMs)
+    const filled = refillAllowance(known, known, getSharesEndMs(store.shared), moment.monotonicMs)
     return [key, addTokens(resizeShare(filled, given, moment.monotonicMs), tokens.get(key) ?? 0)] as const
   })
   const next: ShareLease = { ...lease, applied: message.round, endsAtMs: Math.max(lease.endsAtMs, sentAtMs + SHARE_LEASE_MS) }
   return { shared: { ...store.shared, lease: next }, changes, effects: [] }
 }
 
-// A share accrues tokens from the time it is granted, even before the first request.
-function findLimit ({ shared }: AdmissionStore, key: string): Pick<Workspace, 'rate' | 'burst'> {
-  const slash = key.indexOf('/')
-  return shared.indexes.get(key.slice(0, slash))?.workspaces.get(key.slice(slash + 1)) ?? { rate: 0, burst: 0 }
-}
-
 // After its lease expired a host holds nothing, and shows it by a new holder id.
 function resetExpired (lease: ShareLease, moment: Moment): ShareLease {
   const expired = lease.endsAtMs > 0 && moment.monotonicMs > lease.endsAtMs
@@ -114,10 +115,15 @@
   return Math.abs(item.perSecond - item.reportedPerSecond) > item.reportedPerSecond * DEMAND_TOLERANCE
 }
 
-function markReported (item: Allowance, reportsAll: boolean): Allowance | undefined {
-  const reportedPerSecond = reportsAll || isDemandChanged(item) ? item.perSecond : item.reportedPerSecond
-  const next: Allowance = { ...item, reportedPerSecond }
-  return isUnused(next) && !isDemandChanged(item) ? undefined : next
+// A host of a large fleet borrows all tokens, so it gives its shares back.
+function isHeldOrReported (item: Allowance): boolean {
+  return item.parts > 0 || item.reportedPerSecond > 0
+}
+
+function markReported (item: Allowance, reportsAll: boolean, perSecond: number): Allowance | undefined {
+  const isChanged = Math.abs(perSecond - item.reportedPerSecond) > item.reportedPerSecond * DEMAND_TOLERANCE
+  const next: Allowance = { ...item, reportedPerSecond: reportsAll || isChanged ? perSecond : item.reportedPerSecond }
+  return isUnused(next) && !isChanged ? undefined : next
 }
 
 function listHeld (lease: ShareLease, counted: ReadonlyArray<readonly [string, Allowance]>): readonly HeldShare[] | undefined {
@@ -125,10 +131,10 @@
   return counted.filter(([, item]) => item.parts > 0).map(([workspace, item]) => ({ workspace, parts: item.parts }))
 }
 
-function sendRenewal (lease: ShareLease, demands: readonly Demand[], held: readonly HeldShare[] | undefined, moment: Moment): CoreEffect {
+function sendRenewal (lease: ShareLease, demands: readonly Demand[], held: readonly HeldShare[] | undefined, lends: boolean, moment: Moment): CoreEffect {
   const { holder, epoch, round, applied, endsAtMs } = lease
   const emptyForMs = endsAtMs === 0 ? moment.monotonicMs - lease.emptySinceMs : undefined
-  return sendPeer(lease.leader!, { kind: 'shares/asked', holder, epoch, round, applied, demands, held, emptyForMs })
+  return sendPeer(lease.leader!, { kind: 'shares/asked', holder, epoch, round, applied, demands, held, emptyForMs, lends: lends || undefined })
 }
 
 function createRenewalTimer (afterMs: number): CoreEffect {
--- a/src/admission/messages.ts
+++ b/src/admission/messages.ts
@@ -65,14 +65,32 @@
   readonly shares: readonly HeldShare[]
 }
 
-/** The leader answered a loan request with tokens of the reserve, or with 0 when the reserve is empty. */
+/** The control hosts that lend tokens to the other hosts changed. There are none in a small fleet, where each host holds shares. */
+export interface LendersChanged {
+  readonly kind: 'admission/lenders-changed'
+  readonly lenders: readonly string[]
+}
+
+/** A host requests a loan from the lender of a workspace. */
+export interface LoanWanted {
+  readonly kind: 'admission/loan-wanted'
+  /** The borrower; set by the receiving host. */
+  readonly from?: string
+  readonly holder: string
+  /** Increases with each loan of a holder. */
+  readonly loan: number
+  readonly workspace: string
+  readonly tokens: number
+}
+
+/** The leader or a lender answered a loan request with tokens, or with 0 when it has none. */
 export interface LoanAnswered {
   readonly kind: 'admission/lent'
   readonly holder: string
   readonly loan: number
   readonly workspace: string
   readonly tokens: number
-  /** Time until the reserve has another token; 0 when it has more now. */
+  /** Time until the reserve, or the lender's share, has another token; 0 when it has more now. */
   readonly nextMs: number
   /** Tokens that the reserve still lacks because the leader is new; absent below 1. */
   readonly shortfall?: number
@@ -101,6 +119,8 @@
   | LeaderChanged
   | RenewalDue
   | LeaseRenewed
+  | LendersChanged
+  | LoanWanted
   | LoanAnswered
   | LoanTimedOut
   | TokensDue
--- a/src/admission/rates.ts
+++ b/src/admission/rates.ts
@@ -4,11 +4,11 @@
 import { UNCHANGED, type Store, type StoreStep } from '../core/store.js'
 import type { Workspace } from '../documents/document.js'
 import { sendPeer, setTimer, tell } from '../messages.js'
-import type { RouteRules, AttemptId } from '../requests/messages.js'
 import { LOAN_MS, TOTAL_PARTS } from '../shares/state.js'
 import { createAllowance, refillAllowance } from './allowance.js'
-import type { LoanAnswered, LoanTimedOut, TokensDue } from './messages.js'
-import type { AdmissionShared, Allowance, PendingLoan, WaitingRequest } from './state.js'
+import { answerLoan, createWaitingLoan, findLender, getSharesEndMs, grantTokens } from './lending.js'
+import type { LoanAnswered, LoanTimedOut, LoanWanted, TokensDue } from './messages.js'
+import { findLimit, type AdmissionShared, type Allowance, type PendingLoan, type WaitingRequest } from './state.js'
 import { computeRetryAfterMs, estimateLocalWaitMs, estimateWaitMs, insertWaiting, splitWaiting } from './waiting.js'
 
 /** Minimum interval between two loans when the last one granted too few tokens. */
@@ -16,7 +16,7 @@
 /** A token of the local share that accrues within this time is awaited without a loan, which saves the leader two messages. */
 const LOCAL_WAIT_MS = 30
 /** How often the backoff after an unanswered loan doubles: up to 0.5 s, so that hosts do not overload a leader that has just started. */
-const MAX_BACKOFF_DOUBLINGS = 3
+const MAX_BACKOFF_DOUBLINGS = 1
 /** A host counts as isolated this long after the leader's last confirmation: seven heartbeats. */
 const ISOLATED_AFTER_MS = 700
 /** Largest number of tokens that a loan requests beyond those of the waiting requests. */
@@ -39,11 +39,25 @@
   const key = `${service}/${workspace.name}`
   const { shared } = store
   const known = store.items.get(key) ?? createAllowance(workspace, moment.monotonicMs)
-  const filled = refillAllowance(known, workspace, shared.lease.endsAtMs, moment.monotonicMs)
+  const filled = refillAllowance(known, workspace, getSharesEndMs(shared), moment.monotonicMs)
   const counted: Allowance = { ...filled, arrived: filled.arrived + 1 }
   return processWaiting(shared, key, { ...counted, waiting: insertWaiting(counted.waiting, request) }, moment)
 }
 
+/**
+ * Lends tokens of this host's share to another host. What the share lacks is borrowed from the leader in turn.
+ * @example acceptLoanRequest(store, { kind: 'admission/loan-wanted', from: 'host-9', holder, loan: 7, workspace: 'rota/parish', tokens: 1 }, moment)
+ */
+export function acceptLoanRequest (store: AdmissionStore, message: LoanWanted, moment: Moment): AdmissionStep {
+  const { from, workspace: key, tokens } = message
+  const limit = findLimit(store.shared, key)
+  if (from === undefined || limit === undefined) return UNCHANGED
+  const known = store.items.get(key) ?? createAllowance(limit, moment.monotonicMs)
+  const filled = refillAllowance(known, limit, getSharesEndMs(store.shared), moment.monotonicMs)
+  const waiting = insertWaiting(filled.waiting.filter(request => request.caller !== message.holder), createWaitingLoan(message, from, moment))
+  return processWaiting(store.shared, key, { ...filled, arrived: filled.arrived + tokens, waiting }, moment)
+}
+
 /**
  * Admits waiting requests with the tokens of a loan.
  * @example acceptLoan(store, { kind: 'admission/lent', holder, loan, workspace, tokens: 3, nextMs: 0 }, moment)
@@ -52,7 +66,7 @@
   const key = message.workspace
   const allowance = store.items.get(key)
   if (allowance?.loan === undefined || !isSameLoan(allowance.loan, message)) return UNCHANGED
-  const filled = refillAllowance({ ...allowance, loan: undefined }, allowance, store.shared.lease.endsAtMs, moment.monotonicMs)
+  const filled = refillAllowance({ ...allowance, loan: undefined }, allowance, getSharesEndMs(store.shared), moment.monotonicMs)
   if (moment.monotonicMs > allowance.loan.sentAtMs + LOAN_MS) return processWaiting(store.shared, key, filled, moment)
   const nextLoanAtMs = message.nextMs === 0 ? 0 : moment.monotonicMs + Math.max(MIN_LOAN_INTERVAL_MS, message.nextMs)
   const bucket = { ...filled.bucket, tokens: filled.bucket.tokens + message.tokens }
@@ -70,7 +84,9 @@
   const allowance = store.items.get(message.workspace)
   if (allowance?.loan === undefined || !isSameLoan(allowance.loan, message)) return UNCHANGED
   const { lease } = store.shared
-  const backoffMs = LOAN_MS * 2 ** Math.min(MAX_BACKOFF_DOUBLINGS, lease.unansweredLoans) * (1 + moment.random) / 2
+  // The leader lends in place of a lender that does not answer.
+  const isLenderSilent = findLender(store.shared, message.workspace) !== undefined
+  const backoffMs = isLenderSilent ? 0 : LOAN_MS * 2 ** Math.min(MAX_BACKOFF_DOUBLINGS, lease.unansweredLoans) * (1 + moment.random) / 2
   const shared: AdmissionShared = { ...store.shared, lease: { ...lease, unansweredLoans: lease.unansweredLoans + 1, loanBackoffUntilMs: moment.monotonicMs + backoffMs } }
   return { shared, ...processAgain({ ...store, shared }, message.workspace, { ...allowance, loan: undefined }, moment) }
 }
@@ -85,18 +101,11 @@
   return processAgain(store, message.workspace, allowance, moment)
 }
 
-/**
- * Creates the effect that admits a request.
- * @example admitRequest({ caller, attempt }, rules)
- */
-export function admitRequest (attempt: AttemptId, rules: RouteRules): CoreEffect {
-  return tell({ kind: 'requests/admitted', caller: attempt.caller, attempt: attempt.attempt, rules })
-}
-
-function refuseRequest (attempt: AttemptId, key: string, retryAfterMs: number, inputs: Failure['inputs']): CoreEffect {
+function refuseRequest (request: WaitingRequest, key: string, retryAfterMs: number, inputs: Failure['inputs']): CoreEffect {
+  if (request.loan !== undefined) return answerLoan(key, request.loan, 0, retryAfterMs)
   const workspace = key.slice(key.indexOf('/') + 1)
   const failure = { ...createFailure('rate-exceeded', workspace), retryAfterMs, inputs }
-  return tell({ kind: 'requests/failed', caller: attempt.caller, attempt: attempt.attempt, failure })
+  return tell({ kind: 'requests/failed', caller: request.caller, attempt: request.attempt, failure })
 }
 
 function isSameLoan (pending: PendingLoan, answered: Pick<PendingLoan, 'holder' | 'loan'>): boolean {
@@ -104,17 +113,16 @@
 }
 
 function processAgain (store: AdmissionStore, key: string, allowance: Allowance, moment: Moment): AdmissionStep {
-  return processWaiting(store.shared, key, refillAllowance(allowance, allowance, store.shared.lease.endsAtMs, moment.monotonicMs), moment)
+  return processWaiting(store.shared, key, refillAllowance(allowance, allowance, getSharesEndMs(store.shared), moment.monotonicMs), moment)
 }
 
 // Admits requests that have a token, requests a loan for the others, and refuses those that would wait too long.
 function processWaiting (shared: AdmissionShared, key: string, allowance: Allowance, moment: Moment): AdmissionStep {
   const { bucket } = allowance
-  const count = Math.min(allowance.waiting.length, Math.floor(bucket.tokens))
-  const admitted = allowance.waiting.slice(0, count).map(request => admitRequest(request, request.rules))
-  const tokens = Math.min(bucket.burst, bucket.tokens - count)
-  const remaining = applyLoanBackoff(shared, { ...allowance, bucket: { ...bucket, tokens }, waiting: allowance.waiting.slice(count) }, moment)
-  if (remaining.waiting.length === 0) return { changes: [[key, remaining]], effects: admitted }
+  const granted = grantTokens(key, allowance.waiting, bucket.tokens, moment)
+  const tokens = Math.min(bucket.burst, bucket.tokens - granted.spent)
+  const remaining = applyLoanBackoff(shared, { ...allowance, bucket: { ...bucket, tokens }, waiting: granted.waiting, lent: [...allowance.lent, ...granted.lent] }, moment)
+  if (remaining.waiting.length === 0) return { changes: [[key, remaining]], effects: granted.effects }
   const requested = isLoanNeeded(shared, remaining, moment) ? requestLoan(shared, key, remaining, moment) : { allowance: remaining, effects: [] }
   const { kept, refused } = splitWaiting(requested.allowance, moment)
   const { reserveShortfall = 0 } = requested.allowance
@@ -123,7 +131,7 @@
   return {
     ...(requested.shared === undefined ? {} : { shared: requested.shared }),
     changes: [[key, next]],
-    effects: [...admitted, ...refused.map((request, index) => refuseRequest(request, key, retryMs, describeTokens(shared, { ...next, reserveShortfall: reserveShortfall - index }, moment))), ...requested.effects, ...createTokenTimer(key, next, moment)]
+    effects: [...granted.effects, ...refused.map((request, index) => refuseRequest(request, key, retryMs, describeTokens(shared, { ...next, reserveShortfall: reserveShortfall - index }, moment))), ...requested.effects, ...createTokenTimer(key, next, moment)]
   }
 }
 
@@ -150,8 +158,9 @@
   return { ...allowance, nextLoanAtMs: Math.max(allowance.nextLoanAtMs, loanBackoffUntilMs), unanswered: unansweredLoans > 0 }
 }
 
+// Lenders may be in reach while the leader is not.
 function isIsolated (shared: AdmissionShared, moment: Moment): boolean {
-  return shared.servesWhenIsolated && moment.monotonicMs - (shared.confirmedAtMs ?? -Infinity) > ISOLATED_AFTER_MS
+  return shared.lenders.length === 0 && shared.servesWhenIsolated && moment.monotonicMs - (shared.confirmedAtMs ?? -Infinity) > ISOLATED_AFTER_MS
 }
 
 function isLoanNeeded (shared: AdmissionShared, allowance: Allowance, moment: Moment): boolean {
@@ -170,8 +179,11 @@
   const { lease } = shared
   const { holder, nextLoanId: loan } = lease
   const extra = Math.min(MAX_EXTRA_TOKENS, Math.floor((allowance.bucket.burst - allowance.bucket.tokens) / EXTRA_TOKENS_DIVISOR))
-  const tokens = allowance.waiting.length + extra
-  const sent = lease.leader === undefined ? [] : [sendPeer(lease.leader, { kind: 'shares/wanted', epoch: lease.epoch, holder, loan, workspace: key, tokens })]
+  const tokens = allowance.waiting.reduce((sum, request) => sum + (request.loan?.tokens ?? 1), 0) + extra
+  const lender = findLender(shared, key)
+  const wanted = { holder, loan, workspace: key, tokens }
+  const toLeader = lease.leader === undefined ? [] : [sendPeer(lease.leader, { kind: 'shares/wanted', epoch: lease.epoch, ...wanted })]
+  const sent = lender === undefined ? toLeader : [sendPeer(lender, { kind: 'admission/loan-wanted', ...wanted })]
   return {
     shared: { ...shared, lease: { ...lease, nextLoanId: lease.nextLoanId + 1 } },
     allowance: { ...allowance, loan: { holder, loan, sentAtMs: moment.monotonicMs } },
--- a/src/admission/state.ts
+++ b/src/admission/state.ts
@@ -1,5 +1,6 @@
 /** State of the admission slice: shared state, and one record per workspace with requests at this host. */
 import { assertInvariant } from '../core/invariant.js'
+import type { Workspace } from '../documents/document.js'
 import type { DocumentEntry } from '../membership/directory.js'
 import type { RouteRules, AttemptId } from '../requests/messages.js'
 import type { DocumentIndex } from './documentindex.js'
@@ -37,8 +38,10 @@
   readonly indexes: ReadonlyMap<string, DocumentIndex>
   /** True when an isolated host keeps serving with its last known documents. */
   readonly servesWhenIsolated: boolean
-  /** False on a host that accepts no callers and needs no shares. */
+  /** False on a host that accepts no callers; it needs shares only to lend from them. */
   readonly acceptsCallers: boolean
+  /** The control hosts that lend tokens; empty where each host holds shares. */
+  readonly lenders: readonly string[]
   /** False while the leader lacks a document version that this host has. */
   readonly leaderIsCurrent: boolean
   /** When this host requested the last confirmation that it received; undefined before the first one. */
@@ -48,10 +51,26 @@
   readonly callers: CallersByService
 }
 
+/** A loan request of another host that waits at its lender for tokens. */
+export interface WaitingLoan {
+  readonly borrower: string
+  readonly holder: string
+  readonly loan: number
+  readonly tokens: number
+}
+
 /** A request that waits for a token. */
 export interface WaitingRequest extends AttemptId {
   readonly rules: RouteRules
   readonly sinceMs: number
+  /** Set on a lender, where a loan waits like a request. */
+  readonly loan?: WaitingLoan
+}
+
+/** Tokens of a share that another host may still use. */
+export interface LentTokens {
+  readonly tokens: number
+  readonly expiresAtMs: number
 }
 
 /** A loan request in flight. */
@@ -76,6 +95,8 @@
   readonly reportedPerSecond: number
   readonly waiting: readonly WaitingRequest[]
   readonly loan?: PendingLoan
+  /** On a lender: tokens that borrowers may still use. They take up room in the bucket until then. */
+  readonly lent: readonly LentTokens[]
   /** No loan is requested before this time, since the last one granted too few tokens or was not answered. */
   readonly nextLoanAtMs: number
   /** True while the leader does not answer this host's loan requests. */
@@ -93,7 +114,16 @@
  */
 export function createAdmissionShared (servesWhenIsolated = false, acceptsCallers = true, startedAtMs = 0): AdmissionShared {
   const lease: ShareLease = { epoch: 0, holder: '', emptySinceMs: startedAtMs, round: 0, applied: 0, endsAtMs: 0, sentAtMsByRound: new Map(), demandUpdatedAtMs: 0, emptyRounds: 0, nextLoanId: 0, unansweredLoans: 0, loanBackoffUntilMs: 0 }
-  return { documents: new Map(), indexes: new Map(), servesWhenIsolated, acceptsCallers, leaderIsCurrent: true, lease, callers: createCallersByService() }
+  return { documents: new Map(), indexes: new Map(), servesWhenIsolated, acceptsCallers, lenders: [], leaderIsCurrent: true, lease, callers: createCallersByService() }
+}
+
+/**
+ * Returns the limit of a workspace by its key, SERVICE/NAME; undefined if no document contains it.
+ * @example findLimit(shared, 'rota/parish')?.rate
+ */
+export function findLimit ({ indexes }: AdmissionShared, key: string): Pick<Workspace, 'rate' | 'burst'> | undefined {
+  const slash = key.indexOf('/')
+  return indexes.get(key.slice(0, slash))?.workspaces.get(key.slice(slash + 1))
 }
 
 /**
--- a/src/admission/waiting.test.ts
+++ b/src/admission/waiting.test.ts
@@ -138,21 +138,41 @@
   const limit = { rate: 20, burst: 20 }
   const secondsMs = 20_000
 
-  const runFleet = (): RatesSimulation => {
-    const rates = RatesSimulation.create(fleet, limit, { ...NO_FAULTS, slowMs: 100 }, 1, true)
+  const runFleet = (lenders: readonly string[] = [], load = 0.6, slowMs = 100): RatesSimulation => {
+    const rates = RatesSimulation.create([...lenders, ...fleet], limit, { ...NO_FAULTS, slowMs }, 1, true, lenders)
     const random = createRandom(1)
-    rates.changeLeader('h1', 0)
-    for (let atMs = 2_000; atMs < secondsMs; atMs += -Math.log(1 - random()) * 1_000 / (limit.rate * 0.6)) {
+    rates.changeLeader(lenders[0] ?? 'h1', 0)
+    for (let atMs = 2_000; atMs < secondsMs; atMs += -Math.log(1 - random()) * 1_000 / (limit.rate * load)) {
       const host = fleet[Math.floor(random() * fleet.length)]!
       rates.schedule(atMs, () => rates.sendRequest(host))
     }
     rates.run(secondsMs + 1_000)
     return rates
   }
+  const computeRefused = ({ decisions }: RatesSimulation): number => decisions.filter(({ admitted }) => !admitted).length / decisions.length
 
   it('is served from loans although hosts are short of processor time and answer late', () => {
-    const { decisions } = runFleet()
-    expect(decisions.filter(({ admitted }) => !admitted).length / decisions.length).to.be.below(0.01)
+    expect(computeRefused(runFleet())).to.be.below(0.01)
+  })
+
+  it('is served by one lender, which asks the leader for little', function () {
+    const lenders = ['l1', 'l2', 'l3', 'l4', 'l5']
+    const rates = runFleet(lenders, 0.8, 10)
+    const asked = (kind: string): number => [...lenders, ...fleet].reduce((sum, host) => sum + rates.countSent(kind, host), 0)
+    this.test!.title += ` (refused ${(100 * computeRefused(rates)).toFixed(2)}%, ${asked('shares/wanted')} loans of the leader for ${rates.decisions.length} requests)`
+    expect(computeRefused(rates)).to.be.below(0.02)
+    expect(asked('shares/wanted')).to.be.below(rates.decisions.length / 3)
+    expect(fleet.reduce((sum, host) => sum + rates.countSent('shares/asked', host), 0)).to.equal(0)
+  })
+
+  it('is served by the leader while its lender does not answer', () => {
+    const lenders = ['l1', 'l2']
+    const rates = RatesSimulation.create([...lenders, ...fleet], limit, NO_FAULTS, 1, true, lenders)
+    rates.changeLeader('l1', 0)
+    rates.schedule(3_000, () => lenders.slice(1).forEach(lender => rates.disconnectHost(lender, 60_000)))
+    for (let atMs = 14_000; atMs < 24_000; atMs += 250) rates.schedule(atMs, () => rates.sendRequest(fleet[Math.floor(atMs / 250) % fleet.length]!))
+    rates.run(26_000)
+    expect(computeRefused(rates)).to.be.below(0.05)
   })
 
   it('is asked for about once a second by each host, not with each of the frequent first renewals', () => {
--- a/src/membership/decide.ts
+++ b/src/membership/decide.ts
@@ -9,7 +9,7 @@
 import { listOwned } from './owners.js'
 import type { Announcement, MembershipState } from './state.js'
 import { answerStatus, drainHost } from './operators.js'
-import { answerRelayed, findRelay, holdHeartbeat, isRelayed, forwardHeld } from './relay.js'
+import { answerRelayed, findRelay, forwardHeld, holdHeartbeat, isRelayed, listRelays } from './relay.js'
 import { sendPeer, setTimer, tell } from '../messages.js'
 
 /** Age of the last answer that proved the primary role, after which a primary is probed although it answers: reads prove nothing. */
@@ -148,6 +148,7 @@
   const grants = listEntries(directory, 'grant')
   return [
     { kind: 'peer/learn', addresses: hosts.map(({ host, peers }) => ({ host, peers })) },
+    tell({ kind: 'admission/lenders-changed', lenders: listRelays(directory).map(({ host }) => host) }),
     tell({ kind: 'timeline/hosts-known', hosts: hosts.map(({ host }) => host) }),
     tell({ kind: 'routing/directory-changed', hosts, databases, grants }),
     tell({ kind: 'transactions/owned-changed', databases: [...state.ownedDatabases.values()], grants })
--- a/src/membership/relay.ts
+++ b/src/membership/relay.ts
@@ -17,6 +17,15 @@
 /** The number of own heartbeats for which an answer of the leader is awaited. */
 const MAX_PENDING_ROUNDS = 20
 
+/**
+ * Lists the control hosts that serve the other hosts of a large fleet; none in a small one.
+ * @example listRelays(directory).map(entry => entry.host)
+ */
+export function listRelays (directory: Directory): readonly HostEntry[] {
+  const hosts = listEntries(directory, 'host')
+  return hosts.length < MIN_RELAYED_HOSTS ? [] : hosts.filter(host => host.control === true && !host.draining)
+}
+
 /**
  * Returns the control host that relays this host's heartbeats: one of its failure domain if there is any. Undefined in a
  * small fleet, and on a control host.
@@ -24,11 +33,9 @@
  */
 export function findRelay (directory: Directory, self: MembershipState['self']): string | undefined {
   if (self === undefined || self.control === true) return undefined
-  const hosts = listEntries(directory, 'host')
-  if (hosts.length < MIN_RELAYED_HOSTS) return undefined
-  const control = hosts.filter(host => host.control === true && !host.draining)
-  const near = control.filter(host => host.failureDomain === self.failureDomain)
-  return pickHeaviest(self.host, (near.length > 0 ? near : control).map(host => host.host))
+  const relays = listRelays(directory)
+  const near = relays.filter(host => host.failureDomain === self.failureDomain)
+  return pickHeaviest(self.host, (near.length > 0 ? near : relays).map(host => host.host))
 }
 
 /**
--- a/src/peers/kinds.ts
+++ b/src/peers/kinds.ts
@@ -4,6 +4,7 @@
 
 const PEER_MESSAGE_KINDS = [
   'admission/lent',
+  'admission/loan-wanted',
   'admission/shares-answered',
   'agreement/append',
   'agreement/appended',
--- a/src/shares/decide.ts
+++ b/src/shares/decide.ts
@@ -77,10 +77,11 @@
   const perSecond = new Map(message.demands.map(demand => [demand.workspace, demand.perSecond]))
   const held = new Map(known === undefined ? message.held?.map(share => [share.workspace, share.parts]) : [])
   const holders = countHolders(store)
-  const idle = [...shared.limits.values()].filter(limit => hasIdleShare(limit, holders)).map(limit => limit.workspace)
+  const lends = message.lends === true
+  const idle = lends ? [] : [...shared.limits.values()].filter(limit => hasIdleShare(limit, holders)).map(limit => limit.workspace)
   const steps = [...new Set([...idle, ...known?.shares.keys() ?? [], ...perSecond.keys(), ...held.keys()])].map(workspace => {
     const share = known?.shares.get(workspace) ?? NO_SHARE
-    const request: ShareRequest = { holder: message.holder, round: message.round, applied: message.applied, perSecond: perSecond.get(workspace) ?? share.perSecond, held: held.get(workspace) ?? 0, mayGrow: !unregistered, holders }
+    const request: ShareRequest = { holder: message.holder, round: message.round, applied: message.applied, perSecond: perSecond.get(workspace) ?? share.perSecond, held: held.get(workspace) ?? 0, mayGrow: !unregistered, holders: lends ? 0 : holders }
     return updateShare(store, workspace, share, request, moment)
   })
   const shares = new Map(steps.filter(step => isUsed(step.share)).map(step => [step.quota.workspace, step.share]))
@@ -113,6 +114,7 @@
   readonly perSecond: number
   readonly held: number
   readonly mayGrow: boolean
+  /** The number of holders for which a part is kept although they have no demand. */
   readonly holders: number
 }
 
--- a/src/shares/messages.ts
+++ b/src/shares/messages.ts
@@ -41,6 +41,8 @@
   readonly held?: readonly HeldShare[]
   /** How long the host has held nothing under this id; absent once it was granted a share. */
   readonly emptyForMs?: number
+  /** True on a lender. It is the only one to serve a workspace, so it gets no share without demand. */
+  readonly lends?: boolean
 }
 
 /** A host has no token left and requests a loan from the reserve. */
--- a/src/shares/reserve.ts
+++ b/src/shares/reserve.ts
@@ -127,14 +127,15 @@
  * as a restarted host whose callers were elsewhere meanwhile, the others return what they hold beyond their part.
  * @param holder.held the most that the holder may currently hold, in parts.
  * @param holder.current the share that it was last granted, in parts.
- * @param holders the number of hosts that hold or request shares.
+ * @param holders the number of hosts that hold or request shares; 0 if a host gets no share without demand.
  * @example chooseParts(quota, limit, { holder: 'h', perSecond: 40, held: 0, current: 0 }, 9).parts
  */
 export function chooseParts (quota: WorkspaceQuota, limit: KnownLimit, holder: { readonly holder: string, readonly perSecond: number, readonly held: number, readonly current: number }, holders: number): ShareChoice {
   if (limit.rate === 0) return { parts: 0, isShort: false }
   const idleDemand = limit.rate * IDLE_DEMAND_FRACTION
-  const totalDemand = Math.max(quota.perSecond, holder.perSecond) + idleDemand * Math.max(1, holders)
-  const fairParts = (TOTAL_PARTS - RESERVE_PARTS) * (holder.perSecond + idleDemand) / totalDemand
+  const ownDemand = holder.perSecond + (holders === 0 ? 0 : idleDemand)
+  const totalDemand = Math.max(quota.perSecond, holder.perSecond) + idleDemand * holders
+  const fairParts = totalDemand === 0 ? 0 : (TOTAL_PARTS - RESERVE_PARTS) * ownDemand / totalDemand
   const reservedParts = Math.max(RESERVE_PARTS, Math.ceil(TOTAL_PARTS * countLentTokens(quota) / limit.burst))
   const freeParts = Math.max(0, TOTAL_PARTS - quota.committed - reservedParts) + holder.held
   const parts = Math.floor(Math.min(fairParts, freeParts))
--- a/src/shares/shares.test.ts
+++ b/src/shares/shares.test.ts
@@ -21,32 +21,33 @@
   return items[Math.floor(random() * items.length)]!
 }
 
-function runFaulty (seed: number): { readonly limit: SimulatedLimit, readonly over: number, readonly admitted: number } {
+function runFaulty (seed: number, lenders: readonly string[] = []): { readonly limit: SimulatedLimit, readonly over: number, readonly admitted: number } {
   const random = createRandom(seed)
   const limit = { rate: pickRandom(random, [20, 60, 200]), burst: pickRandom(random, [5, 20, 60, 200]) }
   const faults = { dropped: pickRandom(random, [0, 0.05, 0.3]), doubled: pickRandom(random, [0, 0.2]), late: pickRandom(random, [0, 0.02, 0.2]) }
-  const world = RatesSimulation.create(HOSTS, limit, faults, seed, seed % 2 === 0)
-  world.changeLeader('h1', 0)
+  const names = [...lenders, ...HOSTS]
+  const world = RatesSimulation.create(names, limit, faults, seed, seed % 2 === 0, lenders)
+  world.changeLeader(names[0]!, 0)
   const times = pickRandom(random, [1, 3, 6])
   let busy = [...HOSTS]
   for (let atMs = 0; atMs < RUN_MS; atMs += -Math.log(1 - random()) * 1_000 / (limit.rate * times)) {
     world.schedule(atMs, () => world.sendRequest(pickRandom(random, busy)))
   }
-  for (let atMs = 500; atMs < RUN_MS; atMs += random() * 2_000) world.schedule(atMs, () => runFault(world, random, hosts => { busy = hosts }))
+  for (let atMs = 500; atMs < RUN_MS; atMs += random() * 2_000) world.schedule(atMs, () => runFault(world, random, names, lenders.length > 0 ? lenders : HOSTS, hosts => { busy = hosts }))
   world.run(RUN_MS)
   return { limit, over: computeMaxExcess(world.decisions, limit), admitted: world.decisions.filter(decision => decision.admitted).length }
 }
 
-function runFault (world: RatesSimulation, random: () => number, move: (busy: string[]) => void): void {
-  const host = pickRandom(random, HOSTS)
+function runFault (world: RatesSimulation, random: () => number, names: readonly string[], leaders: readonly string[], move: (busy: string[]) => void): void {
+  const host = pickRandom(random, names)
   const forMs = random() * 5_000
   switch (pickRandom(random, ['restart', 'restart-all', 'freeze', 'cut', 'lead', 'move', 'move'])) {
     case 'restart': return world.restart(host)
-    case 'restart-all': return HOSTS.forEach(name => world.restart(name))
+    case 'restart-all': return names.forEach(name => world.restart(name))
     case 'freeze': return world.delayHost(host, forMs)
     case 'cut': return world.disconnectHost(host, forMs)
-    case 'lead': return world.changeLeader(host, 1_500)
-    case 'move': return move(HOSTS.filter(() => random() < 0.5).concat(host))
+    case 'lead': return world.changeLeader(leaders.includes(host) ? host : leaders[0]!, 1_500)
+    case 'move': return move(HOSTS.filter(() => random() < 0.5).concat(HOSTS.includes(host) ? host : HOSTS[0]!))
   }
 }
 
@@ -133,6 +134,17 @@
     expect(admitted).to.be.above(RUNS)
   })
 
+  it(`never admit more than burst and rate where control hosts lend them, under the same faults (seeds ${SEED} to ${SEED + RUNS - 1})`, function () {
+    this.timeout(600_000)
+    let admitted = 0
+    for (let seed = SEED; seed < SEED + RUNS; seed++) {
+      const outcome = runFaulty(seed, ['l1', 'l2', 'l3'])
+      admitted += outcome.admitted
+      expect(outcome.over, `seed ${seed}, ${JSON.stringify(outcome.limit)}`).to.be.at.most(0)
+    }
+    expect(admitted).to.be.above(RUNS)
+  })
+
   const cases: ReadonlyArray<{ readonly limit: SimulatedLimit, readonly load: number }> = [
     { limit: { rate: 300, burst: 100 }, load: 0.8 },
     { limit: { rate: 100, burst: 20 }, load: 0.8 },
--- a/test/support/ratessimulation.ts
+++ b/test/support/ratessimulation.ts
@@ -128,9 +128,12 @@
   /** State agreed on by the control hosts; a proposed registration commits within 50 ms, or never if the leader changes first. */
   #holders: HoldersTable = {}
   readonly #registersHolders: boolean
+  /** Control hosts that lend tokens; the others then hold no shares. */
+  readonly #lenders: readonly string[]
 
-  private constructor (names: readonly string[], limit: SimulatedLimit, faults: LinkFaults, seed: number, registers: boolean) {
+  private constructor (names: readonly string[], limit: SimulatedLimit, faults: LinkFaults, seed: number, registers: boolean, lenders: readonly string[]) {
     this.#registersHolders = registers
+    this.#lenders = lenders
     this.random = createRandom(seed)
     this.#limit = limit
     this.#faults = faults
@@ -141,8 +144,8 @@
     }
   }
 
-  static create (names: readonly string[], limit: SimulatedLimit, faults: LinkFaults, seed: number, registers = false): RatesSimulation {
-    return new RatesSimulation(names, limit, faults, seed, registers)
+  static create (names: readonly string[], limit: SimulatedLimit, faults: LinkFaults, seed: number, registers = false, lenders: readonly string[] = []): RatesSimulation {
+    return new RatesSimulation(names, limit, faults, seed, registers, lenders)
   }
 
   get nowMs (): number {
@@ -213,11 +216,12 @@
     host.frozenUntilMs = 0
     host.timers = new Map()
     const slices: readonly Slice[] = [
-      StoreSlice.create({ name: 'admission', shared: createAdmissionShared(false, true, this.#readLocalClock(host)), decide: decideAdmission, checkItem: checkAllowance }),
+      StoreSlice.create({ name: 'admission', shared: createAdmissionShared(false, !this.#lenders.includes(host.name), this.#readLocalClock(host)), decide: decideAdmission, checkItem: checkAllowance }),
       StoreSlice.create({ name: 'shares', shared: createSharesShared(), decide: decideShares, checkItem: checkSharesItem })
     ]
     host.slices = new Map(slices.map(slice => [slice.name, slice]))
     const document = createDocument(this.#limit)
+    this.#process(host, { kind: 'admission/lenders-changed', lenders: this.#lenders })
     // The authority for keys never lapses: these tests cover rates alone.
     this.#process(host, { kind: 'admission/documents-confirmed', documents: [{ kind: 'document', service: 'rota', version: 1, document }], askedAtMs: Number.MAX_SAFE_INTEGER })
   }
