Succession: a move of ownership, or a fleet that starts, is no silence of a primary

Ownership moves with each host that joins; the former owner reports on without the database, so the leader took 700 ms without a status for silence although no host had asked the database. Change: a host that reports without a database of which it was the owner has released it, which gives the next owner 2 s as after a loss; a primary that no owner has asked yet lives as long as it announces itself, for 4 s at most. Before: both new tests appoint a successor (the first after 0.7 s).

--- a/src/succession/candidates.ts
+++ b/src/succession/candidates.ts
@@ -8,6 +8,8 @@
 const HOST_TIMEOUT_MS = 350
 /** Time until the next owner reports after the previous one went silent: the directory evicts a host after 1 s. */
 const OWNER_FAILOVER_MS = 2_000
+/** How long an announced primary may be without an answer to any owner. */
+const FIRST_OWNER_WAIT_MS = 4_000
 /** Maximum age of a candidate's last answer: two probes of an idle replica. */
 const CANDIDATE_ANSWER_MAX_AGE_MS = 2_500
 /** Time after an appointment before the proof of another database overrides it: longer than a promotion takes. */
@@ -47,7 +49,7 @@
 export function findReplacementReason (state: SuccessionState, primary: TrackedDatabase | undefined, nowMs: number): ReplacementReason | undefined {
   if (primary === undefined) return nowMs - state.leadingSinceMs > ANNOUNCEMENT_WAIT_MS ? 'gone' : undefined
   if (primary.entry.departing) return 'departing'
-  const sinceMs = isDomainPartitioned(state, primary) ? state.leadingSinceMs : Math.max(primary.answeredAtMs ?? primary.knownSinceMs + OWNER_FAILOVER_MS, state.leadingSinceMs + REPORT_WAIT_MS)
+  const sinceMs = isDomainPartitioned(state, primary) ? state.leadingSinceMs : Math.max(primary.answeredAtMs ?? estimateFirstAnswerMs(primary), state.leadingSinceMs + REPORT_WAIT_MS)
   const timeoutMs = isOwnerFailoverPending(state, primary, nowMs) ? OWNER_FAILOVER_MS : PRIMARY_TIMEOUT_MS
   if (nowMs - sinceMs >= timeoutMs) return 'silent'
   // The owner asks a primary for its role each second, so one that answers without proof is not primary.
@@ -55,6 +57,12 @@
   return nowMs - provenSinceMs >= PROOF_TIMEOUT_MS ? 'unproven' : undefined
 }
 
+// While a fleet starts, ownership moves with each host that joins, so no owner keeps a database for long enough to get an
+// answer. Until then its announcements show that it lives.
+function estimateFirstAnswerMs ({ knownSinceMs, lastSeenAtMs }: TrackedDatabase): number {
+  return Math.max(knownSinceMs + OWNER_FAILOVER_MS, Math.min(lastSeenAtMs, knownSinceMs + FIRST_OWNER_WAIT_MS))
+}
+
 // The owner is silent while another host of its failure domain, which will take over, is live. If all of them are silent, the domain is partitioned.
 function isOwnerFailoverPending (state: SuccessionState, known: TrackedDatabase, nowMs: number): boolean {
   const isLive = (lastHeartbeatAtMs: number): boolean => nowMs - lastHeartbeatAtMs < HOST_TIMEOUT_MS
--- a/src/succession/decide.test.ts
+++ b/src/succession/decide.test.ts
@@ -33,6 +33,8 @@
   readonly #entries = new Map(DOMAINS.map((_, index) => [index, createEntry(index)]))
   readonly silentHosts = new Set<number>()
   readonly silentDatabases = new Set<number>()
+  /** Databases that no host owns at the moment, while all hosts report. */
+  readonly unowned = new Set<number>()
   readonly offsets = [50, 48, 49]
   /** The transit time of reports. */
   delayMs = 0
@@ -79,7 +81,7 @@
     const entry = this.#entries.get(index)!
     const answering = !this.silentDatabases.has(index)
     const status: DatabaseStatus = { database: entry.database, answering, primary: index === primary, position: { term: 1, offset: this.offsets[index]! }, fencedTerm: 0, ageMs: 0 }
-    this.#decide({ kind: 'succession/reported', host: `host-${index}`, failureDomain: entry.failureDomain, apart: false, leftAtMs: this.#nowMs - this.delayMs, statuses: [status], databases: [entry] })
+    this.#decide({ kind: 'succession/reported', host: `host-${index}`, failureDomain: entry.failureDomain, apart: false, leftAtMs: this.#nowMs - this.delayMs, statuses: this.unowned.has(index) ? [] : [status], databases: [entry] })
   }
 
   #decide (message: SuccessionMessage): void {
@@ -169,6 +171,29 @@
     expect(leader.calls.length).to.equal(0)
   })
 
+  it('does not take a move of ownership for silence of the primary', () => {
+    const leader = TestLeader.create()
+    leader.run(3_000)
+    leader.unowned.add(0)
+    leader.run(1_800)
+    expect(leader.calls.length).to.equal(0)
+    leader.unowned.delete(0)
+    leader.run(3_000)
+    expect(leader.calls.length).to.equal(0)
+    leader.unowned.add(0)
+    leader.run(2_200)
+    expect(leader.calls.length).to.equal(1)
+  })
+
+  it('waits for the first answer of an announced primary while the fleet starts, but not for ever', () => {
+    const leader = TestLeader.create()
+    leader.unowned.add(0)
+    leader.run(4_500)
+    expect(leader.calls.length).to.equal(0)
+    leader.run(500)
+    expect(leader.calls.map(call => call.database)).to.deep.equal(['db-2'])
+  })
+
   it('keeps a departing primary published until its successor is promoted', () => {
     const leader = TestLeader.create()
     leader.run(3_000)
--- a/src/succession/decide.ts
+++ b/src/succession/decide.ts
@@ -71,10 +71,18 @@
   // Ages count from the send time, so a delayed report is not taken for a recent one. A report of unknown age proves no role.
   const sentAtMs = Math.min(nowMs, leftAtMs ?? nowMs)
   for (const status of statuses) recordStatus(known, host, leftAtMs === undefined ? { ...status, primary: false } : status, sentAtMs)
+  releaseUnreported(known, host, statuses)
   const members = new Map([...state.members, ...known])
   return { ...state, databases: known, members, hosts: new Map(state.hosts).set(host, { lastHeartbeatAtMs: nowMs, failureDomain, apart }) }
 }
 
+// As hosts join and leave, ownership moves. The former owner goes on reporting, but not this database.
+function releaseUnreported (databases: Map<string, TrackedDatabase>, host: string, statuses: readonly DatabaseStatus[]): void {
+  for (const [name, known] of databases) {
+    if (known.owner === host && !statuses.some(status => status.database === name)) databases.set(name, { ...known, owner: undefined })
+  }
+}
+
 function recordStatus (databases: Map<string, TrackedDatabase>, host: string, status: DatabaseStatus, sentAtMs: number): void {
   const known = databases.get(status.database)
   if (known === undefined) return
--- a/src/succession/state.ts
+++ b/src/succession/state.ts
@@ -22,6 +22,7 @@
   readonly lastSeenAtMs: number
   /** True if, when this leader began, no host had reported the database since the control hosts restarted: it was known only from the log. */
   readonly remembered?: true
+  /** The host that reported its status last; undefined once that host reports without it. */
   readonly owner?: string
   readonly status?: DatabaseStatus
   /** Lower bound for the time of its last answer; undefined if it has not answered. */
