Agreement: the end of a leader says why, and how late its loop was

Cause: leader-ended named the host alone, so a leader that was cut off could not be told from one short of processor time. Change: the event names the later term or the end of the lease, and how late the last tick of the loop was.

--- a/src/agreement/decide.ts
+++ b/src/agreement/decide.ts
@@ -3,9 +3,10 @@
 import { tell } from '../messages.js'
 import { CatalogMachine, type Catalog, type CatalogCommand, type CatalogOutcome } from './catalog.js'
 import { decideReplica } from './decidereplica.js'
+import { calculateLeaseEnd } from './election.js'
 import { findLastPoint, type Members } from './log.js'
 import type { AgreementMessage, ControlStatus, HostStarted } from './messages.js'
-import { createReplicaState, type AppendRecords, type CommandApplied, type ReplicaEffect, type LeaderChanged, type ReplicaState, type StoreSnapshot } from './replica.js'
+import { createReplicaState, TICK_INTERVAL_MS, type AppendRecords, type CommandApplied, type ReplicaEffect, type LeaderChanged, type ReplicaState, type StoreSnapshot } from './replica.js'
 
 /** State of the agreement slice. */
 export type AgreementState = ReplicaState<Catalog, CatalogCommand>
@@ -33,7 +34,7 @@
   }
   const step = decideReplica(STATE_MACHINE, state, message, moment)
   const effects = step.effects.flatMap(effect => tellSlices(step.state, effect))
-  return { state: step.state, effects: [...effects, ...recordChanges(state, step.state, message)] }
+  return { state: step.state, effects: [...effects, ...recordChanges(state, step.state, message, moment)] }
 }
 
 function createStatus (state: AgreementState, moment: Moment): ControlStatus {
@@ -106,14 +107,23 @@
   ].join(' ')
 }
 
-function recordChanges (before: AgreementState, after: AgreementState, message: AgreementMessage): readonly CoreEffect[] {
+// A tick that comes late shows that the host was short of processor time or suspended, rather than cut off.
+function describeEnd (before: AgreementState, after: AgreementState, moment: Moment): string {
+  const lateMs = Math.max(0, Math.round(moment.monotonicMs - (before.tickedAtMs ?? moment.monotonicMs) - TICK_INTERVAL_MS))
+  const cause = after.hardState.term > before.hardState.term
+    ? `term ${after.hardState.term} has begun`
+    : `its lease ended ${Math.round(moment.monotonicMs - calculateLeaseEnd(before))} ms ago without answers of a majority`
+  return `${cause}; its loop was ${lateMs} ms late`
+}
+
+function recordChanges (before: AgreementState, after: AgreementState, message: AgreementMessage, moment: Moment): readonly CoreEffect[] {
   const events: CoreEffect[] = []
   const { self } = after
   const damage = message.kind === 'agreement/started' ? (message as HostStarted).damage : undefined
   if (damage !== undefined) events.push(recordEvent('journal-damaged', `Host ${self} restarted as a new, empty incarnation: ${damage}.`))
   if (message.kind !== 'agreement/started' && before.hardState.group === undefined && after.hardState.group === after.incarnation && after.log.configurationIndex === 1) events.push(recordEvent('group-formed', `Host ${self} formed the control group.`))
   if (after.leaderState?.established === true && before.leaderState?.established !== true) events.push(recordEvent('leader-elected', `Host ${self} leads the control hosts in term ${after.hardState.term}.`))
-  if (before.leaderState !== undefined && after.leaderState === undefined) events.push(recordEvent('leader-ended', `Host ${self} no longer leads the control hosts.`))
+  if (before.leaderState !== undefined && after.leaderState === undefined) events.push(recordEvent('leader-ended', `Host ${self} no longer leads the control hosts: ${describeEnd(before, after, moment)}.`))
   const { old } = before.log.configuration ?? {}
   const { configuration } = after.log
   if (after.leaderState !== undefined && old !== undefined && configuration?.old === undefined) events.push(recordEvent('control-replaced', describeMemberChange(old, configuration?.members ?? {})))
--- a/src/agreement/decidereplica.ts
+++ b/src/agreement/decidereplica.ts
@@ -58,7 +58,7 @@
 }
 
 function runTick<S, C extends LogCommand, O> (state: ReplicaState<S, C>, moment: Moment): ReplicaStep<S, C, O> {
-  const ticked: ReplicaStep<S, C, O> = { state, effects: [setTimer('agreement/tick', TICK_INTERVAL_MS, { kind: 'agreement/tick' })] }
+  const ticked: ReplicaStep<S, C, O> = { state: { ...state, tickedAtMs: moment.monotonicMs }, effects: [setTimer('agreement/tick', TICK_INTERVAL_MS, { kind: 'agreement/tick' })] }
   return continueWith(ticked, next => {
     if (next.role === 'leader') return runLeaderTick(next, moment)
     const formation = continueWith(requestMembership<S, C, O>(next), announced => createGroup(announced, moment))
--- a/src/agreement/replica.ts
+++ b/src/agreement/replica.ts
@@ -291,6 +291,8 @@
   /** True until this process hears a leader or votes; until then, no leader's lease can rest on this process. */
   readonly coldStart: boolean
   readonly startedAtMs: number
+  /** When the last periodic tick was handled; shows how late this host's loop is. */
+  readonly tickedAtMs?: number
   readonly electionDueAtMs: number
   /** Votes for this host by voter, with the time of the request. */
   readonly votes: ReadonlyMap<string, Vote>
