Routing: hosts reach every owner in turn, and a workspace's reads stay at one of equal databases

Change: each round of polls adds one other owner in turn, so all links stand before they are needed and loads are known; among databases of the same cost a workspace has a preferred one.

--- a/src/requests/decide.ts
+++ b/src/requests/decide.ts
@@ -173,6 +173,7 @@
     caller: caller.caller,
     attempt: running.attempt,
     rules: running.rules,
+    workspace: caller.workspace,
     seen: getSeenPosition(caller.session, running.rules.group),
     avoid: running.excluded,
     primaryOnly: running.primaryOnly
--- a/src/routing/decide.ts
+++ b/src/routing/decide.ts
@@ -190,12 +190,14 @@
   return state.guarantees.selfFencing ? listPeerOwners(state, moment) : listOwnersInUse(state, moment)
 }
 
-// The owners of the groups of which this host owns a database, and those that leave requests of this host unanswered.
+// The owners of the groups of which this host owns a database, those that leave requests of this host unanswered, and
+// one other owner in turn, so that links to all of them are open before requests need them.
 function listPeerOwners (state: RoutingState, moment: Moment): readonly string[] {
   const databases = [...state.databases.values()]
   const groups = new Set(databases.filter(({ owner }) => owner === state.self).map(({ entry }) => entry.group))
+  const turn = databases[state.pollRound % Math.max(1, databases.length)]?.owner
   const isAwaited = (owner: string): boolean => moment.monotonicMs - (state.awaitedOwners.get(owner) ?? Infinity) >= OWNER_POLL_AFTER_MS
-  return [...new Set(databases.flatMap(({ entry, owner }) => (owner !== undefined && owner !== state.self && (groups.has(entry.group) || isAwaited(owner)) ? [owner] : [])))]
+  return [...new Set(databases.flatMap(({ entry, owner }) => (owner !== undefined && owner !== state.self && (groups.has(entry.group) || owner === turn || isAwaited(owner)) ? [owner] : [])))]
 }
 
 // For groups in use on this host: the owners of the primaries and of the databases in this failure
--- a/src/routing/messages.ts
+++ b/src/routing/messages.ts
@@ -7,6 +7,8 @@
 export interface ChooseTarget extends AttemptId {
   readonly kind: 'routing/choose'
   readonly rules: RouteRules
+  /** The workspace that the request belongs to; absent on an open route. */
+  readonly workspace?: string
   /** The latest position of the group that the caller's session has seen. */
   readonly seen: LogPosition
   /** Databases that failed an earlier attempt. */
--- a/src/routing/placement.test.ts
+++ b/src/routing/placement.test.ts
@@ -36,6 +36,15 @@
     expect(pick(createState([0, 0, 0]), ['db-0'])).to.equal('db-1')
   })
 
+  it('keeps the reads of a workspace at one of several equal databases', () => {
+    const state: RoutingState = { ...createState([0, 0, 0]), failureDomain: 'elsewhere' }
+    const pickFor = (workspace: string, roundRobinCounter: number): string | undefined =>
+      pickLeastLoaded({ ...state, roundRobinCounter }, { kind: 'routing/choose', caller: 'c', attempt: 1, rules: RULES, workspace, seen: ORIGIN, avoid: [] })?.entry.database
+    const picked = Array.from({ length: 40 }, (_, index) => [pickFor(`w${index}`, 0), pickFor(`w${index}`, 1)] as const)
+    for (const [first, second] of picked) expect(first).to.equal(second)
+    expect(new Set(picked.map(([first]) => first))).to.deep.equal(new Set(['db-0', 'db-1']))
+  })
+
   it('avoids a host that left the last polls unanswered', () => {
     const unresponsive = createState([0, 0, 0], new Map([['host-0', 2]]))
     expect(isUnresponsiveOwner(unresponsive, 'host-0')).to.equal(true)
--- a/src/routing/placement.ts
+++ b/src/routing/placement.ts
@@ -1,4 +1,5 @@
 /** Load-based placement of reads, for databases that refuse a read whose floor they lack. */
+import { pickHeaviest } from '../core/rendezvous.js'
 import type { ChooseTarget } from './messages.js'
 import type { DatabaseWithOwner, RoutingState } from './state.js'
 
@@ -19,7 +20,14 @@
   const eligible = [...state.databases.values()].filter(database => database.entry.group === group && isEligible(state, database, message))
   const primary = state.grants.get(group)?.primary
   const rated = eligible.map((database, index) => ({ database, cost: calculateCost(state, database, primary), order: (index + state.roundRobinCounter) % eligible.length }))
-  return rated.sort((a, b) => a.cost - b.cost || a.order - b.order)[0]?.database
+  const [first, ...others] = rated.sort((a, b) => a.cost - b.cost || a.order - b.order)
+  return first === undefined ? undefined : pickPreferred(message.workspace, [first, ...others.filter(other => other.cost === first.cost)].map(({ database }) => database))
+}
+
+// A connection serves one workspace, so a workspace whose reads stay at one of several equal databases needs fewer openings.
+function pickPreferred (workspace: string | undefined, equal: readonly DatabaseWithOwner[]): DatabaseWithOwner | undefined {
+  const preferred = workspace === undefined ? undefined : pickHeaviest(workspace, equal.map(({ entry }) => entry.database))
+  return equal.find(({ entry }) => entry.database === preferred) ?? equal[0]
 }
 
 function isEligible (state: RoutingState, { entry, owner }: DatabaseWithOwner, { avoid }: ChooseTarget): boolean {
