Lenders: borrowers and idle lenders report once for each lease, so that no leader waits for their shares

Hosts that had held shares while the fleet was small stayed registered as holders and, as borrowers, never reported, so the new leader waited for the end of leases that nobody held and lent a quarter of each rate. Change: a borrower, and a lender without demand, report that they hold nothing; the leader answers without registering them.

--- a/src/admission/lease.ts
+++ b/src/admission/lease.ts
@@ -2,13 +2,13 @@
 import type { CoreEffect, Moment } from '../core/message.js'
 import { UNCHANGED } from '../core/store.js'
 import { sendPeer, setTimer } from '../messages.js'
-import type { Demand, HeldShare } from '../shares/messages.js'
+import type { Demand, HeldShare, RenewalRequested } from '../shares/messages.js'
 import { LOAN_MS, SHARE_LEASE_MS } from '../shares/state.js'
 import { addTokens, createAllowance, isUnused, refillAllowance, resizeShare, updateDemand } from './allowance.js'
 import { getSharesEndMs } from './lending.js'
 import type { LeaderChanged, LeaseRenewed } from './messages.js'
 import type { AdmissionStep, AdmissionStore } from './rates.js'
-import { findLimit, type Allowance, type ShareLease } from './state.js'
+import { findLimit, type AdmissionShared, type Allowance, type ShareLease } from './state.js'
 
 /** Interval between two renewals of the lease. */
 export const RENEWAL_INTERVAL_MS = 200
@@ -61,8 +61,8 @@
     .map(([workspace, item]): Demand => ({ workspace, perSecond: borrows ? 0 : item.perSecond }))
   const lease: ShareLease = { ...current, round, demandUpdatedAtMs: moment.monotonicMs, sentAtMsByRound: recordRound(current, round, moment) }
   const changes = counted.map(([key, item]) => [key, borrows ? markReported({ ...item, reportedPerSecond: 0 }, false, 0) : markReported(item, reportsAll, item.perSecond)] as const)
-  const needsNone = borrows ? demands.length === 0 : counted.length === 0 && (lease.applied > 0 || !shared.acceptsCallers)
-  const renewals = lease.leader === undefined || needsNone ? [] : [sendRenewal(lease, demands, listHeld(lease, counted), !shared.acceptsCallers, moment)]
+  const needsNone = (borrows ? demands.length === 0 : counted.length === 0) && (lease.applied > 0 || (!shared.acceptsCallers && shared.lenders.length === 0))
+  const renewals = lease.leader === undefined || needsNone ? [] : [sendRenewal(lease, demands, listHeld(lease, counted), describeRole(shared, demands), moment)]
   const holds = counted.some(([, item]) => item.parts > 0)
   const emptyRounds = holds || renewals.length === 0 ? 0 : current.emptyRounds + 1
   return { shared: { ...shared, lease: { ...lease, emptyRounds } }, changes, effects: [...renewals, createRenewalTimer(computeRenewalIntervalMs(emptyRounds))] }
@@ -115,6 +115,11 @@
   return Math.abs(item.perSecond - item.reportedPerSecond) > item.reportedPerSecond * DEMAND_TOLERANCE
 }
 
+function describeRole ({ acceptsCallers, lenders }: AdmissionShared, demands: readonly Demand[]): RenewalRequested['role'] {
+  if (lenders.length > 0 && demands.length === 0 && acceptsCallers) return 'borrower'
+  return acceptsCallers ? undefined : 'lender'
+}
+
 // A host of a large fleet borrows all tokens, so it gives its shares back.
 function isHeldOrReported (item: Allowance): boolean {
   return item.parts > 0 || item.reportedPerSecond > 0
@@ -131,10 +136,10 @@
   return counted.filter(([, item]) => item.parts > 0).map(([workspace, item]) => ({ workspace, parts: item.parts }))
 }
 
-function sendRenewal (lease: ShareLease, demands: readonly Demand[], held: readonly HeldShare[] | undefined, lends: boolean, moment: Moment): CoreEffect {
+function sendRenewal (lease: ShareLease, demands: readonly Demand[], held: readonly HeldShare[] | undefined, role: RenewalRequested['role'], moment: Moment): CoreEffect {
   const { holder, epoch, round, applied, endsAtMs } = lease
   const emptyForMs = endsAtMs === 0 ? moment.monotonicMs - lease.emptySinceMs : undefined
-  return sendPeer(lease.leader!, { kind: 'shares/asked', holder, epoch, round, applied, demands, held, emptyForMs, lends: lends || undefined })
+  return sendPeer(lease.leader!, { kind: 'shares/asked', holder, epoch, round, applied, demands, held, emptyForMs, role })
 }
 
 function createRenewalTimer (afterMs: number): CoreEffect {
--- a/src/shares/decide.ts
+++ b/src/shares/decide.ts
@@ -73,11 +73,12 @@
   // A holder that this leader no longer knows has to start without shares.
   if (known === undefined ? message.applied > 0 : message.round <= known.round) return UNCHANGED
   const { from } = message
+  if (message.role === 'borrower' && known === undefined) return answerBorrower(shared, message, from, moment)
   const unregistered = shared.holders !== undefined && shared.holders[from] !== message.holder
   const perSecond = new Map(message.demands.map(demand => [demand.workspace, demand.perSecond]))
   const held = new Map(known === undefined ? message.held?.map(share => [share.workspace, share.parts]) : [])
   const holders = countHolders(store)
-  const lends = message.lends === true
+  const lends = message.role === 'lender'
   const idle = lends ? [] : [...shared.limits.values()].filter(limit => hasIdleShare(limit, holders)).map(limit => limit.workspace)
   const steps = [...new Set([...idle, ...known?.shares.keys() ?? [], ...perSecond.keys(), ...held.keys()])].map(workspace => {
     const share = known?.shares.get(workspace) ?? NO_SHARE
@@ -92,6 +93,11 @@
   return { shared: recordReport(shared, message, moment), changes: [...steps.map(step => createChange(step.quota)), [`holder/${message.holder}`, holder]], effects: [{ ...answer, notAfterMs: shared.leaseUntilMs }, ...registration] }
 }
 
+function answerBorrower (shared: SharesShared, message: RenewalRequested, from: string, moment: Moment): SharesStep {
+  const answer = sendPeer(from, { kind: 'admission/shares-answered', holder: message.holder, epoch: shared.epoch, round: message.round, shares: [] })
+  return { shared: recordReport(shared, message, moment), effects: [{ ...answer, notAfterMs: shared.leaseUntilMs }] }
+}
+
 // The wait for prior shares ends once every host that may hold some has reported, or holds nothing under a new id.
 function recordReport (shared: SharesShared, { from = '', holder, emptyForMs }: RenewalRequested, moment: Moment): SharesShared {
   if (!shared.unreportedHosts.has(from)) return shared
--- a/src/shares/messages.ts
+++ b/src/shares/messages.ts
@@ -41,8 +41,11 @@
   readonly held?: readonly HeldShare[]
   /** How long the host has held nothing under this id; absent once it was granted a share. */
   readonly emptyForMs?: number
-  /** True on a lender. It is the only one to serve a workspace, so it gets no share without demand. */
-  readonly lends?: boolean
+  /**
+   * A lender is the only one to serve a workspace, so it gets no share without demand. A borrower holds nothing and wants
+   * nothing: it reports once, so that the leader does not wait for shares that it may hold.
+   */
+  readonly role?: 'lender' | 'borrower'
 }
 
 /** A host has no token left and requests a loan from the reserve. */
