Succession: only its owner's report shows that a primary is silent

An idle primary is asked after 400 to 600 ms, and its owner's report takes 100 ms more, 200 through a relay, and longer on a host short of processor time; the leader added that delay to the age of the last answer and called 700 ms silence. Change: while the owner is live, the age counts in its reports alone; a host is live for 600 ms after its last report. Without a live owner the waits are as before: 2 s if another host will take over, 700 ms if the whole failure domain is silent. Before: the new test (answers 600 ms old, one report 450 ms late) appoints a successor. After: none; a report of 700 ms does.

--- a/src/succession/candidates.ts
+++ b/src/succession/candidates.ts
@@ -4,8 +4,8 @@
 
 /** Time without an answer after which a primary is replaced: longer than an overloaded one needs to answer, well below a client's timeout. */
 const PRIMARY_TIMEOUT_MS = 700
-/** How long a host counts as live after its last report: three heartbeats. */
-const HOST_TIMEOUT_MS = 350
+/** How long a host counts as live after its last report: two heartbeats through a relay. */
+const HOST_TIMEOUT_MS = 600
 /** Time until the next owner reports after the previous one went silent: the directory evicts a host after 1 s. */
 const OWNER_FAILOVER_MS = 2_000
 /** How long an announced primary may be without an answer to any owner. */
@@ -51,7 +51,7 @@
   if (primary.entry.departing) return 'departing'
   const sinceMs = isDomainPartitioned(state, primary) ? state.leadingSinceMs : Math.max(primary.answeredAtMs ?? estimateFirstAnswerMs(primary), state.leadingSinceMs + REPORT_WAIT_MS)
   const timeoutMs = isOwnerFailoverPending(state, primary, nowMs) ? OWNER_FAILOVER_MS : PRIMARY_TIMEOUT_MS
-  if (nowMs - sinceMs >= timeoutMs) return 'silent'
+  if (findReportedUntilMs(state, primary, nowMs) - sinceMs >= timeoutMs) return 'silent'
   // The owner asks a primary for its role each second, so one that answers without proof is not primary.
   const provenSinceMs = Math.max(primary.provenAtMs ?? primary.knownSinceMs, state.leadingSinceMs, state.appointedAtMs.get(primary.entry.group) ?? 0)
   return nowMs - provenSinceMs >= PROOF_TIMEOUT_MS ? 'unproven' : undefined
@@ -63,11 +63,20 @@
   return Math.max(knownSinceMs + OWNER_FAILOVER_MS, Math.min(lastSeenAtMs, knownSinceMs + FIRST_OWNER_WAIT_MS))
 }
 
+// A live owner has to say itself that the primary was silent for so long. Its reports are late, through relays or for lack
+// of processor time, so the age of the last one proves nothing.
+function findReportedUntilMs (state: SuccessionState, known: TrackedDatabase, nowMs: number): number {
+  return isLive(state.hosts.get(known.owner ?? ''), nowMs) ? known.reportedAtMs ?? nowMs : nowMs
+}
+
 // The owner is silent while another host of its failure domain, which will take over, is live. If all of them are silent, the domain is partitioned.
 function isOwnerFailoverPending (state: SuccessionState, known: TrackedDatabase, nowMs: number): boolean {
-  const isLive = (lastHeartbeatAtMs: number): boolean => nowMs - lastHeartbeatAtMs < HOST_TIMEOUT_MS
-  if (isLive(state.hosts.get(known.owner ?? '')?.lastHeartbeatAtMs ?? -Infinity)) return false
-  return listDomainHosts(state, known).some(host => isLive(host.lastHeartbeatAtMs))
+  if (isLive(state.hosts.get(known.owner ?? ''), nowMs)) return false
+  return listDomainHosts(state, known).some(host => isLive(host, nowMs))
+}
+
+function isLive (host: ReportingHost | undefined, nowMs: number): boolean {
+  return host !== undefined && nowMs - host.lastHeartbeatAtMs < HOST_TIMEOUT_MS
 }
 
 // The database was known under the previous leader, and no host of its failure domain has reported since. After a
--- a/src/succession/decide.test.ts
+++ b/src/succession/decide.test.ts
@@ -36,6 +36,8 @@
   /** Databases that no host owns at the moment, while all hosts report. */
   readonly unowned = new Set<number>()
   readonly offsets = [50, 48, 49]
+  /** The age of the primary's last answer in the reports of its owner. */
+  statusAgeMs = 0
   /** The transit time of reports. */
   delayMs = 0
 
@@ -80,7 +82,7 @@
   #report (index: number, primary: number): void {
     const entry = this.#entries.get(index)!
     const answering = !this.silentDatabases.has(index)
-    const status: DatabaseStatus = { database: entry.database, answering, primary: index === primary, position: { term: 1, offset: this.offsets[index]! }, fencedTerm: 0, ageMs: 0 }
+    const status: DatabaseStatus = { database: entry.database, answering, primary: index === primary, position: { term: 1, offset: this.offsets[index]! }, fencedTerm: 0, ageMs: index === primary ? this.statusAgeMs : 0 }
     this.#decide({ kind: 'succession/reported', host: `host-${index}`, failureDomain: entry.failureDomain, apart: false, leftAtMs: this.#nowMs - this.delayMs, statuses: this.unowned.has(index) ? [] : [status], databases: [entry] })
   }
 
@@ -171,6 +173,21 @@
     expect(leader.calls.length).to.equal(0)
   })
 
+  it('does not take a late report of a live owner for silence of the primary', () => {
+    const leader = TestLeader.create()
+    leader.run(3_000)
+    leader.statusAgeMs = 600
+    leader.run(100)
+    leader.silentHosts.add(0)
+    leader.run(450)
+    leader.silentHosts.delete(0)
+    leader.run(100)
+    expect(leader.calls.length).to.equal(0)
+    leader.statusAgeMs = 700
+    leader.run(100)
+    expect(leader.calls.length).to.equal(1)
+  })
+
   it('does not take a move of ownership for silence of the primary', () => {
     const leader = TestLeader.create()
     leader.run(3_000)
--- a/src/succession/decide.ts
+++ b/src/succession/decide.ts
@@ -87,9 +87,10 @@
   const known = databases.get(status.database)
   if (known === undefined) return
   const answeredAtMs = sentAtMs - (status.ageMs ?? 0)
-  if (!status.answering) databases.set(status.database, { ...known, owner: host })
+  const reportedAtMs = Math.max(sentAtMs, known.reportedAtMs ?? -Infinity)
+  if (!status.answering) databases.set(status.database, { ...known, owner: host, reportedAtMs })
   else if (answeredAtMs >= (known.answeredAtMs ?? 0)) {
-    databases.set(status.database, { ...known, owner: host, status, answeredAtMs, lastSeenAtMs: Math.max(known.lastSeenAtMs, sentAtMs), provenAtMs: status.primary ? answeredAtMs : known.provenAtMs })
+    databases.set(status.database, { ...known, owner: host, reportedAtMs, status, answeredAtMs, lastSeenAtMs: Math.max(known.lastSeenAtMs, sentAtMs), provenAtMs: status.primary ? answeredAtMs : known.provenAtMs })
   }
 }
 
--- a/src/succession/state.ts
+++ b/src/succession/state.ts
@@ -24,6 +24,8 @@
   readonly remembered?: true
   /** The host that reported its status last; undefined once that host reports without it. */
   readonly owner?: string
+  /** When the owner sent its last report with a status of the database. */
+  readonly reportedAtMs?: number
   readonly status?: DatabaseStatus
   /** Lower bound for the time of its last answer; undefined if it has not answered. */
   readonly answeredAtMs?: number
