Requests: the owner has 300 ms after the deadline to say whether a request ran

They waited in the queue of an owner whose refusal as not run came later than 100 ms after the deadline, since two hosts of 0.3 cores lie between. Change: the entry host waits for it for 300 ms.

--- a/src/requests/decide.test.ts
+++ b/src/requests/decide.test.ts
@@ -103,6 +103,11 @@
     expect(choose!.message).to.include({ kind: 'routing/choose', primaryOnly: true })
   })
 
+  it('leaves the owner 300 ms after the deadline to say whether the request ran', () => {
+    const arrived = take({ kind: 'requests/arrived', caller: 'c', input: { intent: 'statement' }, payload: Buffer.alloc(0) })
+    expect(arrived).to.deep.include({ kind: 'timer/set', name: 'requests/deadline/c', afterMs: 800, message: { kind: 'requests/deadline-passed', caller: 'c', request: 1 } })
+  })
+
   it('closes the transaction after a commit even when its outcome is unknown', () => {
     start('c', RULES, 'begin')
     finish('c', 'open')
--- a/src/requests/decide.ts
+++ b/src/requests/decide.ts
@@ -16,7 +16,7 @@
 /** Fraction of a route's latency target after which a read is retried on another replica; the rest is left for the second attempt. */
 const SLOW_REPLICA_FRACTION = 0.6
 /** How long after the deadline the entry host still waits for the owner's answer. */
-const DEADLINE_GRACE_MS = 100
+const DEADLINE_GRACE_MS = 300
 
 /**
  * Decides on one message of the requests slice.
