--- a/src/agreement/decide.test.ts
+++ b/src/agreement/decide.test.ts
@@ -7,7 +7,7 @@
 
 // A leader whose followers last answered a message of 100 ms before its last tick.
 function createLeader (): AgreementState {
-  const progress = new Map(['h2', 'h3'].map(host => [`${host}/b`, { host, incarnation: 'b', matched: 1, nextIndex: 2, contactAtMs: TICKED_AT_MS - 100 }]))
+  const progress = new Map(['h2', 'h3'].map(host => [`${host}/b`, { host, incarnation: 'b', matched: 1, nextIndex: 2, contactAtMs: TICKED_AT_MS - 100, leaseUntilMs: TICKED_AT_MS + 300 }]))
   const state = createAgreementState()
   return {
     ...state,
--- a/src/agreement/decidereplica.ts
+++ b/src/agreement/decidereplica.ts
@@ -6,7 +6,7 @@
 import { appendCommand, runLeaderTick, startLeadership, handleAppendResponse, handleSnapshotChunkResponse, addLearner } from './leading.js'
 import { createLog, type LogCommand } from './log.js'
 import type { StateMachine } from './statemachine.js'
-import { continueWith, createReplicaState, keepState, releaseSyncedEffects, TICK_INTERVAL_MS, type Propose, type ReplicaMessage, type ReplicaStarted, type ReplicaState, type ReplicaStep, type MembershipRequest } from './replica.js'
+import { continueWith, createReplicaState, keepState, MIN_ELECTION_TIMEOUT_MS, releaseSyncedEffects, TICK_INTERVAL_MS, type Propose, type ReplicaMessage, type ReplicaStarted, type ReplicaState, type ReplicaStep, type MembershipRequest } from './replica.js'
 
 /**
  * Decides on one message of a replica.
@@ -31,6 +31,16 @@
   }
 }
 
+/** A tick that comes later than this counts as late: a quarter of the shortest lease. */
+const LATE_TICK_MS = 100
+/** The late ticks from which on a host counts as short of processor time, and the most that are counted. */
+const LOADED_LATE_TICKS = 3
+const MAX_LATE_TICKS = 6
+/** How much the count falls with each tick that is on time: by one in two seconds. */
+const LATE_TICKS_DECAY = 0.025
+/** How long a host counts as short of processor time after the last sign of it. */
+const LOADED_FOR_MS = 30_000
+
 function start<S, C extends LogCommand, O> (machine: StateMachine<S, C, O>, message: ReplicaStarted<S, C>, moment: Moment): ReplicaStep<S, C, O> {
   const initialState = createReplicaState<S, C>(machine.initial)
   const { self, control, forms = true, voters = 0, recovered, limits = initialState.limits } = message
@@ -50,15 +60,16 @@
     applied: snapshot.state,
     // This host may have voted or answered a leader just before the restart, so it waits out that lease.
     leaderContactAtMs: moment.monotonicMs,
+    promisedUntilMs: moment.monotonicMs + (mark.promisedMs ?? MIN_ELECTION_TIMEOUT_MS),
     coldStart: mark.group !== undefined,
     startedAtMs: moment.monotonicMs,
-    electionDueAtMs: drawElectionTime(moment)
+    electionDueAtMs: drawElectionTime(moment, mark.promisedMs)
   }
   return { state, effects: [setTimer('agreement/tick', TICK_INTERVAL_MS, { kind: 'agreement/tick' })] }
 }
 
 function runTick<S, C extends LogCommand, O> (state: ReplicaState<S, C>, moment: Moment): ReplicaStep<S, C, O> {
-  const ticked: ReplicaStep<S, C, O> = { state: { ...state, tickedAtMs: moment.monotonicMs }, effects: [setTimer('agreement/tick', TICK_INTERVAL_MS, { kind: 'agreement/tick' })] }
+  const ticked: ReplicaStep<S, C, O> = { state: recordLateness(state, moment), effects: [setTimer('agreement/tick', TICK_INTERVAL_MS, { kind: 'agreement/tick' })] }
   return continueWith(ticked, next => {
     if (next.role === 'leader') return runLeaderTick(next, moment)
     const formation = continueWith(requestMembership<S, C, O>(next), announced => createGroup(announced, moment))
@@ -69,6 +80,15 @@
   })
 }
 
+// One late tick may come from a suspended process; several show that it is short of processor time.
+function recordLateness<S, C> (state: ReplicaState<S, C>, moment: Moment): ReplicaState<S, C> {
+  const nowMs = moment.monotonicMs
+  const lateMs = nowMs - (state.tickedAtMs ?? nowMs) - TICK_INTERVAL_MS
+  const lateTicks = lateMs > LATE_TICK_MS ? Math.min(MAX_LATE_TICKS, state.lateTicks + 1) : Math.max(0, state.lateTicks - LATE_TICKS_DECAY)
+  const loadedUntilMs = lateTicks >= LOADED_LATE_TICKS ? nowMs + LOADED_FOR_MS : state.loadedUntilMs
+  return { ...state, tickedAtMs: nowMs, lateTicks, loadedUntilMs }
+}
+
 function propose<S, C extends LogCommand, O> (state: ReplicaState<S, C>, message: Propose<C>, moment: Moment): ReplicaStep<S, C, O> {
   return appendCommand(state, message.command, message.proposal, moment)
 }
--- a/src/agreement/election.ts
+++ b/src/agreement/election.ts
@@ -2,22 +2,21 @@
 import { assertInvariant } from '../core/invariant.js'
 import { sendPeer, type CoreEffect, type Moment } from '../core/message.js'
 import { hasQuorum, findLastPoint, calculateQuorumValue, type LogCommand, type LogPoint } from './log.js'
-import { COLD_START_STAGGER_MS, continueWith, MIN_ELECTION_TIMEOUT_MS, ELECTION_JITTER_MS, isMember, keepState, LEADER_LEASE_MS, listOthers, matchesSelf, nameReplica, sendAfterSync, storeRecords, type JournalRecord, type HardState, type ReplicaEffect, type ReplicaState, type ReplicaStep, type Vote, type VoteResponse, type VoteRequest } from './replica.js'
+import { COLD_START_STAGGER_MS, continueWith, MIN_ELECTION_TIMEOUT_MS, ELECTION_JITTER_MS, isMember, keepState, listOthers, matchesSelf, nameReplica, sendAfterSync, storeRecords, type JournalRecord, type HardState, type ReplicaEffect, type ReplicaState, type ReplicaStep, type Vote, type VoteResponse, type VoteRequest } from './replica.js'
 
-/** Returns a randomised time for the next election, in milliseconds of the monotonic clock. */
-export function drawElectionTime (moment: Moment): number {
-  return moment.monotonicMs + MIN_ELECTION_TIMEOUT_MS + moment.random * ELECTION_JITTER_MS
+/** Returns a randomised time for the next election, in milliseconds of the monotonic clock: later than the promise to a leader. */
+export function drawElectionTime (moment: Moment, holdMs: number = MIN_ELECTION_TIMEOUT_MS): number {
+  return moment.monotonicMs + holdMs + moment.random * ELECTION_JITTER_MS
 }
 
 /** Returns the end of the leader's lease: until then, a majority votes for no other candidate. */
 export function calculateLeaseEnd<S, C> (state: ReplicaState<S, C>): number {
   const { leaderState } = state
   if (leaderState === undefined || state.log.configuration === undefined) return -Infinity
-  const contactAtMs = calculateQuorumValue(state.log.configuration, (host, incarnation) => {
+  return calculateQuorumValue(state.log.configuration, (host, incarnation) => {
     if (incarnation === state.incarnation) return Infinity
-    return leaderState.progress.get(nameReplica(host, incarnation))?.contactAtMs ?? -Infinity
+    return leaderState.progress.get(nameReplica(host, incarnation))?.leaseUntilMs ?? -Infinity
   })
-  return contactAtMs + LEADER_LEASE_MS
 }
 
 /** Steps down to a follower that knows no leader. */
@@ -31,7 +30,7 @@
 /** Enters a later term, in which this host has not voted, and joins its group. The caller must store the hard state. */
 export function beginTerm<S, C, O> (state: ReplicaState<S, C>, group: string, term: number): ReplicaStep<S, C, O> {
   if (term === state.hardState.term && group === state.hardState.group) return keepState(state)
-  const hardState: HardState = term > state.hardState.term ? { group, term } : { ...state.hardState, group }
+  const hardState: HardState = term > state.hardState.term ? { ...state.hardState, votedFor: undefined, group, term } : { ...state.hardState, group }
   return clearLeader({ ...state, hardState })
 }
 
@@ -115,7 +114,7 @@
 function startElectionIfGranted<S, C extends LogCommand, O> (state: ReplicaState<S, C>, moment: Moment): ReplicaStep<S, C, O> {
   if (!hasElectionQuorum(state)) return keepState(state)
   const term = state.hardState.term + 1
-  const voted = recordVote({ ...state, hardState: { group: state.hardState.group, term } }, state.self)
+  const voted = recordVote({ ...state, hardState: { ...state.hardState, votedFor: undefined, term } }, state.self)
   const candidate: ReplicaState<S, C> = { ...voted, role: 'candidate', coldStart: false, votes: new Map(), electionDueAtMs: drawElectionTime(moment) }
   const ownVote = sendPeer(state.self, createVoteResponse(candidate, { pre: false, term, group: voted.hardState.group!, sentAtMs: moment.monotonicMs }, true))
   const requests = createVoteRequests(candidate, { pre: false, cold: isColdElection(state) }, term, moment)
@@ -153,7 +152,8 @@
     if (votedFor === from) return sendAfterSync(entered, sendPeer(from, createVoteResponse(entered, message, true)))
     const granted = votedFor === undefined && coversLog(message.last, findLastPoint(entered.log))
     if (!granted) return storeRecords(entered, [createHardStateRecord(entered)], [sendPeer(from, createVoteResponse(entered, message, false))])
-    const voted: ReplicaState<S, C> = { ...recordVote(entered, from), leaderContactAtMs: moment.monotonicMs, coldStart: false, electionDueAtMs: drawElectionTime(moment) }
+    const promisedUntilMs = Math.max(entered.promisedUntilMs, moment.monotonicMs + MIN_ELECTION_TIMEOUT_MS)
+    const voted: ReplicaState<S, C> = { ...recordVote(entered, from), leaderContactAtMs: moment.monotonicMs, promisedUntilMs, coldStart: false, electionDueAtMs: drawElectionTime(moment) }
     return storeRecords(voted, [createHardStateRecord(voted)], [sendPeer(from, createVoteResponse(voted, message, true))])
   })
 }
@@ -175,7 +175,7 @@
 
 function hasRecentLeader<S, C> (state: ReplicaState<S, C>, moment: Moment): boolean {
   if (state.role === 'leader') return moment.monotonicMs < calculateLeaseEnd(state)
-  return moment.monotonicMs - state.leaderContactAtMs < MIN_ELECTION_TIMEOUT_MS
+  return moment.monotonicMs < state.promisedUntilMs
 }
 
 function coversLog (candidate: LogPoint, own: LogPoint): boolean {
--- a/src/agreement/following.ts
+++ b/src/agreement/following.ts
@@ -5,7 +5,7 @@
 import { createHardStateRecord, drawElectionTime, beginTerm } from './election.js'
 import { appendEntries, createLog, findTerm, findLastPoint, type Entry, type LogCommand, type Snapshot } from './log.js'
 import type { StateMachine } from './statemachine.js'
-import { continueWith, keepState, matchesSelf, sendAfterSync, storeRecords, type AppendRequest, type AppendResponse, type SnapshotChunk, type SnapshotChunkResponse, type JournalRecord, type ReplicaState, type ReplicaStep } from './replica.js'
+import { continueWith, keepState, isLoaded, matchesSelf, MIN_ELECTION_TIMEOUT_MS, sendAfterSync, storeRecords, type AppendRequest, type AppendResponse, type SnapshotChunk, type SnapshotChunkResponse, type JournalRecord, type ReplicaState, type ReplicaStep } from './replica.js'
 
 /** Handles the leader's heartbeat and its entries. */
 export function handleAppend<S, C extends LogCommand, O> (machine: StateMachine<S, C, O>, state: ReplicaState<S, C>, message: AppendRequest<C>, moment: Moment): ReplicaStep<S, C, O> {
@@ -27,12 +27,20 @@
   const from = message.from ?? ''
   return continueWith(beginTerm<S, C, O>(state, message.group, message.term), entered => {
     assertInvariant(entered.leader === undefined || entered.leader === from, 'a term has at most one leader', `${entered.leader} and ${from} in ${message.term}`)
-    const next: ReplicaState<S, C> = { ...entered, role: 'follower', votes: new Map(), leader: from, leaderContactAtMs: moment.monotonicMs, coldStart: false, electionDueAtMs: drawElectionTime(moment) }
+    const { holdMs = MIN_ELECTION_TIMEOUT_MS } = message
+    const promisedUntilMs = Math.max(entered.promisedUntilMs, moment.monotonicMs + holdMs)
+    const next: ReplicaState<S, C> = { ...recordPromise(entered, holdMs), role: 'follower', votes: new Map(), leader: from, leaderContactAtMs: moment.monotonicMs, promisedUntilMs, coldStart: false, electionDueAtMs: drawElectionTime(moment, holdMs) }
     if (entered.leader === from) return keepState(next)
     return { state: next, effects: [{ kind: 'replica/leader', leader: from, term: message.term, state: next.applied }] }
   })
 }
 
+// The longest promise is synced before it is given, since a restarted host has to keep it.
+function recordPromise<S, C> (state: ReplicaState<S, C>, holdMs: number): ReplicaState<S, C> {
+  if (holdMs <= (state.hardState.promisedMs ?? MIN_ELECTION_TIMEOUT_MS)) return state
+  return { ...state, hardState: { ...state.hardState, promisedMs: holdMs } }
+}
+
 function appendFromLeader<S, C extends LogCommand, O> (machine: StateMachine<S, C, O>, state: ReplicaState<S, C>, message: AppendRequest<C>, hardStateChanged: boolean): ReplicaStep<S, C, O> {
   const from = message.from ?? ''
   const hardStateRecords: ReadonlyArray<JournalRecord<C>> = hardStateChanged ? [createHardStateRecord(state)] : []
@@ -68,7 +76,7 @@
   const text = message.offset <= received.length ? received.slice(0, message.offset) + message.text : received
   const complete = message.done && message.offset <= received.length
   if (complete) return installSnapshot({ ...state, incomingSnapshot: undefined }, JSON.parse(text) as Snapshot<S>, message)
-  const answer: SnapshotChunkResponse = { kind: 'agreement/installed', group: message.group, term: message.term, sentAtMs: message.sentAtMs, incarnation: state.incarnation, index: message.index, offset: text.length }
+  const answer: SnapshotChunkResponse = { kind: 'agreement/installed', group: message.group, term: message.term, sentAtMs: message.sentAtMs, incarnation: state.incarnation, index: message.index, offset: text.length, holdMs: message.holdMs }
   return sendAfterSync({ ...state, incomingSnapshot: { from: `${from}/${message.term}`, index: message.index, text } }, sendPeer(from, answer))
 }
 
@@ -81,5 +89,5 @@
 }
 
 function createAppendResponse<S, C> (state: ReplicaState<S, C>, message: AppendRequest<C> | SnapshotChunk, accepted: boolean, index: number): AppendResponse {
-  return { kind: 'agreement/appended', group: message.group, term: state.hardState.term, sentAtMs: message.sentAtMs, incarnation: state.incarnation, accepted, index }
+  return { kind: 'agreement/appended', group: message.group, term: state.hardState.term, sentAtMs: message.sentAtMs, incarnation: state.incarnation, accepted, index, holdMs: message.holdMs, ...(isLoaded(state) ? { loaded: true } : {}) }
 }
--- a/src/agreement/leading.ts
+++ b/src/agreement/leading.ts
@@ -6,10 +6,12 @@
 import { appendEntries, createEntry, findEntry, findTerm, listEntriesFrom, findLastPoint, calculateQuorumValue, type ControlCommand, type LogCommand, type Members } from './log.js'
 import { applyCommitted } from './commit.js'
 import type { StateMachine } from './statemachine.js'
-import { continueWith, MIN_ELECTION_TIMEOUT_MS, keepState, HEARTBEAT_INTERVAL_MS, listOthers, nameReplica, storeRecords, type AppendRequest, type AppendResponse, type SnapshotChunk, type SnapshotChunkResponse, type LeaderState, type OutgoingSnapshot, type Progress, type ReplicaState, type ReplicaStep, type MembershipRequest } from './replica.js'
+import { continueWith, isLoaded, LEADER_LEASE_MS, LEASE_FRACTION, LOADED_HOLD_MS, MIN_ELECTION_TIMEOUT_MS, keepState, HEARTBEAT_INTERVAL_MS, listOthers, nameReplica, storeRecords, type AppendRequest, type AppendResponse, type SnapshotChunk, type SnapshotChunkResponse, type LeaderState, type OutgoingSnapshot, type Progress, type ReplicaState, type ReplicaStep, type MembershipRequest } from './replica.js'
 
 /** Unacknowledged entries allowed in flight to one follower. */
 const MAX_IN_FLIGHT_ENTRIES = 256
+/** How long a follower's report that it is short of processor time counts. */
+const FOLLOWER_LOADED_FOR_MS = 5_000
 /** How long a silent learner (a replica outside of the quorum) is tracked. */
 const LEARNER_TIMEOUT_MS = 5_000
 /** How long a member may be silent before a spare host replaces it: longer than a restart, shorter than a repair may take. */
@@ -22,7 +24,7 @@
   for (const [host, incarnation] of [[state.self, state.incarnation] as const, ...listOthers(state)]) {
     const vote = state.votes.get(host)
     const contactAtMs = vote?.incarnation === incarnation ? vote.sentAtMs : -Infinity
-    progress.set(nameReplica(host, incarnation), { host, incarnation, matched: 0, nextIndex: last.index + 1, contactAtMs })
+    progress.set(nameReplica(host, incarnation), { host, incarnation, matched: 0, nextIndex: last.index + 1, contactAtMs, leaseUntilMs: contactAtMs + LEADER_LEASE_MS })
   }
   const leaderState: LeaderState = { progress, firstIndex: last.index + 1, established: false, proposals: new Map(), electedAtMs: moment.monotonicMs, heartbeatAtMs: moment.monotonicMs, heartbeatCommitted: state.committed }
   const leader: ReplicaState<S, C> = { ...state, role: 'leader', leader: state.self, leaderState, votes: new Map() }
@@ -60,8 +62,9 @@
   assertInvariant(!message.accepted || message.index <= findLastPoint(state.log).index, 'a follower acknowledges only entries of the leader', progress.host)
   const matched = message.accepted ? Math.max(progress.matched, message.index) : progress.matched
   const nextIndex = message.accepted ? Math.max(progress.nextIndex, matched + 1) : Math.max(matched, Math.min(progress.nextIndex - 1, message.index)) + 1
-  const contactAtMs = Math.max(progress.contactAtMs, message.sentAtMs)
-  const updated = updateProgress(state, { ...progress, matched, nextIndex, contactAtMs, outgoingSnapshot: message.accepted ? undefined : progress.outgoingSnapshot })
+  const contacted = recordContact(progress, message)
+  const heard: ReplicaState<S, C> = message.loaded === true ? { ...state, loadedUntilMs: Math.max(state.loadedUntilMs, moment.monotonicMs + FOLLOWER_LOADED_FOR_MS) } : state
+  const updated = updateProgress(heard, { ...contacted, matched, nextIndex, outgoingSnapshot: message.accepted ? undefined : progress.outgoingSnapshot })
   const replica = nameReplica(progress.host, progress.incarnation)
   return continueWith(continueWith(commitMatched(machine, updated), committed => reportLease(committed)), extended => sendPending(extended, replica, moment))
 }
@@ -70,10 +73,9 @@
 export function handleSnapshotChunkResponse<S, C extends LogCommand, O> (state: ReplicaState<S, C>, message: SnapshotChunkResponse, moment: Moment): ReplicaStep<S, C, O> {
   const progress = findProgress(state, message)
   if (progress === undefined) return message.group === state.hardState.group ? learnTerm(state, message.term) : keepState(state)
-  const contactAtMs = Math.max(progress.contactAtMs, message.sentAtMs)
   const matches = progress.outgoingSnapshot?.index === message.index
   const outgoingSnapshot: OutgoingSnapshot | undefined = matches ? { ...progress.outgoingSnapshot!, offset: message.offset } : progress.outgoingSnapshot
-  const updated = updateProgress(state, { ...progress, contactAtMs, outgoingSnapshot })
+  const updated = updateProgress(state, { ...recordContact(progress, message), outgoingSnapshot })
   const advanced = matches && message.offset > progress.outgoingSnapshot!.offset
   const replica = nameReplica(progress.host, progress.incarnation)
   return continueWith(reportLease<S, C, O>(updated), extended => (advanced ? sendNext(extended, replica, moment) : keepState(extended)))
@@ -87,10 +89,19 @@
   if (state.leaderState === undefined || otherGroup || !eligible) return keepState(state)
   const replica = nameReplica(from, message.incarnation)
   if (state.leaderState.progress.has(replica)) return keepState(state)
-  const learner: Progress = { host: from, incarnation: message.incarnation, matched: 0, nextIndex: findLastPoint(state.log).index + 1, contactAtMs: moment.monotonicMs }
+  const learner: Progress = { host: from, incarnation: message.incarnation, matched: 0, nextIndex: findLastPoint(state.log).index + 1, contactAtMs: moment.monotonicMs, leaseUntilMs: -Infinity }
   return sendNext(updateProgress(state, learner), replica, moment)
 }
 
+function recordContact (progress: Progress, { sentAtMs, holdMs = MIN_ELECTION_TIMEOUT_MS }: AppendResponse | SnapshotChunkResponse): Progress {
+  return { ...progress, contactAtMs: Math.max(progress.contactAtMs, sentAtMs), leaseUntilMs: Math.max(progress.leaseUntilMs, sentAtMs + holdMs * LEASE_FRACTION) }
+}
+
+// While hosts are short of processor time, heartbeats and their answers come late; each lost lease would add an election to that load.
+function chooseHold<S, C> (state: ReplicaState<S, C>): { readonly holdMs?: number } {
+  return isLoaded(state) ? { holdMs: LOADED_HOLD_MS } : {}
+}
+
 function findProgress<S, C> (state: ReplicaState<S, C>, message: AppendResponse | SnapshotChunkResponse): Progress | undefined {
   if (message.group !== state.hardState.group || message.term !== state.hardState.term) return undefined
   return state.leaderState?.progress.get(nameReplica(message.from ?? '', message.incarnation))
@@ -188,7 +199,8 @@
     for: progress.incarnation,
     previous: { index: previous, term },
     entries,
-    committed: state.committed
+    committed: state.committed,
+    ...chooseHold(state)
   }
   return { state: updateProgress(state, { ...progress, nextIndex: progress.nextIndex + entries.length }), effects: [sendPeer(progress.host, append)] }
 }
@@ -206,7 +218,8 @@
     index: outgoingSnapshot.index,
     offset: outgoingSnapshot.offset,
     text,
-    done: outgoingSnapshot.offset + text.length >= outgoingSnapshot.text.length
+    done: outgoingSnapshot.offset + text.length >= outgoingSnapshot.text.length,
+    ...chooseHold(state)
   }
   const effects: readonly CoreEffect[] = [sendPeer(progress.host, chunk)]
   return { state: updateProgress(state, { ...progress, outgoingSnapshot }), effects }
--- a/src/agreement/replica.test.ts
+++ b/src/agreement/replica.test.ts
@@ -6,6 +6,8 @@
 const SCHEDULES = Number(process.env.SCHEDULES ?? 10_000)
 const FIRST_SEED = Number(process.env.SEED ?? 1)
 const SCHEDULES_PER_TEST = 1_000
+/** Lateness of timers from which on leaders ask for longer promises. */
+const LATE_MS = 400
 
 describe('replicas under random fault schedules', function () {
   this.timeout(300_000)
@@ -28,4 +30,16 @@
       if (end - first === SCHEDULES_PER_TEST) expect(Object.values(seen).every(count => count > 0), JSON.stringify(seen)).to.equal(true)
     })
   }
+
+  it(`agree on hosts that are short of processor time, with longer promises, for the seeds ${FIRST_SEED} to ${FIRST_SEED + Math.ceil(SCHEDULES / 5) - 1}`, () => {
+    for (let seed = FIRST_SEED; seed < FIRST_SEED + Math.ceil(SCHEDULES / 5); seed++) {
+      const group = ReplicaGroup.create(seed, LATE_MS)
+      try {
+        group.runFaults()
+        group.runHealed()
+      } catch (fault) {
+        throw new Error(`seed ${seed} with timers up to ${LATE_MS} ms late`, { cause: fault })
+      }
+    }
+  })
 })
--- a/src/agreement/replica.ts
+++ b/src/agreement/replica.ts
@@ -13,6 +13,10 @@
  * MIN_ELECTION_TIMEOUT_MS, which bounds the tolerated drift between two clocks' rates.
  */
 export const LEADER_LEASE_MS = 400
+/** The promise that a leader asks for while control hosts are short of processor time, in place of MIN_ELECTION_TIMEOUT_MS. */
+export const LOADED_HOLD_MS = 1_500
+/** The lease of a leader as a fraction of the promise that it rests on. */
+export const LEASE_FRACTION = LEADER_LEASE_MS / MIN_ELECTION_TIMEOUT_MS
 /** Delay between the pre-votes of successive control hosts at a cold start: two round trips and a tick. */
 export const COLD_START_STAGGER_MS = 100
 /** Interval of the periodic tick. */
@@ -23,6 +27,8 @@
   readonly group?: string
   readonly term: number
   readonly votedFor?: string
+  /** The longest promise that this host gave to a leader, if longer than MIN_ELECTION_TIMEOUT_MS: after a restart it waits for so long. */
+  readonly promisedMs?: number
 }
 
 /** One journal record. */
@@ -118,8 +124,14 @@
   readonly known: number
 }
 
+/** The promise to vote for no other candidate, counted from the receipt of a leader's message. */
+interface Promised {
+  /** How long it holds, in milliseconds; MIN_ELECTION_TIMEOUT_MS if absent. The answer repeats it, so that the leader's lease rests on it. */
+  readonly holdMs?: number
+}
+
 /** The leader's heartbeat, with new entries if there are any. */
-export interface AppendRequest<C> extends PeerMessage {
+export interface AppendRequest<C> extends PeerMessage, Promised {
   readonly kind: 'agreement/append'
   readonly for: string
   readonly previous: LogPoint
@@ -128,7 +140,7 @@
 }
 
 /** One chunk of the leader's snapshot. */
-export interface SnapshotChunk extends PeerMessage {
+export interface SnapshotChunk extends PeerMessage, Promised {
   readonly kind: 'agreement/install'
   readonly for: string
   readonly index: number
@@ -139,16 +151,18 @@
 }
 
 /** A follower's response: up to which entry its synced log matches the leader's. */
-export interface AppendResponse extends PeerMessage {
+export interface AppendResponse extends PeerMessage, Promised {
   readonly kind: 'agreement/appended'
   readonly incarnation: string
   readonly accepted: boolean
   /** The last matching entry; if not accepted, the last entry that may match. */
   readonly index: number
+  /** True while the follower is short of processor time. */
+  readonly loaded?: true
 }
 
 /** A follower's response to a snapshot chunk. */
-export interface SnapshotChunkResponse extends PeerMessage {
+export interface SnapshotChunkResponse extends PeerMessage, Promised {
   readonly kind: 'agreement/installed'
   readonly incarnation: string
   readonly index: number
@@ -236,6 +250,8 @@
   readonly nextIndex: number
   /** When the last answered message was sent. */
   readonly contactAtMs: number
+  /** Until when this replica's promises carry the leader's lease; an earlier promise may last longer than the latest one. */
+  readonly leaseUntilMs: number
   readonly outgoingSnapshot?: OutgoingSnapshot
 }
 
@@ -293,6 +309,12 @@
   readonly startedAtMs: number
   /** When the last periodic tick was handled; shows how late this host's loop is. */
   readonly tickedAtMs?: number
+  /** Counts late ticks, and falls with time. */
+  readonly lateTicks: number
+  /** Until then this host counts as short of processor time. */
+  readonly loadedUntilMs: number
+  /** Until then this host votes for no candidate, as it promised to leaders or may have promised before it started. */
+  readonly promisedUntilMs: number
   readonly electionDueAtMs: number
   /** Votes for this host by voter, with the time of the request. */
   readonly votes: ReadonlyMap<string, Vote>
@@ -325,6 +347,9 @@
     applied: initial,
     role: 'follower',
     leaderContactAtMs: 0,
+    lateTicks: 0,
+    loadedUntilMs: 0,
+    promisedUntilMs: 0,
     coldStart: false,
     startedAtMs: 0,
     electionDueAtMs: 0,
@@ -337,6 +362,11 @@
   }
 }
 
+/** Tells whether this host, or a follower of it, has lately been short of processor time. */
+export function isLoaded<S, C> ({ tickedAtMs, loadedUntilMs }: ReplicaState<S, C>): boolean {
+  return tickedAtMs !== undefined && tickedAtMs < loadedUntilMs
+}
+
 /** Returns a step to a state without effects. */
 export function keepState<S, C> (state: ReplicaState<S, C>): { readonly state: ReplicaState<S, C>, readonly effects: readonly never[] } {
   return { state, effects: [] }
--- a/src/agreement/support/group.ts
+++ b/src/agreement/support/group.ts
@@ -82,7 +82,11 @@
   #faulty = true
   #diskCount = 0
 
-  private constructor (seed: number) {
+  /** The most by which a timer fires late, as on hosts that are short of processor time. */
+  readonly #lateMs: number
+
+  private constructor (seed: number, lateMs: number) {
+    this.#lateMs = lateMs
     const generator = xoroshiro128plus(seed)
     this.#random = () => uniformFloat64(generator)
     const hosts = Array.from({ length: this.#random() < 0.8 ? 3 : 5 }, (_, index) => `h${index + 1}`)
@@ -100,8 +104,8 @@
   }
 
   /** Creates a group of empty hosts. */
-  static create (seed: number): ReplicaGroup {
-    return new ReplicaGroup(seed)
+  static create (seed: number, lateMs = 0): ReplicaGroup {
+    return new ReplicaGroup(seed, lateMs)
   }
 
   /** Runs with random faults for FAULTS_MS. */
@@ -234,7 +238,8 @@
 
   #setTimer (process: Process, timer: SetTimer): void {
     const { start } = process
-    this.#schedule(timer.afterMs / process.rate, () => { if (process.start === start) this.#deliver(process, timer.message as ReplicaMessage<Sum, AddCommand>) })
+    const lateMs = this.#faulty && this.#lateMs > 0 ? this.#random() * this.#lateMs : 0
+    this.#schedule(timer.afterMs / process.rate + lateMs, () => { if (process.start === start) this.#deliver(process, timer.message as ReplicaMessage<Sum, AddCommand>) })
   }
 
   #send (process: Process, { to, message }: SendPeer): void {
