Ownership: a lowered or unknown connection limit ends no host

A new leader named the databases before the documents, so the limit fell back to the slots while more connections were open. A document that lowers max_conns below what is open would have done the same on every owner. Change: without a document the known limit stays; connections beyond a lowered limit stay until they end. Before: the host's invariant throws in the first test, the second gets 3. After: both hold.

--- a/src/membership/decide.ts
+++ b/src/membership/decide.ts
@@ -159,7 +159,9 @@
   if (state.self === undefined) return new Map()
   const owned = listOwned(state.self.host, listEntries(directory, 'database'), listEntries(directory, 'host'))
   const groups = new Map(listEntries(directory, 'document').flatMap(({ document }) => document.groups.map(group => [group.name, group.connections] as const)))
-  return new Map(owned.map(entry => [entry.database, entry.connectionLimit > 0 ? entry : { ...entry, connectionLimit: groups.get(entry.group) ?? entry.slots }]))
+  // A new leader may name databases before documents.
+  const findLimit = ({ database, group, slots }: DatabaseEntry): number => groups.get(group) ?? state.ownedDatabases.get(database)?.connectionLimit ?? slots
+  return new Map(owned.map(entry => [entry.database, entry.connectionLimit > 0 ? entry : { ...entry, connectionLimit: findLimit(entry) }]))
 }
 
 function filterOwnedStatuses (statuses: MembershipState['statuses'], owned: MembershipState['ownedDatabases']): MembershipState['statuses'] {
--- a/src/membership/heartbeats.test.ts
+++ b/src/membership/heartbeats.test.ts
@@ -2,7 +2,7 @@
 import { expect } from 'chai'
 import type { Moment } from '../core/message.js'
 import { decideMembership } from './decide.js'
-import type { GrantEntry, HostEntry } from './directory.js'
+import { getEntryKey, type DirectoryEntry, type GrantEntry, type HostEntry } from './directory.js'
 import type { MembershipMessage } from './messages.js'
 import { createMembershipState, type MembershipState } from './state.js'
 
@@ -31,6 +31,16 @@
     expect(state.directory.revision).to.deep.equal({ epoch: 3, count: 1 })
   })
 
+  it('keep the connection limit of an owned database while a new leader has not named its document', () => {
+    const database = { kind: 'database', database: 'db-1', group: 'g', failureDomain: 'east', address: '', slots: 3, connectionLimit: 0, departing: false } as const
+    const document = { kind: 'document', service: 's', version: 1, document: { service: 's', owners: ['ana'], authorityLeaseMs: 2_000, groups: [{ name: 'g', databases: 1, connections: 40 }], workspaces: [], routes: [] } } as const
+    const createDirectoryAnswer = (round: number, epoch: number, entries: readonly DirectoryEntry[]): MembershipMessage =>
+      ({ kind: 'membership/beat-answered', from: 'host-1', round, revision: { epoch, count: entries.length }, changes: entries.map((entry, index) => ({ key: getEntryKey(entry), count: index + 1, entry })) })
+    const first = createDirectoryAnswer(1, 3, [SELF, database, document])
+    expect(run([start, heartbeat, first]).ownedDatabases.get('db-1')?.connectionLimit).to.equal(40)
+    expect(run([start, heartbeat, first, heartbeat, createDirectoryAnswer(2, 4, [SELF, database])]).ownedDatabases.get('db-1')?.connectionLimit).to.equal(40)
+  })
+
   it('keep the newer directory when an earlier answer arrives late', () => {
     const state = run([start, heartbeat, heartbeat, createAnswer(2, 3, 5), createAnswer(1, 3, 4)])
     expect(state.directory.revision.count).to.equal(5)
--- a/src/transactions/decide.test.ts
+++ b/src/transactions/decide.test.ts
@@ -110,6 +110,14 @@
     expect(line).to.deep.include({ level: 'warn', fields: { database: 'a1', connection, reason: 'too many connections', left: 0 } })
   })
 
+  it('keeps its connections when its limit is lowered, and opens no other', () => {
+    start(createRun('c1', 1))
+    start(createRun('c2', 1))
+    replaceOwned({ ...ENTRY, connectionLimit: 1 })
+    expect(readDatabase().connections.size).to.equal(2)
+    expect(listOpened(handle(createRun('c3', 1)))).to.have.length(0)
+  })
+
   it('counts a caller once in a stop, also when it has a transaction and a queued statement, and says which callers are its own', () => {
     start(createRun('c1', 1))
     start(createRun('c2', 1, { from: 'o' }))
--- a/src/transactions/ownership.ts
+++ b/src/transactions/ownership.ts
@@ -69,7 +69,9 @@
   return continueStep({ database: { ...database, releasing: true, connections }, effects: closeEffects }, refuseQueued)
 }
 
-function updateEntry (known: OwnedDatabase, entry: DatabaseEntry, grant: GrantEntry | undefined): DatabaseStep {
+// Connections beyond a lowered limit stay until they end; no other one is opened meanwhile.
+function updateEntry (known: OwnedDatabase, announced: DatabaseEntry, grant: GrantEntry | undefined): DatabaseStep {
+  const entry: DatabaseEntry = { ...announced, connectionLimit: Math.max(announced.connectionLimit, known.connections.size) }
   const step = applyGrant({ ...known, entry, releasing: false }, grant)
   return entry.departing ? continueStep(step, refuseQueued) : step
 }
