Admission: names the parts of a renewal

No change of behaviour: demands to return, changed demands and the question whether a renewal is needed have functions of their own. src/admission and src/shares tests pass.

--- a/src/admission/lease.ts
+++ b/src/admission/lease.ts
@@ -47,27 +47,51 @@
 export function renewLease (store: AdmissionStore, moment: Moment): AdmissionStep {
   const { shared } = store
   const current = resetExpired(shared.lease, moment)
-  const expired = current.holder !== shared.lease.holder
   const round = current.round + 1
   const reportsAll = current.applied === 0 || round % FULL_REPORT_ROUNDS === 0
-  const elapsedMs = moment.monotonicMs - current.demandUpdatedAtMs
-  const counted = [...store.items].map(([key, item]) => {
-    const filled = refillAllowance(item, item, getSharesEndMs({ ...shared, lease: current }), moment.monotonicMs)
-    return [key, updateDemand(expired ? { ...filled, parts: 0 } : filled, elapsedMs)] as const
-  })
-  const borrows = shared.acceptsCallers && shared.lenders.length > 0
-  const demands = counted
-    .filter(([, item]) => (borrows ? isHeldOrReported(item) : reportsAll || isDemandChanged(item)))
-    .map(([workspace, item]): Demand => ({ workspace, perSecond: borrows ? 0 : item.perSecond }))
+  const counted = countDemand(store, current, moment)
+  const returnsShares = isBorrower(shared)
+  const demands = returnsShares ? listReturned(counted) : listChanged(counted, reportsAll)
+  const changes = counted.map(([key, item]) => [key, returnsShares ? markReturned(item) : markReported(item, reportsAll)] as const)
   const lease: ShareLease = { ...current, round, demandUpdatedAtMs: moment.monotonicMs, sentAtMsByRound: recordRound(current, round, moment) }
-  const changes = counted.map(([key, item]) => [key, borrows ? markReported({ ...item, reportedPerSecond: 0 }, false, 0) : markReported(item, reportsAll, item.perSecond)] as const)
-  const needsNone = (borrows ? demands.length === 0 : counted.length === 0) && (lease.applied > 0 || (!shared.acceptsCallers && shared.lenders.length === 0))
-  const renewals = lease.leader === undefined || needsNone ? [] : [sendRenewal(lease, demands, listHeld(lease, counted), describeRole(shared, demands), moment)]
+  const isNeeded = lease.leader !== undefined && isRenewalNeeded(shared, lease, returnsShares ? demands.length : counted.length)
+  const renewals = isNeeded ? [sendRenewal(lease, demands, listHeld(lease, counted), describeRole(shared, demands), moment)] : []
   const holds = counted.some(([, item]) => item.parts > 0)
-  const emptyRounds = holds || renewals.length === 0 ? 0 : current.emptyRounds + 1
+  const emptyRounds = holds || !isNeeded ? 0 : current.emptyRounds + 1
   return { shared: { ...shared, lease: { ...lease, emptyRounds } }, changes, effects: [...renewals, createRenewalTimer(computeRenewalIntervalMs(emptyRounds))] }
 }
 
+type CountedDemand = ReadonlyArray<readonly [string, Allowance]>
+
+function countDemand ({ shared, items }: AdmissionStore, current: ShareLease, moment: Moment): CountedDemand {
+  const isExpired = current.holder !== shared.lease.holder
+  const elapsedMs = moment.monotonicMs - current.demandUpdatedAtMs
+  return [...items].map(([key, item]) => {
+    const filled = refillAllowance(item, item, getSharesEndMs({ ...shared, lease: current }), moment.monotonicMs)
+    return [key, updateDemand(isExpired ? { ...filled, parts: 0 } : filled, elapsedMs)] as const
+  })
+}
+
+// A host of a large fleet borrows all its tokens.
+function isBorrower ({ acceptsCallers, lenders }: AdmissionShared): boolean {
+  return acceptsCallers && lenders.length > 0
+}
+
+// Without demand the leader takes the shares back.
+function listReturned (counted: CountedDemand): readonly Demand[] {
+  return counted.filter(([, item]) => item.parts > 0 || item.reportedPerSecond > 0).map(([workspace]) => ({ workspace, perSecond: 0 }))
+}
+
+function listChanged (counted: CountedDemand, reportsAll: boolean): readonly Demand[] {
+  return counted.filter(([, item]) => reportsAll || isDemandChanged(item)).map(([workspace, item]) => ({ workspace, perSecond: item.perSecond }))
+}
+
+// A host that has nothing to say renews until the leader has answered once, so that the leader waits for no shares of it. A
+// control host of a small fleet never holds any.
+function isRenewalNeeded ({ acceptsCallers, lenders }: AdmissionShared, { applied }: ShareLease, workspaces: number): boolean {
+  return workspaces > 0 || (applied === 0 && (acceptsCallers || lenders.length > 0))
+}
+
 function computeRenewalIntervalMs (emptyRounds: number): number {
   if (emptyRounds === 0) return RENEWAL_INTERVAL_MS
   return emptyRounds <= FIRST_RENEWAL_ROUNDS ? FIRST_RENEWAL_INTERVAL_MS : EMPTY_RENEWAL_INTERVAL_MS
@@ -115,23 +139,23 @@
   return Math.abs(item.perSecond - item.reportedPerSecond) > item.reportedPerSecond * DEMAND_TOLERANCE
 }
 
-function describeRole ({ acceptsCallers, lenders }: AdmissionShared, demands: readonly Demand[]): RenewalRequested['role'] {
-  if (lenders.length > 0 && demands.length === 0 && acceptsCallers) return 'borrower'
-  return acceptsCallers ? undefined : 'lender'
+function describeRole (shared: AdmissionShared, demands: readonly Demand[]): RenewalRequested['role'] {
+  if (!shared.acceptsCallers) return 'lender'
+  return isBorrower(shared) && demands.length === 0 ? 'borrower' : undefined
 }
 
-// A host of a large fleet borrows all tokens, so it gives its shares back.
-function isHeldOrReported (item: Allowance): boolean {
-  return item.parts > 0 || item.reportedPerSecond > 0
+function markReturned (item: Allowance): Allowance | undefined {
+  const next: Allowance = { ...item, reportedPerSecond: 0 }
+  return isUnused(next) ? undefined : next
 }
 
-function markReported (item: Allowance, reportsAll: boolean, perSecond: number): Allowance | undefined {
-  const isChanged = Math.abs(perSecond - item.reportedPerSecond) > item.reportedPerSecond * DEMAND_TOLERANCE
-  const next: Allowance = { ...item, reportedPerSecond: reportsAll || isChanged ? perSecond : item.reportedPerSecond }
-  return isUnused(next) && !isChanged ? undefined : next
+function markReported (item: Allowance, reportsAll: boolean): Allowance | undefined {
+  const reportedPerSecond = reportsAll || isDemandChanged(item) ? item.perSecond : item.reportedPerSecond
+  const next: Allowance = { ...item, reportedPerSecond }
+  return isUnused(next) && !isDemandChanged(item) ? undefined : next
 }
 
-function listHeld (lease: ShareLease, counted: ReadonlyArray<readonly [string, Allowance]>): readonly HeldShare[] | undefined {
+function listHeld (lease: ShareLease, counted: CountedDemand): readonly HeldShare[] | undefined {
   if (lease.applied > 0) return undefined
   return counted.filter(([, item]) => item.parts > 0).map(([workspace, item]) => ({ workspace, parts: item.parts }))
 }
