Pool: a connection that opens holds up only its own workspace

Cause: the queue of a database stopped at its first entry. While the connection of that entry's workspace opened (12 to 27 ms of a slot), the entries of all other workspaces waited, although slots and idle connections of theirs were free; openings went one after the other.

Change: entries are started in the order of turns, past those whose connection is not there yet; several connections open side by side within the slots. A request waits for a connection of its workspace that is free soon. At the limit a connection of a workspace without waiting requests is closed first. A skipped flow keeps its turn: the queue's virtual time is that of its first flow.

--- a/src/fairness/queue.ts
+++ b/src/fairness/queue.ts
@@ -4,7 +4,7 @@
  * Each flow has a virtual time that grows by one with each dequeued entry; the backlogged flow
  * with the lowest virtual time is next. A flow that was idle starts at the queue's virtual time,
  * so it gains no credit while idle. Each operation takes O(log n) and returns a new queue, except
- * that listing the entries and evicting from a full queue visit all flows.
+ * that listing the entries, evicting from a full queue, and looking ahead visit all flows.
  */
 import { assertInvariant } from '../core/invariant.js'
 import { SortedMap } from './sortedmap.js'
@@ -39,7 +39,7 @@
 
 /** An immutable fair queue. */
 export interface FairQueue<Item> {
-  /** Virtual time of the flow that was dequeued last. */
+  /** The lowest virtual time of a backlogged flow when the last entry was dequeued. */
   readonly virtualTime: number
   /** Counter of changes; orders equal virtual times and the entries of a flow. */
   readonly sequence: number
@@ -124,23 +124,49 @@
 }
 
 /**
- * Removes and returns the next entry.
+ * Returns the first entry of the first flow, in the order of turns, that a condition accepts. Flows that it does not
+ * accept keep their turn.
+ * @example findFirstEntry(queue, ({ item }) => hasConnection(item))?.key
+ */
+export function findFirstEntry<Item> (queue: FairQueue<Item>, accepts: (entry: Entry<Item>, flowLength: number) => boolean): Entry<Item> | undefined {
+  for (const name of queue.backloggedFlows.listValues()) {
+    const { entries } = queue.flows.get(name)!
+    const [, entry] = entries.first!
+    if (accepts(entry, entries.size)) return entry
+  }
+  return undefined
+}
+
+/**
+ * Counts the entries that are dequeued before a new entry of a flow, if flows with entries take turns.
+ * @example countEntriesAhead(queue, 'parish') // 3
+ */
+export function countEntriesAhead (queue: FairQueue<unknown>, flow: string): number {
+  const turns = (queue.flows.get(flow)?.entries.size ?? 0) + 1
+  return queue.backloggedFlows.listValues().reduce((sum, name) => sum + Math.min(queue.flows.get(name)!.entries.size, name === flow ? turns - 1 : turns), 0)
+}
+
+/**
+ * Removes and returns the next entry, or the next one of a given flow, which thereby takes its turn early.
  * @example dequeueEntry(queue)?.entry.item
  */
-export function dequeueEntry<Item> (queue: FairQueue<Item>): DequeueResult<Item> | undefined {
-  const next = queue.backloggedFlows.first
-  if (next === undefined) return undefined
-  const [rank, name] = next
-  assertInvariant(rank.virtualTime >= queue.virtualTime, 'virtual time never decreases', `${rank.virtualTime} after ${queue.virtualTime}`)
-  const flow = queue.flows.get(name)!
-  const [, entry] = flow.entries.first!
-  const served = { ...flow, rank: { virtualTime: rank.virtualTime + 1, sequence: queue.sequence } }
+export function dequeueEntry<Item> (queue: FairQueue<Item>, flowName?: string): DequeueResult<Item> | undefined {
+  const first = queue.backloggedFlows.first
+  if (first === undefined) return undefined
+  const [{ virtualTime }, firstName] = first
+  assertInvariant(virtualTime >= queue.virtualTime, 'virtual time never decreases', `${virtualTime} after ${queue.virtualTime}`)
+  const name = flowName ?? firstName
+  const flow = queue.flows.get(name)
+  const next = flow?.entries.first
+  if (flow === undefined || next === undefined) return undefined
+  const [, entry] = next
+  const served = { ...flow, rank: { virtualTime: flow.rank.virtualTime + 1, sequence: queue.sequence } }
   const advanced: FairQueue<Item> = {
     ...queue,
-    virtualTime: rank.virtualTime,
+    virtualTime,
     sequence: queue.sequence + 1,
     flows: queue.flows.set(name, served),
-    backloggedFlows: queue.backloggedFlows.delete(rank).set(served.rank, name)
+    backloggedFlows: queue.backloggedFlows.delete(flow.rank).set(served.rank, name)
   }
   return { queue: evictIdleFlows(removeEntry(advanced, entry.key)), entry }
 }
--- a/src/transactions/pool.ts
+++ b/src/transactions/pool.ts
@@ -3,7 +3,7 @@
 import { writeLog } from '../core/message.js'
 import { setTimer } from '../messages.js'
 import type { DatabaseEffect } from '../databases/driver.js'
-import { countEntries, createQueue, listEntries, dequeueEntry } from '../fairness/queue.js'
+import { countEntries, createQueue, dequeueEntry, findFirstEntry, listEntries } from '../fairness/queue.js'
 import { refuseCatchUpReads } from './catchup.js'
 import type { ConnectionBroken, ConnectionOpenFailed, ConnectionOpened, RunRequest } from './messages.js'
 import type { Connection, OwnedDatabase, UnitOfWork } from './state.js'
@@ -24,11 +24,47 @@
  * @example startQueued(database)
  */
 export function startQueued (database: OwnedDatabase): DatabaseStep {
-  const next = dequeueEntry(database.queue)
-  if (next === undefined || countUsedSlots(database) >= database.entry.slots) return createEmptyStep(database)
-  const idle = findIdleConnection(database, next.entry.item)
-  if (idle === undefined) return openConnection(database, next.entry.item)
-  return continueStep(bindUnit({ ...database, queue: next.queue }, next.entry.item, idle), startQueued)
+  if (countEntries(database.queue) === 0 || countUsedSlots(database) >= database.entry.slots) return createEmptyStep(database)
+  const supply = countConnections(database)
+  const next = findFirstEntry(database.queue, ({ item }, flowLength) => isStartable(supply, item, flowLength))
+  if (next === undefined) return createEmptyStep(database)
+  const idle = findIdleConnection(database, next.item)
+  if (idle === undefined) return openConnection(database, next.item)
+  return continueStep(bindUnit({ ...database, queue: dequeueEntry(database.queue, next.flow)!.queue }, next.item, idle), startQueued)
+}
+
+interface ConnectionSupply {
+  readonly perWorkspace: boolean
+  readonly mayOpen: boolean
+  readonly idle: ReadonlySet<string | undefined>
+  /** Connections by workspace that open, or run a single statement and are free soon. */
+  readonly expected: ReadonlyMap<string | undefined, number>
+}
+
+// Without connections of their own, workspaces share one supply.
+function countConnections (database: OwnedDatabase): ConnectionSupply {
+  const perWorkspace = database.guarantees.connectionPerWorkspace
+  const idle = new Set<string | undefined>()
+  const expected = new Map<string | undefined, number>()
+  for (const connection of database.connections.values()) {
+    const workspace = perWorkspace ? connection.workspace : undefined
+    if (connection.phase === 'idle') idle.add(workspace)
+    else if (connection.phase === 'opening' || isFreeSoon(database, connection)) expected.set(workspace, (expected.get(workspace) ?? 0) + 1)
+  }
+  const hasRoom = database.connections.size < calculateConnectionLimit(database) || (perWorkspace && idle.size > 0)
+  return { perWorkspace, mayOpen: !database.backingOff && hasRoom, idle, expected }
+}
+
+function isFreeSoon ({ units }: OwnedDatabase, { caller }: Connection): boolean {
+  const unit = units.get(caller ?? '')
+  return unit?.phase === 'running' && unit.run.transaction === undefined && unit.run.intent === 'statement'
+}
+
+// An opening takes about as long as a statement, so a request waits for a connection that is free soon. A workspace
+// whose connection opens holds up no other one.
+function isStartable ({ perWorkspace, mayOpen, idle, expected }: ConnectionSupply, { workspace }: RunRequest, flowLength: number): boolean {
+  if (!perWorkspace) return idle.has(undefined) || mayOpen
+  return idle.has(workspace) || (mayOpen && flowLength > (expected.get(workspace) ?? 0))
 }
 
 // Where idle transactions hold no slot, only running units and opening connections count.
@@ -46,10 +82,7 @@
 
 function openConnection (database: OwnedDatabase, message: RunRequest): DatabaseStep {
   const { connectionPerWorkspace } = database.guarantees
-  const openingCount = [...database.connections.values()].filter(connection => connection.phase === 'opening' && (!connectionPerWorkspace || connection.workspace === message.workspace)).length
-  const wanted = Math.min(countEntries(database.queue), database.entry.slots - database.units.size)
-  const openingEnough = connectionPerWorkspace ? openingCount > 0 : openingCount >= wanted
-  if (database.backingOff || openingEnough) return createEmptyStep(database)
+  if (!connectionPerWorkspace && !isOpeningWanted(database)) return createEmptyStep(database)
   const evicted = evictIdleConnection(database)
   if (evicted.database.connections.size >= calculateConnectionLimit(database)) return createEmptyStep(database)
   const connectionsOpened = database.connectionsOpened + 1
@@ -58,19 +91,25 @@
   const connections = new Map(evicted.database.connections).set(connection, { connection, phase: 'opening' as const, workspace })
   const { address, group } = database.entry
   const open: DatabaseEffect = { kind: 'database/open', connection, database: database.entry.database, address, group, workspace }
-  const step: DatabaseStep = { database: { ...evicted.database, connectionsOpened, connections }, effects: [...evicted.effects, open] }
-  return connectionPerWorkspace ? step : continueStep(step, next => openConnection(next, message))
+  return continueStep({ database: { ...evicted.database, connectionsOpened, connections }, effects: [...evicted.effects, open] }, startQueued)
+}
+
+function isOpeningWanted ({ connections, queue, entry, units }: OwnedDatabase): boolean {
+  const openingCount = [...connections.values()].filter(connection => connection.phase === 'opening').length
+  return openingCount < Math.min(countEntries(queue), entry.slots - units.size)
 }
 
 function calculateConnectionLimit ({ entry, guarantees }: OwnedDatabase): number {
   return guarantees.connectionPerWorkspace ? Math.max(1, Math.floor(entry.connectionLimit * OWNER_CONNECTION_SHARE)) : entry.connectionLimit
 }
 
-// At the limit, the connection that was idle longest is evicted; it belongs to another workspace.
+// At the limit, the connection that was idle longest is evicted, if possible one of a workspace that has no requests waiting.
 function evictIdleConnection (database: OwnedDatabase): DatabaseStep {
   const { connections, guarantees } = database
   if (!guarantees.connectionPerWorkspace || connections.size < calculateConnectionLimit(database)) return createEmptyStep(database)
-  const idle = [...connections.values()].find(connection => connection.phase === 'idle')
+  const idleConnections = [...connections.values()].filter(connection => connection.phase === 'idle')
+  const waiting = new Set(listEntries(database.queue).map(({ item }) => item.workspace))
+  const idle = idleConnections.find(({ workspace }) => !waiting.has(workspace)) ?? idleConnections[0]
   if (idle === undefined) return createEmptyStep(database)
   return { database: removeConnection(database, idle.connection), effects: [{ kind: 'database/close', connection: idle.connection }] }
 }
--- /dev/null
+++ b/src/transactions/support/databaseload.ts
@@ -0,0 +1,172 @@
+/** Load on one owned database in simulated time: requests of many workspaces, slots, and connections that take time to open. */
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
+import type { Effect, Message, SendPeer, SetTimer } from '../../core/message.js'
+import { ORIGIN } from '../../core/position.js'
+import { StoreSlice } from '../../core/store.js'
+import type { DatabaseEntry } from '../../membership/directory.js'
+import type { AttemptFailed, AttemptFinished } from '../../requests/messages.js'
+import { decideTransactions } from '../decide.js'
+import { checkOwnedDatabase } from '../invariants.js'
+import type { RunRequest, TransactionsMessage } from '../messages.js'
+import { createTransactionsShared } from '../state.js'
+
+const QUEUE_LENGTH = 200
+const IDLE_TRANSACTION_MS = 3_000
+
+/** The load pattern. */
+export interface DatabaseLoad {
+  readonly seed: number
+  readonly slots: number
+  readonly connectionLimit: number
+  readonly workspaces: number
+  readonly requestsPerSecond: number
+  readonly durationMs: number
+  readonly openMs: number
+  /** The mean time of a statement; statements take from half of it to one and a half times. */
+  readonly statementMs: number
+  readonly remainingMs: number
+}
+
+/** What became of one request. */
+export interface RequestOutcome {
+  readonly outcome: 'finished' | 'refused' | 'expired'
+  readonly elapsedMs: number
+}
+
+/** The outcomes of a run, and the connections that it opened. */
+export interface DatabaseLoadResult {
+  readonly outcomes: readonly RequestOutcome[]
+  readonly opened: number
+}
+
+interface ScheduledStep {
+  readonly atMs: number
+  readonly sequence: number
+  readonly run: () => void
+}
+
+interface OpenDatabase extends Effect { readonly connection: string }
+
+/**
+ * Runs a load pattern against the transactions slice. Large workspaces ask more often: the n-th asks 1/n as often as the first.
+ * @example runDatabaseLoad({ seed: 1, slots: 3, ... }).opened
+ */
+export function runDatabaseLoad (load: DatabaseLoad): DatabaseLoadResult {
+  return DatabaseLoadSimulation.create(load).run()
+}
+
+class DatabaseLoadSimulation {
+  readonly #load: DatabaseLoad
+  readonly #random
+  readonly #slice
+  readonly #steps: ScheduledStep[] = []
+  readonly #timers = new Map<string, number>()
+  readonly #arrivals = new Map<string, number>()
+  readonly #outcomes: RequestOutcome[] = []
+  readonly #shares: readonly number[]
+  #nowMs = 0
+  #sequence = 0
+  #opened = 0
+
+  private constructor (load: DatabaseLoad) {
+    this.#load = load
+    this.#random = xoroshiro128plus(load.seed)
+    const shared = createTransactionsShared(QUEUE_LENGTH, IDLE_TRANSACTION_MS, { selfFencing: true, slotPerStatement: true, connectionPerWorkspace: true })
+    this.#slice = StoreSlice.create({ name: 'transactions', shared, decide: decideTransactions, checkItem: checkOwnedDatabase })
+    this.#shares = Array.from({ length: load.workspaces }, (_, index) => 1 / (index + 1))
+  }
+
+  static create (load: DatabaseLoad): DatabaseLoadSimulation {
+    return new DatabaseLoadSimulation(load)
+  }
+
+  run (): DatabaseLoadResult {
+    const { slots, connectionLimit } = this.#load
+    const entry: DatabaseEntry = { kind: 'database', database: 'a1', group: 'a', failureDomain: 'east', address: '', slots, connectionLimit, departing: false }
+    this.#handle({ kind: 'transactions/owned-changed', databases: [entry], grants: [] })
+    this.#scheduleArrival(1)
+    while (this.#steps.length > 0) {
+      this.#steps.sort((a, b) => b.atMs - a.atMs || b.sequence - a.sequence)
+      const step = this.#steps.pop()!
+      this.#nowMs = step.atMs
+      step.run()
+    }
+    return { outcomes: this.#outcomes, opened: this.#opened }
+  }
+
+  #scheduleArrival (number: number): void {
+    const pauseMs = -Math.log(1 - uniformFloat64(this.#random)) * 1_000 / this.#load.requestsPerSecond
+    if (this.#nowMs + pauseMs > this.#load.durationMs) return
+    this.#schedule(pauseMs, () => {
+      this.#arrive(number)
+      this.#scheduleArrival(number + 1)
+    })
+  }
+
+  #arrive (number: number): void {
+    const caller = `c${number}`
+    this.#arrivals.set(caller, this.#nowMs)
+    const run: RunRequest = {
+      kind: 'transactions/run',
+      from: 'entry',
+      caller,
+      attempt: 1,
+      ticket: { sender: 'p', order: number },
+      service: 's',
+      workspace: `w${this.#drawWorkspace()}`,
+      target: { database: 'a1', owner: 'o', purpose: 'replica', term: 1, floor: ORIGIN },
+      intent: 'statement',
+      remainingMs: this.#load.remainingMs,
+      payload: new Uint8Array(0)
+    }
+    this.#handle(run)
+  }
+
+  #drawWorkspace (): number {
+    let left = uniformFloat64(this.#random) * this.#shares.reduce((sum, share) => sum + share, 0)
+    return this.#shares.findIndex(share => (left -= share) < 0)
+  }
+
+  #schedule (afterMs: number, run: () => void): void {
+    this.#steps.push({ atMs: this.#nowMs + afterMs, sequence: ++this.#sequence, run })
+  }
+
+  #handle (message: TransactionsMessage): void {
+    for (const effect of this.#slice.handle(message, { monotonicMs: this.#nowMs, wallMs: 0, random: 0.5 })) this.#execute(effect)
+  }
+
+  #execute (effect: Effect): void {
+    switch (effect.kind) {
+      case 'database/open': return this.#open((effect as OpenDatabase).connection)
+      case 'database/execute': return this.#startStatement((effect as OpenDatabase).connection)
+      case 'timer/set': return this.#setTimer(effect as SetTimer)
+      case 'timer/clear': this.#timers.delete((effect as Effect & { readonly name: string }).name); return
+      case 'peer/send': return this.#record((effect as SendPeer).message as AttemptFailed | AttemptFinished)
+    }
+  }
+
+  #open (connection: string): void {
+    this.#opened += 1
+    this.#schedule(this.#load.openMs, () => this.#handle({ kind: 'transactions/opened', connection }))
+  }
+
+  #startStatement (connection: string): void {
+    const statementMs = this.#load.statementMs * (0.5 + uniformFloat64(this.#random))
+    this.#schedule(statementMs, () => this.#handle({ kind: 'transactions/finished', connection, status: 'idle', refused: false, payload: new Uint8Array(0) }))
+  }
+
+  #setTimer ({ name, afterMs, message }: SetTimer): void {
+    const sequence = this.#sequence + 1
+    this.#timers.set(name, sequence)
+    this.#schedule(afterMs, () => {
+      if (this.#timers.get(name) === sequence) this.#handle(message as Message as TransactionsMessage)
+    })
+  }
+
+  #record (answer: AttemptFailed | AttemptFinished): void {
+    const elapsedMs = this.#nowMs - this.#arrivals.get(answer.caller)!
+    const outcome = answer.kind === 'requests/finished' ? 'finished' : answer.retriable === true ? 'refused' : 'expired'
+    this.#outcomes.push({ outcome, elapsedMs })
+  }
+}
--- /dev/null
+++ b/src/transactions/workspaces.test.ts
@@ -0,0 +1,18 @@
+/** A database whose connections each serve one workspace, under requests of more workspaces than it has connections. */
+import { expect } from 'chai'
+import { runDatabaseLoad, type DatabaseLoad, type RequestOutcome } from './support/databaseload.js'
+
+const SEEDS = [1, 2, 3, 4, 5]
+/** Requests of 72 workspaces at the rate of half of the slots, if no connection had to be opened. */
+const MANY_WORKSPACES: Omit<DatabaseLoad, 'seed'> = { slots: 3, connectionLimit: 20, workspaces: 72, requestsPerSecond: 75, durationMs: 20_000, openMs: 12, statementMs: 20, remainingMs: 800 }
+/** The tightest latency target of the routes that such databases serve, in milliseconds. */
+const LATENCY_TARGET_MS = 150
+
+const runAll = (load: Omit<DatabaseLoad, 'seed'>) => SEEDS.map(seed => runDatabaseLoad({ ...load, seed }))
+const countIn = (outcomes: readonly RequestOutcome[], limitMs: number): number => outcomes.filter(({ outcome, elapsedMs }) => outcome === 'finished' && elapsedMs <= limitMs).length / outcomes.length
+
+describe('a database under requests of many workspaces', () => {
+  it('serves them within the latency target: a connection that opens holds up only its own workspace', () => {
+    for (const { outcomes } of runAll(MANY_WORKSPACES)) expect(countIn(outcomes, LATENCY_TARGET_MS)).to.be.at.least(0.98)
+  })
+})
