Start-up: a program loads only its own edge, and an idle process wakes less often

Cause: Host imported the PostgreSQL edge as its default, so the platform's bundle loaded pg at each start; pg looks for a Response class, which makes Node.js load its fetch client. prom-client's event loop monitor woke each process 100 times a second.

Change: the edge is named by the program that starts a host. The event loop's delay is sampled every 100 ms.

--- a/src/daemon/host.ts
+++ b/src/daemon/host.ts
@@ -19,7 +19,6 @@
 import type { Edge } from './edge.js'
 import { ProcessExit } from './exit.js'
 import { listenForOperators, listenForPeers, type ListeningServer } from './listen.js'
-import { PostgresEdge } from './postgres.js'
 import { createSlices } from './slices.js'
 
 const INCARNATION_BYTES = 8
@@ -57,12 +56,12 @@
 
   /**
    * Starts a host.
-   * @example await using host = await Host.create(settings, fault => process.exit(70))
+   * @example await using host = await Host.create(settings, fault => process.exit(70), PostgresEdge.create())
    * @param onFault called when the host can't continue, for example after a violated invariant or a failed write to the journal.
-   * @param edge the protocols of callers, databases and their announcements; PostgreSQL when absent.
+   * @param edge the protocols of callers, databases and their announcements. A program loads only the edge that it uses.
    * @throws an Error of the operating system when the host can't listen at an address or open a file.
    */
-  static async create (settings: Settings, onFault: (fault: unknown) => void, edge: Edge = PostgresEdge.create()): Promise<Host> {
+  static async create (settings: Settings, onFault: (fault: unknown) => void, edge: Edge): Promise<Host> {
     const stamps = HybridLogicalClock.create()
     const log = Log.create({ host: settings.host, level: settings.logLevel, stream: edge.logStream, clock: stamps })
     const clock = SystemClock.create()
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -5,6 +5,7 @@
 import { formatFindings } from '../core/findings.js'
 import { parseSettings } from '../settings/settings.js'
 import { Host } from './host.js'
+import { PostgresEdge } from './postgres.js'
 
 const EXIT_SETTINGS_UNREADABLE = 66
 const EXIT_ADDRESS_UNAVAILABLE = 69
@@ -36,7 +37,7 @@
   const host = await Host.create(settings.value, fault => {
     console.error(fault)
     process.exit(EXIT_INTERNAL_ERROR)
-  }).catch((error: Error) => endWithError(EXIT_ADDRESS_UNAVAILABLE, error))
+  }, PostgresEdge.create()).catch((error: Error) => endWithError(EXIT_ADDRESS_UNAVAILABLE, error))
   console.log(JSON.stringify({ ready: host.addresses }))
   process.on('SIGTERM', host.stop)
   await host.stopped
--- a/src/monitoring/metrics.ts
+++ b/src/monitoring/metrics.ts
@@ -11,6 +11,8 @@
 
 const DURATION_BUCKETS_SECONDS = [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5]
 const MS_PER_SECOND = 1_000
+/** How often the delay of the event loop is sampled: each sample wakes an otherwise idle process. */
+const EVENT_LOOP_SAMPLE_MS = 100
 
 /** Counts messages and effects of the loop, and the traffic between hosts. */
 export class Metrics {
@@ -37,7 +39,7 @@
   })
 
   private constructor () {
-    collectDefaultMetrics({ register: this.#registry, prefix: METRIC_PREFIX })
+    collectDefaultMetrics({ register: this.#registry, prefix: METRIC_PREFIX, eventLoopMonitoringPrecision: EVENT_LOOP_SAMPLE_MS })
     this.#addGauge('requests_running', 'Requests that wait or run.', this.#startedAtMs)
     this.#addGauge('callers_connected', 'Connections of callers.', this.#callers)
     this.#addGauge('database_connections', 'Connections to databases that this host owns.', this.#connections)
