Queues: refuses at once what a database can't answer in time

Cause: a request waited in the queue of its database until its deadline.

Ruled out: too few slots (53% of them were needed at that load); the fair queue (each workspace got its turns, with requests that were too old).

Change: an owner measures how fast the entries of a queue start while all its slots are in use. A request whose answer would come after half of its latency target, by the entries that take turns before it, is refused as overloaded, with the time to come back. Reads try another database; writes do not.

--- a/src/explaining/causes.ts
+++ b/src/explaining/causes.ts
@@ -112,7 +112,7 @@
 
   explain (_history: RequestHistory, last: LogLine): Conclusion | undefined {
     const { failure, phase, database } = last.fields
-    if (failure !== 'queue-full' && !(failure === 'deadline-passed' && phase === 'waiting')) return undefined
+    if (failure !== 'queue-full' && failure !== 'overloaded' && !(failure === 'deadline-passed' && phase === 'waiting')) return undefined
     return this.createConclusion(`The request found no free slot of database ${String(database)} before its deadline: the queue of the database was too long.`)
   }
 }
--- a/src/requests/decide.ts
+++ b/src/requests/decide.ts
@@ -196,6 +196,7 @@
     intent: running.input.intent,
     transaction: caller.transaction?.beginAttempt,
     remainingMs: Math.max(0, Math.round(running.deadlineAtMs - moment.monotonicMs)),
+    targetMs: computeTargetMs(running, moment),
     idleMs: running.rules?.idleTransactionMs,
     payload: running.payload
   })
@@ -203,6 +204,11 @@
   return { ...replaceCaller(next, [order, ...createSlowReplicaTimer(next)]), shared: { ...shared, sender, lastTicket: ticket.order } }
 }
 
+function computeTargetMs ({ rules, startedAtMs }: InFlightRequest, moment: Moment): number | undefined {
+  const leftMs = Math.round(startedAtMs + (rules?.latencyMs ?? 0) - moment.monotonicMs)
+  return leftMs > 0 ? leftMs : undefined
+}
+
 // Covers a replica that executes reads but whose answers are lost.
 function createSlowReplicaTimer ({ caller, transaction, running }: Caller): readonly CoreEffect[] {
   const latencyMs = running?.rules?.latencyMs
--- a/src/transactions/decide.ts
+++ b/src/transactions/decide.ts
@@ -10,7 +10,8 @@
 import { abortUnit, createExecute, endOpenBackoff, findUnit, handleConnectionBroken, handleOpenFailed, releaseUnit, startQueued, acceptConnection } from './pool.js'
 import type { StalenessBound } from '../requests/messages.js'
 import { findProvenFloor } from '../routing/staleness.js'
-import { computeLoad, type OwnedDatabase, type TransactionsShared, type UnitOfWork } from './state.js'
+import { computeLoad, nameFlow, type OwnedDatabase, type TransactionsShared, type UnitOfWork } from './state.js'
+import { findOverload, computePace } from './pace.js'
 import { answerFailed, continueStep, setDeadlineTimer, clearDeadlineTimer, createEmptyStep, refuseRun, type DatabaseStep, type TransactionsStep, type TransactionsStore } from './step.js'
 import { acknowledgeDurableWrites, answerFinished } from './durability.js'
 import { isNewSequenceNumber, recordSequenceNumber } from './sequence.js'
@@ -21,6 +22,20 @@
  * @example decideTransactions(store, { kind: 'transactions/opened', connection: 'db-1#1.1' }, moment)
  */
 export function decideTransactions (store: TransactionsStore, message: TransactionsMessage, moment: Moment): TransactionsStep {
+  return updatePaces(store, decideMessage(store, message, moment), moment)
+}
+
+function updatePaces (store: TransactionsStore, step: TransactionsStep, moment: Moment): TransactionsStep {
+  if (step.changes === undefined) return step
+  const changes = step.changes.map(([name, after]) => {
+    if (after === undefined) return [name, after] as const
+    const pace = computePace(store.items.get(name), after, moment)
+    return [name, pace === after.pace ? after : { ...after, pace }] as const
+  })
+  return { ...step, changes }
+}
+
+function decideMessage (store: TransactionsStore, message: TransactionsMessage, moment: Moment): TransactionsStep {
   switch (message.kind) {
     case 'transactions/run': return handleRun(store, message, moment)
     case 'transactions/cancel': return handleCancel(store, message)
@@ -32,7 +47,7 @@
     case 'transactions/credit': return decideFor(store, message.database, database => forwardCredit(database, message))
     case 'transactions/time-over': return decideFor(store, message.database, database => expireDeadline(database, message))
     case 'transactions/stored': return decideFor(store, message.database, database => acknowledgeDurableWrites(database, message))
-    case 'transactions/position-read': return decideFor(store, message.database, database => updatePosition(store.shared, database, message))
+    case 'transactions/position-read': return decideFor(store, message.database, database => updatePosition(store.shared, database, message, moment))
     case 'transactions/look-due': return decideFor(store, message.database, database => pollPosition(database, moment))
     case 'transactions/cooled': return decideFor(store, message.database, endOpenBackoff)
     case 'transactions/opened': return decideFor(store, parseDatabaseName(message.connection), database => acceptConnection(database, message))
@@ -86,7 +101,7 @@
   if (message.transaction !== undefined) return continueUnit(database, message)
   return continueStep(cancelWork(database, message.caller, message.attempt), earlier => {
     if (message.target.bound !== undefined) return startBoundedRead(shared, earlier, message, message.target.bound, moment)
-    return isBehind(earlier, message) ? waitForCatchUp(earlier, message, moment) : enqueue(shared, earlier, message)
+    return isBehind(earlier, message) ? waitForCatchUp(earlier, message, moment) : enqueue(shared, earlier, message, moment)
   })
 }
 
@@ -95,30 +110,33 @@
   const { group } = database.entry
   const samples = shared.samples.get(group) ?? []
   const floor = findProvenFloor(samples, seen, moment.monotonicMs - maxStalenessMs)
-  if (floor !== undefined) return enqueue(shared, database, { ...message, target: { ...message.target, floor, bound: undefined } })
+  if (floor !== undefined) return enqueue(shared, database, { ...message, target: { ...message.target, floor, bound: undefined } }, moment)
   const lastSample = samples[samples.length - 1]
   const inputs: Failure['inputs'] = lastSample === undefined ? {} : { proofAgeMs: Math.round(moment.monotonicMs - lastSample.askedAtMs) }
   return { database, effects: [refuseRun(message, { ...createFailure('no-primary', group), inputs }, database)] }
 }
 
-function enqueue (shared: TransactionsShared, database: OwnedDatabase, message: RunRequest): DatabaseStep {
+function enqueue (shared: TransactionsShared, database: OwnedDatabase, message: RunRequest, moment: Moment): DatabaseStep {
   const refusal = findRefusal(database, message)
   if (refusal !== undefined) return { database, effects: [refuseRun(message, refusal, database)] }
+  const overload = findOverload(database, message, moment)
+  if (overload !== undefined) return { database, effects: [refuseOverload(database, message, overload)] }
   const { queue, refused } = enqueueEntry(database.queue, { flow: nameFlow(message), key: message.caller, item: message }, createLimits(shared))
   const queued = { database: { ...database, queue }, effects: [setDeadlineTimer(message, message.remainingMs), ...refuseDisplaced(database, refused?.item)] }
   return continueStep(queued, startQueued)
 }
 
+// Another database may have room for a read. The primary is the only one for a write, so its caller is told when to come back.
+function refuseOverload (database: OwnedDatabase, message: RunRequest, overload: Failure): DatabaseStep['effects'][number] {
+  return answerFailed(message.from!, message, overload, message.target.purpose === 'replica', computeLoad(database))
+}
+
 function refuseDisplaced (database: OwnedDatabase, message: RunRequest | undefined): DatabaseStep['effects'] {
   if (message === undefined) return []
   const { database: name } = database.entry
   return [clearDeadlineTimer(name, message.caller), refuseRun(message, createFailure('queue-full', name), database)]
 }
 
-function nameFlow (message: RunRequest): string {
-  return `${message.service}/${message.workspace ?? ''}`
-}
-
 // One workspace takes at most half of the queue.
 function createLimits (shared: TransactionsShared): QueueLimits {
   return { length: shared.queueLength, flowLength: Math.ceil(shared.queueLength / 2) }
@@ -195,9 +213,9 @@
   }
 }
 
-function updatePosition (shared: TransactionsShared, database: OwnedDatabase, message: PositionRead): DatabaseStep {
+function updatePosition (shared: TransactionsShared, database: OwnedDatabase, message: PositionRead, moment: Moment): DatabaseStep {
   const split = splitCovered({ ...database, position: message.position })
-  return split.ready.reduce((step, read) => continueStep(step, next => enqueue(shared, next, read)), createEmptyStep(split.database))
+  return split.ready.reduce((step, read) => continueStep(step, next => enqueue(shared, next, read, moment)), createEmptyStep(split.database))
 }
 
 function handleCancel (store: TransactionsStore, message: CancelRequest): TransactionsStep {
--- a/src/transactions/messages.ts
+++ b/src/transactions/messages.ts
@@ -27,6 +27,8 @@
   /** The attempt that began the caller's open transaction; absent outside a transaction. */
   readonly transaction?: number
   readonly remainingMs: number
+  /** What is left of the route's latency target; absent where the route has none, or it has passed. */
+  readonly targetMs?: number
   /** How long the transaction may stay idle; the host's limit applies when absent. */
   readonly idleMs?: number
   readonly payload: Uint8Array
--- a/src/transactions/ownership.ts
+++ b/src/transactions/ownership.ts
@@ -55,6 +55,8 @@
     connectionsOpened: 0,
     units: new Map(),
     queue: createQueue(),
+    started: 0,
+    pace: {},
     catchUpReads: [],
     pendingWrites: [],
     durablePosition: ORIGIN
--- /dev/null
+++ b/src/transactions/pace.ts
@@ -0,0 +1,51 @@
+/**
+ * The pace of a database's queue: how fast its entries start while all slots are in use, and whether a new entry is answered
+ * in time. Covers the load pattern of more requests than the slots serve, in which every request would wait until it is late.
+ */
+import { createFailure, type Failure } from '../core/errors.js'
+import type { Moment } from '../core/message.js'
+import { countEntries, countEntriesAhead } from '../fairness/queue.js'
+import type { RunRequest } from './messages.js'
+import { countUsedSlots, nameFlow, type OwnedDatabase, type QueuePace } from './state.js'
+
+/** Weight of one start in the average of the intervals. */
+const SAMPLE_WEIGHT = 0.1
+/** Fraction of the latency target within which the estimated answer has to come: requests that arrive later take turns, too. */
+const TARGET_FRACTION = 0.5
+
+/**
+ * Computes the pace after a decision.
+ * @example computePace(before, after, moment).startIntervalMs // 8.3
+ */
+export function computePace (before: OwnedDatabase | undefined, after: OwnedDatabase, moment: Moment): QueuePace {
+  const { startIntervalMs, saturatedSinceMs } = after.pace
+  const saturated = countEntries(after.queue) > 0 && countUsedSlots(after) >= after.entry.slots
+  const starts = after.started - (before?.started ?? 0)
+  if (saturatedSinceMs === undefined) return saturated ? { startIntervalMs, saturatedSinceMs: moment.monotonicMs } : after.pace
+  if (starts === 0) return saturated ? after.pace : { startIntervalMs }
+  const intervalMs = computeAverage(startIntervalMs, (moment.monotonicMs - saturatedSinceMs) / starts, starts)
+  return { startIntervalMs: intervalMs, saturatedSinceMs: saturated ? moment.monotonicMs : undefined }
+}
+
+function computeAverage (averageMs: number | undefined, sampleMs: number, starts: number): number {
+  if (averageMs === undefined) return sampleMs
+  return averageMs + (sampleMs - averageMs) * (1 - (1 - SAMPLE_WEIGHT) ** starts)
+}
+
+/**
+ * Returns the refusal of a request that would be answered after its latency target, or after its deadline where it has no
+ * target or the target has passed; undefined where it may be in time.
+ * @example findOverload(database, message, moment)?.code // 'overloaded'
+ */
+export function findOverload (database: OwnedDatabase, message: RunRequest, moment: Moment): Failure | undefined {
+  const { startIntervalMs = 0, saturatedSinceMs } = database.pace
+  if (saturatedSinceMs === undefined) return undefined
+  const ahead = countEntriesAhead(database.queue, nameFlow(message))
+  const waitMs = Math.max(ahead * startIntervalMs, moment.monotonicMs - saturatedSinceMs)
+  // Each of the slots starts one entry in this time, so it is how long a statement takes.
+  const answerMs = waitMs + startIntervalMs * database.entry.slots
+  const limitMs = Math.min(message.remainingMs, (message.targetMs ?? Infinity) * TARGET_FRACTION)
+  if (answerMs <= limitMs) return undefined
+  const retryAfterMs = Math.ceil((answerMs - limitMs) * (1 + moment.random))
+  return { ...createFailure('overloaded', database.entry.database), retryAfterMs, inputs: { ahead, startIntervalMs: Number(startIntervalMs.toFixed(1)), answerMs: Math.round(answerMs), limitMs } }
+}
--- a/src/transactions/pool.ts
+++ b/src/transactions/pool.ts
@@ -6,7 +6,7 @@
 import { countEntries, createQueue, dequeueEntry, findFirstEntry, listEntries } from '../fairness/queue.js'
 import { refuseCatchUpReads } from './catchup.js'
 import type { ConnectionBroken, ConnectionOpenFailed, ConnectionOpened, RunRequest } from './messages.js'
-import type { Connection, OwnedDatabase, UnitOfWork } from './state.js'
+import { countUsedSlots, type Connection, type OwnedDatabase, type UnitOfWork } from './state.js'
 import { answerFailed, continueStep, clearDeadlineTimer, createEmptyStep, refuseRun, type DatabaseStep } from './step.js'
 
 /**
@@ -67,13 +67,6 @@
   return idle.has(workspace) || (mayOpen && flowLength > (expected.get(workspace) ?? 0))
 }
 
-// Where idle transactions hold no slot, only running units and opening connections count.
-function countUsedSlots ({ guarantees, units, connections }: OwnedDatabase): number {
-  if (!guarantees.slotPerStatement) return units.size
-  const running = [...units.values()].filter(unit => unit.phase === 'running').length
-  return running + [...connections.values()].filter(connection => connection.phase === 'opening').length
-}
-
 // The most recently used connection is the least likely to have been closed in the meantime.
 function findIdleConnection (database: OwnedDatabase, { workspace }: RunRequest): Connection | undefined {
   const anyWorkspace = !database.guarantees.connectionPerWorkspace
@@ -120,6 +113,7 @@
   const unit: UnitOfWork = { caller, from: message.from!, connection, phase: 'running', firstAttempt: attempt, run: message, partsSent: 0 }
   const next: OwnedDatabase = {
     ...database,
+    started: database.started + 1,
     units: new Map(database.units).set(caller, unit),
     connections: new Map(database.connections).set(connection, { ...idle, phase: 'bound', caller })
   }
--- a/src/transactions/state.ts
+++ b/src/transactions/state.ts
@@ -49,6 +49,14 @@
   readonly expiresAtMs: number
 }
 
+/** How fast the entries of a queue start while all slots are in use. */
+export interface QueuePace {
+  /** The average time between two starts; absent until it was measured. */
+  readonly startIntervalMs?: number
+  /** The monotonic time since which all slots are in use and entries wait, or of the last start since then. */
+  readonly saturatedSinceMs?: number
+}
+
 /** A database that this host owns. */
 export interface OwnedDatabase {
   readonly entry: DatabaseEntry
@@ -70,6 +78,9 @@
   readonly connectionsOpened: number
   readonly units: ReadonlyMap<string, UnitOfWork>
   readonly queue: FairQueue<RunRequest>
+  /** Queued requests that were started so far. */
+  readonly started: number
+  readonly pace: QueuePace
   readonly catchUpReads: readonly CatchUpRead[]
   readonly pendingWrites: readonly PendingWrite[]
   readonly durablePosition: LogPosition
@@ -91,6 +102,24 @@
   readonly samples: ReadonlyMap<string, readonly PrimarySample[]>
 }
 
+/**
+ * Counts the slots in use. Where idle transactions hold no slot, only running units and opening connections count.
+ * @example countUsedSlots(database) // 2
+ */
+export function countUsedSlots ({ guarantees, units, connections }: OwnedDatabase): number {
+  if (!guarantees.slotPerStatement) return units.size
+  const running = [...units.values()].filter(unit => unit.phase === 'running').length
+  return running + [...connections.values()].filter(connection => connection.phase === 'opening').length
+}
+
+/**
+ * Names the flow of a request in the fair queue: one for each workspace of a service.
+ * @example nameFlow(message) // 'rota/parish'
+ */
+export function nameFlow ({ service, workspace }: RunRequest): string {
+  return `${service}/${workspace ?? ''}`
+}
+
 /**
  * Returns the running and queued requests per slot; undefined where placement does not need it.
  * @example computeLoad(database) // 1.33
--- a/src/transactions/support/databaseload.ts
+++ b/src/transactions/support/databaseload.ts
@@ -26,6 +26,8 @@
   /** The mean time of a statement; statements take from half of it to one and a half times. */
   readonly statementMs: number
   readonly remainingMs: number
+  /** The latency target of the requests; none when absent. */
+  readonly targetMs?: number
 }
 
 /** What became of one request. */
@@ -118,6 +120,7 @@
       target: { database: 'a1', owner: 'o', purpose: 'replica', term: 1, floor: ORIGIN },
       intent: 'statement',
       remainingMs: this.#load.remainingMs,
+      targetMs: this.#load.targetMs,
       payload: new Uint8Array(0)
     }
     this.#handle(run)
@@ -166,7 +169,7 @@
 
   #record (answer: AttemptFailed | AttemptFinished): void {
     const elapsedMs = this.#nowMs - this.#arrivals.get(answer.caller)!
-    const outcome = answer.kind === 'requests/finished' ? 'finished' : answer.retriable === true ? 'refused' : 'expired'
+    const outcome = answer.kind === 'requests/finished' ? 'finished' : answer.failure.code === 'deadline-passed' ? 'expired' : 'refused'
     this.#outcomes.push({ outcome, elapsedMs })
   }
 }
--- a/src/transactions/workspaces.test.ts
+++ b/src/transactions/workspaces.test.ts
@@ -8,6 +8,9 @@
 /** The tightest latency target of the routes that such databases serve, in milliseconds. */
 const LATENCY_TARGET_MS = 150
 
+/** Twice the requests that the slots can serve, from eight workspaces. */
+const OVERLOAD: Omit<DatabaseLoad, 'seed'> = { slots: 3, connectionLimit: 48, workspaces: 8, requestsPerSecond: 300, durationMs: 20_000, openMs: 12, statementMs: 20, remainingMs: 800, targetMs: LATENCY_TARGET_MS }
+
 const runAll = (load: Omit<DatabaseLoad, 'seed'>) => SEEDS.map(seed => runDatabaseLoad({ ...load, seed }))
 const countIn = (outcomes: readonly RequestOutcome[], limitMs: number): number => outcomes.filter(({ outcome, elapsedMs }) => outcome === 'finished' && elapsedMs <= limitMs).length / outcomes.length
 
@@ -15,4 +18,14 @@
   it('serves them within the latency target: a connection that opens holds up only its own workspace', () => {
     for (const { outcomes } of runAll(MANY_WORKSPACES)) expect(countIn(outcomes, LATENCY_TARGET_MS)).to.be.at.least(0.98)
   })
+
+  it('answers what the slots can serve within the latency target while twice as much arrives, and refuses the rest at once', () => {
+    const served = OVERLOAD.slots * 1_000 / OVERLOAD.statementMs / OVERLOAD.requestsPerSecond
+    for (const { outcomes } of runAll(OVERLOAD)) {
+      expect(countIn(outcomes, LATENCY_TARGET_MS)).to.be.at.least(0.8 * served)
+      expect(outcomes.filter(({ outcome }) => outcome === 'expired')).to.have.length(0)
+      const refused = outcomes.filter(({ outcome }) => outcome === 'refused')
+      expect(Math.max(...refused.map(({ elapsedMs }) => elapsedMs))).to.equal(0)
+    }
+  })
 })
