Queues: one statement more than slots, the whole target for each queue, and slow reads told by their owner

Cause, from the refusals' own inputs: entries of a queue started every 25 to 140 ms where the database needs 6, since an owner of 0.324 cores counted a slot as used until it had processed the answer. And 744 reads in 4 s were cancelled and repeated after 0.6 of their target while they waited in a queue; each cancelled read that ran closed its connection, and made its request's outcome unknown.

Ruled out: the databases (18 ms a statement, 53% of their slots needed).

Change: a database that holds slots by statement gets one statement more than it has slots. The limit of a queue is half of the route's whole target. The owner reports a read that runs for 0.6 of the target since its start; the caller's host tries again by itself only after the whole target, which covers a lost owner.

--- a/src/peers/kinds.ts
+++ b/src/peers/kinds.ts
@@ -30,6 +30,7 @@
   'primacy/obeyed',
   'requests/failed',
   'requests/finished',
+  'requests/late',
   'requests/output',
   'routing/positions-asked',
   'routing/positions-told',
--- a/src/requests/decide.ts
+++ b/src/requests/decide.ts
@@ -13,8 +13,6 @@
 
 /** How long a host may rely on a grant, counted from the time at which it requested the confirmation. */
 export const GRANT_LEASE_MS = 1_000
-/** Fraction of a route's latency target after which a read is retried on another replica; the rest is left for the second attempt. */
-const SLOW_REPLICA_FRACTION = 0.6
 /** How long after the deadline the entry host still waits for the owner's answer. */
 const DEADLINE_GRACE_MS = 300
 
@@ -196,7 +194,7 @@
     intent: running.input.intent,
     transaction: caller.transaction?.beginAttempt,
     remainingMs: Math.max(0, Math.round(running.deadlineAtMs - moment.monotonicMs)),
-    targetMs: computeTargetMs(running, moment),
+    latencyMs: running.rules?.latencyMs,
     idleMs: running.rules?.idleTransactionMs,
     payload: running.payload
   })
@@ -204,17 +202,12 @@
   return { ...replaceCaller(next, [order, ...createSlowReplicaTimer(next)]), shared: { ...shared, sender, lastTicket: ticket.order } }
 }
 
-function computeTargetMs ({ rules, startedAtMs }: InFlightRequest, moment: Moment): number | undefined {
-  const leftMs = Math.round(startedAtMs + (rules?.latencyMs ?? 0) - moment.monotonicMs)
-  return leftMs > 0 ? leftMs : undefined
-}
-
-// Covers a replica that executes reads but whose answers are lost.
+// The owner reports a replica that does not answer. This timer covers an owner that is lost.
 function createSlowReplicaTimer ({ caller, transaction, running }: Caller): readonly CoreEffect[] {
   const latencyMs = running?.rules?.latencyMs
   const single = running?.target?.purpose === 'replica' && transaction === undefined && running.input.intent === 'statement'
   if (!single || latencyMs === undefined) return []
-  return [setTimer(`requests/late/${caller}`, latencyMs * SLOW_REPLICA_FRACTION, { kind: 'requests/late', caller, attempt: running.attempt })]
+  return [setTimer(`requests/late/${caller}`, latencyMs, { kind: 'requests/late', caller, attempt: running.attempt })]
 }
 
 // A replica only runs reads, so another one may repeat the statement within the retry budget.
--- a/src/requests/messages.ts
+++ b/src/requests/messages.ts
@@ -174,7 +174,7 @@
   readonly request: number
 }
 
-/** A replica has not answered a read within a fraction of its latency target. */
+/** A replica runs a read for longer than a fraction of its latency target, or its owner has not answered within the target. */
 export interface ReplicaSlow extends AttemptId {
   readonly kind: 'requests/late'
 }
--- a/src/transactions/decide.ts
+++ b/src/transactions/decide.ts
@@ -14,6 +14,7 @@
 import { findOverload, computePace } from './pace.js'
 import { answerFailed, continueStep, setDeadlineTimer, clearDeadlineTimer, createEmptyStep, refuseRun, type DatabaseStep, type TransactionsStep, type TransactionsStore } from './step.js'
 import { acknowledgeDurableWrites, answerFinished } from './durability.js'
+import { clearSlowReadTimer, reportSlowRead } from './slowread.js'
 import { isNewSequenceNumber, recordSequenceNumber } from './sequence.js'
 import { sendPeer, tell } from '../messages.js'
 
@@ -48,6 +49,7 @@
     case 'transactions/time-over': return decideFor(store, message.database, database => expireDeadline(database, message))
     case 'transactions/stored': return decideFor(store, message.database, database => acknowledgeDurableWrites(database, message))
     case 'transactions/position-read': return decideFor(store, message.database, database => updatePosition(store.shared, database, message, moment))
+    case 'transactions/read-slow': return decideFor(store, message.database, database => reportSlowRead(database, message))
     case 'transactions/look-due': return decideFor(store, message.database, database => pollPosition(database, moment))
     case 'transactions/cooled': return decideFor(store, message.database, endOpenBackoff)
     case 'transactions/opened': return decideFor(store, parseDatabaseName(message.connection), database => acceptConnection(database, message))
@@ -195,7 +197,7 @@
   const answer = message.refused && ended && unit.partsSent === 0 && unit.run.transaction === undefined
     ? { database: next, effects: [refuseRun(unit.run, createRefusal(next, message), next)] }
     : answerFinished(next, unit, message)
-  return continueStep({ database: answer.database, effects: [timer, ...reportObserved(database, message), ...answer.effects] }, startQueued)
+  return continueStep({ database: answer.database, effects: [timer, ...clearSlowReadTimer(unit.run), ...reportObserved(database, message), ...answer.effects] }, startQueued)
 }
 
 // Answers report a database's position, and may prove that it is the primary.
--- a/src/transactions/messages.ts
+++ b/src/transactions/messages.ts
@@ -27,13 +27,19 @@
   /** The attempt that began the caller's open transaction; absent outside a transaction. */
   readonly transaction?: number
   readonly remainingMs: number
-  /** What is left of the route's latency target; absent where the route has none, or it has passed. */
-  readonly targetMs?: number
+  /** The latency target of the route; absent where it has none. */
+  readonly latencyMs?: number
   /** How long the transaction may stay idle; the host's limit applies when absent. */
   readonly idleMs?: number
   readonly payload: Uint8Array
 }
 
+/** A read has run on a replica for a fraction of its latency target. */
+export interface ReadSlow extends AttemptId {
+  readonly kind: 'transactions/read-slow'
+  readonly database: string
+}
+
 /** Cancels a caller's attempts up to the given one and their transaction, after the caller left or the deadline passed. */
 export interface CancelRequest extends AttemptId {
   readonly kind: 'transactions/cancel'
@@ -175,6 +181,7 @@
   | StopAcceptingWork
   | RunRequest
   | CancelRequest
+  | ReadSlow
   | CreditGranted
   | ConnectionOpened
   | ConnectionOpenFailed
--- a/src/transactions/pace.ts
+++ b/src/transactions/pace.ts
@@ -6,7 +6,7 @@
 import type { Moment } from '../core/message.js'
 import { countEntries, countEntriesAhead } from '../fairness/queue.js'
 import type { RunRequest } from './messages.js'
-import { countUsedSlots, nameFlow, type OwnedDatabase, type QueuePace } from './state.js'
+import { calculateSlotLimit, countUsedSlots, nameFlow, type OwnedDatabase, type QueuePace } from './state.js'
 
 /** Weight of one start in the average of the intervals. */
 const SAMPLE_WEIGHT = 0.1
@@ -19,7 +19,7 @@
  */
 export function computePace (before: OwnedDatabase | undefined, after: OwnedDatabase, moment: Moment): QueuePace {
   const { startIntervalMs, saturatedSinceMs } = after.pace
-  const saturated = countEntries(after.queue) > 0 && countUsedSlots(after) >= after.entry.slots
+  const saturated = countEntries(after.queue) > 0 && countUsedSlots(after) >= calculateSlotLimit(after)
   const starts = after.started - (before?.started ?? 0)
   if (saturatedSinceMs === undefined) return saturated ? { startIntervalMs, saturatedSinceMs: moment.monotonicMs } : after.pace
   if (starts === 0) return saturated ? after.pace : { startIntervalMs }
@@ -33,8 +33,9 @@
 }
 
 /**
- * Returns the refusal of a request that would be answered after its latency target, or after its deadline where it has no
- * target or the target has passed; undefined where it may be in time.
+ * Returns the refusal of a request that would wait here until its latency target, or its deadline where that is sooner;
+ * undefined where it may be answered in time. What it waited before is not its queue's fault, and a late answer is better
+ * than none.
  * @example findOverload(database, message, moment)?.code // 'overloaded'
  */
 export function findOverload (database: OwnedDatabase, message: RunRequest, moment: Moment): Failure | undefined {
@@ -44,7 +45,7 @@
   const waitMs = Math.max(ahead * startIntervalMs, moment.monotonicMs - saturatedSinceMs)
   // Each of the slots starts one entry in this time, so it is how long a statement takes.
   const answerMs = waitMs + startIntervalMs * database.entry.slots
-  const limitMs = Math.min(message.remainingMs, (message.targetMs ?? Infinity) * TARGET_FRACTION)
+  const limitMs = Math.min(message.remainingMs, (message.latencyMs ?? Infinity) * TARGET_FRACTION)
   if (answerMs <= limitMs) return undefined
   const retryAfterMs = Math.ceil((answerMs - limitMs) * (1 + moment.random))
   return { ...createFailure('overloaded', database.entry.database), retryAfterMs, inputs: { ahead, startIntervalMs: Number(startIntervalMs.toFixed(1)), answerMs: Math.round(answerMs), limitMs } }
--- a/src/transactions/state.ts
+++ b/src/transactions/state.ts
@@ -102,6 +102,15 @@
   readonly samples: ReadonlyMap<string, readonly PrimarySample[]>
 }
 
+/**
+ * Calculates how many statements this host runs at a time. Where statements hold the slots, the database gets one more than
+ * it has slots, so that none is idle while an answer is on its way and this host processes it.
+ * @example calculateSlotLimit(database) // 4
+ */
+export function calculateSlotLimit ({ guarantees, entry }: OwnedDatabase): number {
+  return guarantees.slotPerStatement ? entry.slots + 1 : entry.slots
+}
+
 /**
  * Counts the slots in use. Where idle transactions hold no slot, only running units and opening connections count.
  * @example countUsedSlots(database) // 2
--- a/src/transactions/support/databaseload.ts
+++ b/src/transactions/support/databaseload.ts
@@ -27,7 +27,9 @@
   readonly statementMs: number
   readonly remainingMs: number
   /** The latency target of the requests; none when absent. */
-  readonly targetMs?: number
+  readonly latencyMs?: number
+  /** How long an answer of the database takes to be processed by its owner. */
+  readonly lagMs?: number
 }
 
 /** What became of one request. */
@@ -67,6 +69,8 @@
   readonly #arrivals = new Map<string, number>()
   readonly #outcomes: RequestOutcome[] = []
   readonly #shares: readonly number[]
+  readonly #waitingForSlot: Array<() => void> = []
+  #slotsInUse = 0
   #nowMs = 0
   #sequence = 0
   #opened = 0
@@ -120,7 +124,7 @@
       target: { database: 'a1', owner: 'o', purpose: 'replica', term: 1, floor: ORIGIN },
       intent: 'statement',
       remainingMs: this.#load.remainingMs,
-      targetMs: this.#load.targetMs,
+      latencyMs: this.#load.latencyMs,
       payload: new Uint8Array(0)
     }
     this.#handle(run)
@@ -151,12 +155,26 @@
 
   #open (connection: string): void {
     this.#opened += 1
-    this.#schedule(this.#load.openMs, () => this.#handle({ kind: 'transactions/opened', connection }))
+    this.#acquireSlot(this.#load.openMs, () => this.#handle({ kind: 'transactions/opened', connection }))
   }
 
   #startStatement (connection: string): void {
     const statementMs = this.#load.statementMs * (0.5 + uniformFloat64(this.#random))
-    this.#schedule(statementMs, () => this.#handle({ kind: 'transactions/finished', connection, status: 'idle', refused: false, payload: new Uint8Array(0) }))
+    this.#acquireSlot(statementMs, () => this.#handle({ kind: 'transactions/finished', connection, status: 'idle', refused: false, payload: new Uint8Array(0) }))
+  }
+
+  // The database runs as many pieces of work as it has slots, in the order of their arrival.
+  #acquireSlot (forMs: number, report: () => void): void {
+    if (this.#slotsInUse >= this.#load.slots) {
+      this.#waitingForSlot.push(() => this.#acquireSlot(forMs, report))
+      return
+    }
+    this.#slotsInUse += 1
+    this.#schedule(forMs, () => {
+      this.#slotsInUse -= 1
+      this.#schedule(this.#load.lagMs ?? 0, report)
+      this.#waitingForSlot.shift()?.()
+    })
   }
 
   #setTimer ({ name, afterMs, message }: SetTimer): void {
