Routing: hosts refuse by themselves what an owner said that it refuses of all

Its owner of 0.324 cores got 223 requests a second, most of which it refused or was asked to cancel; requests that other groups' callers sent through that host went unanswered too. Reads counted as slow because the owner's timers run before the answers that came while it was busy; each was cancelled, which closed its connection, and repeated.

Change: an owner that would refuse even a workspace without queued requests says for how long; other hosts then refuse writes for that database themselves (at most for 1 s, with the time to come back) and read elsewhere. A read that seems slow is reported only after 10 ms more, in which the answers that had come are read.

--- a/src/requests/messages.ts
+++ b/src/requests/messages.ts
@@ -129,6 +129,8 @@
   readonly from?: string
   /** Running and queued requests per slot; absent where placement does not need it. */
   readonly load?: number
+  /** How long the owner expects to refuse requests of any workspace for the database; absent while it accepts some. */
+  readonly overloadedForMs?: number
 }
 
 /** The attempt failed; the failure tells whether it may have run. */
--- a/src/routing/messages.ts
+++ b/src/routing/messages.ts
@@ -96,6 +96,7 @@
   readonly owner: string
   readonly database: string
   readonly load?: number
+  readonly overloadedForMs?: number
 }
 
 /** Any message of the routing slice. */
--- a/src/routing/placement.test.ts
+++ b/src/routing/placement.test.ts
@@ -78,6 +78,27 @@
   })
 })
 
+describe('a database whose owner refuses all requests', () => {
+  const refused = (nowMs: number, overloadedForMs: number | undefined, action: 'read' | 'write'): unknown => {
+    const before: RoutingState = { ...createState([0, 0, 0]), grantsConfirmedAtMs: 10_000 }
+    const state = ['db-0', 'db-1', 'db-2'].reduce((next, database, index) => decideRouting(next, { kind: 'routing/owner-answered', owner: `host-${index}`, database, load: 0, overloadedForMs: action === 'read' && index > 0 ? undefined : overloadedForMs }, { monotonicMs: 10_000, wallMs: 0, random: 0 }).state, before)
+    const choose = { kind: 'routing/choose', caller: 'c', attempt: 1, rules: { ...RULES, action }, seen: ORIGIN, avoid: [] } as const
+    return (decideRouting(state, choose, { monotonicMs: nowMs, wallMs: 0, random: 0 }).effects[0] as Tell).message
+  }
+
+  it('gets no writes of this host while it does, and they are told when to come back', () => {
+    expect(refused(10_100, 300, 'write')).to.include({ kind: 'requests/failed', retriable: false }).and.to.have.nested.include({ 'failure.code': 'overloaded', 'failure.effect': 'not-run', 'failure.retryAfterMs': 200 })
+    expect(refused(10_301, 300, 'write')).to.include({ kind: 'requests/routed' })
+    expect(refused(11_001, 60_000, 'write')).to.include({ kind: 'requests/routed' })
+    expect(refused(10_100, undefined, 'write')).to.include({ kind: 'requests/routed' })
+  })
+
+  it('is not chosen for reads while it does', () => {
+    expect(refused(10_100, 300, 'read')).to.have.nested.property('target.database', 'db-1')
+    expect(refused(10_301, 300, 'read')).to.have.nested.property('target.database', 'db-0')
+  })
+})
+
 describe('the floor of a read from proven samples', () => {
   const samples = [
     { database: 'db-0', askedAtMs: 100, position: { term: 1, offset: 40 } },
--- a/src/transactions/messages.ts
+++ b/src/transactions/messages.ts
@@ -38,6 +38,8 @@
 export interface ReadSlow extends AttemptId {
   readonly kind: 'transactions/read-slow'
   readonly database: string
+  /** True once answers that had come by then were read. */
+  readonly confirmed?: boolean
 }
 
 /** Cancels a caller's attempts up to the given one and their transaction, after the caller left or the deadline passed. */
--- a/src/transactions/pace.ts
+++ b/src/transactions/pace.ts
@@ -32,21 +32,29 @@
   return averageMs + (sampleMs - averageMs) * (1 - (1 - SAMPLE_WEIGHT) ** starts)
 }
 
+/** Why a request is refused, and for how long requests of any workspace would be. */
+export interface Overload {
+  readonly failure: Failure
+  /** Absent where only the requests of the same workspace wait for too long. */
+  readonly overloadedForMs?: number
+}
+
 /**
  * Returns the refusal of a request that would wait here until its latency target, or its deadline where that is sooner;
  * undefined where it may be answered in time. What it waited before is not its queue's fault, and a late answer is better
  * than none.
- * @example findOverload(database, message, moment)?.code // 'overloaded'
+ * @example findOverload(database, message, moment)?.failure.code // 'overloaded'
  */
-export function findOverload (database: OwnedDatabase, message: RunRequest, moment: Moment): Failure | undefined {
+export function findOverload (database: OwnedDatabase, message: RunRequest, moment: Moment): Overload | undefined {
   const { startIntervalMs = 0, saturatedSinceMs } = database.pace
   if (saturatedSinceMs === undefined) return undefined
-  const ahead = countEntriesAhead(database.queue, nameFlow(message))
-  const waitMs = Math.max(ahead * startIntervalMs, moment.monotonicMs - saturatedSinceMs)
-  // Each of the slots starts one entry in this time, so it is how long a statement takes.
-  const answerMs = waitMs + startIntervalMs * database.entry.slots
   const limitMs = Math.min(message.remainingMs, (message.latencyMs ?? Infinity) * TARGET_FRACTION)
+  const estimateAnswerMs = (ahead: number): number => Math.max(ahead * startIntervalMs, moment.monotonicMs - saturatedSinceMs) + startIntervalMs * database.entry.slots
+  const ahead = countEntriesAhead(database.queue, nameFlow(message))
+  const answerMs = estimateAnswerMs(ahead)
   if (answerMs <= limitMs) return undefined
   const retryAfterMs = Math.ceil((answerMs - limitMs) * (1 + moment.random))
-  return { ...createFailure('overloaded', database.entry.database), retryAfterMs, inputs: { ahead, startIntervalMs: Number(startIntervalMs.toFixed(1)), answerMs: Math.round(answerMs), limitMs } }
+  const failure = { ...createFailure('overloaded', database.entry.database), retryAfterMs, inputs: { ahead, startIntervalMs: Number(startIntervalMs.toFixed(1)), answerMs: Math.round(answerMs), limitMs } }
+  const excessMs = estimateAnswerMs(database.queue.backloggedFlows.size) - limitMs
+  return excessMs > 0 ? { failure, overloadedForMs: Math.ceil(excessMs) } : { failure }
 }
--- a/src/transactions/slowread.ts
+++ b/src/transactions/slowread.ts
@@ -10,6 +10,8 @@
 
 /** Fraction of a route's latency target after which its caller's host may try another replica; the rest is left for that attempt. */
 const SLOW_READ_FRACTION = 0.6
+/** How long a read that seems slow still gets: a busy host handles its timers before the answers that came meanwhile. */
+const CONFIRMATION_MS = 10
 
 /**
  * Creates the timer of a read that starts at the database; none for other requests.
@@ -30,12 +32,13 @@
 }
 
 /**
- * Tells the caller's host that a read still runs.
+ * Tells the caller's host that a read still runs, after this host had time to read answers that came while it was busy.
  * @example reportSlowRead(database, { kind: 'transactions/read-slow', database: 'a2', caller: 'c1', attempt: 1 })
  */
-export function reportSlowRead (database: OwnedDatabase, { caller, attempt }: ReadSlow): DatabaseStep {
+export function reportSlowRead (database: OwnedDatabase, { caller, attempt, confirmed = false }: ReadSlow): DatabaseStep {
   const unit = database.units.get(caller)
   if (unit?.phase !== 'running' || unit.run.attempt !== attempt) return createEmptyStep(database)
+  if (!confirmed) return { database, effects: [setTimer(nameTimer(unit.run), CONFIRMATION_MS, { kind: 'transactions/read-slow', database: database.entry.database, caller, attempt, confirmed: true })] }
   return { database, effects: [sendPeer(unit.from, { kind: 'requests/late', caller, attempt })] }
 }
 
