--- a/src/admission/decide.ts
+++ b/src/admission/decide.ts
@@ -137,7 +137,7 @@
   if (message.workspace === undefined) return Result.err(createFailure('key-needed', message.route ?? ''))
   return checkKey(shared, index, message.workspace, message.keyHash, moment).map(workspace => ({
     workspace,
-    rules: { ...createRules(route, route?.group ?? workspace.group, message), workspaces: index.workspaces.size }
+    rules: createRules(route, route?.group ?? workspace.group, message)
   }))
 }
 
--- a/src/databases/guarantees.ts
+++ b/src/databases/guarantees.ts
@@ -10,11 +10,5 @@
   readonly connectionPerWorkspace: boolean
 }
 
-/**
- * The share of a database's connection limit that one owner uses where each connection belongs to a workspace. The rest is
- * left for the next owner while connections of the last one, which may be frozen, are still open.
- */
-export const OWNER_CONNECTION_SHARE = 0.5
-
 /** PostgreSQL: host leases fence a primary, and any connection serves any workspace. */
 export const POSTGRES_GUARANTEES: DatabaseGuarantees = { selfFencing: false, slotPerStatement: false, connectionPerWorkspace: false }
--- a/src/requests/messages.ts
+++ b/src/requests/messages.ts
@@ -36,8 +36,6 @@
   readonly idleTransactionMs?: number
   /** True on a route that needs no key; the request then belongs to no workspace. */
   readonly open?: boolean
-  /** The number of workspaces of the service; absent on a route that needs no key. */
-  readonly workspaces?: number
 }
 
 /** The database and owner that run a request. */
--- a/src/routing/placement.test.ts
+++ b/src/routing/placement.test.ts
@@ -45,17 +45,6 @@
     expect(new Set(picked.map(([first]) => first))).to.deep.equal(new Set(['db-0', 'db-1']))
   })
 
-  it('gives each workspace a replica of its own choice, also in another failure domain, while there are more workspaces than connections', () => {
-    const pickFor = (workspace: string, workspaces: number, loads: readonly number[]): string | undefined =>
-      pickLeastLoaded(createState(loads), { kind: 'routing/choose', caller: 'c', attempt: 1, rules: { ...RULES, workspaces }, workspace, seen: ORIGIN, avoid: [] })?.entry.database
-    const names = Array.from({ length: 40 }, (_, index) => `w${index}`)
-    const scarce = names.map(name => pickFor(name, 72, [0, 0, 0]))
-    expect(new Set(scarce)).to.deep.equal(new Set(['db-0', 'db-1']))
-    expect(new Set(names.map(name => pickFor(name, 5, [0, 0, 0])))).to.deep.equal(new Set(['db-0']))
-    const remote = names[scarce.indexOf('db-1')]!
-    expect(pickFor(remote, 72, [0, 3, 0])).to.equal('db-0')
-  })
-
   it('avoids a host that left the last polls unanswered', () => {
     const unresponsive = createState([0, 0, 0], new Map([['host-0', 2]]))
     expect(isUnresponsiveOwner(unresponsive, 'host-0')).to.equal(true)
--- a/src/routing/placement.ts
+++ b/src/routing/placement.ts
@@ -1,6 +1,5 @@
 /** Load-based placement of reads, for databases that refuse a read whose floor they lack. */
 import { pickHeaviest } from '../core/rendezvous.js'
-import { OWNER_CONNECTION_SHARE } from '../databases/guarantees.js'
 import type { ChooseTarget } from './messages.js'
 import type { DatabaseWithOwner, RoutingState } from './state.js'
 
@@ -10,34 +9,21 @@
 const REMOTE_DOMAIN_COST = 1.3
 /** Cost of the primary, whose slots writes need, in requests per slot. */
 const PRIMARY_COST = 0.7
-/**
- * Cost of a database that is not the preferred one of a workspace, where there are more workspaces than connections: it
- * probably has to open one. Above the cost of another failure domain, in requests per slot.
- */
-const OPENING_COST = 2
 
 /**
- * Picks the database for a read by the lowest cost: the load, plus penalties for other failure domains, for the primary,
- * and for connections that have to be opened. Handles the load pattern of one overloaded database beside idle replicas,
- * and that of more workspaces than a database has connections.
+ * Picks the database for a read by the lowest cost: the load, plus penalties for other failure domains and for the
+ * primary. Handles the load pattern of one overloaded database beside idle replicas.
  * @example pickLeastLoaded(state, { kind: 'routing/choose', caller: 'c1', attempt: 1, rules, seen, avoid: [] })
  */
 export function pickLeastLoaded (state: RoutingState, message: ChooseTarget): DatabaseWithOwner | undefined {
   const { group } = message.rules
   const eligible = [...state.databases.values()].filter(database => database.entry.group === group && isEligible(state, database, message))
   const primary = state.grants.get(group)?.primary
-  const preferred = findPreferred(message, eligible, primary)
-  const rated = eligible.map((database, index) => ({ database, cost: calculateCost(state, database, primary) + (preferred === undefined || preferred === database ? 0 : OPENING_COST), order: (index + state.roundRobinCounter) % eligible.length }))
+  const rated = eligible.map((database, index) => ({ database, cost: calculateCost(state, database, primary), order: (index + state.roundRobinCounter) % eligible.length }))
   const [first, ...others] = rated.sort((a, b) => a.cost - b.cost || a.order - b.order)
   return first === undefined ? undefined : pickPreferred(message.workspace, [first, ...others.filter(other => other.cost === first.cost)].map(({ database }) => database))
 }
 
-// While connections are scarce, each workspace prefers one of the replicas, which then keeps connections of few workspaces.
-function findPreferred ({ workspace, rules }: ChooseTarget, eligible: readonly DatabaseWithOwner[], primary: string | undefined): DatabaseWithOwner | undefined {
-  const replicas = eligible.filter(({ entry }) => entry.database !== primary && (rules.workspaces ?? 0) > entry.connectionLimit * OWNER_CONNECTION_SHARE)
-  return workspace === undefined || replicas.length === 0 ? undefined : pickPreferred(workspace, replicas)
-}
-
 // A connection serves one workspace, so a workspace whose reads stay at one of several equal databases needs fewer openings.
 function pickPreferred (workspace: string | undefined, equal: readonly DatabaseWithOwner[]): DatabaseWithOwner | undefined {
   const preferred = workspace === undefined ? undefined : pickHeaviest(workspace, equal.map(({ entry }) => entry.database))
--- a/src/transactions/pool.ts
+++ b/src/transactions/pool.ts
@@ -3,7 +3,6 @@
 import { writeLog } from '../core/message.js'
 import { setTimer } from '../messages.js'
 import type { DatabaseEffect } from '../databases/driver.js'
-import { OWNER_CONNECTION_SHARE } from '../databases/guarantees.js'
 import { countEntries, createQueue, dequeueEntry, findFirstEntry, listEntries } from '../fairness/queue.js'
 import { refuseCatchUpReads } from './catchup.js'
 import type { ConnectionBroken, ConnectionOpenFailed, ConnectionOpened, RunRequest } from './messages.js'
@@ -11,6 +10,11 @@
 import { setSlowReadTimer } from './slowread.js'
 import { answerFailed, continueStep, clearDeadlineTimer, createEmptyStep, refuseRun, type DatabaseStep } from './step.js'
 
+/**
+ * The share of the connection limit that one owner uses where each connection belongs to a workspace. The rest is
+ * left for the next owner while connections of the last one, which may be frozen, are still open.
+ */
+const OWNER_CONNECTION_SHARE = 0.5
 /** Backoff after a connection could not be opened. */
 const OPEN_BACKOFF_MS = 100
 
