Probes of a primary prove that it leads

Cause: replicas serve bounded reads only while their owner has a fresh proof of the primary's position, and proofs came from answers to callers alone. A group without writes sent reads to its primary for the same reason.

Ruled out: the role that STATUS tells as a proof (no page says that a database that lost the lead while it was cut off knows so).

--- a/src/databases/driver.ts
+++ b/src/databases/driver.ts
@@ -51,6 +51,8 @@
   readonly group: string
   /** The monotonic time of the decision to probe; returned with the outcome. */
   readonly askedAtMs: number
+  /** True for the published primary: where databases fence themselves, an answer that only a primary gives is asked for, too. */
+  readonly primary: boolean
 }
 
 /** Waits for a limited time until a majority of the group stores a position, and posts the position that the majority stores by then. */
--- a/src/membership/decide.ts
+++ b/src/membership/decide.ts
@@ -12,8 +12,11 @@
 import { answerRelayed, findRelay, forwardHeld, holdHeartbeat, isRelayed, listRelays } from './relay.js'
 import { sendPeer, setTimer, tell } from '../messages.js'
 
-/** Age of the last answer that proved the primary role, after which a primary is probed although it answers: reads prove nothing. */
-const PRIMARY_PROOF_MAX_AGE_MS = 1_000
+/**
+ * Age of the last answer that proved the primary role, after which a primary is probed although it answers. Replicas serve
+ * bounded reads only while there is a fresh proof, so a primary whose queue is too long for reads has to be probed.
+ */
+const PRIMARY_PROOF_MAX_AGE_MS = 600
 /** How long an answer to a heartbeat is accepted. */
 const HEARTBEAT_TTL_MS = 5_000
 
@@ -202,7 +205,7 @@
   const primaries = new Set(listEntries(state.directory, 'grant').map(grant => grant.primary))
   const probes = [...state.ownedDatabases.values()]
     .filter(({ database }) => isProbeNeeded(state, database, primaries.has(database), moment))
-    .map((entry): ProbeDatabase => ({ kind: 'database/probe', database: entry.database, address: entry.address, group: entry.group, askedAtMs: moment.monotonicMs }))
+    .map((entry): ProbeDatabase => ({ kind: 'database/probe', database: entry.database, address: entry.address, group: entry.group, askedAtMs: moment.monotonicMs, primary: primaries.has(entry.database) }))
   return { state, effects: [...probes, createProbeTimer(state)] }
 }
 
--- a/src/transactions/catchup.ts
+++ b/src/transactions/catchup.ts
@@ -70,7 +70,7 @@
 function createPoll (database: OwnedDatabase, moment: Moment): readonly TransactionsEffect[] {
   const { database: name, address, group } = database.entry
   return [
-    { kind: 'database/probe', database: name, address, group, askedAtMs: moment.monotonicMs },
+    { kind: 'database/probe', database: name, address, group, askedAtMs: moment.monotonicMs, primary: false },
     setTimer(`transactions/behind/${name}`, POSITION_POLL_INTERVAL_MS, { kind: 'transactions/look-due', database: name })
   ]
 }
