Routing: an owner's word on its queue is weighed against each route's own target

Cause, by reading: an owner that refused a request with a short latency target made other hosts refuse requests with a long one, which it would have accepted; and the decisions made src/routing/decide.ts longer than one job.

Change: the owner says how long a request of any workspace would take, and hosts compare this with the target of each route (src/routing/overload.ts, which owns the limit; src/transactions/pace.ts calls it).

--- a/src/requests/messages.ts
+++ b/src/requests/messages.ts
@@ -127,8 +127,8 @@
   readonly from?: string
   /** Running and queued requests per slot; absent where placement does not need it. */
   readonly load?: number
-  /** How long the owner expects to refuse requests of any workspace for the database; absent while it accepts some. */
-  readonly overloadedForMs?: number
+  /** How long the owner expects a request of any workspace to take; absent unless it refused one that would take too long. */
+  readonly answerMs?: number
 }
 
 /** The attempt failed; the failure tells whether it may have run. */
--- a/src/routing/decide.ts
+++ b/src/routing/decide.ts
@@ -1,5 +1,5 @@
 /** Decisions of the routing slice: selects the database that serves a request. */
-import { createFailure, type ErrorCode } from '../core/errors.js'
+import { createFailure, type ErrorCode, type Failure } from '../core/errors.js'
 import type { CoreEffect, Moment, Step } from '../core/message.js'
 import { rankCandidates } from '../core/rendezvous.js'
 import { ORIGIN, coversPosition, pickLater, type LogPosition } from '../core/position.js'
@@ -8,6 +8,7 @@
 import type { Target } from '../requests/messages.js'
 import type { DatabaseAnswered, ChooseTarget, DirectoryChanged, OwnerAnswered, PositionsRequested, PositionsReported, RoutingMessage, StatusRead, ReportedPosition } from './messages.js'
 import { addSample, findFreshFloor } from './staleness.js'
+import { createOverloadFailure, listOverloaded, recordOverload } from './overload.js'
 import { isUnresponsiveOwner, pickLeastLoaded } from './placement.js'
 import type { TimedPosition, DatabaseWithOwner, PrimarySample, RoutingState } from './state.js'
 import { sendPeer, setTimer, tell } from '../messages.js'
@@ -18,8 +19,6 @@
 const GROUP_IN_USE_MS = 10_000
 /** How long a reported load is used; a database that gets no requests is tried again after it. */
 const LOAD_MAX_AGE_MS = 1_000
-/** Longest time for which requests are refused here on the word of an owner that is overloaded. */
-const MAX_OVERLOAD_MS = 1_000
 /** Time without an answer after which an owner is polled, to tell a slow request from an unresponsive host. */
 const OWNER_POLL_AFTER_MS = 100
 /** Without a confirmation by the leader for this long, a host expects no news of another primary: longer than an election takes. */
@@ -58,25 +57,15 @@
   if (target !== undefined) return answerTarget({ ...state, roundRobinCounter: state.roundRobinCounter + 1 }, message, target, moment)
   const primary = grant?.primary === undefined ? undefined : state.databases.get(grant.primary)
   if (grant === undefined || grant.closing === true || primary?.owner === undefined || isUnresponsiveOwner(state, primary.owner)) return refuse(state, message, 'no-primary', moment)
-  const overloadedForMs = (state.overloadedUntilMs.get(primary.entry.database) ?? 0) - moment.monotonicMs
-  if (overloadedForMs > 0) return refuseOverloaded(state, message, primary, overloadedForMs, moment)
+  const { database } = primary.entry
+  if (listOverloaded(state, rules, moment).includes(database)) return answerFailed(state, message, createOverloadFailure(state, database, rules, moment), false)
   return answerTarget(state, message, createTarget(primary, 'primary', grant.term, ORIGIN), moment)
 }
 
-// A question to an owner that refuses all requests would only add to its load.
-function refuseOverloaded (state: RoutingState, message: ChooseTarget, { entry, owner }: DatabaseWithOwner, overloadedForMs: number, moment: Moment): RoutingStep {
-  const failure = { ...createFailure('overloaded', entry.database), retryAfterMs: Math.ceil(overloadedForMs * (1 + moment.random)), inputs: { saidBy: owner!, overloadedForMs: Math.round(overloadedForMs) } }
-  return { state, effects: [tell({ kind: 'requests/failed', caller: message.caller, attempt: message.attempt, failure, retriable: false })] }
-}
-
-function listOverloaded ({ overloadedUntilMs }: RoutingState, moment: Moment): readonly string[] {
-  return [...overloadedUntilMs].filter(([, untilMs]) => untilMs > moment.monotonicMs).map(([database]) => database)
-}
-
 // A self-fencing database refuses a read whose floor it lacks, so any replica may be chosen. Its owner determines the
 // floor: only the owners of a group exchange its positions, which would cost each host of a large fleet more than its requests.
 function chooseBounded (state: RoutingState, message: ChooseTarget, grant: GrantEntry | undefined, moment: Moment): Target | undefined {
-  const avoid = [...message.avoid, ...listOverloaded(state, moment)]
+  const avoid = [...message.avoid, ...listOverloaded(state, message.rules, moment)]
   const replica = pickLeastLoaded(state, { ...message, avoid })
   if (replica === undefined) return undefined
   const bound = { maxStalenessMs: message.rules.maxStalenessMs, seen: message.seen }
@@ -146,9 +135,11 @@
 
 // A retry helps only while this host is in touch with the leader, which may grant another primary.
 function refuse (state: RoutingState, message: ChooseTarget, code: ErrorCode, moment: Moment): RoutingStep {
-  const failure = createFailure(code, message.rules.group)
-  const retriable = moment.monotonicMs - state.grantsConfirmedAtMs < LEADER_CONTACT_MS
-  return { state, effects: [tell({ kind: 'requests/failed', caller: message.caller, attempt: message.attempt, failure, retriable })] }
+  return answerFailed(state, message, createFailure(code, message.rules.group), moment.monotonicMs - state.grantsConfirmedAtMs < LEADER_CONTACT_MS)
+}
+
+function answerFailed (state: RoutingState, { caller, attempt }: ChooseTarget, failure: Failure, retriable: boolean): RoutingStep {
+  return { state, effects: [tell({ kind: 'requests/failed', caller, attempt, failure, retriable })] }
 }
 
 function updateDirectory (state: RoutingState, message: DirectoryChanged): RoutingStep {
@@ -192,18 +183,13 @@
   return { ...state, loads, loadReportedAtMs }
 }
 
-function recordOwnerAnswer (before: RoutingState, { owner, database, load, overloadedForMs }: OwnerAnswered, moment: Moment): RoutingState {
-  const state = overloadedForMs === undefined ? before : recordOverload(before, database, overloadedForMs, moment)
+function recordOwnerAnswer (before: RoutingState, message: OwnerAnswered, moment: Moment): RoutingState {
+  const { owner, database, load } = message
+  const state = recordOverload(before, message, moment)
   const next = load === undefined || owner === state.self ? state : recordLoad(state, database, load, moment.monotonicMs)
   return state.awaitedOwners.has(owner) ? markAnswering(next, owner) : next
 }
 
-function recordOverload (state: RoutingState, database: string, overloadedForMs: number, moment: Moment): RoutingState {
-  const known = [...state.overloadedUntilMs].filter(([, untilMs]) => untilMs > moment.monotonicMs)
-  const untilMs = moment.monotonicMs + Math.min(overloadedForMs, MAX_OVERLOAD_MS)
-  return { ...state, overloadedUntilMs: new Map([...known, [database, untilMs]]) }
-}
-
 function recordLoad (state: RoutingState, database: string, load: number, reportedAtMs: number): RoutingState {
   return { ...state, loads: new Map(state.loads).set(database, load), loadReportedAtMs: new Map(state.loadReportedAtMs).set(database, reportedAtMs) }
 }
--- a/src/transactions/decide.ts
+++ b/src/transactions/decide.ts
@@ -129,8 +129,8 @@
 }
 
 // Another database may have room for a read. The primary is the only one for a write, so its caller is told when to come back.
-function refuseOverload (database: OwnedDatabase, message: RunRequest, { failure, overloadedForMs }: Overload): DatabaseStep['effects'][number] {
-  return answerFailed(message.from!, message, failure, message.target.purpose === 'replica', { load: computeLoad(database), overloadedForMs })
+function refuseOverload (database: OwnedDatabase, message: RunRequest, { failure, answerMs }: Overload): DatabaseStep['effects'][number] {
+  return answerFailed(message.from!, message, failure, message.target.purpose === 'replica', { load: computeLoad(database), answerMs })
 }
 
 function refuseDisplaced (database: OwnedDatabase, message: RunRequest | undefined): DatabaseStep['effects'] {
--- a/src/transactions/pace.ts
+++ b/src/transactions/pace.ts
@@ -5,13 +5,12 @@
 import { createFailure, type Failure } from '../core/errors.js'
 import type { Moment } from '../core/message.js'
 import { countEntries, countEntriesAhead } from '../fairness/queue.js'
+import { calculateAnswerLimitMs } from '../routing/overload.js'
 import type { RunRequest } from './messages.js'
 import { calculateSlotLimit, countUsedSlots, nameFlow, type OwnedDatabase, type QueuePace } from './state.js'
 
 /** Weight of one start in the average of the intervals. */
 const SAMPLE_WEIGHT = 0.1
-/** Fraction of the latency target within which the estimated answer has to come: requests that arrive later take turns, too. */
-const TARGET_FRACTION = 0.5
 
 /**
  * Computes the pace after a decision.
@@ -32,11 +31,10 @@
   return averageMs + (sampleMs - averageMs) * (1 - (1 - SAMPLE_WEIGHT) ** starts)
 }
 
-/** Why a request is refused, and for how long requests of any workspace would be. */
+/** Why a request is refused, and how long one of a workspace without queued requests would take. */
 export interface Overload {
   readonly failure: Failure
-  /** Absent where only the requests of the same workspace wait for too long. */
-  readonly overloadedForMs?: number
+  readonly answerMs: number
 }
 
 /**
@@ -48,13 +46,12 @@
 export function findOverload (database: OwnedDatabase, message: RunRequest, moment: Moment): Overload | undefined {
   const { startIntervalMs = 0, saturatedSinceMs } = database.pace
   if (saturatedSinceMs === undefined) return undefined
-  const limitMs = Math.min(message.remainingMs, (message.latencyMs ?? Infinity) * TARGET_FRACTION)
-  const estimateAnswerMs = (ahead: number): number => Math.max(ahead * startIntervalMs, moment.monotonicMs - saturatedSinceMs) + startIntervalMs * database.entry.slots
+  const limitMs = calculateAnswerLimitMs(message.latencyMs, message.remainingMs)
+  const estimateAnswerMs = (ahead: number): number => Math.round(Math.max(ahead * startIntervalMs, moment.monotonicMs - saturatedSinceMs) + startIntervalMs * database.entry.slots)
   const ahead = countEntriesAhead(database.queue, nameFlow(message))
   const answerMs = estimateAnswerMs(ahead)
   if (answerMs <= limitMs) return undefined
   const retryAfterMs = Math.ceil((answerMs - limitMs) * (1 + moment.random))
-  const failure = { ...createFailure('overloaded', database.entry.database), retryAfterMs, inputs: { ahead, startIntervalMs: Number(startIntervalMs.toFixed(1)), answerMs: Math.round(answerMs), limitMs } }
-  const excessMs = estimateAnswerMs(database.queue.backloggedFlows.size) - limitMs
-  return excessMs > 0 ? { failure, overloadedForMs: Math.ceil(excessMs) } : { failure }
+  const failure = { ...createFailure('overloaded', database.entry.database), retryAfterMs, inputs: { ahead, startIntervalMs: Number(startIntervalMs.toFixed(1)), answerMs, limitMs } }
+  return { failure, answerMs: estimateAnswerMs(database.queue.backloggedFlows.size) }
 }
