Queues: a request without a latency target waits until its deadline

Twelve callers that do not read hold the slots until their deadlines of 300 ms; the estimate multiplied their number by that time, and refused a query that would have been served, since the entries ahead of it leave the queue with their own deadlines.

Change: only a request with a latency target is refused by the estimate; the target bounds how far it can be wrong. The platform's routes all have one.

Test: src/transactions/pace.test.ts, failed before.

--- a/src/routing/overload.ts
+++ b/src/routing/overload.ts
@@ -17,8 +17,8 @@
  * Calculates how long the answer to a request may take from its arrival at the owner of its database.
  * @example calculateAnswerLimitMs(250, 800) // 125
  */
-export function calculateAnswerLimitMs (latencyMs: number | undefined, remainingMs: number): number {
-  return Math.min(remainingMs, (latencyMs ?? Infinity) * TARGET_FRACTION)
+export function calculateAnswerLimitMs (latencyMs: number, remainingMs: number): number {
+  return Math.min(remainingMs, latencyMs * TARGET_FRACTION)
 }
 
 /**
@@ -33,10 +33,11 @@
 }
 
 /**
- * Lists the databases whose owner would refuse a request of a route.
+ * Lists the databases whose owner would refuse a request of a route; none for routes without a latency target.
  * @example listOverloaded(state, rules, moment) // ['a1']
  */
 export function listOverloaded ({ expectedAnswerAtMs }: RoutingState, { latencyMs }: RouteRules, moment: Moment): readonly string[] {
+  if (latencyMs === undefined) return []
   const limitMs = calculateAnswerLimitMs(latencyMs, MAX_OVERLOAD_MS)
   return [...expectedAnswerAtMs].filter(([, atMs]) => atMs - moment.monotonicMs > limitMs).map(([database]) => database)
 }
@@ -45,7 +46,7 @@
  * Creates the refusal of a request that its owner would refuse, with the time to come back.
  * @example createOverloadFailure(state, 'a1', rules, moment).retryAfterMs
  */
-export function createOverloadFailure (state: RoutingState, database: string, { latencyMs }: RouteRules, moment: Moment): Failure {
+export function createOverloadFailure (state: RoutingState, database: string, { latencyMs = 0 }: RouteRules, moment: Moment): Failure {
   const answerMs = Math.round((state.expectedAnswerAtMs.get(database) ?? 0) - moment.monotonicMs)
   const limitMs = calculateAnswerLimitMs(latencyMs, MAX_OVERLOAD_MS)
   const retryAfterMs = Math.ceil((answerMs - limitMs) * (1 + moment.random))
--- a/src/transactions/pace.test.ts
+++ b/src/transactions/pace.test.ts
@@ -49,6 +49,10 @@
     expect(findOverload(database, createRun('small', 'c2'), NOW)).to.equal(undefined)
   })
 
+  it('lets a request without a latency target wait until its deadline, since entries ahead of it may leave before', () => {
+    expect(findOverload(createDatabase({ large: 100 }, 100), { ...createRun('large', 'c1'), latencyMs: undefined }, NOW)).to.equal(undefined)
+  })
+
   it('says how long a request of any workspace takes, also when there are too many workspaces or no entry starts', () => {
     const crowded = createDatabase(Object.fromEntries(Array.from({ length: 12 }, (_, index) => [`w${index}`, 1])), 995)
     expect(findOverload(crowded, createRun('other', 'c1'), NOW)?.answerMs).to.equal(150)
--- a/src/transactions/pace.ts
+++ b/src/transactions/pace.ts
@@ -40,12 +40,12 @@
 /**
  * Returns the refusal of a request that would wait here until its latency target, or its deadline where that is sooner;
  * undefined where it may be answered in time. What it waited before is not its queue's fault, and a late answer is better
- * than none.
+ * than none. A request without a target waits until its deadline: entries ahead of it may leave the queue before.
  * @example findOverload(database, message, moment)?.failure.code // 'overloaded'
  */
 export function findOverload (database: OwnedDatabase, message: RunRequest, moment: Moment): Overload | undefined {
   const { startIntervalMs = 0, saturatedSinceMs } = database.pace
-  if (saturatedSinceMs === undefined) return undefined
+  if (saturatedSinceMs === undefined || message.latencyMs === undefined) return undefined
   const limitMs = calculateAnswerLimitMs(message.latencyMs, message.remainingMs)
   const estimateAnswerMs = (ahead: number): number => Math.round(Math.max(ahead * startIntervalMs, moment.monotonicMs - saturatedSinceMs) + startIntervalMs * database.entry.slots)
   const ahead = countEntriesAhead(database.queue, nameFlow(message))
