Explain: says how long an overloaded database was expected to take

Cause: the new refusal was explained as a wait until the deadline, which it is not, and a host's own refusal named no database. Change: the cause quotes the refusal and its two times. Test: src/explaining/history.test.ts, failed before (it said 'before its deadline').

--- a/src/explaining/causes.ts
+++ b/src/explaining/causes.ts
@@ -111,8 +111,9 @@
   }
 
   explain (_history: RequestHistory, last: LogLine): Conclusion | undefined {
-    const { failure, phase, database } = last.fields
-    if (failure !== 'queue-full' && failure !== 'overloaded' && !(failure === 'deadline-passed' && phase === 'waiting')) return undefined
+    const { failure, phase, database, reason, answerMs, limitMs } = last.fields
+    if (failure === 'overloaded') return this.createConclusion(`${String(reason)} The answer was expected after ${String(answerMs)} ms, where ${String(limitMs)} ms were allowed.`, [last])
+    if (failure !== 'queue-full' && !(failure === 'deadline-passed' && phase === 'waiting')) return undefined
     return this.createConclusion(`The request found no free slot of database ${String(database)} before its deadline: the queue of the database was too long.`)
   }
 }
--- a/src/explaining/history.test.ts
+++ b/src/explaining/history.test.ts
@@ -46,6 +46,13 @@
     expect(findText({ reserve: 'unreachable' })).to.include('could not reach the leader')
   })
 
+  it('says how long the answer of an overloaded database was expected to take', () => {
+    const fields = { phase: 'running', database: 'a1', failure: 'overloaded', reason: 'Database "a1" cannot answer in time.', answerMs: 310, limitMs: 125 }
+    const cause = findCause(readHistory([createEnd(0, 'failed', fields), ...NOISE]))!
+    expect(cause.kind).to.equal('queue')
+    expect(cause.text).to.include('"a1"').and.include('310 ms').and.include('125 ms')
+  })
+
   it('attributes a refusal to the start of the host only while the host had no share yet', () => {
     const started = createLine(-700, 'h1', 'daemon: Host h1 started; callers connect to h1:1.')
     const findText = (fields: object): string => findCause(readHistory([createEnd(0, 'failed', { phase: 'admitting', failure: 'rate-exceeded', reserve: 'complete', ...fields }), started, ...NOISE]))!.text
