--- a/src/fairness/queue.test.ts
+++ b/src/fairness/queue.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai'
 import fc from 'fast-check'
-import { countEntries, createQueue, removeEntry, enqueueEntry, findEntry, listEntries, dequeueEntry, type FairQueue } from './queue.js'
+import { countEntries, countEntriesAhead, createQueue, removeEntry, enqueueEntry, findEntry, findFirstEntry, listEntries, dequeueEntry, type FairQueue } from './queue.js'
 
 const LIMITS = { length: 40, flowLength: 20 }
 const SEED = 20_261_204
@@ -32,6 +32,24 @@
     expect(dequeueAll(enqueueAll(emptied, 'quick', 1))[0]).to.equal('slow')
   })
 
+  it('serves a flow out of turn, and keeps the turn of the flows that were passed over', () => {
+    const queue = enqueueAll(enqueueAll(enqueueAll(createQueue<number>(), 'blocked', 2), 'ready', 3), 'other', 1)
+    const accepted = findFirstEntry(queue, ({ flow }, flowLength) => flow !== 'blocked' && flowLength > 1)
+    expect(accepted?.key).to.equal('ready#0')
+    expect(findFirstEntry(queue, () => false)).to.equal(undefined)
+    const advanced = dequeueEntry(dequeueEntry(queue, 'ready')!.queue, 'ready')!
+    expect(advanced.entry.key).to.equal('ready#1')
+    expect(dequeueAll(advanced.queue).join(' ')).to.equal('blocked other blocked ready')
+    expect(dequeueEntry(queue, 'absent')).to.equal(undefined)
+  })
+
+  it('counts the entries that take turns before a new one of a flow', () => {
+    const queue = enqueueAll(enqueueAll(createQueue<number>(), 'large', 10), 'small', 1)
+    expect(countEntriesAhead(queue, 'new')).to.equal(2)
+    expect(countEntriesAhead(queue, 'small')).to.equal(3)
+    expect(countEntriesAhead(queue, 'large')).to.equal(11)
+  })
+
   it('limits the entries of one flow, and evicts from the longest flow when the queue is full', () => {
     const large = enqueueAll(createQueue<number>(), 'large', 100)
     expect(countEntries(large)).to.equal(LIMITS.flowLength)
