--- a/src/requests/decide.ts
+++ b/src/requests/decide.ts
@@ -71,10 +71,9 @@
 }
 
 // Routing places requests by the load that owners report, and avoids owners that do not answer.
-function reportOwner ({ target }: InFlightRequest, { from, load, answerMs }: AttemptFailed | AttemptFinished, step: RequestsStep): RequestsStep {
+function reportOwner ({ target }: InFlightRequest, { from, load }: AttemptFailed | AttemptFinished, step: RequestsStep): RequestsStep {
   if (from === undefined || target === undefined) return step
-  const answered = { kind: 'routing/owner-answered', owner: from, database: target.database, load } as const
-  return { ...step, effects: [...step.effects, tell(answerMs === undefined ? answered : { ...answered, answerMs })] }
+  return { ...step, effects: [...step.effects, tell({ kind: 'routing/owner-answered', owner: from, database: target.database, load })] }
 }
 
 function openConnection (message: CallerConnected): RequestsStep {
--- a/src/requests/messages.ts
+++ b/src/requests/messages.ts
@@ -127,8 +127,6 @@
   readonly from?: string
   /** Running and queued requests per slot; absent where placement does not need it. */
   readonly load?: number
-  /** How long the owner expects a request of any workspace to take; absent unless it refused one that would take too long. */
-  readonly answerMs?: number
 }
 
 /** The attempt failed; the failure tells whether it may have run. */
--- a/src/routing/decide.ts
+++ b/src/routing/decide.ts
@@ -1,5 +1,5 @@
 /** Decisions of the routing slice: selects the database that serves a request. */
-import { createFailure, type ErrorCode, type Failure } from '../core/errors.js'
+import { createFailure, type ErrorCode } from '../core/errors.js'
 import type { CoreEffect, Moment, Step } from '../core/message.js'
 import { rankCandidates } from '../core/rendezvous.js'
 import { ORIGIN, coversPosition, pickLater, type LogPosition } from '../core/position.js'
@@ -8,7 +8,6 @@
 import type { Target } from '../requests/messages.js'
 import type { DatabaseAnswered, ChooseTarget, DirectoryChanged, OwnerAnswered, PositionsRequested, PositionsReported, RoutingMessage, StatusRead, ReportedPosition } from './messages.js'
 import { addSample, findFreshFloor } from './staleness.js'
-import { createOverloadFailure, listOverloaded, recordOverload } from './overload.js'
 import { isUnresponsiveOwner, pickLeastLoaded } from './placement.js'
 import type { TimedPosition, DatabaseWithOwner, PrimarySample, RoutingState } from './state.js'
 import { sendPeer, setTimer, tell } from '../messages.js'
@@ -53,20 +52,17 @@
   const state: RoutingState = { ...before, groupUsedAtMs: new Map(before.groupUsedAtMs).set(rules.group, moment.monotonicMs) }
   const grant = state.grants.get(rules.group)
   const mayBeStale = rules.action === 'read' && rules.maxStalenessMs > 0 && message.primaryOnly !== true
-  const target = !mayBeStale ? undefined : state.guarantees.selfFencing ? chooseBounded(state, message, grant, moment) : chooseCovering(state, message, grant, moment)
+  const target = !mayBeStale ? undefined : state.guarantees.selfFencing ? chooseBounded(state, message, grant) : chooseCovering(state, message, grant, moment)
   if (target !== undefined) return answerTarget({ ...state, roundRobinCounter: state.roundRobinCounter + 1 }, message, target, moment)
   const primary = grant?.primary === undefined ? undefined : state.databases.get(grant.primary)
   if (grant === undefined || grant.closing === true || primary?.owner === undefined || isUnresponsiveOwner(state, primary.owner)) return refuse(state, message, 'no-primary', moment)
-  const { database } = primary.entry
-  if (listOverloaded(state, rules, moment).includes(database)) return answerFailed(state, message, createOverloadFailure(state, database, rules, moment), false)
   return answerTarget(state, message, createTarget(primary, 'primary', grant.term, ORIGIN), moment)
 }
 
 // A self-fencing database refuses a read whose floor it lacks, so any replica may be chosen. Its owner determines the
 // floor: only the owners of a group exchange its positions, which would cost each host of a large fleet more than its requests.
-function chooseBounded (state: RoutingState, message: ChooseTarget, grant: GrantEntry | undefined, moment: Moment): Target | undefined {
-  const avoid = [...message.avoid, ...listOverloaded(state, message.rules, moment)]
-  const replica = pickLeastLoaded(state, { ...message, avoid })
+function chooseBounded (state: RoutingState, message: ChooseTarget, grant: GrantEntry | undefined): Target | undefined {
+  const replica = pickLeastLoaded(state, message)
   if (replica === undefined) return undefined
   const bound = { maxStalenessMs: message.rules.maxStalenessMs, seen: message.seen }
   return { ...createTarget(replica, 'replica', grant?.term ?? 0, ORIGIN), bound }
@@ -135,11 +131,9 @@
 
 // A retry helps only while this host is in touch with the leader, which may grant another primary.
 function refuse (state: RoutingState, message: ChooseTarget, code: ErrorCode, moment: Moment): RoutingStep {
-  return answerFailed(state, message, createFailure(code, message.rules.group), moment.monotonicMs - state.grantsConfirmedAtMs < LEADER_CONTACT_MS)
-}
-
-function answerFailed (state: RoutingState, { caller, attempt }: ChooseTarget, failure: Failure, retriable: boolean): RoutingStep {
-  return { state, effects: [tell({ kind: 'requests/failed', caller, attempt, failure, retriable })] }
+  const failure = createFailure(code, message.rules.group)
+  const retriable = moment.monotonicMs - state.grantsConfirmedAtMs < LEADER_CONTACT_MS
+  return { state, effects: [tell({ kind: 'requests/failed', caller: message.caller, attempt: message.attempt, failure, retriable })] }
 }
 
 function updateDirectory (state: RoutingState, message: DirectoryChanged): RoutingStep {
@@ -183,9 +177,7 @@
   return { ...state, loads, loadReportedAtMs }
 }
 
-function recordOwnerAnswer (before: RoutingState, message: OwnerAnswered, moment: Moment): RoutingState {
-  const { owner, database, load } = message
-  const state = recordOverload(before, message, moment)
+function recordOwnerAnswer (state: RoutingState, { owner, database, load }: OwnerAnswered, moment: Moment): RoutingState {
   const next = load === undefined || owner === state.self ? state : recordLoad(state, database, load, moment.monotonicMs)
   return state.awaitedOwners.has(owner) ? markAnswering(next, owner) : next
 }
--- a/src/routing/messages.ts
+++ b/src/routing/messages.ts
@@ -96,7 +96,6 @@
   readonly owner: string
   readonly database: string
   readonly load?: number
-  readonly answerMs?: number
 }
 
 /** Any message of the routing slice. */
--- a/src/routing/state.ts
+++ b/src/routing/state.ts
@@ -48,8 +48,6 @@
   readonly loads: ReadonlyMap<string, number>
   /** When another host reported the load of a database; absent for the databases of this host. */
   readonly loadReportedAtMs: ReadonlyMap<string, number>
-  /** The monotonic time by which an overloaded owner expects to answer a request of any workspace, by database. */
-  readonly expectedAnswerAtMs: ReadonlyMap<string, number>
   /** The monotonic time of this host's last request to each group. */
   readonly groupUsedAtMs: ReadonlyMap<string, number>
   /** Owners that have not answered since a request was sent to them, and when it was. */
@@ -81,7 +79,6 @@
     primaryProofs: new Map(),
     loads: new Map(),
     loadReportedAtMs: new Map(),
-    expectedAnswerAtMs: new Map(),
     groupUsedAtMs: new Map(),
     awaitedOwners: new Map(),
     pollRound: 0,
--- a/src/transactions/decide.ts
+++ b/src/transactions/decide.ts
@@ -11,7 +11,7 @@
 import type { StalenessBound } from '../requests/messages.js'
 import { findProvenFloor } from '../routing/staleness.js'
 import { computeLoad, nameFlow, type OwnedDatabase, type TransactionsShared, type UnitOfWork } from './state.js'
-import { computePace, findOverload, type Overload } from './pace.js'
+import { computePace, findOverload } from './pace.js'
 import { answerFailed, continueStep, setDeadlineTimer, clearDeadlineTimer, createEmptyStep, refuseRun, type DatabaseStep, type TransactionsStep, type TransactionsStore } from './step.js'
 import { acknowledgeDurableWrites, answerFinished } from './durability.js'
 import { clearSlowReadTimer, reportSlowRead } from './slowread.js'
@@ -129,8 +129,8 @@
 }
 
 // Another database may have room for a read. The primary is the only one for a write, so its caller is told when to come back.
-function refuseOverload (database: OwnedDatabase, message: RunRequest, { failure, answerMs }: Overload): DatabaseStep['effects'][number] {
-  return answerFailed(message.from!, message, failure, message.target.purpose === 'replica', { load: computeLoad(database), answerMs })
+function refuseOverload (database: OwnedDatabase, message: RunRequest, overload: Failure): DatabaseStep['effects'][number] {
+  return answerFailed(message.from!, message, overload, message.target.purpose === 'replica', computeLoad(database))
 }
 
 function refuseDisplaced (database: OwnedDatabase, message: RunRequest | undefined): DatabaseStep['effects'] {
--- a/src/transactions/pace.ts
+++ b/src/transactions/pace.ts
@@ -5,12 +5,13 @@
 import { createFailure, type Failure } from '../core/errors.js'
 import type { Moment } from '../core/message.js'
 import { countEntries, countEntriesAhead } from '../fairness/queue.js'
-import { calculateAnswerLimitMs } from '../routing/overload.js'
 import type { RunRequest } from './messages.js'
 import { calculateSlotLimit, countUsedSlots, nameFlow, type OwnedDatabase, type QueuePace } from './state.js'
 
 /** Weight of one start in the average of the intervals. */
 const SAMPLE_WEIGHT = 0.1
+/** Fraction of the latency target within which the estimated answer has to come: requests that arrive later take turns, too. */
+const TARGET_FRACTION = 0.5
 
 /**
  * Computes the pace after a decision.
@@ -31,27 +32,21 @@
   return averageMs + (sampleMs - averageMs) * (1 - (1 - SAMPLE_WEIGHT) ** starts)
 }
 
-/** Why a request is refused, and how long one of a workspace without queued requests would take. */
-export interface Overload {
-  readonly failure: Failure
-  readonly answerMs: number
-}
-
 /**
  * Returns the refusal of a request that would wait here until its latency target, or its deadline where that is sooner;
  * undefined where it may be answered in time. What it waited before is not its queue's fault, and a late answer is better
  * than none. A request without a target waits until its deadline: entries ahead of it may leave the queue before.
- * @example findOverload(database, message, moment)?.failure.code // 'overloaded'
+ * @example findOverload(database, message, moment)?.code // 'overloaded'
  */
-export function findOverload (database: OwnedDatabase, message: RunRequest, moment: Moment): Overload | undefined {
+export function findOverload (database: OwnedDatabase, message: RunRequest, moment: Moment): Failure | undefined {
   const { startIntervalMs = 0, saturatedSinceMs } = database.pace
   if (saturatedSinceMs === undefined || message.latencyMs === undefined) return undefined
-  const limitMs = calculateAnswerLimitMs(message.latencyMs, message.remainingMs)
-  const estimateAnswerMs = (ahead: number): number => Math.round(Math.max(ahead * startIntervalMs, moment.monotonicMs - saturatedSinceMs) + startIntervalMs * database.entry.slots)
+  const limitMs = Math.min(message.remainingMs, message.latencyMs * TARGET_FRACTION)
   const ahead = countEntriesAhead(database.queue, nameFlow(message))
-  const answerMs = estimateAnswerMs(ahead)
+  const waitMs = Math.max(ahead * startIntervalMs, moment.monotonicMs - saturatedSinceMs)
+  // Each of the slots starts one entry in this time, so it is how long a statement takes.
+  const answerMs = Math.round(waitMs + startIntervalMs * database.entry.slots)
   if (answerMs <= limitMs) return undefined
   const retryAfterMs = Math.ceil((answerMs - limitMs) * (1 + moment.random))
-  const failure = { ...createFailure('overloaded', database.entry.database), retryAfterMs, inputs: { ahead, startIntervalMs: Number(startIntervalMs.toFixed(1)), answerMs, limitMs } }
-  return { failure, answerMs: estimateAnswerMs(database.queue.backloggedFlows.size) }
+  return { ...createFailure('overloaded', database.entry.database), retryAfterMs, inputs: { ahead, startIntervalMs: Number(startIntervalMs.toFixed(1)), answerMs, limitMs } }
 }
--- a/src/transactions/step.ts
+++ b/src/transactions/step.ts
@@ -3,7 +3,7 @@
 import { clearTimer, type CoreEffect } from '../core/message.js'
 import type { Store, StoreStep } from '../core/store.js'
 import type { DatabaseEffect } from '../databases/driver.js'
-import type { AttemptId, OwnerReport } from '../requests/messages.js'
+import type { AttemptId } from '../requests/messages.js'
 import type { RunRequest } from './messages.js'
 import { computeLoad, type OwnedDatabase, type TransactionsShared } from './state.js'
 import { sendPeer, setTimer } from '../messages.js'
@@ -42,8 +42,8 @@
  * Creates the answer to a request that failed here.
  * @example answerFailed('host-2', { caller: 'c1', attempt: 3 }, failure, false)
  */
-export function answerFailed (from: string, name: AttemptId, failure: Failure, retriable: boolean, report: OwnerReport = {}): CoreEffect {
-  return sendPeer(from, { kind: 'requests/failed', caller: name.caller, attempt: name.attempt, failure, retriable, ...report })
+export function answerFailed (from: string, name: AttemptId, failure: Failure, retriable: boolean, load?: number): CoreEffect {
+  return sendPeer(from, { kind: 'requests/failed', caller: name.caller, attempt: name.attempt, failure, retriable, load })
 }
 
 /**
@@ -52,7 +52,7 @@
  * @example refuseRun(message, createFailure('queue-full', 'a1'))
  */
 export function refuseRun (message: RunRequest, failure: Failure, database?: OwnedDatabase): CoreEffect {
-  return answerFailed(message.from!, message, failure, true, database === undefined ? {} : { load: computeLoad(database) })
+  return answerFailed(message.from!, message, failure, true, database === undefined ? undefined : computeLoad(database))
 }
 
 /**
