Hosts log when a document version comes into force, and when the leader stops confirming them

Events document-in-force, confirmation-missing and confirmation-regained with the age of the confirmation, the time that the answer took and the delay of the host's own loop; gauges confirmation_age_seconds and document_version. No decision changes.

--- a/src/admission/decide.ts
+++ b/src/admission/decide.ts
@@ -1,7 +1,7 @@
 /** Decisions of the admission slice: authentication, authorization of routes, and rate limits. */
 import { Result } from 'true-myth'
 import { createFailure, type Failure } from '../core/errors.js'
-import type { CoreEffect, Moment } from '../core/message.js'
+import { recordEvent, type CoreEffect, type Moment } from '../core/message.js'
 import type { DocumentEntry } from '../membership/directory.js'
 import type { Route, ServiceDocument, Workspace } from '../documents/document.js'
 import type { RouteRules } from '../requests/messages.js'
@@ -27,7 +27,7 @@
   switch (message.kind) {
     case 'admission/check-open': return checkConnection(store.shared, message, moment)
     case 'admission/check-request': return checkRequest(store, message, moment)
-    case 'admission/documents-confirmed': return updateDocuments(store, message)
+    case 'admission/documents-confirmed': return updateDocuments(store, message, moment)
     case 'admission/caller-closed': return handleDisconnect(store.shared, message)
     case 'admission/leader-changed': return changeLeader(store, message, moment)
     case 'admission/ask-due': return renewLease(store, moment)
@@ -42,7 +42,7 @@
 
 // Document versions only increase. A leader that lacks a document version which this host
 // already has can't confirm this host's documents.
-function updateDocuments ({ shared }: AdmissionStore, message: DocumentsConfirmed): AdmissionStep {
+function updateDocuments ({ shared }: AdmissionStore, message: DocumentsConfirmed, moment: Moment): AdmissionStep {
   const received = new Map((message.documents ?? []).map(entry => [entry.service, entry]))
   const leaderIsCurrent = message.documents === undefined
     ? shared.leaderIsCurrent
@@ -53,8 +53,14 @@
   const documents = new Map([...shared.documents, ...changed.map(entry => [entry.service, entry] as const)])
   const checked = checkChangedServices(shared.callers, changed)
   const limits = changed.map(entry => publishLimits(entry.service, entry.document.workspaces))
+  const events = changed.map(entry => createInForceEvent(shared, entry, message.askedAtMs, moment))
   const indexes = new Map([...shared.indexes, ...changed.map(entry => [entry.service, createIndex(entry.document)] as const)])
-  return { shared: { ...shared, documents, indexes, leaderIsCurrent, confirmedAtMs, callers: checked.callers }, effects: [...limits, ...checked.effects] }
+  return { shared: { ...shared, documents, indexes, leaderIsCurrent, confirmedAtMs, callers: checked.callers }, effects: [...limits, ...checked.effects, ...events] }
+}
+
+function createInForceEvent ({ documents }: AdmissionShared, { service, version }: DocumentEntry, askedAtMs: number, { monotonicMs }: Moment): CoreEffect {
+  const before = documents.get(service)?.version ?? 0
+  return recordEvent('document-in-force', `Version ${version} of ${service} is in force on this host after version ${before}, by an answer that took ${Math.round(monotonicMs - askedAtMs)} ms.`)
 }
 
 function checkChangedServices (callers: CallersByService, changed: readonly DocumentEntry[]): CallersCheck {
--- a/src/membership/decide.ts
+++ b/src/membership/decide.ts
@@ -1,6 +1,7 @@
 /** Decisions of the membership slice: heartbeats, ownership, and this host's copy of the directory. */
 import type { CoreEffect, Moment, Step } from '../core/message.js'
 import type { ProbeDatabase } from '../databases/driver.js'
+import { recordConfirmation, recordTick } from './contact.js'
 import { followLeader, listHeartbeatTargets, followHint } from './discovery.js'
 import { reportRollout } from './rollout.js'
 import { applyChanges, listEntries, type DatabaseEntry, type DatabaseStatus, type Directory, type HostEntry } from './directory.js'
@@ -37,7 +38,7 @@
     case 'membership/leader-changed': return followLeader(state, message, moment)
     case 'membership/leader-hint': return followHint(state, message, moment)
     case 'membership/lease-extended': return updateLease(state, message.untilMs)
-    case 'membership/beat-due': return sendHeartbeat(state, moment)
+    case 'membership/beat-due': return handleHeartbeatDue(state, moment)
     case 'membership/beat-answered': return receiveAnswer(state, message, moment)
     case 'membership/announced': return recordAnnouncement(state, message, moment)
     case 'membership/probe-due': return probeOwned(state, moment)
@@ -86,6 +87,12 @@
   return { state, effects: [sendPeer(heartbeat.self.host, { kind: 'membership/leader-hint', leader, epoch })] }
 }
 
+function handleHeartbeatDue (state: MembershipState, moment: Moment): MembershipStep {
+  const ticked = recordTick(state.contact, computeHeartbeatIntervalMs(state), moment)
+  const sent = sendHeartbeat({ ...state, contact: ticked.contact }, moment)
+  return { state: sent.state, effects: [...sent.effects, ...ticked.effects] }
+}
+
 function sendHeartbeat (state: MembershipState, moment: Moment): MembershipStep {
   const targets = listHeartbeatTargets(state, moment)
   if (state.self === undefined || targets.length === 0) return { state, effects: [createHeartbeatTimer(state)] }
@@ -125,9 +132,10 @@
   const ownedDatabases = changed ? listOwnDatabases(state, directory) : state.ownedDatabases
   const statuses = filterOwnedStatuses(state.statuses, ownedDatabases)
   const relay = changed ? findRelay(directory, state.self) : state.relay
-  const next: MembershipState = { ...state, directory, ownedDatabases, relay, leaderClockOffsetMs, leaderAnsweredAtMs: moment.monotonicMs, statuses }
+  const confirmed = recordConfirmation(state.contact, askedAtMs, moment)
+  const next: MembershipState = { ...state, directory, ownedDatabases, relay, leaderClockOffsetMs, leaderAnsweredAtMs: moment.monotonicMs, contact: confirmed.contact, statuses }
   const answered = answerRelayed(next, message)
-  return { state: answered.state, effects: [...(changed ? notifyChanged(next) : []), ...notifyConfirmed(next, changed, askedAtMs), ...answered.effects] }
+  return { state: answered.state, effects: [...(changed ? notifyChanged(next) : []), ...notifyConfirmed(next, changed, askedAtMs), ...confirmed.effects, ...answered.effects] }
 }
 
 function isOutdated (directory: Directory, { revision }: HeartbeatAnswered): boolean {
@@ -236,9 +244,12 @@
 }
 
 // A host that owns no database reports nothing that is urgent, so where a relay serves many, it sends fewer heartbeats.
-function createHeartbeatTimer ({ timing, relay, ownedDatabases }: MembershipState): CoreEffect {
-  const intervals = relay !== undefined && ownedDatabases.size === 0 ? RELAYED_INTERVALS : 1
-  return setTimer('membership/beat', timing.beatEveryMs * intervals, { kind: 'membership/beat-due' })
+function computeHeartbeatIntervalMs ({ timing, relay, ownedDatabases }: MembershipState): number {
+  return timing.beatEveryMs * (relay !== undefined && ownedDatabases.size === 0 ? RELAYED_INTERVALS : 1)
+}
+
+function createHeartbeatTimer (state: MembershipState): CoreEffect {
+  return setTimer('membership/beat', computeHeartbeatIntervalMs(state), { kind: 'membership/beat-due' })
 }
 
 function createProbeTimer ({ timing }: MembershipState): CoreEffect {
--- a/src/membership/state.ts
+++ b/src/membership/state.ts
@@ -1,4 +1,5 @@
 /** State of the membership slice. */
+import { NO_CONTACT, type ControlContact } from './contact.js'
 import { createDirectory, type DatabaseEntry, type DatabaseStatus, type Directory, type HostEntry, type Revision } from './directory.js'
 import type { Heartbeat } from './messages.js'
 import type { StoredDatabaseTable } from './stored.js'
@@ -74,6 +75,8 @@
   readonly leaderAnsweredAtMs: number
   /** Lower bound of the leader's clock minus this host's, from its last answer; absent before the first answer. */
   readonly leaderClockOffsetMs?: number
+  /** How long the leader has not confirmed this host. */
+  readonly contact: ControlContact
   /** The number of the last heartbeat. */
   readonly heartbeatRound: number
   /** The send times of recent heartbeats, by number. */
@@ -106,6 +109,7 @@
     control: [],
     epoch: 0,
     leaderAnsweredAtMs: 0,
+    contact: NO_CONTACT,
     heartbeatRound: 0,
     heartbeatSentAtMs: new Map(),
     heldHeartbeats: new Map(),
--- a/src/monitoring/metrics.ts
+++ b/src/monitoring/metrics.ts
@@ -22,6 +22,7 @@
   readonly #callers = new Set<string>()
   readonly #connections = new Set<string>()
   readonly #terms = new Map<string, number>()
+  readonly #versions = new Map<string, number>()
   readonly #messages = this.#createCounter('messages_total', 'Messages of the loop, by kind.', ['kind'])
   readonly #requests = this.#createCounter('requests_total', 'Requests of callers, by outcome.', ['outcome'])
   readonly #refusals = this.#createCounter('refusals_total', 'Requests and callers that got an error, by its code.', ['code'])
@@ -42,6 +43,7 @@
     collectDefaultMetrics({ register: this.#registry, prefix: METRIC_PREFIX, eventLoopMonitoringPrecision: EVENT_LOOP_SAMPLE_MS })
     this.#addGauge('requests_running', 'Requests that wait or run.', this.#startedAtMs)
     this.#addGauge('callers_connected', 'Connections of callers.', this.#callers)
+    this.#addVersions()
     this.#addGauge('database_connections', 'Connections to databases that this host owns.', this.#connections)
   }
 
@@ -53,6 +55,16 @@
     return new Metrics()
   }
 
+  /** Adds the gauge of the age of the leader's last confirmation; it has no value before the first one. */
+  addConfirmationAge (readAgeMs: () => number | undefined): void {
+    const gauge: Gauge = new Gauge({
+      name: `${METRIC_PREFIX}confirmation_age_seconds`,
+      help: 'Time since this host sent the last report that the leader answered.',
+      registers: [this.#registry],
+      collect: () => gauge.set((readAgeMs() ?? NaN) / MS_PER_SECOND)
+    })
+  }
+
   /** The content type of the rendered metrics. */
   get contentType (): string {
     return this.#registry.contentType
@@ -76,6 +88,9 @@
       case 'routing/directory-changed': this.#observeGrants(message.grants); break
       case 'transactions/open-failed':
       case 'transactions/broken': this.#connections.delete(message.connection); break
+      case 'admission/documents-confirmed':
+        for (const { service, version } of message.documents ?? []) this.#versions.set(service, Math.max(version, this.#versions.get(service) ?? 0))
+        break
       case 'membership/beat-due': this.#beats.increment('sent'); break
       case 'membership/beat-answered': this.#beats.increment('answered'); break
     }
@@ -139,6 +154,18 @@
     return LabeledCounter.create({ registry: this.#registry, name: `${METRIC_PREFIX}${name}`, help, labels })
   }
 
+  #addVersions (): void {
+    const gauge: Gauge = new Gauge({
+      name: `${METRIC_PREFIX}document_version`,
+      help: 'Version of each document in force on this host.',
+      labelNames: ['service'],
+      registers: [this.#registry],
+      collect: () => {
+        for (const [service, version] of this.#versions) gauge.set({ service }, version)
+      }
+    })
+  }
+
   #addGauge (name: string, help: string, counted: { readonly size: number }): void {
     const gauge: Gauge = new Gauge({ name: `${METRIC_PREFIX}${name}`, help, registers: [this.#registry], collect: () => gauge.set(counted.size) })
   }
--- a/src/monitoring/monitor.test.ts
+++ b/src/monitoring/monitor.test.ts
@@ -43,6 +43,18 @@
     expect(await monitor.metrics.render()).to.include('fulmartally_failovers_total 1\n')
   })
 
+  it('shows the version of each document in force and the age of the last confirmation', async () => {
+    const monitor = createMonitor()
+    expect(await monitor.metrics.render()).to.include('fulmartally_confirmation_age_seconds Nan\n')
+    const confirm = (version: number): void => monitor.observeMessage({ kind: 'admission/documents-confirmed', askedAtMs: 5, documents: [{ kind: 'document', service: 'rota', version }] } as unknown as HostMessage)
+    confirm(6)
+    confirm(4)
+    monitor.observeMessage({ kind: 'requests/grants-confirmed', grants: [], askedAtMs: performance.now() - 2_000 } as HostMessage)
+    const page = await monitor.metrics.render()
+    expect(page).to.include('fulmartally_document_version{service="rota"} 6\n')
+    expect(Number(/confirmation_age_seconds ([\d.]+)/.exec(page)?.[1])).to.be.within(2, 60)
+  })
+
   it('logs events and lines with the prefix of their slice, from the configured level on', () => {
     const lines: string[] = []
     const monitor = createMonitor(lines)
--- a/src/monitoring/monitor.ts
+++ b/src/monitoring/monitor.ts
@@ -20,6 +20,7 @@
     this.#log = log
     this.#clock = clock
     this.#facts = { ...INITIAL_FACTS, keepsAuthority }
+    this.metrics.addConfirmationAge(() => this.#facts.confirmedAtMs === undefined ? undefined : this.#clock.read().monotonicMs - this.#facts.confirmedAtMs)
   }
 
   /**
