--- a/src/admission/waiting.test.ts
+++ b/src/admission/waiting.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai'
-import { createRandom, RatesSimulation } from '../../test/support/ratessimulation.js'
+import { RatesSimulation } from '../../test/support/ratessimulation.js'
+import { createRandom } from '../../test/support/stepqueue.js'
 import type { Effect, SendPeer, Tell } from '../core/message.js'
 import { StoreSlice } from '../core/store.js'
 import { parseDocument } from '../documents/document.js'
--- a/src/core/loop.ts
+++ b/src/core/loop.ts
@@ -1,6 +1,7 @@
 /** The message loop of a process: delivers one message at a time to its slice and passes the effects to adapters. */
 import type { Adapter } from './adapter.js'
 import type { Clock } from './clock.js'
+import { Inbox } from './inbox.js'
 import { readOwner, type ClearTimer, type Effect, type Message, type Moment, type SetTimer, type Tell } from './message.js'
 import { assertInvariant } from './invariant.js'
 import type { Slice } from './slice.js'
@@ -34,14 +35,14 @@
   readonly #slices: ReadonlyMap<string, Slice>
   readonly #adapters = new Map<string, Adapter>()
   readonly #timers = new Map<string, NodeJS.Timeout>()
-  #inbox: Message[] = []
-  #urgent: Message[] = []
+  #inbox: Inbox
   #scheduled = false
   #stopped = false
 
   private constructor (parts: LoopParts) {
     this.#parts = parts
     this.#slices = new Map(parts.slices.map(slice => [slice.name, slice]))
+    this.#inbox = Inbox.create(parts.urgentSlices)
   }
 
   /**
@@ -64,28 +65,22 @@
   /** Adds a message to the inbox; ignored once the loop has stopped. */
   readonly post = (message: Message): void => {
     if (this.#stopped) return
-    const isUrgent = this.#parts.urgentSlices?.has(readOwner(message.kind)) === true
-    if (isUrgent) this.#urgent.push(message)
-    else this.#inbox.push(message)
+    this.#inbox.post(message)
     this.#scheduleTurn()
   }
 
   /** Stops delivering messages and clears all timers. */
   async [Symbol.asyncDispose] (): Promise<void> {
     this.#stopped = true
-    this.#inbox = []
-    this.#urgent = []
+    this.#inbox = Inbox.create()
     for (const timer of this.#timers.values()) clearTimeout(timer)
     this.#timers.clear()
   }
 
   readonly #drain = (): void => {
     this.#scheduled = false
-    const batch = this.#urgent.concat(this.#inbox)
-    this.#inbox = []
-    this.#urgent = []
     try {
-      this.#deliver(batch)
+      this.#deliver()
     } catch (fault) {
       this.#stopped = true
       this.#parts.onFault(fault)
@@ -94,20 +89,20 @@
 
   // Hot path: messages from one slice to another are delivered in the same turn, so that
   // a statement passes through all its slices without waiting for the event loop.
-  #deliver (batch: Message[]): void {
+  #deliver (): void {
     const endsAtMs = this.#parts.clock.read().monotonicMs + MAX_TURN_MS
-    let index = 0
-    for (; index < batch.length && index < MAX_MESSAGES_PER_TURN; index++) {
-      if (index > 0 && this.#parts.clock.read().monotonicMs > endsAtMs) break
-      for (const effect of this.#decide(batch[index]!)) {
-        if (effect.kind === 'loop/tell') batch.push((effect as Tell).message)
-        else this.#execute(effect, readOwner(batch[index]!.kind))
+    for (let handled = 0; handled < MAX_MESSAGES_PER_TURN; handled++) {
+      if (handled > 0 && this.#parts.clock.read().monotonicMs > endsAtMs) break
+      const message = this.#inbox.take()
+      if (message === undefined) return
+      const slice = readOwner(message.kind)
+      for (const effect of this.#decide(message, slice)) {
+        if (effect.kind === 'loop/tell') this.#inbox.tell((effect as Tell).message)
+        else this.#execute(effect, slice)
       }
       if (this.#stopped) return
     }
-    if (index === batch.length) return
-    this.#inbox = batch.slice(index).concat(this.#inbox)
-    this.#scheduleTurn()
+    if (this.#inbox.size > 0) this.#scheduleTurn()
   }
 
   #scheduleTurn (): void {
@@ -116,8 +111,8 @@
     setImmediate(this.#drain)
   }
 
-  #decide (message: Message): readonly Effect[] {
-    const slice = this.#slices.get(readOwner(message.kind))
+  #decide (message: Message, owner: string): readonly Effect[] {
+    const slice = this.#slices.get(owner)
     assertInvariant(slice !== undefined, 'a slice is registered for each message', message.kind)
     const moment = this.#parts.clock.read()
     this.#parts.recorder?.(message, moment)
--- a/src/daemon/host.ts
+++ b/src/daemon/host.ts
@@ -19,11 +19,9 @@
 import type { Edge } from './edge.js'
 import { ProcessExit } from './exit.js'
 import { listenForOperators, listenForPeers, type ListeningServer } from './listen.js'
-import { createSlices } from './slices.js'
+import { createSlices, URGENT_SLICES } from './slices.js'
 
 const INCARNATION_BYTES = 8
-/** A leader that answers its followers late loses its lease, and each election adds to the load that delayed it. */
-const URGENT_SLICES: ReadonlySet<string> = new Set(['agreement'])
 
 /** The addresses at which a host listens. */
 export interface HostAddresses {
--- a/src/daemon/slices.ts
+++ b/src/daemon/slices.ts
@@ -26,6 +26,9 @@
 import { decideTransactions } from '../transactions/decide.js'
 import { createTransactionsShared } from '../transactions/state.js'
 
+/** A leader that answers its followers late loses its lease, and each election adds to the load that delayed it. */
+export const URGENT_SLICES: ReadonlySet<string> = new Set(['agreement'])
+
 /**
  * Creates the slices of a host from its settings.
  * @param startedAtMs the monotonic time at which the host starts.
--- a/src/membership/relay.test.ts
+++ b/src/membership/relay.test.ts
@@ -1,6 +1,6 @@
 /** Relayed heartbeats: the membership slices of a fleet over links with delays, in simulated time. */
 import { expect } from 'chai'
-import { createRandom } from '../../test/support/ratessimulation.js'
+import { createRandom } from '../../test/support/stepqueue.js'
 import type { Effect, SendPeer, SetTimer, Tell } from '../core/message.js'
 import type { HostMessage } from '../messages.js'
 import { decideMembership } from './decide.js'
--- a/src/shares/shares.test.ts
+++ b/src/shares/shares.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai'
-import { RatesSimulation, computeMaxExcess, countRefused, createRandom, type SimulatedLimit } from '../../test/support/ratessimulation.js'
+import { RatesSimulation, computeMaxExcess, countRefused, type SimulatedLimit } from '../../test/support/ratessimulation.js'
+import { createRandom } from '../../test/support/stepqueue.js'
 
 const SEED = 1
 const RUNS = Number(process.env.RATES_RUNS ?? 150)
--- a/src/succession/random.test.ts
+++ b/src/succession/random.test.ts
@@ -1,6 +1,6 @@
 /** Random schedules with changes of the leader, delayed promotion calls, and databases that go silent. */
 import { expect } from 'chai'
-import { createRandom } from '../../test/support/ratessimulation.js'
+import { createRandom } from '../../test/support/stepqueue.js'
 import type { Effect, Tell } from '../core/message.js'
 import type { DatabaseEntry, DatabaseStatus } from '../membership/directory.js'
 import { decideSuccession } from './decide.js'
--- a/test/support/ratessimulation.ts
+++ b/test/support/ratessimulation.ts
@@ -1,6 +1,4 @@
 /** Simulation for tests of rate limits: the admission and shares slices of several hosts over lossy links, in simulated time. */
-import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
-import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
 import { decideAdmission } from '../../src/admission/decide.js'
 import { checkAllowance, createAdmissionShared } from '../../src/admission/state.js'
 import type { Effect, SendPeer, SetTimer, Tell } from '../../src/core/message.js'
@@ -11,6 +9,7 @@
 import { applyRegisterCommand, type HoldersTable, type RegisterCommand } from '../../src/shares/holders.js'
 import { decideShares } from '../../src/shares/decide.js'
 import { checkSharesItem, createSharesShared } from '../../src/shares/state.js'
+import { createRandom, StepQueue } from './stepqueue.js'
 
 const KEY_HASH = 'ab'.repeat(32)
 /** Leases count monotonic time, whose rate differs slightly between hosts; a fraction of the true rate. */
@@ -52,66 +51,6 @@
   timers: Map<string, number>
 }
 
-interface ScheduledStep {
-  readonly atMs: number
-  readonly sequence: number
-  readonly run: () => void
-}
-
-/** Priority queue of scheduled steps, earliest first. */
-class StepQueue {
-  readonly #items: ScheduledStep[] = []
-
-  static create (): StepQueue {
-    return new StepQueue()
-  }
-
-  push (step: ScheduledStep): void {
-    const items = this.#items
-    let index = items.length
-    items.push(step)
-    while (index > 0) {
-      const parent = (index - 1) >> 1
-      if (isBefore(items[parent]!, step)) break
-      items[index] = items[parent]!
-      index = parent
-    }
-    items[index] = step
-  }
-
-  dequeue (untilMs: number): ScheduledStep | undefined {
-    const items = this.#items
-    const first = items[0]
-    if (first === undefined || first.atMs > untilMs) return undefined
-    const last = items.pop()!
-    if (items.length > 0) this.#moveDown(last)
-    return first
-  }
-
-  #moveDown (step: ScheduledStep): void {
-    const items = this.#items
-    let index = 0
-    while (true) {
-      let child = 2 * index + 1
-      if (child + 1 < items.length && isBefore(items[child + 1]!, items[child]!)) child += 1
-      if (child >= items.length || isBefore(step, items[child]!)) break
-      items[index] = items[child]!
-      index = child
-    }
-    items[index] = step
-  }
-}
-
-function isBefore (one: ScheduledStep, other: ScheduledStep): boolean {
-  return one.atMs === other.atMs ? one.sequence < other.sequence : one.atMs < other.atMs
-}
-
-/** Creates a seeded generator of numbers in [0, 1). */
-export function createRandom (seed: number): () => number {
-  const generator = xoroshiro128plus(seed)
-  return () => uniformFloat64(generator)
-}
-
 /** Hosts that run the real decision functions; clocks, timers, links and agreement are simulated. */
 export class RatesSimulation {
   readonly decisions: AdmissionDecision[] = []
