A host in contact with the control hosts serves only while they confirm its configuration

Cause: with 'authority: kept' a host that was confirmed once had authority for ever. The setting is for hosts that are cut off, but nothing told these from hosts in contact whose leader, or whose own loop, is short of processor time. Class of fault: silence taken for one of its causes.

The test of relayed heartbeats now ignores messages to other slices, which it would have given to membership.

--- a/src/admission/decide.ts
+++ b/src/admission/decide.ts
@@ -9,7 +9,8 @@
 import { createIndex, type DocumentIndex } from './documentindex.js'
 import { matchesKey } from './keys.js'
 import { applyShares, changeLeader, renewLease } from './lease.js'
-import type { AdmissionMessage, CallerDisconnected, CheckConnection, CheckRequest, DocumentsConfirmed } from './messages.js'
+import type { AdmissionMessage, CallerDisconnected, CheckConnection, CheckRequest, DocumentsConfirmed, VersionsHeld } from './messages.js'
+import { UNCHANGED } from '../core/store.js'
 import { acceptLoan, acquireToken, expireLoan, acceptLoanRequest, retryWaiting, type AdmissionStep, type AdmissionStore } from './rates.js'
 import type { AdmissionShared } from './state.js'
 import { tell } from '../messages.js'
@@ -28,6 +29,8 @@
     case 'admission/check-open': return checkConnection(store.shared, message, moment)
     case 'admission/check-request': return checkRequest(store, message, moment)
     case 'admission/documents-confirmed': return updateDocuments(store, message, moment)
+    case 'admission/versions-held': return acceptVersions(store.shared, message)
+    case 'admission/contact-changed': return { shared: { ...store.shared, isolated: message.isolated }, effects: [] }
     case 'admission/caller-closed': return handleDisconnect(store.shared, message)
     case 'admission/leader-changed': return changeLeader(store, message, moment)
     case 'admission/ask-due': return renewLease(store, moment)
@@ -63,6 +66,13 @@
   return recordEvent('document-in-force', `Version ${version} of ${service} is in force on this host after version ${before}, by an answer that took ${Math.round(monotonicMs - askedAtMs)} ms.`)
 }
 
+// Without a leader, the control hosts confirm the documents of a host that holds the newest ones.
+function acceptVersions (shared: AdmissionShared, { versions, askedAtMs }: VersionsHeld): AdmissionStep {
+  const isCurrent = versions.every(({ service, version }) => (shared.documents.get(service)?.version ?? 0) >= version)
+  if (!isCurrent || shared.confirmedAtMs === undefined) return UNCHANGED
+  return { shared: { ...shared, confirmedAtMs: Math.max(shared.confirmedAtMs, askedAtMs) }, effects: [] }
+}
+
 function checkChangedServices (callers: CallersByService, changed: readonly DocumentEntry[]): CallersCheck {
   return changed.reduce<CallersCheck>((result, { service, document }) => {
     const next = checkCallers(result.callers, service, document)
@@ -93,6 +103,7 @@
 function checkCaller (shared: AdmissionShared, message: CheckConnection, moment: Moment): Result<Workspace | undefined, Failure> {
   const index = shared.indexes.get(message.service)
   if (index === undefined) return Result.err(createUnknownServiceFailure(shared, message.service))
+  if (isPossiblyOutdated(shared, index.document, moment)) return Result.err(createFailure('no-authority'))
   const route = message.route === undefined ? undefined : index.routes.get(message.route)
   if (message.route !== undefined && route === undefined) return Result.err(createFailure('unknown-route', message.route))
   if (route?.access === 'open') return Result.ok(undefined)
@@ -114,9 +125,14 @@
   return Result.ok(workspace)
 }
 
-function hasAuthority (shared: AdmissionShared, document: ServiceDocument, moment: Moment): boolean {
-  if (shared.servesWhenIsolated) return shared.confirmedAtMs !== undefined
-  return shared.confirmedAtMs !== undefined && moment.monotonicMs - shared.confirmedAtMs <= document.authorityLeaseMs
+function hasAuthority ({ confirmedAtMs, servesWhenIsolated, isolated }: AdmissionShared, document: ServiceDocument, moment: Moment): boolean {
+  if (confirmedAtMs === undefined) return false
+  return moment.monotonicMs - confirmedAtMs <= document.authorityLeaseMs || (servesWhenIsolated && isolated)
+}
+
+// A host that may go on when it is isolated, is not, and still goes unconfirmed may have missed a change of any route.
+function isPossiblyOutdated (shared: AdmissionShared, document: ServiceDocument, moment: Moment): boolean {
+  return shared.servesWhenIsolated && !hasAuthority(shared, document, moment)
 }
 
 function checkRequest (store: AdmissionStore, message: CheckRequest, moment: Moment): AdmissionStep {
@@ -135,6 +151,7 @@
 function findPermission (shared: AdmissionShared, message: CheckRequest, moment: Moment): Result<Permission, Failure> {
   const index = shared.indexes.get(message.service)
   if (index === undefined) return Result.err(createUnknownServiceFailure(shared, message.service))
+  if (isPossiblyOutdated(shared, index.document, moment)) return Result.err(createFailure('no-authority'))
   const route = message.route === undefined ? undefined : index.routes.get(message.route)
   if (message.route !== undefined && route === undefined) return Result.err(createFailure('unknown-route', message.route))
   if (route?.access === 'open' && !isKeyedTransaction(message)) {
--- a/src/admission/keys.test.ts
+++ b/src/admission/keys.test.ts
@@ -23,10 +23,14 @@
 }
 
 class FakeHost {
-  readonly #slice = StoreSlice.create({ name: 'admission', shared: createAdmissionShared(), decide: decideAdmission, checkItem: checkAllowance })
+  readonly #slice
 
-  static create (): FakeHost {
-    return new FakeHost()
+  private constructor (servesWhenIsolated: boolean) {
+    this.#slice = StoreSlice.create({ name: 'admission', shared: createAdmissionShared(servesWhenIsolated), decide: decideAdmission, checkItem: checkAllowance })
+  }
+
+  static create (servesWhenIsolated = false): FakeHost {
+    return new FakeHost(servesWhenIsolated)
   }
 
   /** Delivers a message and returns the messages to the requests slice. */
@@ -87,3 +91,37 @@
     expect(host.ask(FIRST.sha256, 'view', LEASE_MS + 1, true)).to.equal('no-authority')
   })
 })
+
+describe('a host that keeps serving while it is isolated', () => {
+  const LATE_MS = LEASE_MS + 1
+  const create = (): FakeHost => {
+    const host = FakeHost.create(true)
+    host.publish(4, [FIRST.sha256])
+    return host
+  }
+
+  it('serves by its last documents for as long as it is isolated', () => {
+    const host = create()
+    host.take({ kind: 'admission/contact-changed', isolated: true }, LATE_MS)
+    expect(host.ask(FIRST.sha256, undefined, 20 * LEASE_MS)).to.equal(undefined)
+    host.take({ kind: 'admission/contact-changed', isolated: false }, 20 * LEASE_MS)
+    expect(host.ask(FIRST.sha256, undefined, 20 * LEASE_MS)).to.equal('no-authority')
+  })
+
+  it('says nothing by its last documents while the control hosts answer, but confirm nothing', () => {
+    const host = create()
+    expect(host.ask(FIRST.sha256, undefined, LATE_MS)).to.equal('no-authority')
+    expect(host.ask(SECOND.sha256, undefined, LATE_MS)).to.equal('no-authority')
+    expect(host.ask(FIRST.sha256, 'view', LATE_MS, false)).to.equal('no-authority')
+    expect(host.ask(FIRST.sha256, 'unknown', LATE_MS, false)).to.equal('no-authority')
+    expect(host.open('late', 'rota', SECOND.sha256, LATE_MS)).to.equal('no-authority')
+  })
+
+  it('goes on while a majority of the control hosts holds no newer version', () => {
+    const host = create()
+    host.take({ kind: 'admission/versions-held', versions: [{ service: 'rota', version: 4 }, { service: 'other', version: 1 }], askedAtMs: LEASE_MS }, LATE_MS)
+    expect(host.ask(FIRST.sha256, undefined, 2 * LEASE_MS)).to.equal(undefined)
+    host.take({ kind: 'admission/versions-held', versions: [{ service: 'rota', version: 6 }], askedAtMs: 2 * LEASE_MS }, 2 * LEASE_MS)
+    expect(host.ask(FIRST.sha256, undefined, 2 * LEASE_MS + 1)).to.equal('no-authority')
+  })
+})
--- a/src/admission/messages.ts
+++ b/src/admission/messages.ts
@@ -1,4 +1,5 @@
 /** Messages of the admission slice: keys, workspaces and rate limits. */
+import type { DocumentVersion } from '../membership/messages.js'
 import type { DocumentEntry } from '../membership/directory.js'
 import type { AttemptId } from '../requests/messages.js'
 import type { HeldShare } from '../shares/messages.js'
@@ -43,6 +44,20 @@
   readonly askedAtMs: number
 }
 
+/** A majority of the control hosts holds no newer versions than these. */
+export interface VersionsHeld {
+  readonly kind: 'admission/versions-held'
+  readonly versions: readonly DocumentVersion[]
+  /** Monotonic time at which this host had asked all of them. */
+  readonly askedAtMs: number
+}
+
+/** This host became isolated from the control hosts, or is in contact with a majority of them again. */
+export interface ContactChanged {
+  readonly kind: 'admission/contact-changed'
+  readonly isolated: boolean
+}
+
 /** This host learned of a new leader of the control hosts. */
 export interface LeaderChanged {
   readonly kind: 'admission/leader-changed'
@@ -116,6 +131,8 @@
   | CheckRequest
   | CallerDisconnected
   | DocumentsConfirmed
+  | VersionsHeld
+  | ContactChanged
   | LeaderChanged
   | RenewalDue
   | LeaseRenewed
--- a/src/admission/state.ts
+++ b/src/admission/state.ts
@@ -38,6 +38,8 @@
   readonly indexes: ReadonlyMap<string, DocumentIndex>
   /** True when an isolated host keeps serving with its last known documents. */
   readonly servesWhenIsolated: boolean
+  /** True while no majority of the control hosts can be reached. */
+  readonly isolated: boolean
   /** False on a host that accepts no callers; it needs shares only to lend from them. */
   readonly acceptsCallers: boolean
   /** The control hosts that lend tokens; empty where each host holds shares. */
@@ -114,7 +116,7 @@
  */
 export function createAdmissionShared (servesWhenIsolated = false, acceptsCallers = true, startedAtMs = 0): AdmissionShared {
   const lease: ShareLease = { epoch: 0, holder: '', emptySinceMs: startedAtMs, round: 0, applied: 0, endsAtMs: 0, sentAtMsByRound: new Map(), demandUpdatedAtMs: 0, emptyRounds: 0, nextLoanId: 0, unansweredLoans: 0, loanBackoffUntilMs: 0 }
-  return { documents: new Map(), indexes: new Map(), servesWhenIsolated, acceptsCallers, lenders: [], leaderIsCurrent: true, lease, callers: createCallersByService() }
+  return { documents: new Map(), indexes: new Map(), servesWhenIsolated, isolated: false, acceptsCallers, lenders: [], leaderIsCurrent: true, lease, callers: createCallersByService() }
 }
 
 /**
--- a/src/agreement/decide.ts
+++ b/src/agreement/decide.ts
@@ -1,11 +1,12 @@
 /** Decisions of the agreement slice: one replica of the catalog's log, and the notifications to other slices. */
 import { recordEvent, type CoreEffect, type Moment, type Step } from '../core/message.js'
-import { tell } from '../messages.js'
+import { sendPeer, tell } from '../messages.js'
 import { CatalogMachine, type Catalog, type CatalogCommand, type CatalogOutcome } from './catalog.js'
 import { decideReplica } from './decidereplica.js'
 import { calculateLeaseEnd } from './election.js'
-import { findLastPoint, type Members } from './log.js'
-import type { AgreementMessage, ControlStatus, HostStarted } from './messages.js'
+import { findLastPoint, findTerm, type Members } from './log.js'
+import type { AgreementMessage, ControlStatus, HostStarted, VersionsRequested } from './messages.js'
+import type { DocumentVersion } from '../membership/messages.js'
 import { createReplicaState, TICK_INTERVAL_MS, type AppendRecords, type CommandApplied, type ReplicaEffect, type LeaderChanged, type ReplicaState, type StoreSnapshot } from './replica.js'
 
 /** State of the agreement slice. */
@@ -32,6 +33,7 @@
   if (message.kind === 'agreement/status-asked') {
     return { state, effects: [tell({ kind: 'operations/answered', operation: message.operation, outcome: createStatus(state, moment) })] }
   }
+  if (message.kind === 'agreement/versions-asked') return tellVersions(state, message)
   const step = decideReplica(STATE_MACHINE, state, message, moment)
   const effects = step.effects.flatMap(effect => tellSlices(step.state, effect))
   return { state: step.state, effects: [...effects, ...recordChanges(state, step.state, message, moment)] }
@@ -56,6 +58,26 @@
   }
 }
 
+function tellVersions (state: AgreementState, { from, round }: VersionsRequested): Step<AgreementState, AgreementEffect> {
+  const { incarnation, log } = state
+  if (from === undefined || incarnation === '') return { state, effects: [] }
+  const { configuration, configurationIndex, snapshot } = log
+  const configurationTerm = findTerm(log, configurationIndex) ?? snapshot.term
+  return { state, effects: [sendPeer(from, { kind: 'membership/versions-told', round, incarnation, configuration, configurationTerm, configurationIndex, versions: listVersions(state) })] }
+}
+
+// An entry that is not committed here may be committed, and acknowledged, elsewhere.
+function listVersions ({ applied, committed, log }: AgreementState): readonly DocumentVersion[] {
+  const versions = new Map(Object.entries(applied.documents.services).map(([service, { version }]) => [service, version]))
+  for (const { index, command } of log.entries) {
+    if (index <= committed || (command.kind !== 'documents/replace' && command.kind !== 'documents/put')) continue
+    const { service } = command.document
+    const version = command.kind === 'documents/put' ? command.version + 1 : command.version
+    versions.set(service, Math.max(version, versions.get(service) ?? 0))
+  }
+  return [...versions].map(([service, version]) => ({ service, version }))
+}
+
 function tellSlices (state: AgreementState, effect: ReplicaEffect<Catalog, CatalogCommand, CatalogOutcome>): readonly AgreementEffect[] {
   switch (effect.kind) {
     case 'replica/applied': return [tellApplied(effect)]
--- a/src/agreement/messages.ts
+++ b/src/agreement/messages.ts
@@ -15,6 +15,13 @@
   readonly operation: string
 }
 
+/** A host that the leader does not confirm asks a control host which versions it holds. */
+export interface VersionsRequested {
+  readonly kind: 'agreement/versions-asked'
+  readonly from?: string
+  readonly round: number
+}
+
 /** A control host's view of its group; times in milliseconds. */
 export interface ControlStatus {
   readonly host: string
@@ -34,4 +41,4 @@
 }
 
 /** Any message of the agreement slice. */
-export type AgreementMessage = ReplicaMessage<Catalog, CatalogCommand> | HostStarted | StatusRequest
+export type AgreementMessage = ReplicaMessage<Catalog, CatalogCommand> | HostStarted | StatusRequest | VersionsRequested
--- a/src/membership/decide.ts
+++ b/src/membership/decide.ts
@@ -1,12 +1,12 @@
 /** Decisions of the membership slice: heartbeats, ownership, and this host's copy of the directory. */
 import type { CoreEffect, Moment, Step } from '../core/message.js'
 import type { ProbeDatabase } from '../databases/driver.js'
-import { recordConfirmation, recordTick } from './contact.js'
-import { followLeader, listHeartbeatTargets, followHint } from './discovery.js'
+import { recordConfirmation, recordTick, recordVersions } from './contact.js'
+import { followLeader, listControlHosts, listHeartbeatTargets, followHint } from './discovery.js'
 import { reportRollout } from './rollout.js'
 import { applyChanges, listEntries, type DatabaseEntry, type DatabaseStatus, type Directory, type HostEntry } from './directory.js'
 import { removeDatabase, removeHost, publishEntry, evictSilent, receiveHeartbeat } from './leader.js'
-import type { DatabaseAnnounced, DatabaseAnswered, Heartbeat, HeartbeatAnswered, MembershipMessage, ProbeCompleted, DatabaseWithdrawn } from './messages.js'
+import type { DatabaseAnnounced, DatabaseAnswered, Heartbeat, HeartbeatAnswered, MembershipMessage, ProbeCompleted, DatabaseWithdrawn, VersionsTold } from './messages.js'
 import { listOwned } from './owners.js'
 import type { Announcement, MembershipState } from './state.js'
 import { answerStatus, drainHost } from './operators.js'
@@ -40,6 +40,7 @@
     case 'membership/lease-extended': return updateLease(state, message.untilMs)
     case 'membership/beat-due': return handleHeartbeatDue(state, moment)
     case 'membership/beat-answered': return receiveAnswer(state, message, moment)
+    case 'membership/versions-told': return receiveVersions(state, message, moment)
     case 'membership/announced': return recordAnnouncement(state, message, moment)
     case 'membership/probe-due': return probeOwned(state, moment)
     case 'membership/probed': return recordProbe(state, message)
@@ -88,7 +89,7 @@
 }
 
 function handleHeartbeatDue (state: MembershipState, moment: Moment): MembershipStep {
-  const ticked = recordTick(state.contact, computeHeartbeatIntervalMs(state), moment)
+  const ticked = recordTick(state.contact, listControlHosts(state), computeHeartbeatIntervalMs(state), moment)
   const sent = sendHeartbeat({ ...state, contact: ticked.contact }, moment)
   return { state: sent.state, effects: [...sent.effects, ...ticked.effects] }
 }
@@ -113,6 +114,11 @@
   return { state: next, effects: [...targets.map(target => sendPeer(target, heartbeat)), createHeartbeatTimer(state)] }
 }
 
+function receiveVersions (state: MembershipState, message: VersionsTold, moment: Moment): MembershipStep {
+  const { contact, effects } = recordVersions(state.contact, listControlHosts(state), message, moment)
+  return { state: { ...state, contact }, effects }
+}
+
 // Only a leader answers, through a relay or not, so an answer with a later epoch shows the leader of that epoch.
 function receiveAnswer (state: MembershipState, message: HeartbeatAnswered, moment: Moment): MembershipStep {
   const leader = message.leader ?? message.from
--- a/src/membership/discovery.ts
+++ b/src/membership/discovery.ts
@@ -33,13 +33,26 @@
   const { control, leader, heartbeatRound } = state
   const leaderTargets = leader === undefined ? [] : [leader]
   if (leader !== undefined && unansweredMs < LEADER_TIMEOUT_MS) return leaderTargets
-  const controlHosts = listEntries(state.directory, 'host').filter(host => host.control === true).map(host => host.host)
+  const controlHosts = listKnownControlHosts(state)
   const others = rankCandidates(state.self?.host ?? '', [...new Set([...control, ...controlHosts])].filter(host => host !== leader && host !== state.self?.host))
   const rounds = state.directory.changes.size === 0 ? FIRST_TARGET_ROUNDS : 1
   const next = others[Math.floor(heartbeatRound / rounds) % others.length]
   return next === undefined ? leaderTargets : [...leaderTargets, next]
 }
 
+function listKnownControlHosts ({ directory }: MembershipState): readonly string[] {
+  return listEntries(directory, 'host').filter(host => host.control === true).map(host => host.host)
+}
+
+/**
+ * Lists the control hosts: those of the directory, or those of the settings while it names none.
+ * @example listControlHosts(state) // ['host-1', 'host-2', 'host-3']
+ */
+export function listControlHosts (state: MembershipState): readonly string[] {
+  const known = listKnownControlHosts(state)
+  return known.length > 0 ? known : state.control
+}
+
 /**
  * Follows the leader that this host learned from its own replica of the log or from a hint. Starts to lead if it is
  * this host; an earlier epoch only ends its leadership.
--- a/src/membership/messages.ts
+++ b/src/membership/messages.ts
@@ -1,5 +1,6 @@
 /** Messages of the membership slice. */
 import type { LogPosition } from '../core/position.js'
+import type { Configuration } from '../agreement/log.js'
 import type { DatabaseEntry, DatabaseStatus, DirectoryChange, DirectoryEntry, HostEntry, Revision } from './directory.js'
 import type { StoredDatabaseTable } from './stored.js'
 
@@ -79,6 +80,28 @@
   readonly changes: readonly DirectoryChange[]
 }
 
+/** The version of a document. */
+export interface DocumentVersion {
+  readonly service: string
+  readonly version: number
+}
+
+/** A control host tells which versions it holds, in answer to `agreement/versions-asked`. */
+export interface VersionsTold {
+  readonly kind: 'membership/versions-told'
+  /** The control host; set by the receiving host. */
+  readonly from?: string
+  readonly round: number
+  /** Identifies the data folder of the control host. */
+  readonly incarnation: string
+  /** The members of the control group in the newest entry of its log that names them, and that entry's position. */
+  readonly configuration?: Configuration
+  readonly configurationTerm: number
+  readonly configurationIndex: number
+  /** The newest version of each document in its log, committed or not. */
+  readonly versions: readonly DocumentVersion[]
+}
+
 /** The leader's timer for evicting hosts and databases fired. */
 export interface SweepDue {
   readonly kind: 'membership/sweep-due'
@@ -193,6 +216,7 @@
   | HeartbeatDue
   | Heartbeat
   | HeartbeatAnswered
+  | VersionsTold
   | SweepDue
   | DatabaseAnnounced
   | ProbeCompleted
--- a/src/membership/relay.test.ts
+++ b/src/membership/relay.test.ts
@@ -108,7 +108,7 @@
     this.schedule(0.3 + this.#random() * 5, () => {
       const key = `${to} ${message.kind}`
       this.received.set(key, (this.received.get(key) ?? 0) + 1)
-      if (this.hosts.has(to)) this.handle(to, { ...message, from } as unknown as MembershipMessage)
+      if (this.hosts.has(to) && message.kind.startsWith('membership/')) this.handle(to, { ...message, from } as unknown as MembershipMessage)
     })
   }
 
--- a/src/monitoring/monitor.test.ts
+++ b/src/monitoring/monitor.test.ts
@@ -65,6 +65,17 @@
     expect(lines.map(line => JSON.parse(line).msg)).to.deep.equal(['primacy: Database a1 is primary.', 'membership: Host h2 is silent.'])
   })
 
+  it('is ready without a confirmation while it is isolated, where it keeps serving, and not while the control hosts answer', () => {
+    const lateMs = 100 + 5_001
+    const confirmed = updateReadiness({ ...INITIAL_FACTS, keepsAuthority: true }, 'h1', { kind: 'requests/grants-confirmed', grants: [], askedAtMs: 100 })
+    expect(checkReadiness(confirmed, lateMs - 1)).to.deep.equal({ ready: true, inTouch: false })
+    expect(checkReadiness(confirmed, lateMs).reason).to.equal('no authority')
+    expect(checkReadiness(updateReadiness(confirmed, 'h1', { kind: 'admission/versions-held', versions: [], askedAtMs: 4_000 }), lateMs).ready).to.equal(true)
+    const isolated = updateReadiness(confirmed, 'h1', { kind: 'admission/contact-changed', isolated: true })
+    expect(checkReadiness(isolated, lateMs).ready).to.equal(true)
+    expect(checkReadiness(updateReadiness(isolated, 'h1', { kind: 'admission/contact-changed', isolated: false }), lateMs).ready).to.equal(false)
+  })
+
   it('is ready only while the leader confirms it and it is not draining', () => {
     const confirmed = updateReadiness(INITIAL_FACTS, 'h1', { kind: 'requests/grants-confirmed', grants: [], askedAtMs: 100 })
     expect(checkReadiness(INITIAL_FACTS, 100).reason).to.equal('starting')
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -67,7 +67,7 @@
   control: v.pipe(ControlSchema, v.description('The control hosts, each with its peers address.')),
   forms: v.optional(v.pipe(v.boolean(), v.description('Whether this host may form a new control group when it starts for the first time.')), true),
   voters: v.optional(v.pipe(v.number(), v.integer('Expected a whole number'), v.minValue(0, 'Expected a number from 0'), v.description('The number of control hosts in the group; 0 means those listed. With a larger number, any control host that reaches the group may join it.')), 0),
-  authority: v.optional(v.pipe(v.picklist(['leased', 'kept']), v.description('Whether a host without contact to the leader rejects requests that require a key (leased), or keeps serving them with the last documents that it received (kept).')), 'leased'),
+  authority: v.optional(v.pipe(v.picklist(['leased', 'kept']), v.description('Whether a host without contact to the leader rejects requests that require a key (leased), or keeps serving with the last documents that it received while no majority of the control hosts can be reached (kept).')), 'leased'),
   timing: v.optional(TimingSchema, {}),
   logLevel: v.optional(v.picklist(['debug', 'info', 'warn', 'error']), 'info'),
   trace: v.optional(v.pipe(TraceSchema, v.description('Records the messages of some slices for replay. Off by default, since messages may hold data of callers.'))),
