Announced databases are validated, and an invalid address ends no host

An announcement with the address 127.0.0.1:99999 was acknowledged, stored in the log and told to all hosts; the host that owns it ended (net.connect throws a RangeError, the loop ends the process), then the next owner, and after a restart again, since the entry was in the log. A group named 'constructor' ended the leader the same way ('reading dueAtMs' of undefined in succession), then the next one. Deep nesting was refused before: JSON.parse of this runtime does not recurse, 2,000,000 levels were tried. Other values that passed: slots of 1e300, numbers that lose digits, line breaks in names that stand in the line START, names of any length.

Change: one schema for announced databases (src/membership/entry.ts), applied to announcements, to what other hosts report and to what the log remembers; openSocket and the links between hosts report an invalid address by their usual events.

Test fixtures with addresses that were none have real ones now.

--- a/src/databases/postgres/connection.ts
+++ b/src/databases/postgres/connection.ts
@@ -1,7 +1,7 @@
 /** One pooled connection to a PostgreSQL database. */
-import { connect, type Socket } from 'node:net'
+import type { Socket } from 'node:net'
 import { serialize } from 'pg-protocol'
-import { splitAddress } from '../../core/address.js'
+import { openSocket } from '../socket.js'
 import type { HostPost } from '../../messages.js'
 import type { ExecuteRequest } from '../driver.js'
 import { createAnswer, processMessage, type Answer } from './answer.js'
@@ -43,8 +43,7 @@
 
   private constructor (parts: DatabaseConnectionParts) {
     this.#parts = parts
-    const [ip, port] = splitAddress(parts.address)
-    this.#socket = connect({ host: ip, port, noDelay: true })
+    this.#socket = openSocket(parts.address)
     this.#connectTimer = setTimeout(() => this.#fail('the database did not answer in time'), CONNECT_TIMEOUT_MS)
     this.#socket.on('connect', () => this.#socket.write(serialize.startup({ user: parts.user, database: 'postgres' })))
     this.#socket.on('data', chunk => this.#receive(chunk))
--- a/src/membership/decide.ts
+++ b/src/membership/decide.ts
@@ -1,6 +1,7 @@
 /** Decisions of the membership slice: heartbeats, ownership, and this host's copy of the directory. */
-import type { CoreEffect, Moment, Step } from '../core/message.js'
+import { writeLog, type CoreEffect, type Moment, type Step } from '../core/message.js'
 import type { ProbeDatabase } from '../databases/driver.js'
+import { findEntryErrors } from './entry.js'
 import { recordConfirmation, recordTick, recordVersions } from './contact.js'
 import { followLeader, listControlHosts, listHeartbeatTargets, followHint } from './discovery.js'
 import { reportRollout } from './rollout.js'
@@ -187,6 +188,8 @@
 
 function recordAnnouncement (state: MembershipState, message: DatabaseAnnounced, moment: Moment): MembershipStep {
   const { entry, order } = message
+  const errors = findEntryErrors(entry)
+  if (errors.length > 0) return { state, effects: [writeLog('warn', 'An announcement was ignored, since it names no database that can be used.', { errors })] }
   const known = state.announcements.get(entry.database)
   if (isOutOfOrder(known, order)) return createStep(state)
   const announcements = new Map([...state.announcements].filter(([, { receivedAtMs }]) => moment.monotonicMs - receivedAtMs <= state.timing.announcementHoldsMs))
--- a/src/membership/leader.ts
+++ b/src/membership/leader.ts
@@ -1,6 +1,7 @@
 /** The leader's side of membership: builds the directory from the heartbeats of hosts. */
 import type { CoreEffect, Moment, Step } from '../core/message.js'
 import { createDirectory, removeEntry, listChangesSince, listEntries, putEntry, getEntryKey, type DatabaseEntry, type DatabaseStatus, type Directory, type DirectoryEntry } from './directory.js'
+import { keepValidEntries } from './entry.js'
 import type { Heartbeat, HostLeft } from './messages.js'
 import type { LeaderState, MembershipState } from './state.js'
 import { proposeStoredDatabases } from './stored.js'
@@ -31,7 +32,7 @@
 export function startLeading (state: MembershipState, epoch: number, moment: Moment): MembershipStep {
   const awaitedHosts = listEntries(state.directory, 'host').map(entry => entry.host).filter(host => host !== state.previousLeader)
   const knownDatabases = listEntries(state.directory, 'database')
-  const storedDatabases = Object.values(state.storedDatabases).filter(entry => !knownDatabases.some(other => other.database === entry.database))
+  const storedDatabases = keepValidEntries(Object.values(state.storedDatabases)).filter(entry => !knownDatabases.some(other => other.database === entry.database))
   const databases = [...knownDatabases, ...storedDatabases]
   const databaseReportedAtMs = new Map<string, number>()
   markReported(databaseReportedAtMs, databases, moment.monotonicMs + REANNOUNCEMENT_GRACE_MS)
@@ -55,7 +56,7 @@
  * @example receiveHeartbeat(state, leaderState, heartbeat, moment)
  */
 export function receiveHeartbeat (state: MembershipState, leaderState: LeaderState, heartbeat: Heartbeat, moment: Moment): MembershipStep {
-  const heartbeats = [heartbeat, ...(heartbeat.relayed ?? [])]
+  const heartbeats = [heartbeat, ...(heartbeat.relayed ?? [])].map(received => ({ ...received, databases: keepValidEntries(received.databases) }))
   const next = recordHeartbeats(leaderState, heartbeats, moment)
   const notifications = heartbeats.flatMap(notifyReported)
   if (!isReadyToAnswer(next, moment)) return { state: { ...state, leaderState: next }, effects: notifications }
--- a/src/membership/stored.test.ts
+++ b/src/membership/stored.test.ts
@@ -7,7 +7,7 @@
 import { createMembershipState, type MembershipState } from './state.js'
 
 const SELF: HostEntry = { kind: 'host', host: 'host-1', incarnation: '1', failureDomain: 'east', peers: '', draining: false }
-const ENTRY: DatabaseEntry = { kind: 'database', database: 'a1', group: 'a', failureDomain: 'east', address: 'x:1', slots: 3, connectionLimit: 9, departing: false, leads: true }
+const ENTRY: DatabaseEntry = { kind: 'database', database: 'a1', group: 'a', failureDomain: 'east', address: '10.0.0.1:1', slots: 3, connectionLimit: 9, departing: false, leads: true }
 /** Longer than a new leader waits for a stored database to announce itself. */
 const ABSENT_MS = 10_000
 
--- a/src/peers/connect.ts
+++ b/src/peers/connect.ts
@@ -4,6 +4,7 @@
 import type { Post } from '../core/adapter.js'
 import type { LearnPeers, Message, SendPeer } from '../core/message.js'
 import { Peers, type PackedFrame } from '../gen/fulmartally_pb.js'
+import { isAddress } from '../core/address.js'
 import { assertInvariant } from '../core/invariant.js'
 import type { HostMessage } from '../messages.js'
 import { decodeFrame, encodeFrame, packFrame, unpackFrame } from './frame.js'
@@ -92,15 +93,18 @@
       return
     }
     if (this.#isUnreachable(effect.to)) {
-      if (effect.message.kind === REQUEST_KIND) this.#reportLoss(effect.to, false)
-      return
+      return this.#refuseRequest(effect)
     }
     const link = this.#findOpen(effect.to) ?? this.#open(effect.to)
-    if (link === undefined) return
+    if (link === undefined) return this.#refuseRequest(effect)
     const packed = this.#encode(link, effect.message)
     if (!link.queue.push(packed, packed.frame.length)) this.#handleLoss(effect.to, link)
   }
 
+  #refuseRequest ({ to, message }: SendPeer): void {
+    if (message.kind === REQUEST_KIND) this.#reportLoss(to, false)
+  }
+
   /** Adds the service that receives the streams of other hosts. */
   addRoutes (router: ConnectRouter): void {
     const receive = (frames: AsyncIterable<PackedFrame>) => this.#receive(frames)
@@ -160,9 +164,10 @@
     for (const [host, link] of this.#links) if (isClosed(link)) this.#handleLoss(host, link)
   }
 
+  // A host whose name is not known yet is named by its address.
   #open (host: string): OpenLink | undefined {
-    const address = this.#addresses.get(host) ?? findAddress(host)
-    if (address === undefined || this.#closed) return undefined
+    const address = this.#addresses.get(host) ?? host
+    if (!isAddress(address) || this.#closed) return undefined
     const session = new Http2SessionManager(`http://${address}`, { pingIntervalMs: PING_INTERVAL_MS, pingTimeoutMs: PING_TIMEOUT_MS, pingIdleConnection: true })
     const transport = createGrpcTransport({ baseUrl: `http://${address}`, sessionManager: session })
     const link: OpenLink = { address, queue: SendQueue.create(), packer: FramePacker.create(), abort: new AbortController(), session, opened: false }
@@ -217,8 +222,3 @@
   const state = session.state()
   return state === 'closed' || state === 'error'
 }
-
-// A host whose name is not known yet is named by its address.
-function findAddress (host: string): string | undefined {
-  return /^\d+(\.\d+){3}:\d+$/.test(host) ? host : undefined
-}
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -1,10 +1,10 @@
 /** The settings of a host: JSON with comments, validated against a schema. */
-import { isIP } from 'node:net'
 import type { Result } from 'true-myth'
 import * as v from 'valibot'
 import { parseValidJson } from '../core/validjson.js'
 import type { Finding } from '../core/findings.js'
 import { findDuplicates, readArray, readProperty, type RuleViolation } from '../core/unchecked.js'
+import { isAddress, splitAddress } from '../core/address.js'
 import { Name } from '../core/names.js'
 import { DEFAULT_MEMBERSHIP_TIMING } from '../membership/state.js'
 import { POSITION_POLL_INTERVAL_MS } from '../routing/state.js'
@@ -12,7 +12,6 @@
 const MAX_DURATION_MS = 3_600_000
 const MAX_MESSAGE_BYTES = 1_073_741_824
 const MAX_QUEUE_LENGTH = 1_000_000
-const MAX_PORT = 65_535
 
 const Address = v.pipe(
   v.string(),
@@ -118,16 +117,6 @@
   return [...missing, { path: ['control', index, 'peers'], text: `The address differs from "peers" of this host: expected ${String(peers)}.` }]
 }
 
-function isAddress (address: string): boolean {
-  const colon = address.lastIndexOf(':')
-  const port = Number(address.slice(colon + 1))
-  return isIP(readIp(address)) !== 0 && port >= 1 && port <= MAX_PORT
-}
-
 function isWildcard (address: string): boolean {
-  return ['0.0.0.0', '::'].includes(readIp(address))
-}
-
-function readIp (address: string): string {
-  return address.slice(0, address.lastIndexOf(':')).replace(/^\[|\]$/g, '')
+  return ['0.0.0.0', '::'].includes(splitAddress(address)[0])
 }
--- a/standin/wire/platform.ts
+++ b/standin/wire/platform.ts
@@ -9,10 +9,13 @@
 /** Serves promotion requests for its groups. */
 export class WirePlatform {
   readonly address: string
+  /** The service of each promotion request, in order. */
+  readonly requested: readonly string[]
   readonly #server: Server
 
-  private constructor (server: Server) {
+  private constructor (server: Server, requested: readonly string[]) {
     this.#server = server
+    this.requested = requested
     this.address = `127.0.0.1:${(server.address() as AddressInfo).port}`
   }
 
@@ -21,14 +24,16 @@
    * @example await WirePlatform.create([group])
    */
   static async create (groups: readonly WireGroup[]): Promise<WirePlatform> {
+    const requested: string[] = []
     const server = createServer((request, response) => {
       readPromotionRequest(request).then(({ service, id, fence }) => {
+        requested.push(service)
         const promoted = groups.find(group => group.service === service)?.promote(id, fence) === true
         response.writeHead(promoted ? HTTP_OK : HTTP_CONFLICT).end()
       }).catch(() => response.destroy())
     })
     await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
-    return new WirePlatform(server)
+    return new WirePlatform(server, requested)
   }
 
   async [Symbol.asyncDispose] (): Promise<void> {
--- a/test/support/wire.ts
+++ b/test/support/wire.ts
@@ -93,6 +93,11 @@
     return deployment
   }
 
+  /** The groups of all promotion requests, in order. */
+  get appointedGroups (): readonly string[] {
+    return this.#platform.requested
+  }
+
   /** Sends a desired state to a control host; returns the HTTP status. */
   async putConfiguration (state: unknown, hostIndex = 0): Promise<number> {
     const response = await fetch(`http://${this.control[hostIndex]}/-/config/put`, { method: 'POST', body: JSON.stringify(state) })
