Tables read their own entries alone, and ignore the end of an appointment that they lack

What a caller would see: no leader for ever. A group that is named like a member of every object (constructor) ended each leader; if the leader had got as far as storing the end of the call for it, each control host would have ended again as it applied that entry after each start (InvariantError: appointments only grow).

Cause: tables are plain objects and were read by names from outside; inherited members counted as entries.

--- a/src/documents/decide.ts
+++ b/src/documents/decide.ts
@@ -1,11 +1,12 @@
 /** Decisions of the documents slice: the leader proposes operators' documents to the log and publishes accepted ones in the directory. */
 import { assertInvariant } from '../core/invariant.js'
+import { getOwn } from '../core/own.js'
 import { recordEvent, type CoreEffect, type Moment, type Step } from '../core/message.js'
 import { sendPeer, setTimer, tell } from '../messages.js'
 import { parseDocument } from './document.js'
 import type { CommandApplied, ApplyDocument, DocumentQuery, DocumentsMessage, RolloutStatus, RolloutReported, LeadershipChanged, ReadCurrentDocument, ReplaceDocument } from './messages.js'
 import type { DocumentsState, PendingCall, RolloutWatch } from './state.js'
-import { getOwn, type DocumentsCommand, type DocumentsTable } from './table.js'
+import type { DocumentsCommand, DocumentsTable } from './table.js'
 
 export { createDocumentsState } from './state.js'
 
--- a/src/documents/table.ts
+++ b/src/documents/table.ts
@@ -1,4 +1,5 @@
 /** The replicated table of documents, and the commands that change it. */
+import { getOwn } from '../core/own.js'
 import type { ServiceDocument } from './document.js'
 
 /** Number of requests per service whose outcome is kept for deduplication. */
@@ -100,8 +101,3 @@
   if (version <= current) return { state: table, outcome }
   return { state: { ...table, services: { ...table.services, [document.service]: { version, text, document } } }, outcome }
 }
-
-/** Returns a service's own value; undefined for inherited names such as `constructor`. */
-export function getOwn<T> (values: Readonly<Record<string, T>>, service: string): T | undefined {
-  return Object.hasOwn(values, service) ? values[service] : undefined
-}
--- a/src/membership/stored.ts
+++ b/src/membership/stored.ts
@@ -1,5 +1,6 @@
 /** The databases stored in the control hosts' log: after a restart of all hosts, a new leader knows them before they announce themselves. */
 import type { CoreEffect } from '../core/message.js'
+import { getOwn } from '../core/own.js'
 import { tell } from '../messages.js'
 import { listEntries, type DatabaseEntry, type Directory } from './directory.js'
 
@@ -29,7 +30,7 @@
 export function proposeStoredDatabases (table: StoredDatabaseTable, directory: Directory): readonly CoreEffect[] {
   const entries = listEntries(directory, 'database')
   const presentNames = new Set(entries.map(entry => entry.database))
-  const present = entries.filter(entry => !isSame(table[entry.database], entry))
+  const present = entries.filter(entry => !isSame(getOwn(table, entry.database), entry))
   const gone = Object.keys(table).filter(database => !presentNames.has(database))
   if (present.length === 0 && gone.length === 0) return []
   return [tell({ kind: 'agreement/propose', proposal: 'membership/remember', command: { kind: 'membership/remember', present, gone } })]
--- a/src/primacy/change.ts
+++ b/src/primacy/change.ts
@@ -1,4 +1,5 @@
 /** The steps of a primary change; each step is a command of the replicated log. */
+import { getOwn } from '../core/own.js'
 import { comparePositions, coversPosition, ORIGIN, type LogPosition } from '../core/position.js'
 import { assertInvariant } from '../core/invariant.js'
 import type { CommandOutcome, GrantPublished } from './messages.js'
@@ -49,7 +50,7 @@
  * @example recordPublished(state, published, nowMs)
  */
 export function recordPublished (state: PrimacyState, { entry, revision }: GrantPublished, nowMs: number): PrimacyState {
-  const record = state.table[entry.group]
+  const record = getOwn(state.table, entry.group)
   if (record === undefined || entry.term !== record.term || entry.primary !== record.primary || entry.closing !== (record.closing === undefined ? undefined : true)) return state
   const tracked = trackStep(state, entry.group, record, nowMs)
   const progress = tracked.progress.get(entry.group)!
--- a/src/primacy/decide.ts
+++ b/src/primacy/decide.ts
@@ -1,5 +1,6 @@
 /** Decisions of the primacy slice: the leader manages the primaries of all groups, and owners execute its commands to databases. */
 import { recordEvent, type Moment } from '../core/message.js'
+import { getOwn } from '../core/own.js'
 import type { DatabaseStatus } from '../membership/directory.js'
 import { sendPeer, setTimer } from '../messages.js'
 import { checkChange, acceptOutcome, recordPublished } from './change.js'
@@ -53,12 +54,13 @@
 function applyCommand (state: PrimacyState, message: CommandApplied, nowMs: number): PrimacyStep {
   const { command, table } = message
   const { group } = command
-  const changed = state.table[group] !== table[group]
+  const record = getOwn(table, group)
+  const changed = getOwn(state.table, group) !== record
   const next: PrimacyState = { ...state, table }
-  if (!state.leads || !changed || table[group] === undefined) return { state: next, effects: [] }
-  const unplanned = command.kind === 'primacy/reopen' || (command.kind === 'primacy/end' && table[group].change?.target === undefined)
+  if (!state.leads || !changed || record === undefined) return { state: next, effects: [] }
+  const unplanned = command.kind === 'primacy/reopen' || (command.kind === 'primacy/end' && record.change?.target === undefined)
   const recorded = unplanned ? recordUnplannedChange(next, group, nowMs) : next
-  const checked = checkChange(recorded, group, table[group], nowMs)
+  const checked = checkChange(recorded, group, record, nowMs)
   return { state: checked.state, effects: [publishGroup(table, group), ...createEvents(command), ...checked.effects] }
 }
 
@@ -107,7 +109,7 @@
 }
 
 function checkGroup (state: PrimacyState, group: string, nowMs: number): PrimacyStep {
-  const record = state.table[group]!
+  const record = getOwn(state.table, group)!
   const changed = checkChange(state, group, record, nowMs)
   const checked = checkPrimary(changed.state, group, record, nowMs)
   const moved = checkDeparting(checked.state, group, record, nowMs)
@@ -123,7 +125,7 @@
 function moveGroup (state: PrimacyState, message: MovePrimary, nowMs: number): PrimacyStep {
   const { group, database, operation, from } = message
   const answer = (outcome: unknown): readonly PrimacyEffect[] => (from === undefined ? [] : [sendPeer(from, { kind: 'operations/answered', operation, outcome })])
-  const record = state.table[group]
+  const record = getOwn(state.table, group)
   if (!state.leads) return { state, effects: answer({ error: 'not-leader' }) }
   if (record === undefined || !record.members.includes(database)) return { state, effects: answer({ accepted: false, text: `Database "${database}" is not a member of group "${group}": check both names with status.` }) }
   if (record.primary === database) return { state, effects: answer({ accepted: true, term: record.term }) }
--- a/src/primacy/detect.ts
+++ b/src/primacy/detect.ts
@@ -1,4 +1,5 @@
 /** Detects when a group forms and when its primary has to be replaced. */
+import { getOwn } from '../core/own.js'
 import { recordEvent } from '../core/message.js'
 import type { PrimacyState } from './state.js'
 import type { GroupRecord } from './table.js'
@@ -21,7 +22,7 @@
  * @example checkFormation(state, 'a', nowMs)
  */
 export function checkFormation (state: PrimacyState, group: string, nowMs: number): PrimacyStep {
-  if (state.table[group] !== undefined) return { state, effects: [] }
+  if (getOwn(state.table, group) !== undefined) return { state, effects: [] }
   const announced = [...state.databases.values()].filter(known => known.entry.group === group && nowMs - known.reportedAtMs < ANNOUNCEMENT_TTL_MS)
   const primaries = announced.filter(known => known.status?.primary === true && isAnswering(state, known.entry.database, nowMs))
   const [primary] = primaries
--- a/src/primacy/table.ts
+++ b/src/primacy/table.ts
@@ -1,6 +1,7 @@
 /** The replicated table of groups, and the commands of the log that change it. */
 import { comparePositions, type LogPosition } from '../core/position.js'
 import { assertInvariant } from '../core/invariant.js'
+import { getOwn } from '../core/own.js'
 
 /** A database that was fenced at the term of a change, so that it refuses all lower terms, and its last log position. */
 export interface FencedMember {
@@ -125,7 +126,7 @@
  * @example applyPrimacyCommand({}, { kind: 'primacy/grant', group: 'a', term: 1, primary: 'a1', members: ['a1'] })
  */
 export function applyPrimacyCommand (table: GroupsTable, command: PrimacyCommand): GroupsTable {
-  const known = table[command.group]
+  const known = getOwn(table, command.group)
   const next = known === undefined ? createGroup(command) : applyToGroup(known, command)
   if (next === undefined || next === known) return table
   assertValidTransition(known, next)
--- a/src/primacy/tools.ts
+++ b/src/primacy/tools.ts
@@ -1,4 +1,5 @@
 /** Helpers shared by the decisions of the primacy slice: steps, effects, and liveness of databases. */
+import { getOwn } from '../core/own.js'
 import type { CoreEffect, Step } from '../core/message.js'
 import type { DatabaseEffect } from '../databases/driver.js'
 import { sendPeer, tell } from '../messages.js'
@@ -69,7 +70,7 @@
  * @example publishGroup(table, 'a')
  */
 export function publishGroup (table: GroupsTable, group: string): CoreEffect {
-  const { term, primary, members, closing } = table[group]!
+  const { term, primary, members, closing } = getOwn(table, group)!
   return tell({ kind: 'membership/publish', entry: { kind: 'grant', group, term, primary, members, closing: closing === undefined ? undefined : true } })
 }
 
--- a/src/succession/candidates.ts
+++ b/src/succession/candidates.ts
@@ -1,4 +1,5 @@
 /** Identifies the primary of a group, whether it has to be replaced, and its successor. */
+import { getOwn } from '../core/own.js'
 import { comparePositions, ORIGIN, type LogPosition } from '../core/position.js'
 import type { ReportingHost, TrackedDatabase, SuccessionState } from './state.js'
 
@@ -33,7 +34,7 @@
 export function findPrimary (state: SuccessionState, group: string): TrackedDatabase | undefined {
   const members = listMembers(state, group)
   const proven = members.filter(known => known.provenAtMs !== undefined).sort((a, b) => b.provenAtMs! - a.provenAtMs!)[0]
-  const appointment = state.table[group]
+  const appointment = getOwn(state.table, group)
   if (appointment === undefined) return proven ?? pickAnnouncedPrimary(members)
   if (appointment.outcome === 'failed') return proven
   const appointed = state.databases.get(appointment.database)
--- a/src/succession/decide.ts
+++ b/src/succession/decide.ts
@@ -1,4 +1,5 @@
 /** Decisions of the succession slice, which the leader takes: failover of self-fencing databases through calls to the platform. */
+import { getOwn } from '../core/own.js'
 import { recordEvent, type CoreEffect, type Moment, type Step } from '../core/message.js'
 import type { DatabaseStatus } from '../membership/directory.js'
 import { setTimer, tell } from '../messages.js'
@@ -59,7 +60,7 @@
 
 function applyCommand (state: SuccessionState, { command, table }: CommandApplied, nowMs: number): SuccessionStep {
   const { group } = command
-  const changed = state.table[group] !== table[group]
+  const changed = getOwn(state.table, group) !== getOwn(table, group)
   const appointed = changed && command.kind === 'succession/appoint'
   const next: SuccessionState = { ...state, table, appointedAtMs: appointed ? new Map(state.appointedAtMs).set(group, nowMs) : state.appointedAtMs }
   return state.leads && changed ? checkGroup(next, group, nowMs) : createStep(next)
@@ -113,7 +114,7 @@
 }
 
 function checkGroup (state: SuccessionState, group: string, nowMs: number): SuccessionStep {
-  const current = state.table[group]
+  const current = getOwn(state.table, group)
   if (current !== undefined && current.outcome === undefined) return callPlatform(state, group, nowMs)
   const primary = findPrimary(state, group)
   const reason = findReplacementReason(state, primary, nowMs)
@@ -169,7 +170,7 @@
 }
 
 function appoint (state: SuccessionState, group: string, successor: TrackedDatabase, reason: ReplacementReason, nowMs: number): SuccessionStep {
-  const appointment = (state.table[group]?.appointment ?? 0) + 1
+  const appointment = (getOwn(state.table, group)?.appointment ?? 0) + 1
   const { database } = successor.entry
   // Prevents another proposal until the command is applied or times out.
   const appointedAtMs = new Map(state.appointedAtMs).set(group, nowMs - APPOINTMENT_INTERVAL_MS + PROPOSAL_TIMEOUT_MS)
@@ -186,7 +187,7 @@
 
 // A departing primary stays published until its successor is promoted; a silent one is withdrawn.
 function callPlatform (state: SuccessionState, group: string, nowMs: number): SuccessionStep {
-  const { appointment, database } = state.table[group]!
+  const { appointment, database } = getOwn(state.table, group)!
   const known = state.calls.get(group)
   const call: PromotionCall = known?.appointment === appointment ? known : { appointment, calledAtMs: 0, dueAtMs: nowMs, tries: 0 }
   if (call.dueAtMs === undefined || call.dueAtMs > nowMs) return createStep(state)
@@ -201,7 +202,7 @@
 
 function recordAnswer (state: SuccessionState, { group, appointment, outcome }: CallAnswered, nowMs: number): SuccessionStep {
   const call = state.calls.get(group)
-  if (call?.appointment !== appointment || state.table[group]?.outcome !== undefined) return createStep(state)
+  if (call?.appointment !== appointment || getOwn(state.table, group)?.outcome !== undefined) return createStep(state)
   const event = recordEvent('promotion-answered', `Group ${group}: the call for appointment ${appointment} was ${outcome} after ${Math.round(nowMs - call.calledAtMs)} ms.`, { group })
   const ended = outcome === 'done' || outcome === 'refused' || (outcome === 'unanswered' && call.tries >= MAX_TRIES)
   if (!ended) {
@@ -210,7 +211,7 @@
   }
   const settled = tell({ kind: 'agreement/propose', proposal: `succession/${group}/${appointment}/settle`, command: { kind: 'succession/settle', group, appointment, outcome: outcome === 'done' ? 'done' : 'failed' } })
   // Hosts use the new primary at once; until its promotion completes, it refuses their requests.
-  const published = outcome === 'done' ? publish(state, group, state.table[group]!.database) : createStep({ ...state, appointedAtMs: new Map(state.appointedAtMs).set(group, nowMs - APPOINTMENT_INTERVAL_MS + CALL_RETRY_DELAY_MS) })
+  const published = outcome === 'done' ? publish(state, group, getOwn(state.table, group)!.database) : createStep({ ...state, appointedAtMs: new Map(state.appointedAtMs).set(group, nowMs - APPOINTMENT_INTERVAL_MS + CALL_RETRY_DELAY_MS) })
   return { state: published.state, effects: [event, settled, ...published.effects] }
 }
 
@@ -218,7 +219,7 @@
   const known = state.published.get(group)
   if (known !== undefined && known.database === database) return createStep(state)
   if (known === undefined && database === undefined) return createStep(state)
-  const term = state.table[group]?.appointment ?? 0
+  const term = getOwn(state.table, group)?.appointment ?? 0
   return {
     state: { ...state, published: new Map(state.published).set(group, { database }) },
     effects: [
--- a/src/succession/table.ts
+++ b/src/succession/table.ts
@@ -1,5 +1,6 @@
 /** The replicated table of appointments: which database of a group is to be promoted. */
 import { assertInvariant } from '../core/invariant.js'
+import { getOwn } from '../core/own.js'
 
 /** The last appointment of a group. */
 export interface Appointment {
@@ -38,7 +39,7 @@
  * @example applySuccessionCommand({}, { kind: 'succession/appoint', group: 'a', appointment: 1, database: 'a1' })
  */
 export function applySuccessionCommand (table: AppointmentTable, command: SuccessionCommand): AppointmentTable {
-  const known = table[command.group]
+  const known = getOwn(table, command.group)
   const next = applyToAppointment(known, command)
   if (next === known || next === undefined) return table
   assertInvariant(next.appointment >= (known?.appointment ?? 0), 'appointments only grow', command.group)
@@ -47,7 +48,7 @@
 
 function applyToAppointment (known: Appointment | undefined, command: SuccessionCommand): Appointment | undefined {
   const { appointment } = command
-  if (command.kind === 'succession/settle') return known?.appointment === appointment ? { ...known, outcome: command.outcome } : known
+  if (command.kind === 'succession/settle') return known !== undefined && known.appointment === appointment ? { ...known, outcome: command.outcome } : known
   if (appointment !== (known?.appointment ?? 0) + 1) return known
   return { appointment, database: command.database }
 }
