Primaries are appointed only in groups that a document names

What callers would see: promotion calls for services that the system doesn't serve.

Cause: a group existed for the leader as soon as any writer announced a database of it; if its announced primary was silent, a database of it was promoted. The tests had never given the leader a document.

src/succession/decide.test.ts, 'changes nothing in a group that no document names', failed before.

--- a/src/succession/decide.test.ts
+++ b/src/succession/decide.test.ts
@@ -44,6 +44,7 @@
   static create (): TestLeader {
     const leader = new TestLeader()
     leader.#decide({ kind: 'succession/leadership', leads: true, epoch: 3, table: {} })
+    leader.requireCopies(0)
     return leader
   }
 
@@ -65,6 +66,11 @@
     this.#decide({ kind: 'succession/answered', group, appointment, outcome })
   }
 
+  /** Removes the group from all documents. */
+  dropDocument (): void {
+    this.#decide({ kind: 'succession/documents', copies: new Map([['other', 0]]) })
+  }
+
   requireCopies (copies: number): void {
     this.#decide({ kind: 'succession/documents', copies: new Map([['g', copies]]) })
   }
@@ -118,6 +124,15 @@
     expect(leader.calls).to.deep.equal([])
   })
 
+  it('changes nothing in a group that no document names', () => {
+    const leader = TestLeader.create()
+    leader.dropDocument()
+    leader.run(3_000)
+    leader.silentDatabases.add(0)
+    leader.run(10_000)
+    expect([leader.calls, leader.published]).to.deep.equal([[], []])
+  })
+
   it('appoints the database with the latest position within a second of silence, and publishes it once the call is done', () => {
     const leader = TestLeader.create()
     leader.run(3_000)
--- a/src/succession/decide.ts
+++ b/src/succession/decide.ts
@@ -113,7 +113,9 @@
   return { state: checked.state, effects: [...checked.effects, createCheckTimer()] }
 }
 
+// Databases of a group that no document names are not the system's to change: another writer may have announced them.
 function checkGroup (state: SuccessionState, group: string, nowMs: number): SuccessionStep {
+  if (!state.requiredCopies.has(group)) return createStep(state)
   const current = getOwn(state.table, group)
   if (current !== undefined && current.outcome === undefined) return callPlatform(state, group, nowMs)
   const primary = findPrimary(state, group)
--- a/src/succession/random.test.ts
+++ b/src/succession/random.test.ts
@@ -89,6 +89,7 @@
     const leader: Leader = { epoch: this.#leaders.length + 1, state: createSuccessionState(true), endsAtMs: Infinity, refused: new Set() }
     this.#leaders.push(leader)
     this.#decide(leader, { kind: 'succession/leadership', leads: true, epoch: leader.epoch, table: this.#table })
+    this.#decide(leader, { kind: 'succession/documents', copies: new Map([['g', 0]]) })
   }
 
   #runLeader (leader: Leader): void {
--- a/src/succession/state.ts
+++ b/src/succession/state.ts
@@ -67,7 +67,7 @@
   readonly databases: ReadonlyMap<string, TrackedDatabase>
   readonly hosts: ReadonlyMap<string, ReportingHost>
   readonly calls: ReadonlyMap<string, PromotionCall>
-  /** The number of replicas that have to hold a write before it is acknowledged, by group. */
+  /** The groups that documents name, and the number of replicas that have to hold a write of each before it is acknowledged. */
   readonly requiredCopies: ReadonlyMap<string, number>
   readonly fencing: ReadonlyMap<string, FencingProgress>
   /** All databases that have not withdrawn themselves, including silent ones. */
