A workspace with a burst of 0 gets no share instead of ending the leader

What callers would see: no leader; each one ends with its first renewal of shares, and again after each restart, since the configuration is stored (InvariantError: committed shares leave the reserve untouched: NaN).

Cause: parts of a burst of 0 are 0/0. The platform's configuration may say 0, and nothing refused it.

The simulated links now pass messages as JSON, as the real ones do.

--- a/src/shares/reserve.ts
+++ b/src/shares/reserve.ts
@@ -131,7 +131,7 @@
  * @example chooseParts(quota, limit, { holder: 'h', perSecond: 40, held: 0, current: 0 }, 9).parts
  */
 export function chooseParts (quota: WorkspaceQuota, limit: KnownLimit, holder: { readonly holder: string, readonly perSecond: number, readonly held: number, readonly current: number }, holders: number): ShareChoice {
-  if (limit.rate === 0) return { parts: 0, isShort: false }
+  if (limit.rate === 0 || limit.burst === 0) return { parts: 0, isShort: false }
   const idleDemand = limit.rate * IDLE_DEMAND_FRACTION
   const ownDemand = holder.perSecond + (holders === 0 ? 0 : idleDemand)
   const totalDemand = Math.max(quota.perSecond, holder.perSecond) + idleDemand * holders
--- a/test/support/fleetsimulation.ts
+++ b/test/support/fleetsimulation.ts
@@ -163,8 +163,9 @@
   }
 
   #send (from: SimulatedHost, { to, message }: SendPeer): void {
-    const received = { ...message, from: from.name } as Message as HostMessage
-    if (to === from.name) return this.post(to, received)
+    if (to === from.name) return this.post(to, { ...message, from: from.name } as Message as HostMessage)
+    // Links encode messages as JSON, which knows neither infinite numbers nor undefined values.
+    const received = { ...JSON.parse(JSON.stringify(message)), from: from.name } as HostMessage
     this.schedule(MIN_DELAY_MS + this.random() * DELAY_JITTER_MS, () => {
       if (this.#hosts.has(to) && !this.#cutLinks.has(`${from.name} ${to}`)) this.post(to, received)
     })
