--- a/src/core/loop.test.ts
+++ b/src/core/loop.test.ts
@@ -75,6 +75,17 @@
     expect(seen.filter(kind => kind !== 'urgent/heartbeat')).to.deep.equal(Array.from({ length: BACKLOG }, (_, number) => `a/${number}`))
   })
 
+  it('waits for a timer that is longer than timers of the runtime, instead of firing it at once', async () => {
+    const { loop, seen } = create(message => (message.kind === 'a/first'
+      ? [9_999_999_999, 1e300].map((afterMs, index) => ({ kind: 'timer/set', name: `t${index}`, afterMs, message: { kind: 'a/fired' } }) as Effect)
+      : []))
+    loop.post({ kind: 'a/first' })
+    await pollUntil('the first message', async () => seen.length === 1)
+    await new Promise(resolve => setTimeout(resolve, 20))
+    expect(seen).to.deep.equal(['a/first'])
+    await loop[Symbol.asyncDispose]()
+  })
+
   it('replaces an effect whose lease expired between the decision and its execution', async () => {
     const { loop, clock, outbox, seen } = create(message => {
       if (message.kind !== 'a/answer') return []
--- a/src/core/loop.ts
+++ b/src/core/loop.ts
@@ -11,6 +11,9 @@
 /** How long messages are handled before the event loop gets to serve sockets and timers, in milliseconds. */
 const MAX_TURN_MS = 10
 
+/** The longest timer of the runtime, which fires any longer one at once. */
+const MAX_TIMER_MS = 2_147_483_647
+
 /** Called with each message before its decision; used to record traces. */
 export type Recorder = (message: Message, moment: Moment) => void
 
@@ -137,7 +140,7 @@
     const timer = setTimeout(() => {
       this.#timers.delete(effect.name)
       this.post(effect.message)
-    }, effect.afterMs)
+    }, Math.min(effect.afterMs, MAX_TIMER_MS))
     this.#timers.set(effect.name, timer)
   }
 
