--- a/test/support/wire.ts
+++ b/test/support/wire.ts
@@ -152,7 +152,8 @@
   }
 }
 
-async function pickPorts (count: number): Promise<readonly number[]> {
+/** Picks free loopback ports. */
+export async function pickPorts (count: number): Promise<readonly number[]> {
   const servers = Array.from({ length: count }, () => createServer())
   await Promise.all(servers.map(async server => await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))))
   const ports = servers.map(server => (server.address() as AddressInfo).port)
