--- a/src/daemon/host.ts
+++ b/src/daemon/host.ts
@@ -81,8 +81,8 @@
     const peers = await listenForPeers(settings.peers, router => {
       link.addRoutes(router)
       edge.addRoutes(router)
-    })
-    const operators = await listenForOperators(settings.operators, router => operatorsApi.addRoutes(router), monitor.createPages())
+    }, log.reportServerError)
+    const operators = await listenForOperators(settings.operators, router => operatorsApi.addRoutes(router), log.reportServerError, monitor.createPages())
     const callers = await edge.listen()
     startSlices(settings, loop, link, peers, journal)
     log.write('daemon', 'info', `Host ${settings.host} started; ${callers === undefined ? 'it serves no callers' : `callers connect to ${callers}`}.`)
--- a/src/daemon/listen.ts
+++ b/src/daemon/listen.ts
@@ -6,6 +6,7 @@
 import type { ConnectRouter } from '@connectrpc/connect'
 import type { HandlePage } from '../monitoring/pages.js'
 import { splitAddress } from '../core/address.js'
+import { startListening } from '../core/listening.js'
 
 /** The largest command that an operator may send. */
 const MAX_COMMAND_BYTES = 4_194_304
@@ -20,16 +21,16 @@
 
 /**
  * Serves Connect over HTTP/2 for peers and databases.
- * @example await listenForPeers('127.0.0.1:0', router => link.addRoutes(router))
+ * @example await listenForPeers('127.0.0.1:0', router => link.addRoutes(router), onError)
  */
-export async function listenForPeers (address: string, routes: (router: ConnectRouter) => void): Promise<ListeningServer> {
+export async function listenForPeers (address: string, routes: (router: ConnectRouter) => void, onError: (error: Error) => void): Promise<ListeningServer> {
   const sessions = new Set<ServerHttp2Session>()
   const server = createHttp2Server(connectNodeAdapter({ routes, shutdownSignal: undefined }))
   server.on('session', session => {
     sessions.add(session)
     session.on('close', () => sessions.delete(session))
   })
-  const listening = await listen(server, address)
+  const listening = await listen(server, address, onError)
   return {
     address: listening,
     [Symbol.asyncDispose]: async () => {
@@ -41,12 +42,12 @@
 
 /**
  * Serves Connect over HTTP/1.1 for operators, together with the monitoring pages.
- * @example await listenForOperators('127.0.0.1:0', router => operatorsApi.addRoutes(router))
+ * @example await listenForOperators('127.0.0.1:0', router => operatorsApi.addRoutes(router), onError)
  */
-export async function listenForOperators (address: string, routes: (router: ConnectRouter) => void, handlePage?: HandlePage): Promise<ListeningServer> {
+export async function listenForOperators (address: string, routes: (router: ConnectRouter) => void, onError: (error: Error) => void, handlePage?: HandlePage): Promise<ListeningServer> {
   const fallback = handlePage as RequestHandler | undefined
   const server = createHttpServer(connectNodeAdapter({ routes, fallback, readMaxBytes: MAX_COMMAND_BYTES }))
-  const listening = await listen(server, address)
+  const listening = await listen(server, address, onError)
   return {
     address: listening,
     [Symbol.asyncDispose]: async () => {
@@ -56,11 +57,8 @@
   }
 }
 
-async function listen (server: Server | Http2Server, address: string): Promise<string> {
+async function listen (server: Server | Http2Server, address: string, onError: (error: Error) => void): Promise<string> {
   const [ip, port] = splitAddress(address)
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject)
-    server.listen(port, ip, resolve)
-  })
+  await startListening(server, ip, port, onError)
   return `${ip}:${(server.address() as AddressInfo).port}`
 }
--- a/src/frontends/postgres/frontend.ts
+++ b/src/frontends/postgres/frontend.ts
@@ -3,6 +3,7 @@
 import { createServer, type AddressInfo, type Server, type Socket } from 'node:net'
 import { createFailure } from '../../core/errors.js'
 import type { HostPost } from '../../messages.js'
+import { startListening } from '../../core/listening.js'
 import { FrontEnd, type CallerEffect, type StopAccepting } from '../frontend.js'
 import { CallerConnection } from './connection.js'
 
@@ -13,6 +14,8 @@
   readonly host: string
   readonly post: HostPost
   readonly messageBytes: number
+  /** Called with each error of the listening server. */
+  readonly onServerError: (error: Error) => void
 }
 
 /** Serves callers that speak the PostgreSQL protocol. */
@@ -32,7 +35,7 @@
 
   /**
    * Creates a front end that does not listen yet.
-   * @example PostgresFrontEnd.create({ host: 'host-1', post: loop.post, messageBytes: 1_048_576 })
+   * @example PostgresFrontEnd.create({ host: 'host-1', post: loop.post, messageBytes: 1_048_576, onServerError })
    */
   static create (parts: PostgresFrontEndParts): PostgresFrontEnd {
     return new PostgresFrontEnd(parts)
@@ -40,10 +43,7 @@
 
   /** Starts to listen and returns the address, with the assigned port when `port` is 0. */
   async listen (ip: string, port: number): Promise<string> {
-    await new Promise<void>((resolve, reject) => {
-      this.#server.once('error', reject)
-      this.#server.listen(port, ip, resolve)
-    })
+    await startListening(this.#server, ip, port, this.#parts.onServerError)
     return `${ip}:${(this.#server.address() as AddressInfo).port}`
   }
 
--- a/src/monitoring/log.ts
+++ b/src/monitoring/log.ts
@@ -50,6 +50,9 @@
     this.#logger[level]({ ...fields, ...this.#readStamp() }, `${component}: ${text}`)
   }
 
+  /** Reports an error of a listening server. */
+  readonly reportServerError = (error: Error): void => this.write('daemon', 'error', 'A listening server reported an error.', { reason: error.message })
+
   #readStamp (): { readonly stamp?: readonly [number, number] } {
     if (this.#clock === undefined) return {}
     const { wallMs, count } = this.#clock.advance()
