Heartbeats are handled before work for callers, after the log's messages

What callers would see: refusals as no-authority at hosts whose control hosts, or which themselves, are short of processor time, and later news of each configuration.

Cause: confirmations waited behind work for callers and loans, on both ends.

Change: the inbox has an order of slices in place of one urgent set: agreement, membership, the rest. Weighed: both in one set (a leader's heartbeats of hosts would delay those of the log).

--- a/src/core/inbox.test.ts
+++ b/src/core/inbox.test.ts
@@ -2,7 +2,7 @@
 import { Inbox } from './inbox.js'
 
 describe('an inbox', () => {
-  const create = (): Inbox => Inbox.create(new Set(['log']))
+  const create = (): Inbox => Inbox.create([new Set(['log']), new Set(['heartbeat'])])
 
   function takeAll (inbox: Inbox): readonly string[] {
     const kinds: string[] = []
@@ -10,10 +10,10 @@
     return kinds
   }
 
-  it('orders messages of urgent slices before all others, each in the order of their arrival', () => {
+  it('orders messages by the priority of their slices, and each by their arrival', () => {
     const inbox = create()
-    for (const kind of ['a/1', 'log/1', 'a/2', 'log/2']) inbox.post({ kind })
-    expect(takeAll(inbox)).to.deep.equal(['log/1', 'log/2', 'a/1', 'a/2'])
+    for (const kind of ['a/1', 'heartbeat/1', 'log/1', 'a/2', 'log/2', 'heartbeat/2']) inbox.post({ kind })
+    expect(takeAll(inbox)).to.deep.equal(['log/1', 'log/2', 'heartbeat/1', 'heartbeat/2', 'a/1', 'a/2'])
   })
 
   it('delivers the news of a renewed lease before the backlog that would outlast the lease', () => {
@@ -27,6 +27,15 @@
     expect(takeAll(inbox)).to.deep.equal(['shares/lease-extended', 'a/1', 'a/2'])
   })
 
+  it('delivers what a slice tells with its priority, or with the higher one of the slice that is told', () => {
+    const inbox = create()
+    for (const kind of ['heartbeat/1', 'a/1']) inbox.post({ kind })
+    inbox.take()
+    inbox.tell({ kind: 'b/told' })
+    inbox.tell({ kind: 'log/propose' })
+    expect(takeAll(inbox)).to.deep.equal(['log/propose', 'b/told', 'a/1'])
+  })
+
   it('delivers what is told to an urgent slice before a backlog, and what others tell each other after it', () => {
     const inbox = create()
     for (const kind of ['a/1', 'a/2']) inbox.post({ kind })
--- a/src/core/inbox.ts
+++ b/src/core/inbox.ts
@@ -28,55 +28,60 @@
   }
 }
 
-/**
- * Orders messages: first those for urgent slices and all that is told because of them, then the others, each in the order of
- * their arrival.
- */
+/** The slices whose messages go before those of others: the first set before the second, and so on, and all before the rest. */
+export type Priorities = ReadonlyArray<ReadonlySet<string>>
+
+/** Orders messages by the priority of their slices, and by their arrival where that is equal. */
 export class Inbox {
-  readonly #urgentSlices: ReadonlySet<string>
-  readonly #urgent = new MessageQueue()
-  readonly #others = new MessageQueue()
-  /** True while the message that was taken last is urgent. */
-  #isUrgent = false
+  readonly #priorities: Priorities
+  /** One queue for each set of slices, and one for the rest. */
+  readonly #queues: readonly MessageQueue[]
+  /** The queue from which the last message was taken. */
+  #current: number
 
-  private constructor (urgentSlices: ReadonlySet<string>) {
-    this.#urgentSlices = urgentSlices
+  private constructor (priorities: Priorities) {
+    this.#priorities = priorities
+    this.#queues = [...priorities, undefined].map(() => new MessageQueue())
+    this.#current = priorities.length
   }
 
   /**
    * Creates an empty inbox.
-   * @example Inbox.create(new Set(['agreement'])).size // 0
+   * @example Inbox.create([new Set(['agreement'])]).size // 0
    */
-  static create (urgentSlices: ReadonlySet<string> = new Set()): Inbox {
-    return new Inbox(urgentSlices)
+  static create (priorities: Priorities = []): Inbox {
+    return new Inbox(priorities)
   }
 
   /** The number of messages that wait. */
   get size (): number {
-    return this.#urgent.size + this.#others.size
+    return this.#queues.reduce((sum, queue) => sum + queue.size, 0)
   }
 
   /** Adds a message from an adapter or a timer. */
   post (message: Message): void {
-    this.#add(message, false)
+    this.#queues[this.#findQueue(message)]!.push(message)
   }
 
   /**
-   * Adds a message that a slice tells another while it handles the message that was taken last. It is as urgent as that one:
-   * a lease whose renewal waits behind a backlog has ended by the time it is known.
+   * Adds a message that a slice tells another while it handles the message that was taken last. It goes no later than that
+   * one's successors would: a lease whose renewal waits behind a backlog has ended by the time it is known.
    */
   tell (message: Message): void {
-    this.#add(message, this.#isUrgent)
+    this.#queues[Math.min(this.#current, this.#findQueue(message))]!.push(message)
   }
 
   /** Removes and returns the next message; undefined if none waits. */
   take (): Message | undefined {
-    this.#isUrgent = this.#urgent.size > 0
-    return this.#isUrgent ? this.#urgent.take() : this.#others.take()
+    const next = this.#queues.findIndex(queue => queue.size > 0)
+    if (next < 0) return undefined
+    this.#current = next
+    return this.#queues[next]!.take()
   }
 
-  #add (message: Message, isUrgent: boolean): void {
-    const queue = isUrgent || this.#urgentSlices.has(readOwner(message.kind)) ? this.#urgent : this.#others
-    queue.push(message)
+  #findQueue (message: Message): number {
+    const owner = readOwner(message.kind)
+    const index = this.#priorities.findIndex(slices => slices.has(owner))
+    return index < 0 ? this.#priorities.length : index
   }
 }
--- a/src/core/loop.test.ts
+++ b/src/core/loop.test.ts
@@ -68,7 +68,7 @@
         return { state, effects: [] }
       }
     })
-    const loop: Loop = Loop.create({ clock, slices: [createSlice('a'), createSlice('urgent')], urgentSlices: new Set(['urgent']), onFault: fault => { throw fault } })
+    const loop: Loop = Loop.create({ clock, slices: [createSlice('a'), createSlice('urgent')], priorities: [new Set(['urgent'])], onFault: fault => { throw fault } })
     for (let number = 0; number < BACKLOG; number++) loop.post({ kind: `a/${number}` })
     await pollUntil('all messages', async () => seen.length === BACKLOG + 1)
     expect(seen.indexOf('urgent/heartbeat')).to.be.at.most(MAX_HANDLED_BEFORE)
--- a/src/core/loop.ts
+++ b/src/core/loop.ts
@@ -1,7 +1,7 @@
 /** The message loop of a process: delivers one message at a time to its slice and passes the effects to adapters. */
 import type { Adapter } from './adapter.js'
 import type { Clock } from './clock.js'
-import { Inbox } from './inbox.js'
+import { Inbox, type Priorities } from './inbox.js'
 import { readOwner, type ClearTimer, type Effect, type Message, type Moment, type SetTimer, type Tell } from './message.js'
 import { assertInvariant } from './invariant.js'
 import type { Slice } from './slice.js'
@@ -24,8 +24,8 @@
 export interface LoopParts {
   readonly clock: Clock
   readonly slices: readonly Slice[]
-  /** Names of the slices whose messages are handled before those of the others, so that a backlog does not cost a host its leases. */
-  readonly urgentSlices?: ReadonlySet<string>
+  /** The slices whose messages are handled before those of the others, so that a backlog does not cost a host its leases. */
+  readonly priorities?: Priorities
   /** Called when a decision or an adapter throws; the loop has stopped by then. */
   readonly onFault: (fault: unknown) => void
   readonly recorder?: Recorder
@@ -45,7 +45,7 @@
   private constructor (parts: LoopParts) {
     this.#parts = parts
     this.#slices = new Map(parts.slices.map(slice => [slice.name, slice]))
-    this.#inbox = Inbox.create(parts.urgentSlices)
+    this.#inbox = Inbox.create(parts.priorities)
   }
 
   /**
--- a/src/daemon/host.ts
+++ b/src/daemon/host.ts
@@ -19,7 +19,7 @@
 import type { Edge } from './edge.js'
 import { ProcessExit } from './exit.js'
 import { listenForOperators, listenForPeers, type ListeningServer } from './listen.js'
-import { createSlices, URGENT_SLICES } from './slices.js'
+import { createSlices, PRIORITIES } from './slices.js'
 
 const INCARNATION_BYTES = 8
 
@@ -106,7 +106,7 @@
   return Loop.create({
     clock,
     slices: createSlices(settings, edge.guarantees, clock.read().monotonicMs),
-    urgentSlices: URGENT_SLICES,
+    priorities: PRIORITIES,
     onFault,
     recorder: (message, moment) => {
       monitor.observeMessage(message)
--- a/src/daemon/slices.ts
+++ b/src/daemon/slices.ts
@@ -2,6 +2,7 @@
 import { decideAdmission } from '../admission/decide.js'
 import { checkAllowance, createAdmissionShared } from '../admission/state.js'
 import { createAgreementState, decideAgreement } from '../agreement/decide.js'
+import type { Priorities } from '../core/inbox.js'
 import { DecidingSlice, type Slice } from '../core/slice.js'
 import { StoreSlice } from '../core/store.js'
 import type { DatabaseGuarantees } from '../databases/guarantees.js'
@@ -26,8 +27,11 @@
 import { decideTransactions } from '../transactions/decide.js'
 import { createTransactionsShared } from '../transactions/state.js'
 
-/** A leader that answers its followers late loses its lease, and each election adds to the load that delayed it. */
-export const URGENT_SLICES: ReadonlySet<string> = new Set(['agreement'])
+/**
+ * A leader that answers its followers late loses its lease, and each election adds to the load that delayed it. Heartbeats are
+ * next: a host that is not confirmed in time refuses what it could serve.
+ */
+export const PRIORITIES: Priorities = [new Set(['agreement']), new Set(['membership'])]
 
 /**
  * Creates the slices of a host from its settings.
--- a/test/support/fleetsimulation.ts
+++ b/test/support/fleetsimulation.ts
@@ -2,7 +2,7 @@
 import { readOwner, type Effect, type Message, type SendPeer, type SetTimer, type ClearTimer, type Tell } from '../../src/core/message.js'
 import { Inbox } from '../../src/core/inbox.js'
 import type { Slice } from '../../src/core/slice.js'
-import { URGENT_SLICES, createSlices } from '../../src/daemon/slices.js'
+import { createSlices, PRIORITIES } from '../../src/daemon/slices.js'
 import type { HostMessage } from '../../src/messages.js'
 import { formatFindings } from '../../src/core/findings.js'
 import { parseSettings, type Settings } from '../../src/settings/settings.js'
@@ -106,7 +106,7 @@
     const settings = createSettings(part, authority)
     const guarantees = { selfFencing: true, slotPerStatement: true, connectionPerWorkspace: true }
     const slices = new Map(createSlices(settings, guarantees, 0).map(slice => [slice.name, slice]))
-    this.#hosts.set(name, { ...part, slices, inbox: Inbox.create(URGENT_SLICES), timers: new Map(), costMs: USUAL_COST_MS, busyUntilMs: 0, frozenUntilMs: 0, scheduled: false })
+    this.#hosts.set(name, { ...part, slices, inbox: Inbox.create(PRIORITIES), timers: new Map(), costMs: USUAL_COST_MS, busyUntilMs: 0, frozenUntilMs: 0, scheduled: false })
     const self = { kind: 'host', host: name, incarnation: '1', failureDomain, peers: name, draining: false, control: part.control, apart: part.control } as const
     const recovered = part.control ? { incarnation: `disk of ${name}`, mark: { term: 0 }, entries: [] } : undefined
     this.schedule(this.random() * 100, () => {
