Stale configurations: schedules with restarts and lost disks of control hosts, and slower hosts

Control hosts restart, alone and all at once, with what their disks have synced, and one disk is lost: the answers that confirm a host without a leader rest on what members of the log hold.

--- a/test/staleconfiguration.test.ts
+++ b/test/staleconfiguration.test.ts
@@ -65,6 +65,7 @@
   readonly #operations = new Map<string, number>()
   readonly #cuts: Cut[] = []
   #leader = 'control-0'
+  #diskLost = false
   #version = 1
   #count = 0
 
@@ -103,12 +104,24 @@
     else if (kind < 0.5) this.#throttle(this.#pick(this.#control), forMs)
     else if (kind < 0.7) for (let count = 0; count < 4; count++) this.#throttle(this.#pick(this.#entries), forMs)
     else if (kind < 0.8) for (const host of this.#control) this.#throttle(host, forMs)
-    else if (kind < 0.9) this.#fleet.hold(this.#leader, forMs / 2)
+    else if (kind < 0.85) this.#fleet.hold(this.#leader, forMs / 2)
+    else if (kind < 0.92) this.#restartControl(random())
     else this.#cutOff(this.#pick(this.#entries), forMs + 3_000)
   }
 
+  // Of the disks, at most one is lost, as many as the smaller group bears.
+  #restartControl (kind: number): void {
+    if (kind < 0.3) for (const host of this.#control) this.#fleet.restart(host)
+    else if (kind < 0.6) this.#fleet.restart(this.#leader)
+    else if (kind < 0.8) this.#fleet.restart(this.#pick(this.#control))
+    else {
+      this.#fleet.restart(this.#pick(this.#control), !this.#diskLost)
+      this.#diskLost = true
+    }
+  }
+
   #throttle (host: string, forMs: number): void {
-    this.#fleet.setCost(host, host.startsWith('control') ? 1 + this.#fleet.random() * 12 : 5 + this.#fleet.random() * 60)
+    this.#fleet.setCost(host, host.startsWith('control') ? 1 + this.#fleet.random() * 40 : 5 + this.#fleet.random() * 60)
     this.#fleet.schedule(forMs, () => this.#fleet.setCost(host))
   }
 
--- a/test/support/fleetsimulation.ts
+++ b/test/support/fleetsimulation.ts
@@ -2,6 +2,9 @@
 import { readOwner, type Effect, type Message, type SendPeer, type SetTimer, type ClearTimer, type Tell } from '../../src/core/message.js'
 import { Inbox } from '../../src/core/inbox.js'
 import type { Slice } from '../../src/core/slice.js'
+import type { Catalog, CatalogCommand } from '../../src/agreement/catalog.js'
+import { recoverReplica } from '../../src/agreement/recover.js'
+import type { JournalEffect } from '../../src/journal/messages.js'
 import { createSlices, PRIORITIES } from '../../src/daemon/slices.js'
 import type { HostMessage } from '../../src/messages.js'
 import { formatFindings } from '../../src/core/findings.js'
@@ -13,6 +16,7 @@
 const MIN_DELAY_MS = 0.3
 const DELAY_JITTER_MS = 2
 const SYNC_MS = 2
+const START_JITTER_MS = 100
 
 /** A host to simulate. */
 export interface SimulatedHostParts {
@@ -24,10 +28,20 @@
 /** Called with each message that a slice of a host tells another, and each effect that leaves the host. */
 export type OnEffect = (host: string, effect: Effect) => void
 
+/** What a control host has synced. */
+interface SimulatedDisk {
+  readonly incarnation: string
+  snapshot?: unknown
+  records: readonly unknown[]
+}
+
 interface SimulatedHost extends SimulatedHostParts {
-  readonly slices: ReadonlyMap<string, Slice>
-  readonly inbox: Inbox
-  readonly timers: Map<string, number>
+  slices: ReadonlyMap<string, Slice>
+  inbox: Inbox
+  timers: Map<string, number>
+  disk: SimulatedDisk
+  /** The number of the process; what an earlier one scheduled is dropped. */
+  generation: number
   /** What one message costs, in milliseconds of the processor. */
   costMs: number
   busyUntilMs: number
@@ -42,14 +56,22 @@
   readonly #hosts = new Map<string, SimulatedHost>()
   readonly #cutLinks = new Set<string>()
   readonly #onEffect: OnEffect
+  readonly #control: readonly string[]
+  readonly #authority: 'kept' | 'leased'
   readonly #steps = StepQueue.create()
   #sequence = 0
 
   private constructor (parts: readonly SimulatedHostParts[], seed: number, authority: 'kept' | 'leased', onEffect: OnEffect) {
     this.random = createRandom(seed)
     this.#onEffect = onEffect
-    const control = parts.filter(part => part.control).map(({ name }) => name)
-    for (const part of parts) this.#start(part, control, authority)
+    this.#control = parts.filter(part => part.control).map(({ name }) => name)
+    this.#authority = authority
+    for (const part of parts) {
+      const disk = { incarnation: `disk 0 of ${part.name}`, records: [] }
+      const host: SimulatedHost = { ...part, slices: new Map(), inbox: Inbox.create(PRIORITIES), timers: new Map(), disk, generation: 0, costMs: USUAL_COST_MS, busyUntilMs: 0, frozenUntilMs: 0, scheduled: false }
+      this.#hosts.set(part.name, host)
+      this.#start(host, true)
+    }
   }
 
   /**
@@ -91,6 +113,14 @@
     this.#hosts.get(host)!.frozenUntilMs = this.nowMs + forMs
   }
 
+  /** Ends the process of a host and starts another one, with what its disk has synced, or with an empty disk. */
+  restart (host: string, emptyDisk = false): void {
+    const simulated = this.#hosts.get(host)!
+    simulated.generation += 1
+    if (emptyDisk) simulated.disk = { incarnation: `disk ${simulated.generation} of ${host}`, records: [] }
+    this.#start(simulated, false)
+  }
+
   /** Cuts the links between a host and others, in both directions, or mends them. */
   setCut (host: string, others: readonly string[], cut: boolean): void {
     for (const other of others) {
@@ -101,24 +131,31 @@
     }
   }
 
-  #start (part: SimulatedHostParts, control: readonly string[], authority: 'kept' | 'leased'): void {
-    const { name, failureDomain } = part
-    const settings = createSettings(part, authority)
+  #start (host: SimulatedHost, forms: boolean): void {
+    const { name, failureDomain, control: isControl, disk, generation } = host
     const guarantees = { selfFencing: true, slotPerStatement: true, connectionPerWorkspace: true }
-    const slices = new Map(createSlices(settings, guarantees, 0).map(slice => [slice.name, slice]))
-    this.#hosts.set(name, { ...part, slices, inbox: Inbox.create(PRIORITIES), timers: new Map(), costMs: USUAL_COST_MS, busyUntilMs: 0, frozenUntilMs: 0, scheduled: false })
-    const self = { kind: 'host', host: name, incarnation: '1', failureDomain, peers: name, draining: false, control: part.control, apart: part.control } as const
-    const recovered = part.control ? { incarnation: `disk of ${name}`, mark: { term: 0 }, entries: [] } : undefined
-    this.schedule(this.random() * 100, () => {
+    host.slices = new Map(createSlices(createSettings(host, this.#authority), guarantees, this.nowMs).map(slice => [slice.name, slice]))
+    host.inbox = Inbox.create(PRIORITIES)
+    host.timers = new Map()
+    host.scheduled = false
+    const control = this.#control
+    const self = { kind: 'host', host: name, incarnation: String(generation), failureDomain, peers: name, draining: false, control: isControl, apart: isControl } as const
+    this.#scheduleFor(host, this.random() * START_JITTER_MS, () => {
+      const recovered = isControl ? recoverReplica<Catalog, CatalogCommand>(disk) : undefined
       this.post(name, { kind: 'membership/started', self, control })
-      this.post(name, { kind: 'agreement/started', self: name, control, forms: true, voters: 0, recovered })
+      this.post(name, { kind: 'agreement/started', self: name, control, forms, voters: 0, recovered })
     })
   }
 
+  #scheduleFor (host: SimulatedHost, afterMs: number, run: () => void): void {
+    const { generation } = host
+    this.schedule(afterMs, () => { if (host.generation === generation) run() })
+  }
+
   #scheduleTurn (host: SimulatedHost): void {
     if (host.scheduled) return
     host.scheduled = true
-    this.schedule(Math.max(host.busyUntilMs, host.frozenUntilMs) - this.nowMs, () => {
+    this.#scheduleFor(host, Math.max(host.busyUntilMs, host.frozenUntilMs) - this.nowMs, () => {
       host.scheduled = false
       if (host.frozenUntilMs > this.nowMs) return this.#scheduleTurn(host)
       this.#handleNext(host)
@@ -148,14 +185,14 @@
         return
       case 'peer/send': return this.#send(host, effect as SendPeer)
       case 'journal/append':
-      case 'journal/snapshot': return this.#store(host, (effect as unknown as { readonly write: number }).write)
+      case 'journal/snapshot': return this.#store(host, effect as JournalEffect)
     }
   }
 
   #setTimer (host: SimulatedHost, { name, afterMs, message }: SetTimer): void {
     const timer = ++this.#sequence
     host.timers.set(name, timer)
-    this.schedule(afterMs, () => {
+    this.#scheduleFor(host, afterMs, () => {
       if (host.timers.get(name) !== timer) return
       host.timers.delete(name)
       this.post(host.name, message as HostMessage)
@@ -171,8 +208,13 @@
     })
   }
 
-  #store (host: SimulatedHost, write: number): void {
-    this.schedule(SYNC_MS, () => this.post(host.name, { kind: 'agreement/stored', write }))
+  #store (host: SimulatedHost, effect: JournalEffect): void {
+    const { disk } = host
+    this.#scheduleFor(host, SYNC_MS, () => {
+      if (effect.kind === 'journal/snapshot') disk.snapshot = effect.snapshot
+      disk.records = effect.kind === 'journal/snapshot' ? effect.records : [...disk.records, ...effect.records]
+      this.post(host.name, { kind: 'agreement/stored', write: effect.write })
+    })
   }
 }
 
