Leased authority rests on the leader's confirmations alone

With authority: leased, a host that reaches a majority of the control hosts but not the leader could have been confirmed by them later than that, up to the moment at which the version was committed, and so still have applied the former version when the operator was told that it is in force.

Confirmations by a majority count with authority: kept only, where no such lease is promised. src/admission/keys.test.ts, 'is confirmed by the leader alone', failed before. Nothing changes on the users' platform.

--- a/src/admission/decide.ts
+++ b/src/admission/decide.ts
@@ -66,10 +66,11 @@
   return recordEvent('document-in-force', `Version ${version} of ${service} is in force on this host after version ${before}, by an answer that took ${Math.round(monotonicMs - askedAtMs)} ms.`)
 }
 
-// Without a leader, the control hosts confirm the documents of a host that holds the newest ones.
+// Without a leader, the control hosts confirm the documents of a host that holds the newest ones. Where authority is leased,
+// the leader alone does: it tells operators when a lease has surely ended, and knows of no other confirmation.
 function acceptVersions (shared: AdmissionShared, { versions, askedAtMs }: VersionsHeld): AdmissionStep {
   const isCurrent = versions.every(({ service, version }) => (shared.documents.get(service)?.version ?? 0) >= version)
-  if (!isCurrent || shared.confirmedAtMs === undefined) return UNCHANGED
+  if (!shared.servesWhenIsolated || !isCurrent || shared.confirmedAtMs === undefined) return UNCHANGED
   return { shared: { ...shared, confirmedAtMs: Math.max(shared.confirmedAtMs, askedAtMs) }, effects: [] }
 }
 
--- a/src/admission/keys.test.ts
+++ b/src/admission/keys.test.ts
@@ -92,6 +92,15 @@
   })
 })
 
+describe('a host whose authority is leased', () => {
+  it('is confirmed by the leader alone, whose answer on a rollout counts the lease from its own last confirmation', () => {
+    const host = FakeHost.create()
+    host.publish(4, [FIRST.sha256])
+    host.take({ kind: 'admission/versions-held', versions: [{ service: 'rota', version: 4 }], askedAtMs: LEASE_MS }, LEASE_MS)
+    expect(host.ask(FIRST.sha256, undefined, LEASE_MS + 1)).to.equal('no-authority')
+  })
+})
+
 describe('a host that keeps serving while it is isolated', () => {
   const LATE_MS = LEASE_MS + 1
   const create = (): FakeHost => {
