--- a/src/daemon/slices.ts
+++ b/src/daemon/slices.ts
@@ -27,11 +27,8 @@
 import { decideTransactions } from '../transactions/decide.js'
 import { createTransactionsShared } from '../transactions/state.js'
 
-/**
- * A leader that answers its followers late loses its lease, and each election adds to the load that delayed it. Heartbeats are
- * next: a host that is not confirmed in time refuses what it could serve.
- */
-export const PRIORITIES: Priorities = [new Set(['agreement']), new Set(['membership'])]
+/** A leader that answers its followers late loses its lease, and each election adds to the load that delayed it. */
+export const PRIORITIES: Priorities = [new Set(['agreement'])]
 
 /**
  * Creates the slices of a host from its settings.
