--- /dev/null
+++ b/review/support/record.js
@@ -0,0 +1,47 @@
+/** The record of a run, and the end of the script. */
+import { writeFileSync } from 'node:fs'
+import { join } from 'node:path'
+
+/** Exit codes of a script. */
+export const HELD = 0
+export const BROKEN = 1
+export const NOT_RUN = 2
+
+/** Collects lines and writes them into the case's folder. */
+export class Record {
+  static create (folder) {
+    const record = new Record()
+    record.path = join(folder, 'record.txt')
+    record.startedAtMs = performance.now()
+    record.lines = []
+    return record
+  }
+
+  /** Adds a line about what somebody sent, answered or ran. */
+  write (who, text) {
+    this.lines.push(`${((performance.now() - this.startedAtMs) / 1_000).toFixed(3).padStart(8)} ${who}: ${text}`)
+  }
+
+  store () {
+    writeFileSync(this.path, this.lines.join('\n') + '\n')
+  }
+}
+
+/** Runs a case, cleans up and exits: with 0 if the rule held, 1 if it was broken, and 2 if the case could not run. */
+export async function runCase (folder, run, cleanUps) {
+  const record = Record.create(folder)
+  const trouble = process.env.TROUBLE !== '0'
+  record.write('script', trouble ? 'with the disruption' : 'without the disruption')
+  let code = NOT_RUN
+  try {
+    const broken = await run(record, trouble)
+    code = broken ? BROKEN : HELD
+  } catch (error) {
+    record.write('script', `could not run: ${error.stack}`)
+  }
+  for (const cleanUp of cleanUps.reverse()) await Promise.resolve(cleanUp()).catch(() => undefined)
+  record.write('script', ['the rule held', 'the rule was broken', 'the case could not run'][code])
+  record.store()
+  process.stdout.write(record.lines.slice(-12).join('\n') + '\n')
+  process.exit(code)
+}
