--- a/review/support/deployment.js
+++ b/review/support/deployment.js
@@ -5,6 +5,7 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
+import { NOT_RUN } from './record.js'
 
 const REPOSITORY = fileURLToPath(new URL('../..', import.meta.url))
 const ZONES = ['quimper', 'brest', 'lorient']
@@ -142,6 +143,9 @@
       const own = isControl ? { 'listen.control': `${ip}:${control}`, data_dir: data } : { 'listen.front': `${ip}:${front}`, 'listen.ready': `${ip}:${ready}` }
       return new Machine(name, isControl ? 'control' : 'entry', { node: name, role: isControl ? 'control' : 'entry', serves: isControl ? 'control' : 'front', ip, zone, in_tolerance: String(isControl), ...shared, ...own }, deployment.folder, onExit)
     })
+    // Whatever ends this script, its processes end with it.
+    process.on('exit', () => deployment.machines.forEach(machine => machine.send('SIGKILL')))
+    for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP']) process.on(signal, () => process.exit(NOT_RUN))
     for (const machine of deployment.machines) machine.start()
     return deployment
   }
