--- a/review/2/run.js
+++ b/review/2/run.js
@@ -13,7 +13,8 @@
 const ROUTE_TIMEOUT_MS = 2_000
 const TIME_BUDGET_MS = 5_000
 const WORK_MS = 150
-const PAUSE_MS = 220
+/** From one statement of a transaction to the next; the rest is a pause. */
+const STEP_MS = 370
 const STATEMENTS = 12
 const SESSIONS = 6
 /** When the transactions begin, after the signal: the machine still serves requesters. */
@@ -35,8 +36,7 @@
     machine.send('SIGTERM')
   }
   setTimeout(() => machine.send('SIGKILL'), GRACE_MS)
-  await sleep(BEGIN_MS)
-  const outcomes = (await Promise.all(clients.map(async (client, index) => await runTransaction(client, index)))).flat()
+  const outcomes = (await Promise.all(clients.map(async (client, index) => await runTransaction(client, index, signalledAtMs + BEGIN_MS + index * STEP_MS / SESSIONS)))).flat()
   for (const { id, text, sentAtMs, endedAtMs, answer } of outcomes) {
     record.write('requester', `${id} ${text} sent ${Math.round(sentAtMs - signalledAtMs)} ms after the signal: ${answer.closed ? 'no whole answer' : answer.lines.at(-1)} after ${Math.round(endedAtMs - sentAtMs)} ms`)
   }
@@ -50,18 +50,20 @@
   return cut.length > 0
 }, cleanUps)
 
-async function runTransaction (client, index) {
-  await sleep(index * (WORK_MS + PAUSE_MS) / SESSIONS)
-  const beganAtMs = performance.now()
+// Begins at a time, and sends one statement each step.
+async function runTransaction (client, index, beginsAtMs) {
   const outcomes = []
-  for (let count = 0; count < STATEMENTS && !client.closed; count++) {
+  let beganAtMs
+  for (let count = 0; count < STATEMENTS; count++) {
+    await sleep(beginsAtMs + count * STEP_MS - performance.now())
+    if (client.closed) break
+    beganAtMs ??= performance.now()
     const id = `t${index}s${count.toString(16).padStart(8, '0')}`
     const text = count === 0 ? 'BEGIN READ' : count === STATEMENTS - 1 ? 'COMMIT' : `READ 1a${count}`
     const sentAtMs = performance.now()
     const answer = await client.query(id, text)
     outcomes.push({ id, text, beganAtMs, sentAtMs, endedAtMs: performance.now(), answer })
     if (answer.error !== undefined) break
-    await sleep(PAUSE_MS)
   }
   return outcomes
 }
