Review: each case reads TROUBLE and names its record itself

Cause: both were handled in a shared module, so a case's folder did not show them, and the module's folder stood beside the cases. Change: run.js of each case reads TROUBLE and passes the path of its record.txt; the shared stand-ins are files in review/. No check, bound or dose changed.

--- a/review/2/run.js
+++ b/review/2/run.js
@@ -3,10 +3,10 @@
  * most 12 statements, with pauses. Counts the statements that were passed on to a database and got no whole answer.
  */
 import { fileURLToPath } from 'node:url'
-import { Client } from '../support/client.js'
-import { createState, KEY, sleep } from '../support/deployment.js'
-import { runCase } from '../support/record.js'
-import { sendStatements, startScene } from '../support/scene.js'
+import { Client } from '../client.js'
+import { createState, KEY, sleep } from '../deployment.js'
+import { runCase } from '../record.js'
+import { sendStatements, startScene } from '../scene.js'
 
 const GRACE_MS = 6_000
 const EXCUSED_UNTIL_MS = 3_000
@@ -22,7 +22,7 @@
 
 const cleanUps = []
 
-await runCase(fileURLToPath(new URL('.', import.meta.url)), async (record, trouble) => {
+await runCase({ trouble: process.env.TROUBLE !== '0', recordPath: fileURLToPath(new URL('record.txt', import.meta.url)) }, async (record, trouble) => {
   let stopped = false
   cleanUps.push(() => { stopped = true })
   const { group, deployment } = await startScene(record, cleanUps, { state: createState(7, { staleTimeoutMs: ROUTE_TIMEOUT_MS }), database: { workMs: WORK_MS } })
--- a/review/4/run.js
+++ b/review/4/run.js
@@ -3,9 +3,9 @@
  * later than `drain_ms` after a control machine acknowledged that.
  */
 import { fileURLToPath } from 'node:url'
-import { sleep } from '../support/deployment.js'
-import { runCase } from '../support/record.js'
-import { sendStatements, startScene } from '../support/scene.js'
+import { sleep } from '../deployment.js'
+import { runCase } from '../record.js'
+import { sendStatements, startScene } from '../scene.js'
 
 const DRAIN_MS = 7_000
 const DOWN_MS = 400
@@ -16,7 +16,7 @@
 
 const cleanUps = []
 
-await runCase(fileURLToPath(new URL('.', import.meta.url)), async (record, trouble) => {
+await runCase({ trouble: process.env.TROUBLE !== '0', recordPath: fileURLToPath(new URL('record.txt', import.meta.url)) }, async (record, trouble) => {
   let stopped = false
   cleanUps.push(() => { stopped = true })
   const { group, databases, deployment } = await startScene(record, cleanUps)
--- a/review/support/deployment.js
+++ b/review/deployment.js
@@ -7,7 +7,7 @@
 import { fileURLToPath } from 'node:url'
 import { NOT_RUN } from './record.js'
 
-const REPOSITORY = fileURLToPath(new URL('../..', import.meta.url))
+const REPOSITORY = fileURLToPath(new URL('..', import.meta.url))
 const ZONES = ['quimper', 'brest', 'lorient']
 /** The platform restarts a process that ended after a short delay. */
 const RESTART_DELAY_MS = 500
--- a/review/support/record.js
+++ b/review/record.js
@@ -1,17 +1,16 @@
 /** The record of a run, and the end of the script. */
 import { writeFileSync } from 'node:fs'
-import { join } from 'node:path'
 
 /** Exit codes of a script. */
 export const HELD = 0
 export const BROKEN = 1
 export const NOT_RUN = 2
 
-/** Collects lines and writes them into the case's folder. */
+/** Collects lines and writes them into the record of a case. */
 export class Record {
-  static create (folder) {
+  static create (path) {
     const record = new Record()
-    record.path = join(folder, 'record.txt')
+    record.path = path
     record.startedAtMs = performance.now()
     record.lines = []
     return record
@@ -28,9 +27,8 @@
 }
 
 /** Runs a case, cleans up and exits: with 0 if the rule held, 1 if it was broken, and 2 if the case could not run. */
-export async function runCase (folder, run, cleanUps) {
-  const record = Record.create(folder)
-  const trouble = process.env.TROUBLE !== '0'
+export async function runCase ({ trouble, recordPath }, run, cleanUps) {
+  const record = Record.create(recordPath)
   record.write('script', trouble ? 'with the disruption' : 'without the disruption')
   let code = NOT_RUN
   try {
