A stop logs each request and transaction that it cuts off

Callers of review/2 saw connections end in the middle of a transaction.

Change: when a host stops, the requests slice logs one line for each request in flight, with its phase and database, and for each idle transaction. No decision changes.

--- a/src/requests/decide.ts
+++ b/src/requests/decide.ts
@@ -4,8 +4,8 @@
 import { UNCHANGED } from '../core/store.js'
 import { advanceSession, parseToken, getSeenPosition } from '../sessions/token.js'
 import { expireRequest, failAcknowledgement, failAttempt, failReplacedPrimaries, failRequest, handlePeerLost, rejectInput } from './failure.js'
-import { logRequests } from './log.js'
-import type { AttemptFailed, AttemptFinished, CallerConnected, ConnectionChecked, CountRequested, GrantsConfirmed, OutputDrained, OutputReceived, PeerLost, ReplicaSlow, RequestAdmitted, RequestArrived, RequestInput, RequestRouted, RequestsMessage, RouteRules, SessionReplaced, AttemptId } from './messages.js'
+import { logRequests, logUnfinished } from './log.js'
+import type { AttemptFailed, AttemptFinished, CallerConnected, ConnectionChecked, CountRequested, EndRequested, GrantsConfirmed, OutputDrained, OutputReceived, PeerLost, ReplicaSlow, RequestAdmitted, RequestArrived, RequestInput, RequestRouted, RequestsMessage, RouteRules, SessionReplaced, AttemptId } from './messages.js'
 import { MAX_RETRY_BUDGET, RETRY_BUDGET_PER_SUCCESS, type Caller, type InFlightRequest, type OpenTransaction, type RequestsShared } from './state.js'
 import { clearTimers, createCancelEffects, createFinishedEffect, getTransactionStatus, replaceCaller, type RequestsEffect, type RequestsStep, type RequestsStore } from './step.js'
 import { closeRevoked, createCallerClosedEffects, revokeKey } from './withdrawal.js'
@@ -30,11 +30,12 @@
     case 'requests/grants-confirmed': return updateGrants(store, message, moment)
     case 'requests/peer-lost': return handlePeerLost(store, message, moment)
     case 'requests/count-asked': return countBusy(store)
+    case 'requests/end-asked': return { effects: logUnfinished(store, moment) }
     default: return decideForCaller(store, message, moment)
   }
 }
 
-type CallerMessage = Exclude<RequestsMessage, CallerConnected | GrantsConfirmed | PeerLost | CountRequested>
+type CallerMessage = Exclude<RequestsMessage, CallerConnected | GrantsConfirmed | PeerLost | CountRequested | EndRequested>
 
 function countBusy (store: RequestsStore): RequestsStep {
   const busy = [...store.items.values()].filter(caller => caller.running !== undefined || caller.transaction !== undefined).length
--- a/src/requests/log.ts
+++ b/src/requests/log.ts
@@ -2,7 +2,7 @@
 import type { Failure } from '../core/errors.js'
 import { writeLog, type CoreEffect, type Moment } from '../core/message.js'
 import type { RequestsMessage } from './messages.js'
-import type { Caller, InFlightRequest } from './state.js'
+import type { Caller, InFlightRequest, OpenTransaction } from './state.js'
 import type { RequestsEffect, RequestsStep, RequestsStore } from './step.js'
 
 /**
@@ -17,6 +17,22 @@
   return lines.length === 0 ? step : { ...step, effects: [...step.effects, ...lines] }
 }
 
+/**
+ * Creates one log line for each request and transaction that is unfinished when a stop ends.
+ * @example logUnfinished(store, moment)
+ */
+export function logUnfinished (store: RequestsStore, moment: Moment): readonly CoreEffect[] {
+  return [...store.items.values()].flatMap(caller => {
+    if (caller.running !== undefined) return [createLine(caller, caller.running, 'cut off by the stop', moment)]
+    return caller.transaction === undefined ? [] : [createTransactionLine(caller, caller.transaction)]
+  })
+}
+
+function createTransactionLine ({ caller, workspace }: Caller, { target, rules, phase }: OpenTransaction): CoreEffect {
+  const { database, owner, purpose } = target
+  return writeLog('warn', `The idle transaction of caller ${caller} was cut off by the stop.`, { caller, workspace, group: rules.group, database, owner, purpose, phase })
+}
+
 function createChangeLines (caller: Caller, running: InFlightRequest, after: Caller | undefined, effects: readonly RequestsEffect[], message: RequestsMessage, moment: Moment): readonly CoreEffect[] {
   if (after?.running?.request === running.request) {
     if (after.running.attempt === running.attempt) return []
--- a/src/requests/messages.ts
+++ b/src/requests/messages.ts
@@ -224,8 +224,14 @@
   readonly kind: 'requests/count-asked'
 }
 
+/** The stop of this host is at its time limit; whatever is in flight ends now. */
+export interface EndRequested {
+  readonly kind: 'requests/end-asked'
+}
+
 /** Any message of the requests slice. */
 export type RequestsMessage =
+  | EndRequested
   | CountRequested
   | CallerConnected
   | ConnectionChecked
--- a/src/stopping/decide.ts
+++ b/src/stopping/decide.ts
@@ -105,6 +105,7 @@
     effects: [
       clearTimer('stopping/check'),
       clearTimer('stopping/limit'),
+      tell({ kind: 'requests/end-asked' }),
       tell({ kind: 'membership/leave' }),
       recordEvent('stopped', text),
       { kind: 'process/exit', abortedRequests }
