A stop refuses what can't end in time, and answers what is left

Cause: the stopping slice ended the process at its time limit whatever was in flight. Neither the entry host's requests nor the owner's transactions knew when that would be, so statements left for databases up to the last moment.

Change: both slices are told when work has to have ended. A request that is expected to outlast that, by what the requests of its transaction took, or by the latency target for what begins, is refused as not run, and its transaction is rolled back. What runs at the end is answered as unknown 50 ms before the process ends, what was not sent as not run, and sessions with an idle transaction are closed.

Ruled out: ending all transactions at half of the time, which refuses those that end in time today; shorter deadlines alone, which leave a COMMIT unknown.

--- a/src/requests/decide.ts
+++ b/src/requests/decide.ts
@@ -4,10 +4,11 @@
 import { UNCHANGED } from '../core/store.js'
 import { advanceSession, parseToken, getSeenPosition } from '../sessions/token.js'
 import { expireRequest, failAcknowledgement, failAttempt, failReplacedPrimaries, failRequest, handlePeerLost, rejectInput } from './failure.js'
-import { logRequests, logUnfinished } from './log.js'
-import type { AttemptFailed, AttemptFinished, CallerConnected, ConnectionChecked, CountRequested, EndRequested, GrantsConfirmed, OutputDrained, OutputReceived, PeerLost, ReplicaSlow, RequestAdmitted, RequestArrived, RequestInput, RequestRouted, RequestsMessage, RouteRules, SessionReplaced, AttemptId } from './messages.js'
+import { logRequests } from './log.js'
+import type { AttemptFailed, AttemptFinished, CallerConnected, ConnectionChecked, CountRequested, EndRequested, GrantsConfirmed, OutputDrained, OutputReceived, PeerLost, ReplicaSlow, RequestAdmitted, RequestArrived, RequestInput, RequestRouted, RequestsMessage, RouteRules, SessionReplaced, StopRequested, AttemptId } from './messages.js'
 import { MAX_RETRY_BUDGET, RETRY_BUDGET_PER_SUCCESS, type Caller, type InFlightRequest, type OpenTransaction, type RequestsShared } from './state.js'
 import { clearTimers, createCancelEffects, createFinishedEffect, getTransactionStatus, replaceCaller, type RequestsEffect, type RequestsStep, type RequestsStore } from './step.js'
+import { endRequests, estimateMs, isRequestTooLate, refuseStopping } from './stopping.js'
 import { closeRevoked, createCallerClosedEffects, revokeKey } from './withdrawal.js'
 import { sendPeer, setTimer, tell } from '../messages.js'
 
@@ -30,12 +31,13 @@
     case 'requests/grants-confirmed': return updateGrants(store, message, moment)
     case 'requests/peer-lost': return handlePeerLost(store, message, moment)
     case 'requests/count-asked': return countBusy(store)
-    case 'requests/end-asked': return { effects: logUnfinished(store, moment) }
+    case 'requests/stop-asked': return { shared: { ...store.shared, endsAtMs: message.endsAtMs }, effects: [] }
+    case 'requests/end-asked': return endRequests(store)
     default: return decideForCaller(store, message, moment)
   }
 }
 
-type CallerMessage = Exclude<RequestsMessage, CallerConnected | GrantsConfirmed | PeerLost | CountRequested | EndRequested>
+type CallerMessage = Exclude<RequestsMessage, CallerConnected | GrantsConfirmed | PeerLost | CountRequested | StopRequested | EndRequested>
 
 function countBusy (store: RequestsStore): RequestsStep {
   const busy = [...store.items.values()].filter(caller => caller.running !== undefined || caller.transaction !== undefined).length
@@ -115,6 +117,7 @@
   }
   const next: Caller = { ...caller, attempts: attempt, running }
   if (caller.transaction?.phase === 'lost') return answerLostTransaction(next, running)
+  if (isRequestTooLate(shared, next, running, moment)) return refuseStopping(next, running)
   const check = tell({
     kind: 'admission/check-request',
     caller: caller.caller,
@@ -182,6 +185,8 @@
 
 function dispatchRequest (shared: RequestsShared, caller: Caller, running: InFlightRequest, message: RequestRouted, moment: Moment): RequestsStep {
   const { target } = message
+  if (isRequestTooLate(shared, caller, running, moment)) return refuseStopping(caller, running)
+  const endsAtMs = Math.min(running.deadlineAtMs, shared.endsAtMs ?? Infinity)
   const sender = shared.sender ?? String(moment.random)
   const ticket = { sender, order: shared.lastTicket + 1 }
   const order = sendPeer(target.owner, {
@@ -194,7 +199,8 @@
     target,
     intent: running.input.intent,
     transaction: caller.transaction?.beginAttempt,
-    remainingMs: Math.max(0, Math.round(running.deadlineAtMs - moment.monotonicMs)),
+    remainingMs: Math.max(0, Math.round(endsAtMs - moment.monotonicMs)),
+    expectedMs: estimateMs(caller, running),
     latencyMs: running.rules?.latencyMs,
     idleMs: running.rules?.idleTransactionMs,
     payload: running.payload
@@ -246,7 +252,7 @@
   const expired = target.purpose === 'primary' && !selfFencing && held!.leaseEndsAtMs <= moment.monotonicMs
   if (expired) return { ...UNCHANGED, shared: { ...shared, withheldAnswers: [...shared.withheldAnswers.filter(other => other.caller !== message.caller), message] } }
   const session = message.wrote ? advanceSession(caller.session, rules.group, message.position) : caller.session
-  const next: Caller = { ...caller, session, transaction: trackTransaction(caller, running, message), running: undefined }
+  const next: Caller = { ...caller, session, transaction: trackTransaction(caller, running, message, moment), running: undefined }
   const finished = createFinishedEffect(next, message.payload)
   const guarded = target.purpose === 'replica' || selfFencing
     ? finished
@@ -255,10 +261,11 @@
   return { ...replaceCaller(next, [clearTimer(`requests/deadline/${caller.caller}`), guarded]), shared: { ...shared, retryBudget } }
 }
 
-function trackTransaction (caller: Caller, running: InFlightRequest, message: AttemptFinished): OpenTransaction | undefined {
+function trackTransaction ({ transaction }: Caller, running: InFlightRequest, message: AttemptFinished, moment: Moment): OpenTransaction | undefined {
   const { rules, target } = running
   if (message.status === 'idle' || rules === undefined || target === undefined) return undefined
-  return { target, rules, beginAttempt: caller.transaction?.beginAttempt ?? running.attempt, phase: message.status }
+  const longestMs = Math.max(transaction?.longestMs ?? 0, moment.monotonicMs - running.startedAtMs)
+  return { target, rules, beginAttempt: transaction?.beginAttempt ?? running.attempt, phase: message.status, longestMs }
 }
 
 function closeConnection (caller: Caller): RequestsStep {
--- a/src/requests/log.ts
+++ b/src/requests/log.ts
@@ -18,17 +18,10 @@
 }
 
 /**
- * Creates one log line for each request and transaction that is unfinished when a stop ends.
- * @example logUnfinished(store, moment)
+ * Creates the log line for an idle transaction that a stop ends.
+ * @example logCutTransaction(caller, transaction)
  */
-export function logUnfinished (store: RequestsStore, moment: Moment): readonly CoreEffect[] {
-  return [...store.items.values()].flatMap(caller => {
-    if (caller.running !== undefined) return [createLine(caller, caller.running, 'cut off by the stop', moment)]
-    return caller.transaction === undefined ? [] : [createTransactionLine(caller, caller.transaction)]
-  })
-}
-
-function createTransactionLine ({ caller, workspace }: Caller, { target, rules, phase }: OpenTransaction): CoreEffect {
+export function logCutTransaction ({ caller, workspace }: Caller, { target, rules, phase }: OpenTransaction): CoreEffect {
   const { database, owner, purpose } = target
   return writeLog('warn', `The idle transaction of caller ${caller} was cut off by the stop.`, { caller, workspace, group: rules.group, database, owner, purpose, phase })
 }
--- a/src/requests/messages.ts
+++ b/src/requests/messages.ts
@@ -224,13 +224,21 @@
   readonly kind: 'requests/count-asked'
 }
 
-/** The stop of this host is at its time limit; whatever is in flight ends now. */
+/** This host stops: requests that can't end in time are refused from now on. */
+export interface StopRequested {
+  readonly kind: 'requests/stop-asked'
+  /** The monotonic time at which the work of this host has to have ended. */
+  readonly endsAtMs: number
+}
+
+/** The stop of this host is at its end; whatever is in flight is answered now. */
 export interface EndRequested {
   readonly kind: 'requests/end-asked'
 }
 
 /** Any message of the requests slice. */
 export type RequestsMessage =
+  | StopRequested
   | EndRequested
   | CountRequested
   | CallerConnected
--- a/src/requests/state.ts
+++ b/src/requests/state.ts
@@ -42,6 +42,8 @@
   readonly beginAttempt: number
   /** Failed: a statement failed in the database. Lost: the database no longer has the transaction; only commit and rollback are accepted. */
   readonly phase: 'open' | 'failed' | 'lost'
+  /** How long the slowest of its requests took, in milliseconds. */
+  readonly longestMs: number
 }
 
 /** A caller's connection. */
@@ -81,6 +83,8 @@
   readonly lastTicket: number
   /** Answers that are withheld until the leader confirms their primary again. */
   readonly withheldAnswers: readonly AttemptFinished[]
+  /** The monotonic time at which all work has to have ended; absent unless this host is stopping. */
+  readonly endsAtMs?: number
 }
 
 /** Initial and largest retry budget of a host. */
--- a/src/stopping/decide.ts
+++ b/src/stopping/decide.ts
@@ -11,8 +11,16 @@
 /** How long the host still refuses work once it is drained, so that requests on their way to it get an answer. */
 export const REFUSAL_PERIOD_MS = 200
 
-/** The phase of a stop: `draining` waits for the work in flight, `refusing` refuses late requests, `gone` ends the process. */
-export type Phase = 'running' | 'draining' | 'refusing' | 'gone'
+/** How long before the time limit all work has to have ended, so that its answers reach their callers. */
+export const END_MARGIN_MS = 100
+/** How long before the time limit requests whose answers have not come by then are answered. */
+export const ANSWER_MARGIN_MS = 50
+
+/**
+ * The phase of a stop: `draining` waits for the work in flight, `refusing` refuses late requests, `ending` answers what is
+ * left, `gone` ends the process.
+ */
+export type Phase = 'running' | 'draining' | 'refusing' | 'ending' | 'gone'
 
 /** State of the stopping slice. */
 export interface StoppingState {
@@ -26,6 +34,8 @@
   readonly busy: Readonly<Record<DrainedSlice, number>>
   /** How many of the busy transactions are those of this host's own callers. */
   readonly localTransactions: number
+  /** How many requests and transactions the stop aborted. */
+  readonly aborted: number
 }
 
 /** Ends the process. */
@@ -44,7 +54,7 @@
  * @example createStoppingState('host-1').phase // 'running'
  */
 export function createStoppingState (host: string, balancerMs = 0): StoppingState {
-  return { host, balancerMs, phase: 'running', sinceMs: 0, busy: { requests: 0, transactions: 0 }, localTransactions: 0 }
+  return { host, balancerMs, phase: 'running', sinceMs: 0, busy: { requests: 0, transactions: 0 }, localTransactions: 0, aborted: 0 }
 }
 
 /**
@@ -57,11 +67,13 @@
     case 'stopping/check-due': return state.phase === 'gone' ? { state, effects: [] } : { state, effects: [...requestCounts(state.host), createCheckTimer()] }
     case 'stopping/balancer-noticed': return { state, effects: [STOP_ACCEPTING] }
     case 'stopping/counted': return updateCount(state, message, moment)
-    case 'stopping/limit-passed': return state.phase === 'gone' ? { state, effects: [] } : endStop(state, moment, state.busy.requests + state.busy.transactions - state.localTransactions)
+    case 'stopping/end-due': return state.phase === 'gone' ? { state, effects: [] } : endWork(state, moment)
+    case 'stopping/limit-passed': return state.phase === 'gone' ? { state, effects: [] } : expireStop(state, moment)
   }
 }
 
 function startStop (state: StoppingState, message: StopRequested, moment: Moment): StoppingStep {
+  const endsAtMs = moment.monotonicMs + message.limitMs - END_MARGIN_MS
   // Assumes one of each in flight until the first counts arrive.
   const next: StoppingState = { ...state, phase: 'draining', sinceMs: moment.monotonicMs, busy: { requests: 1, transactions: 1 }, localTransactions: 0 }
   return {
@@ -69,7 +81,10 @@
     effects: [
       ...(state.balancerMs === 0 ? [STOP_ACCEPTING] : [setTimer('stopping/balancer', state.balancerMs, { kind: 'stopping/balancer-noticed' })]),
       tell({ kind: 'membership/drain-asked', operation: 'stopping', host: state.host }),
+      tell({ kind: 'requests/stop-asked', endsAtMs }),
+      tell({ kind: 'transactions/stop-asked', endsAtMs }),
       recordEvent('stop-asked', 'A graceful stop was requested.'),
+      setTimer('stopping/end', Math.max(0, message.limitMs - ANSWER_MARGIN_MS), { kind: 'stopping/end-due' }),
       setTimer('stopping/limit', message.limitMs, { kind: 'stopping/limit-passed' }),
       createCheckTimer()
     ]
@@ -90,7 +105,8 @@
   const elapsedMs = moment.monotonicMs - state.sinceMs
   const drained = counted.busy.requests === 0 && counted.busy.transactions === 0
   if (state.phase === 'draining' && elapsedMs >= Math.max(HANDOVER_PERIOD_MS, state.balancerMs) && drained) return refuseWork(counted, moment)
-  if (state.phase === 'refusing' && elapsedMs >= REFUSAL_PERIOD_MS && drained) return endStop(counted, moment, 0)
+  if (state.phase === 'refusing' && elapsedMs >= REFUSAL_PERIOD_MS && drained) return endStop(counted, moment)
+  if (state.phase === 'ending' && drained) return endStop(counted, moment)
   return { state: counted, effects: [] }
 }
 
@@ -98,14 +114,29 @@
   return { state: { ...state, phase: 'refusing', sinceMs: moment.monotonicMs }, effects: [tell({ kind: 'transactions/refuse-work' })] }
 }
 
-function endStop (state: StoppingState, moment: Moment, abortedRequests: number): StoppingStep {
+// The balancer may not have noticed by now where the limit is short.
+function endWork (state: StoppingState, moment: Moment): StoppingStep {
+  const { busy, localTransactions } = state
+  const aborted = busy.requests + busy.transactions - localTransactions
+  return { state: { ...state, phase: 'ending', sinceMs: moment.monotonicMs, aborted }, effects: [STOP_ACCEPTING, tell({ kind: 'requests/end-asked' })] }
+}
+
+function expireStop (state: StoppingState, moment: Moment): StoppingStep {
+  if (state.phase === 'ending') return endStop(state, moment)
+  const ended = endWork(state, moment)
+  const stopped = endStop(ended.state, moment)
+  return { state: stopped.state, effects: [...ended.effects, ...stopped.effects] }
+}
+
+function endStop (state: StoppingState, moment: Moment): StoppingStep {
+  const { aborted: abortedRequests } = state
   const text = abortedRequests === 0 ? 'The host stopped; no request or transaction was aborted.' : `The host stopped at the time limit; ${abortedRequests} requests and transactions in flight were aborted.`
   return {
     state: { ...state, phase: 'gone', sinceMs: moment.monotonicMs },
     effects: [
       clearTimer('stopping/check'),
+      clearTimer('stopping/end'),
       clearTimer('stopping/limit'),
-      tell({ kind: 'requests/end-asked' }),
       tell({ kind: 'membership/leave' }),
       recordEvent('stopped', text),
       { kind: 'process/exit', abortedRequests }
--- a/src/stopping/messages.ts
+++ b/src/stopping/messages.ts
@@ -22,6 +22,11 @@
   readonly local?: number
 }
 
+/** Requests in flight have had their time: they are answered now, and the process ends once that is done. */
+export interface EndDue {
+  readonly kind: 'stopping/end-due'
+}
+
 /** The time limit of the stop has passed. */
 export interface TimeLimitPassed {
   readonly kind: 'stopping/limit-passed'
@@ -36,4 +41,4 @@
 export type DrainedSlice = 'requests' | 'transactions'
 
 /** Any message of the stopping slice. */
-export type StoppingMessage = StopRequested | CheckDue | WorkCounted | TimeLimitPassed | BalancerDelayPassed
+export type StoppingMessage = StopRequested | CheckDue | WorkCounted | EndDue | TimeLimitPassed | BalancerDelayPassed
--- a/src/transactions/decide.test.ts
+++ b/src/transactions/decide.test.ts
@@ -18,11 +18,12 @@
 describe('an owned database', () => {
   let slice = createSlice()
   let order = 0
+  let nowMs = 0
 
   function createSlice () {
     return StoreSlice.create({ name: 'transactions', shared: createTransactionsShared(10, IDLE_MS), decide: decideTransactions, checkItem: checkOwnedDatabase })
   }
-  const handle = (message: TransactionsMessage): readonly Effect[] => slice.handle(message, { monotonicMs: 0, wallMs: 0, random: 0 })
+  const handle = (message: TransactionsMessage): readonly Effect[] => slice.handle(message, { monotonicMs: nowMs, wallMs: 0, random: 0 })
   const replaceOwned = (...databases: readonly DatabaseEntry[]): readonly Effect[] => handle({ kind: 'transactions/owned-changed', databases, grants: [GRANT] })
   const createRun = (caller: string, attempt: number, more: Partial<RunRequest> = {}): RunRequest => ({
     kind: 'transactions/run',
@@ -55,6 +56,7 @@
   beforeEach(() => {
     slice = createSlice()
     order = 0
+    nowMs = 0
     replaceOwned(ENTRY)
   })
 
@@ -162,4 +164,18 @@
     expect([...readDatabase().units.keys()]).to.deep.equal(['c2'])
     expect([...readDatabase().connections.values()].filter(connection => connection.phase === 'bound')).to.have.length(1)
   })
+
+  // Guards against a stop that cuts statements of callers of other hosts, whose outcome they would not know.
+  it('refuses what can not end before its owner stops: a transaction is rolled back, other requests may run elsewhere', () => {
+    const connection = start(createRun('c1', 1, { intent: 'begin' }))
+    handle({ kind: 'transactions/finished', connection, status: 'open', refused: false, payload: Buffer.alloc(0) })
+    handle({ kind: 'transactions/stop-asked', endsAtMs: 1_000 })
+    nowMs = 900
+    const late = handle(createRun('c1', 2, { transaction: 1, intent: 'commit', expectedMs: 100 }))
+    expect(listSent(late)).to.have.length(1)
+    expect(listSent(late)[0]).to.include({ kind: 'requests/failed', retriable: false }).and.to.have.nested.property('failure.effect', 'not-run')
+    expect(late).to.deep.include({ kind: 'database/close', connection })
+    expectNotRun(handle(createRun('c2', 1, { expectedMs: 100 })), ['c2'])
+    expect(listOpened(handle(createRun('c3', 1, { expectedMs: 99 })))).to.have.length(1)
+  })
 })
--- a/src/transactions/decide.ts
+++ b/src/transactions/decide.ts
@@ -9,6 +9,7 @@
 import { completeStep, updateOwnership } from './ownership.js'
 import { abortUnit, createExecute, endOpenBackoff, findUnit, handleConnectionBroken, handleOpenFailed, releaseUnit, startQueued, acceptConnection } from './pool.js'
 import type { StalenessBound } from '../requests/messages.js'
+import { isTooLate } from '../stopping/remaining.js'
 import { findProvenFloor } from '../routing/staleness.js'
 import { computeLoad, nameFlow, type OwnedDatabase, type TransactionsShared, type UnitOfWork } from './state.js'
 import { computePace, findOverload } from './pace.js'
@@ -44,6 +45,7 @@
     case 'transactions/host-lost': return handleHostLost(store, message)
     case 'transactions/count-asked': return reportWorkCount(store, message.host)
     case 'transactions/primary-sampled': return { shared: { ...store.shared, samples: new Map(store.shared.samples).set(message.group, message.samples) }, effects: [] }
+    case 'transactions/stop-asked': return { shared: { ...store.shared, endsAtMs: message.endsAtMs }, effects: [] }
     case 'transactions/refuse-work': return { shared: { ...store.shared, stopping: true }, effects: [] }
     case 'transactions/credit': return decideFor(store, message.database, database => forwardCredit(database, message))
     case 'transactions/time-over': return decideFor(store, message.database, database => expireDeadline(database, message))
@@ -90,10 +92,18 @@
   const shared = recordSequenceNumber(store.shared, from, ticket)
   if (shared.stopping && message.transaction === undefined) return { shared, effects: [refuseRun(message, createFailure('host-stopping'))] }
   if (!store.items.has(message.target.database)) return { shared, effects: [refuseMissing(message)] }
-  const step = decideFor(store, message.target.database, database => startRun(shared, database, message, moment))
+  const tooLate = message.intent !== 'rollback' && isTooLate(shared.endsAtMs, message.expectedMs ?? 0, moment)
+  const step = decideFor(store, message.target.database, database => (tooLate ? refuseLate(database, message) : startRun(shared, database, message, moment)))
   return { ...step, shared }
 }
 
+// A transaction is rolled back, so that its caller can start over at once. A first request may find time at another database.
+function refuseLate (database: OwnedDatabase, message: RunRequest): DatabaseStep {
+  if (message.transaction === undefined) return { database, effects: [refuseRun(message, createFailure('host-stopping'), database)] }
+  const answer = answerFailed(message.from!, message, createFailure('transaction-stopped'), false)
+  return continueStep({ database, effects: [answer] }, next => cancelWork(next, message.caller, message.attempt))
+}
+
 function refuseMissing (message: RunRequest): DatabaseStep['effects'][number] {
   if (message.transaction === undefined) return refuseRun(message, createFailure('no-database', message.target.database))
   return answerFailed(message.from!, message, createFailure('transaction-lost', 'the database has another owner'), false)
--- a/src/transactions/messages.ts
+++ b/src/transactions/messages.ts
@@ -27,6 +27,8 @@
   /** The attempt that began the caller's open transaction; absent outside a transaction. */
   readonly transaction?: number
   readonly remainingMs: number
+  /** How long the request is expected to take, in milliseconds. */
+  readonly expectedMs?: number
   /** The latency target of the route; absent where it has none. */
   readonly latencyMs?: number
   /** How long the transaction may stay idle; the host's limit applies when absent. */
@@ -162,6 +164,13 @@
   readonly host: string
 }
 
+/** This host stops: work that can't end in time is refused from now on. */
+export interface StopRequested {
+  readonly kind: 'transactions/stop-asked'
+  /** The monotonic time at which the work of this host has to have ended. */
+  readonly endsAtMs: number
+}
+
 /** The host is stopping and accepts no new work. */
 export interface StopAcceptingWork {
   readonly kind: 'transactions/refuse-work'
@@ -180,6 +189,7 @@
   | PrimarySampled
   | WorkCountRequested
   | PositionPollDue
+  | StopRequested
   | StopAcceptingWork
   | RunRequest
   | CancelRequest
--- a/src/transactions/state.ts
+++ b/src/transactions/state.ts
@@ -98,6 +98,8 @@
   readonly generation: number
   /** True once the host is stopping and accepts no new work. */
   readonly stopping: boolean
+  /** The monotonic time at which all work has to have ended; absent unless this host is stopping. */
+  readonly endsAtMs?: number
   /** Positions of the primaries by group, oldest first; empty unless the databases fence themselves. */
   readonly samples: ReadonlyMap<string, readonly PrimarySample[]>
 }
--- a/standin/wire/database.ts
+++ b/standin/wire/database.ts
@@ -14,6 +14,8 @@
   readonly group: WireGroup
   /** The control addresses; after a failed heartbeat, the next one is used. */
   readonly control: readonly string[]
+  /** How long a read, write or commit takes, in milliseconds; at once when absent. */
+  readonly workMs?: number
   /** Called for each statement that ran. */
   readonly onRun: (run: StatementRun) => void
 }
@@ -58,8 +60,8 @@
   #accept (socket: Socket): void {
     this.#sockets.add(socket)
     socket.on('close', () => this.#sockets.delete(socket))
-    const { group, onRun } = this.#options
-    WireSession.create({ socket, group, member: this.member, onRun })
+    const { group, workMs, onRun } = this.#options
+    WireSession.create({ socket, group, member: this.member, workMs, onRun })
   }
 
   #sendHeartbeat (): void {
--- a/standin/wire/session.ts
+++ b/standin/wire/session.ts
@@ -1,6 +1,6 @@
 /** One connection to a stand-in database of the platform. Reports each statement with its workspace and session values, for tests to check. */
 import type { Socket } from 'node:net'
-import { formatLines, LineReader, splitLine } from '../../platform/lines.js'
+import { formatLines, LineReader, NONE, splitLine } from '../../platform/lines.js'
 import type { GroupMember, WireGroup } from './group.js'
 
 /** The options of a session. */
@@ -8,6 +8,8 @@
   readonly socket: Socket
   readonly group: WireGroup
   readonly member: GroupMember
+  /** How long a read, write or commit takes, in milliseconds; at once when absent. */
+  readonly workMs?: number
   /** Called for each statement that ran. */
   readonly onRun: (run: StatementRun) => void
 }
@@ -62,6 +64,12 @@
 
   #query (line: string): void {
     const [, id = '', text = ''] = splitLine(line, 3)
+    const { workMs } = this.#options
+    if (workMs === undefined || id === NONE) return this.#answer(id, text)
+    setTimeout(() => this.#answer(id, text), workMs)
+  }
+
+  #answer (id: string, text: string): void {
     const lines = this.#run(id, text)
     const state = this.#transaction === undefined ? 'I' : this.#transactionFailed ? 'E' : 'T'
     this.#write(...lines, `READY ${state} ${this.#readPosition()}`)
--- a/test/support/wire.ts
+++ b/test/support/wire.ts
@@ -68,6 +68,12 @@
   }
 }
 
+/** What a deployment may differ in. */
+export interface WireDeploymentOptions {
+  /** How long a read, write or commit takes in a database, in milliseconds; at once when absent. */
+  readonly workMs?: number
+}
+
 /** Three control hosts, three entry hosts and one group of three databases. */
 export class WireDeployment {
   readonly group = WireGroup.create('rota')
@@ -76,19 +82,21 @@
   readonly control: string[] = []
   readonly callers: string[] = []
   readonly #directory: string
+  readonly #options: WireDeploymentOptions
   readonly #hosts: Host[] = []
   #platform!: WirePlatform
 
-  private constructor (directory: string) {
+  private constructor (directory: string, options: WireDeploymentOptions) {
     this.#directory = directory
+    this.#options = options
   }
 
   /**
    * Starts a deployment without a configuration.
    * @example await using deployment = await WireDeployment.create()
    */
-  static async create (): Promise<WireDeployment> {
-    const deployment = new WireDeployment(await mkdtemp(join(tmpdir(), 'wire-')))
+  static async create (options: WireDeploymentOptions = {}): Promise<WireDeployment> {
+    const deployment = new WireDeployment(await mkdtemp(join(tmpdir(), 'wire-')), options)
     await deployment.#start()
     return deployment
   }
@@ -112,6 +120,14 @@
     return { status: response.status, version: body.version }
   }
 
+  /** Stops the host that serves callers at an address of `callers`; returns once its process would have ended. */
+  async stopHost (callerIndex: number): Promise<void> {
+    const host = this.#hosts[this.control.length + callerIndex]!
+    host.stop()
+    await host.stopped
+    await host[Symbol.asyncDispose]()
+  }
+
   async [Symbol.asyncDispose] (): Promise<void> {
     for (const database of this.databases) database.stop()
     await Promise.all(this.#hosts.map(async host => await host[Symbol.asyncDispose]()))
@@ -147,7 +163,7 @@
       else this.callers.push(`${ip}:${front}`)
     }
     for (const [index, zone] of ZONES.entries()) {
-      this.databases.push(await WireDatabase.create({ id: `i-${index}`, zone, group: this.group, control: this.control, onRun: run => this.runs.push(run) }))
+      this.databases.push(await WireDatabase.create({ id: `i-${index}`, zone, group: this.group, control: this.control, workMs: this.#options.workMs, onRun: run => this.runs.push(run) }))
     }
   }
 }
