A stop waits until callers have been sent the whole of their answers

Cause: a request counted as done once its answer was handed to the socket, and the exit drops what sockets hold.

Change: the front ends report how many callers have unsent answers, and the stop counts them as work in flight, until its time limit.

--- a/src/frontends/frontend.ts
+++ b/src/frontends/frontend.ts
@@ -53,14 +53,22 @@
   readonly kind: 'caller/stop-accepting'
 }
 
+/** Asks how many callers have not been sent the whole of their answers. */
+export interface CountUnsentAnswers extends Effect {
+  readonly kind: 'caller/count-unsent'
+}
+
 /** The effects that name a caller. */
 export type CallerEffect = CallerRolledBack | CallerOpened | CallerRefused | CallerOutput | CallerFinished | CallerFailed
 
+/** The effects that concern all callers. */
+export type FrontEndEffect = StopAccepting | CountUnsentAnswers
+
 /** Reads requests from callers and writes answers to them. */
 export abstract class FrontEnd extends Adapter {
   readonly name = 'caller'
 
-  abstract override execute (effect: CallerEffect | StopAccepting): void
+  abstract override execute (effect: CallerEffect | FrontEndEffect): void
 
   /** Stops accepting callers, and closes each connection once it has no running request and no open transaction. */
   abstract stopAccepting (): void
--- a/src/frontends/postgres/frontend.ts
+++ b/src/frontends/postgres/frontend.ts
@@ -4,7 +4,7 @@
 import { createFailure } from '../../core/errors.js'
 import type { HostPost } from '../../messages.js'
 import { startListening } from '../../core/listening.js'
-import { FrontEnd, type CallerEffect, type StopAccepting } from '../frontend.js'
+import { FrontEnd, type CallerEffect, type FrontEndEffect } from '../frontend.js'
 import { CallerConnection } from './connection.js'
 
 const INCARNATION_BYTES = 4
@@ -47,9 +47,12 @@
     return `${ip}:${(this.#server.address() as AddressInfo).port}`
   }
 
-  execute (effect: CallerEffect | StopAccepting): void {
-    if (effect.kind === 'caller/stop-accepting') return this.stopAccepting()
-    this.#connections.get(effect.caller)?.execute(effect)
+  execute (effect: CallerEffect | FrontEndEffect): void {
+    switch (effect.kind) {
+      case 'caller/stop-accepting': return this.stopAccepting()
+      case 'caller/count-unsent': return this.#parts.post({ kind: 'stopping/counted', part: 'answers', busy: this.#countUnsent() })
+      default: this.#connections.get(effect.caller)?.execute(effect)
+    }
   }
 
   stopAccepting (): void {
@@ -62,6 +65,10 @@
     for (const connection of this.#connections.values()) connection.stop(createFailure('host-stopping'))
   }
 
+  #countUnsent (): number {
+    return [...this.#connections.values()].filter(connection => connection.hasUnsent).length
+  }
+
   #accept (socket: Socket): void {
     socket.setNoDelay(true)
     this.#accepted += 1
--- a/src/stopping/decide.test.ts
+++ b/src/stopping/decide.test.ts
@@ -14,7 +14,8 @@
   }
   const countAll = (busy: number): readonly string[] => [
     ...decide({ kind: 'stopping/counted', part: 'requests', busy }),
-    ...decide({ kind: 'stopping/counted', part: 'transactions', busy: 0 })
+    ...decide({ kind: 'stopping/counted', part: 'transactions', busy: 0 }),
+    ...decide({ kind: 'stopping/counted', part: 'answers', busy: 0 })
   ]
 
   beforeEach(() => {
@@ -35,6 +36,17 @@
     expect(countAll(0)).to.include('process/exit')
   })
 
+  // Guards against an exit that drops the rest of an answer which its caller still reads (review/3).
+  it('does not end while a caller has not been sent the whole of its answer', () => {
+    nowMs = HANDOVER_PERIOD_MS
+    decide({ kind: 'stopping/counted', part: 'answers', busy: 1 })
+    decide({ kind: 'stopping/counted', part: 'requests', busy: 0 })
+    decide({ kind: 'stopping/counted', part: 'transactions', busy: 0 })
+    expect(state.phase).to.equal('draining')
+    countAll(0)
+    expect(state.phase).to.equal('refusing')
+  })
+
   it('is not restarted by a second request', () => {
     nowMs = 500
     expect(decide({ kind: 'stopping/asked', limitMs: 1 })).to.deep.equal([])
--- a/src/stopping/decide.ts
+++ b/src/stopping/decide.ts
@@ -1,8 +1,8 @@
 /** Decisions of the stopping slice: a graceful stop accepts no new callers, drains the work in flight, and then leaves the directory. */
 import { clearTimer, recordEvent, type CoreEffect, type Effect, type Moment, type Step } from '../core/message.js'
-import type { StopAccepting } from '../frontends/frontend.js'
+import type { FrontEndEffect, StopAccepting } from '../frontends/frontend.js'
 import { setTimer, tell } from '../messages.js'
-import type { StopRequested, WorkCounted, DrainedSlice, StoppingMessage } from './messages.js'
+import type { StopRequested, WorkCounted, DrainedPart, StoppingMessage } from './messages.js'
 
 /** The interval at which the work in flight is counted. */
 export const CHECK_INTERVAL_MS = 50
@@ -31,7 +31,7 @@
   /** The monotonic time at which the current phase began. */
   readonly sinceMs: number
   /** The work in flight at the last count. */
-  readonly busy: Readonly<Record<DrainedSlice, number>>
+  readonly busy: Readonly<Record<DrainedPart, number>>
   /** How many of the busy transactions are those of this host's own callers. */
   readonly localTransactions: number
   /** How many requests and transactions the stop aborted. */
@@ -47,14 +47,14 @@
 
 const STOP_ACCEPTING: StopAccepting = { kind: 'caller/stop-accepting' }
 
-type StoppingStep = Step<StoppingState, CoreEffect | ExitProcess | StopAccepting>
+type StoppingStep = Step<StoppingState, CoreEffect | ExitProcess | FrontEndEffect>
 
 /**
  * Creates the state of a running host.
  * @example createStoppingState('host-1').phase // 'running'
  */
 export function createStoppingState (host: string, balancerMs = 0): StoppingState {
-  return { host, balancerMs, phase: 'running', sinceMs: 0, busy: { requests: 0, transactions: 0 }, localTransactions: 0, aborted: 0 }
+  return { host, balancerMs, phase: 'running', sinceMs: 0, busy: { requests: 0, transactions: 0, answers: 0 }, localTransactions: 0, aborted: 0 }
 }
 
 /**
@@ -75,7 +75,7 @@
 function startStop (state: StoppingState, message: StopRequested, moment: Moment): StoppingStep {
   const endsAtMs = moment.monotonicMs + message.limitMs - END_MARGIN_MS
   // Assumes one of each in flight until the first counts arrive.
-  const next: StoppingState = { ...state, phase: 'draining', sinceMs: moment.monotonicMs, busy: { requests: 1, transactions: 1 }, localTransactions: 0 }
+  const next: StoppingState = { ...state, phase: 'draining', sinceMs: moment.monotonicMs, busy: { requests: 1, transactions: 1, answers: 1 }, localTransactions: 0 }
   return {
     state: next,
     effects: [
@@ -91,8 +91,8 @@
   }
 }
 
-function requestCounts (host: string): readonly CoreEffect[] {
-  return [tell({ kind: 'requests/count-asked' }), tell({ kind: 'transactions/count-asked', host })]
+function requestCounts (host: string): ReadonlyArray<CoreEffect | FrontEndEffect> {
+  return [tell({ kind: 'requests/count-asked' }), tell({ kind: 'transactions/count-asked', host }), { kind: 'caller/count-unsent' }]
 }
 
 function createCheckTimer (): CoreEffect {
@@ -103,7 +103,7 @@
   const localTransactions = message.part === 'transactions' ? message.local ?? 0 : state.localTransactions
   const counted: StoppingState = { ...state, busy: { ...state.busy, [message.part]: message.busy }, localTransactions }
   const elapsedMs = moment.monotonicMs - state.sinceMs
-  const drained = counted.busy.requests === 0 && counted.busy.transactions === 0
+  const drained = Object.values(counted.busy).every(busy => busy === 0)
   if (state.phase === 'draining' && elapsedMs >= Math.max(HANDOVER_PERIOD_MS, state.balancerMs) && drained) return refuseWork(counted, moment)
   if (state.phase === 'refusing' && elapsedMs >= REFUSAL_PERIOD_MS && drained) return endStop(counted, moment)
   if (state.phase === 'ending' && drained) return endStop(counted, moment)
@@ -129,8 +129,9 @@
 }
 
 function endStop (state: StoppingState, moment: Moment): StoppingStep {
-  const { aborted: abortedRequests } = state
-  const text = abortedRequests === 0 ? 'The host stopped; no request or transaction was aborted.' : `The host stopped at the time limit; ${abortedRequests} requests and transactions in flight were aborted.`
+  const { aborted: abortedRequests, busy } = state
+  const cut = `${abortedRequests} requests and transactions in flight were aborted, ${busy.answers} answers were not sent in full`
+  const text = abortedRequests + busy.answers === 0 ? 'The host stopped; no request or transaction was aborted.' : `The host stopped at the time limit; ${cut}.`
   return {
     state: { ...state, phase: 'gone', sinceMs: moment.monotonicMs },
     effects: [
--- a/src/stopping/messages.ts
+++ b/src/stopping/messages.ts
@@ -12,11 +12,11 @@
   readonly kind: 'stopping/check-due'
 }
 
-/** A slice counted its work in flight. */
+/** A slice or the front end counted its work in flight. */
 export interface WorkCounted {
   readonly kind: 'stopping/counted'
-  readonly part: DrainedSlice
-  /** The number of callers with a request or transaction in flight. */
+  readonly part: DrainedPart
+  /** The number of callers with a request or transaction in flight, or with an answer that was not sent in full. */
   readonly busy: number
   /** How many of them are connected to this host, and are thus counted by the requests slice as well. */
   readonly local?: number
@@ -37,8 +37,11 @@
   readonly kind: 'stopping/balancer-noticed'
 }
 
-/** The slices that must be drained: requests of this host's callers, and transactions on the databases that it owns. */
-export type DrainedSlice = 'requests' | 'transactions'
+/**
+ * What must be drained: requests of this host's callers, transactions on the databases that it owns, and answers that callers
+ * have not read. An answer is given only once the process holds no byte of it.
+ */
+export type DrainedPart = 'requests' | 'transactions' | 'answers'
 
 /** Any message of the stopping slice. */
 export type StoppingMessage = StopRequested | CheckDue | WorkCounted | EndDue | TimeLimitPassed | BalancerDelayPassed
