--- a/src/membership/decide.ts
+++ b/src/membership/decide.ts
@@ -7,6 +7,7 @@
 import { reportRollout } from './rollout.js'
 import { applyChanges, listEntries, type DatabaseEntry, type DatabaseStatus, type Directory, type HostEntry } from './directory.js'
 import { removeDatabase, removeHost, publishEntry, evictSilent, receiveHeartbeat } from './leader.js'
+import { recordDatabaseEvents } from './log.js'
 import type { DatabaseAnnounced, DatabaseAnswered, Heartbeat, HeartbeatAnswered, MembershipMessage, ProbeCompleted, DatabaseWithdrawn, VersionsTold } from './messages.js'
 import { listOwned } from './owners.js'
 import type { Announcement, MembershipState } from './state.js'
@@ -34,6 +35,12 @@
  * @example decideMembership(state, { kind: 'membership/beat-due' }, moment)
  */
 export function decideMembership (state: MembershipState, message: MembershipMessage, moment: Moment): MembershipStep {
+  const step = decideMessage(state, message, moment)
+  const events = recordDatabaseEvents(state.leaderState, step.state.leaderState)
+  return events.length === 0 ? step : { state: step.state, effects: [...step.effects, ...events] }
+}
+
+function decideMessage (state: MembershipState, message: MembershipMessage, moment: Moment): MembershipStep {
   switch (message.kind) {
     case 'membership/started': return start(state, message.self, message.control)
     case 'membership/leader-changed': return followLeader(state, message, moment)
