Complete lists of the directory name what was removed

A host could go on sending requests to a database that its leader had removed, until the next leader.

Cause: complete lists left removed entries out, assuming that the receiver has nothing of this epoch. A heartbeat that names the epoch before may be answered twice, by the leader and through a relay, and the second list is merged into the first. Relays pass the gap on to the hosts that ask them.

Change: complete lists name removed entries, too.

--- a/src/membership/directory.ts
+++ b/src/membership/directory.ts
@@ -17,10 +17,20 @@
   readonly apart?: boolean
 }
 
+/** One start of an instance: an identity that a database keeps when it starts again, though it then knows nothing of before. */
+export interface Incarnation {
+  readonly instance: string
+  /** When it started, in Unix milliseconds by its own clock. */
+  readonly startedAtMs: number
+}
+
 /** A database, as announced by itself. */
 export interface DatabaseEntry {
   readonly kind: 'database'
+  /** The name; of a database with an incarnation, a new one at each start. */
   readonly database: string
+  /** Absent where a database keeps its data, and thus its name, when it starts again. */
+  readonly incarnation?: Incarnation
   readonly group: string
   readonly failureDomain: string
   readonly address: string
@@ -142,13 +152,13 @@
 }
 
 /**
- * Lists the changes after a revision, or all entries if the revision is of another epoch.
+ * Lists the changes after a revision, or all of them if the revision is of another epoch. Removed entries are listed, too:
+ * the receiver may have got an earlier list of this epoch meanwhile, and a relay passes its copy on to hosts that have.
  * @example listChangesSince(directory, { epoch: 3, count: 17 })
  */
 export function listChangesSince (directory: Directory, since: Revision): readonly DirectoryChange[] {
   const all = [...directory.changes.values()]
-  if (since.epoch !== directory.revision.epoch) return all.filter(change => change.entry !== undefined)
-  return all.filter(change => change.count > since.count)
+  return since.epoch === directory.revision.epoch ? all.filter(change => change.count > since.count) : all
 }
 
 /**
