A database that starts again supersedes its former start

Cause: two starts are two names, but a call names the id alone. The new start answered when the owner asked for the former one, and answers keep a database in the directory. That entry never departs, gets reads, and is the best successor.

Change: entries name their instance and the time of the start. The leader holds the latest start of an instance alone; an earlier one counts only if it goes on announcing itself while the later one is silent, so that a wrong clock hides no database for ever. Withdrawals are told to all control hosts. The role of primary passes to the new start; positions, proofs, fences and copies of the former one go with it, an appointment of it fails, and a primary that came back without its log is replaced by a database that holds more.

--- a/src/membership/decide.ts
+++ b/src/membership/decide.ts
@@ -6,7 +6,8 @@
 import { followLeader, listControlHosts, listHeartbeatTargets, followHint } from './discovery.js'
 import { reportRollout } from './rollout.js'
 import { applyChanges, listEntries, type DatabaseEntry, type DatabaseStatus, type Directory, type HostEntry } from './directory.js'
-import { removeDatabase, removeHost, publishEntry, evictSilent, receiveHeartbeat } from './leader.js'
+import { removeDatabases, removeHost, publishEntry, evictSilent, receiveHeartbeat } from './leader.js'
+import { isCurrent, pruneIncarnations, recordWithdrawal } from './incarnations.js'
 import { recordDatabaseEvents } from './log.js'
 import type { DatabaseAnnounced, DatabaseAnswered, Heartbeat, HeartbeatAnswered, MembershipMessage, ProbeCompleted, DatabaseWithdrawn, VersionsTold } from './messages.js'
 import { listOwned } from './owners.js'
@@ -53,7 +54,7 @@
     case 'membership/probe-due': return probeOwned(state, moment)
     case 'membership/probed': return recordProbe(state, message)
     case 'membership/answered': return createStep(recordAnswer(state, message))
-    case 'membership/withdrawn': return withdrawDatabase(state, message)
+    case 'membership/withdrawn': return withdrawDatabase(state, message, moment)
     case 'membership/control-changed': return createStep({ ...state, control: message.control })
     case 'membership/beat': return acceptHeartbeat(state, message, moment)
     case 'membership/remembered': return createStep({ ...state, storedDatabases: message.databases })
@@ -209,14 +210,20 @@
   return order.startedAtMs < known.order.startedAtMs || (order.startedAtMs === known.order.startedAtMs && order.sequence <= known.order.sequence)
 }
 
-// The host that the database notified forwards the withdrawal to the leader.
-function withdrawDatabase (state: MembershipState, { database, from }: DatabaseWithdrawn): MembershipStep {
+// The host that the database notified tells all control hosts: the leader removes the database, the others report it no
+// longer, and know of it if they lead next.
+function withdrawDatabase (state: MembershipState, { database, incarnation, from }: DatabaseWithdrawn, moment: Moment): MembershipStep {
   const announcements = new Map(state.announcements)
   announcements.delete(database)
-  const next: MembershipState = { ...state, announcements }
-  if (state.leaderState !== undefined) return { state: { ...next, leaderState: removeDatabase(state.leaderState, database) }, effects: [tell({ kind: 'succession/withdrawn', database })] }
-  if (from !== undefined || state.leader === undefined) return createStep(next)
-  return { state: next, effects: [sendPeer(state.leader, { kind: 'membership/withdrawn', database })] }
+  const incarnations = incarnation === undefined ? state.incarnations : pruneIncarnations(recordWithdrawal(state.incarnations, database, incarnation, moment.monotonicMs), moment.monotonicMs)
+  const next: MembershipState = { ...state, announcements, incarnations }
+  const others = from !== undefined ? [] : [...new Set([...listControlHosts(state), ...(state.leader === undefined ? [] : [state.leader])])].filter(host => host !== state.self?.host)
+  const notifications = others.map(host => sendPeer(host, { kind: 'membership/withdrawn', database, incarnation }))
+  if (state.leaderState === undefined) return { state: next, effects: notifications }
+  // The withdrawal may be the first that is heard of this start.
+  const superseded = listEntries(state.leaderState.directory, 'database').filter(entry => !isCurrent(incarnations, entry)).map(entry => entry.database)
+  const gone = [...new Set([database, ...superseded])]
+  return { state: { ...next, leaderState: removeDatabases(state.leaderState, gone) }, effects: [...notifications, ...gone.map(name => tell({ kind: 'succession/withdrawn', database: name }))] }
 }
 
 function listAnnounced (state: MembershipState, moment: Moment): readonly DatabaseEntry[] {
--- a/src/membership/entry.ts
+++ b/src/membership/entry.ts
@@ -11,6 +11,7 @@
 const DatabaseEntrySchema = v.object({
   kind: v.literal('database'),
   database: Token,
+  incarnation: v.optional(v.object({ instance: Token, startedAtMs: v.pipe(v.number(), v.safeInteger(), v.minValue(0)) })),
   group: Token,
   failureDomain: Token,
   address: v.pipe(v.string(), v.check(isAddress, 'Expected an IP address and a port from 1 to 65535')),
--- a/src/membership/leader.ts
+++ b/src/membership/leader.ts
@@ -2,6 +2,7 @@
 import type { CoreEffect, Moment, Step } from '../core/message.js'
 import { createDirectory, removeEntry, listChangesSince, listEntries, putEntry, getEntryKey, type DatabaseEntry, type DatabaseStatus, type Directory, type DirectoryEntry } from './directory.js'
 import { keepValidEntries } from './entry.js'
+import { isCurrent, listDoubted, mergeKnownDatabases, recordReports, pruneIncarnations, type IncarnationTable } from './incarnations.js'
 import type { Heartbeat, HostLeft } from './messages.js'
 import type { LeaderState, MembershipState } from './state.js'
 import { proposeStoredDatabases } from './stored.js'
@@ -31,8 +32,9 @@
  */
 export function startLeading (state: MembershipState, epoch: number, moment: Moment): MembershipStep {
   const awaitedHosts = listEntries(state.directory, 'host').map(entry => entry.host).filter(host => host !== state.previousLeader)
-  const knownDatabases = listEntries(state.directory, 'database')
-  const storedDatabases = keepValidEntries(Object.values(state.storedDatabases)).filter(entry => !knownDatabases.some(other => other.database === entry.database))
+  const copied = listEntries(state.directory, 'database')
+  const recovered = keepValidEntries(Object.values(state.storedDatabases)).filter(entry => !copied.some(other => other.database === entry.database))
+  const { table: incarnations, known: knownDatabases, stored: storedDatabases } = mergeKnownDatabases(state.incarnations, copied, recovered, moment.monotonicMs)
   const databases = [...knownDatabases, ...storedDatabases]
   const databaseReportedAtMs = new Map<string, number>()
   markReported(databaseReportedAtMs, databases, moment.monotonicMs + REANNOUNCEMENT_GRACE_MS)
@@ -48,7 +50,7 @@
   }
   const report = { kind: 'succession/reported', host: state.self?.host ?? '', failureDomain: state.self?.failureDomain ?? '', apart: true, statuses: [] } as const
   const notifications = [tell({ ...report, databases: knownDatabases }), tell({ ...report, databases: storedDatabases, remembered: true })]
-  return { state: { ...state, leaderState }, effects: [...notifications, createSweepTimer()] }
+  return { state: { ...state, incarnations, leaderState }, effects: [...notifications, createSweepTimer()] }
 }
 
 /**
@@ -56,17 +58,32 @@
  * @example receiveHeartbeat(state, leaderState, heartbeat, moment)
  */
 export function receiveHeartbeat (state: MembershipState, leaderState: LeaderState, heartbeat: Heartbeat, moment: Moment): MembershipStep {
-  const heartbeats = [heartbeat, ...(heartbeat.relayed ?? [])].map(received => ({ ...received, databases: keepValidEntries(received.databases) }))
-  const next = recordHeartbeats(leaderState, heartbeats, moment)
+  const { heartbeats, incarnations, superseded } = admitHeartbeats(state, [heartbeat, ...(heartbeat.relayed ?? [])], moment)
+  const doubted = listDoubted(incarnations, state.timing.announcementHoldsMs)
+  const next = recordHeartbeats(removeDatabases(leaderState, superseded), heartbeats, doubted, moment)
   const notifications = heartbeats.flatMap(notifyReported)
-  if (!isReadyToAnswer(next, moment)) return { state: { ...state, leaderState: next }, effects: notifications }
+  if (!isReadyToAnswer(next, moment)) return { state: { ...state, incarnations, leaderState: next }, effects: notifications }
   const hostAnsweredAtMs = new Map(next.hostAnsweredAtMs)
   for (const { self } of heartbeats) hostAnsweredAtMs.set(self.host, moment.monotonicMs)
-  return { state: { ...state, leaderState: { ...next, hostAnsweredAtMs } }, effects: [createHeartbeatAnswer(next, heartbeat, moment), ...notifications] }
+  return { state: { ...state, incarnations, leaderState: { ...next, hostAnsweredAtMs } }, effects: [createHeartbeatAnswer(next, heartbeat, moment), ...notifications] }
+}
+
+interface AdmittedHeartbeats {
+  readonly heartbeats: readonly Heartbeat[]
+  readonly incarnations: IncarnationTable
+  readonly superseded: readonly string[]
+}
+
+// Hosts report whatever was announced to them. Databases that can't be used, or are no longer there, go no further.
+function admitHeartbeats (state: MembershipState, received: readonly Heartbeat[], moment: Moment): AdmittedHeartbeats {
+  const valid = received.map(heartbeat => ({ ...heartbeat, databases: keepValidEntries(heartbeat.databases) }))
+  const { table, superseded } = recordReports(state.incarnations, valid.flatMap(({ databases }) => databases), state.timing.announcementHoldsMs, moment.monotonicMs)
+  const heartbeats = valid.map(heartbeat => ({ ...heartbeat, databases: heartbeat.databases.filter(entry => isCurrent(table, entry)) }))
+  return { heartbeats, incarnations: table, superseded }
 }
 
 // The maps are copied once for all heartbeats of a message, since relays bring those of many hosts.
-function recordHeartbeats (leaderState: LeaderState, heartbeats: readonly Heartbeat[], moment: Moment): LeaderState {
+function recordHeartbeats (leaderState: LeaderState, heartbeats: readonly Heartbeat[], doubted: ReadonlySet<string>, moment: Moment): LeaderState {
   const hosts = new Map(leaderState.hosts)
   const reportedAtMs = new Map(leaderState.databaseReportedAtMs)
   let { directory } = leaderState
@@ -74,7 +91,7 @@
     directory = databases.reduce(putAnnouncedDatabase, putEntry(directory, self))
     hosts.set(self.host, { entry: self, lastHeartbeatAtMs: moment.monotonicMs, confirmedRevision: revision, databases })
     markReported(reportedAtMs, databases, moment.monotonicMs)
-    markAnswered(reportedAtMs, statuses, moment.monotonicMs)
+    markAnswered(reportedAtMs, statuses.filter(({ database }) => !doubted.has(database)), moment.monotonicMs)
   }
   return { ...leaderState, directory, hosts, databaseReportedAtMs: reportedAtMs }
 }
@@ -136,7 +153,8 @@
   const databaseReportedAtMs = new Map([...leaderState.databaseReportedAtMs].filter(([, reportedAtMs]) => moment.monotonicMs - reportedAtMs <= DATABASE_TIMEOUT_MS))
   const directory = removeSilent(leaderState.directory, hosts, databaseReportedAtMs)
   const hostAnsweredAtMs = new Map([...leaderState.hostAnsweredAtMs].filter(([, answeredAtMs]) => moment.monotonicMs - answeredAtMs <= ANSWER_RETENTION_MS))
-  return { state: { ...state, leaderState: { ...leaderState, directory, hosts, databaseReportedAtMs, hostAnsweredAtMs } }, effects: [...proposeStoredDatabases(state.storedDatabases, directory), createSweepTimer()] }
+  const incarnations = pruneIncarnations(state.incarnations, moment.monotonicMs)
+  return { state: { ...state, incarnations, leaderState: { ...leaderState, directory, hosts, databaseReportedAtMs, hostAnsweredAtMs } }, effects: [...proposeStoredDatabases(state.storedDatabases, directory), createSweepTimer()] }
 }
 
 function removeSilent (directory: Directory, hosts: ReadonlyMap<string, unknown>, databases: ReadonlyMap<string, unknown>): Directory {
@@ -161,13 +179,14 @@
 }
 
 /**
- * Removes a database that withdrew itself.
- * @example removeDatabase(leaderState, 'a1')
+ * Removes databases that withdrew themselves or were superseded.
+ * @example removeDatabases(leaderState, ['a1'])
  */
-export function removeDatabase (leaderState: LeaderState, database: string): LeaderState {
-  const databaseReportedAtMs = new Map(leaderState.databaseReportedAtMs)
-  databaseReportedAtMs.delete(database)
-  return { ...leaderState, databaseReportedAtMs, directory: removeEntry(leaderState.directory, `database/${database}`) }
+export function removeDatabases (leaderState: LeaderState, databases: readonly string[]): LeaderState {
+  if (databases.length === 0) return leaderState
+  const databaseReportedAtMs = new Map([...leaderState.databaseReportedAtMs].filter(([database]) => !databases.includes(database)))
+  const directory = databases.map(database => `database/${database}`).reduce(removeEntry, leaderState.directory)
+  return { ...leaderState, databaseReportedAtMs, directory }
 }
 
 function markReported (reportedAtMs: Map<string, number>, databases: readonly DatabaseEntry[], nowMs: number): void {
--- a/src/membership/messages.ts
+++ b/src/membership/messages.ts
@@ -1,7 +1,7 @@
 /** Messages of the membership slice. */
 import type { LogPosition } from '../core/position.js'
 import type { Configuration } from '../agreement/log.js'
-import type { DatabaseEntry, DatabaseStatus, DirectoryChange, DirectoryEntry, HostEntry, Revision } from './directory.js'
+import type { DatabaseEntry, DatabaseStatus, DirectoryChange, DirectoryEntry, HostEntry, Incarnation, Revision } from './directory.js'
 import type { StoredDatabaseTable } from './stored.js'
 
 /** The process started and knows its own addresses. */
@@ -123,6 +123,8 @@
   /** The host that the database notified; absent on that host. */
   readonly from?: string
   readonly database: string
+  /** Its incarnation, if it has one. */
+  readonly incarnation?: Incarnation
 }
 
 /** The control hosts in the settings changed. */
--- a/src/membership/state.ts
+++ b/src/membership/state.ts
@@ -1,6 +1,7 @@
 /** State of the membership slice. */
 import { NO_CONTACT, type ControlContact } from './contact.js'
 import { createDirectory, type DatabaseEntry, type DatabaseStatus, type Directory, type HostEntry, type Revision } from './directory.js'
+import type { IncarnationTable } from './incarnations.js'
 import type { Heartbeat } from './messages.js'
 import type { StoredDatabaseTable } from './stored.js'
 
@@ -95,6 +96,8 @@
   readonly ownedDatabases: ReadonlyMap<string, DatabaseEntry>
   /** The databases stored in the control hosts' log, as far as this host has applied it. */
   readonly storedDatabases: StoredDatabaseTable
+  /** Which starts of databases count. On the leader those of its directory; on other control hosts those that withdrew themselves. */
+  readonly incarnations: IncarnationTable
   /** Set on the leader only. */
   readonly leaderState?: LeaderState
 }
@@ -118,6 +121,7 @@
     statuses: new Map(),
     directory: createDirectory(0),
     ownedDatabases: new Map(),
-    storedDatabases: {}
+    storedDatabases: {},
+    incarnations: new Map()
   }
 }
--- a/src/succession/candidates.ts
+++ b/src/succession/candidates.ts
@@ -1,6 +1,7 @@
 /** Identifies the primary of a group, whether it has to be replaced, and its successor. */
 import { getOwn } from '../core/own.js'
 import { comparePositions, ORIGIN, type LogPosition } from '../core/position.js'
+import { findAppointedInstance } from './incarnations.js'
 import type { ReportingHost, TrackedDatabase, SuccessionState } from './state.js'
 
 /** Time without an answer after which a primary is replaced: longer than an overloaded one needs to answer, well below a client's timeout. */
@@ -25,7 +26,7 @@
 const REPORT_WAIT_MS = 400
 
 /** Why a primary has to be replaced. */
-export type ReplacementReason = 'silent' | 'departing' | 'gone' | 'unproven'
+export type ReplacementReason = 'silent' | 'departing' | 'gone' | 'unproven' | 'behind'
 
 /**
  * Returns the primary of a group, as known to the leader; undefined if unknown.
@@ -37,7 +38,7 @@
   const appointment = getOwn(state.table, group)
   if (appointment === undefined) return proven ?? pickAnnouncedPrimary(members)
   if (appointment.outcome === 'failed') return proven
-  const appointed = state.databases.get(appointment.database)
+  const appointed = state.databases.get(appointment.database) ?? findAppointedInstance(state, group, appointment)
   const appointedAtMs = state.appointedAtMs.get(group) ?? state.leadingSinceMs
   const isOverridden = proven !== undefined && proven.provenAtMs! > Math.max(appointedAtMs + PROOF_OVERRIDE_DELAY_MS, appointed?.provenAtMs ?? 0)
   return isOverridden ? proven : appointed
@@ -55,7 +56,17 @@
   if (findReportedUntilMs(state, primary, nowMs) - sinceMs >= timeoutMs) return 'silent'
   // The owner asks a primary for its role each second, so one that answers without proof is not primary.
   const provenSinceMs = Math.max(primary.provenAtMs ?? primary.knownSinceMs, state.leadingSinceMs, state.appointedAtMs.get(primary.entry.group) ?? 0)
-  return nowMs - provenSinceMs >= PROOF_TIMEOUT_MS ? 'unproven' : undefined
+  if (nowMs - provenSinceMs >= PROOF_TIMEOUT_MS) return 'unproven'
+  return hasLostWrites(state, primary, nowMs) ? 'behind' : undefined
+}
+
+// Positions of a primary only grow within a term, and no replica is ahead of it. One that started again and reports less than
+// was seen before it was asked came back without its log; it is replaced if another database holds more.
+function hasLostWrites (state: SuccessionState, { entry, status, restartedAtMs, answeredAtMs = 0 }: TrackedDatabase, nowMs: number): boolean {
+  const highest = state.highestPositions.get(entry.group)
+  if (restartedAtMs === undefined || status?.primary !== true || highest === undefined || highest.position.term !== status.position.term) return false
+  if (highest.position.offset <= status.position.offset || answeredAtMs <= highest.seenAtMs) return false
+  return listCandidates(state, entry.group, nowMs).some(known => comparePositions(known.status?.position ?? ORIGIN, status.position) > 0)
 }
 
 // While a fleet starts, ownership moves with each host that joins, so no owner keeps a database for long enough to get an
@@ -95,11 +106,14 @@
  * @example pickSuccessor(state, 'a', primary, nowMs)
  */
 export function pickSuccessor (state: SuccessionState, group: string, primary: TrackedDatabase | undefined, nowMs: number): TrackedDatabase | undefined {
-  const candidates = listMembers(state, group).filter(known =>
-    known !== primary && !known.entry.departing && nowMs - (known.answeredAtMs ?? -Infinity) < CANDIDATE_ANSWER_MAX_AGE_MS)
+  const candidates = listCandidates(state, group, nowMs).filter(known => known !== primary)
   return candidates.sort((a, b) => comparePositions(b.status?.position ?? ORIGIN, a.status?.position ?? ORIGIN))[0]
 }
 
+function listCandidates (state: SuccessionState, group: string, nowMs: number): TrackedDatabase[] {
+  return listMembers(state, group).filter(known => !known.entry.departing && nowMs - (known.answeredAtMs ?? -Infinity) < CANDIDATE_ANSWER_MAX_AGE_MS)
+}
+
 /** The outcome of fencing the replicas of a group: those still awaited, and the successor once there are none. */
 export interface FencedChoice {
   readonly awaited: readonly TrackedDatabase[]
@@ -109,7 +123,9 @@
 /**
  * Picks the next primary where writes are acknowledged by a replica's copy: the replica with the latest position, once
  * every replica that may hold an acknowledged write is fenced. A replica that was silent long before the primary lacks
- * the primary's last writes, so it is not awaited if a fenced one covers the primary's position.
+ * the primary's last writes, so it is not awaited if a fenced one covers the primary's position. The position of a primary
+ * that started again covers nothing. A replica that did may have lost the only copy of a write, so that without such a
+ * cover the primary is waited for.
  * @example pickFencedSuccessor(state, 'a', primary).successor
  */
 export function pickFencedSuccessor (state: SuccessionState, group: string, primary: TrackedDatabase | undefined): FencedChoice {
@@ -118,9 +134,10 @@
   const unfenced = replicas.filter(known => !positions.has(known.entry.database))
   const fenced = replicas.filter(known => positions.has(known.entry.database))
   const latest = fenced.sort((a, b) => comparePositions(positions.get(b.entry.database)!, positions.get(a.entry.database)!) || Number(a.entry.departing) - Number(b.entry.departing))[0]
-  const coversPrimary = latest !== undefined && primary?.status !== undefined && comparePositions(positions.get(latest.entry.database)!, primary.status.position) >= 0
+  const coversPrimary = latest !== undefined && primary?.status !== undefined && primary.restartedAtMs === undefined && comparePositions(positions.get(latest.entry.database)!, primary.status.position) >= 0
   const awaited = coversPrimary ? unfenced.filter(known => (known.answeredAtMs ?? 0) > (primary.answeredAtMs ?? 0) - LONG_SILENCE_MS) : unfenced
-  return awaited.length === 0 && latest !== undefined ? { awaited, successor: latest } : { awaited }
+  const mayLackCopies = !coversPrimary && replicas.some(known => known.restartedAtMs !== undefined)
+  return awaited.length === 0 && latest !== undefined && !mayLackCopies ? { awaited, successor: latest } : { awaited }
 }
 
 function listMembers (state: SuccessionState, group: string): TrackedDatabase[] {
--- a/src/succession/decide.ts
+++ b/src/succession/decide.ts
@@ -1,11 +1,14 @@
 /** Decisions of the succession slice, which the leader takes: failover of self-fencing databases through calls to the platform. */
 import { getOwn } from '../core/own.js'
+import { comparePositions } from '../core/position.js'
 import { recordEvent, type CoreEffect, type Moment, type Step } from '../core/message.js'
 import type { DatabaseStatus } from '../membership/directory.js'
 import { setTimer, tell } from '../messages.js'
 import type { FenceReplica } from '../databases/driver.js'
 import { findPrimary, findReplacementReason, pickFencedSuccessor, pickSuccessor, type ReplacementReason } from './candidates.js'
 import type { CallAnswered, CommandApplied, ReplicaFenced, LeadershipChanged, HostReported, SuccessionMessage } from './messages.js'
+import { dropFormerIncarnations, isAppointmentSuperseded, markCaughtUp } from './incarnations.js'
+import type { Appointment } from './table.js'
 import type { AppointPrimary, PromotionCall, TrackedDatabase, SuccessionState } from './state.js'
 
 /** Time between two checks of all groups. */
@@ -40,7 +43,7 @@
   switch (message.kind) {
     case 'succession/leadership': return changeLeadership(state, message, nowMs)
     case 'succession/applied': return applyCommand(state, message, nowMs)
-    case 'succession/reported': return state.leads ? createStep(recordReport(state, message, nowMs)) : createStep(state)
+    case 'succession/reported': return state.leads ? handleReport(state, message, nowMs) : createStep(state)
     case 'succession/withdrawn': return createStep(removeDatabase(state, message.database))
     case 'succession/documents': return createStep({ ...state, requiredCopies: message.copies })
     case 'succession/fenced': return createStep(recordFenced(state, message))
@@ -54,7 +57,7 @@
 }
 
 function changeLeadership (state: SuccessionState, { leads, epoch, table }: LeadershipChanged, nowMs: number): SuccessionStep {
-  const next: SuccessionState = { ...state, leads, epoch, table, leadingSinceMs: nowMs, databases: new Map(), hosts: new Map(), members: new Map(), fencing: new Map(), calls: new Map(), published: new Map(), appointedAtMs: new Map() }
+  const next: SuccessionState = { ...state, leads, epoch, table, leadingSinceMs: nowMs, databases: new Map(), hosts: new Map(), members: new Map(), fencing: new Map(), calls: new Map(), published: new Map(), appointedAtMs: new Map(), highestPositions: new Map() }
   return { state: next, effects: leads ? [createCheckTimer()] : [] }
 }
 
@@ -66,15 +69,41 @@
   return state.leads && changed ? checkGroup(next, group, nowMs) : createStep(next)
 }
 
-function recordReport (state: SuccessionState, { host, failureDomain, apart, leftAtMs, statuses, databases, remembered }: HostReported, nowMs: number): SuccessionState {
+// A primary that starts again is published under its new name at once.
+function handleReport (state: SuccessionState, message: HostReported, nowMs: number): SuccessionStep {
+  const { state: current, restarted } = dropFormerIncarnations(state, message.databases)
+  const recorded = recordReport(current, message, restarted, nowMs)
+  const groups = new Set(message.databases.filter(({ database }) => restarted.has(database)).map(({ group }) => group))
+  return [...groups].reduce<SuccessionStep>((step, group) => {
+    const next = checkGroup(step.state, group, nowMs)
+    return { state: next.state, effects: [...step.effects, ...next.effects] }
+  }, createStep(recorded))
+}
+
+function recordReport (state: SuccessionState, { host, failureDomain, apart, leftAtMs, statuses, databases, remembered }: HostReported, restarted: ReadonlySet<string>, nowMs: number): SuccessionState {
   const known = new Map(state.databases)
-  for (const entry of databases) known.set(entry.database, { knownSinceMs: nowMs, remembered, ...known.get(entry.database), entry, lastSeenAtMs: nowMs })
+  for (const entry of databases) {
+    const restartedAtMs = restarted.has(entry.database) ? nowMs : undefined
+    known.set(entry.database, { knownSinceMs: nowMs, remembered, restartedAtMs, ...known.get(entry.database), entry, lastSeenAtMs: nowMs })
+  }
   // Ages count from the send time, so a delayed report is not taken for a recent one. A report of unknown age proves no role.
   const sentAtMs = Math.min(nowMs, leftAtMs ?? nowMs)
   for (const status of statuses) recordStatus(known, host, leftAtMs === undefined ? { ...status, primary: false } : status, sentAtMs)
   releaseUnreported(known, host, statuses)
   const members = new Map([...state.members, ...known])
-  return { ...state, databases: known, members, hosts: new Map(state.hosts).set(host, { lastHeartbeatAtMs: nowMs, failureDomain, apart }) }
+  const highestPositions = recordPositions(state.highestPositions, known, statuses, nowMs)
+  return { ...state, databases: known, members, highestPositions, hosts: new Map(state.hosts).set(host, { lastHeartbeatAtMs: nowMs, failureDomain, apart }) }
+}
+
+function recordPositions (before: SuccessionState['highestPositions'], databases: ReadonlyMap<string, TrackedDatabase>, statuses: readonly DatabaseStatus[], nowMs: number): SuccessionState['highestPositions'] {
+  const next = new Map(before)
+  for (const { database, answering, position } of statuses) {
+    const group = databases.get(database)?.entry.group
+    if (group === undefined || !answering) continue
+    const highest = next.get(group)
+    if (highest === undefined || comparePositions(position, highest.position) > 0) next.set(group, { position, seenAtMs: nowMs })
+  }
+  return next
 }
 
 // As hosts join and leave, ownership moves. The former owner goes on reporting, but not this database.
@@ -117,7 +146,11 @@
 function checkGroup (state: SuccessionState, group: string, nowMs: number): SuccessionStep {
   if (!state.requiredCopies.has(group)) return createStep(state)
   const current = getOwn(state.table, group)
-  if (current !== undefined && current.outcome === undefined) return callPlatform(state, group, nowMs)
+  if (current !== undefined && current.outcome === undefined) return isAppointmentSuperseded(state, group, current) ? failAppointment(state, group, current, nowMs) : callPlatform(state, group, nowMs)
+  return checkPrimary(markCaughtUp(state, group, findPrimary(state, group)), group, nowMs)
+}
+
+function checkPrimary (state: SuccessionState, group: string, nowMs: number): SuccessionStep {
   const primary = findPrimary(state, group)
   const reason = findReplacementReason(state, primary, nowMs)
   if (reason === undefined) return resumeReplicas(publish(state, group, primary?.entry.database), group)
@@ -146,7 +179,7 @@
 
 function recordFenced (state: SuccessionState, { group, database, position }: ReplicaFenced): SuccessionState {
   const progress = state.fencing.get(group)
-  if (progress === undefined) return state
+  if (progress === undefined || !state.members.has(database)) return state
   return { ...state, fencing: new Map(state.fencing).set(group, { ...progress, positions: new Map(progress.positions).set(database, position) }) }
 }
 
@@ -173,7 +206,7 @@
 
 function appoint (state: SuccessionState, group: string, successor: TrackedDatabase, reason: ReplacementReason, nowMs: number): SuccessionStep {
   const appointment = (getOwn(state.table, group)?.appointment ?? 0) + 1
-  const { database } = successor.entry
+  const { database, incarnation } = successor.entry
   // Prevents another proposal until the command is applied or times out.
   const appointedAtMs = new Map(state.appointedAtMs).set(group, nowMs - APPOINTMENT_INTERVAL_MS + PROPOSAL_TIMEOUT_MS)
   const position = successor.status?.position
@@ -181,7 +214,7 @@
   return {
     state: { ...state, appointedAtMs },
     effects: [
-      tell({ kind: 'agreement/propose', proposal: `succession/${group}/${appointment}`, command: { kind: 'succession/appoint', group, appointment, database } }),
+      tell({ kind: 'agreement/propose', proposal: `succession/${group}/${appointment}`, command: { kind: 'succession/appoint', group, appointment, database, instance: incarnation?.instance } }),
       recordEvent('primary-appointed', text, { group })
     ]
   }
@@ -202,16 +235,34 @@
   return { state: { ...withdrawn.state, calls: new Map(state.calls).set(group, next) }, effects: [...withdrawn.effects, effect] }
 }
 
+// The call names the instance, so it would promote a start that may hold less than the one that was appointed.
+function failAppointment (state: SuccessionState, group: string, { appointment, database }: Appointment, nowMs: number): SuccessionStep {
+  const known = state.calls.get(group)
+  if (known?.appointment === appointment && known.superseded === true) return createStep(state)
+  const call: PromotionCall = { appointment, calledAtMs: nowMs, tries: known?.appointment === appointment ? known.tries : 0, superseded: true }
+  return {
+    state: { ...state, calls: new Map(state.calls).set(group, call), appointedAtMs: new Map(state.appointedAtMs).set(group, nowMs - APPOINTMENT_INTERVAL_MS + CALL_RETRY_DELAY_MS) },
+    effects: [
+      proposeOutcome(group, appointment, 'failed'),
+      recordEvent('appointment-superseded', `Group ${group}: ${database} has started again since appointment ${appointment}, which fails.`, { group })
+    ]
+  }
+}
+
+function proposeOutcome (group: string, appointment: number, outcome: 'done' | 'failed'): CoreEffect {
+  return tell({ kind: 'agreement/propose', proposal: `succession/${group}/${appointment}/settle`, command: { kind: 'succession/settle', group, appointment, outcome } })
+}
+
 function recordAnswer (state: SuccessionState, { group, appointment, outcome }: CallAnswered, nowMs: number): SuccessionStep {
   const call = state.calls.get(group)
-  if (call?.appointment !== appointment || getOwn(state.table, group)?.outcome !== undefined) return createStep(state)
+  if (call?.appointment !== appointment || call.superseded === true || getOwn(state.table, group)?.outcome !== undefined) return createStep(state)
   const event = recordEvent('promotion-answered', `Group ${group}: the call for appointment ${appointment} was ${outcome} after ${Math.round(nowMs - call.calledAtMs)} ms.`, { group })
   const ended = outcome === 'done' || outcome === 'refused' || (outcome === 'unanswered' && call.tries >= MAX_TRIES)
   if (!ended) {
     const delayMs = outcome === 'throttled' ? THROTTLED_RETRY_DELAY_MS : CALL_RETRY_DELAY_MS
     return { state: { ...state, calls: new Map(state.calls).set(group, { ...call, dueAtMs: nowMs + delayMs }) }, effects: [event] }
   }
-  const settled = tell({ kind: 'agreement/propose', proposal: `succession/${group}/${appointment}/settle`, command: { kind: 'succession/settle', group, appointment, outcome: outcome === 'done' ? 'done' : 'failed' } })
+  const settled = proposeOutcome(group, appointment, outcome === 'done' ? 'done' : 'failed')
   // Hosts use the new primary at once; until its promotion completes, it refuses their requests.
   const published = outcome === 'done' ? publish(state, group, getOwn(state.table, group)!.database) : createStep({ ...state, appointedAtMs: new Map(state.appointedAtMs).set(group, nowMs - APPOINTMENT_INTERVAL_MS + CALL_RETRY_DELAY_MS) })
   return { state: published.state, effects: [event, settled, ...published.effects] }
--- a/src/succession/state.ts
+++ b/src/succession/state.ts
@@ -31,6 +31,14 @@
   readonly answeredAtMs?: number
   /** Lower bound for the time of its last answer that proved it to be primary. */
   readonly provenAtMs?: number
+  /** When it took the place of a former start of its instance, while it may lack writes that this one acknowledged. */
+  readonly restartedAtMs?: number
+}
+
+/** The latest position that any database of a group reported, and an upper bound for the time at which it was read. */
+export interface HighestPosition {
+  readonly position: LogPosition
+  readonly seenAtMs: number
 }
 
 /** Progress of fencing the replicas of a group before one of them is appointed. */
@@ -54,6 +62,8 @@
   /** The time of the next try; undefined while one is in flight. */
   readonly dueAtMs?: number
   readonly tries: number
+  /** True once the appointed database has started again, so that the answer to the call no longer matters. */
+  readonly superseded?: true
 }
 
 /** State of the succession slice. */
@@ -72,6 +82,8 @@
   readonly fencing: ReadonlyMap<string, FencingProgress>
   /** All databases that have not withdrawn themselves, including silent ones. */
   readonly members: ReadonlyMap<string, TrackedDatabase>
+  /** The latest position of each group. */
+  readonly highestPositions: ReadonlyMap<string, HighestPosition>
   /** The published primary of each group. */
   readonly published: ReadonlyMap<string, { readonly database: string | undefined }>
   /** The time from which the delay between appointments counts, by group. */
@@ -95,6 +107,7 @@
     requiredCopies: new Map(),
     fencing: new Map(),
     members: new Map(),
+    highestPositions: new Map(),
     published: new Map(),
     appointedAtMs: new Map()
   }
--- a/src/succession/table.ts
+++ b/src/succession/table.ts
@@ -7,6 +7,8 @@
   /** The number of the appointment within the group; the fencing token of the call grows with it. */
   readonly appointment: number
   readonly database: string
+  /** The instance whose start was appointed, if it has one: a later start of it takes over the role, not the log. */
+  readonly instance?: string
   /** The outcome of the call: `done` if the platform accepted the promotion, `failed` if it refused or did not answer; undefined while in progress. */
   readonly outcome?: 'done' | 'failed'
 }
@@ -21,6 +23,7 @@
   /** One more than the last appointment; any other number is ignored. */
   readonly appointment: number
   readonly database: string
+  readonly instance?: string
 }
 
 /** Records the final outcome of an appointment's call. */
@@ -50,5 +53,6 @@
   const { appointment } = command
   if (command.kind === 'succession/settle') return known !== undefined && known.appointment === appointment ? { ...known, outcome: command.outcome } : known
   if (appointment !== (known?.appointment ?? 0) + 1) return known
-  return { appointment, database: command.database }
+  const { database, instance } = command
+  return instance === undefined ? { appointment, database } : { appointment, database, instance }
 }
--- a/standin/wire/database.ts
+++ b/standin/wire/database.ts
@@ -5,7 +5,8 @@
 import { WireSession, type StatementRun } from './session.js'
 
 const HEARTBEAT_INTERVAL_MS = 300
-const HEARTBEAT_TIMEOUT_MS = 1_000
+const CALL_TIMEOUT_MS = 1_000
+const HTTP_OK = 200
 
 /** The options of a database. */
 export interface WireDatabaseOptions {
@@ -24,9 +25,11 @@
 export class WireDatabase {
   readonly member: GroupMember
   readonly #options: WireDatabaseOptions
-  readonly #server: Server
   readonly #sockets = new Set<Socket>()
-  readonly #startedAtMs = Date.now()
+  #server: Server
+  #port = 0
+  #startedAtMs = Date.now()
+  #departing = false
   #heartbeatTimer: NodeJS.Timeout | undefined
   #sequence = 0
   #controlIndex = 0
@@ -34,7 +37,7 @@
   private constructor (options: WireDatabaseOptions) {
     this.#options = options
     this.member = options.group.addMember(options.id)
-    this.#server = createServer({ noDelay: true }, socket => this.#accept(socket))
+    this.#server = this.#createServer()
   }
 
   /**
@@ -43,12 +46,32 @@
    */
   static async create (options: WireDatabaseOptions): Promise<WireDatabase> {
     const database = new WireDatabase(options)
-    await new Promise<void>(resolve => database.#server.listen(0, '127.0.0.1', resolve))
-    database.#heartbeatTimer = setInterval(() => database.#sendHeartbeat(), HEARTBEAT_INTERVAL_MS)
-    database.#sendHeartbeat()
+    await database.#listen()
     return database
   }
 
+  /** Starts again at its address under its id after a crash: it counts its heartbeats anew, and keeps its log. */
+  async restart (): Promise<void> {
+    this.member.running = true
+    this.#startedAtMs = Date.now()
+    this.#sequence = 0
+    this.#departing = false
+    this.#server = this.#createServer()
+    await this.#listen()
+  }
+
+  /** Announces that it departs, and goes on serving; resolves once that is acknowledged. */
+  async drain (): Promise<void> {
+    this.#departing = true
+    while (!await this.#sendHeartbeat()) await new Promise(resolve => setTimeout(resolve, HEARTBEAT_INTERVAL_MS))
+  }
+
+  /** Deregisters, and goes on serving; resolves once that is acknowledged. */
+  async withdraw (): Promise<void> {
+    clearInterval(this.#heartbeatTimer)
+    while (!await this.#call('deregister', { born: this.#startedAtMs })) await new Promise(resolve => setTimeout(resolve, HEARTBEAT_INTERVAL_MS))
+  }
+
   /** Simulates a crash: destroys all connections and stops the heartbeats. */
   stop (): void {
     this.member.running = false
@@ -57,6 +80,18 @@
     for (const socket of this.#sockets) socket.destroy()
   }
 
+  #createServer (): Server {
+    return createServer({ noDelay: true }, socket => this.#accept(socket))
+  }
+
+  async #listen (): Promise<void> {
+    await new Promise<void>(resolve => this.#server.listen(this.#port, '127.0.0.1', resolve))
+    this.#port = (this.#server.address() as AddressInfo).port
+    const announce = (): void => { this.#sendHeartbeat().catch(() => undefined) }
+    this.#heartbeatTimer = setInterval(announce, HEARTBEAT_INTERVAL_MS)
+    announce()
+  }
+
   #accept (socket: Socket): void {
     this.#sockets.add(socket)
     socket.on('close', () => this.#sockets.delete(socket))
@@ -64,28 +99,36 @@
     WireSession.create({ socket, group, member: this.member, workMs, onRun })
   }
 
-  #sendHeartbeat (): void {
-    const { id, zone, group, control } = this.#options
-    const { port } = this.#server.address() as AddressInfo
+  // Resolves with whether the heartbeat was acknowledged.
+  async #sendHeartbeat (): Promise<boolean> {
+    const { id, zone, group } = this.#options
     this.#sequence += 1
-    const body = JSON.stringify({
+    return await this.#call('heartbeat', {
       service: group.service,
-      address: `127.0.0.1:${port}`,
+      address: `127.0.0.1:${this.#port}`,
       zone,
       version: 'v1',
       slots: 3,
-      state: 'ready',
+      state: this.#departing ? 'draining' : 'ready',
       cold_left_ms: 0,
       db_role: group.primary === id ? 'primary' : 'replica',
       sequence: this.#sequence,
       born: this.#startedAtMs
     })
+  }
+
+  async #call (name: string, body: object): Promise<boolean> {
+    const { id, control } = this.#options
     const address = control[this.#controlIndex % control.length]!
-    const heartbeat = request(`http://${address}/-/instances/${id}/heartbeat`, { method: 'POST', signal: AbortSignal.timeout(HEARTBEAT_TIMEOUT_MS), agent: false }, response => {
-      response.resume()
-      if (response.statusCode !== 200) this.#controlIndex += 1
+    const acknowledged = await new Promise<boolean>(resolve => {
+      const call = request(`http://${address}/-/instances/${id}/${name}`, { method: 'POST', signal: AbortSignal.timeout(CALL_TIMEOUT_MS), agent: false }, response => {
+        response.resume()
+        resolve(response.statusCode === HTTP_OK)
+      })
+      call.on('error', () => resolve(false))
+      call.end(JSON.stringify(body))
     })
-    heartbeat.on('error', () => { this.#controlIndex += 1 })
-    heartbeat.end(body)
+    if (!acknowledged) this.#controlIndex += 1
+    return acknowledged
   }
 }
