--- a/src/agreement/commit.ts
+++ b/src/agreement/commit.ts
@@ -33,7 +33,7 @@
 
 /** Compacts the log into a snapshot of the applied state. */
 export function takeSnapshot<S, C extends LogCommand, O> (state: ReplicaState<S, C>): ReplicaStep<S, C, O> {
-  const log = compactLog(state.log, state.applied, state.committed, state.limits.entriesKept)
+  const log = compactLog(state.log, state.applied, state.committed, state.limits.entriesKept, state.limits.bytesKept)
   return writeSnapshot({ ...state, log })
 }
 
--- a/src/agreement/log.ts
+++ b/src/agreement/log.ts
@@ -119,10 +119,21 @@
   return truncates ? collectConfiguration(next) : added.reduce<Log<S, C>>(applyConfiguration, next)
 }
 
-/** Replaces the snapshot by a later one. Of the entries up to it, only the last `entriesKept` are kept. */
-export function compactLog<S, C extends LogCommand> (log: Log<S, C>, state: S, index: number, entriesKept: number): Log<S, C> {
+/** Replaces the snapshot by a later one. Of the entries up to it, only the last `entriesKept` are kept, and no more than `bytesKept` of them. */
+export function compactLog<S, C extends LogCommand> (log: Log<S, C>, state: S, index: number, entriesKept: number, bytesKept: number): Log<S, C> {
   const snapshot: Snapshot<S> = { index, term: findTerm(log, index)!, configuration: collectConfigurationAt(log, index), state }
-  return { ...log, snapshot, entries: log.entries.filter(entry => entry.index > index - entriesKept) }
+  const firstKept = findFirstKept(log, index, entriesKept, bytesKept)
+  return { ...log, snapshot, entries: log.entries.filter(entry => entry.index >= firstKept) }
+}
+
+function findFirstKept<S, C> (log: Log<S, C>, index: number, entriesKept: number, bytesKept: number): number {
+  let firstKept = index + 1
+  let bytes = findEntry(log, index)?.bytes ?? Infinity
+  while (bytes <= bytesKept && firstKept > index + 1 - entriesKept) {
+    firstKept -= 1
+    bytes += findEntry(log, firstKept - 1)?.bytes ?? Infinity
+  }
+  return firstKept
 }
 
 /** Tells whether a majority of each set of members meets a condition. */
--- a/src/agreement/replica.ts
+++ b/src/agreement/replica.ts
@@ -201,12 +201,14 @@
   readonly snapshotBytes: number
   /** Entries before the snapshot that are kept for slightly lagging followers. */
   readonly entriesKept: number
+  /** Bytes of entries before the snapshot that are kept at most: a follower that lacks more gets the snapshot. */
+  readonly bytesKept: number
   /** Maximum bytes of entries or of a snapshot in one message; a larger entry is sent alone. */
   readonly messageBytes: number
 }
 
 /** The limits of a control host. */
-export const DEFAULT_LIMITS: ReplicaLimits = { snapshotEvery: 1_000, snapshotBytes: 16_777_216, entriesKept: 256, messageBytes: 262_144 }
+export const DEFAULT_LIMITS: ReplicaLimits = { snapshotEvery: 1_000, snapshotBytes: 16_777_216, entriesKept: 256, bytesKept: 4_194_304, messageBytes: 262_144 }
 
 /** The process has started. */
 export interface ReplicaStarted<S, C> extends Message {
--- a/src/agreement/support/group.ts
+++ b/src/agreement/support/group.ts
@@ -36,7 +36,7 @@
 const MACHINE = SumMachine.create()
 const FAULTS_MS = 4_000
 const HEALED_MS = 15_000
-const LIMITS = { snapshotEvery: 6, snapshotBytes: 1_048_576, entriesKept: 3, messageBytes: 100 }
+const LIMITS = { snapshotEvery: 6, snapshotBytes: 1_048_576, entriesKept: 3, bytesKept: 1_048_576, messageBytes: 100 }
 
 interface Disk {
   readonly incarnation: string
