--- a/src/daemon/host.ts
+++ b/src/daemon/host.ts
@@ -109,7 +109,7 @@
     priorities: PRIORITIES,
     onFault,
     recorder: (message, moment) => {
-      monitor.observeMessage(message)
+      monitor.observeMessage(message, moment.monotonicMs)
       trace?.record(message, moment)
     },
     observer: monitor.observeEffect
--- a/src/monitoring/monitor.ts
+++ b/src/monitoring/monitor.ts
@@ -2,6 +2,7 @@
 import { SystemClock, type Clock } from '../core/clock.js'
 import type { Effect, Message, RecordEvent } from '../core/message.js'
 import type { HostMessage } from '../messages.js'
+import { LoadReport } from './load.js'
 import type { Log } from './log.js'
 import { Metrics } from './metrics.js'
 import { createPages, type HandlePage } from './pages.js'
@@ -13,12 +14,14 @@
   readonly #host: string
   readonly #log: Log
   readonly #clock: Clock
+  readonly #load: LoadReport
   #facts: ReadinessFacts
 
   private constructor (host: string, log: Log, clock: Clock, keepsAuthority: boolean) {
     this.#host = host
     this.#log = log
     this.#clock = clock
+    this.#load = LoadReport.create(log)
     this.#facts = { ...INITIAL_FACTS, keepsAuthority }
     this.metrics.addConfirmationAge(() => this.#facts.confirmedAtMs === undefined ? undefined : this.#clock.read().monotonicMs - this.#facts.confirmedAtMs)
   }
@@ -31,8 +34,9 @@
     return new Monitor(host, log, clock, keepsAuthority)
   }
 
-  /** Updates metrics and readiness from a message before its decision. */
-  readonly observeMessage = (message: Message): void => {
+  /** Updates metrics and readiness from a message before its decision, at its monotonic time. */
+  readonly observeMessage = (message: Message, nowMs = this.#clock.read().monotonicMs): void => {
+    this.#load.observeMessage(message, nowMs)
     this.metrics.observeMessage(message as HostMessage)
     this.#facts = updateReadiness(this.#facts, this.#host, message as HostMessage)
   }
