--- a/test/support/fleetsimulation.ts
+++ b/test/support/fleetsimulation.ts
@@ -23,6 +23,8 @@
   readonly name: string
   readonly failureDomain: string
   readonly control: boolean
+  /** What each message to or from another host costs besides, in milliseconds of the processor; nothing if absent. */
+  readonly peerCostMs?: number
 }
 
 /** Called with each message that a slice of a host tells another, and each effect that leaves the host. */
@@ -164,10 +166,11 @@
   }
 
   #handleNext (host: SimulatedHost): void {
-    const message = host.inbox.take()
+    const message = host.inbox.take() as Message & { readonly from?: string } | undefined
     if (message === undefined) return
     const effects = host.slices.get(readOwner(message.kind))!.handle(message, { monotonicMs: this.nowMs, wallMs: this.nowMs, random: this.random() })
-    host.busyUntilMs = this.nowMs + host.costMs
+    const peers = [message.from, ...effects.map(effect => (effect.kind === 'peer/send' ? (effect as SendPeer).to : undefined))].filter(peer => peer !== undefined && peer !== host.name)
+    host.busyUntilMs = this.nowMs + host.costMs + peers.length * (host.peerCostMs ?? 0)
     for (const effect of effects) this.#execute(host, effect)
   }
 
