--- a/src/admission/decide.ts
+++ b/src/admission/decide.ts
@@ -8,6 +8,7 @@
 import { addCaller, checkCallers, removeCaller, type CallersByService, type CallersCheck } from './callers.js'
 import { createIndex, type DocumentIndex } from './documentindex.js'
 import { matchesKey } from './keys.js'
+import { updateLends } from './lending.js'
 import { applyShares, changeLeader, renewLease } from './lease.js'
 import type { AdmissionMessage, CallerDisconnected, CheckConnection, CheckRequest, DocumentsConfirmed, VersionsHeld } from './messages.js'
 import { UNCHANGED } from '../core/store.js'
@@ -35,7 +36,7 @@
     case 'admission/leader-changed': return changeLeader(store, message, moment)
     case 'admission/ask-due': return renewLease(store, moment)
     case 'admission/shares-answered': return applyShares(store, message, moment)
-    case 'admission/lenders-changed': return { shared: { ...store.shared, lenders: message.lenders }, effects: [] }
+    case 'admission/lenders-changed': return { shared: updateLends({ ...store.shared, lenders: message.lenders }), effects: [] }
     case 'admission/loan-wanted': return acceptLoanRequest(store, message, moment)
     case 'admission/lent': return acceptLoan(store, message, moment)
     case 'admission/loan-overdue': return expireLoan(store, message, moment)
@@ -58,7 +59,7 @@
   const limits = changed.map(entry => publishLimits(entry.service, entry.document.workspaces))
   const events = changed.map(entry => createInForceEvent(shared, entry, message.askedAtMs, moment))
   const indexes = new Map([...shared.indexes, ...changed.map(entry => [entry.service, createIndex(entry.document)] as const)])
-  return { shared: { ...shared, documents, indexes, leaderIsCurrent, confirmedAtMs, callers: checked.callers }, effects: [...limits, ...checked.effects, ...events] }
+  return { shared: updateLends({ ...shared, documents, indexes, leaderIsCurrent, confirmedAtMs, callers: checked.callers }), effects: [...limits, ...checked.effects, ...events] }
 }
 
 function createInForceEvent ({ documents }: AdmissionShared, { service, version }: DocumentEntry, askedAtMs: number, { monotonicMs }: Moment): CoreEffect {
--- a/src/admission/keys.test.ts
+++ b/src/admission/keys.test.ts
@@ -26,7 +26,7 @@
   readonly #slice
 
   private constructor (servesWhenIsolated: boolean) {
-    this.#slice = StoreSlice.create({ name: 'admission', shared: createAdmissionShared(servesWhenIsolated), decide: decideAdmission, checkItem: checkAllowance })
+    this.#slice = StoreSlice.create({ name: 'admission', shared: createAdmissionShared({ self: 'h1', servesWhenIsolated }), decide: decideAdmission, checkItem: checkAllowance })
   }
 
   static create (servesWhenIsolated = false): FakeHost {
--- a/src/admission/lease.ts
+++ b/src/admission/lease.ts
@@ -5,7 +5,7 @@
 import type { Demand, HeldShare, RenewalRequested } from '../shares/messages.js'
 import { LOAN_MS, SHARE_LEASE_MS } from '../shares/state.js'
 import { addTokens, createAllowance, isUnused, refillAllowance, resizeShare, updateDemand } from './allowance.js'
-import { getSharesEndMs } from './lending.js'
+import { findLender, getSharesEndMs } from './lending.js'
 import type { LeaderChanged, LeaseRenewed } from './messages.js'
 import type { AdmissionStep, AdmissionStore } from './rates.js'
 import { findLimit, type AdmissionShared, type Allowance, type ShareLease } from './state.js'
@@ -18,6 +18,10 @@
 const FIRST_RENEWAL_ROUNDS = 10
 /** Renewal interval of a host that got no share in these rounds: the workspaces are spread over too many hosts to be divided. */
 const EMPTY_RENEWAL_INTERVAL_MS = 1_000
+/** Renewal interval of a lender: its workspaces have no other holder that waits for a part of its shares. */
+const LENDER_RENEWAL_INTERVAL_MS = 500
+/** The demand of a lender without loans, as a fraction of the rate. */
+const IDLE_LENDER_FRACTION = 0.02
 /** A demand is reported again once it differs by more than this fraction from the last reported value. */
 const DEMAND_TOLERANCE = 0.2
 /** Limit of a workspace that is in no document any more. */
@@ -32,7 +36,7 @@
 export function changeLeader (store: AdmissionStore, message: LeaderChanged, moment: Moment): AdmissionStep {
   const { lease } = store.shared
   const holder = lease.holder === '' ? createHolderId(moment) : lease.holder
-  const switched = message.epoch === lease.epoch ? lease : { ...lease, applied: 0, sentAtMsByRound: new Map() }
+  const switched = message.epoch === lease.epoch ? lease : resetAnswers(lease)
   // A loan from the previous leader may still arrive.
   const emptySinceMs = lease.nextLoanId > 0 && switched !== lease ? moment.monotonicMs + LOAN_MS : lease.emptySinceMs
   const next: ShareLease = { ...switched, leader: message.leader, epoch: message.epoch, holder, emptySinceMs, emptyRounds: 0 }
@@ -46,19 +50,20 @@
  */
 export function renewLease (store: AdmissionStore, moment: Moment): AdmissionStep {
   const { shared } = store
-  const current = resetExpired(shared.lease, moment)
+  const kept = resetExpired(shared.lease, moment)
+  const counted = countDemand(store, kept, moment)
+  const role = describeRole(shared, counted)
+  const current = kept.borrowsFromRound !== undefined && role !== 'borrower' ? resetAnswers(kept) : kept
   const round = current.round + 1
   const reportsAll = current.applied === 0 || round % FULL_REPORT_ROUNDS === 0
-  const counted = countDemand(store, current, moment)
-  const returnsShares = isBorrower(shared)
-  const demands = returnsShares ? listReturned(counted) : listChanged(counted, reportsAll)
-  const changes = counted.map(([key, item]) => [key, returnsShares ? markReturned(item) : markReported(item, reportsAll)] as const)
-  const lease: ShareLease = { ...current, round, demandUpdatedAtMs: moment.monotonicMs, sentAtMsByRound: recordRound(current, round, moment) }
-  const isNeeded = lease.leader !== undefined && isRenewalNeeded(shared, lease, returnsShares ? demands.length : counted.length)
-  const renewals = isNeeded ? [sendRenewal(lease, demands, listHeld(lease, counted), describeRole(shared, demands), moment)] : []
+  const demands = listChanged(counted, reportsAll)
+  const changes = counted.map(([key, item]) => [key, markReported(item, reportsAll)] as const)
+  const lease: ShareLease = { ...current, round, borrowsFromRound: role === 'borrower' ? current.borrowsFromRound ?? round : undefined, demandUpdatedAtMs: moment.monotonicMs, sentAtMsByRound: recordRound(current, round, moment) }
+  const isNeeded = lease.leader !== undefined && isRenewalNeeded(shared, lease, counted)
+  const renewals = isNeeded ? [sendRenewal(lease, demands, listHeld(lease, counted), role, moment)] : []
   const holds = counted.some(([, item]) => item.parts > 0)
   const emptyRounds = holds || !isNeeded ? 0 : current.emptyRounds + 1
-  return { shared: { ...shared, lease: { ...lease, emptyRounds } }, changes, effects: [...renewals, createRenewalTimer(computeRenewalIntervalMs(emptyRounds))] }
+  return { shared: { ...shared, lease: { ...lease, emptyRounds } }, changes, effects: [...renewals, createRenewalTimer(computeRenewalIntervalMs(shared, emptyRounds))] }
 }
 
 type CountedDemand = ReadonlyArray<readonly [string, Allowance]>
@@ -66,34 +71,38 @@
 function countDemand ({ shared, items }: AdmissionStore, current: ShareLease, moment: Moment): CountedDemand {
   const isExpired = current.holder !== shared.lease.holder
   const elapsedMs = moment.monotonicMs - current.demandUpdatedAtMs
-  return [...items].map(([key, item]) => {
+  const unused = [...shared.lends].filter(key => !items.has(key)).map(key => [key, createAllowance(findLimit(shared, key) ?? NO_LIMIT, moment.monotonicMs)] as const)
+  return [...items, ...unused].map(([key, item]) => {
     const filled = refillAllowance(item, item, getSharesEndMs({ ...shared, lease: current }), moment.monotonicMs)
-    return [key, updateDemand(isExpired ? { ...filled, parts: 0 } : filled, elapsedMs)] as const
+    const updated = updateDemand(isExpired ? { ...filled, parts: 0 } : filled, elapsedMs)
+    return [key, shared.lenders.length === 0 ? updated : { ...updated, perSecond: computeLentPerSecond(shared, key, updated, item.arrived, moment) }] as const
   })
 }
 
-// A host of a large fleet borrows all its tokens.
-function isBorrower ({ acceptsCallers, lenders }: AdmissionShared): boolean {
-  return acceptsCallers && lenders.length > 0
+// A lender has a share before the first loan. Any other host of a large fleet returns what it holds, so that the lender gets it.
+function computeLentPerSecond (shared: AdmissionShared, key: string, { rate, perSecond }: Allowance, arrived: number, moment: Moment): number {
+  if (shared.lends.has(key)) return Math.max(perSecond, rate * IDLE_LENDER_FRACTION)
+  return arrived === 0 && findLender(shared, key, moment) !== undefined ? 0 : perSecond
 }
 
-// Without demand the leader takes the shares back.
-function listReturned (counted: CountedDemand): readonly Demand[] {
-  return counted.filter(([, item]) => item.parts > 0 || item.reportedPerSecond > 0).map(([workspace]) => ({ workspace, perSecond: 0 }))
+function listChanged (counted: CountedDemand, reportsAll: boolean): readonly Demand[] {
+  return counted.filter(([, item]) => isWanted(item) && (reportsAll || isDemandChanged(item))).map(([workspace, item]) => ({ workspace, perSecond: item.perSecond }))
 }
 
-function listChanged (counted: CountedDemand, reportsAll: boolean): readonly Demand[] {
-  return counted.filter(([, item]) => reportsAll || isDemandChanged(item)).map(([workspace, item]) => ({ workspace, perSecond: item.perSecond }))
+// A host of a large fleet has no demand of the workspaces whose tokens it borrows.
+function isWanted (item: Allowance): boolean {
+  return item.parts > 0 || item.perSecond > 0 || item.reportedPerSecond > 0
 }
 
 // A host that has nothing to say renews until the leader has answered once, so that the leader waits for no shares of it. A
-// control host of a small fleet never holds any.
-function isRenewalNeeded ({ acceptsCallers, lenders }: AdmissionShared, { applied }: ShareLease, workspaces: number): boolean {
-  return workspaces > 0 || (applied === 0 && (acceptsCallers || lenders.length > 0))
+// host that ceased to lend confirms thereby that it holds nothing. A control host of a small fleet never holds any.
+function isRenewalNeeded ({ acceptsCallers }: AdmissionShared, { applied, borrowsFromRound }: ShareLease, counted: CountedDemand): boolean {
+  if (counted.some(([, item]) => isWanted(item))) return true
+  return borrowsFromRound === undefined ? applied === 0 && acceptsCallers : applied < borrowsFromRound
 }
 
-function computeRenewalIntervalMs (emptyRounds: number): number {
-  if (emptyRounds === 0) return RENEWAL_INTERVAL_MS
+function computeRenewalIntervalMs ({ lenders }: AdmissionShared, emptyRounds: number): number {
+  if (emptyRounds === 0) return lenders.length === 0 ? RENEWAL_INTERVAL_MS : LENDER_RENEWAL_INTERVAL_MS
   return emptyRounds <= FIRST_RENEWAL_ROUNDS ? FIRST_RENEWAL_INTERVAL_MS : EMPTY_RENEWAL_INTERVAL_MS
 }
 
@@ -123,7 +132,12 @@
 // After its lease expired a host holds nothing, and shows it by a new holder id.
 function resetExpired (lease: ShareLease, moment: Moment): ShareLease {
   const expired = lease.endsAtMs > 0 && moment.monotonicMs > lease.endsAtMs
-  return expired ? { ...lease, holder: createHolderId(moment), emptySinceMs: moment.monotonicMs, applied: 0, endsAtMs: 0, sentAtMsByRound: new Map() } : lease
+  return expired ? { ...lease, holder: createHolderId(moment), emptySinceMs: moment.monotonicMs, applied: 0, borrowsFromRound: undefined, endsAtMs: 0, sentAtMsByRound: new Map() } : lease
+}
+
+// The leader has to learn of this host as of one that it has never heard of.
+function resetAnswers (lease: ShareLease): ShareLease {
+  return { ...lease, applied: 0, borrowsFromRound: undefined, sentAtMsByRound: new Map() }
 }
 
 function createHolderId (moment: Moment): string {
@@ -139,14 +153,9 @@
   return Math.abs(item.perSecond - item.reportedPerSecond) > item.reportedPerSecond * DEMAND_TOLERANCE
 }
 
-function describeRole (shared: AdmissionShared, demands: readonly Demand[]): RenewalRequested['role'] {
-  if (!shared.acceptsCallers) return 'lender'
-  return isBorrower(shared) && demands.length === 0 ? 'borrower' : undefined
-}
-
-function markReturned (item: Allowance): Allowance | undefined {
-  const next: Allowance = { ...item, reportedPerSecond: 0 }
-  return isUnused(next) ? undefined : next
+function describeRole ({ lenders }: AdmissionShared, counted: CountedDemand): RenewalRequested['role'] {
+  if (lenders.length === 0) return undefined
+  return counted.some(([, item]) => isWanted(item)) ? 'lender' : 'borrower'
 }
 
 function markReported (item: Allowance, reportsAll: boolean): Allowance | undefined {
--- a/src/admission/rates.ts
+++ b/src/admission/rates.ts
@@ -6,7 +6,7 @@
 import { sendPeer, setTimer, tell } from '../messages.js'
 import { LOAN_MS, TOTAL_PARTS } from '../shares/state.js'
 import { createAllowance, refillAllowance } from './allowance.js'
-import { answerLoan, createWaitingLoan, findLender, getSharesEndMs, grantTokens } from './lending.js'
+import { answerLoan, createWaitingLoan, findLender, findSilence, getSharesEndMs, grantTokens, recordAnswer, recordSilence } from './lending.js'
 import type { LoanAnswered, LoanTimedOut, LoanWanted, TokensDue } from './messages.js'
 import { findLimit, type AdmissionShared, type Allowance, type PendingLoan, type WaitingRequest } from './state.js'
 import { computeRetryAfterMs, estimateLocalWaitMs, estimateWaitMs, insertWaiting, splitWaiting } from './waiting.js'
@@ -15,8 +15,6 @@
 const MIN_LOAN_INTERVAL_MS = 25
 /** A token of the local share that accrues within this time is awaited without a loan, which saves the leader two messages. */
 const LOCAL_WAIT_MS = 30
-/** How often the backoff after an unanswered loan doubles: up to 0.5 s, so that hosts do not overload a leader that has just started. */
-const MAX_BACKOFF_DOUBLINGS = 1
 /** A host counts as isolated this long after the leader's last confirmation: seven heartbeats. */
 const ISOLATED_AFTER_MS = 700
 /** Largest number of tokens that a loan requests beyond those of the waiting requests. */
@@ -40,7 +38,8 @@
   const { shared } = store
   const known = store.items.get(key) ?? createAllowance(workspace, moment.monotonicMs)
   const filled = refillAllowance(known, workspace, getSharesEndMs(shared), moment.monotonicMs)
-  const counted: Allowance = { ...filled, arrived: filled.arrived + 1 }
+  // What a lender admits is part of its demand.
+  const counted: Allowance = { ...filled, arrived: filled.arrived + (findLender(shared, key, moment) === undefined ? 1 : 0) }
   return processWaiting(shared, key, { ...counted, waiting: insertWaiting(counted.waiting, request) }, moment)
 }
 
@@ -70,24 +69,20 @@
   if (moment.monotonicMs > allowance.loan.sentAtMs + LOAN_MS) return processWaiting(store.shared, key, filled, moment)
   const nextLoanAtMs = message.nextMs === 0 ? 0 : moment.monotonicMs + Math.max(MIN_LOAN_INTERVAL_MS, message.nextMs)
   const bucket = { ...filled.bucket, tokens: filled.bucket.tokens + message.tokens }
-  const shared: AdmissionShared = { ...store.shared, lease: { ...store.shared.lease, unansweredLoans: 0, loanBackoffUntilMs: 0 } }
+  const shared = recordAnswer(store.shared, allowance.loan)
   const step = processWaiting(shared, key, { ...filled, bucket, nextLoanAtMs, nextMs: message.nextMs, reserveShortfall: message.shortfall }, moment)
   return { shared, ...step, effects: [clearTimer(formatTimerName(key)), ...step.effects] }
 }
 
 /**
- * Handles a loan request that timed out. The leader may be down or overloaded, so this host backs off exponentially
- * and refuses the requests that no token will reach in time.
+ * Handles a loan request that timed out. A lender may be down or overloaded, so this host asks the next one; it backs off
+ * from the leader, and refuses the requests that no token will reach in time.
  * @example expireLoan(store, { kind: 'admission/loan-overdue', holder, loan, workspace }, moment)
  */
 export function expireLoan (store: AdmissionStore, message: LoanTimedOut, moment: Moment): AdmissionStep {
   const allowance = store.items.get(message.workspace)
   if (allowance?.loan === undefined || !isSameLoan(allowance.loan, message)) return UNCHANGED
-  const { lease } = store.shared
-  // The leader lends in place of a lender that does not answer.
-  const isLenderSilent = findLender(store.shared, message.workspace) !== undefined
-  const backoffMs = isLenderSilent ? 0 : LOAN_MS * 2 ** Math.min(MAX_BACKOFF_DOUBLINGS, lease.unansweredLoans) * (1 + moment.random) / 2
-  const shared: AdmissionShared = { ...store.shared, lease: { ...lease, unansweredLoans: lease.unansweredLoans + 1, loanBackoffUntilMs: moment.monotonicMs + backoffMs } }
+  const shared = recordSilence(store.shared, allowance.loan, moment)
   return { shared, ...processAgain({ ...store, shared }, message.workspace, { ...allowance, loan: undefined }, moment) }
 }
 
@@ -121,7 +116,7 @@
   const { bucket } = allowance
   const granted = grantTokens(key, allowance.waiting, bucket.tokens, moment)
   const tokens = Math.min(bucket.burst, bucket.tokens - granted.spent)
-  const remaining = applyLoanBackoff(shared, { ...allowance, bucket: { ...bucket, tokens }, waiting: granted.waiting, lent: [...allowance.lent, ...granted.lent] }, moment)
+  const remaining = applyLoanBackoff(shared, key, { ...allowance, bucket: { ...bucket, tokens }, waiting: granted.waiting, lent: [...allowance.lent, ...granted.lent] }, moment)
   if (remaining.waiting.length === 0) return { changes: [[key, remaining]], effects: granted.effects }
   const requested = isLoanNeeded(shared, remaining, moment) ? requestLoan(shared, key, remaining, moment) : { allowance: remaining, effects: [] }
   const { kept, refused } = splitWaiting(requested.allowance, moment)
@@ -147,15 +142,20 @@
 
 function describeReserve (shared: AdmissionShared, allowance: Allowance, moment: Moment): ReserveState {
   if (isIsolated(shared, moment)) return 'unreachable'
-  if (shared.lease.unansweredLoans > 0 || allowance.nextMs === undefined) return 'unanswered'
+  if (allowance.unanswered === true || allowance.nextMs === undefined) return 'unanswered'
   return (allowance.reserveShortfall ?? 0) >= 1 ? 'incomplete' : 'complete'
 }
 
-// Applies this host's loan backoff, which holds for all workspaces. An isolated host expects no loans.
-function applyLoanBackoff (shared: AdmissionShared, allowance: Allowance, moment: Moment): Allowance {
+// Applies the backoff from the lender or the leader, which holds for all its workspaces. An isolated host expects no loans.
+function applyLoanBackoff (shared: AdmissionShared, key: string, allowance: Allowance, moment: Moment): Allowance {
   if (isIsolated(shared, moment)) return { ...allowance, unanswered: false, nextMs: undefined }
-  const { unansweredLoans, loanBackoffUntilMs } = shared.lease
-  return { ...allowance, nextLoanAtMs: Math.max(allowance.nextLoanAtMs, loanBackoffUntilMs), unanswered: unansweredLoans > 0 }
+  const silence = findSilence(shared, findSource(shared, key, allowance, moment))
+  return { ...allowance, nextLoanAtMs: Math.max(allowance.nextLoanAtMs, silence?.untilMs ?? 0), unanswered: silence !== undefined }
+}
+
+// A host that lends borrows from the leader alone, so that loans form no chains.
+function findSource (shared: AdmissionShared, key: string, { waiting }: Allowance, moment: Moment): string | undefined {
+  return waiting.some(request => request.loan !== undefined) ? undefined : findLender(shared, key, moment)
 }
 
 // Lenders may be in reach while the leader is not.
@@ -180,13 +180,13 @@
   const { holder, nextLoanId: loan } = lease
   const extra = Math.min(MAX_EXTRA_TOKENS, Math.floor((allowance.bucket.burst - allowance.bucket.tokens) / EXTRA_TOKENS_DIVISOR))
   const tokens = allowance.waiting.reduce((sum, request) => sum + (request.loan?.tokens ?? 1), 0) + extra
-  const lender = findLender(shared, key)
+  const lender = findSource(shared, key, allowance, moment)
   const wanted = { holder, loan, workspace: key, tokens }
   const toLeader = lease.leader === undefined ? [] : [sendPeer(lease.leader, { kind: 'shares/wanted', epoch: lease.epoch, ...wanted })]
   const sent = lender === undefined ? toLeader : [sendPeer(lender, { kind: 'admission/loan-wanted', ...wanted })]
   return {
     shared: { ...shared, lease: { ...lease, nextLoanId: lease.nextLoanId + 1 } },
-    allowance: { ...allowance, loan: { holder, loan, sentAtMs: moment.monotonicMs } },
+    allowance: { ...allowance, loan: { holder, loan, lender, sentAtMs: moment.monotonicMs } },
     effects: [...sent, setTimer(formatTimerName(key), LOAN_MS, { kind: 'admission/loan-overdue', holder, loan, workspace: key })]
   }
 }
--- a/src/admission/state.ts
+++ b/src/admission/state.ts
@@ -25,11 +25,18 @@
   readonly demandUpdatedAtMs: number
   /** Consecutive renewals without a share. */
   readonly emptyRounds: number
+  /** The first round in which this host said that it only borrows; undefined if the last one did not say so. The leader keeps no record of such a host. */
+  readonly borrowsFromRound?: number
   /** Id of the next loan. */
   readonly nextLoanId: number
-  /** Consecutive loan requests that the leader did not answer, and the time until which no other is sent. */
-  readonly unansweredLoans: number
-  readonly loanBackoffUntilMs: number
+}
+
+/** A lender, or the leader, that did not answer the last loan requests in time. */
+export interface SilentLender {
+  /** Consecutive loan requests without an answer. */
+  readonly unanswered: number
+  /** Until then the leader is asked for no loan, and a lender only if there is no other. */
+  readonly untilMs: number
 }
 
 /** State of the slice that belongs to no single workspace. */
@@ -40,10 +47,16 @@
   readonly servesWhenIsolated: boolean
   /** True while no majority of the control hosts can be reached. */
   readonly isolated: boolean
+  /** The name of this host. */
+  readonly self: string
   /** False on a host that accepts no callers; it needs shares only to lend from them. */
   readonly acceptsCallers: boolean
-  /** The control hosts that lend tokens; empty where each host holds shares. */
+  /** The hosts that lend tokens; empty where each host holds shares. */
   readonly lenders: readonly string[]
+  /** The workspaces of which this host is a lender, by key. */
+  readonly lends: ReadonlySet<string>
+  /** Lenders that do not answer, by host, and the leader under an empty name. */
+  readonly silentLenders: ReadonlyMap<string, SilentLender>
   /** False while the leader lacks a document version that this host has. */
   readonly leaderIsCurrent: boolean
   /** When this host requested the last confirmation that it received; undefined before the first one. */
@@ -79,6 +92,8 @@
 export interface PendingLoan {
   readonly holder: string
   readonly loan: number
+  /** The lender that was asked; undefined for the leader. */
+  readonly lender?: string
   readonly sentAtMs: number
 }
 
@@ -101,7 +116,7 @@
   readonly lent: readonly LentTokens[]
   /** No loan is requested before this time, since the last one granted too few tokens or was not answered. */
   readonly nextLoanAtMs: number
-  /** True while the leader does not answer this host's loan requests. */
+  /** True while the leader, or the lender, does not answer this host's loan requests. */
   readonly unanswered?: boolean
   /** Time until the leader's reserve has another token, as last reported. */
   readonly nextMs?: number
@@ -109,14 +124,22 @@
   readonly reserveShortfall?: number
 }
 
+/** What the slice knows of its host from the start. */
+export interface AdmissionParts {
+  readonly self: string
+  readonly servesWhenIsolated?: boolean
+  readonly acceptsCallers?: boolean
+  /** The monotonic time at which the host started. */
+  readonly startedAtMs?: number
+}
+
 /**
  * Creates the initial shared state, without documents.
- * @param startedAtMs the monotonic time at which the host started.
- * @example createAdmissionShared().documents.size // 0
+ * @example createAdmissionShared({ self: 'host-1' }).documents.size // 0
  */
-export function createAdmissionShared (servesWhenIsolated = false, acceptsCallers = true, startedAtMs = 0): AdmissionShared {
-  const lease: ShareLease = { epoch: 0, holder: '', emptySinceMs: startedAtMs, round: 0, applied: 0, endsAtMs: 0, sentAtMsByRound: new Map(), demandUpdatedAtMs: 0, emptyRounds: 0, nextLoanId: 0, unansweredLoans: 0, loanBackoffUntilMs: 0 }
-  return { documents: new Map(), indexes: new Map(), servesWhenIsolated, isolated: false, acceptsCallers, lenders: [], leaderIsCurrent: true, lease, callers: createCallersByService() }
+export function createAdmissionShared ({ self, servesWhenIsolated = false, acceptsCallers = true, startedAtMs = 0 }: AdmissionParts): AdmissionShared {
+  const lease: ShareLease = { epoch: 0, holder: '', emptySinceMs: startedAtMs, round: 0, applied: 0, endsAtMs: 0, sentAtMsByRound: new Map(), demandUpdatedAtMs: 0, emptyRounds: 0, nextLoanId: 0 }
+  return { documents: new Map(), indexes: new Map(), servesWhenIsolated, isolated: false, self, acceptsCallers, lenders: [], lends: new Set(), silentLenders: new Map(), leaderIsCurrent: true, lease, callers: createCallersByService() }
 }
 
 /**
--- a/src/admission/waiting.test.ts
+++ b/src/admission/waiting.test.ts
@@ -193,6 +193,21 @@
     expect(computeRefused(rates)).to.be.below(0.05)
   })
 
+  it('is served by hosts that have only borrowed before they lend', () => {
+    const [former, next] = [fleet.slice(0, 5), fleet.slice(5, 10)]
+    const rates = RatesSimulation.create(['l1', 'l2', 'l3', ...fleet], limit, NO_FAULTS, 1, true, former)
+    rates.changeLeader('l1', 0)
+    for (let atMs = 2_000; atMs < 20_000; atMs += 1_000 / (limit.rate * 0.6)) rates.schedule(atMs, () => rates.sendRequest(fleet[Math.floor(atMs) % fleet.length]!))
+    let wanted = 0
+    const countWanted = (): number => fleet.reduce((sum, host) => sum + rates.countSent('shares/wanted', host), 0)
+    rates.schedule(8_000, () => rates.setLenders(next))
+    rates.schedule(12_000, () => { wanted = countWanted() })
+    rates.run(21_000)
+    expect(computeRefused(rates)).to.be.below(0.02)
+    // From its own share, so the leader is asked for almost nothing.
+    expect(countWanted() - wanted).to.be.below(10)
+  })
+
   it('is asked for about once a second by each host, not with each of the frequent first renewals', () => {
     const rates = runFleet()
     for (const host of fleet) expect(rates.countSent('shares/asked', host)).to.be.below(MAX_RENEWALS)
@@ -209,7 +224,7 @@
   })).unwrapOr(undefined as never)
 
   it('refuses at once when its own share has no token, even if the leader granted a loan before', () => {
-    const slice = StoreSlice.create({ name: 'admission', shared: createAdmissionShared(true, true, 0), decide: decideAdmission, checkItem: checkAllowance })
+    const slice = StoreSlice.create({ name: 'admission', shared: createAdmissionShared({ self: 'h1', servesWhenIsolated: true }), decide: decideAdmission, checkItem: checkAllowance })
     const take = (message: AdmissionMessage, nowMs: number): readonly Effect[] => slice.handle(message, { monotonicMs: nowMs, wallMs: 0, random: 0.5 })
     const ask = (caller: string, nowMs: number): readonly Effect[] => take({ kind: 'admission/check-request', caller, attempt: 1, service: 'rota', workspace: 'parish', route: 'view', keyHash: KEY_HASH, action: 'read', inTransaction: false }, nowMs)
     take({ kind: 'admission/documents-confirmed', documents: [{ kind: 'document', service: 'rota', version: 1, document }], askedAtMs: 1_000 }, 1_000)
--- a/src/daemon/slices.ts
+++ b/src/daemon/slices.ts
@@ -38,7 +38,7 @@
 export function createSlices (settings: Settings, guarantees: DatabaseGuarantees, startedAtMs: number): readonly Slice[] {
   const { host, failureDomain, limits, timing } = settings
   return [
-    StoreSlice.create({ name: 'admission', shared: createAdmissionShared(settings.authority === 'kept', settings.callers !== undefined, startedAtMs), decide: decideAdmission, checkItem: checkAllowance }),
+    StoreSlice.create({ name: 'admission', shared: createAdmissionShared({ self: host, servesWhenIsolated: settings.authority === 'kept', acceptsCallers: settings.callers !== undefined, startedAtMs }), decide: decideAdmission, checkItem: checkAllowance }),
     DecidingSlice.create({ name: 'agreement', initial: createAgreementState(), decide: decideAgreement }),
     DecidingSlice.create({ name: 'documents', initial: createDocumentsState(), decide: decideDocuments }),
     DecidingSlice.create({ name: 'membership', initial: createMembershipState(timing), decide: decideMembership }),
--- a/src/membership/decide.ts
+++ b/src/membership/decide.ts
@@ -10,10 +10,11 @@
 import { isCurrent, pruneIncarnations, recordWithdrawal } from './incarnations.js'
 import { recordDatabaseEvents } from './log.js'
 import type { DatabaseAnnounced, DatabaseAnswered, Heartbeat, HeartbeatAnswered, MembershipMessage, ProbeCompleted, DatabaseWithdrawn, VersionsTold } from './messages.js'
+import { listLenders } from './lenders.js'
 import { listOwned } from './owners.js'
 import type { Announcement, MembershipState } from './state.js'
 import { answerStatus, drainHost } from './operators.js'
-import { answerRelayed, findRelay, forwardHeld, holdHeartbeat, isRelayed, listRelays } from './relay.js'
+import { answerRelayed, findRelay, forwardHeld, holdHeartbeat, isRelayed } from './relay.js'
 import { sendPeer, setTimer, tell } from '../messages.js'
 
 /**
@@ -174,7 +175,7 @@
   const grants = listEntries(directory, 'grant')
   return [
     { kind: 'peer/learn', addresses: hosts.map(({ host, peers }) => ({ host, peers })) },
-    tell({ kind: 'admission/lenders-changed', lenders: listRelays(directory).map(({ host }) => host) }),
+    tell({ kind: 'admission/lenders-changed', lenders: listLenders(directory) }),
     tell({ kind: 'timeline/hosts-known', hosts: hosts.map(({ host }) => host) }),
     tell({ kind: 'routing/directory-changed', hosts, databases, grants }),
     tell({ kind: 'transactions/owned-changed', databases: [...state.ownedDatabases.values()], grants })
--- a/src/membership/owners.ts
+++ b/src/membership/owners.ts
@@ -40,6 +40,15 @@
   return pickHeaviest(database.database, byDomain.get(database.failureDomain) ?? elsewhere)
 }
 
+/**
+ * Lists the hosts that own a database.
+ * @example listOwners(databases, hosts).has('host-2')
+ */
+export function listOwners (databases: readonly DatabaseEntry[], hosts: readonly HostEntry[]): ReadonlySet<string> {
+  const candidates = listCandidates(hosts)
+  return new Set(databases.flatMap(database => findOwner(database, candidates) ?? []))
+}
+
 /**
  * Lists the databases that a host owns.
  * @example listOwned('host-2', databases, hosts)
--- a/src/membership/relay.ts
+++ b/src/membership/relay.ts
@@ -10,8 +10,8 @@
 import type { Heartbeat, HeartbeatAnswered } from './messages.js'
 import type { MembershipState } from './state.js'
 
-/** The number of hosts from which on heartbeats are relayed; a leader serves fewer directly, which is faster. */
-const MIN_RELAYED_HOSTS = 16
+/** The number of hosts from which on a fleet is large and heartbeats are relayed; a leader serves fewer directly, which is faster. */
+export const MIN_RELAYED_HOSTS = 16
 /** How long a relay holds heartbeats without an answer of the leader: three of its own. */
 const RELAY_CONTACT_MS = 300
 /** The number of own heartbeats for which an answer of the leader is awaited. */
--- a/test/support/ratessimulation.ts
+++ b/test/support/ratessimulation.ts
@@ -161,7 +161,7 @@
     host.frozenUntilMs = 0
     host.timers = new Map()
     const slices: readonly Slice[] = [
-      StoreSlice.create({ name: 'admission', shared: createAdmissionShared(false, !this.#lenders.includes(host.name), this.#readLocalClock(host)), decide: decideAdmission, checkItem: checkAllowance }),
+      StoreSlice.create({ name: 'admission', shared: createAdmissionShared({ self: host.name, acceptsCallers: !this.#lenders.includes(host.name), startedAtMs: this.#readLocalClock(host) }), decide: decideAdmission, checkItem: checkAllowance }),
       StoreSlice.create({ name: 'shares', shared: createSharesShared(), decide: decideShares, checkItem: checkSharesItem })
     ]
     host.slices = new Map(slices.map(slice => [slice.name, slice]))
