--- a/src/membership/discovery.ts
+++ b/src/membership/discovery.ts
@@ -12,31 +12,37 @@
 /** Without an answer for this long, the relay may be down: two intervals of a host without databases, and the relay's own. */
 const RELAY_TIMEOUT_MS = 600
 
+/** The most hosts that take turns while the relay does not answer: the relay, the leader, and another control host. */
+const MAX_TURNS = 3
 /** Heartbeats to one control host before a host that has just started tries the next one: time for a link to open, and for a relay. */
 const FIRST_TARGET_ROUNDS = 4
 
 type MembershipStep = Step<MembershipState, CoreEffect>
 
 /**
- * Lists the targets of the next heartbeat: the relay or the leader. While the relay does not answer, also the leader, and
- * while the leader does not either, also one control host in turn.
+ * Lists the targets of the next heartbeat: the relay, or the leader and, while it does not answer, also one control host in
+ * turn. A relay that does not answer takes turns with these. It may be late for lack of processor time, as the leader may
+ * be, so a large fleet must not send them more.
  * @example listHeartbeatTargets(state, moment)
  */
 export function listHeartbeatTargets (state: MembershipState, moment: Moment): readonly string[] {
-  const { relay, leader, leaderAnsweredAtMs } = state
+  const { relay, leaderAnsweredAtMs, heartbeatRound } = state
   const unansweredMs = moment.monotonicMs - leaderAnsweredAtMs
-  if (relay === undefined || relay === leader) return listLeaderTargets(state, unansweredMs)
-  return [relay, ...(unansweredMs < RELAY_TIMEOUT_MS ? [] : listLeaderTargets(state, unansweredMs - RELAY_TIMEOUT_MS).filter(host => host !== relay))]
+  if (relay === undefined) return listLeaderTargets(state, unansweredMs, heartbeatRound)
+  if (unansweredMs < RELAY_TIMEOUT_MS) return [relay]
+  const others = listLeaderTargets(state, unansweredMs - RELAY_TIMEOUT_MS, Math.floor(heartbeatRound / MAX_TURNS))
+  const turns = [...new Set([relay, ...others])]
+  return [turns[heartbeatRound % turns.length]!]
 }
 
-function listLeaderTargets (state: MembershipState, unansweredMs: number): readonly string[] {
-  const { control, leader, heartbeatRound } = state
+function listLeaderTargets (state: MembershipState, unansweredMs: number, turn: number): readonly string[] {
+  const { control, leader } = state
   const leaderTargets = leader === undefined ? [] : [leader]
   if (leader !== undefined && unansweredMs < LEADER_TIMEOUT_MS) return leaderTargets
   const controlHosts = listKnownControlHosts(state)
   const others = rankCandidates(state.self?.host ?? '', [...new Set([...control, ...controlHosts])].filter(host => host !== leader && host !== state.self?.host))
   const rounds = state.directory.changes.size === 0 ? FIRST_TARGET_ROUNDS : 1
-  const next = others[Math.floor(heartbeatRound / rounds) % others.length]
+  const next = others[Math.floor(turn / rounds) % others.length]
   return next === undefined ? leaderTargets : [...leaderTargets, next]
 }
 
--- a/src/membership/relay.test.ts
+++ b/src/membership/relay.test.ts
@@ -156,6 +156,23 @@
     expect(fleet.findOldestAgeMs()).to.be.below(300)
   })
 
+  it('become no more while no control host answers, since those may be short of processor time', function () {
+    this.timeout(60_000)
+    const fleet = FleetSimulation.create(60)
+    const control = [...fleet.hosts.keys()].filter(host => host.startsWith('control'))
+    const countSent = (): number => [...fleet.hosts.keys()].filter(host => !control.includes(host)).reduce((sum, host) => sum + control.reduce((count, to) => count + fleet.countSent(host, to), 0), 0)
+    const countSecond = (fromMs: number): number => {
+      fleet.run(fromMs)
+      const before = countSent()
+      fleet.run(fromMs + SECOND_MS)
+      return countSent() - before
+    }
+    const usual = countSecond(3 * SECOND_MS)
+    for (const host of control) fleet.hosts.get(host)!.down = true
+    // Besides, each host asks each control host for its versions, once a second.
+    expect(countSecond(6 * SECOND_MS)).to.be.at.most(usual + 60 * control.length)
+  })
+
   it('take another way while a relay is down, and while relay and leader are', function () {
     this.timeout(60_000)
     const fleet = FleetSimulation.create(60)
