--- a/src/admission/decide.ts
+++ b/src/admission/decide.ts
@@ -9,7 +9,7 @@
 import { createIndex, type DocumentIndex } from './documentindex.js'
 import { matchesKey } from './keys.js'
 import { updateLends } from './lending.js'
-import { applyShares, changeLeader, renewLease } from './lease.js'
+import { applyShares, changeLeader, changeLenders, renewLease } from './lease.js'
 import type { AdmissionMessage, CallerDisconnected, CheckConnection, CheckRequest, DocumentsConfirmed, VersionsHeld } from './messages.js'
 import { UNCHANGED } from '../core/store.js'
 import { acceptLoan, acquireToken, expireLoan, acceptLoanRequest, retryWaiting, type AdmissionStep, type AdmissionStore } from './rates.js'
@@ -36,7 +36,7 @@
     case 'admission/leader-changed': return changeLeader(store, message, moment)
     case 'admission/ask-due': return renewLease(store, moment)
     case 'admission/shares-answered': return applyShares(store, message, moment)
-    case 'admission/lenders-changed': return { shared: updateLends({ ...store.shared, lenders: message.lenders }), effects: [] }
+    case 'admission/lenders-changed': return changeLenders(store.shared, message, moment)
     case 'admission/loan-wanted': return acceptLoanRequest(store, message, moment)
     case 'admission/lent': return acceptLoan(store, message, moment)
     case 'admission/loan-overdue': return expireLoan(store, message, moment)
--- a/src/admission/lease.ts
+++ b/src/admission/lease.ts
@@ -3,10 +3,10 @@
 import { UNCHANGED } from '../core/store.js'
 import { sendPeer, setTimer } from '../messages.js'
 import type { Demand, HeldShare, RenewalRequested } from '../shares/messages.js'
-import { LOAN_MS, SHARE_LEASE_MS } from '../shares/state.js'
+import { LOAN_DRIFT_MARGIN_MS, LOAN_MS, SHARE_LEASE_MS } from '../shares/state.js'
 import { addTokens, createAllowance, isUnused, refillAllowance, resizeShare, updateDemand } from './allowance.js'
-import { findLender, getSharesEndMs } from './lending.js'
-import type { LeaderChanged, LeaseRenewed } from './messages.js'
+import { findLender, getSharesEndMs, updateLends } from './lending.js'
+import type { LeaderChanged, LeaseRenewed, LendersChanged } from './messages.js'
 import type { AdmissionStep, AdmissionStore } from './rates.js'
 import { findLimit, type AdmissionShared, type Allowance, type ShareLease } from './state.js'
 
@@ -60,9 +60,8 @@
   const changes = counted.map(([key, item]) => [key, markReported(item, reportsAll)] as const)
   const lease: ShareLease = { ...current, round, borrowsFromRound: role === 'borrower' ? current.borrowsFromRound ?? round : undefined, demandUpdatedAtMs: moment.monotonicMs, sentAtMsByRound: recordRound(current, round, moment) }
   const isNeeded = lease.leader !== undefined && isRenewalNeeded(shared, lease, counted)
-  const renewals = isNeeded ? [sendRenewal(lease, demands, listHeld(lease, counted), role, moment)] : []
-  const holds = counted.some(([, item]) => item.parts > 0)
-  const emptyRounds = holds || !isNeeded ? 0 : current.emptyRounds + 1
+  const renewals = isNeeded && moment.monotonicMs >= lease.confirmsFromMs ? [sendRenewal(lease, demands, listHeld(lease, counted), role, moment)] : []
+  const emptyRounds = !isNeeded || isSettled(shared, counted) ? 0 : current.emptyRounds + 1
   return { shared: { ...shared, lease: { ...lease, emptyRounds } }, changes, effects: [...renewals, createRenewalTimer(computeRenewalIntervalMs(shared, emptyRounds))] }
 }
 
@@ -101,11 +100,29 @@
   return borrowsFromRound === undefined ? applied === 0 && acceptsCallers : applied < borrowsFromRound
 }
 
+// In a large fleet, a host holds a share of each workspace that it lends, and of no other.
+function isSettled ({ lenders, lends }: AdmissionShared, counted: CountedDemand): boolean {
+  if (lenders.length === 0) return counted.some(([, item]) => item.parts > 0)
+  return counted.every(([key, item]) => lends.has(key) === (item.parts > 0))
+}
+
 function computeRenewalIntervalMs ({ lenders }: AdmissionShared, emptyRounds: number): number {
   if (emptyRounds === 0) return lenders.length === 0 ? RENEWAL_INTERVAL_MS : LENDER_RENEWAL_INTERVAL_MS
   return emptyRounds <= FIRST_RENEWAL_ROUNDS ? FIRST_RENEWAL_INTERVAL_MS : EMPTY_RENEWAL_INTERVAL_MS
 }
 
+/**
+ * Switches to other lenders. A host that lends other workspaces than before tells the leader soon.
+ * @example changeLenders(shared, { kind: 'admission/lenders-changed', lenders: ['host-2'] }, moment)
+ */
+export function changeLenders (shared: AdmissionShared, { lenders }: LendersChanged, moment: Moment): AdmissionStep {
+  // Most changes of the directory leave them as they are.
+  const isSame = lenders.length === shared.lenders.length && lenders.every((lender, index) => lender === shared.lenders[index])
+  if (isSame) return UNCHANGED
+  const next = updateLends({ ...shared, lenders })
+  return { shared: { ...next, lease: { ...next.lease, emptyRounds: 0 } }, effects: [createRenewalTimer(moment.random * FIRST_RENEWAL_INTERVAL_MS)] }
+}
+
 /**
  * Applies the leader's answer. The lease counts from the time at which this host sent the renewal.
  * @example applyShares(store, { kind: 'admission/shares-answered', holder, epoch: 3, round: 7, shares: [] }, moment)
@@ -125,7 +142,9 @@
     const filled = refillAllowance(known, known, getSharesEndMs(store.shared), moment.monotonicMs)
     return [key, addTokens(resizeShare(filled, given, moment.monotonicMs), tokens.get(key) ?? 0)] as const
   })
-  const next: ShareLease = { ...lease, applied: message.round, endsAtMs: Math.max(lease.endsAtMs, sentAtMs + SHARE_LEASE_MS) }
+  const isLent = changes.some(([key, next]) => next.lent.length > 0 && next.parts < (store.items.get(key)?.parts ?? 0))
+  const confirmsFromMs = isLent ? moment.monotonicMs + LOAN_MS + LOAN_DRIFT_MARGIN_MS : lease.confirmsFromMs
+  const next: ShareLease = { ...lease, confirmsFromMs, applied: message.round, endsAtMs: Math.max(lease.endsAtMs, sentAtMs + SHARE_LEASE_MS) }
   return { shared: { ...store.shared, lease: next }, changes, effects: [] }
 }
 
--- a/src/admission/state.ts
+++ b/src/admission/state.ts
@@ -27,6 +27,8 @@
   readonly emptyRounds: number
   /** The first round in which this host said that it only borrows; undefined if the last one did not say so. The leader keeps no record of such a host. */
   readonly borrowsFromRound?: number
+  /** Until then no renewal confirms a smaller share, which another host may get then: its tokens may still be lent. */
+  readonly confirmsFromMs: number
   /** Id of the next loan. */
   readonly nextLoanId: number
 }
@@ -138,7 +140,7 @@
  * @example createAdmissionShared({ self: 'host-1' }).documents.size // 0
  */
 export function createAdmissionShared ({ self, servesWhenIsolated = false, acceptsCallers = true, startedAtMs = 0 }: AdmissionParts): AdmissionShared {
-  const lease: ShareLease = { epoch: 0, holder: '', emptySinceMs: startedAtMs, round: 0, applied: 0, endsAtMs: 0, sentAtMsByRound: new Map(), demandUpdatedAtMs: 0, emptyRounds: 0, nextLoanId: 0 }
+  const lease: ShareLease = { epoch: 0, holder: '', emptySinceMs: startedAtMs, round: 0, applied: 0, endsAtMs: 0, sentAtMsByRound: new Map(), demandUpdatedAtMs: 0, emptyRounds: 0, confirmsFromMs: -Infinity, nextLoanId: 0 }
   return { documents: new Map(), indexes: new Map(), servesWhenIsolated, isolated: false, self, acceptsCallers, lenders: [], lends: new Set(), silentLenders: new Map(), leaderIsCurrent: true, lease, callers: createCallersByService() }
 }
 
--- a/src/shares/shares.test.ts
+++ b/src/shares/shares.test.ts
@@ -22,7 +22,7 @@
   return items[Math.floor(random() * items.length)]!
 }
 
-function runFaulty (seed: number, lenders: readonly string[] = []): { readonly limit: SimulatedLimit, readonly over: number, readonly admitted: number } {
+function runFaulty (seed: number, lenders: readonly string[] = [], lendersChange = false): { readonly limit: SimulatedLimit, readonly over: number, readonly admitted: number } {
   const random = createRandom(seed)
   const limit = { rate: pickRandom(random, [20, 60, 200]), burst: pickRandom(random, [5, 20, 60, 200]) }
   const faults = { dropped: pickRandom(random, [0, 0.05, 0.3]), doubled: pickRandom(random, [0, 0.2]), late: pickRandom(random, [0, 0.02, 0.2]) }
@@ -35,6 +35,7 @@
     world.schedule(atMs, () => world.sendRequest(pickRandom(random, busy)))
   }
   for (let atMs = 500; atMs < RUN_MS; atMs += random() * 2_000) world.schedule(atMs, () => runFault(world, random, names, lenders.length > 0 ? lenders : HOSTS, hosts => { busy = hosts }))
+  if (lendersChange) for (let atMs = 1_000; atMs < RUN_MS; atMs += 300 + random() * 2_000) world.schedule(atMs, () => world.setLenders(HOSTS.filter(() => random() < 0.5)))
   world.run(RUN_MS)
   return { limit, over: computeMaxExcess(world.decisions, limit), admitted: world.decisions.filter(decision => decision.admitted).length }
 }
@@ -146,6 +147,17 @@
     expect(admitted).to.be.above(RUNS)
   })
 
+  it(`never admit more than burst and rate while the hosts that lend them change, under the same faults (seeds ${SEED} to ${SEED + RUNS - 1})`, function () {
+    this.timeout(600_000)
+    let admitted = 0
+    for (let seed = SEED; seed < SEED + RUNS; seed++) {
+      const outcome = runFaulty(seed, HOSTS.slice(0, 2), true)
+      admitted += outcome.admitted
+      expect(outcome.over, `seed ${seed}, ${JSON.stringify(outcome.limit)}`).to.be.at.most(0)
+    }
+    expect(admitted).to.be.above(RUNS)
+  })
+
   it(`never admit more than burst and rate where hosts with callers lend them, under the same faults (seeds ${SEED} to ${SEED + RUNS - 1})`, function () {
     this.timeout(600_000)
     let admitted = 0
