--- a/src/admission/rates.ts
+++ b/src/admission/rates.ts
@@ -13,6 +13,8 @@
 
 /** Minimum interval between two loans when the last one granted too few tokens. */
 const MIN_LOAN_INTERVAL_MS = 25
+/** The same for a lender that holds a share: the reserve then lends all that came in meanwhile, and the leader is asked no more often when requests become more. */
+const MIN_LENDER_LOAN_INTERVAL_MS = 1_000
 /** A token of the local share that accrues within this time is awaited without a loan, which saves the leader two messages. */
 const LOCAL_WAIT_MS = 30
 /** A host counts as isolated this long after the leader's last confirmation: seven heartbeats. */
@@ -67,13 +69,18 @@
   if (allowance?.loan === undefined || !isSameLoan(allowance.loan, message)) return UNCHANGED
   const filled = refillAllowance({ ...allowance, loan: undefined }, allowance, getSharesEndMs(store.shared), moment.monotonicMs)
   if (moment.monotonicMs > allowance.loan.sentAtMs + LOAN_MS) return processWaiting(store.shared, key, filled, moment)
-  const nextLoanAtMs = message.nextMs === 0 ? 0 : moment.monotonicMs + Math.max(MIN_LOAN_INTERVAL_MS, message.nextMs)
+  const nextLoanAtMs = computeNextLoanAtMs(store.shared, key, filled, message.nextMs, moment)
   const bucket = { ...filled.bucket, tokens: filled.bucket.tokens + message.tokens }
   const shared = recordAnswer(store.shared, allowance.loan)
   const step = processWaiting(shared, key, { ...filled, bucket, nextLoanAtMs, nextMs: message.nextMs, reserveShortfall: message.shortfall }, moment)
   return { shared, ...step, effects: [clearTimer(formatTimerName(key)), ...step.effects] }
 }
 
+function computeNextLoanAtMs ({ lends }: AdmissionShared, key: string, { parts }: Allowance, nextMs: number, { monotonicMs }: Moment): number {
+  if (lends.has(key) && parts > 0) return monotonicMs + Math.max(MIN_LENDER_LOAN_INTERVAL_MS, nextMs)
+  return nextMs === 0 ? 0 : monotonicMs + Math.max(MIN_LOAN_INTERVAL_MS, nextMs)
+}
+
 /**
  * Handles a loan request that timed out. A lender may be down or overloaded, so this host asks the next one; it backs off
  * from the leader, and refuses the requests that no token will reach in time.
--- a/test/silentleader.test.ts
+++ b/test/silentleader.test.ts
@@ -31,6 +31,10 @@
 const MIN_ADMITTED = 0.42
 /** The most by which the messages to control hosts may grow when requests double. */
 const MAX_GROWTH = 0.1
+/** The most loans a second of the leader for each workspace whose lender holds a share, however many requests there are. */
+const MAX_LOANS_PER_SECOND = 1
+/** Requests of a workspace that is over its rate, as a multiple of the rate. */
+const OVERLOAD_FACTOR = 1.25
 const LATENCY_MS = 250
 const MAX_ATTEMPTS = 3
 const KEY_HASH = 'ab'.repeat(32)
@@ -69,6 +73,8 @@
   readonly operations: Operation[] = []
   /** Messages from other hosts to control hosts since requests arrive. */
   controlMessages = 0
+  /** Loans of the leader since requests arrive. */
+  leaderLoans = 0
   readonly #fleet: FleetSimulation
   readonly #control: readonly string[]
   readonly #entries: readonly string[]
@@ -85,16 +91,17 @@
     this.#fleet = FleetSimulation.create(hosts, seed, 'kept', (host, effect) => this.#observe(host, effect))
   }
 
-  static run (seed: number, perSecond: number, silentMs: number): Fleet {
+  /** @param sizedForPerSecond the requests for which the rates of the workspaces are made. */
+  static run (seed: number, perSecond: number, silentMs: number, sizedForPerSecond = perSecond): Fleet {
     const fleet = new Fleet(seed)
-    fleet.#plan(perSecond, silentMs)
+    fleet.#plan(perSecond, silentMs, sizedForPerSecond)
     fleet.#fleet.run(END_MS)
     return fleet
   }
 
-  #plan (perSecond: number, silentMs: number): void {
+  #plan (perSecond: number, silentMs: number, sizedForPerSecond: number): void {
     const fleet = this.#fleet
-    fleet.schedule(1_500, () => fleet.post(this.#leader, { kind: 'operations/asked', operation: 'put', requestId: 'put', command: { name: 'configuration/replace', version: 1, text: '', document: createDocument(perSecond) } }))
+    fleet.schedule(1_500, () => fleet.post(this.#leader, { kind: 'operations/asked', operation: 'put', requestId: 'put', command: { name: 'configuration/replace', version: 1, text: '', document: createDocument(sizedForPerSecond) } }))
     if (silentMs > 0) fleet.schedule(SILENT_FROM_MS, () => fleet.hold(this.#leader, silentMs))
     for (let atMs = TRAFFIC_FROM_MS; atMs < END_MS - 1_000; atMs += -Math.log(1 - fleet.random()) * 1_000 / perSecond) {
       const operation: Operation = { id: this.operations.length, host: this.#entries[Math.floor(fleet.random() * ENTRY_HOSTS)]!, workspace: this.#drawWorkspace(), arrivedAtMs: atMs, attempts: 0 }
@@ -116,6 +123,7 @@
 
   #observe (host: string, effect: Effect): void {
     if (effect.kind === 'peer/send' && this.#fleet.nowMs >= TRAFFIC_FROM_MS && this.#control.includes((effect as SendPeer).to)) this.controlMessages += 1
+    if (effect.kind === 'peer/send' && this.#fleet.nowMs >= TRAFFIC_FROM_MS && (effect as SendPeer).message.kind === 'shares/wanted') this.leaderLoans += 1
     if (effect.kind !== 'loop/tell') return
     const { message } = effect as Tell<HostMessage>
     if (message.kind === 'membership/leader-changed' && message.leader === host) this.#leader = host
@@ -141,6 +149,14 @@
     for (const fraction of admitted) expect(fraction).to.be.above(MIN_ADMITTED)
   })
 
+  it('asks the leader for few loans when workspaces are over their rates', function () {
+    this.timeout(120_000)
+    const sizedForPerSecond = REQUESTS_PER_SECOND / (RATE_FACTOR * OVERLOAD_FACTOR)
+    const { leaderLoans } = Fleet.run(SEED, REQUESTS_PER_SECOND, 0, sizedForPerSecond)
+    this.test!.title += ` (${leaderLoans} loans)`
+    expect(leaderLoans).to.be.at.most(MAX_LOANS_PER_SECOND * WORKSPACES * (END_MS - TRAFFIC_FROM_MS) / 1_000)
+  })
+
   it('sends control hosts no more messages when requests double', function () {
     this.timeout(240_000)
     const [once, twice] = [REQUESTS_PER_SECOND / 2, REQUESTS_PER_SECOND].map(perSecond => Fleet.run(SEED, perSecond, 0).controlMessages)
