--- a/src/admission/lease.ts
+++ b/src/admission/lease.ts
@@ -151,7 +151,7 @@
 // After its lease expired a host holds nothing, and shows it by a new holder id.
 function resetExpired (lease: ShareLease, moment: Moment): ShareLease {
   const expired = lease.endsAtMs > 0 && moment.monotonicMs > lease.endsAtMs
-  return expired ? { ...lease, holder: createHolderId(moment), emptySinceMs: moment.monotonicMs, applied: 0, borrowsFromRound: undefined, endsAtMs: 0, sentAtMsByRound: new Map() } : lease
+  return expired ? { ...resetAnswers(lease), holder: createHolderId(moment), emptySinceMs: moment.monotonicMs, endsAtMs: 0 } : lease
 }
 
 // The leader has to learn of this host as of one that it has never heard of.
--- a/src/admission/messages.ts
+++ b/src/admission/messages.ts
@@ -80,7 +80,7 @@
   readonly shares: readonly HeldShare[]
 }
 
-/** The control hosts that lend tokens to the other hosts changed. There are none in a small fleet, where each host holds shares. */
+/** The hosts that lend tokens to the others changed. There are none in a small fleet, where each host holds shares. */
 export interface LendersChanged {
   readonly kind: 'admission/lenders-changed'
   readonly lenders: readonly string[]
--- a/src/admission/state.ts
+++ b/src/admission/state.ts
@@ -23,7 +23,7 @@
   readonly sentAtMsByRound: ReadonlyMap<number, number>
   /** When demand was last updated. */
   readonly demandUpdatedAtMs: number
-  /** Consecutive renewals without a share. */
+  /** Consecutive renewals without a share; in a large fleet, while this host lacks a share that it is to lend, or holds another one. */
   readonly emptyRounds: number
   /** The first round in which this host said that it only borrows; undefined if the last one did not say so. The leader keeps no record of such a host. */
   readonly borrowsFromRound?: number
--- a/src/membership/lenders.ts
+++ b/src/membership/lenders.ts
@@ -3,7 +3,7 @@
  * loans grow with requests, as the fleet does; the control hosts stay as few as they are.
  */
 import { rankCandidates } from '../core/rendezvous.js'
-import { listEntries, type Directory, type HostEntry } from './directory.js'
+import { listEntries, type Directory } from './directory.js'
 import { listOwners } from './owners.js'
 import { MIN_RELAYED_HOSTS } from './relay.js'
 
@@ -25,5 +25,5 @@
   const others = active.filter(host => host.control !== true)
   const free = others.filter(host => !owners.has(host.host))
   const candidates = [free, others, active].find(list => list.length > 0) ?? []
-  return rankCandidates(RANKING_KEY, candidates.map(({ host }: HostEntry) => host)).slice(0, Math.ceil(hosts.length / HOSTS_PER_LENDER))
+  return rankCandidates(RANKING_KEY, candidates.map(({ host }) => host)).slice(0, Math.ceil(hosts.length / HOSTS_PER_LENDER))
 }
--- a/src/membership/relay.ts
+++ b/src/membership/relay.ts
@@ -21,7 +21,7 @@
  * Lists the control hosts that serve the other hosts of a large fleet; none in a small one.
  * @example listRelays(directory).map(entry => entry.host)
  */
-export function listRelays (directory: Directory): readonly HostEntry[] {
+function listRelays (directory: Directory): readonly HostEntry[] {
   const hosts = listEntries(directory, 'host')
   return hosts.length < MIN_RELAYED_HOSTS ? [] : hosts.filter(host => host.control === true && !host.draining)
 }
--- a/src/shares/messages.ts
+++ b/src/shares/messages.ts
@@ -42,7 +42,7 @@
   /** How long the host has held nothing under this id; absent once it was granted a share. */
   readonly emptyForMs?: number
   /**
-   * A lender is the only one to serve a workspace, so it gets no share without demand. A borrower holds nothing and wants
+   * A lender serves the workspaces that it names alone, so it gets no share without demand. A borrower holds nothing and wants
    * nothing: it reports once, so that the leader does not wait for shares that it may hold.
    */
   readonly role?: 'lender' | 'borrower'
