The report of the load names the kinds of messages that take the longest

Counts of messages do not tell a leader that gets too many from one whose decisions walk whole tables.

--- a/src/core/loop.ts
+++ b/src/core/loop.ts
@@ -17,6 +17,9 @@
 /** Called with each message before its decision; used to record traces. */
 export type Recorder = (message: Message, moment: Moment) => void
 
+/** Called with each message after its effects were executed, and the time that both took, in milliseconds. */
+export type OnHandled = (message: Message, tookMs: number) => void
+
 /** Called with each effect before it is executed, and the slice that decided on it; used for metrics and logs. */
 export type Observer = (effect: Effect, slice: string) => void
 
@@ -29,6 +32,7 @@
   /** Called when a decision or an adapter throws; the loop has stopped by then. */
   readonly onFault: (fault: unknown) => void
   readonly recorder?: Recorder
+  readonly onHandled?: OnHandled
   readonly observer?: Observer
 }
 
@@ -93,9 +97,9 @@
   // Hot path: messages from one slice to another are delivered in the same turn, so that
   // a statement passes through all its slices without waiting for the event loop.
   #deliver (): void {
-    const endsAtMs = this.#parts.clock.read().monotonicMs + MAX_TURN_MS
-    for (let handled = 0; handled < MAX_MESSAGES_PER_TURN; handled++) {
-      if (handled > 0 && this.#parts.clock.read().monotonicMs > endsAtMs) break
+    let startedAtMs = this.#parts.clock.read().monotonicMs
+    const endsAtMs = startedAtMs + MAX_TURN_MS
+    for (let handled = 0; handled < MAX_MESSAGES_PER_TURN && startedAtMs <= endsAtMs; handled++) {
       const message = this.#inbox.take()
       if (message === undefined) return
       const slice = readOwner(message.kind)
@@ -104,6 +108,9 @@
         else this.#execute(effect, slice)
       }
       if (this.#stopped) return
+      const endedAtMs = this.#parts.clock.read().monotonicMs
+      this.#parts.onHandled?.(message, endedAtMs - startedAtMs)
+      startedAtMs = endedAtMs
     }
     if (this.#inbox.size > 0) this.#scheduleTurn()
   }
--- a/src/daemon/host.ts
+++ b/src/daemon/host.ts
@@ -112,6 +112,7 @@
       monitor.observeMessage(message, moment.monotonicMs)
       trace?.record(message, moment)
     },
+    onHandled: monitor.observeHandled,
     observer: monitor.observeEffect
   })
 }
--- a/src/monitoring/load.test.ts
+++ b/src/monitoring/load.test.ts
@@ -20,6 +20,18 @@
     expect({ event, elapsedMs, longestHeartbeatMs, handled, spent }).to.deep.equal({ event: 'load', elapsedMs: 1_010, longestHeartbeatMs: 600, handled: ['membership/beat-due 3', 'admission/loan-wanted 3'], spent: 400 })
   })
 
+  it('names the kinds of messages that took the longest', () => {
+    const lines: string[] = []
+    let processorMs = 0
+    const report = createReport(lines, () => processorMs)
+    report.observeMessage({ kind: 'membership/beat' }, 0)
+    report.observeHandled({ kind: 'membership/beat' }, 2.6)
+    for (let count = 0; count < 3; count++) report.observeHandled({ kind: 'shares/asked' }, 20)
+    processorMs = 400
+    report.observeMessage({ kind: 'membership/beat' }, 1_010)
+    expect(JSON.parse(lines[0]!).took).to.deep.equal(['shares/asked 60 ms', 'membership/beat 3 ms'])
+  })
+
   it('says nothing of a second in which the process was idle', () => {
     const lines: string[] = []
     const report = createReport(lines, () => 0)
--- a/src/monitoring/load.ts
+++ b/src/monitoring/load.ts
@@ -17,6 +17,7 @@
   readonly #log: Log
   readonly #readProcessorMs: ReadProcessorMs
   #counts = new Map<string, number>()
+  #tookMs = new Map<string, number>()
   #sinceMs: number | undefined
   #processorMs = 0
   #heartbeatAtMs: number | undefined
@@ -42,6 +43,11 @@
     if (kind === 'membership/beat-due') this.#observeHeartbeat(nowMs)
   }
 
+  /** Adds the time that a message took, in milliseconds: its decision, and the effects with their encoding. */
+  observeHandled ({ kind }: Message, tookMs: number): void {
+    this.#tookMs.set(kind, (this.#tookMs.get(kind) ?? 0) + tookMs)
+  }
+
   // A host that is late, for whatever reason, handles its own timers late.
   #observeHeartbeat (nowMs: number): void {
     this.#longestHeartbeatMs = Math.max(this.#longestHeartbeatMs, nowMs - (this.#heartbeatAtMs ?? nowMs))
@@ -55,21 +61,28 @@
     this.#sinceMs = nowMs
     this.#processorMs = processorMs
     this.#counts = new Map()
+    this.#tookMs = new Map()
     this.#longestHeartbeatMs = 0
   }
 
   #write (elapsedMs: number, spentMs: number): void {
-    const handled = [...this.#counts].sort((a, b) => b[1] - a[1]).slice(0, MAX_KINDS).map(([kind, count]) => `${kind} ${count}`)
+    const handled = listMost(this.#counts).map(([kind, count]) => `${kind} ${count}`)
+    const took = listMost(this.#tookMs).map(([kind, ms]) => `${kind} ${Math.round(ms)} ms`)
     this.#log.write('monitoring', 'info', 'This host is busy.', {
       event: 'load',
       elapsedMs: Math.round(elapsedMs),
       processorMs: Math.round(spentMs),
       longestHeartbeatMs: Math.round(this.#longestHeartbeatMs),
-      handled
+      handled,
+      took
     })
   }
 }
 
+function listMost (byKind: ReadonlyMap<string, number>): ReadonlyArray<readonly [string, number]> {
+  return [...byKind].sort((a, b) => b[1] - a[1]).slice(0, MAX_KINDS)
+}
+
 function readOwnProcessorMs (): number {
   const { user, system } = process.cpuUsage()
   return (user + system) / MICROSECONDS_PER_MS
--- a/src/monitoring/monitor.ts
+++ b/src/monitoring/monitor.ts
@@ -41,6 +41,9 @@
     this.#facts = updateReadiness(this.#facts, this.#host, message as HostMessage)
   }
 
+  /** Adds the time that a message took to the report of the load, in milliseconds. */
+  readonly observeHandled = (message: Message, tookMs: number): void => this.#load.observeHandled(message, tookMs)
+
   /** Updates metrics from an effect before it is executed; timeline events are logged, too. */
   readonly observeEffect = (effect: Effect, slice: string): void => {
     this.metrics.observeEffect(effect)
