--- a/test/support/fleetsimulation.ts
+++ b/test/support/fleetsimulation.ts
@@ -25,6 +25,8 @@
   readonly control: boolean
   /** What each message to or from another host costs besides, in milliseconds of the processor; nothing if absent. */
   readonly peerCostMs?: number
+  /** What a new link to or from another host costs besides, in milliseconds of the processor; nothing if absent. */
+  readonly linkCostMs?: number
 }
 
 /** Called with each message that a slice of a host tells another, and each effect that leaves the host. */
@@ -48,6 +50,10 @@
   costMs: number
   busyUntilMs: number
   frozenUntilMs: number
+  /** True while the host has no process. */
+  down: boolean
+  /** The links from and to other hosts that were opened, each with the number of the other one's process. */
+  links: Set<string>
   scheduled: boolean
 }
 
@@ -70,7 +76,7 @@
     this.#authority = authority
     for (const part of parts) {
       const disk = { incarnation: `disk 0 of ${part.name}`, records: [] }
-      const host: SimulatedHost = { ...part, slices: new Map(), inbox: Inbox.create(PRIORITIES), timers: new Map(), disk, generation: 0, costMs: USUAL_COST_MS, busyUntilMs: 0, frozenUntilMs: 0, scheduled: false }
+      const host: SimulatedHost = { ...part, slices: new Map(), inbox: Inbox.create(PRIORITIES), timers: new Map(), disk, generation: 0, costMs: USUAL_COST_MS, busyUntilMs: 0, frozenUntilMs: 0, down: false, links: new Set(), scheduled: false }
       this.#hosts.set(part.name, host)
       this.#start(host, true)
     }
@@ -101,6 +107,7 @@
   /** Adds a message to the inbox of a host, as one of its adapters would. */
   post (host: string, message: HostMessage): void {
     const simulated = this.#hosts.get(host)!
+    if (simulated.down) return
     simulated.inbox.post(message)
     this.#scheduleTurn(simulated)
   }
@@ -123,6 +130,17 @@
     this.#start(simulated, false)
   }
 
+  /** Ends the process of a host; another one starts after a time, with what its disk has synced. */
+  stop (host: string, forMs: number): void {
+    const simulated = this.#hosts.get(host)!
+    simulated.generation += 1
+    simulated.down = true
+    this.#scheduleFor(simulated, forMs, () => {
+      simulated.down = false
+      this.#start(simulated, false)
+    })
+  }
+
   /** Cuts the links between a host and others, in both directions, or mends them. */
   setCut (host: string, others: readonly string[], cut: boolean): void {
     for (const other of others) {
@@ -139,6 +157,7 @@
     host.slices = new Map(createSlices(createSettings(host, this.#authority), guarantees, this.nowMs).map(slice => [slice.name, slice]))
     host.inbox = Inbox.create(PRIORITIES)
     host.timers = new Map()
+    host.links = new Set()
     host.scheduled = false
     const control = this.#control
     const self = { kind: 'host', host: name, incarnation: String(generation), failureDomain, peers: name, draining: false, control: isControl, apart: isControl } as const
@@ -169,11 +188,21 @@
     const message = host.inbox.take() as Message & { readonly from?: string } | undefined
     if (message === undefined) return
     const effects = host.slices.get(readOwner(message.kind))!.handle(message, { monotonicMs: this.nowMs, wallMs: this.nowMs, random: this.random() })
-    const peers = [message.from, ...effects.map(effect => (effect.kind === 'peer/send' ? (effect as SendPeer).to : undefined))].filter(peer => peer !== undefined && peer !== host.name)
-    host.busyUntilMs = this.nowMs + host.costMs + peers.length * (host.peerCostMs ?? 0)
+    const targets = effects.flatMap(effect => (effect.kind === 'peer/send' ? [(effect as SendPeer).to] : []))
+    const peers = [...(message.from === undefined ? [] : [message.from]), ...targets].filter(peer => peer !== host.name)
+    const opened = this.#openLinks(host, message.from, targets)
+    host.busyUntilMs = this.nowMs + host.costMs + peers.length * (host.peerCostMs ?? 0) + opened * (host.linkCostMs ?? 0)
     for (const effect of effects) this.#execute(host, effect)
   }
 
+  // A link lasts until the process at either end does, and carries messages one way.
+  #openLinks (host: SimulatedHost, from: string | undefined, targets: readonly string[]): number {
+    const ends = [...(from === undefined ? [] : [['from', from]]), ...targets.map(target => ['to', target])].filter(([, peer]) => peer !== host.name)
+    const known = host.links.size
+    for (const [direction, peer = ''] of ends) host.links.add(`${direction} ${peer} ${this.#hosts.get(peer)?.generation ?? 0}`)
+    return host.links.size - known
+  }
+
   #execute (host: SimulatedHost, effect: Effect): void {
     if (effect.notAfterMs !== undefined && this.nowMs > effect.notAfterMs) {
       if (effect.otherwise !== undefined) this.post(host.name, effect.otherwise as HostMessage)
