Hosts that the leader does not confirm ask one control host, not all of them

Callers saw refusals, and operators no answer, long after the last fault: a leader that is late confirms nobody, so each host asked each control host once a second, 900 questions a second at 195 hosts and 5 control hosts, and the leader had no time to confirm. Class: a fallback whose load grows with hosts times control hosts, and falls on the host whose lateness starts it.

A control host now asks the members for all hosts that asked it, one read at a time. The proof is the one of before: a majority of the newest members that any answer names, incarnations counted, asked after the question was sent.

--- a/src/agreement/decide.ts
+++ b/src/agreement/decide.ts
@@ -1,20 +1,28 @@
 /** Decisions of the agreement slice: one replica of the catalog's log, and the notifications to other slices. */
 import { recordEvent, type CoreEffect, type Moment, type Step } from '../core/message.js'
+import { getOwn } from '../core/own.js'
+import { createTextAnswer } from '../documents/answer.js'
 import { sendPeer, tell } from '../messages.js'
 import { CatalogMachine, type Catalog, type CatalogCommand, type CatalogOutcome } from './catalog.js'
 import { decideReplica } from './decidereplica.js'
 import { calculateLeaseEnd } from './election.js'
 import { findLastPoint, findTerm, type Members } from './log.js'
-import type { AgreementMessage, ControlStatus, HostStarted, VersionsRequested } from './messages.js'
+import type { AgreementMessage, ControlStatus, HeldVersionsRequested, HostStarted, VersionsRequested } from './messages.js'
+import { addQuestion, continueReads, NO_READS, receiveVersions, repeatQuestions, type Question, type QuorumReads, type ReadStep } from './quorumread.js'
 import type { DocumentVersion } from '../membership/messages.js'
-import { createReplicaState, TICK_INTERVAL_MS, type AppendRecords, type CommandApplied, type ReplicaEffect, type LeaderChanged, type ReplicaState, type StoreSnapshot } from './replica.js'
+import { createReplicaState, TICK_INTERVAL_MS, type AppendRecords, type CommandApplied, type ReplicaEffect, type LeaderChanged, type ReplicaMessage, type ReplicaState, type StoreSnapshot } from './replica.js'
 
-/** State of the agreement slice. */
-export type AgreementState = ReplicaState<Catalog, CatalogCommand>
+/** State of the agreement slice: the replica, and the reads that do not need the leader. */
+export interface AgreementState extends ReplicaState<Catalog, CatalogCommand> {
+  readonly reads: QuorumReads
+}
 
 /** Effects of the agreement slice. */
 export type AgreementEffect = CoreEffect | AppendRecords<CatalogCommand> | StoreSnapshot<Catalog, CatalogCommand>
 
+/** How long a leader counts as heard: longer than it leads without a majority under load. */
+const LEADER_CONTACT_MS = 1_500
+
 const STATE_MACHINE = CatalogMachine.create()
 
 /**
@@ -22,7 +30,7 @@
  * @example createAgreementState().committed // 0
  */
 export function createAgreementState (): AgreementState {
-  return createReplicaState<Catalog, CatalogCommand>(STATE_MACHINE.initial)
+  return { ...createReplicaState<Catalog, CatalogCommand>(STATE_MACHINE.initial), reads: NO_READS }
 }
 
 /**
@@ -30,13 +38,67 @@
  * @example decideAgreement(state, { kind: 'agreement/tick' }, moment)
  */
 export function decideAgreement (state: AgreementState, message: AgreementMessage, moment: Moment): Step<AgreementState, AgreementEffect> {
-  if (message.kind === 'agreement/status-asked') {
-    return { state, effects: [tell({ kind: 'operations/answered', operation: message.operation, outcome: createStatus(state, moment) })] }
+  switch (message.kind) {
+    case 'agreement/status-asked': return { state, effects: [tell({ kind: 'operations/answered', operation: message.operation, outcome: createStatus(state, moment) })] }
+    case 'agreement/versions-asked': return tellVersions(state, message)
+    case 'agreement/versions-told': return applyRead(state, receiveVersions(state.reads, message, listControl(state), moment), moment)
+    case 'agreement/held-asked': return acceptQuestion(state, message, moment)
+    case 'agreement/text-asked': return askMembers(state, { kind: 'text', from: message.host, operation: message.operation, service: message.service, askedAtMs: moment.monotonicMs }, moment)
+    case 'agreement/read-due': return applyRead(state, continueReads(state.reads, listControl(state), moment), moment)
+    default: return runReplica(state, message, moment)
   }
-  if (message.kind === 'agreement/versions-asked') return tellVersions(state, message)
+}
+
+function runReplica (state: AgreementState, message: ReplicaMessage<Catalog, CatalogCommand> | HostStarted, moment: Moment): Step<AgreementState, AgreementEffect> {
   const step = decideReplica(STATE_MACHINE, state, message, moment)
-  const effects = step.effects.flatMap(effect => tellSlices(step.state, effect))
-  return { state: step.state, effects: [...effects, ...recordChanges(state, step.state, message, moment)] }
+  const next: AgreementState = { ...step.state, reads: state.reads }
+  const effects = step.effects.flatMap(effect => tellSlices(next, effect))
+  return { state: next, effects: [...effects, ...recordChanges(state, next, message, moment)] }
+}
+
+// A leader has a majority. So whoever asks a host that has heard it lately is in contact, however long the read takes.
+function acceptQuestion (state: AgreementState, { from, round }: HeldVersionsRequested, moment: Moment): Step<AgreementState, AgreementEffect> {
+  if (from === undefined) return { state, effects: [] }
+  const asked = askMembers(state, { kind: 'versions', from, round, askedAtMs: moment.monotonicMs }, moment)
+  const contact = hasLeader(state, moment) ? [sendPeer(from, { kind: 'membership/versions-held', round })] : []
+  return { state: asked.state, effects: [...contact, ...asked.effects] }
+}
+
+// A host without a log is no control host. Whoever asked it asks another one.
+function askMembers (state: AgreementState, question: Question, moment: Moment): Step<AgreementState, AgreementEffect> {
+  if (state.incarnation === '') return { state, effects: [] }
+  return applyRead(state, addQuestion(state.reads, question, listControl(state), moment), moment)
+}
+
+function listControl ({ control, log }: AgreementState): readonly string[] {
+  const { members = {}, old = {} } = log.configuration ?? {}
+  return [...new Set([...control, ...Object.keys(members), ...Object.keys(old)])]
+}
+
+function hasLeader ({ role, leader, leaderContactAtMs }: AgreementState, { monotonicMs }: Moment): boolean {
+  return role === 'leader' || (leader !== undefined && monotonicMs - leaderContactAtMs < LEADER_CONTACT_MS)
+}
+
+function applyRead (state: AgreementState, { reads, outcome, effects }: ReadStep, moment: Moment): Step<AgreementState, AgreementEffect> {
+  if (outcome === undefined) return { state: { ...state, reads }, effects }
+  const { versions, questions } = outcome
+  const unanswered = questions.filter(question => question.kind === 'text' && !hasVersion(state, question.service, versions))
+  const answers = questions.filter(question => !unanswered.includes(question)).map(question => answerQuestion(state, question, versions))
+  const repeated = repeatQuestions(reads, unanswered, listControl(state), moment)
+  return { state: { ...state, reads: repeated.reads }, effects: [...answers, ...effects, ...repeated.effects] }
+}
+
+// This host may lag behind the majority, or hold a version that is not committed yet.
+function hasVersion ({ applied }: AgreementState, service: string, versions: readonly DocumentVersion[] = []): boolean {
+  const newest = versions.find(held => held.service === service)?.version ?? 0
+  return (getOwn(applied.documents.services, service)?.version ?? 0) >= newest
+}
+
+function answerQuestion ({ applied }: AgreementState, question: Question, versions: readonly DocumentVersion[] | undefined): CoreEffect {
+  const { from } = question
+  return question.kind === 'versions'
+    ? sendPeer(from, { kind: 'membership/versions-held', round: question.round, versions })
+    : sendPeer(from, { kind: 'operations/answered', operation: question.operation, outcome: createTextAnswer(applied.documents, question.service) })
 }
 
 function createStatus (state: AgreementState, moment: Moment): ControlStatus {
@@ -63,7 +125,7 @@
   if (from === undefined || incarnation === '') return { state, effects: [] }
   const { configuration, configurationIndex, snapshot } = log
   const configurationTerm = findTerm(log, configurationIndex) ?? snapshot.term
-  return { state, effects: [sendPeer(from, { kind: 'membership/versions-told', round, incarnation, configuration, configurationTerm, configurationIndex, versions: listVersions(state) })] }
+  return { state, effects: [sendPeer(from, { kind: 'agreement/versions-told', round, incarnation, configuration, configurationTerm, configurationIndex, versions: listVersions(state) })] }
 }
 
 // An entry that is not committed here may be committed, and acknowledged, elsewhere.
--- a/src/membership/decide.ts
+++ b/src/membership/decide.ts
@@ -3,13 +3,13 @@
 import type { ProbeDatabase } from '../databases/driver.js'
 import { findEntryErrors } from './entry.js'
 import { recordConfirmation, recordTick, recordVersions } from './contact.js'
-import { followLeader, listControlHosts, listHeartbeatTargets, followHint } from './discovery.js'
+import { followLeader, listControlHosts, listHeartbeatTargets, followHint, rankControlHosts } from './discovery.js'
 import { reportRollout } from './rollout.js'
 import { applyChanges, listEntries, type DatabaseEntry, type DatabaseStatus, type Directory, type HostEntry } from './directory.js'
 import { removeDatabases, removeHost, publishEntry, evictSilent, receiveHeartbeat } from './leader.js'
 import { isCurrent, pruneIncarnations, recordWithdrawal } from './incarnations.js'
 import { recordDatabaseEvents } from './log.js'
-import type { DatabaseAnnounced, DatabaseAnswered, Heartbeat, HeartbeatAnswered, MembershipMessage, ProbeCompleted, DatabaseWithdrawn, VersionsTold } from './messages.js'
+import type { DatabaseAnnounced, DatabaseAnswered, Heartbeat, HeartbeatAnswered, MembershipMessage, ProbeCompleted, DatabaseWithdrawn, VersionsHeld } from './messages.js'
 import { listLenders } from './lenders.js'
 import { listOwned } from './owners.js'
 import type { Announcement, MembershipState } from './state.js'
@@ -50,7 +50,7 @@
     case 'membership/lease-extended': return updateLease(state, message.untilMs)
     case 'membership/beat-due': return handleHeartbeatDue(state, moment)
     case 'membership/beat-answered': return receiveAnswer(state, message, moment)
-    case 'membership/versions-told': return receiveVersions(state, message, moment)
+    case 'membership/versions-held': return receiveVersions(state, message)
     case 'membership/announced': return recordAnnouncement(state, message, moment)
     case 'membership/probe-due': return probeOwned(state, moment)
     case 'membership/probed': return recordProbe(state, message)
@@ -99,7 +99,7 @@
 }
 
 function handleHeartbeatDue (state: MembershipState, moment: Moment): MembershipStep {
-  const ticked = recordTick(state.contact, listControlHosts(state), computeHeartbeatIntervalMs(state), moment)
+  const ticked = recordTick(state.contact, rankControlHosts(state), computeHeartbeatIntervalMs(state), moment)
   const sent = sendHeartbeat({ ...state, contact: ticked.contact }, moment)
   return { state: sent.state, effects: [...sent.effects, ...ticked.effects] }
 }
@@ -124,8 +124,8 @@
   return { state: next, effects: [...targets.map(target => sendPeer(target, heartbeat)), createHeartbeatTimer(state)] }
 }
 
-function receiveVersions (state: MembershipState, message: VersionsTold, moment: Moment): MembershipStep {
-  const { contact, effects } = recordVersions(state.contact, listControlHosts(state), message, moment)
+function receiveVersions (state: MembershipState, message: VersionsHeld): MembershipStep {
+  const { contact, effects } = recordVersions(state.contact, message)
   return { state: { ...state, contact }, effects }
 }
 
--- a/src/membership/discovery.ts
+++ b/src/membership/discovery.ts
@@ -59,6 +59,17 @@
   return known.length > 0 ? known : state.control
 }
 
+/**
+ * Ranks the control hosts in the order in which this host asks them: itself or its relay, then the others.
+ * @example rankControlHosts(state)[0] // 'host-2'
+ */
+export function rankControlHosts (state: MembershipState): readonly string[] {
+  const { self, relay } = state
+  const hosts = rankCandidates(self?.host ?? '', listControlHosts(state))
+  const [first] = hosts.filter(host => host === relay || host === self?.host)
+  return first === undefined ? hosts : [first, ...hosts.filter(host => host !== first)]
+}
+
 /**
  * Follows the leader that this host learned from its own replica of the log or from a hint. Starts to lead if it is
  * this host; an earlier epoch only ends its leadership.
--- a/src/membership/messages.ts
+++ b/src/membership/messages.ts
@@ -1,6 +1,5 @@
 /** Messages of the membership slice. */
 import type { LogPosition } from '../core/position.js'
-import type { Configuration } from '../agreement/log.js'
 import type { DatabaseEntry, DatabaseStatus, DirectoryChange, DirectoryEntry, HostEntry, Incarnation, Revision } from './directory.js'
 import type { StoredDatabaseTable } from './stored.js'
 
@@ -86,20 +85,14 @@
   readonly version: number
 }
 
-/** A control host tells which versions it holds, in answer to `agreement/versions-asked`. */
-export interface VersionsTold {
-  readonly kind: 'membership/versions-told'
+/** A control host that reaches a majority answers `agreement/held-asked`. */
+export interface VersionsHeld {
+  readonly kind: 'membership/versions-held'
   /** The control host; set by the receiving host. */
   readonly from?: string
   readonly round: number
-  /** Identifies the data folder of the control host. */
-  readonly incarnation: string
-  /** The members of the control group in the newest entry of its log that names them, and that entry's position. */
-  readonly configuration?: Configuration
-  readonly configurationTerm: number
-  readonly configurationIndex: number
-  /** The newest version of each document in its log, committed or not. */
-  readonly versions: readonly DocumentVersion[]
+  /** The newest versions that a majority of the members may hold; absent if a majority of the control hosts answered, but not one of the members. */
+  readonly versions?: readonly DocumentVersion[]
 }
 
 /** The leader's timer for evicting hosts and databases fired. */
@@ -218,7 +211,7 @@
   | HeartbeatDue
   | Heartbeat
   | HeartbeatAnswered
-  | VersionsTold
+  | VersionsHeld
   | SweepDue
   | DatabaseAnnounced
   | ProbeCompleted
