Any control host answers the read of a configuration

The called host now asks the control hosts in turn; each reads from a majority, as for hosts that the leader does not confirm, and answers from its own state machine unless a member holds a newer version. An answer is as current as before: an acknowledged version is stored by a majority.

--- a/src/agreement/versions.test.ts
+++ b/src/agreement/versions.test.ts
@@ -37,3 +37,27 @@
     expect(ask(createAgreementState())).to.equal(undefined)
   })
 })
+
+describe('the text of a document', () => {
+  const ASKED = { kind: 'agreement/text-asked', host: 'h9', operation: 'o1', service: 'rota' } as const
+  const tell = (from: string, version: number): VersionsTold => ({ kind: 'agreement/versions-told', from, round: 1, incarnation: `i${from.slice(1)}`, configuration: { members: MEMBERS }, configurationTerm: 1, configurationIndex: 1, versions: [{ service: 'rota', version }] })
+
+  // A control host whose state machine has applied version 4, and what it answers once two members have told their versions.
+  function readText (version: number): readonly unknown[] {
+    const state = restart([4])
+    const services = { rota: { version: 4, text: 'the text', document: { service: 'rota' } as ServiceDocument } }
+    const applied: AgreementState = { ...state, applied: { ...state.applied, documents: { ...state.applied.documents, services } } }
+    const asked = decideAgreement(applied, ASKED, MOMENT).state
+    const first = decideAgreement(asked, tell('c1', 4), MOMENT)
+    const second = decideAgreement(first.state, tell('c2', version), MOMENT)
+    return [...first.effects, ...second.effects].filter(effect => (effect as SendPeer).message?.kind === 'operations/answered').map(effect => (effect as SendPeer).message)
+  }
+
+  it('is answered by any control host once a majority holds nothing newer', () => {
+    expect(readText(4)).to.deep.equal([{ kind: 'operations/answered', operation: 'o1', outcome: { service: 'rota', version: 4, text: 'the text' } }])
+  })
+
+  it('is not answered by a control host that lacks a version which another one holds', () => {
+    expect(readText(6)).to.deep.equal([])
+  })
+})
--- a/src/documents/decide.ts
+++ b/src/documents/decide.ts
@@ -3,6 +3,7 @@
 import { getOwn } from '../core/own.js'
 import { recordEvent, type CoreEffect, type Moment, type Step } from '../core/message.js'
 import { sendPeer, setTimer, tell } from '../messages.js'
+import { createTextAnswer } from './answer.js'
 import { parseDocument } from './document.js'
 import type { CommandApplied, ApplyDocument, DocumentQuery, DocumentsMessage, RolloutStatus, RolloutReported, LeadershipChanged, ReadCurrentDocument, ReplaceDocument } from './messages.js'
 import type { DocumentsState, PendingCall, RolloutWatch } from './state.js'
@@ -29,7 +30,7 @@
     case 'documents/leadership': return handleLeadershipChange(state, message)
     case 'documents/apply': return proposeApply(state, message)
     case 'documents/replace-asked': return proposeReplace(state, message)
-    case 'documents/read-asked': return proposeRead(state, message)
+    case 'documents/read-asked': return { state, effects: [askText(message)] }
     case 'documents/applied': return handleApplied(state, message, moment)
     case 'documents/ask': return answerQuery(state, message, moment)
     case 'documents/in-force': return handleRollout(state, message, moment)
@@ -81,12 +82,12 @@
   return proposeCommand(state, createCall(message), { kind: 'documents/replace', version, text, document })
 }
 
-// Linearizable read: the read appends a log entry of its own, so that a replaced leader can't answer it.
-function proposeRead (state: DocumentsState, message: ReadCurrentDocument): DocumentsStep {
-  return proposeCommand(state, { ...createCall(message), readService: message.service }, { kind: 'documents/confirm' })
+// A majority of the control hosts confirms what any of them holds, so an operator can read without the leader.
+function askText ({ from, operation, service }: ReadCurrentDocument): CoreEffect {
+  return tell({ kind: 'agreement/text-asked', host: from ?? '', operation, service })
 }
 
-function createCall ({ from, operation }: ReplaceDocument | ReadCurrentDocument | DocumentQuery): PendingCall {
+function createCall ({ from, operation }: ReplaceDocument | DocumentQuery): PendingCall {
   return { from: from ?? '', operation, wait: false, leaseMs: 0 }
 }
 
@@ -109,7 +110,6 @@
     ? [publishDocument(table, service), recordEvent('document-accepted', `Document of ${service} is accepted at version ${table.services[service]!.version}.`, { request: command.kind === 'documents/put' ? command.requestId : undefined })]
     : []
   if (call === undefined) return { state: next, effects: [...publications, tellGroups(table), tellReplicaCounts(table)] }
-  if (call.readService !== undefined) return { state: next, effects: [answer(call, createTextAnswer(table, call.readService))] }
   if (command.kind !== 'documents/put') return { state: next, effects: [...publications, tellGroups(table), tellReplicaCounts(table), answer(call, outcome)] }
   if (!outcome.accepted) return { state: next, effects: [...publications, answer(call, outcome)] }
   const watch = startRolloutWatch(next, { call, service, outcome, deadlineMs: moment.monotonicMs + ROLLOUT_TIMEOUT_MS })
@@ -137,12 +137,6 @@
   return startRolloutWatch(state, { call: { ...call, leaseMs }, service: message.service, outcome: { accepted: true, version }, deadlineMs: moment.monotonicMs })
 }
 
-function createTextAnswer (table: DocumentsTable, service: string): unknown {
-  const record = getOwn(table.services, service)
-  if (record === undefined) return { error: 'unknown-service', text: `Service "${service}" is unknown: check its name with list.` }
-  return { service, version: record.version, text: record.text }
-}
-
 function startRolloutWatch (state: DocumentsState, item: RolloutWatch): DocumentsStep {
   const name = nameCall(item.call)
   return requestRollout({ ...state, rolloutWatches: new Map(state.rolloutWatches).set(name, item) }, name)
--- a/src/documents/messages.ts
+++ b/src/documents/messages.ts
@@ -27,7 +27,7 @@
   readonly document: ServiceDocument
 }
 
-/** An operator requests the current text, as a linearizable read. */
+/** An operator requests the current text, as a linearizable read. Any control host answers it. */
 export interface ReadCurrentDocument {
   readonly kind: 'documents/read-asked'
   readonly from?: string
--- a/src/documents/state.ts
+++ b/src/documents/state.ts
@@ -7,8 +7,6 @@
   readonly operation: string
   /** Whether the answer waits until the version is in force. */
   readonly wait: boolean
-  /** The service whose text the operator reads; absent for other calls. */
-  readonly readService?: string
   /** The longest authority lease that a host may hold under the previous version. */
   readonly leaseMs: number
 }
--- a/src/documents/table.ts
+++ b/src/documents/table.ts
@@ -43,7 +43,7 @@
   readonly document: ServiceDocument
 }
 
-/** A read barrier: changes nothing, and a read after its commit is current. */
+/** A read barrier, which changes nothing. Only logs of earlier versions hold it. */
 export interface ReadBarrierCommand {
   readonly kind: 'documents/confirm'
 }
--- a/src/membership/decide.ts
+++ b/src/membership/decide.ts
@@ -56,7 +56,7 @@
     case 'membership/probed': return recordProbe(state, message)
     case 'membership/answered': return createStep(recordAnswer(state, message))
     case 'membership/withdrawn': return withdrawDatabase(state, message, moment)
-    case 'membership/control-changed': return createStep({ ...state, control: message.control })
+    case 'membership/control-changed': return changeControl({ ...state, control: message.control })
     case 'membership/beat': return acceptHeartbeat(state, message, moment)
     case 'membership/remembered': return createStep({ ...state, storedDatabases: message.databases })
     case 'membership/force-asked': return state.leaderState === undefined ? createStep(state) : reportRollout(state, state.leaderState, message, moment)
@@ -74,7 +74,11 @@
 }
 
 function start (state: MembershipState, self: HostEntry, control: readonly string[]): MembershipStep {
-  return { state: { ...state, self, control }, effects: [createHeartbeatTimer(state), createProbeTimer(state)] }
+  return { state: { ...state, self, control }, effects: [createHeartbeatTimer(state), createProbeTimer(state), tell({ kind: 'operations/control-known', control })] }
+}
+
+function changeControl (state: MembershipState): MembershipStep {
+  return { state, effects: [tell({ kind: 'operations/control-known', control: listControlHosts(state) })] }
 }
 
 function announceLeave (state: MembershipState): MembershipStep {
@@ -176,6 +180,7 @@
   return [
     { kind: 'peer/learn', addresses: hosts.map(({ host, peers }) => ({ host, peers })) },
     tell({ kind: 'admission/lenders-changed', lenders: listLenders(directory) }),
+    tell({ kind: 'operations/control-known', control: listControlHosts(state) }),
     tell({ kind: 'timeline/hosts-known', hosts: hosts.map(({ host }) => host) }),
     tell({ kind: 'routing/directory-changed', hosts, databases, grants }),
     tell({ kind: 'transactions/owned-changed', databases: [...state.ownedDatabases.values()], grants })
--- a/src/operations/decide.ts
+++ b/src/operations/decide.ts
@@ -1,5 +1,6 @@
-/** Decisions of the operations slice: forwards operators' commands to the leader, and its answers to the operators. */
+/** Decisions of the operations slice: forwards operators' commands to the leader, or reads to a control host, and the answers to the operators. */
 import type { CoreEffect, Effect, Moment, Step } from '../core/message.js'
+import { rankCandidates } from '../core/rendezvous.js'
 import { sendPeer, setTimer, tell } from '../messages.js'
 import type { CommandAnswered, CommandRequest, OperationsMessage } from './messages.js'
 
@@ -7,6 +8,8 @@
 const CALL_TIMEOUT_MS = 9_000
 /** How long a leader may take before the command is resent with the same request id. */
 const RESEND_AFTER_MS = 2_500
+/** How long a control host may take for a read before the next one is asked. */
+const READ_RESEND_AFTER_MS = 300
 const RETRY_INTERVAL_MS = 100
 
 /** An operator's call without an answer. */
@@ -17,11 +20,14 @@
   readonly sentAtMs?: number
   /** Whether the command was sent to a leader, which may have executed it. */
   readonly wasSent: boolean
+  /** How often it was sent. */
+  readonly attempts: number
 }
 
 /** State of the operations slice. */
 export interface OperationsState {
   readonly leader?: string
+  readonly control: readonly string[]
   readonly calls: ReadonlyMap<string, PendingCall>
 }
 
@@ -39,7 +45,7 @@
  * @example createOperationsState().leader // undefined
  */
 export function createOperationsState (): OperationsState {
-  return { calls: new Map() }
+  return { control: [], calls: new Map() }
 }
 
 /**
@@ -51,6 +57,7 @@
     case 'operations/leader-known': return handleLeaderChange(state, message.leader, moment)
     case 'operations/answered': return handleAnswer(state, message)
     case 'operations/asked': return startCall(state, message, moment)
+    case 'operations/control-known': return sendDueCalls({ ...state, control: message.control }, moment)
     case 'operations/retry-due': return retryCalls(state, moment)
   }
 }
@@ -58,7 +65,7 @@
 function startCall (state: OperationsState, request: CommandRequest, moment: Moment): OperationsStep {
   const localEffect = createLocalEffect(request)
   if (localEffect !== undefined) return { state, effects: [localEffect] }
-  const call: PendingCall = { request, deadlineMs: moment.monotonicMs + CALL_TIMEOUT_MS, wasSent: false }
+  const call: PendingCall = { request, deadlineMs: moment.monotonicMs + CALL_TIMEOUT_MS, wasSent: false, attempts: 0 }
   const timer = setTimer('operations/retry', RETRY_INTERVAL_MS, { kind: 'operations/retry-due' })
   const sent = sendDueCalls({ ...state, calls: new Map(state.calls).set(request.operation, call) }, moment)
   return { state: sent.state, effects: [timer, ...sent.effects] }
@@ -67,8 +74,8 @@
 // The previous leader may have executed a command, so it is resent to the next leader with the same request id.
 function handleLeaderChange (state: OperationsState, leader: string | undefined, moment: Moment): OperationsStep {
   if (leader === state.leader) return { state, effects: [] }
-  const calls = new Map([...state.calls].map(([operation, call]) => [operation, { ...call, sentAtMs: undefined }]))
-  return sendDueCalls({ leader, calls }, moment)
+  const calls = new Map([...state.calls].map(([operation, call]) => [operation, isRead(call) ? call : { ...call, sentAtMs: undefined }]))
+  return sendDueCalls({ ...state, leader, calls }, moment)
 }
 
 function handleAnswer (state: OperationsState, { operation, outcome }: CommandAnswered): OperationsStep {
@@ -99,13 +106,28 @@
 }
 
 function sendDueCalls (state: OperationsState, moment: Moment): OperationsStep {
-  const { leader } = state
-  if (leader === undefined) return { state, effects: [] }
-  const due = [...state.calls].filter(([, call]) => call.sentAtMs === undefined || moment.monotonicMs - call.sentAtMs >= RESEND_AFTER_MS)
+  const due = [...state.calls].flatMap(([operation, call]) => {
+    const target = isDue(call, moment) ? findTarget(state, call) : undefined
+    return target === undefined ? [] : [{ operation, call, target }]
+  })
   if (due.length === 0) return { state, effects: [] }
   const calls = new Map(state.calls)
-  for (const [operation, call] of due) calls.set(operation, { ...call, sentAtMs: moment.monotonicMs, wasSent: true })
-  return { state: { ...state, calls }, effects: due.map(([, call]) => sendToLeader(leader, call.request)) }
+  for (const { operation, call } of due) calls.set(operation, { ...call, sentAtMs: moment.monotonicMs, wasSent: true, attempts: call.attempts + 1 })
+  return { state: { ...state, calls }, effects: due.map(({ target, call }) => sendCommand(target, call.request)) }
+}
+
+function isDue (call: PendingCall, { monotonicMs }: Moment): boolean {
+  return call.sentAtMs === undefined || monotonicMs - call.sentAtMs >= (isRead(call) ? READ_RESEND_AFTER_MS : RESEND_AFTER_MS)
+}
+
+// Any control host answers a read, so the next one is asked while one is late.
+function findTarget ({ leader, control }: OperationsState, call: PendingCall): string | undefined {
+  if (!isRead(call) || control.length === 0) return leader
+  return rankCandidates(call.request.requestId, control)[call.attempts % control.length]
+}
+
+function isRead ({ request }: PendingCall): boolean {
+  return request.command.name === 'configuration/read'
 }
 
 // Commands that the called host answers itself, or forwards to the hosts that they concern.
@@ -119,17 +141,17 @@
   }
 }
 
-function sendToLeader (leader: string, request: CommandRequest): CoreEffect {
+function sendCommand (target: string, request: CommandRequest): CoreEffect {
   const { operation, requestId, command } = request
   switch (command.name) {
-    case 'document/apply': return sendPeer(leader, { kind: 'documents/apply', operation, requestId, text: command.text, version: command.version, wait: command.wait })
-    case 'configuration/replace': return sendPeer(leader, { kind: 'documents/replace-asked', operation, version: command.version, text: command.text, document: command.document })
-    case 'configuration/read': return sendPeer(leader, { kind: 'documents/read-asked', operation, service: command.service })
-    case 'document/show': return sendPeer(leader, { kind: 'documents/ask', operation, service: command.service, about: 'text' })
-    case 'document/status': return sendPeer(leader, { kind: 'documents/ask', operation, service: command.service, about: 'force' })
-    case 'document/list': return sendPeer(leader, { kind: 'documents/ask', operation, about: 'text' })
-    case 'primary/move': return sendPeer(leader, { kind: 'primacy/move', operation, group: command.group, database: command.database })
-    case 'status': return sendPeer(leader, { kind: 'membership/status-asked', operation })
+    case 'document/apply': return sendPeer(target, { kind: 'documents/apply', operation, requestId, text: command.text, version: command.version, wait: command.wait })
+    case 'configuration/replace': return sendPeer(target, { kind: 'documents/replace-asked', operation, version: command.version, text: command.text, document: command.document })
+    case 'configuration/read': return sendPeer(target, { kind: 'documents/read-asked', operation, service: command.service })
+    case 'document/show': return sendPeer(target, { kind: 'documents/ask', operation, service: command.service, about: 'text' })
+    case 'document/status': return sendPeer(target, { kind: 'documents/ask', operation, service: command.service, about: 'force' })
+    case 'document/list': return sendPeer(target, { kind: 'documents/ask', operation, about: 'text' })
+    case 'primary/move': return sendPeer(target, { kind: 'primacy/move', operation, group: command.group, database: command.database })
+    case 'status': return sendPeer(target, { kind: 'membership/status-asked', operation })
     case 'control/status':
     case 'host/drain':
     case 'timeline/read': return createLocalEffect(request)!
--- a/src/operations/messages.ts
+++ b/src/operations/messages.ts
@@ -54,10 +54,16 @@
   readonly leader: string | undefined
 }
 
+/** The control hosts, any of which answers a read. */
+export interface ControlHostsKnown {
+  readonly kind: 'operations/control-known'
+  readonly control: readonly string[]
+}
+
 /** The periodic check of pending calls is due. */
 export interface RetryDue {
   readonly kind: 'operations/retry-due'
 }
 
 /** Any message of the operations slice. */
-export type OperationsMessage = CommandRequest | CommandAnswered | LeaderChanged | RetryDue
+export type OperationsMessage = CommandRequest | CommandAnswered | LeaderChanged | ControlHostsKnown | RetryDue
