Relays hold heartbeats while the leader does not answer, too

A relay that the leader had not answered for 300 ms sent each heartbeat back with the leader's name, and hosts whose relay did not answer sent every third heartbeat to the leader itself. So a leader that was late got a message from every host in place of one from each relay: 484 heartbeats and questions a second at 200 hosts where 240 are usual.

Relays now hold and forward them always, and a host whose relay does not answer takes turns among the control hosts, each of which relays. The test fails before and passes after; hosts find another way within 3 s as before (test of a relay and of a leader that are down).

--- a/src/membership/decide.ts
+++ b/src/membership/decide.ts
@@ -93,7 +93,7 @@
 
 function acceptHeartbeat (state: MembershipState, message: Heartbeat, moment: Moment): MembershipStep {
   if (state.leaderState !== undefined) return receiveHeartbeat(state, state.leaderState, message, moment)
-  return isRelayed(state, message, moment) ? holdHeartbeat(state, message) : sendLeaderHint(state, message)
+  return isRelayed(state, message) ? holdHeartbeat(state, message) : sendLeaderHint(state, message)
 }
 
 function sendLeaderHint (state: MembershipState, heartbeat: Heartbeat): MembershipStep {
--- a/src/membership/discovery.ts
+++ b/src/membership/discovery.ts
@@ -11,9 +11,6 @@
 const LEADER_TIMEOUT_MS = 300
 /** Without an answer for this long, the relay may be down: two intervals of a host without databases, and the relay's own. */
 const RELAY_TIMEOUT_MS = 600
-
-/** The most hosts that take turns while the relay does not answer: the relay, the leader, and another control host. */
-const MAX_TURNS = 3
 /** Heartbeats to one control host before a host that has just started tries the next one: time for a link to open, and for a relay. */
 const FIRST_TARGET_ROUNDS = 4
 
@@ -21,8 +18,8 @@
 
 /**
  * Lists the targets of the next heartbeat: the relay, or the leader and, while it does not answer, also one control host in
- * turn. A relay that does not answer takes turns with these. It may be late for lack of processor time, as the leader may
- * be, so a large fleet must not send them more.
+ * turn. A relay that does not answer takes turns with the other control hosts, each of which relays heartbeats. It may be
+ * late for lack of processor time, as the leader may be, so a large fleet must not send them more.
  * @example listHeartbeatTargets(state, moment)
  */
 export function listHeartbeatTargets (state: MembershipState, moment: Moment): readonly string[] {
@@ -30,8 +27,7 @@
   const unansweredMs = moment.monotonicMs - leaderAnsweredAtMs
   if (relay === undefined) return listLeaderTargets(state, unansweredMs, heartbeatRound)
   if (unansweredMs < RELAY_TIMEOUT_MS) return [relay]
-  const others = listLeaderTargets(state, unansweredMs - RELAY_TIMEOUT_MS, Math.floor(heartbeatRound / MAX_TURNS))
-  const turns = [...new Set([relay, ...others])]
+  const turns = rankControlHosts(state)
   return [turns[heartbeatRound % turns.length]!]
 }
 
--- a/src/membership/relay.test.ts
+++ b/src/membership/relay.test.ts
@@ -173,6 +173,20 @@
     expect(countSecond(6 * SECOND_MS)).to.be.at.most(usual + 60)
   })
 
+  it('reach a silent leader no more often than one that answers, since it may be short of processor time', function () {
+    this.timeout(60_000)
+    const fleet = FleetSimulation.create(200)
+    const countSecond = (fromMs: number): number => {
+      fleet.run(fromMs)
+      const before = countReceived(fleet, LEADER, 'membership/beat')
+      fleet.run(fromMs + SECOND_MS)
+      return countReceived(fleet, LEADER, 'membership/beat') - before
+    }
+    const usual = countSecond(3 * SECOND_MS)
+    fleet.hosts.get(LEADER)!.down = true
+    expect(countSecond(6 * SECOND_MS)).to.be.at.most(usual)
+  })
+
   it('take another way while a relay is down, and while relay and leader are', function () {
     this.timeout(60_000)
     const fleet = FleetSimulation.create(60)
--- a/src/membership/relay.ts
+++ b/src/membership/relay.ts
@@ -4,7 +4,7 @@
  * Leases stay what they are, since each counts from the time at which its own host sent a heartbeat.
  */
 import { pickHeaviest } from '../core/rendezvous.js'
-import type { CoreEffect, Moment, Step } from '../core/message.js'
+import type { CoreEffect, Step } from '../core/message.js'
 import { sendPeer } from '../messages.js'
 import { listChangesSince, listEntries, type Directory, type HostEntry } from './directory.js'
 import type { Heartbeat, HeartbeatAnswered } from './messages.js'
@@ -12,8 +12,6 @@
 
 /** The number of hosts from which on a fleet is large and heartbeats are relayed; a leader serves fewer directly, which is faster. */
 export const MIN_RELAYED_HOSTS = 16
-/** How long a relay holds heartbeats without an answer of the leader: three of its own. */
-const RELAY_CONTACT_MS = 300
 /** The number of own heartbeats for which an answer of the leader is awaited. */
 const MAX_PENDING_ROUNDS = 20
 
@@ -39,12 +37,12 @@
 }
 
 /**
- * Tells whether this host relays a heartbeat, rather than redirecting its sender to the leader.
- * @example isRelayed(state, heartbeat, moment)
+ * Tells whether this host relays a heartbeat, rather than redirecting its sender to the leader. It relays while the leader
+ * does not answer, too: a leader that is short of processor time must not get a message from every host instead.
+ * @example isRelayed(state, heartbeat)
  */
-export function isRelayed (state: MembershipState, heartbeat: Heartbeat, moment: Moment): boolean {
+export function isRelayed (state: MembershipState, heartbeat: Heartbeat): boolean {
   if (state.self?.control !== true || state.leader === undefined || heartbeat.self.control === true) return false
-  if (moment.monotonicMs - state.leaderAnsweredAtMs > RELAY_CONTACT_MS) return false
   return isNewcomer(state.directory, heartbeat.self) || listEntries(state.directory, 'host').length >= MIN_RELAYED_HOSTS
 }
 
