Lenders ask a late leader one thing at a time

A lender that misses a share renewed ten times a second whether the leader answered or not, and each of its workspaces borrowed for itself every 250 to 500 ms: 446 renewals and 300 loans a second at a new leader with 49 lenders, which it had no time to answer. Same class as the questions for versions: what is not answered is asked again, by all, of one host.

A lender now waits a second for the answer to a renewal, and sends a leader that left a loan unanswered one loan at a time, for whichever workspace, after a pause of up to a second. lateleader.test.ts: 10 renewals in 10 s in place of 19, at most one loan in 250 ms in place of 160 in 5 s.

--- a/src/admission/lease.ts
+++ b/src/admission/lease.ts
@@ -20,6 +20,8 @@
 const EMPTY_RENEWAL_INTERVAL_MS = 1_000
 /** Renewal interval of a lender: its workspaces have no other holder that waits for a part of its shares. */
 const LENDER_RENEWAL_INTERVAL_MS = 500
+/** How long a lender waits for the answer to a renewal before it sends the next one: the leader may be short of processor time. */
+const RENEWAL_TIMEOUT_MS = 1_000
 /** The demand of a lender without loans, as a fraction of the rate. */
 const IDLE_LENDER_FRACTION = 0.02
 /** A demand is reported again once it differs by more than this fraction from the last reported value. */
@@ -58,13 +60,21 @@
   const reportsAll = current.applied === 0 || round % FULL_REPORT_ROUNDS === 0
   const demands = listChanged(counted, reportsAll)
   const changes = counted.map(([key, item]) => [key, markReported(item, reportsAll)] as const)
-  const lease: ShareLease = { ...current, round, borrowsFromRound: role === 'borrower' ? current.borrowsFromRound ?? round : undefined, demandUpdatedAtMs: moment.monotonicMs, sentAtMsByRound: recordRound(current, round, moment) }
-  const isNeeded = lease.leader !== undefined && isRenewalNeeded(shared, lease, counted)
-  const renewals = isNeeded && moment.monotonicMs >= lease.confirmsFromMs ? [sendRenewal(lease, demands, listHeld(lease, counted), role, moment)] : []
+  const asked: ShareLease = { ...current, round, borrowsFromRound: role === 'borrower' ? current.borrowsFromRound ?? round : undefined, demandUpdatedAtMs: moment.monotonicMs }
+  const isNeeded = asked.leader !== undefined && isRenewalNeeded(shared, asked, counted)
+  const isSent = isNeeded && moment.monotonicMs >= asked.confirmsFromMs && !isAwaited(shared, current, moment)
+  const lease: ShareLease = isSent ? { ...asked, sentAtMsByRound: recordRound(current, round, moment) } : asked
+  const renewals = isSent ? [sendRenewal(lease, demands, listHeld(lease, counted), role, moment)] : []
   const emptyRounds = !isNeeded || isSettled(shared, counted) ? 0 : current.emptyRounds + 1
   return { shared: { ...shared, lease: { ...lease, emptyRounds } }, changes, effects: [...renewals, createRenewalTimer(computeRenewalIntervalMs(shared, emptyRounds))] }
 }
 
+// In a large fleet many lenders would ask a late leader again, and make it later. What an answer brings stays valid.
+function isAwaited ({ lenders }: AdmissionShared, { sentAtMsByRound, applied }: ShareLease, { monotonicMs }: Moment): boolean {
+  if (lenders.length === 0) return false
+  return [...sentAtMsByRound].some(([round, sentAtMs]) => round > applied && monotonicMs - sentAtMs < RENEWAL_TIMEOUT_MS)
+}
+
 type CountedDemand = ReadonlyArray<readonly [string, Allowance]>
 
 function countDemand ({ shared, items }: AdmissionStore, current: ShareLease, moment: Moment): CountedDemand {
--- a/src/admission/lending.ts
+++ b/src/admission/lending.ts
@@ -18,8 +18,8 @@
 const SILENT_LENDER_MS = 500
 /** How often that time doubles: up to 4 s. */
 const MAX_LENDER_DOUBLINGS = 3
-/** How often the backoff after an unanswered loan of the leader doubles: up to 0.5 s, so that hosts do not overload a leader that has just started. */
-const MAX_LEADER_DOUBLINGS = 1
+/** How often the backoff after an unanswered loan of the leader doubles: up to 1 s, so that hosts do not overload a leader that has just started. */
+const MAX_LEADER_DOUBLINGS = 2
 /** A timer that fires later than this says that the host itself was late: the answer may have come and wait. */
 const MAX_OWN_DELAY_MS = 50
 
@@ -85,6 +85,18 @@
   return { ...shared, silentLenders: new Map(shared.silentLenders).set(lender ?? LEADER, silence) }
 }
 
+/**
+ * Records that a loan is asked of a lender that left the last one unanswered: the loans of other workspaces wait for the
+ * outcome, so that a host sends one at a time to a lender that is short of processor time.
+ * @example recordAttempt(shared, 'host-2', moment)
+ */
+export function recordAttempt (shared: AdmissionShared, lender: string | undefined, { monotonicMs }: Moment): AdmissionShared {
+  const silence = findSilence(shared, lender)
+  if (silence === undefined) return shared
+  const untilMs = Math.max(silence.untilMs, monotonicMs + LOAN_MS)
+  return { ...shared, silentLenders: new Map(shared.silentLenders).set(lender ?? LEADER, { ...silence, untilMs }) }
+}
+
 /**
  * Records that a loan was answered in time.
  * @example recordAnswer(shared, loan).silentLenders.size
--- a/src/admission/rates.ts
+++ b/src/admission/rates.ts
@@ -6,7 +6,7 @@
 import { sendPeer, setTimer, tell } from '../messages.js'
 import { LOAN_MS, TOTAL_PARTS } from '../shares/state.js'
 import { createAllowance, refillAllowance } from './allowance.js'
-import { answerLoan, createWaitingLoan, findLender, findSilence, getSharesEndMs, grantTokens, recordAnswer, recordSilence } from './lending.js'
+import { answerLoan, createWaitingLoan, findLender, findSilence, getSharesEndMs, grantTokens, recordAnswer, recordAttempt, recordSilence } from './lending.js'
 import type { LoanAnswered, LoanTimedOut, LoanWanted, TokensDue } from './messages.js'
 import { findLimit, type AdmissionShared, type Allowance, type PendingLoan, type WaitingRequest } from './state.js'
 import { computeRetryAfterMs, estimateLocalWaitMs, estimateWaitMs, insertWaiting, splitWaiting } from './waiting.js'
@@ -192,7 +192,7 @@
   const toLeader = lease.leader === undefined ? [] : [sendPeer(lease.leader, { kind: 'shares/wanted', epoch: lease.epoch, ...wanted, lendsOn: shared.lenders.length > 0 ? true : undefined })]
   const sent = lender === undefined ? toLeader : [sendPeer(lender, { kind: 'admission/loan-wanted', ...wanted })]
   return {
-    shared: { ...shared, lease: { ...lease, nextLoanId: lease.nextLoanId + 1 } },
+    shared: recordAttempt({ ...shared, lease: { ...lease, nextLoanId: lease.nextLoanId + 1 } }, lender, moment),
     allowance: { ...allowance, loan: { holder, loan, lender, sentAtMs: moment.monotonicMs } },
     effects: [...sent, setTimer(formatTimerName(key), LOAN_MS, { kind: 'admission/loan-overdue', holder, loan, workspace: key })]
   }
