A late owner's silence is not its primary's

An owner that is short of processor time finds the answers of its databases late and reports them as old, so the leader took the primary for silent; the successor's owner then got the load, and was late next. Class: a delay of the observer is taken for one of what it observes.

An owner now counts the time without an answer on the clock of a loop that is on time, as hosts do for their contact with the control hosts, and reports it beside the age of the answer. The leader counts silence by the former; proofs of a role and candidates still rest on the age.

--- a/src/membership/contact.ts
+++ b/src/membership/contact.ts
@@ -74,7 +74,7 @@
   const nowMs = moment.monotonicMs
   const elapsedMs = nowMs - (contact.tickedAtMs ?? nowMs)
   const lateMs = Math.max(contact.lateMs, elapsedMs - intervalMs)
-  const quietMs = contact.quietMs + Math.min(elapsedMs, MAX_TICK_INTERVALS * intervalMs)
+  const quietMs = contact.quietMs + computeTimelyMs(elapsedMs, intervalMs)
   const ticked: ControlContact = { ...contact, tickedAtMs: nowMs, lateMs, quietMs }
   const isSilent = nowMs - (contact.confirmedAtMs ?? nowMs) >= SILENT_AFTER_MS
   if (!isSilent) return { contact: ticked, effects: [] }
@@ -83,6 +83,15 @@
   return { contact: { ...judged.contact, silent: true }, effects: [...recordSilence(ticked, nowMs), ...asked.effects, ...judged.effects] }
 }
 
+/**
+ * Returns how much of the time between two heartbeats counts towards the silence of others: a late heartbeat shows that this
+ * host was not on time, so that answers may wait.
+ * @example computeTimelyMs(1_500, 100) // 200
+ */
+export function computeTimelyMs (elapsedMs: number, intervalMs: number): number {
+  return Math.min(elapsedMs, MAX_TICK_INTERVALS * intervalMs)
+}
+
 function recordSilence ({ silent, confirmedAtMs = 0, lateMs }: ControlContact, nowMs: number): readonly CoreEffect[] {
   if (silent) return []
   return [recordEvent('confirmation-missing', `The leader has confirmed nothing for ${Math.round(nowMs - confirmedAtMs)} ms; the loop of this host was ${Math.round(lateMs)} ms late.`)]
--- a/src/membership/decide.ts
+++ b/src/membership/decide.ts
@@ -2,7 +2,7 @@
 import { writeLog, type CoreEffect, type Moment, type Step } from '../core/message.js'
 import type { ProbeDatabase } from '../databases/driver.js'
 import { findEntryErrors } from './entry.js'
-import { recordConfirmation, recordTick, recordVersions } from './contact.js'
+import { computeTimelyMs, recordConfirmation, recordTick, recordVersions } from './contact.js'
 import { followLeader, listControlHosts, listHeartbeatTargets, followHint, rankControlHosts } from './discovery.js'
 import { reportRollout } from './rollout.js'
 import { applyChanges, listEntries, type DatabaseEntry, type DatabaseStatus, type Directory, type HostEntry } from './directory.js'
@@ -103,8 +103,11 @@
 }
 
 function handleHeartbeatDue (state: MembershipState, moment: Moment): MembershipStep {
-  const ticked = recordTick(state.contact, rankControlHosts(state), computeHeartbeatIntervalMs(state), moment)
-  const sent = sendHeartbeat({ ...state, contact: ticked.contact }, moment)
+  const intervalMs = computeHeartbeatIntervalMs(state)
+  const timelyMs = computeTimelyMs(moment.monotonicMs - (state.contact.tickedAtMs ?? moment.monotonicMs), intervalMs)
+  const statuses = new Map([...state.statuses].map(([database, known]) => [database, { ...known, silentMs: known.silentMs + timelyMs }]))
+  const ticked = recordTick(state.contact, rankControlHosts(state), intervalMs, moment)
+  const sent = sendHeartbeat({ ...state, statuses, contact: ticked.contact }, moment)
   return { state: sent.state, effects: [...sent.effects, ...ticked.effects] }
 }
 
@@ -122,7 +125,7 @@
     leftAtMs: state.leaderClockOffsetMs === undefined ? undefined : moment.monotonicMs + state.leaderClockOffsetMs,
     revision: state.directory.revision,
     databases: listAnnounced(state, moment),
-    statuses: [...state.statuses.values()].map(known => ({ ...known.status, ageMs: moment.monotonicMs - known.askedAtMs })),
+    statuses: [...state.statuses.values()].map(known => ({ ...known.status, ageMs: moment.monotonicMs - known.askedAtMs, silentMs: known.silentMs })),
     relayed: next.relayedHeartbeats.get(round)
   }
   return { state: next, effects: [...targets.map(target => sendPeer(target, heartbeat)), createHeartbeatTimer(state)] }
@@ -258,13 +261,15 @@
   const known = state.statuses.get(database)
   if (known !== undefined && known.askedAtMs > askedAtMs) return state
   const status: DatabaseStatus = { fencedTerm: 0, ...known?.status, database, answering: true, position, primary: proven }
-  return { ...state, statuses: new Map(state.statuses).set(database, { status, askedAtMs, provenAtMs: proven ? askedAtMs : known?.provenAtMs }) }
+  return { ...state, statuses: new Map(state.statuses).set(database, { status, askedAtMs, provenAtMs: proven ? askedAtMs : known?.provenAtMs, silentMs: 0 }) }
 }
 
 function recordProbe (state: MembershipState, message: ProbeCompleted): MembershipStep {
   const { status, askedAtMs } = message
-  const provenAtMs = status.primary ? askedAtMs : state.statuses.get(status.database)?.provenAtMs
-  const statuses = new Map(state.statuses).set(status.database, { status, askedAtMs, provenAtMs })
+  const known = state.statuses.get(status.database)
+  const provenAtMs = status.primary ? askedAtMs : known?.provenAtMs
+  const silentMs = status.answering ? 0 : known?.silentMs ?? 0
+  const statuses = new Map(state.statuses).set(status.database, { status, askedAtMs, provenAtMs, silentMs })
   const effects: CoreEffect[] = [tell({ kind: 'routing/status-read', status: message.status, askedAtMs: message.askedAtMs })]
   if (message.status.answering) {
     effects.push(tell({ kind: 'transactions/position-read', database: message.status.database, position: message.status.position }))
--- a/src/membership/directory.ts
+++ b/src/membership/directory.ts
@@ -101,6 +101,11 @@
   readonly discarded?: number
   /** The age of the status when its owner sent the report, in milliseconds. */
   readonly ageMs?: number
+  /**
+   * Time without an answer when its owner sent the report, in milliseconds, on the clock of a loop that is on time: an owner
+   * that is short of processor time finds answers late. Absent from owners of an earlier version.
+   */
+  readonly silentMs?: number
 }
 
 /**
--- a/src/membership/state.ts
+++ b/src/membership/state.ts
@@ -35,6 +35,8 @@
   readonly askedAtMs: number
   /** A time before the last answer that proved the database to be primary. */
   readonly provenAtMs?: number
+  /** Time since the last answer, on the clock of a loop that is on time. */
+  readonly silentMs: number
 }
 
 /** A host that sends heartbeats to this leader. */
--- a/src/succession/candidates.ts
+++ b/src/succession/candidates.ts
@@ -51,7 +51,7 @@
 export function findReplacementReason (state: SuccessionState, primary: TrackedDatabase | undefined, nowMs: number): ReplacementReason | undefined {
   if (primary === undefined) return nowMs - state.leadingSinceMs > ANNOUNCEMENT_WAIT_MS ? 'gone' : undefined
   if (primary.entry.departing) return 'departing'
-  const sinceMs = isDomainPartitioned(state, primary) ? state.leadingSinceMs : Math.max(primary.answeredAtMs ?? estimateFirstAnswerMs(primary), state.leadingSinceMs + REPORT_WAIT_MS)
+  const sinceMs = isDomainPartitioned(state, primary) ? state.leadingSinceMs : Math.max(primary.silentSinceMs ?? primary.answeredAtMs ?? estimateFirstAnswerMs(primary), state.leadingSinceMs + REPORT_WAIT_MS)
   const timeoutMs = isOwnerFailoverPending(state, primary, nowMs) ? OWNER_FAILOVER_MS : PRIMARY_TIMEOUT_MS
   if (findReportedUntilMs(state, primary, nowMs) - sinceMs >= timeoutMs) return 'silent'
   // The owner asks a primary for its role each second, so one that answers without proof is not primary.
--- a/src/succession/decide.ts
+++ b/src/succession/decide.ts
@@ -118,12 +118,20 @@
   if (known === undefined) return
   const answeredAtMs = sentAtMs - (status.ageMs ?? 0)
   const reportedAtMs = Math.max(sentAtMs, known.reportedAtMs ?? -Infinity)
-  if (!status.answering) databases.set(status.database, { ...known, owner: host, reportedAtMs })
+  const silentSinceMs = computeSilentSinceMs(known, host, status, sentAtMs)
+  if (!status.answering) databases.set(status.database, { ...known, owner: host, reportedAtMs, silentSinceMs })
   else if (answeredAtMs >= (known.answeredAtMs ?? 0)) {
-    databases.set(status.database, { ...known, owner: host, reportedAtMs, status, answeredAtMs, lastSeenAtMs: Math.max(known.lastSeenAtMs, sentAtMs), provenAtMs: status.primary ? answeredAtMs : known.provenAtMs })
+    databases.set(status.database, { ...known, owner: host, reportedAtMs, status, answeredAtMs, silentSinceMs, lastSeenAtMs: Math.max(known.lastSeenAtMs, sentAtMs), provenAtMs: status.primary ? answeredAtMs : known.provenAtMs })
   }
 }
 
+// A host that has just become the owner does not know how long the database has not answered.
+function computeSilentSinceMs ({ owner, silentSinceMs }: TrackedDatabase, host: string, { answering, ageMs = 0, silentMs }: DatabaseStatus, sentAtMs: number): number | undefined {
+  if (answering) return Math.max(silentSinceMs ?? -Infinity, sentAtMs - Math.min(silentMs ?? ageMs, ageMs))
+  if (silentSinceMs === undefined || silentMs === undefined || owner !== host) return silentSinceMs
+  return Math.max(silentSinceMs, sentAtMs - silentMs)
+}
+
 function removeDatabase (state: SuccessionState, database: string): SuccessionState {
   const databases = new Map(state.databases)
   databases.delete(database)
--- a/src/succession/state.ts
+++ b/src/succession/state.ts
@@ -29,6 +29,8 @@
   readonly status?: DatabaseStatus
   /** Lower bound for the time of its last answer; undefined if it has not answered. */
   readonly answeredAtMs?: number
+  /** The time from which its silence counts: the last answer, unless the owner was short of processor time since. */
+  readonly silentSinceMs?: number
   /** Lower bound for the time of its last answer that proved it to be primary. */
   readonly provenAtMs?: number
   /** When it took the place of a former start of its instance, while it may lack writes that this one acknowledged. */
--- a/test/lateowner.test.ts
+++ b/test/lateowner.test.ts
@@ -27,9 +27,12 @@
   /** Probes of the primary since its owner is late. */
   lateProbes = 0
   readonly #fleet: FleetSimulation
+  readonly #answersUntilMs: number
   #owner: string | undefined
 
-  private constructor () {
+  /** @param answersUntilMs when the primary ceases to answer. */
+  private constructor (answersUntilMs: number) {
+    this.#answersUntilMs = answersUntilMs
     const hosts: readonly SimulatedHostParts[] = [
       ...CONTROL.map((name, index) => ({ name, failureDomain: DOMAINS[index]!, control: true })),
       ...Array.from({ length: ENTRY_HOSTS }, (_, index) => ({ name: `entry-${index}`, failureDomain: DOMAINS[index % DOMAINS.length]!, control: false }))
@@ -37,8 +40,8 @@
     this.#fleet = FleetSimulation.create(hosts, 1, 'kept', (host, effect) => this.#observe(host, effect))
   }
 
-  static run (): Fleet {
-    const fleet = new Fleet()
+  static run (answersUntilMs = Infinity): Fleet {
+    const fleet = new Fleet(answersUntilMs)
     fleet.#plan()
     fleet.#fleet.run(END_MS)
     return fleet
@@ -64,6 +67,7 @@
     if (effect.kind !== 'database/probe') return
     const { database, askedAtMs } = effect as ProbeDatabase
     if (database === PRIMARY) this.#recordProbe(host)
+    if (database === PRIMARY && this.#fleet.nowMs >= this.#answersUntilMs) return
     const status = { database, answering: true, primary: database === PRIMARY, position: { term: 1, offset: 1 }, fencedTerm: 0 }
     this.#fleet.schedule(ANSWER_MS, () => this.#fleet.post(host, { kind: 'membership/probed', status, askedAtMs }))
   }
@@ -80,4 +84,9 @@
     expect(lateProbes).to.be.above(0)
     expect(appointed).to.deep.equal([])
   })
+
+  it('is replaced once it ceases to answer, although its owner is short of processor time', () => {
+    const [successor] = Fleet.run(LATE_FROM_MS + 1_000).appointed
+    expect(successor).to.be.oneOf(['db-1', 'db-2'])
+  })
 })
