--- a/src/membership/lenders.test.ts
+++ b/src/membership/lenders.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai'
 import { createDirectory, putEntry, type DirectoryEntry, type HostEntry } from './directory.js'
 import { listLenders } from './lenders.js'
-import { listOwners } from './owners.js'
+import { allocateOwners } from './owners.js'
 
 const DOMAINS = ['a', 'b', 'c']
 
@@ -20,7 +20,7 @@
 
   it('grow with the fleet, and are no control hosts and no owners of databases', () => {
     const lenders = list([...CONTROL, ...HOSTS])
-    const owners = listOwners(DATABASES, [...CONTROL, ...HOSTS])
+    const owners = new Set(allocateOwners(DATABASES, [...CONTROL, ...HOSTS]).values())
     expect(lenders).to.have.length(10)
     expect(lenders.filter(host => host.startsWith('control') || owners.has(host))).to.deep.equal([])
   })
--- a/src/membership/lenders.ts
+++ b/src/membership/lenders.ts
@@ -4,7 +4,7 @@
  */
 import { rankCandidates } from '../core/rendezvous.js'
 import { listEntries, type Directory } from './directory.js'
-import { listOwners } from './owners.js'
+import { allocateOwners } from './owners.js'
 import { MIN_RELAYED_HOSTS } from './relay.js'
 
 /** The hosts of the fleet for each lender: few enough for the loans of their requests, and many enough to keep links few. */
@@ -20,7 +20,7 @@
 export function listLenders (directory: Directory): readonly string[] {
   const hosts = listEntries(directory, 'host')
   if (hosts.length < MIN_RELAYED_HOSTS) return []
-  const owners = listOwners(listEntries(directory, 'database'), hosts)
+  const owners = new Set(allocateOwners(listEntries(directory, 'database'), hosts).values())
   const active = hosts.filter(host => !host.draining)
   const others = active.filter(host => host.control !== true)
   const free = others.filter(host => !owners.has(host.host))
--- a/src/membership/operators.ts
+++ b/src/membership/operators.ts
@@ -3,7 +3,7 @@
 import { sendPeer, tell } from '../messages.js'
 import { listEntries, type DatabaseEntry, type GrantEntry, type HostEntry, type Revision } from './directory.js'
 import type { DrainRequested, StatusRequested } from './messages.js'
-import { findOwner, listCandidates } from './owners.js'
+import { allocateOwners } from './owners.js'
 import type { MembershipState } from './state.js'
 
 /** A host with the directory revision that it confirmed, as known to the answering host. */
@@ -65,14 +65,15 @@
   const { leaderState, leader, self } = state
   const directory = leaderState?.directory ?? state.directory
   const hosts = listEntries(directory, 'host')
-  const candidates = listCandidates(hosts)
+  const databases = listEntries(directory, 'database')
+  const owners = allocateOwners(databases, hosts)
   return {
     host: self?.host,
     leader,
     leads: leaderState !== undefined,
     revision: directory.revision,
     hosts: hosts.map(entry => createHostStatus(state, entry, moment)),
-    databases: listEntries(directory, 'database').map(entry => ({ ...entry, owner: findOwner(entry, candidates) })),
+    databases: databases.map(entry => ({ ...entry, owner: owners.get(entry.database) })),
     groups: listEntries(directory, 'grant'),
     documents: listEntries(directory, 'document').map(({ service, version }) => ({ service, version }))
   }
--- a/src/membership/owners.ts
+++ b/src/membership/owners.ts
@@ -1,52 +1,59 @@
 /** Ownership: the one host that executes all requests of a database. */
-import { pickHeaviest } from '../core/rendezvous.js'
+import { rankCandidates } from '../core/rendezvous.js'
 import type { DatabaseEntry, HostEntry } from './directory.js'
 
-/** The hosts that may own databases, by failure domain, and those that own the databases of the other domains. */
-export interface OwnerCandidates {
-  readonly byDomain: ReadonlyMap<string, readonly string[]>
-  readonly elsewhere: readonly string[]
-}
-
 /**
- * Lists the hosts that may own databases. Draining hosts are excluded unless all of their domain are draining. A domain
- * without such hosts leaves its databases to the hosts of any domain that declare `apart: false`.
- * @example listCandidates(hosts).byDomain.get('east') // ['host-1', 'host-2']
+ * Gives each database an owner: of the hosts of its failure domain the heaviest by rendezvous hashing that owns fewer
+ * databases than an equal part of them, so that no host owns two while another one owns none. Databases keep their owners
+ * when they start again, and most keep them when a host joins or leaves.
+ * @example allocateOwners(databases, hosts).get('db-1') // 'host-2'
  */
-export function listCandidates (hosts: readonly HostEntry[]): OwnerCandidates {
+export function allocateOwners (databases: readonly DatabaseEntry[], hosts: readonly HostEntry[]): ReadonlyMap<string, string> {
   const serving = hosts.filter(host => host.apart !== true)
-  const domains = new Map<string, HostEntry[]>()
-  for (const host of serving) {
-    const known = domains.get(host.failureDomain)
-    if (known === undefined) domains.set(host.failureDomain, [host])
-    else known.push(host)
-  }
-  return {
-    byDomain: new Map([...domains].map(([domain, members]) => [domain, listActive(members)])),
-    elsewhere: listActive(serving.filter(host => host.apart === false))
+  const hostsByDomain = collectBy(serving, host => host.failureDomain)
+  const elsewhere = listActive(serving.filter(host => host.apart === false))
+  // The databases of a domain without hosts belong to the hosts of any domain that declare `apart: false`.
+  const domains = collectBy(databases, ({ failureDomain }) => (hostsByDomain.has(failureDomain) ? failureDomain : ''))
+  const owners = new Map<string, string>()
+  for (const [domain, members] of domains) allocateDomain(owners, members, domain === '' ? elsewhere : listActive(hostsByDomain.get(domain)!))
+  return owners
+}
+
+function allocateDomain (owners: Map<string, string>, databases: readonly DatabaseEntry[], candidates: readonly string[]): void {
+  if (candidates.length === 0) return
+  const most = Math.ceil(databases.length / candidates.length)
+  const counts = new Map<string, number>()
+  for (const { name, database } of listByName(databases)) {
+    const owner = rankCandidates(name, candidates).find(host => (counts.get(host) ?? 0) < most)!
+    counts.set(owner, (counts.get(owner) ?? 0) + 1)
+    owners.set(database, owner)
   }
 }
 
-function listActive (hosts: readonly HostEntry[]): readonly string[] {
-  const active = hosts.filter(host => !host.draining)
-  return (active.length > 0 ? active : hosts).map(host => host.host)
+// Two starts of an instance may be known at a time.
+function listByName (databases: readonly DatabaseEntry[]): ReadonlyArray<{ readonly name: string, readonly database: string }> {
+  const named = databases.map(({ group, incarnation, database }) => ({ name: `${group}/${incarnation?.instance ?? database}`, database }))
+  return named.sort((a, b) => (a.name === b.name ? compareText(a.database, b.database) : compareText(a.name, b.name)))
 }
 
-/**
- * Returns the owner of a database by rendezvous hashing among the candidates of its failure domain.
- * @example findOwner(database, listCandidates(hosts)) // 'host-2'
- */
-export function findOwner (database: DatabaseEntry, { byDomain, elsewhere }: OwnerCandidates): string | undefined {
-  return pickHeaviest(database.database, byDomain.get(database.failureDomain) ?? elsewhere)
+function compareText (a: string, b: string): number {
+  return a === b ? 0 : a < b ? -1 : 1
 }
 
-/**
- * Lists the hosts that own a database.
- * @example listOwners(databases, hosts).has('host-2')
- */
-export function listOwners (databases: readonly DatabaseEntry[], hosts: readonly HostEntry[]): ReadonlySet<string> {
-  const candidates = listCandidates(hosts)
-  return new Set(databases.flatMap(database => findOwner(database, candidates) ?? []))
+function collectBy<T> (items: readonly T[], readKey: (item: T) => string): ReadonlyMap<string, readonly T[]> {
+  const groups = new Map<string, T[]>()
+  for (const item of items) {
+    const known = groups.get(readKey(item))
+    if (known === undefined) groups.set(readKey(item), [item])
+    else known.push(item)
+  }
+  return groups
+}
+
+// Draining hosts are passed over, unless all of them are.
+function listActive (hosts: readonly HostEntry[]): readonly string[] {
+  const active = hosts.filter(host => !host.draining)
+  return (active.length > 0 ? active : hosts).map(host => host.host)
 }
 
 /**
@@ -54,6 +61,6 @@
  * @example listOwned('host-2', databases, hosts)
  */
 export function listOwned (host: string, databases: readonly DatabaseEntry[], hosts: readonly HostEntry[]): readonly DatabaseEntry[] {
-  const candidates = listCandidates(hosts)
-  return databases.filter(database => findOwner(database, candidates) === host)
+  const owners = allocateOwners(databases, hosts)
+  return databases.filter(({ database }) => owners.get(database) === host)
 }
--- a/src/routing/polling.test.ts
+++ b/src/routing/polling.test.ts
@@ -3,7 +3,7 @@
 import type { Effect, SendPeer, Tell } from '../core/message.js'
 import { ORIGIN } from '../core/position.js'
 import type { DatabaseEntry, GrantEntry, HostEntry } from '../membership/directory.js'
-import { findOwner, listCandidates } from '../membership/owners.js'
+import { allocateOwners } from '../membership/owners.js'
 import type { RunRequest } from '../transactions/messages.js'
 import { decideRouting } from './decide.js'
 import type { RoutingMessage } from './messages.js'
@@ -40,7 +40,7 @@
 // Sends reads of all groups within one second, each answered, and returns the polls of the next round.
 function countPolls (size: number, owns: boolean): number {
   const fleet = createFleet(size)
-  const owners = new Set(fleet.databases.map(database => findOwner(database, listCandidates(fleet.hosts))))
+  const owners = new Set(allocateOwners(fleet.databases, fleet.hosts).values())
   const host = fleet.hosts.find(entry => owners.has(entry.host) === owns)!
   let state = createState(fleet, host)
   for (let number = 0; number < REQUESTS; number++) {
@@ -64,8 +64,7 @@
 
   it('polls an owner that leaves a request unanswered until it answers, and avoids it meanwhile', () => {
     const fleet = createFleet(60)
-    const candidates = listCandidates(fleet.hosts)
-    const owners = new Set(fleet.databases.map(database => findOwner(database, candidates)))
+    const owners = new Set(allocateOwners(fleet.databases, fleet.hosts).values())
     let state = createState(fleet, fleet.hosts.find(entry => !owners.has(entry.host))!)
     const choose = (nowMs: number): string => {
       const step = decide(state, { kind: 'routing/choose', caller: 'c', attempt: 1, rules: { ...RULES, group: 'g0' }, seen: ORIGIN, avoid: [] }, nowMs)
@@ -87,7 +86,7 @@
 
   it('reaches every owner in turn, so that links are open before requests need them', () => {
     const fleet = createFleet(200)
-    const owners = new Set(fleet.databases.map(database => findOwner(database, listCandidates(fleet.hosts))!))
+    const owners = new Set(allocateOwners(fleet.databases, fleet.hosts).values())
     let state = createState(fleet, fleet.hosts.find(entry => !owners.has(entry.host))!)
     const polled = new Set<string>()
     for (let round = 0; round < GROUPS * COPIES; round++) {
