The leader of a large fleet gets fewer heartbeats, and drops no late hosts

When it was late, it removed hosts whose heartbeats waited, and each removal and return was a change for all. Class: a role's load that grows with hosts; a delay of the observer taken for one of what it observes.

Hosts without databases now send a heartbeat in two to four intervals, by the size of the fleet, and stay in the directory for 2.5 s. Owners and control hosts keep 100 ms and 1 s.

--- a/src/membership/contact.ts
+++ b/src/membership/contact.ts
@@ -79,7 +79,7 @@
   const isSilent = nowMs - (contact.confirmedAtMs ?? nowMs) >= SILENT_AFTER_MS
   if (!isSilent) return { contact: ticked, effects: [] }
   const asked = askVersions(ticked, controlHosts, moment)
-  const judged = setIsolated(asked.contact, quietMs >= ISOLATED_AFTER_MS)
+  const judged = setIsolated(asked.contact, contact.isolated || (quietMs >= ISOLATED_AFTER_MS && isAnswerOverdue(contact, nowMs)))
   return { contact: { ...judged.contact, silent: true }, effects: [...recordSilence(ticked, nowMs), ...asked.effects, ...judged.effects] }
 }
 
@@ -92,6 +92,11 @@
   return Math.min(elapsedMs, MAX_TICK_INTERVALS * intervalMs)
 }
 
+// The control hosts that were asked soon, one after the other, all had time to answer.
+function isAnswerOverdue ({ round, sentAtMsByRound, unanswered }: ControlContact, nowMs: number): boolean {
+  return unanswered >= SOON_ASKED && nowMs - (sentAtMsByRound.get(round) ?? nowMs) >= ASK_NEXT_AFTER_MS
+}
+
 function recordSilence ({ silent, confirmedAtMs = 0, lateMs }: ControlContact, nowMs: number): readonly CoreEffect[] {
   if (silent) return []
   return [recordEvent('confirmation-missing', `The leader has confirmed nothing for ${Math.round(nowMs - confirmedAtMs)} ms; the loop of this host was ${Math.round(lateMs)} ms late.`)]
--- a/src/membership/decide.ts
+++ b/src/membership/decide.ts
@@ -14,7 +14,7 @@
 import { allocateOwners } from './owners.js'
 import type { Announcement, MembershipState } from './state.js'
 import { answerStatus, drainHost } from './operators.js'
-import { answerRelayed, findRelay, forwardHeld, holdHeartbeat, isRelayed } from './relay.js'
+import { answerRelayed, countQuietIntervals, findRelay, forwardHeld, holdHeartbeat, isRelayed } from './relay.js'
 import { sendPeer, setTimer, tell } from '../messages.js'
 
 /**
@@ -25,9 +25,6 @@
 /** How long an answer to a heartbeat is accepted. */
 const HEARTBEAT_TTL_MS = 5_000
 
-/** The intervals between two heartbeats of a host with a relay and without databases. */
-const RELAYED_INTERVALS = 2
-
 /** The effects of the membership slice. */
 export type MembershipEffect = CoreEffect | ProbeDatabase
 type MembershipStep = Step<MembershipState, MembershipEffect>
@@ -156,8 +153,9 @@
   const ownedDatabases = changed ? listOwnDatabases(state, directory, owners) : state.ownedDatabases
   const statuses = filterOwnedStatuses(state.statuses, ownedDatabases)
   const relay = changed ? findRelay(directory, state.self) : state.relay
+  const quietIntervals = changed ? countQuietIntervals(directory) : state.quietIntervals
   const confirmed = recordConfirmation(state.contact, askedAtMs, moment)
-  const next: MembershipState = { ...state, directory, owners, ownedDatabases, relay, leaderClockOffsetMs, leaderAnsweredAtMs: moment.monotonicMs, contact: confirmed.contact, statuses }
+  const next: MembershipState = { ...state, directory, owners, ownedDatabases, relay, quietIntervals, leaderClockOffsetMs, leaderAnsweredAtMs: moment.monotonicMs, contact: confirmed.contact, statuses }
   const answered = answerRelayed(next, message)
   return { state: answered.state, effects: [...(changed ? notifyChanged(next) : []), ...notifyConfirmed(next, changed, askedAtMs), ...confirmed.effects, ...answered.effects] }
 }
@@ -282,9 +280,8 @@
   return { state: { ...state, statuses }, effects }
 }
 
-// A host that owns no database reports nothing that is urgent, so where a relay serves many, it sends fewer heartbeats.
-function computeHeartbeatIntervalMs ({ timing, relay, ownedDatabases }: MembershipState): number {
-  return timing.beatEveryMs * (relay !== undefined && ownedDatabases.size === 0 ? RELAYED_INTERVALS : 1)
+function computeHeartbeatIntervalMs ({ timing, relay, ownedDatabases, quietIntervals }: MembershipState): number {
+  return timing.beatEveryMs * (relay !== undefined && ownedDatabases.size === 0 ? quietIntervals : 1)
 }
 
 function createHeartbeatTimer (state: MembershipState): CoreEffect {
--- a/src/membership/discovery.ts
+++ b/src/membership/discovery.ts
@@ -9,8 +9,8 @@
 
 /** Without an answer for this long, the leader may have been replaced. */
 const LEADER_TIMEOUT_MS = 300
-/** Without an answer for this long, the relay may be down: two intervals of a host without databases, and the relay's own. */
-const RELAY_TIMEOUT_MS = 600
+/** Without an answer for this long beyond two intervals of a host without databases, the relay may be down. */
+const RELAY_TIMEOUT_MS = 200
 /** Heartbeats to one control host before a host that has just started tries the next one: time for a link to open, and for a relay. */
 const FIRST_TARGET_ROUNDS = 4
 
@@ -26,7 +26,7 @@
   const { relay, leaderAnsweredAtMs, heartbeatRound } = state
   const unansweredMs = moment.monotonicMs - leaderAnsweredAtMs
   if (relay === undefined) return listLeaderTargets(state, unansweredMs, heartbeatRound)
-  if (unansweredMs < RELAY_TIMEOUT_MS) return [relay]
+  if (unansweredMs < 2 * state.quietIntervals * state.timing.beatEveryMs + RELAY_TIMEOUT_MS) return [relay]
   const turns = rankControlHosts(state)
   return [turns[heartbeatRound % turns.length]!]
 }
--- a/src/membership/leader.ts
+++ b/src/membership/leader.ts
@@ -4,12 +4,18 @@
 import { keepValidEntries } from './entry.js'
 import { isCurrent, listDoubted, mergeKnownDatabases, recordReports, pruneIncarnations, type IncarnationTable } from './incarnations.js'
 import type { Heartbeat, HostLeft } from './messages.js'
-import type { LeaderState, MembershipState } from './state.js'
+import { MIN_RELAYED_HOSTS } from './relay.js'
+import type { LeaderState, MembershipState, ReportingHost } from './state.js'
 import { proposeStoredDatabases } from './stored.js'
 import { sendPeer, setTimer, tell } from '../messages.js'
 
 /** Time without a heartbeat after which a host is removed from the directory. */
 export const HOST_TIMEOUT_MS = 1_000
+/**
+ * The same for a host of a large fleet that owns no database and serves no control: nothing waits for its removal, it sends
+ * fewer heartbeats, and each removal and return of a host that was only late is a change for all others.
+ */
+const QUIET_HOST_TIMEOUT_MS = 2_500
 /** Time without a report by any host after which a database is removed from the directory. */
 export const DATABASE_TIMEOUT_MS = 1_000
 const SWEEP_INTERVAL_MS = 200
@@ -89,7 +95,7 @@
   let { directory } = leaderState
   for (const { self, revision, databases, statuses } of heartbeats) {
     directory = databases.reduce(putAnnouncedDatabase, putEntry(directory, self))
-    hosts.set(self.host, { entry: self, lastHeartbeatAtMs: moment.monotonicMs, confirmedRevision: revision, databases })
+    hosts.set(self.host, { entry: self, owns: statuses.length > 0, lastHeartbeatAtMs: moment.monotonicMs, confirmedRevision: revision, databases })
     markReported(reportedAtMs, databases, moment.monotonicMs)
     markAnswered(reportedAtMs, statuses.filter(({ database }) => !doubted.has(database)), moment.monotonicMs)
   }
@@ -149,7 +155,7 @@
  * @example evictSilent(state, leaderState, moment)
  */
 export function evictSilent (state: MembershipState, leaderState: LeaderState, moment: Moment): MembershipStep {
-  const hosts = new Map([...leaderState.hosts].filter(([, host]) => moment.monotonicMs - host.lastHeartbeatAtMs <= HOST_TIMEOUT_MS))
+  const hosts = new Map([...leaderState.hosts].filter(([, host]) => moment.monotonicMs - host.lastHeartbeatAtMs <= getHostTimeoutMs(leaderState, host)))
   const databaseReportedAtMs = new Map([...leaderState.databaseReportedAtMs].filter(([, reportedAtMs]) => moment.monotonicMs - reportedAtMs <= DATABASE_TIMEOUT_MS))
   const directory = removeSilent(leaderState.directory, hosts, databaseReportedAtMs)
   const hostAnsweredAtMs = new Map([...leaderState.hostAnsweredAtMs].filter(([, answeredAtMs]) => moment.monotonicMs - answeredAtMs <= ANSWER_RETENTION_MS))
@@ -157,6 +163,10 @@
   return { state: { ...state, incarnations, leaderState: { ...leaderState, directory, hosts, databaseReportedAtMs, hostAnsweredAtMs } }, effects: [...proposeStoredDatabases(state.storedDatabases, directory), createSweepTimer()] }
 }
 
+function getHostTimeoutMs ({ hosts }: LeaderState, { entry, owns }: ReportingHost): number {
+  return owns || entry.control === true || hosts.size < MIN_RELAYED_HOSTS ? HOST_TIMEOUT_MS : QUIET_HOST_TIMEOUT_MS
+}
+
 function removeSilent (directory: Directory, hosts: ReadonlyMap<string, unknown>, databases: ReadonlyMap<string, unknown>): Directory {
   const silentHosts = listEntries(directory, 'host').filter(entry => !hosts.has(entry.host)).map(entry => `host/${entry.host}`)
   const silentDatabases = listEntries(directory, 'database').filter(entry => !databases.has(entry.database)).map(entry => `database/${entry.database}`)
--- a/src/membership/relay.ts
+++ b/src/membership/relay.ts
@@ -12,6 +12,11 @@
 
 /** The number of hosts from which on a fleet is large and heartbeats are relayed; a leader serves fewer directly, which is faster. */
 export const MIN_RELAYED_HOSTS = 16
+/** The hosts of the fleet for each interval of a host without databases: the heartbeats that reach the leader grow no further with it. */
+const HOSTS_PER_INTERVAL = 50
+/** Intervals between two heartbeats of a host with a relay and without databases. */
+const MIN_QUIET_INTERVALS = 2
+const MAX_QUIET_INTERVALS = 4
 /** The number of own heartbeats for which an answer of the leader is awaited. */
 const MAX_PENDING_ROUNDS = 20
 
@@ -36,6 +41,16 @@
   return pickHeaviest(self.host, (near.length > 0 ? near : relays).map(host => host.host))
 }
 
+/**
+ * Returns the number of intervals between two heartbeats of a host with a relay and without databases: it reports nothing
+ * that is urgent, and a larger fleet must not send its leader as many more reports.
+ * @example countQuietIntervals(directory) // 2
+ */
+export function countQuietIntervals (directory: Directory): number {
+  const hosts = listEntries(directory, 'host').length
+  return Math.max(MIN_QUIET_INTERVALS, Math.min(MAX_QUIET_INTERVALS, Math.ceil(hosts / HOSTS_PER_INTERVAL)))
+}
+
 /**
  * Tells whether this host relays a heartbeat, rather than redirecting its sender to the leader. It relays while the leader
  * does not answer, too: a leader that is short of processor time must not get a message from every host instead.
--- a/src/membership/state.ts
+++ b/src/membership/state.ts
@@ -43,6 +43,8 @@
 export interface ReportingHost {
   readonly entry: HostEntry
   readonly lastHeartbeatAtMs: number
+  /** True if it reported the status of a database, so that another host has to own it once this one is gone. */
+  readonly owns: boolean
   /** The revision of the host's directory at its last heartbeat. */
   readonly confirmedRevision: Revision
   readonly databases: readonly DatabaseEntry[]
@@ -90,6 +92,8 @@
   readonly relayedHeartbeats: ReadonlyMap<number, readonly Heartbeat[]>
   /** The control host that relays this host's heartbeats; undefined if they go to the leader. */
   readonly relay?: string
+  /** Intervals between two heartbeats while this host has a relay and owns no database. */
+  readonly quietIntervals: number
   readonly announcements: ReadonlyMap<string, Announcement>
   readonly statuses: ReadonlyMap<string, TimedStatus>
   /** This host's copy of the directory. */
@@ -119,6 +123,7 @@
     contact: NO_CONTACT,
     heartbeatRound: 0,
     heartbeatSentAtMs: new Map(),
+    quietIntervals: 1,
     heldHeartbeats: new Map(),
     relayedHeartbeats: new Map(),
     announcements: new Map(),
