A late owner costs no primary where databases do not fence themselves, either

The same fault as in succession, looked for elsewhere: primacy counted the age of a status as the primary's silence, up to the present moment, so an owner whose reports are late and old lost its primary. It now counts what the owner reports on its timely clock, up to the owner's last report while that is recent.

--- a/src/primacy/decide.test.ts
+++ b/src/primacy/decide.test.ts
@@ -36,14 +36,14 @@
   return message?.kind === 'agreement/propose' ? [message.command] : []
 }
 
-function report (leader: FakeLeader, host: string, domain: string, databases: ReadonlyArray<readonly [name: string, term: number, departing?: boolean]>, nowMs: number): void {
+function report (leader: FakeLeader, host: string, domain: string, databases: ReadonlyArray<readonly [name: string, term: number, departing?: boolean]>, nowMs: number, late: Pick<DatabaseStatus, 'ageMs' | 'silentMs'> = { ageMs: 0 }): void {
   send(leader, {
     kind: 'primacy/reported',
     host,
     failureDomain: domain,
     revision: { epoch: 7, count: 9 },
     databases: databases.map(([database, , departing = false]): DatabaseEntry => ({ kind: 'database', database, group: 'g', failureDomain: domain, address: database, slots: 1, connectionLimit: 1, departing })),
-    statuses: databases.map(([database, term]): DatabaseStatus => ({ database, answering: true, primary: database === 'd1', position: { term, offset: 5 }, fencedTerm: 4, source: 'd1', ageMs: 0 }))
+    statuses: databases.map(([database, term]): DatabaseStatus => ({ database, answering: true, primary: database === 'd1', position: { term, offset: 5 }, fencedTerm: 4, source: 'd1', ...late }))
   }, nowMs)
 }
 
@@ -90,6 +90,19 @@
     expect(listKinds(leader)).to.deep.equal([])
   })
 
+  it('keeps a primary whose owner is short of processor time, and replaces it once it is silent on that owner\'s clock', () => {
+    const leader = createLeader()
+    for (let nowMs = 0; nowMs <= 6_000; nowMs += 100) {
+      report(leader, 'h2', 'east', [['d2', 4]], nowMs)
+      report(leader, 'h3', 'south', [['d3', 4]], nowMs)
+      // The reports of a late owner are far apart, and what they tell is old.
+      if (nowMs % 600 === 0) report(leader, 'h1', 'north', [['d1', 4]], nowMs, { ageMs: 900, silentMs: nowMs < 4_800 ? 300 : 700 })
+      send(leader, { kind: 'primacy/check-due' }, nowMs)
+      if (nowMs < 4_800) expect(listKinds(leader)).to.deep.equal([])
+    }
+    expect(listKinds(leader)).to.include('primacy/end')
+  })
+
   it('gives the owner of a primary time to report to a new leader, and replaces a primary without reports', () => {
     const runSchedule = (ownerReportsFromMs: number): readonly string[] => {
       const leader = createLeader()
--- a/src/primacy/decide.ts
+++ b/src/primacy/decide.ts
@@ -96,7 +96,8 @@
   if (known === undefined) return { state, effects: [] }
   const answeredAtMs = nowMs - (status.ageMs ?? 0)
   if (!status.answering || answeredAtMs < known.answeredAtMs) return { state, effects: [] }
-  const next: TrackedDatabase = { ...known, owner: host, status, answeredAtMs }
+  const { ageMs = 0, silentMs = ageMs } = status
+  const next: TrackedDatabase = { ...known, owner: host, status, answeredAtMs, silentSinceMs: nowMs - Math.min(silentMs, ageMs) }
   const events = createDiscardEvent(known, status)
   return { state: { ...state, databases: new Map(state.databases).set(status.database, next) }, effects: events }
 }
--- a/src/primacy/detect.ts
+++ b/src/primacy/detect.ts
@@ -1,7 +1,7 @@
 /** Detects when a group forms and when its primary has to be replaced. */
 import { getOwn } from '../core/own.js'
 import { recordEvent } from '../core/message.js'
-import type { PrimacyState } from './state.js'
+import type { PrimacyState, TrackedDatabase } from './state.js'
 import type { GroupRecord } from './table.js'
 import { isAnswering, isMajority, LEASE_EXPIRY_MS, propose, DATABASE_TIMEOUT_MS, type PrimacyStep } from './tools.js'
 
@@ -73,9 +73,15 @@
 function isSilent (state: PrimacyState, database: string, nowMs: number): boolean {
   const known = state.databases.get(database)
   // Hosts first have to report to a new leader, so silence counts at the earliest from REPORT_GRACE_MS after it began to lead.
-  const answeredAtMs = Math.max(known?.answeredAtMs ?? 0, state.leaseGraceEndsMs - LEASE_EXPIRY_MS + REPORT_GRACE_MS)
-  const silentMs = nowMs - answeredAtMs
-  return silentMs >= (isOwnerFailoverPending(state, database, nowMs) ? OWNER_FAILOVER_MS : DATABASE_TIMEOUT_MS)
+  const silentSinceMs = Math.max(known?.silentSinceMs ?? 0, state.leaseGraceEndsMs - LEASE_EXPIRY_MS + REPORT_GRACE_MS)
+  if (isOwnerFailoverPending(state, database, nowMs)) return nowMs - silentSinceMs >= OWNER_FAILOVER_MS
+  return findReportedUntilMs(state, known, nowMs) - silentSinceMs >= DATABASE_TIMEOUT_MS
+}
+
+// A live owner has to say itself that the primary was silent for so long: its reports are late when it is short of processor time.
+function findReportedUntilMs (state: PrimacyState, known: TrackedDatabase | undefined, nowMs: number): number {
+  const owner = state.hosts.get(known?.owner ?? '')
+  return owner !== undefined && nowMs - owner.lastHeartbeatAtMs < DATABASE_TIMEOUT_MS ? owner.lastHeartbeatAtMs : nowMs
 }
 
 // The owner is silent and another host of the failure domain will replace it, or no owner has reported to this leader yet.
--- a/src/primacy/state.ts
+++ b/src/primacy/state.ts
@@ -20,6 +20,8 @@
   readonly status?: DatabaseStatus
   /** Lower bound for the time of the database's last answer; 0 if it has not answered. */
   readonly answeredAtMs: number
+  /** The time from which its silence counts: the last answer, unless the owner was short of processor time since. */
+  readonly silentSinceMs?: number
 }
 
 /** This leader's progress in the current step of a group. */
