--- a/src/agreement/decide.ts
+++ b/src/agreement/decide.ts
@@ -89,7 +89,8 @@
 }
 
 // This host may lag behind the majority, or hold a version that is not committed yet.
-function hasVersion ({ applied }: AgreementState, service: string, versions: readonly DocumentVersion[] = []): boolean {
+function hasVersion ({ applied }: AgreementState, service: string, versions: readonly DocumentVersion[] | undefined): boolean {
+  if (versions === undefined) return false
   const newest = versions.find(held => held.service === service)?.version ?? 0
   return (getOwn(applied.documents.services, service)?.version ?? 0) >= newest
 }
--- a/src/membership/contact.ts
+++ b/src/membership/contact.ts
@@ -14,11 +14,11 @@
 import { sendPeer, tell } from '../messages.js'
 import type { VersionsHeld } from './messages.js'
 
-/** Age of the last confirmation from which on the leader counts as silent: five heartbeats of a host with a relay. */
+/** Age of the last confirmation from which on the leader counts as silent: two heartbeats of a quiet host of a large fleet, and a relay. */
 const SILENT_AFTER_MS = 1_000
 /** Interval between two questions. */
 const ASK_INTERVAL_MS = 1_000
-/** How long a control host may take before the next one is asked: two reads of a majority, one of which is in flight. */
+/** How long a control host may take before the next one is asked: the interval between two reads, and a round trip. */
 const ASK_NEXT_AFTER_MS = 300
 /** How many control hosts are asked so soon, one after the other: one more than may be down at once. */
 const SOON_ASKED = 3
