Reads of a majority slow down with the control hosts

Three control hosts at 20 to 39 ms a message had five reads a second each to serve, so that a question was answered 1.4 s late. The interval between two reads is now three times what the last one took, up to 1.5 s.

--- a/src/agreement/quorumread.ts
+++ b/src/agreement/quorumread.ts
@@ -11,6 +11,9 @@
 
 /** The shortest interval between two reads of a control host. */
 const READ_INTERVAL_MS = 200
+/** The interval is also this multiple of the time that the last read took: control hosts that are late must not be asked more. */
+const INTERVAL_FACTOR = 3
+const MAX_READ_INTERVAL_MS = 1_500
 /** How long a control host may take for its answer before it is asked again. */
 const RETRY_AFTER_MS = 1_000
 /** How long a read waits for a majority of the members. */
@@ -43,6 +46,8 @@
   /** The number of the last read. */
   readonly round: number
   readonly sentAtMs: number
+  /** How long the last read took. */
+  readonly tookMs: number
   /** The questions that the read in flight answers; none while there is no such read. */
   readonly serving: readonly Question[]
   /** The questions that came since it was sent. */
@@ -68,7 +73,7 @@
 }
 
 /** A control host without reads. */
-export const NO_READS: QuorumReads = { round: 0, sentAtMs: -Infinity, serving: [], waiting: [], answers: new Map() }
+export const NO_READS: QuorumReads = { round: 0, sentAtMs: -Infinity, tookMs: 0, serving: [], waiting: [], answers: new Map() }
 
 /**
  * Adds a question for the next read, which is sent at once unless the last one is too recent or in flight.
@@ -88,7 +93,8 @@
 
 function scheduleRead (reads: QuorumReads, control: readonly string[], moment: Moment): ReadStep {
   if (reads.waiting.length === 0) return { reads, effects: [clearTimer('agreement/read')] }
-  const remainingMs = reads.sentAtMs + READ_INTERVAL_MS - moment.monotonicMs
+  const intervalMs = Math.max(READ_INTERVAL_MS, Math.min(MAX_READ_INTERVAL_MS, INTERVAL_FACTOR * reads.tookMs))
+  const remainingMs = reads.sentAtMs + intervalMs - moment.monotonicMs
   return remainingMs > 0 ? { reads, effects: [createTimer(remainingMs)] } : startRead(reads, control, moment)
 }
 
@@ -155,7 +161,7 @@
 }
 
 function endRead (reads: QuorumReads, outcome: ReadOutcome | undefined, kept: readonly Question[], control: readonly string[], moment: Moment): ReadStep {
-  const next = scheduleRead({ ...reads, serving: [], waiting: [...kept, ...reads.waiting], answers: new Map() }, control, moment)
+  const next = scheduleRead({ ...reads, tookMs: moment.monotonicMs - reads.sentAtMs, serving: [], waiting: [...kept, ...reads.waiting], answers: new Map() }, control, moment)
   return { ...next, outcome }
 }
 
