The next leader is told of withdrawals that it may have forgotten

It told one control host while the leader started again; the host that led next had been told, too, and started again 100 ms later, so that only a follower knew.

A control host that follows a new leader now tells it the withdrawals that it knows.

--- a/src/membership/discovery.ts
+++ b/src/membership/discovery.ts
@@ -1,8 +1,9 @@
 /** Leader discovery: how a host finds the leader of the control hosts. */
 import type { CoreEffect, Moment, Step } from '../core/message.js'
 import { rankCandidates } from '../core/rendezvous.js'
-import { tell } from '../messages.js'
+import { sendPeer, tell } from '../messages.js'
 import { listEntries } from './directory.js'
+import { listWithdrawals } from './incarnations.js'
 import { startLeading } from './leader.js'
 import type { LeaderChanged, LeaderHint } from './messages.js'
 import type { MembershipState } from './state.js'
@@ -78,10 +79,16 @@
   const following: MembershipState = { ...state, leader, previousLeader, epoch, leaderState: undefined, heldHeartbeats: new Map(), leaderClockOffsetMs: undefined, leaderAnsweredAtMs: moment.monotonicMs }
   const leads = leader !== undefined && leader === state.self?.host
   const notifications = [tell({ kind: 'shares/leadership', leads, epoch }), tell({ kind: 'admission/leader-changed', leader, epoch })]
-  const step = leads ? startLeading(following, epoch, moment) : { state: following, effects: [] }
+  const step = leads ? startLeading(following, epoch, moment) : { state: following, effects: tellWithdrawals(state, message) }
   return { state: step.state, effects: [...notifications, ...step.effects] }
 }
 
+// The new leader may have started again since a database withdrew itself, and knows of it no more.
+function tellWithdrawals (state: MembershipState, { leader, epoch }: LeaderChanged): readonly CoreEffect[] {
+  if (leader === undefined || (leader === state.leader && epoch === state.epoch)) return []
+  return listWithdrawals(state.incarnations).map(withdrawal => sendPeer(leader, { kind: 'membership/withdrawn', ...withdrawal }))
+}
+
 /**
  * Follows the leader named by another host, if its epoch is later than the known one.
  * @example followHint(state, { kind: 'membership/leader-hint', leader: 'host-1', epoch: 3 }, moment)
--- a/src/membership/incarnations.test.ts
+++ b/src/membership/incarnations.test.ts
@@ -236,3 +236,14 @@
     expect(group.databases).to.have.members([other.database, second.database])
   })
 })
+
+describe('a control host that knows of a withdrawal', () => {
+  it('tells the next leader, which may have started again since', () => {
+    const decide = (state: MembershipState, message: MembershipMessage): ReturnType<typeof decideMembership> => decideMembership(state, message, { monotonicMs: 1_000, wallMs: 0, random: 0 })
+    const { database, incarnation } = createEntry(1_700)
+    const started = decide(createMembershipState(), { kind: 'membership/started', self: createHost('control-1'), control: HOSTS }).state
+    const withdrawn = decide(started, { kind: 'membership/withdrawn', from: 'control-2', database, incarnation }).state
+    const { effects } = decide(withdrawn, { kind: 'membership/leader-changed', leader: 'control-3', epoch: 2 })
+    expect(effects.filter((effect): effect is SendPeer => effect.kind === 'peer/send').map(({ to, message }) => [to, message])).to.deep.equal([['control-3', { kind: 'membership/withdrawn', database, incarnation }]])
+  })
+})
--- a/src/membership/incarnations.ts
+++ b/src/membership/incarnations.ts
@@ -110,6 +110,20 @@
   return new Map(table).set(instance, isEarlier ? { ...known, refused: addRefused(known, database), doubtedAtMs: nowMs } : { database, startedAtMs, reportedAtMs: nowMs, ended: true })
 }
 
+/** A start of an instance that withdrew itself. */
+export interface Withdrawal {
+  readonly database: string
+  readonly incarnation: Incarnation
+}
+
+/**
+ * Lists the starts that withdrew themselves.
+ * @example listWithdrawals(table) // [{ database: 'i-1~1700', incarnation: { instance: 'i-1', startedAtMs: 1_700 } }]
+ */
+export function listWithdrawals (table: IncarnationTable): readonly Withdrawal[] {
+  return [...table].filter(([, { ended }]) => ended === true).map(([instance, { database, startedAtMs }]) => ({ database, incarnation: { instance, startedAtMs } }))
+}
+
 /**
  * Lists the databases that answers do not keep in the directory: another start of their instance withdrew itself, and no
  * announcement that came later was reported.
