--- a/src/membership/decide.ts
+++ b/src/membership/decide.ts
@@ -157,7 +157,10 @@
   const confirmed = recordConfirmation(state.contact, askedAtMs, moment)
   const next: MembershipState = { ...state, directory, owners, ownedDatabases, relay, quietIntervals, leaderClockOffsetMs, leaderAnsweredAtMs: moment.monotonicMs, contact: confirmed.contact, statuses }
   const answered = answerRelayed(next, message)
-  return { state: answered.state, effects: [...(changed ? notifyChanged(next) : []), ...notifyConfirmed(next, changed, askedAtMs), ...confirmed.effects, ...answered.effects] }
+  const effects = [...(changed ? notifyChanged(next) : []), ...notifyConfirmed(next, changed, askedAtMs), ...confirmed.effects, ...answered.effects]
+  // The leader waits for the first report of a new owner, whose last heartbeat announced a quiet interval.
+  const isNewOwner = state.ownedDatabases.size === 0 && ownedDatabases.size > 0
+  return { state: answered.state, effects: isNewOwner ? [...effects, createHeartbeatTimer(next)] : effects }
 }
 
 // Most changes of a calm fleet are those of grants and documents, which no owner depends on.
--- a/src/membership/heartbeats.test.ts
+++ b/src/membership/heartbeats.test.ts
@@ -1,6 +1,6 @@
 /** Heartbeats: how a host applies the leader's answers. */
 import { expect } from 'chai'
-import type { Moment } from '../core/message.js'
+import type { Effect, Moment, SetTimer } from '../core/message.js'
 import { decideMembership } from './decide.js'
 import { getEntryKey, type DirectoryEntry, type GrantEntry, type HostEntry } from './directory.js'
 import type { MembershipMessage } from './messages.js'
@@ -41,6 +41,19 @@
     expect(run([start, heartbeat, first, heartbeat, createDirectoryAnswer(2, 4, [SELF, database])]).ownedDatabases.get('db-1')?.connectionLimit).to.equal(40)
   })
 
+  it('follow soon after a host of a large fleet became an owner, since the leader waits for its first report', () => {
+    const createHost = (index: number): HostEntry => ({ ...SELF, host: `host-${index}`, failureDomain: 'west', control: index < 3, apart: index < 3 })
+    const hosts = [SELF, ...Array.from({ length: 120 }, (_, index) => createHost(index + 10)), ...[0, 1].map(createHost)]
+    const database = { kind: 'database', database: 'db-1', group: 'g', failureDomain: 'east', address: '', slots: 3, connectionLimit: 9, departing: false } as const
+    const createDirectoryAnswer = (round: number, entries: readonly DirectoryEntry[]): MembershipMessage =>
+      ({ kind: 'membership/beat-answered', from: 'host-1', round, revision: { epoch: 3, count: round }, changes: entries.map(entry => ({ key: getEntryKey(entry), count: round, entry })) })
+    const readTimer = (effects: readonly Effect[]): number | undefined => effects.find((effect): effect is SetTimer => effect.kind === 'timer/set' && (effect as SetTimer).name === 'membership/beat')?.afterMs
+    const quiet = run([start, heartbeat, createDirectoryAnswer(1, hosts)])
+    const sent = decideMembership(quiet, heartbeat, createMoment(40))
+    expect(readTimer(sent.effects)).to.equal(300)
+    expect(readTimer(decideMembership(sent.state, createDirectoryAnswer(2, [database]), createMoment(50)).effects)).to.equal(100)
+  })
+
   it('keep the newer directory when an earlier answer arrives late', () => {
     const state = run([start, heartbeat, heartbeat, createAnswer(2, 3, 5), createAnswer(1, 3, 4)])
     expect(state.directory.revision.count).to.equal(5)
