Log why a host ends a connection, and what arrives after it

Cause: the log of an entry host did not tell why a connection ended, whether a transaction was open, and whether a request was on its way. Change: one line when the requests slice ends an open connection, with the state of its transaction and request; one for each request that the front end reads after the end.

--- a/src/requests/decide.ts
+++ b/src/requests/decide.ts
@@ -4,8 +4,8 @@
 import { UNCHANGED } from '../core/store.js'
 import { advanceSession, parseToken, getSeenPosition } from '../sessions/token.js'
 import { expireRequest, failAcknowledgement, failAttempt, failReplacedPrimaries, failRequest, handlePeerLost, rejectInput } from './failure.js'
-import { logRequests } from './log.js'
-import type { AttemptFailed, AttemptFinished, CallerConnected, ConnectionChecked, CountRequested, EndRequested, GrantsConfirmed, OutputDrained, OutputReceived, PeerLost, ReplicaSlow, RequestAdmitted, RequestArrived, RequestInput, RequestRouted, RequestsMessage, RouteRules, SessionReplaced, StopRequested, AttemptId } from './messages.js'
+import { logRequests, logUnanswered } from './log.js'
+import type { AttemptFailed, AttemptFinished, CallerConnected, ConnectionChecked, CountRequested, EndRequested, GrantsConfirmed, OutputDrained, OutputReceived, PeerLost, ReplicaSlow, RequestAdmitted, RequestArrived, RequestInput, RequestRouted, RequestsMessage, RequestUnanswered, RouteRules, SessionReplaced, StopRequested, AttemptId } from './messages.js'
 import { MAX_RETRY_BUDGET, RETRY_BUDGET_PER_SUCCESS, type Caller, type InFlightRequest, type OpenTransaction, type RequestsShared } from './state.js'
 import { clearTimers, createCancelEffects, createFinishedEffect, getTransactionStatus, replaceCaller, type RequestsEffect, type RequestsStep, type RequestsStore } from './step.js'
 import { endRequests, estimateMs, isRequestTooLate, refuseStopping } from './stopping.js'
@@ -33,11 +33,12 @@
     case 'requests/count-asked': return countBusy(store)
     case 'requests/stop-asked': return { shared: { ...store.shared, endsAtMs: message.endsAtMs }, effects: [] }
     case 'requests/end-asked': return endRequests(store)
+    case 'requests/unanswered': return { effects: [logUnanswered(message)] }
     default: return decideForCaller(store, message, moment)
   }
 }
 
-type CallerMessage = Exclude<RequestsMessage, CallerConnected | GrantsConfirmed | PeerLost | CountRequested | StopRequested | EndRequested>
+type CallerMessage = Exclude<RequestsMessage, CallerConnected | GrantsConfirmed | PeerLost | CountRequested | StopRequested | EndRequested | RequestUnanswered>
 
 function countBusy (store: RequestsStore): RequestsStep {
   const busy = [...store.items.values()].filter(caller => caller.running !== undefined || caller.transaction !== undefined).length
--- a/src/requests/log.ts
+++ b/src/requests/log.ts
@@ -1,7 +1,7 @@
 /** Log lines about requests: one when a request ends, and one for each attempt that is retried. */
 import type { Failure } from '../core/errors.js'
 import { writeLog, type CoreEffect, type Moment } from '../core/message.js'
-import type { RequestsMessage } from './messages.js'
+import type { RequestsMessage, RequestUnanswered } from './messages.js'
 import type { Caller, InFlightRequest, OpenTransaction } from './state.js'
 import type { RequestsEffect, RequestsStep, RequestsStore } from './step.js'
 
@@ -12,7 +12,9 @@
 export function logRequests (store: RequestsStore, message: RequestsMessage, step: RequestsStep, moment: Moment): RequestsStep {
   const lines = (step.changes ?? []).flatMap(([name, after]) => {
     const before = store.items.get(name)
-    return before?.running === undefined ? [] : createChangeLines(before, before.running, after, step.effects, message, moment)
+    if (before === undefined) return []
+    const changeLines = before.running === undefined ? [] : createChangeLines(before, before.running, after, step.effects, message, moment)
+    return [...changeLines, ...createEndLines(before, step.effects)]
   })
   return lines.length === 0 ? step : { ...step, effects: [...step.effects, ...lines] }
 }
@@ -26,6 +28,30 @@
   return writeLog('warn', `The idle transaction of caller ${caller} was cut off by the stop.`, { caller, workspace, group: rules.group, database, owner, purpose, phase })
 }
 
+/**
+ * Creates the log line for a request that arrived after the end of its connection.
+ * @example logUnanswered({ kind: 'requests/unanswered', caller: 'c1', requestId: 'q1' })
+ */
+export function logUnanswered ({ caller, requestId }: RequestUnanswered): CoreEffect {
+  return writeLog('warn', `Request ${requestId ?? 'without an id'} arrived after the end of its connection.`, { event: 'request-unanswered', request: requestId, caller })
+}
+
+// Tells a connection that ended in a transaction, or behind a request, from one that ended while its caller waited for nothing.
+function createEndLines (before: Caller, effects: readonly RequestsEffect[]): readonly CoreEffect[] {
+  const refused = effects.find(effect => effect.kind === 'caller/refused' && effect.caller === before.caller)
+  if (!before.open || refused?.kind !== 'caller/refused') return []
+  const { caller, workspace, running, transaction } = before
+  return [writeLog('info', `The connection of caller ${caller} was ended.`, {
+    event: 'connection-ended',
+    caller,
+    workspace,
+    request: running?.input.requestId,
+    phase: running?.phase,
+    transaction: transaction?.phase ?? 'none',
+    reason: refused.failure.code
+  })]
+}
+
 function createChangeLines (caller: Caller, running: InFlightRequest, after: Caller | undefined, effects: readonly RequestsEffect[], message: RequestsMessage, moment: Moment): readonly CoreEffect[] {
   if (after?.running?.request === running.request) {
     if (after.running.attempt === running.attempt) return []
--- a/src/requests/messages.ts
+++ b/src/requests/messages.ts
@@ -197,6 +197,13 @@
   readonly failure: Failure
 }
 
+/** A request arrived after this host had ended its connection, so that nobody can answer it. */
+export interface RequestUnanswered {
+  readonly kind: 'requests/unanswered'
+  readonly caller: string
+  readonly requestId?: string
+}
+
 /** A caller disconnected. */
 export interface CallerDisconnected {
   readonly kind: 'requests/closed'
@@ -256,6 +263,7 @@
   | RetryDue
   | ReplicaSlow
   | AcknowledgementExpired
+  | RequestUnanswered
   | CallerDisconnected
   | KeyRevoked
   | PeerLost
