--- a/src/requests/withdrawal.test.ts
+++ b/src/requests/withdrawal.test.ts
@@ -4,7 +4,7 @@
 import { ORIGIN } from '../core/position.js'
 import { StoreSlice } from '../core/store.js'
 import { decideRequests } from './decide.js'
-import type { RequestsMessage, Target } from './messages.js'
+import type { Intent, RequestsMessage, Target } from './messages.js'
 import { createRequestsShared } from './state.js'
 
 const RULES = { group: 'a', action: 'write' as const, maxStalenessMs: 0, idempotent: false }
@@ -31,11 +31,11 @@
     return this.take(message).map(effect => (effect.kind === 'peer/send' ? (effect as unknown as { message: Effect }).message.kind : effect.kind))
   }
 
-  arrive (intent: 'statement' | 'begin'): void {
-    this.take({ kind: 'requests/arrived', caller: 'c', input: { intent }, payload: new Uint8Array(0) })
+  arrive (intent: Intent): readonly Effect[] {
+    return this.take({ kind: 'requests/arrived', caller: 'c', input: { intent }, payload: new Uint8Array(0) })
   }
 
-  run (intent: 'statement' | 'begin'): void {
+  run (intent: Intent): void {
     this.arrive(intent)
     this.take({ kind: 'requests/admitted', caller: 'c', attempt: 1, rules: RULES })
     this.take({ kind: 'requests/routed', caller: 'c', attempt: 1, target: TARGET })
@@ -72,6 +72,16 @@
     expect(requests.list(WITHDRAWN)).to.include.members(['transactions/cancel', 'caller/refused'])
   })
 
+  // Guards against a transaction whose caller is cut off between two of its statements.
+  it('answers the next statement of an open transaction before it ends the connection', () => {
+    const requests = FakeRequests.create()
+    requests.run('begin')
+    requests.finish('open')
+    expect(requests.list(WITHDRAWN)).to.include('transactions/cancel').and.not.include('caller/refused')
+    const refused = requests.arrive('statement').find(effect => effect.kind === 'caller/refused')
+    expect(refused).to.deep.include({ kind: 'caller/refused', caller: 'c' }).and.to.have.nested.property('failure.effect', 'not-run')
+  })
+
   it('refuses a request that was not yet sent to a database', () => {
     const requests = FakeRequests.create()
     requests.arrive('statement')
