A revoked key's connection ends with the refusal of its next request

Cause: a withdrawal ended each connection at which no request ran, at once and whatever its caller waited for: inside a transaction, and while the next request was on its way or in the socket. Change: the transaction is rolled back at once, so that the key stops; the next request gets the refusal, with a code that promises that nothing is kept, and the connection ends with it. Callers that send nothing are ended after 5 s, or the idle limit of their transaction.

--- a/src/core/errors.ts
+++ b/src/core/errors.ts
@@ -26,6 +26,7 @@
   'no-database': { sqlState: '57P03', effect: 'not-run', text: (d: string) => `No database of group "${d}" can serve the request: try again later.` },
   'host-stopping': { sqlState: '57P01', effect: 'not-run', text: () => 'This host is stopping: connect to another host.' },
   'transaction-stopped': { sqlState: '57P01', effect: 'not-run', text: () => 'This host is stopping, and the transaction was rolled back: run it again through another host.' },
+  'transaction-revoked': { sqlState: '28P01', effect: 'not-run', text: (d: string) => `The key is no longer valid for workspace "${d}", and the transaction was rolled back: issue a new key, and run it again.` },
   'outcome-unknown': { sqlState: '40003', effect: 'unknown', text: (d: string) => `The outcome of the request is unknown (${d}): check whether it took effect before trying again.` },
   'transaction-lost': { sqlState: '40003', effect: 'unknown', text: (d: string) => `The transaction was lost (${d}): check whether it was committed before trying again.` },
   'transaction-aborted': { sqlState: '25P02', effect: 'not-run', text: () => 'The transaction is aborted: statements are ignored until it is rolled back.' },
--- a/src/requests/decide.ts
+++ b/src/requests/decide.ts
@@ -9,7 +9,7 @@
 import { MAX_RETRY_BUDGET, RETRY_BUDGET_PER_SUCCESS, type Caller, type InFlightRequest, type OpenTransaction, type RequestsShared } from './state.js'
 import { clearTimers, createCancelEffects, createFinishedEffect, getTransactionStatus, replaceCaller, type RequestsEffect, type RequestsStep, type RequestsStore } from './step.js'
 import { endRequests, estimateMs, isRequestTooLate, refuseStopping } from './stopping.js'
-import { closeRevoked, createCallerClosedEffects, revokeKey } from './withdrawal.js'
+import { createCallerClosedEffects, endSilent, refuseRevoked, revokeKey, applyRevocations } from './withdrawal.js'
 import { sendPeer, setTimer, tell } from '../messages.js'
 
 /** How long a host may rely on a grant, counted from the time at which it requested the confirmation. */
@@ -22,7 +22,7 @@
  * @example decideRequests(store, { kind: 'requests/closed', caller: 'c1' }, moment)
  */
 export function decideRequests (store: RequestsStore, message: RequestsMessage, moment: Moment): RequestsStep {
-  return logRequests(store, message, closeRevoked(decideMessage(store, message, moment)), moment)
+  return logRequests(store, message, applyRevocations(store, decideMessage(store, message, moment)), moment)
 }
 
 function decideMessage (store: RequestsStore, message: RequestsMessage, moment: Moment): RequestsStep {
@@ -64,6 +64,7 @@
     case 'requests/finished': return decideForAttempt(caller, message, running => reportOwner(running, message, finishRequest(store.shared, caller, running, message, moment)))
     case 'requests/deadline-passed': return caller.running?.request === message.request ? expireRequest(caller, caller.running) : UNCHANGED
     case 'requests/key-withdrawn': return revokeKey(caller, message)
+    case 'requests/silence-passed': return endSilent(caller)
     case 'requests/overdue': return failAcknowledgement(caller)
   }
 }
@@ -101,6 +102,7 @@
 }
 
 function acceptRequest (shared: RequestsShared, caller: Caller, message: RequestArrived, moment: Moment): RequestsStep {
+  if (caller.revoked !== undefined) return refuseRevoked(caller, caller.revoked, message.input.intent)
   const attempt = caller.attempts + 1
   const limitMs = Math.min(message.input.deadlineMs ?? shared.requestMs, shared.requestMs)
   const running: InFlightRequest = {
--- a/src/requests/failure.ts
+++ b/src/requests/failure.ts
@@ -3,9 +3,9 @@
 import type { Moment } from '../core/message.js'
 import { UNCHANGED } from '../core/store.js'
 import type { GrantEntry } from '../membership/directory.js'
-import type { AttemptFailed, PeerLost, Target } from './messages.js'
+import type { AttemptFailed, Intent, PeerLost, Target } from './messages.js'
 import type { Caller, InFlightRequest, RequestsShared } from './state.js'
-import { clearTimers, createCancelEffects, getTransactionStatus, replaceCaller, type RequestsStep, type RequestsStore } from './step.js'
+import { clearTimers, createCancelEffects, getTransactionStatus, replaceCaller, type RequestsEffect, type RequestsStep, type RequestsStore } from './step.js'
 import { setTimer } from '../messages.js'
 
 /** First delay before a request is routed or dispatched again. */
@@ -97,6 +97,26 @@
   return createFailure('outcome-unknown', `an earlier attempt may have run, and the last one failed with ${failure.code}`)
 }
 
+/**
+ * Rolls an open transaction back, and answers the request that was to continue it: a rollback succeeds, any other one is
+ * refused as not run.
+ * @example endTransaction(caller, 'commit', createFailure('transaction-stopped'))
+ */
+export function endTransaction (caller: Caller, intent: Intent, failure: Failure): RequestsStep {
+  return abortTransaction(caller, intent === 'rollback'
+    ? { kind: 'caller/rolled-back', caller: caller.caller }
+    : { kind: 'caller/failed', caller: caller.caller, failure, status: 'idle' })
+}
+
+/**
+ * Rolls an open transaction back: the cancellation closes the connection to the database.
+ * @example abortTransaction(caller, { kind: 'caller/failed', caller: 'c1', failure, status: 'idle' })
+ */
+export function abortTransaction (caller: Caller, answer: RequestsEffect): RequestsStep {
+  const ended: Caller = { ...caller, transaction: undefined, running: undefined }
+  return replaceCaller(ended, [...clearTimers(caller.caller), ...createCancelEffects(caller), answer])
+}
+
 /**
  * Reports input that the front end refused. As in the database, this aborts an open transaction.
  * @example rejectInput(caller, createFailure('not-supported', 'LISTEN'))
--- a/src/requests/log.ts
+++ b/src/requests/log.ts
@@ -14,7 +14,7 @@
     const before = store.items.get(name)
     if (before === undefined) return []
     const changeLines = before.running === undefined ? [] : createChangeLines(before, before.running, after, step.effects, message, moment)
-    return [...changeLines, ...createEndLines(before, step.effects)]
+    return [...changeLines, ...createEndLines(before, step.effects, message)]
   })
   return lines.length === 0 ? step : { ...step, effects: [...step.effects, ...lines] }
 }
@@ -37,7 +37,7 @@
 }
 
 // Tells a connection that ended in a transaction, or behind a request, from one that ended while its caller waited for nothing.
-function createEndLines (before: Caller, effects: readonly RequestsEffect[]): readonly CoreEffect[] {
+function createEndLines (before: Caller, effects: readonly RequestsEffect[], message: RequestsMessage): readonly CoreEffect[] {
   const refused = effects.find(effect => effect.kind === 'caller/refused' && effect.caller === before.caller)
   if (!before.open || refused?.kind !== 'caller/refused') return []
   const { caller, workspace, running, transaction } = before
@@ -45,7 +45,7 @@
     event: 'connection-ended',
     caller,
     workspace,
-    request: running?.input.requestId,
+    request: message.kind === 'requests/arrived' ? message.input.requestId : running?.input.requestId,
     phase: running?.phase,
     transaction: transaction?.phase ?? 'none',
     reason: refused.failure.code
--- a/src/requests/messages.ts
+++ b/src/requests/messages.ts
@@ -197,6 +197,12 @@
   readonly failure: Failure
 }
 
+/** The caller of a connection whose key was revoked has sent no request for the time that it gets. */
+export interface SilencePassed {
+  readonly kind: 'requests/silence-passed'
+  readonly caller: string
+}
+
 /** A request arrived after this host had ended its connection, so that nobody can answer it. */
 export interface RequestUnanswered {
   readonly kind: 'requests/unanswered'
@@ -264,6 +270,7 @@
   | ReplicaSlow
   | AcknowledgementExpired
   | RequestUnanswered
+  | SilencePassed
   | CallerDisconnected
   | KeyRevoked
   | PeerLost
--- a/src/requests/state.ts
+++ b/src/requests/state.ts
@@ -60,7 +60,7 @@
   readonly ticket?: SequenceNumber
   readonly transaction?: OpenTransaction
   readonly running?: InFlightRequest
-  /** Set when the caller's key was revoked while a request was in flight. */
+  /** Set once the caller's key was revoked: the next request is refused with it, and the connection ends with that answer. */
   readonly revoked?: Failure
 }
 
--- a/src/requests/step.ts
+++ b/src/requests/step.ts
@@ -54,5 +54,5 @@
  * @example clearTimers('host-1/4f/7')
  */
 export function clearTimers (caller: string): readonly CoreEffect[] {
-  return [clearTimer(`requests/deadline/${caller}`), clearTimer(`requests/retry/${caller}`), clearTimer(`requests/late/${caller}`)]
+  return [clearTimer(`requests/deadline/${caller}`), clearTimer(`requests/retry/${caller}`), clearTimer(`requests/late/${caller}`), clearTimer(`requests/silence/${caller}`)]
 }
--- a/src/requests/stopping.ts
+++ b/src/requests/stopping.ts
@@ -5,10 +5,10 @@
 import { createFailure } from '../core/errors.js'
 import type { Moment } from '../core/message.js'
 import { isTooLate } from '../stopping/remaining.js'
-import { failRequest } from './failure.js'
+import { abortTransaction, endTransaction, failRequest } from './failure.js'
 import { logCutTransaction } from './log.js'
 import type { Caller, InFlightRequest, RequestsShared } from './state.js'
-import { clearTimers, createCancelEffects, replaceCaller, type RequestsEffect, type RequestsStep, type RequestsStore } from './step.js'
+import type { RequestsStep, RequestsStore } from './step.js'
 
 /**
  * Tells whether a request would outlast the stop of this host: by what the requests of its transaction took so far, or by the
@@ -33,9 +33,7 @@
  */
 export function refuseStopping (caller: Caller, running: InFlightRequest): RequestsStep {
   if (caller.transaction === undefined) return failRequest(caller, running, createFailure('host-stopping'))
-  return endTransaction(caller, running.input.intent === 'rollback'
-    ? { kind: 'caller/rolled-back', caller: caller.caller }
-    : { kind: 'caller/failed', caller: caller.caller, failure: createFailure('transaction-stopped'), status: 'idle' })
+  return endTransaction(caller, running.input.intent, createFailure('transaction-stopped'))
 }
 
 /**
@@ -51,7 +49,7 @@
   const { running, transaction } = caller
   if (running !== undefined) return running.phase === 'running' ? cutRequest(caller, running) : refuseStopping(caller, running)
   if (transaction === undefined) return { effects: [] }
-  const step = endTransaction(caller, { kind: 'caller/refused', caller: caller.caller, failure: createFailure('transaction-stopped') })
+  const step = abortTransaction(caller, { kind: 'caller/refused', caller: caller.caller, failure: createFailure('transaction-stopped') })
   return { ...step, effects: [...step.effects, logCutTransaction(caller, transaction)] }
 }
 
@@ -59,11 +57,5 @@
 function cutRequest (caller: Caller, running: InFlightRequest): RequestsStep {
   const failure = createFailure('outcome-unknown', 'this host stopped before the answer came')
   if (caller.transaction === undefined) return failRequest(caller, running, failure)
-  return endTransaction(caller, { kind: 'caller/failed', caller: caller.caller, failure, status: 'idle' })
-}
-
-// The cancellation closes the connection to the database, which rolls back.
-function endTransaction (caller: Caller, answer: RequestsEffect): RequestsStep {
-  const ended: Caller = { ...caller, transaction: undefined, running: undefined }
-  return replaceCaller(ended, [...clearTimers(caller.caller), ...createCancelEffects(caller), answer])
+  return abortTransaction(caller, { kind: 'caller/failed', caller: caller.caller, failure, status: 'idle' })
 }
--- a/src/requests/withdrawal.ts
+++ b/src/requests/withdrawal.ts
@@ -1,45 +1,76 @@
 /**
- * Decisions on connections whose key was revoked. A request that was already sent to a database
- * may finish and is answered before the connection is closed. An open transaction is rolled back,
- * and a request that was not yet sent is refused as not run.
+ * Decisions on connections whose key was revoked. A request that was already sent to a database may finish and is answered,
+ * one that was not is refused as not run, and an open transaction is rolled back. The connection ends with the refusal of the
+ * next request: a caller may have sent it before it sees the end, and would wait for an answer that never comes.
  */
+import { createFailure, type Failure } from '../core/errors.js'
 import type { CoreEffect } from '../core/message.js'
 import { setTimer, tell } from '../messages.js'
-import { failRequest } from './failure.js'
-import type { KeyRevoked } from './messages.js'
+import { endTransaction, failRequest } from './failure.js'
+import type { Intent, KeyRevoked } from './messages.js'
 import type { Caller } from './state.js'
-import { clearTimers, createCancelEffects, replaceCaller, type RequestsStep } from './step.js'
+import { clearTimers, createCancelEffects, replaceCaller, type RequestsEffect, type RequestsStep, type RequestsStore } from './step.js'
+
+/** How long a connection whose key was revoked waits for a request, unless its transaction may stay idle for longer. */
+const SILENCE_MS = 5_000
 
 /**
- * Closes a connection whose key was revoked, or marks it to be closed after its running request.
+ * Marks a connection whose key was revoked, and refuses its request if that was not sent to a database.
  * @example revokeKey(caller, { kind: 'requests/key-withdrawn', caller: 'c1', failure })
  */
-export function revokeKey (caller: Caller, message: KeyRevoked): RequestsStep {
-  const { running } = caller
-  const { failure } = message
-  if (running === undefined) return closeConnection(caller, message)
-  const marked: Caller = { ...caller, revoked: failure }
-  return running.phase === 'running' ? replaceCaller(marked, []) : failRequest(marked, running, failure)
+export function revokeKey (caller: Caller, { failure }: KeyRevoked): RequestsStep {
+  const { running, transaction } = caller
+  const revoked: Caller = { ...caller, revoked: failure }
+  if (running === undefined || running.phase === 'running') return replaceCaller(revoked, [])
+  return transaction === undefined ? failRequest(revoked, running, failure) : endTransaction(revoked, running.input.intent, createRollbackFailure(caller))
 }
 
 /**
- * Schedules the close of marked connections that a step leaves without a request. The close is a
- * separate message, so that an expired lease of that request is still reported before it.
- * @example closeRevoked(step)
+ * Rolls back the transactions of marked connections that a step leaves without a request, and lets them wait for the next one.
+ * @example applyRevocations(store, step)
  */
-export function closeRevoked (step: RequestsStep): RequestsStep {
-  const closes = (step.changes ?? []).flatMap(([, caller]) => (caller?.revoked === undefined || caller.running !== undefined
-    ? []
-    : [setTimer(`requests/withdrawn/${caller.caller}`, 0, { kind: 'requests/key-withdrawn', caller: caller.caller, failure: caller.revoked })]))
-  return closes.length === 0 ? step : { ...step, effects: [...step.effects, ...closes] }
-}
-
-function closeConnection (caller: Caller, message: KeyRevoked): RequestsStep {
-  const refused = { kind: 'caller/refused' as const, caller: caller.caller, failure: message.failure }
-  return {
-    changes: [[caller.caller, undefined]],
-    effects: [...clearTimers(caller.caller), ...createCancelEffects(caller), refused]
-  }
+export function applyRevocations (store: RequestsStore, step: RequestsStep): RequestsStep {
+  const applied = (step.changes ?? []).flatMap(([name, caller]) => {
+    const before = store.items.get(name)
+    const isDone = before?.revoked !== undefined && before.running === undefined
+    return caller?.revoked === undefined || caller.running !== undefined || isDone ? [] : [applyRevocation(caller)]
+  })
+  if (applied.length === 0) return step
+  const changes = new Map([...step.changes!, ...applied.flatMap(({ changes = [] }) => changes)])
+  return { ...step, changes: [...changes], effects: [...step.effects, ...applied.flatMap(({ effects }) => effects)] }
+}
+
+function applyRevocation (caller: Caller): RequestsStep {
+  const { transaction } = caller
+  const silenceMs = Math.max(SILENCE_MS, transaction?.rules.idleTransactionMs ?? 0)
+  const timer = setTimer(`requests/silence/${caller.caller}`, silenceMs, { kind: 'requests/silence-passed', caller: caller.caller })
+  if (transaction === undefined) return replaceCaller(caller, [timer])
+  return replaceCaller({ ...caller, transaction: undefined, revoked: createRollbackFailure(caller) }, [...createCancelEffects(caller), timer])
+}
+
+function createRollbackFailure ({ workspace }: Caller): Failure {
+  return createFailure('transaction-revoked', workspace)
+}
+
+/**
+ * Refuses the request of a marked connection, which ends with that answer. The end of its transaction by a rollback succeeds.
+ * @example refuseRevoked(caller, failure, 'statement')
+ */
+export function refuseRevoked (caller: Caller, failure: Failure, intent: Intent): RequestsStep {
+  const isRolledBack = intent === 'rollback' && failure.code === 'transaction-revoked'
+  return endConnection(caller, failure, isRolledBack ? [{ kind: 'caller/rolled-back', caller: caller.caller }] : [])
+}
+
+/**
+ * Ends a marked connection whose caller sent no request.
+ * @example endSilent(caller)
+ */
+export function endSilent (caller: Caller): RequestsStep {
+  return caller.revoked === undefined || caller.running !== undefined ? { effects: [] } : endConnection(caller, caller.revoked, [])
+}
+
+function endConnection ({ caller }: Caller, failure: Failure, answers: readonly RequestsEffect[]): RequestsStep {
+  return { changes: [[caller, undefined]], effects: [...clearTimers(caller), ...answers, { kind: 'caller/refused', caller, failure }] }
 }
 
 /**
