No connection ends right behind an answer that its caller goes on from

Callers saw: nothing in the record; found by platform/sessionends.test.ts. Change: after the rollback the connection waits for the next request, as after any answer that succeeds. Conclusion: an end crosses a request only when a caller speaks again in the moment in which its silence is over, or its host stops.

--- a/src/requests/withdrawal.ts
+++ b/src/requests/withdrawal.ts
@@ -9,7 +9,7 @@
 import { endTransaction, failRequest } from './failure.js'
 import type { Intent, KeyRevoked } from './messages.js'
 import type { Caller } from './state.js'
-import { clearTimers, createCancelEffects, replaceCaller, type RequestsEffect, type RequestsStep, type RequestsStore } from './step.js'
+import { clearTimers, createCancelEffects, replaceCaller, type RequestsStep, type RequestsStore } from './step.js'
 
 /** How long a connection whose key was revoked waits for a request, unless its transaction may stay idle for longer. */
 const SILENCE_MS = 5_000
@@ -43,22 +43,28 @@
 function applyRevocation (caller: Caller): RequestsStep {
   const { transaction } = caller
   const silenceMs = Math.max(SILENCE_MS, transaction?.rules.idleTransactionMs ?? 0)
-  const timer = setTimer(`requests/silence/${caller.caller}`, silenceMs, { kind: 'requests/silence-passed', caller: caller.caller })
+  const timer = createSilenceTimer(caller, silenceMs)
   if (transaction === undefined) return replaceCaller(caller, [timer])
   return replaceCaller({ ...caller, transaction: undefined, revoked: createRollbackFailure(caller) }, [...createCancelEffects(caller), timer])
 }
 
+function createSilenceTimer ({ caller }: Caller, silenceMs: number): CoreEffect {
+  return setTimer(`requests/silence/${caller}`, silenceMs, { kind: 'requests/silence-passed', caller })
+}
+
 function createRollbackFailure ({ workspace }: Caller): Failure {
   return createFailure('transaction-revoked', workspace)
 }
 
 /**
- * Refuses the request of a marked connection, which ends with that answer. The end of its transaction by a rollback succeeds.
+ * Refuses the request of a marked connection, which ends with that answer. The end of its transaction by a rollback succeeds,
+ * and the connection waits for the next request: an end right behind an answer that succeeds could cross it.
  * @example refuseRevoked(caller, failure, 'statement')
  */
 export function refuseRevoked (caller: Caller, failure: Failure, intent: Intent): RequestsStep {
-  const isRolledBack = intent === 'rollback' && failure.code === 'transaction-revoked'
-  return endConnection(caller, failure, isRolledBack ? [{ kind: 'caller/rolled-back', caller: caller.caller }] : [])
+  if (intent !== 'rollback' || failure.code !== 'transaction-revoked') return endConnection(caller, failure)
+  const revoked: Caller = { ...caller, revoked: createFailure('wrong-key', caller.workspace) }
+  return replaceCaller(revoked, [{ kind: 'caller/rolled-back', caller: caller.caller }, createSilenceTimer(caller, SILENCE_MS)])
 }
 
 /**
@@ -66,11 +72,11 @@
  * @example endSilent(caller)
  */
 export function endSilent (caller: Caller): RequestsStep {
-  return caller.revoked === undefined || caller.running !== undefined ? { effects: [] } : endConnection(caller, caller.revoked, [])
+  return caller.revoked === undefined || caller.running !== undefined ? { effects: [] } : endConnection(caller, caller.revoked)
 }
 
-function endConnection ({ caller }: Caller, failure: Failure, answers: readonly RequestsEffect[]): RequestsStep {
-  return { changes: [[caller, undefined]], effects: [...clearTimers(caller), ...answers, { kind: 'caller/refused', caller, failure }] }
+function endConnection ({ caller }: Caller, failure: Failure): RequestsStep {
+  return { changes: [[caller, undefined]], effects: [...clearTimers(caller), { kind: 'caller/refused', caller, failure }] }
 }
 
 /**
