--- a/standin/wire/database.ts
+++ b/standin/wire/database.ts
@@ -17,6 +17,8 @@
   readonly control: readonly string[]
   /** How long a read, write or commit takes, in milliseconds; at once when absent. */
   readonly workMs?: number
+  /** Returns what a statement of a caller waits for before it runs; undefined when it does not wait. */
+  readonly holdStatement?: (text: string) => Promise<void> | undefined
   /** Called for each statement that ran. */
   readonly onRun: (run: StatementRun) => void
 }
@@ -95,8 +97,8 @@
   #accept (socket: Socket): void {
     this.#sockets.add(socket)
     socket.on('close', () => this.#sockets.delete(socket))
-    const { group, workMs, onRun } = this.#options
-    WireSession.create({ socket, group, member: this.member, workMs, onRun })
+    const { group, workMs, holdStatement, onRun } = this.#options
+    WireSession.create({ socket, group, member: this.member, workMs, holdStatement, onRun })
   }
 
   // Resolves with whether the heartbeat was acknowledged.
--- a/standin/wire/session.ts
+++ b/standin/wire/session.ts
@@ -10,6 +10,8 @@
   readonly member: GroupMember
   /** How long a read, write or commit takes, in milliseconds; at once when absent. */
   readonly workMs?: number
+  /** Returns what a statement of a caller waits for before it runs; undefined when it does not wait. */
+  readonly holdStatement?: (text: string) => Promise<void> | undefined
   /** Called for each statement that ran. */
   readonly onRun: (run: StatementRun) => void
 }
@@ -64,7 +66,12 @@
 
   #query (line: string): void {
     const [, id = '', text = ''] = splitLine(line, 3)
-    const { workMs } = this.#options
+    const { socket, workMs, holdStatement } = this.#options
+    const held = id === NONE ? undefined : holdStatement?.(text)
+    if (held !== undefined) {
+      held.then(() => this.#answer(id, text), () => socket.destroy())
+      return
+    }
     if (workMs === undefined || id === NONE) return this.#answer(id, text)
     setTimeout(() => this.#answer(id, text), workMs)
   }
--- a/test/support/wire.ts
+++ b/test/support/wire.ts
@@ -72,6 +72,8 @@
 export interface WireDeploymentOptions {
   /** How long a read, write or commit takes in a database, in milliseconds; at once when absent. */
   readonly workMs?: number
+  /** Returns what a statement of a caller waits for before it runs in a database; undefined when it does not wait. */
+  readonly holdStatement?: (text: string) => Promise<void> | undefined
 }
 
 /** Three control hosts, three entry hosts and one group of three databases. */
@@ -163,7 +165,7 @@
       else this.callers.push(`${ip}:${front}`)
     }
     for (const [index, zone] of ZONES.entries()) {
-      this.databases.push(await WireDatabase.create({ id: `i-${index}`, zone, group: this.group, control: this.control, workMs: this.#options.workMs, onRun: run => this.runs.push(run) }))
+      this.databases.push(await WireDatabase.create({ id: `i-${index}`, zone, group: this.group, control: this.control, ...this.#options, onRun: run => this.runs.push(run) }))
     }
   }
 }
