The random test of sessions covers a stop without time left, red

Cause: the end of a stop came at random times only, and never before a statement in the same inbox. Change: one more reason to end: a stop whose time limit comes at once, at the moments of the session. No logic changes. Conclusion: endRequests refuses a caller in an idle transaction whose next statement waits in the inbox: ERROR without READY and the end; the statement is then refused again, and CallerSession writes that answer to the ended socket.

--- a/test/support/simulatedhost.ts
+++ b/test/support/simulatedhost.ts
@@ -98,11 +98,14 @@
     this.#stopping = true
     this.#session.endWhenIdle()
     this.post({ kind: 'requests/stop-asked', endsAtMs: this.#parts.clock.nowMs + limitMs - END_MARGIN_MS } as HostMessage)
-    this.#parts.clock.schedule(limitMs - ANSWER_MARGIN_MS, () => {
-      this.#ending = true
-      this.#session.endWhenIdle()
-      this.post({ kind: 'requests/end-asked' })
-    })
+    if (limitMs <= ANSWER_MARGIN_MS) this.#endStop()
+    else this.#parts.clock.schedule(limitMs - ANSWER_MARGIN_MS, () => this.#endStop())
+  }
+
+  #endStop (): void {
+    this.#ending = true
+    this.#session.endWhenIdle()
+    this.post({ kind: 'requests/end-asked' })
   }
 
   #deliver (): void {
