The end of a stop answers a request that waits in the inbox once

Cause: a caller in an idle transaction was refused with its connection and stayed known, so that its statement, which waited in the inbox, was refused a second time. Change: the refusal of a connection ends what the slice knows of its caller, as all other ones do; a session that has ended holds no running request.

--- a/src/requests/stopping.ts
+++ b/src/requests/stopping.ts
@@ -49,8 +49,9 @@
   const { running, transaction } = caller
   if (running !== undefined) return running.phase === 'running' ? cutRequest(caller, running) : refuseStopping(caller, running)
   if (transaction === undefined) return { effects: [] }
-  const step = abortTransaction(caller, { kind: 'caller/refused', caller: caller.caller, failure: createFailure('transaction-stopped') })
-  return { ...step, effects: [...step.effects, logCutTransaction(caller, transaction)] }
+  const { effects } = abortTransaction(caller, { kind: 'caller/refused', caller: caller.caller, failure: createFailure('transaction-stopped') })
+  // The refusal also answers a request that waits in the inbox.
+  return { changes: [[caller.caller, undefined]], effects: [...effects, logCutTransaction(caller, transaction)] }
 }
 
 // The database may have run it, but whatever its transaction did is rolled back unless the request commits it.
