A withdrawn key refuses request by request, and its connection ends with silence alone

(2) A rolled-back transaction was no longer counted at a stop, so that the process ended under a caller that had not been told. (3) A key that a later version gave back stayed refused. (4) Requests behind the refused one, or behind unread answers, got no answer; half a request kept a connection open without bound. (5) A request of a withdrawn key could be tried again. Cause: as before, the connection ended by what the host knew. Change: each request of a withdrawn key is refused by the check that each request passes anyway, and succeeds if the key is back. The connection ends once its caller sent nothing for 2 s, or for as long as its transaction may be idle; what was read by then is refused in full. A rolled-back transaction stays a part of its caller until that is told. Admission keeps such connections, so that a second withdrawal is seen.

--- a/src/admission/callers.ts
+++ b/src/admission/callers.ts
@@ -18,12 +18,6 @@
 /** Connections with a key, by service. */
 export type CallersByService = SortedMap<string, ServiceCallers>
 
-/** The connections whose key is still valid, and the effects that report the revoked ones. */
-export interface CallersCheck {
-  readonly callers: CallersByService
-  readonly effects: readonly CoreEffect[]
-}
-
 const compareText = (a: string, b: string): number => (a < b ? -1 : a > b ? 1 : 0)
 
 /**
@@ -54,15 +48,13 @@
 }
 
 /**
- * Checks the connections of a service against its current document.
- * @example checkCallers(callers, 'rota', document).effects
+ * Checks the connections of a service against its current document, and creates the effects that report those whose key is
+ * withdrawn. They stay in the index until they end: a later document may give the key back and withdraw it again.
+ * @example reportWithdrawnKeys(callers, 'rota', document)
  */
-export function checkCallers (callers: CallersByService, service: string, document: ServiceDocument): CallersCheck {
-  const revoked = (callers.get(service)?.listValues() ?? []).filter(caller => !isKeyValid(document, caller))
-  return {
-    callers: revoked.reduce((remaining, caller) => removeCaller(remaining, service, caller.caller), callers),
-    effects: revoked.map(({ caller, workspace }) => tell({ kind: 'requests/key-withdrawn', caller, failure: createFailure('wrong-key', workspace) }))
-  }
+export function reportWithdrawnKeys (callers: CallersByService, service: string, document: ServiceDocument): readonly CoreEffect[] {
+  const withdrawn = (callers.get(service)?.listValues() ?? []).filter(caller => !isKeyValid(document, caller))
+  return withdrawn.map(({ caller, workspace }) => tell({ kind: 'requests/key-withdrawn', caller, failure: createFailure('wrong-key', workspace) }))
 }
 
 function isKeyValid (document: ServiceDocument, caller: AuthenticatedCaller): boolean {
--- a/src/admission/decide.ts
+++ b/src/admission/decide.ts
@@ -5,7 +5,7 @@
 import type { DocumentEntry } from '../membership/directory.js'
 import type { Route, ServiceDocument, Workspace } from '../documents/document.js'
 import type { RouteRules } from '../requests/messages.js'
-import { addCaller, checkCallers, removeCaller, type CallersByService, type CallersCheck } from './callers.js'
+import { addCaller, removeCaller, reportWithdrawnKeys } from './callers.js'
 import { createIndex, type DocumentIndex } from './documentindex.js'
 import { matchesKey } from './keys.js'
 import { updateLends } from './lending.js'
@@ -55,11 +55,11 @@
   const changed = [...received.values()].filter(entry => entry.version > (shared.documents.get(entry.service)?.version ?? 0))
   if (changed.length === 0) return { shared: { ...shared, leaderIsCurrent, confirmedAtMs }, effects: [] }
   const documents = new Map([...shared.documents, ...changed.map(entry => [entry.service, entry] as const)])
-  const checked = checkChangedServices(shared.callers, changed)
+  const withdrawn = changed.flatMap(entry => reportWithdrawnKeys(shared.callers, entry.service, entry.document))
   const limits = changed.map(entry => publishLimits(entry.service, entry.document.workspaces))
   const events = changed.map(entry => createInForceEvent(shared, entry, message.askedAtMs, moment))
   const indexes = new Map([...shared.indexes, ...changed.map(entry => [entry.service, createIndex(entry.document)] as const)])
-  return { shared: updateLends({ ...shared, documents, indexes, leaderIsCurrent, confirmedAtMs, callers: checked.callers }), effects: [...limits, ...checked.effects, ...events] }
+  return { shared: updateLends({ ...shared, documents, indexes, leaderIsCurrent, confirmedAtMs }), effects: [...limits, ...withdrawn, ...events] }
 }
 
 function createInForceEvent ({ documents }: AdmissionShared, { service, version }: DocumentEntry, askedAtMs: number, { monotonicMs }: Moment): CoreEffect {
@@ -75,13 +75,6 @@
   return { shared: { ...shared, confirmedAtMs: Math.max(shared.confirmedAtMs, askedAtMs) }, effects: [] }
 }
 
-function checkChangedServices (callers: CallersByService, changed: readonly DocumentEntry[]): CallersCheck {
-  return changed.reduce<CallersCheck>((result, { service, document }) => {
-    const next = checkCallers(result.callers, service, document)
-    return { callers: next.callers, effects: [...result.effects, ...next.effects] }
-  }, { callers, effects: [] })
-}
-
 function handleDisconnect (shared: AdmissionShared, message: CallerDisconnected): AdmissionStep {
   return { shared: { ...shared, callers: removeCaller(shared.callers, message.service, message.caller) }, effects: [] }
 }
--- a/src/requests/decide.ts
+++ b/src/requests/decide.ts
@@ -7,9 +7,9 @@
 import { logRequests, logUnanswered } from './log.js'
 import type { AttemptFailed, AttemptFinished, CallerConnected, ConnectionChecked, CountRequested, EndRequested, GrantsConfirmed, OutputDrained, OutputReceived, PeerLost, ReplicaSlow, RequestAdmitted, RequestArrived, RequestInput, RequestRouted, RequestsMessage, RequestUnanswered, RouteRules, SessionReplaced, StopRequested, AttemptId } from './messages.js'
 import { MAX_RETRY_BUDGET, RETRY_BUDGET_PER_SUCCESS, type Caller, type InFlightRequest, type OpenTransaction, type RequestsShared } from './state.js'
-import { clearTimers, createCancelEffects, createFinishedEffect, getTransactionStatus, replaceCaller, type RequestsEffect, type RequestsStep, type RequestsStore } from './step.js'
+import { createCancelEffects, createFinishedEffect, getTransactionStatus, replaceCaller, type RequestsEffect, type RequestsStep, type RequestsStore } from './step.js'
 import { endRequests, estimateMs, isRequestTooLate, refuseStopping } from './stopping.js'
-import { createCallerClosedEffects, endSilent, refuseRevoked, revokeKey, applyRevocations } from './withdrawal.js'
+import { acceptKey, applyRevocations, endSilent, refuseInTransaction, removeCaller, revokeKey } from './withdrawal.js'
 import { sendPeer, setTimer, tell } from '../messages.js'
 
 /** How long a host may rely on a grant, counted from the time at which it requested the confirmation. */
@@ -22,7 +22,7 @@
  * @example decideRequests(store, { kind: 'requests/closed', caller: 'c1' }, moment)
  */
 export function decideRequests (store: RequestsStore, message: RequestsMessage, moment: Moment): RequestsStep {
-  return logRequests(store, message, applyRevocations(store, decideMessage(store, message, moment)), moment)
+  return logRequests(store, message, applyRevocations(decideMessage(store, message, moment)), moment)
 }
 
 function decideMessage (store: RequestsStore, message: RequestsMessage, moment: Moment): RequestsStep {
@@ -56,7 +56,7 @@
     case 'requests/drained': return forwardCredit(caller, message)
     case 'requests/closed': return closeConnection(caller)
     case 'requests/retry-due': return decideForAttempt(caller, message, running => requestTarget(caller, running))
-    case 'requests/admitted': return decideForAttempt(caller, message, running => admitRequest(caller, running, message, moment))
+    case 'requests/admitted': return decideForAttempt(caller, message, running => admitRequest(acceptKey(caller, message.rules), running, message, moment))
     case 'requests/routed': return decideForAttempt(caller, message, running => dispatchRequest(store.shared, caller, running, message, moment))
     case 'requests/late': return decideForAttempt(caller, message, running => retrySlowRead(store.shared, caller, running, message, moment))
     case 'requests/failed': return decideForAttempt(caller, message, running => reportOwner(running, message, failAttempt(store.shared, caller, running, message, moment)))
@@ -102,7 +102,6 @@
 }
 
 function acceptRequest (shared: RequestsShared, caller: Caller, message: RequestArrived, moment: Moment): RequestsStep {
-  if (caller.revoked !== undefined) return refuseRevoked(caller, caller.revoked, message.input.intent)
   const attempt = caller.attempts + 1
   const limitMs = Math.min(message.input.deadlineMs ?? shared.requestMs, shared.requestMs)
   const running: InFlightRequest = {
@@ -120,6 +119,7 @@
   }
   const next: Caller = { ...caller, attempts: attempt, running }
   if (caller.transaction?.phase === 'lost') return answerLostTransaction(next, running)
+  if (caller.transaction?.phase === 'revoked') return refuseInTransaction(next, running)
   if (isRequestTooLate(shared, next, running, moment)) return refuseStopping(next, running)
   const check = tell({
     kind: 'admission/check-request',
@@ -272,7 +272,7 @@
 }
 
 function closeConnection (caller: Caller): RequestsStep {
-  return { changes: [[caller.caller, undefined]], effects: [...clearTimers(caller.caller), ...createCancelEffects(caller), ...createCallerClosedEffects(caller)] }
+  return removeCaller(caller, createCancelEffects(caller))
 }
 
 function updateGrants (store: RequestsStore, message: GrantsConfirmed, moment: Moment): RequestsStep {
--- a/src/requests/failure.ts
+++ b/src/requests/failure.ts
@@ -25,7 +25,7 @@
 export function failAttempt (shared: RequestsShared, caller: Caller, running: InFlightRequest, message: AttemptFailed, moment: Moment): RequestsStep {
   const delayMs = computeBackoffMs(running, moment)
   const inTime = moment.monotonicMs + delayMs < running.deadlineAtMs
-  const allowed = message.retriable === true && inTime && running.parts === 0 && caller.transaction === undefined
+  const allowed = message.retriable === true && inTime && running.parts === 0 && caller.transaction === undefined && caller.revoked === undefined
   if (allowed && message.failure.effect === 'not-run') return retry(caller, markUnbounded(running, message.failure), delayMs)
   const repeatable = running.rules?.idempotent === true || running.target?.purpose === 'replica'
   if (!allowed || !repeatable || shared.retryBudget < 1) return failRequest(caller, running, addRetryAfter(message.failure, moment))
@@ -123,8 +123,9 @@
  */
 export function rejectInput (caller: Caller, failure: Failure): RequestsStep {
   const { transaction } = caller
-  const cancel = transaction === undefined || transaction.phase === 'lost' ? [] : createCancelEffects(caller)
-  const next: Caller = transaction === undefined ? caller : { ...caller, transaction: { ...transaction, phase: 'lost' } }
+  const ended = transaction === undefined || transaction.phase === 'lost' || transaction.phase === 'revoked'
+  const cancel = ended ? [] : createCancelEffects(caller)
+  const next: Caller = ended ? caller : { ...caller, transaction: { ...transaction, phase: 'lost' } }
   return replaceCaller(next, [...cancel, { kind: 'caller/failed', caller: caller.caller, failure, status: getTransactionStatus(next) }])
 }
 
@@ -178,6 +179,6 @@
     const failure = reached ? createFailure('outcome-unknown', reason) : createFailure('no-database', running.rules?.group)
     return failAttempt(shared, caller, running, { kind: 'requests/failed', caller: caller.caller, attempt: running.attempt, failure, retriable: true }, moment)
   }
-  if (transaction === undefined || !matches(transaction.target, transaction.rules.group)) return UNCHANGED
+  if (transaction === undefined || transaction.phase === 'revoked' || !matches(transaction.target, transaction.rules.group)) return UNCHANGED
   return replaceCaller({ ...caller, transaction: { ...transaction, phase: 'lost' } }, [])
 }
--- a/src/requests/state.ts
+++ b/src/requests/state.ts
@@ -40,8 +40,11 @@
   readonly rules: RouteRules
   /** The attempt that began the transaction. */
   readonly beginAttempt: number
-  /** Failed: a statement failed in the database. Lost: the database no longer has the transaction; only commit and rollback are accepted. */
-  readonly phase: 'open' | 'failed' | 'lost'
+  /**
+   * Failed: a statement failed in the database. Lost: the database no longer has the transaction; only commit and rollback are
+   * accepted. Revoked: rolled back, since the caller's key was withdrawn; the caller is told with its next request.
+   */
+  readonly phase: 'open' | 'failed' | 'lost' | 'revoked'
   /** How long the slowest of its requests took, in milliseconds. */
   readonly longestMs: number
 }
@@ -60,7 +63,7 @@
   readonly ticket?: SequenceNumber
   readonly transaction?: OpenTransaction
   readonly running?: InFlightRequest
-  /** Set once the caller's key was revoked: the next request is refused with it, and the connection ends with that answer. */
+  /** Set while the caller's key is withdrawn. */
   readonly revoked?: Failure
 }
 
--- a/src/requests/withdrawal.ts
+++ b/src/requests/withdrawal.ts
@@ -1,40 +1,46 @@
 /**
- * Decisions on connections whose key was revoked. A request that was already sent to a database may finish and is answered,
- * one that was not is refused as not run, and an open transaction is rolled back. The connection ends with the refusal of the
- * next request: a caller may have sent it before it sees the end, and would wait for an answer that never comes.
+ * Decisions on connections whose key was withdrawn. A request that was already sent to a database may finish and is answered,
+ * one that was not is refused as not run, and an open transaction is rolled back. The connection itself stays until its caller
+ * is silent: whoever sends a request before it sees the end of its connection would wait for an answer that never comes.
  */
 import { createFailure, type Failure } from '../core/errors.js'
 import type { CoreEffect } from '../core/message.js'
+import { UNCHANGED } from '../core/store.js'
 import { setTimer, tell } from '../messages.js'
 import { endTransaction, failRequest } from './failure.js'
-import type { Intent, KeyRevoked } from './messages.js'
-import type { Caller } from './state.js'
-import { clearTimers, createCancelEffects, replaceCaller, type RequestsStep, type RequestsStore } from './step.js'
+import type { KeyRevoked, RouteRules } from './messages.js'
+import type { Caller, InFlightRequest, OpenTransaction } from './state.js'
+import { clearTimers, createCancelEffects, replaceCaller, type RequestsEffect, type RequestsStep } from './step.js'
 
-/** How long a connection whose key was revoked waits for a request, unless its transaction may stay idle for longer. */
-const SILENCE_MS = 5_000
+/** How long the caller of a withdrawn key may send nothing, unless its transaction may be idle for longer. */
+const SILENCE_MS = 2_000
 
 /**
- * Marks a connection whose key was revoked, and refuses its request if that was not sent to a database.
+ * Marks a connection whose key was withdrawn, and refuses its request if that was not sent to a database.
  * @example revokeKey(caller, { kind: 'requests/key-withdrawn', caller: 'c1', failure })
  */
 export function revokeKey (caller: Caller, { failure }: KeyRevoked): RequestsStep {
   const { running, transaction } = caller
+  if (caller.revoked !== undefined) return UNCHANGED
   const revoked: Caller = { ...caller, revoked: failure }
   if (running === undefined || running.phase === 'running') return replaceCaller(revoked, [])
-  return transaction === undefined ? failRequest(revoked, running, failure) : endTransaction(revoked, running.input.intent, createRollbackFailure(caller))
+  return isActive(transaction) ? refuseInTransaction(revoked, running) : failRequest(revoked, running, failure)
 }
 
 /**
- * Rolls back the transactions of marked connections that a step leaves without a request, and lets them wait for the next one.
- * @example applyRevocations(store, step)
+ * Refuses a request within a transaction that a withdrawal rolled back, and ends that transaction.
+ * @example refuseInTransaction(caller, running)
  */
-export function applyRevocations (store: RequestsStore, step: RequestsStep): RequestsStep {
-  const applied = (step.changes ?? []).flatMap(([name, caller]) => {
-    const before = store.items.get(name)
-    const isDone = before?.revoked !== undefined && before.running === undefined
-    return caller?.revoked === undefined || caller.running !== undefined || isDone ? [] : [applyRevocation(caller)]
-  })
+export function refuseInTransaction (caller: Caller, { input }: InFlightRequest): RequestsStep {
+  return endTransaction(caller, input.intent, createRollbackFailure(caller))
+}
+
+/**
+ * Rolls back the transactions of marked connections that a step leaves without a request, and watches for their silence.
+ * @example applyRevocations(step)
+ */
+export function applyRevocations (step: RequestsStep): RequestsStep {
+  const applied = (step.changes ?? []).flatMap(([, caller]) => (caller?.revoked === undefined || caller.running !== undefined ? [] : [applyRevocation(caller)]))
   if (applied.length === 0) return step
   const changes = new Map([...step.changes!, ...applied.flatMap(({ changes = [] }) => changes)])
   return { ...step, changes: [...changes], effects: [...step.effects, ...applied.flatMap(({ effects }) => effects)] }
@@ -43,13 +49,14 @@
 function applyRevocation (caller: Caller): RequestsStep {
   const { transaction } = caller
   const silenceMs = Math.max(SILENCE_MS, transaction?.rules.idleTransactionMs ?? 0)
-  const timer = createSilenceTimer(caller, silenceMs)
-  if (transaction === undefined) return replaceCaller(caller, [timer])
-  return replaceCaller({ ...caller, transaction: undefined, revoked: createRollbackFailure(caller) }, [...createCancelEffects(caller), timer])
+  const timer = setTimer(`requests/silence/${caller.caller}`, silenceMs, { kind: 'requests/silence-passed', caller: caller.caller })
+  if (!isActive(transaction)) return replaceCaller(caller, [timer])
+  return replaceCaller({ ...caller, transaction: { ...transaction, phase: 'revoked' } }, [...createCancelEffects(caller), timer])
 }
 
-function createSilenceTimer ({ caller }: Caller, silenceMs: number): CoreEffect {
-  return setTimer(`requests/silence/${caller}`, silenceMs, { kind: 'requests/silence-passed', caller })
+// Of a lost transaction nobody knows whether it was committed.
+function isActive (transaction: OpenTransaction | undefined): transaction is OpenTransaction {
+  return transaction?.phase === 'open' || transaction?.phase === 'failed'
 }
 
 function createRollbackFailure ({ workspace }: Caller): Failure {
@@ -57,14 +64,11 @@
 }
 
 /**
- * Refuses the request of a marked connection, which ends with that answer. The end of its transaction by a rollback succeeds,
- * and the connection waits for the next request: an end right behind an answer that succeeds could cross it.
- * @example refuseRevoked(caller, failure, 'statement')
+ * Returns a connection whose key admission has just accepted: a later version may have given it back. Open routes need no key.
+ * @example acceptKey(caller, rules).revoked // undefined
  */
-export function refuseRevoked (caller: Caller, failure: Failure, intent: Intent): RequestsStep {
-  if (intent !== 'rollback' || failure.code !== 'transaction-revoked') return endConnection(caller, failure)
-  const revoked: Caller = { ...caller, revoked: createFailure('wrong-key', caller.workspace) }
-  return replaceCaller(revoked, [{ kind: 'caller/rolled-back', caller: caller.caller }, createSilenceTimer(caller, SILENCE_MS)])
+export function acceptKey (caller: Caller, { open }: RouteRules): Caller {
+  return caller.revoked === undefined || open === true ? caller : { ...caller, revoked: undefined }
 }
 
 /**
@@ -72,18 +76,21 @@
  * @example endSilent(caller)
  */
 export function endSilent (caller: Caller): RequestsStep {
-  return caller.revoked === undefined || caller.running !== undefined ? { effects: [] } : endConnection(caller, caller.revoked)
-}
-
-function endConnection ({ caller }: Caller, failure: Failure): RequestsStep {
-  return { changes: [[caller, undefined]], effects: [...clearTimers(caller), { kind: 'caller/refused', caller, failure }] }
+  const { revoked, running, transaction } = caller
+  if (revoked === undefined || running !== undefined) return UNCHANGED
+  const failure = transaction?.phase === 'revoked' ? createRollbackFailure(caller) : revoked
+  return removeCaller(caller, [{ kind: 'caller/refused', caller: caller.caller, failure }])
 }
 
 /**
- * Creates the effect that reports a closed connection to admission, if it has a workspace.
- * @example createCallerClosedEffects(caller)
+ * Creates a step that forgets a caller.
+ * @example removeCaller(caller, [])
  */
-export function createCallerClosedEffects (caller: Caller): readonly CoreEffect[] {
+export function removeCaller (caller: Caller, effects: readonly RequestsEffect[]): RequestsStep {
+  return { changes: [[caller.caller, undefined]], effects: [...clearTimers(caller.caller), ...effects, ...createCallerClosedEffects(caller)] }
+}
+
+function createCallerClosedEffects (caller: Caller): readonly CoreEffect[] {
   if (caller.workspace === undefined) return []
   return [tell({ kind: 'admission/caller-closed', caller: caller.caller, service: caller.service })]
 }
