Random schedules of sessions are apart from the protocol of their callers

Cause: the simulated caller knew the wire protocol, so the PostgreSQL front end could not be tested with it. Change: an abstract class for what protocols differ in; the wire protocol is its first one. A step of the clock waits for promises. The host forgets a session once its connection is closed, as front ends do, and a transaction that failed in the simulated owner stays failed. The checks are the same.

--- a/test/support/scriptedcaller.ts
+++ b/test/support/scriptedcaller.ts
@@ -1,6 +1,5 @@
-/** A caller of the wire protocol in simulated time that sends one statement at a time: single ones, transactions with pauses, session state. */
-import type { Answer } from '../../platform/answer.js'
-import { formatLines } from '../../platform/lines.js'
+/** A caller in simulated time that sends one statement at a time: single ones, transactions with pauses, session state. */
+import type { CallerProtocol, ObservedAnswer, StatementText, Tail } from './callerprotocol.js'
 import type { SimulatedClock } from './simulatedclock.js'
 import { IDLE_TRANSACTION_MS, type SimulatedHost } from './simulatedhost.js'
 import { SessionObserver, type Ending, type SentStatement } from './sessionobserver.js'
@@ -12,18 +11,13 @@
 const OPERATIONS = 6
 const MAX_TRANSACTION_STATEMENTS = 4
 const SILENT_SHARE = 0.02
-/** Longer than the longest line of the protocol. */
-const OVERLONG_LINE = 'x'.repeat(1_048_580)
-
-/** What a caller sends behind a statement that was not answered yet. */
-export type Tail = 'close' | 'malformed' | 'overlong'
-const TEXT_BY_TAIL: Readonly<Record<Tail, string>> = { close: formatLines('CLOSE'), malformed: formatLines('PLEASE'), overlong: OVERLONG_LINE }
 
 /** The dependencies of a caller. */
 export interface ScriptedCallerParts {
   readonly clock: SimulatedClock
   readonly random: () => number
   readonly host: SimulatedHost
+  readonly protocol: CallerProtocol
   /** Called before and after the session reads each piece, and after each of its writes: the moments at which an end can cross a statement. */
   readonly onMoment: () => void
   /** Sent behind the statement of this number. */
@@ -37,7 +31,7 @@
   readonly #allowedEnds: string[] = []
   /** The statement that waits for its answer. */
   #pending: SentStatement | undefined
-  #status: Answer['status'] = 'idle'
+  #status: ObservedAnswer['status'] = 'idle'
   #leaving = false
   #ended = false
   #answeredAtMs = 0
@@ -54,6 +48,7 @@
     this.#parts = parts
     this.observer = SessionObserver.create({
       host: parts.host,
+      reader: parts.protocol.createReader(),
       onAnswer: answer => this.#schedule('down', () => this.#receive(answer)),
       onFinished: ending => this.#finish(ending),
       onWritten: parts.onMoment
@@ -70,7 +65,7 @@
   }
 
   start (): void {
-    this.#sendPieces(formatLines('START orders key-1'))
+    this.#sendPieces(this.#parts.protocol.encodeStart())
   }
 
   // Both directions of the connection keep their order.
@@ -82,32 +77,35 @@
     clock.schedule(atMs - clock.nowMs, run)
   }
 
-  #sendPieces (text: string, statement?: SentStatement, tail = ''): void {
+  #sendPieces (bytes: Buffer, statement?: SentStatement, tail: Buffer = Buffer.alloc(0)): void {
     const { random } = this.#parts
-    const split = random() < 0.5 ? 0 : Math.floor(random() * text.length)
-    const pieces = split === 0 ? [text + tail] : [text.slice(0, split), text.slice(split) + tail]
+    const split = random() < 0.5 ? 0 : Math.floor(random() * bytes.length)
+    const pieces = split === 0 ? [Buffer.concat([bytes, tail])] : [bytes.subarray(0, split), Buffer.concat([bytes.subarray(split), tail])]
     for (const [index, piece] of pieces.entries()) {
       const last = index === pieces.length - 1
       this.#schedule('up', () => this.#deliver(piece, last ? statement : undefined))
     }
   }
 
-  #deliver (piece: string, statement: SentStatement | undefined): void {
+  #deliver (piece: Buffer, statement: SentStatement | undefined): void {
     const { socket } = this.observer
     if (socket.destroyed) return
     this.#parts.onMoment()
     if (statement !== undefined) this.observer.expectAnswer(statement)
-    socket.emit('data', piece)
+    socket.emit('data', this.#parts.protocol.decodeChunk(piece))
     this.#parts.onMoment()
   }
 
-  #receive (answer: Answer): void {
+  #receive (answer: ObservedAnswer): void {
     const { clock, random } = this.#parts
+    // A driver gives it to no statement, so it ends no transaction for its caller.
+    if (answer.last && this.#pending === undefined) return
+    if (answer.last) this.observer.addCrossedAnswer(this.#pending!, answer)
     this.#pending = undefined
     this.#status = answer.status
     this.#answeredAtMs = clock.nowMs
     if (answer.status === 'idle') this.#inTransaction = false
-    if (this.#leaving || random() < SILENT_SHARE) return
+    if (this.#leaving || answer.last || random() < SILENT_SHARE) return
     clock.schedule(random() < 0.4 ? 0 : random() * MAX_PAUSE_MS, () => this.#sendNext())
   }
 
@@ -115,39 +113,38 @@
     if (this.#ended || this.#leaving) return
     const text = this.#chooseText()
     if (text === undefined) return this.#endOperations()
-    if (text.startsWith('BEGIN')) {
+    if (text === 'BEGIN') {
       this.#inTransaction = true
       this.#transactions += 1
     }
     const statement: SentStatement = {
       id: `q${++this.#sent}`,
       text,
-      transaction: this.#inTransaction ? this.#transactions : undefined,
-      local: /^(SET|PREPARE)/.test(text)
+      transaction: this.#inTransaction ? this.#transactions : undefined
     }
     this.#pending = statement
     this.#send(statement)
   }
 
   #send (statement: SentStatement): void {
-    const { random, tail } = this.#parts
-    const text = formatLines(`QUERY ${statement.id} ${statement.text}`)
-    if (tail?.behind !== this.#sent) return this.#sendPieces(text, statement)
+    const { random, tail, protocol } = this.#parts
+    const bytes = protocol.encodeStatement(statement.id, statement.text)
+    if (tail?.behind !== this.#sent) return this.#sendPieces(bytes, statement)
     this.#leaving = true
-    const tailText = TEXT_BY_TAIL[tail.kind]
-    if (random() < 0.5) return this.#sendPieces(text, statement, tailText)
-    this.#sendPieces(text, statement)
-    this.#parts.clock.schedule(random() * MAX_TAIL_DELAY_MS, () => this.#schedule('up', () => this.#deliver(tailText, undefined)))
+    const tailBytes = protocol.encodeTail(tail.kind)
+    if (random() < 0.5) return this.#sendPieces(bytes, statement, tailBytes)
+    this.#sendPieces(bytes, statement)
+    this.#parts.clock.schedule(random() * MAX_TAIL_DELAY_MS, () => this.#schedule('up', () => this.#deliver(tailBytes, undefined)))
   }
 
   #endOperations (): void {
     this.#leaving = true
-    if (this.#parts.random() < 0.5) this.#sendPieces(formatLines('CLOSE'))
+    if (this.#parts.random() < 0.5) this.#sendPieces(this.#parts.protocol.encodeTail('close'))
   }
 
-  #chooseText (): string | undefined {
+  #chooseText (): StatementText | undefined {
     const { random } = this.#parts
-    if (this.#status === 'failed') return random() < 0.2 ? 'READ a' : random() < 0.3 ? 'COMMIT' : 'ROLLBACK'
+    if (this.#status === 'failed') return random() < 0.2 ? 'READ' : random() < 0.3 ? 'COMMIT' : 'ROLLBACK'
     if (this.#status === 'open') return this.#chooseInTransaction()
     this.#operations += 1
     if (this.#operations > OPERATIONS) return undefined
@@ -156,18 +153,18 @@
       this.#remaining = 1 + Math.floor(random() * MAX_TRANSACTION_STATEMENTS)
       return 'BEGIN'
     }
-    return choice < 0.9 ? this.#chooseStatement() : choice < 0.95 ? 'SET colour red' : 'PREPARE s READ shape'
+    return choice < 0.9 ? this.#chooseStatement() : 'LOCAL'
   }
 
-  #chooseInTransaction (): string {
+  #chooseInTransaction (): StatementText {
     const { random } = this.#parts
     if (this.#remaining === 0) return random() < 0.75 ? 'COMMIT' : 'ROLLBACK'
     this.#remaining -= 1
-    return random() < 0.1 ? 'SET colour blue' : this.#chooseStatement()
+    return random() < 0.1 ? 'LOCAL' : this.#chooseStatement()
   }
 
-  #chooseStatement (): string {
-    return this.#parts.random() < 0.5 ? 'READ a' : 'WRITE a one'
+  #chooseStatement (): StatementText {
+    return this.#parts.random() < 0.5 ? 'READ' : 'WRITE'
   }
 
   // A destroyed socket closes at once, an ended one as soon as the caller closes, too.
--- a/test/support/sessionobserver.ts
+++ b/test/support/sessionobserver.ts
@@ -1,12 +1,9 @@
 /** The caller's end of a session's connection in simulated time: checks what the session writes, in the moment in which it does. */
 import { EventEmitter } from 'node:events'
-import { collectLine, type Answer } from '../../platform/answer.js'
 import type { TransactionStatus } from '../../src/requests/messages.js'
+import type { AnswerReader, ObservedAnswer, StatementText } from './callerprotocol.js'
 import type { SimulatedHost } from './simulatedhost.js'
 
-/** Codes that promise nothing about the effect of a statement. */
-const UNKNOWN_CODES: readonly string[] = ['INDOUBT', 'FAILED']
-
 /** How a session ended its connection: by destroying the socket, or by ending it behind a last text or alone. */
 export type Ending = 'destroyed' | 'with text' | 'alone'
 type OnFinished = (ending: Ending) => void
@@ -14,18 +11,18 @@
 /** What a session needs of a socket. */
 export class SimulatedSocket extends EventEmitter {
   readonly writableLength = 0
-  readonly #onWrite: (text: string) => void
+  readonly #onWrite: (bytes: Buffer) => void
   readonly #onFinished: OnFinished
   #finished = false
   #destroyed = false
 
-  private constructor (onWrite: (text: string) => void, onFinished: OnFinished) {
+  private constructor (onWrite: (bytes: Buffer) => void, onFinished: OnFinished) {
     super()
     this.#onWrite = onWrite
     this.#onFinished = onFinished
   }
 
-  static create (onWrite: (text: string) => void, onFinished: OnFinished): SimulatedSocket {
+  static create (onWrite: (bytes: Buffer) => void, onFinished: OnFinished): SimulatedSocket {
     return new SimulatedSocket(onWrite, onFinished)
   }
 
@@ -39,18 +36,23 @@
     return this.#destroyed
   }
 
+  /** True once the session may write no more. */
+  get writableEnded (): boolean {
+    return this.#finished
+  }
+
   setEncoding (): void {}
   readonly pause = (): void => {}
   resume (): void {}
 
-  write (text: string): boolean {
-    this.#onWrite(text)
+  write (text: string | Uint8Array): boolean {
+    this.#onWrite(Buffer.from(text as string))
     return true
   }
 
-  end (text = ''): void {
-    if (text !== '') this.write(text)
-    this.#finish(text === '' ? 'alone' : 'with text')
+  end (text: string | Uint8Array = ''): void {
+    if (text.length > 0) this.write(text)
+    this.#finish(text.length === 0 ? 'alone' : 'with text')
   }
 
   readonly destroy = (): void => {
@@ -68,18 +70,17 @@
 /** A statement of the caller. */
 export interface SentStatement {
   readonly id: string
-  readonly text: string
+  readonly text: StatementText
   /** The number of its transaction; absent for a single statement. */
   readonly transaction?: number
-  /** True when the session answers it itself. */
-  readonly local: boolean
 }
 
 /** The dependencies of an observer. */
 export interface ObserverParts {
   readonly host: SimulatedHost
+  readonly reader: AnswerReader
   /** Called with each complete answer. */
-  readonly onAnswer: (answer: Answer) => void
+  readonly onAnswer: (answer: ObservedAnswer) => void
   /** Called when the session ends the connection. */
   readonly onFinished: OnFinished
   readonly onWritten: () => void
@@ -87,12 +88,11 @@
 
 /** Records what violates the guarantees to a caller that sends one statement at a time. */
 export class SessionObserver {
-  readonly socket = SimulatedSocket.create(text => this.#handleWrite(text), ending => this.#handleEnd(ending))
+  readonly socket = SimulatedSocket.create(bytes => this.#handleWrite(bytes), ending => this.#handleEnd(ending))
   readonly #parts: ObserverParts
   readonly #violations: string[] = []
-  readonly #answers = new Map<SentStatement, Answer>()
+  readonly #answers = new Map<SentStatement, ObservedAnswer>()
   #unanswered: SentStatement | undefined
-  #lines: readonly string[] = []
   #started = false
   #status: TransactionStatus = 'idle'
 
@@ -123,6 +123,11 @@
     return this.#unanswered === statement || this.#answers.has(statement)
   }
 
+  /** Adds the answer to a statement that the session did not read before it ended the connection with that answer. */
+  addCrossedAnswer (statement: SentStatement, answer: ObservedAnswer): void {
+    if (!this.#answers.has(statement)) this.#answers.set(statement, answer)
+  }
+
   report (violation: string): void {
     this.#violations.push(violation)
   }
@@ -132,65 +137,51 @@
     const { host } = this.#parts
     if (this.#started && host.keyWithdrawn && !this.socket.finished) this.report('a withdrawn key kept its connection')
     const answers = [...this.#answers]
-    const revoked = new Set(answers.flatMap(([{ transaction }, { error }]) => (isPromise(error) && transaction !== undefined ? [transaction] : [])))
-    for (const [statement, { error }] of answers) {
-      const promised = isPromise(error) || (statement.transaction !== undefined && revoked.has(statement.transaction))
+    const revoked = new Set(answers.flatMap(([{ transaction }, { notKept }]) => (notKept && transaction !== undefined ? [transaction] : [])))
+    for (const [statement, { error, notKept }] of answers) {
+      const promised = notKept || (statement.transaction !== undefined && revoked.has(statement.transaction))
       this.#checkOutcome(statement, error, promised)
     }
   }
 
-  #checkOutcome ({ id, text, local, transaction }: SentStatement, error: string | undefined, promised: boolean): void {
+  #checkOutcome ({ id, text, transaction }: SentStatement, error: string | undefined, promised: boolean): void {
     const { owner } = this.#parts.host
     const runs = owner.countRuns(id)
     if (promised && owner.isKept(id)) this.report('kept, although its caller was told that it was not')
     if (runs > 1) this.report('ran twice')
-    if (local || error !== undefined || text === 'ROLLBACK') return
+    if (error !== undefined || text === 'LOCAL' || text === 'ROLLBACK') return
     if (runs === 0) this.report('answered, although it did not run')
     if ((transaction === undefined || text === 'COMMIT') && !owner.isKept(id)) this.report('acknowledged, and not kept')
   }
 
-  #handleWrite (text: string): void {
+  #handleWrite (bytes: Buffer): void {
     if (this.socket.finished) this.report('something was written after the end')
-    for (const line of text.split('\r\n').slice(0, -1)) this.#handleLine(line)
+    for (const answer of this.#parts.reader.read(bytes)) this.#handleAnswer(answer)
     this.#parts.onWritten()
   }
 
-  #handleLine (line: string): void {
-    const answer = collectLine(this.#lines, line)
-    if (answer === undefined) {
-      this.#lines = [...this.#lines, line]
-      return
-    }
-    this.#lines = []
-    if (this.#started) this.#checkAnswer(answer)
-    this.#started = true
-    this.#status = answer.status
-    this.#parts.onAnswer(answer)
-  }
-
-  #checkAnswer (answer: Answer): void {
+  #handleAnswer (answer: ObservedAnswer): void {
     const statement = this.#unanswered
     this.#unanswered = undefined
-    if (statement === undefined) return this.report('an answer to no statement')
-    this.#answers.set(statement, answer)
-    if (!/^(DONE|ERROR) /.test(answer.lines[answer.lines.length - 1] ?? '')) this.report('an answer without DONE or ERROR')
-    this.#checkStatus(statement, answer)
+    if (statement !== undefined) this.#checkAnswer(statement, answer)
+    else if (this.#started && !answer.last) this.report('an answer to no statement')
+    this.#started ||= !answer.last
+    this.#status = answer.status
+    this.#parts.onAnswer(answer)
   }
 
   // The slices don't know of the statements that a session answers itself, so their answers repeat the last state.
-  #checkStatus (statement: SentStatement, { status, error }: Answer): void {
+  #checkAnswer (statement: SentStatement, answer: ObservedAnswer): void {
+    this.#answers.set(statement, answer)
+    const { status, error, hasOutcome } = answer
+    if (!hasOutcome) this.report('an answer without an outcome')
     const held = this.#parts.host.owner.status
-    const agrees = statement.local && error === undefined ? status === this.#status : status === 'failed' ? held !== 'open' : status === held
+    const agrees = statement.text === 'LOCAL' && error === undefined ? status === this.#status : status === 'failed' ? held !== 'open' : status === held
     if (!agrees) this.report(`answered as ${status} while its transaction is ${held}`)
   }
 
   #handleEnd (ending: Ending): void {
-    if (this.#unanswered !== undefined) this.report(this.#lines.length > 0 ? 'read, and answered in part' : 'read, and not answered')
+    if (this.#unanswered !== undefined) this.report(this.#parts.reader.hasPart ? 'read, and answered in part' : 'read, and not answered')
     this.#parts.onFinished(ending)
   }
 }
-
-// All other codes promise that nothing of the statement and its transaction is kept.
-function isPromise (error: string | undefined): boolean {
-  return error !== undefined && !UNKNOWN_CODES.includes(error)
-}
--- a/test/support/simulatedclock.ts
+++ b/test/support/simulatedclock.ts
@@ -1,4 +1,5 @@
 /** The clock of a simulation. */
+import { setImmediate as settlePromises } from 'node:timers/promises'
 import { StepQueue } from './stepqueue.js'
 
 /** Steps in simulated time; those of one time run in the order in which they were scheduled. */
@@ -19,10 +20,12 @@
     this.#steps.push({ atMs: this.#nowMs + afterMs, sequence: this.#sequence++, run })
   }
 
-  runUntil (untilMs: number): void {
+  /** Runs the steps that are due by a time; what a step leaves to promises is done before the next one. */
+  async runUntil (untilMs: number): Promise<void> {
     for (let step = this.#steps.dequeue(untilMs); step !== undefined; step = this.#steps.dequeue(untilMs)) {
       this.#nowMs = step.atMs
       step.run()
+      await settlePromises()
     }
     this.#nowMs = untilMs
   }
--- a/test/support/simulatedhost.ts
+++ b/test/support/simulatedhost.ts
@@ -47,7 +47,7 @@
   readonly #requests = StoreSlice.create({ name: 'requests', shared: createRequestsShared(REQUEST_MS, GUARANTEES), decide: decideRequests })
   readonly #timers = new Map<string, symbol>()
   readonly #inbox: Message[] = []
-  #session!: HostedSession
+  #session: HostedSession | undefined
   #linkBusyUntilMs = 0
   #keyWithdrawn = false
   #stopping = false
@@ -80,6 +80,11 @@
     this.#session = session
   }
 
+  /** Forgets the session once its connection is closed, as front ends do. */
+  dropSession (): void {
+    this.#session = undefined
+  }
+
   /** Adds a message to the inbox, which is handled after the events of the socket that are due by then. */
   readonly post = (message: Message): void => {
     this.#inbox.push(message)
@@ -96,7 +101,7 @@
   stop (limitMs: number): void {
     if (this.#stopping) return
     this.#stopping = true
-    this.#session.endWhenIdle()
+    this.#session?.endWhenIdle()
     this.post({ kind: 'requests/stop-asked', endsAtMs: this.#parts.clock.nowMs + limitMs - END_MARGIN_MS } as HostMessage)
     if (limitMs <= ANSWER_MARGIN_MS) this.#endStop()
     else this.#parts.clock.schedule(limitMs - ANSWER_MARGIN_MS, () => this.#endStop())
@@ -104,7 +109,7 @@
 
   #endStop (): void {
     this.#ending = true
-    this.#session.endWhenIdle()
+    this.#session?.endWhenIdle()
     this.post({ kind: 'requests/end-asked' })
   }
 
@@ -127,7 +132,7 @@
       case 'timer/set': return this.#setTimer(effect as SetTimer)
       case 'timer/clear': return this.#clearTimer(effect as ClearTimer)
       case 'peer/send': return this.#sendPeer((effect as SendPeer).message)
-      default: if (readOwner(effect.kind) === 'caller') this.#session.execute(effect as CallerEffect)
+      default: if (readOwner(effect.kind) === 'caller') this.#session?.execute(effect as CallerEffect)
     }
   }
 
--- a/test/support/simulatedowner.ts
+++ b/test/support/simulatedowner.ts
@@ -109,7 +109,7 @@
   }
 
   #continueTransaction (transaction: OwnedTransaction, id: string): 'FAILED' | undefined {
-    const failed = this.#parts.random() < FAILED_SHARE
+    const failed = transaction.failed || this.#parts.random() < FAILED_SHARE
     this.#transaction = { ids: [...transaction.ids, id], failed }
     return failed ? 'FAILED' : undefined
   }
