--- a/test/support/scriptedcaller.ts
+++ b/test/support/scriptedcaller.ts
@@ -176,9 +176,7 @@
       if (ending !== 'destroyed') this.#schedule('up', close)
     }
     if (ending === 'destroyed') clock.schedule(0, close)
-    // The end travels with the text before it.
-    if (ending === 'with text') clock.schedule(this.#downlinkBusyUntilMs - clock.nowMs, handleEnd)
-    else this.#schedule('down', handleEnd)
+    this.#schedule('down', handleEnd)
   }
 
   // A caller takes the end of its connection for a failure unless it asked for it, or waits for nothing outside of a transaction.
