The end of a PostgreSQL connection is final

Cause: a stop ends each connection twice, and the startup is answered in several steps, between which a stop may come. Change: a connection that was ended writes nothing more.

--- a/src/frontends/postgres/connection.ts
+++ b/src/frontends/postgres/connection.ts
@@ -37,6 +37,7 @@
   #collected: BatchMessage[] = []
   #collectedBytes = 0
   #stopping = false
+  #ended = false
   #batch: Batch | undefined
   #route: string | undefined
   #session = ''
@@ -95,8 +96,14 @@
   /** Closes the connection after a last error. A running request may still complete, so its outcome is reported as unknown. */
   stop (failure: Failure): void {
     const running = this.#resolveRequest !== undefined && failure.effect === 'not-run'
-    const reported = running ? createFailure('outcome-unknown', 'the connection was ended') : failure
-    this.#parts.socket.end(encodeFailure(reported, 'FATAL'))
+    this.#endSocket(running ? createFailure('outcome-unknown', 'the connection was ended') : failure)
+  }
+
+  // Final: a write after it would destroy the socket with the answers that it still holds.
+  #endSocket (failure?: Failure): void {
+    if (this.#ended) return
+    this.#ended = true
+    this.#parts.socket.end(failure === undefined ? '' : encodeFailure(failure, 'FATAL'))
   }
 
   /** Closes the connection as soon as its caller has no running request and no open transaction. */
@@ -144,7 +151,7 @@
   #refuse (failure: Failure): void {
     if (this.#resolveOpen !== undefined) this.#resolveOpen(failure)
     // A request that the slices have not received by now will not run, so their failure is reported unchanged.
-    else this.#parts.socket.end(encodeFailure(failure, 'FATAL'))
+    else this.#endSocket(failure)
   }
 
   async #dispatch (message: BatchMessage): Promise<boolean> {
@@ -161,7 +168,7 @@
         this.stop(createFailure('not-supported', 'Flush'))
         return true
       case FRONTEND.terminate:
-        this.#parts.socket.end()
+        this.#endSocket()
         return true
       default: return this.#refuseMessage(`message type ${message.code} is not expected here`)
     }
@@ -248,13 +255,14 @@
     this.#batch = undefined
     this.#resolveRequest = undefined
     this.#status = status
-    this.#parts.socket.write(Buffer.concat([...parts, encodeReady(status)]))
+    if (!this.#ended) this.#parts.socket.write(Buffer.concat([...parts, encodeReady(status)]))
     resolve()
     if (this.#stopping && this.idle) this.stop(createFailure('host-stopping'))
   }
 
   #write (payload: Buffer): void {
     const { socket, caller, post } = this.#parts
+    if (this.#ended) return
     const bytes = payload.length
     socket.write(payload, () => post({ kind: 'requests/drained', caller, bytes }))
   }
--- a/src/frontends/postgres/protocol.ts
+++ b/src/frontends/postgres/protocol.ts
@@ -52,6 +52,11 @@
     await this.#lastChunk
   }
 
+  // The startup is answered in several steps, between which the connection may be ended.
+  override sendData (data: Uint8Array): void {
+    if (!this.socket.writableEnded) super.sendData(data)
+  }
+
   async #handleChunk (chunk: Buffer): Promise<void> {
     this.#incomplete = this.#incomplete.length === 0 ? chunk : Buffer.concat([this.#incomplete, chunk])
     for (let message = this.#splitMessage(); message !== undefined; message = this.#splitMessage()) {
