bench: links measures the processor time of messages between two hosts

Two ConnectPeerLinks in one process, round trips of a request and its answer, 1, 3, 10 and 30 in a turn of the loop.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -8,6 +8,7 @@
 import { runFailover } from './failover.js'
 import { runFairness } from './fairness.js'
 import { runFootprint } from './footprint.js'
+import { runLinks } from './links.js'
 import { runPath } from './path.js'
 import { runRate } from './rate.js'
 import { runReads } from './reads.js'
@@ -18,6 +19,7 @@
   failover: runFailover,
   fairness: runFairness,
   footprint: runFootprint,
+  links: runLinks,
   path: runPath,
   rate: runRate,
   reads: runReads
