bench: links warms up with messages of their own, one at a time

Cause: the warm-up sent bursts, so that code that runs once for each stream message was compiled only during the first measurement.

--- a/bench/links.ts
+++ b/bench/links.ts
@@ -75,9 +75,9 @@
 export async function runLinks (): Promise<readonly Row[]> {
   const { run, countBytes } = await openExchange()
   const rows: Row[] = []
-  await run(WARM_UP_ROUND_TRIPS, 10)
+  await run(WARM_UP_ROUND_TRIPS, 1)
   for (const burst of BURSTS) {
-    await run(WARM_UP_ROUND_TRIPS / 4, burst)
+    await run(WARM_UP_ROUND_TRIPS, burst)
     const startBytes = countBytes()
     const start = process.cpuUsage()
     await run(ROUND_TRIPS, burst)
