The term of a loan follows how late answers are

Cause: a loan was void 250 ms after it was asked for, whatever the hosts' lateness. Its answer came, was dropped, its token was lost for the workspace, and the loan was asked for again; and each lender that was late once counted as one that does not answer, so that requests were refused at once although lenders answered.

Change: a host asks for a loan for a term of twice what answers have taken to be handled, 250 ms to 1 s. The lender keeps room in its bucket for that time, stops lending 1 s before its lease ends, and confirms a smaller share when the last of what it lent is void; the leader frees the shares of a lender's former process no earlier. What was borrowed of the leader keeps 250 ms. An answer after the term is still void, but ends the silence of its lender and makes the next term longer. A lease that ran out forgets no token that may still be in use.

--- a/src/admission/allowance.ts
+++ b/src/admission/allowance.ts
@@ -27,7 +27,7 @@
 export function refillAllowance (allowance: Allowance, limit: Pick<Workspace, 'rate' | 'burst'>, leaseEndsAtMs: number, nowMs: number): Allowance {
   const current = { ...allowance, rate: limit.rate, burst: limit.burst }
   if (nowMs <= leaseEndsAtMs) return keepRoomForLent(resizeShare(current, allowance.parts, nowMs), nowMs)
-  return { ...current, bucket: createBucket(0, 0, nowMs), lent: [] }
+  return { ...current, bucket: createBucket(0, 0, nowMs), lent: allowance.lent.filter(loan => loan.expiresAtMs > nowMs) }
 }
 
 // A borrower may use its tokens later than the lender spent them, so their place is refilled only when it no longer can.
--- a/src/admission/lease.ts
+++ b/src/admission/lease.ts
@@ -3,7 +3,7 @@
 import { UNCHANGED } from '../core/store.js'
 import { sendPeer, setTimer } from '../messages.js'
 import type { Demand, HeldShare, RenewalRequested } from '../shares/messages.js'
-import { LOAN_DRIFT_MARGIN_MS, LOAN_MS, SHARE_LEASE_MS } from '../shares/state.js'
+import { LOAN_MS, MAX_LOAN_MS, SHARE_LEASE_MS } from '../shares/state.js'
 import { addTokens, createAllowance, isUnused, refillAllowance, resizeShare, updateDemand } from './allowance.js'
 import { findLender, getSharesEndMs, updateLends } from './lending.js'
 import type { LeaderChanged, LeaseRenewed, LendersChanged } from './messages.js'
@@ -39,8 +39,9 @@
   const { lease } = store.shared
   const holder = lease.holder === '' ? createHolderId(moment) : lease.holder
   const switched = message.epoch === lease.epoch ? lease : resetAnswers(lease)
-  // A loan from the previous leader may still arrive.
-  const emptySinceMs = lease.nextLoanId > 0 && switched !== lease ? moment.monotonicMs + LOAN_MS : lease.emptySinceMs
+  // A loan from the previous leader, or of a lender, may still arrive.
+  const loanMs = store.shared.lenders.length === 0 ? LOAN_MS : MAX_LOAN_MS
+  const emptySinceMs = lease.nextLoanId > 0 && switched !== lease ? moment.monotonicMs + loanMs : lease.emptySinceMs
   const next: ShareLease = { ...switched, leader: message.leader, epoch: message.epoch, holder, emptySinceMs, emptyRounds: 0 }
   // A new leader grants shares once all hosts have reported; the jitter spreads their reports.
   return { shared: { ...store.shared, lease: next }, effects: [createRenewalTimer(moment.random * FIRST_RENEWAL_INTERVAL_MS)] }
@@ -152,8 +153,8 @@
     const filled = refillAllowance(known, known, getSharesEndMs(store.shared), moment.monotonicMs)
     return [key, addTokens(resizeShare(filled, given, moment.monotonicMs), tokens.get(key) ?? 0)] as const
   })
-  const isLent = changes.some(([key, next]) => next.lent.length > 0 && next.parts < (store.items.get(key)?.parts ?? 0))
-  const confirmsFromMs = isLent ? moment.monotonicMs + LOAN_MS + LOAN_DRIFT_MARGIN_MS : lease.confirmsFromMs
+  const shrunk = changes.filter(([key, next]) => next.parts < (store.items.get(key)?.parts ?? 0))
+  const confirmsFromMs = Math.max(lease.confirmsFromMs, ...shrunk.flatMap(([, { lent }]) => lent.map(({ expiresAtMs }) => expiresAtMs)))
   const next: ShareLease = { ...lease, confirmsFromMs, applied: message.round, endsAtMs: Math.max(lease.endsAtMs, sentAtMs + SHARE_LEASE_MS) }
   return { shared: { ...store.shared, lease: next }, changes, effects: [] }
 }
--- a/src/admission/lending.ts
+++ b/src/admission/lending.ts
@@ -6,7 +6,7 @@
 import { pickHeaviest, rankCandidates } from '../core/rendezvous.js'
 import { tell, type CoreEffect, type Moment } from '../core/message.js'
 import { sendPeer } from '../messages.js'
-import { LOAN_DRIFT_MARGIN_MS, LOAN_MS } from '../shares/state.js'
+import { LOAN_DRIFT_MARGIN_MS, LOAN_MS, MAX_LOAN_MS } from '../shares/state.js'
 import type { LoanWanted } from './messages.js'
 import { findLimit, type AdmissionShared, type LentTokens, type PendingLoan, type SilentLender, type WaitingLoan, type WaitingRequest } from './state.js'
 
@@ -74,8 +74,8 @@
  * Records that a loan was not answered in time.
  * @example recordSilence(shared, loan, moment).silentLenders.size
  */
-export function recordSilence (shared: AdmissionShared, { lender, sentAtMs }: PendingLoan, moment: Moment): AdmissionShared {
-  const isOwnDelay = moment.monotonicMs - sentAtMs > LOAN_MS + MAX_OWN_DELAY_MS
+export function recordSilence (shared: AdmissionShared, { lender, sentAtMs, termMs = LOAN_MS }: PendingLoan, moment: Moment): AdmissionShared {
+  const isOwnDelay = moment.monotonicMs - sentAtMs > termMs + MAX_OWN_DELAY_MS
   if (lender !== undefined && isOwnDelay) return shared
   const unanswered = findSilence(shared, lender)?.unanswered ?? 0
   const pauseMs = lender === undefined
@@ -88,12 +88,13 @@
 /**
  * Records that a loan is asked of a lender that left the last one unanswered: the loans of other workspaces wait for the
  * outcome, so that a host sends one at a time to a lender that is short of processor time.
- * @example recordAttempt(shared, 'host-2', moment)
+ * @param termMs how long the loan may take.
+ * @example recordAttempt(shared, 'host-2', LOAN_MS, moment)
  */
-export function recordAttempt (shared: AdmissionShared, lender: string | undefined, { monotonicMs }: Moment): AdmissionShared {
+export function recordAttempt (shared: AdmissionShared, lender: string | undefined, termMs: number, { monotonicMs }: Moment): AdmissionShared {
   const silence = findSilence(shared, lender)
   if (silence === undefined) return shared
-  const untilMs = Math.max(silence.untilMs, monotonicMs + LOAN_MS)
+  const untilMs = Math.max(silence.untilMs, monotonicMs + termMs)
   return { ...shared, silentLenders: new Map(shared.silentLenders).set(lender ?? LEADER, { ...silence, untilMs }) }
 }
 
@@ -114,23 +115,24 @@
  * @example getSharesEndMs(shared)
  */
 export function getSharesEndMs ({ lease, lenders }: AdmissionShared): number {
-  return lenders.length === 0 ? lease.endsAtMs : lease.endsAtMs - LOAN_MS
+  return lenders.length === 0 ? lease.endsAtMs : lease.endsAtMs - MAX_LOAN_MS
 }
 
 /**
  * Creates the waiting request of another host's loan.
  * @example createWaitingLoan({ kind: 'admission/loan-wanted', holder, loan: 7, workspace, tokens: 1 }, 'host-9', moment)
  */
-export function createWaitingLoan ({ holder, loan, tokens }: LoanWanted, borrower: string, moment: Moment): WaitingRequest {
+export function createWaitingLoan ({ holder, loan, tokens, termMs = LOAN_MS }: LoanWanted, borrower: string, moment: Moment): WaitingRequest {
   const rules = { group: '', action: 'read', maxStalenessMs: 0, idempotent: false } as const
-  return { caller: holder, attempt: loan, rules, sinceMs: moment.monotonicMs, loan: { borrower, holder, loan, tokens } }
+  return { caller: holder, attempt: loan, rules, sinceMs: moment.monotonicMs, loan: { borrower, holder, loan, tokens, termMs: Math.min(MAX_LOAN_MS, termMs) } }
 }
 
 /**
  * Gives tokens to the requests and loans that wait, in their order; the last loan may get fewer than it asked for.
- * @example grantTokens('rota/parish', allowance.waiting, allowance.bucket.tokens, moment).spent
+ * @param maxTermMs how long loans may be used at most.
+ * @example grantTokens('rota/parish', allowance.waiting, allowance.bucket.tokens, MAX_LOAN_MS, moment).spent
  */
-export function grantTokens (workspace: string, waiting: readonly WaitingRequest[], tokens: number, moment: Moment): GrantedTokens {
+export function grantTokens (workspace: string, waiting: readonly WaitingRequest[], tokens: number, maxTermMs: number, moment: Moment): GrantedTokens {
   const effects: CoreEffect[] = []
   const lent: LentTokens[] = []
   let left = Math.floor(tokens)
@@ -141,8 +143,9 @@
     left -= granted
     if (loan === undefined) effects.push(tell({ kind: 'requests/admitted', caller, attempt, rules }))
     else {
-      effects.push(answerLoan(workspace, loan, granted, 0))
-      lent.push({ tokens: granted, expiresAtMs: moment.monotonicMs + LOAN_MS + LOAN_DRIFT_MARGIN_MS })
+      const termMs = Math.min(loan.termMs, maxTermMs)
+      effects.push(answerLoan(workspace, { ...loan, termMs }, granted, 0, termMs < loan.termMs))
+      lent.push({ tokens: granted, expiresAtMs: moment.monotonicMs + termMs + LOAN_DRIFT_MARGIN_MS })
     }
   }
   return { effects, spent: Math.floor(tokens) - left, lent, waiting: waiting.slice(index) }
@@ -151,8 +154,9 @@
 /**
  * Creates the answer to a loan.
  * @param nextMs the time until there may be another token.
+ * @param isShorter true if the term of the loan is shorter than the borrower asked for.
  * @example answerLoan('rota/parish', loan, 0, 120)
  */
-export function answerLoan (workspace: string, { borrower, holder, loan }: WaitingLoan, tokens: number, nextMs: number): CoreEffect {
-  return sendPeer(borrower, { kind: 'admission/lent', holder, loan, workspace, tokens, nextMs: Math.min(MAX_NEXT_MS, Math.ceil(nextMs)) })
+export function answerLoan (workspace: string, { borrower, holder, loan, termMs }: WaitingLoan, tokens: number, nextMs: number, isShorter = false): CoreEffect {
+  return sendPeer(borrower, { kind: 'admission/lent', holder, loan, workspace, tokens, nextMs: Math.min(MAX_NEXT_MS, Math.ceil(nextMs)), termMs: isShorter ? termMs : undefined })
 }
--- a/src/admission/messages.ts
+++ b/src/admission/messages.ts
@@ -96,6 +96,8 @@
   readonly loan: number
   readonly workspace: string
   readonly tokens: number
+  /** How long the borrower may use the loan after it asked; that of the leader's loans if absent. */
+  readonly termMs?: number
 }
 
 /** The leader or a lender answered a loan request with tokens, or with 0 when it has none. */
@@ -109,6 +111,8 @@
   readonly nextMs: number
   /** Tokens that the reserve still lacks because the leader is new; absent below 1. */
   readonly shortfall?: number
+  /** How long the borrower may use it after it asked, if that is shorter than it asked for. */
+  readonly termMs?: number
 }
 
 /** A loan request was not answered in time. */
--- a/src/admission/rates.ts
+++ b/src/admission/rates.ts
@@ -4,11 +4,12 @@
 import { UNCHANGED, type Store, type StoreStep } from '../core/store.js'
 import type { Workspace } from '../documents/document.js'
 import { sendPeer, setTimer, tell } from '../messages.js'
-import { LOAN_MS, TOTAL_PARTS } from '../shares/state.js'
+import { LOAN_MS, MAX_LOAN_MS, TOTAL_PARTS } from '../shares/state.js'
 import { createAllowance, refillAllowance } from './allowance.js'
 import { answerLoan, createWaitingLoan, findLender, findSilence, getSharesEndMs, grantTokens, recordAnswer, recordAttempt, recordSilence } from './lending.js'
 import type { LoanAnswered, LoanTimedOut, LoanWanted, TokensDue } from './messages.js'
 import { findLimit, type AdmissionShared, type Allowance, type PendingLoan, type WaitingRequest } from './state.js'
+import { computeTermMs, getTermMs, recordDelay, recordLateAnswer, addOverdue } from './terms.js'
 import { computeRetryAfterMs, estimateLocalWaitMs, estimateWaitMs, insertWaiting, splitWaiting } from './waiting.js'
 
 /** Minimum interval between two loans when the last one granted too few tokens. */
@@ -60,22 +61,30 @@
 }
 
 /**
- * Admits waiting requests with the tokens of a loan.
+ * Admits waiting requests with the tokens of a loan. What a lender borrowed of the leader is lent on for no longer than the
+ * leader counts it.
  * @example acceptLoan(store, { kind: 'admission/lent', holder, loan, workspace, tokens: 3, nextMs: 0 }, moment)
  */
 export function acceptLoan (store: AdmissionStore, message: LoanAnswered, moment: Moment): AdmissionStep {
   const key = message.workspace
   const allowance = store.items.get(key)
-  if (allowance?.loan === undefined || !isSameLoan(allowance.loan, message)) return UNCHANGED
-  const filled = refillAllowance({ ...allowance, loan: undefined }, allowance, getSharesEndMs(store.shared), moment.monotonicMs)
-  if (moment.monotonicMs > allowance.loan.sentAtMs + LOAN_MS) return processWaiting(store.shared, key, filled, moment)
+  if (allowance?.loan === undefined || !isSameLoan(allowance.loan, message)) return acceptLateAnswer(store.shared, message, moment)
+  const filled = refillAllowance({ ...allowance, loan: undefined, unanswered: false }, allowance, getSharesEndMs(store.shared), moment.monotonicMs)
+  const termMs = Math.min(getTermMs(allowance.loan), message.termMs ?? Infinity)
+  const shared = recordDelay(recordAnswer(store.shared, allowance.loan), allowance.loan, moment)
+  if (moment.monotonicMs > allowance.loan.sentAtMs + termMs) return { shared, ...processWaiting(shared, key, filled, moment) }
   const nextLoanAtMs = computeNextLoanAtMs(store.shared, key, filled, message.nextMs, moment)
   const bucket = { ...filled.bucket, tokens: filled.bucket.tokens + message.tokens }
-  const shared = recordAnswer(store.shared, allowance.loan)
-  const step = processWaiting(shared, key, { ...filled, bucket, nextLoanAtMs, nextMs: message.nextMs, reserveShortfall: message.shortfall }, moment)
+  const maxTermMs = allowance.loan.lender === undefined ? LOAN_MS : MAX_LOAN_MS
+  const step = processWaiting(shared, key, { ...filled, bucket, nextLoanAtMs, nextMs: message.nextMs, reserveShortfall: message.shortfall }, moment, maxTermMs)
   return { shared, ...step, effects: [clearTimer(formatTimerName(key)), ...step.effects] }
 }
 
+function acceptLateAnswer (shared: AdmissionShared, message: LoanAnswered, moment: Moment): AdmissionStep {
+  const next = recordLateAnswer(shared, message, moment)
+  return next === undefined ? UNCHANGED : { shared: next, effects: [] }
+}
+
 function computeNextLoanAtMs ({ lends }: AdmissionShared, key: string, { parts }: Allowance, nextMs: number, { monotonicMs }: Moment): number {
   if (lends.has(key) && parts > 0) return monotonicMs + Math.max(MIN_LENDER_LOAN_INTERVAL_MS, nextMs)
   return nextMs === 0 ? 0 : monotonicMs + Math.max(MIN_LOAN_INTERVAL_MS, nextMs)
@@ -89,7 +98,9 @@
 export function expireLoan (store: AdmissionStore, message: LoanTimedOut, moment: Moment): AdmissionStep {
   const allowance = store.items.get(message.workspace)
   if (allowance?.loan === undefined || !isSameLoan(allowance.loan, message)) return UNCHANGED
-  const shared = recordSilence(store.shared, allowance.loan, moment)
+  const silent = recordSilence(store.shared, allowance.loan, moment)
+  // Without silence, this host itself was late, and the answer may have come and wait.
+  const shared = addOverdue(silent === store.shared ? recordDelay(silent, allowance.loan, moment) : silent, allowance.loan, moment)
   return { shared, ...processAgain({ ...store, shared }, message.workspace, { ...allowance, loan: undefined }, moment) }
 }
 
@@ -119,9 +130,9 @@
 }
 
 // Admits requests that have a token, requests a loan for the others, and refuses those that would wait too long.
-function processWaiting (shared: AdmissionShared, key: string, allowance: Allowance, moment: Moment): AdmissionStep {
+function processWaiting (shared: AdmissionShared, key: string, allowance: Allowance, moment: Moment, maxTermMs = MAX_LOAN_MS): AdmissionStep {
   const { bucket } = allowance
-  const granted = grantTokens(key, allowance.waiting, bucket.tokens, moment)
+  const granted = grantTokens(key, allowance.waiting, bucket.tokens, maxTermMs, moment)
   const tokens = Math.min(bucket.burst, bucket.tokens - granted.spent)
   const remaining = applyLoanBackoff(shared, key, { ...allowance, bucket: { ...bucket, tokens }, waiting: granted.waiting, lent: [...allowance.lent, ...granted.lent] }, moment)
   if (remaining.waiting.length === 0) return { changes: [[key, remaining]], effects: granted.effects }
@@ -157,7 +168,9 @@
 function applyLoanBackoff (shared: AdmissionShared, key: string, allowance: Allowance, moment: Moment): Allowance {
   if (isIsolated(shared, moment)) return { ...allowance, unanswered: false, nextMs: undefined }
   const silence = findSilence(shared, findSource(shared, key, allowance, moment))
-  return { ...allowance, nextLoanAtMs: Math.max(allowance.nextLoanAtMs, silence?.untilMs ?? 0), unanswered: silence !== undefined }
+  // Whoever was silent has answered another loan since.
+  const knownAtMs = allowance.unanswered === true && silence === undefined ? 0 : allowance.nextLoanAtMs
+  return { ...allowance, nextLoanAtMs: Math.max(knownAtMs, silence?.untilMs ?? 0), unanswered: silence !== undefined }
 }
 
 // A host that lends borrows from the leader alone, so that loans form no chains.
@@ -189,12 +202,13 @@
   const tokens = allowance.waiting.reduce((sum, request) => sum + (request.loan?.tokens ?? 1), 0) + extra
   const lender = findSource(shared, key, allowance, moment)
   const wanted = { holder, loan, workspace: key, tokens }
+  const termMs = lender === undefined ? LOAN_MS : computeTermMs(shared)
   const toLeader = lease.leader === undefined ? [] : [sendPeer(lease.leader, { kind: 'shares/wanted', epoch: lease.epoch, ...wanted, lendsOn: shared.lenders.length > 0 ? true : undefined })]
-  const sent = lender === undefined ? toLeader : [sendPeer(lender, { kind: 'admission/loan-wanted', ...wanted })]
+  const sent = lender === undefined ? toLeader : [sendPeer(lender, { kind: 'admission/loan-wanted', ...wanted, termMs: termMs === LOAN_MS ? undefined : termMs })]
   return {
-    shared: recordAttempt({ ...shared, lease: { ...lease, nextLoanId: lease.nextLoanId + 1 } }, lender, moment),
-    allowance: { ...allowance, loan: { holder, loan, lender, sentAtMs: moment.monotonicMs } },
-    effects: [...sent, setTimer(formatTimerName(key), LOAN_MS, { kind: 'admission/loan-overdue', holder, loan, workspace: key })]
+    shared: recordAttempt({ ...shared, lease: { ...lease, nextLoanId: lease.nextLoanId + 1 } }, lender, termMs, moment),
+    allowance: { ...allowance, loan: { holder, loan, lender, sentAtMs: moment.monotonicMs, termMs } },
+    effects: [...sent, setTimer(formatTimerName(key), termMs, { kind: 'admission/loan-overdue', holder, loan, workspace: key })]
   }
 }
 
--- a/src/admission/state.ts
+++ b/src/admission/state.ts
@@ -59,6 +59,10 @@
   readonly lends: ReadonlySet<string>
   /** Lenders that do not answer, by host, and the leader under an empty name. */
   readonly silentLenders: ReadonlyMap<string, SilentLender>
+  /** How long answers of lenders take until this host handles them: the longest, ever less of it as others come sooner. */
+  readonly loanDelayMs: number
+  /** Recent loans of lenders whose term ended without an answer, by their id. */
+  readonly overdueLoans: ReadonlyMap<number, PendingLoan>
   /** False while the leader lacks a document version that this host has. */
   readonly leaderIsCurrent: boolean
   /** When this host requested the last confirmation that it received; undefined before the first one. */
@@ -74,6 +78,8 @@
   readonly holder: string
   readonly loan: number
   readonly tokens: number
+  /** How long the borrower may use it after it asked. */
+  readonly termMs: number
 }
 
 /** A request that waits for a token. */
@@ -97,6 +103,8 @@
   /** The lender that was asked; undefined for the leader. */
   readonly lender?: string
   readonly sentAtMs: number
+  /** How long it may be used after it was asked for; that of the leader's loans if absent. */
+  readonly termMs?: number
 }
 
 /** The requests that this host may admit for a workspace: its tokens, its demand and its waiting requests. */
@@ -141,7 +149,7 @@
  */
 export function createAdmissionShared ({ self, servesWhenIsolated = false, acceptsCallers = true, startedAtMs = 0 }: AdmissionParts): AdmissionShared {
   const lease: ShareLease = { epoch: 0, holder: '', emptySinceMs: startedAtMs, round: 0, applied: 0, endsAtMs: 0, sentAtMsByRound: new Map(), demandUpdatedAtMs: 0, emptyRounds: 0, confirmsFromMs: -Infinity, nextLoanId: 0 }
-  return { documents: new Map(), indexes: new Map(), servesWhenIsolated, isolated: false, self, acceptsCallers, lenders: [], lends: new Set(), silentLenders: new Map(), leaderIsCurrent: true, lease, callers: createCallersByService() }
+  return { documents: new Map(), indexes: new Map(), servesWhenIsolated, isolated: false, self, acceptsCallers, lenders: [], lends: new Set(), silentLenders: new Map(), loanDelayMs: 0, overdueLoans: new Map(), leaderIsCurrent: true, lease, callers: createCallersByService() }
 }
 
 /**
--- a/src/admission/waiting.ts
+++ b/src/admission/waiting.ts
@@ -12,8 +12,8 @@
 const MAX_TOKEN_WAIT_MS = 250
 /** Longest total wait of a request without a latency target: covers an election and its announcement. */
 const MAX_TOTAL_WAIT_MS = 1_500
-/** How long a loan of another host waits: the borrower has to be left time to use it. */
-const MAX_LOAN_WAIT_MS = 100
+/** Fraction of the term of a loan that it waits at its lender: the borrower has to be left time to use it. */
+const LOAN_WAIT_FRACTION = 0.4
 /** Largest number of waiting requests per workspace at this host. */
 const MAX_WAITING = 64
 /** Priority of a route that declares none: lowest. */
@@ -41,7 +41,7 @@
 }
 
 function computeWaitDeadlineMs ({ rules, sinceMs, loan }: WaitingRequest): number {
-  if (loan !== undefined) return sinceMs + MAX_LOAN_WAIT_MS
+  if (loan !== undefined) return sinceMs + loan.termMs * LOAN_WAIT_FRACTION
   return sinceMs + (rules.latencyMs === undefined ? MAX_TOTAL_WAIT_MS : rules.latencyMs * MAX_WAIT_FRACTION)
 }
 
--- a/src/shares/decide.ts
+++ b/src/shares/decide.ts
@@ -11,7 +11,7 @@
 import { sendPeer, setTimer, tell } from '../messages.js'
 import type { HeldShare, LeadershipChanged, LimitsChanged, LoanRequested, RenewalRequested, SharesMessage } from './messages.js'
 import { chooseParts, createQuota, hasIdleShare, estimateNextTokenMs, grantLoan, refillReserve, releaseLoans, setCommitted } from './reserve.js'
-import { getCommittedParts, LEASE_DRIFT_MARGIN_MS, LOAN_DRIFT_MARGIN_MS, LOAN_MS, RESERVE_PARTS, SHARE_LEASE_MS, TOTAL_PARTS, type Holder, type KnownLimit, type Share, type ShareGrant, type SharesItem, type SharesShared, type WorkspaceQuota } from './state.js'
+import { getCommittedParts, LEASE_DRIFT_MARGIN_MS, LOAN_DRIFT_MARGIN_MS, LOAN_MS, MAX_LOAN_MS, RESERVE_PARTS, SHARE_LEASE_MS, TOTAL_PARTS, type Holder, type KnownLimit, type Share, type ShareGrant, type SharesItem, type SharesShared, type WorkspaceQuota } from './state.js'
 
 const SWEEP_INTERVAL_MS = 250
 /** Limit of a workspace that is in no document any more: no shares are granted. */
@@ -87,7 +87,7 @@
   })
   const shares = new Map(steps.filter(step => isUsed(step.share)).map(step => [step.quota.workspace, step.share]))
   const firstSeenAtMs = known?.firstSeenAtMs ?? moment.monotonicMs
-  const holder: Holder = { kind: 'holder', holder: message.holder, host: from, firstSeenAtMs, isConfirmed: message.applied > 0, round: message.round, renewedAtMs: moment.monotonicMs, shares }
+  const holder: Holder = { kind: 'holder', holder: message.holder, host: from, lends: lends || known?.lends === true, firstSeenAtMs, isConfirmed: message.applied > 0, round: message.round, renewedAtMs: moment.monotonicMs, shares }
   const answer = sendPeer(from, { kind: 'admission/shares-answered', holder: message.holder, epoch: shared.epoch, round: message.round, shares: listUnconfirmed(steps, message.applied) })
   const registration = unregistered ? [tell({ kind: 'agreement/propose', proposal: `shares/${message.holder}`, command: { kind: 'shares/register', host: from, holder: message.holder } })] : []
   return { shared: recordReport(shared, message, moment), changes: [...steps.map(step => createChange(step.quota)), [`holder/${message.holder}`, holder]], effects: [{ ...answer, notAfterMs: shared.leaseUntilMs }, ...registration] }
@@ -213,7 +213,7 @@
   const expiredBeforeMs = moment.monotonicMs - SHARE_LEASE_MS - LEASE_DRIFT_MARGIN_MS
   const holders = [...store.items.values()].filter((item): item is Holder => item.kind === 'holder')
   const successors = new Map(holders.filter(holder => holder.isConfirmed).sort((a, b) => a.firstSeenAtMs - b.firstSeenAtMs).map(holder => [holder.host, holder]))
-  const expired = holders.filter(holder => holder.renewedAtMs < expiredBeforeMs || isSucceeded(holder, successors.get(holder.host)))
+  const expired = holders.filter(holder => holder.renewedAtMs < expiredBeforeMs || isSucceeded(holder, successors.get(holder.host), moment))
   const released = new Map<string, WorkspaceQuota>()
   for (const { holder, shares } of expired) {
     for (const [workspace, share] of shares) released.set(workspace, releaseShare(store, released.get(workspace), workspace, holder, share, moment))
@@ -225,9 +225,11 @@
 }
 
 // A host takes a new id only while it holds nothing, so a later holder on the same host ends the earlier one. This returns
-// the shares of a restarted host at once; without it they stay unused until their lease expires.
-function isSucceeded (holder: Holder, successor: Holder | undefined): boolean {
-  return successor !== undefined && successor.firstSeenAtMs > holder.firstSeenAtMs
+// the shares of a restarted host at once, those of a lender once its last loans are void; without it they stay unused until
+// their lease expires.
+function isSucceeded (holder: Holder, successor: Holder | undefined, { monotonicMs }: Moment): boolean {
+  if (successor === undefined || successor.firstSeenAtMs <= holder.firstSeenAtMs) return false
+  return !holder.lends || monotonicMs > successor.firstSeenAtMs + MAX_LOAN_MS + LOAN_DRIFT_MARGIN_MS
 }
 
 function releaseShare (store: SharesStore, released: WorkspaceQuota | undefined, workspace: string, holder: string, share: Share, moment: Moment): WorkspaceQuota {
--- a/src/shares/state.ts
+++ b/src/shares/state.ts
@@ -11,6 +11,8 @@
 export const SHARE_LEASE_MS = 10_000
 /** How long a host may use a loan after it requested it. */
 export const LOAN_MS = 250
+/** How long a host may use a loan of a lender at most: answers come later where processors are full. */
+export const MAX_LOAN_MS = 1_000
 /** Margin beyond the duration of a loan after which the leader counts it as expired, since clocks differ in rate. */
 export const LOAN_DRIFT_MARGIN_MS = 2
 /** Margin beyond the duration of a lease after which the leader counts it as expired, since clocks differ in rate. */
@@ -34,6 +36,8 @@
   readonly kind: 'holder'
   readonly holder: string
   readonly host: string
+  /** True if it lends what it holds, so that others may use it for a while after it. */
+  readonly lends: boolean
   readonly firstSeenAtMs: number
   /** True once the holder applied an answer of this leader. A message that was held up on its way never leads to that. */
   readonly isConfirmed: boolean
