No loan is asked for a request that has waited too long

Cause: when a loan was overdue, the next one was asked for before anyone looked at the requests, and a request is kept while a loan is in flight. So a request whose time to wait was over was kept, and caused a loan every 250 ms, as long as its host was late itself and blamed no lender.

Change: without a loan in flight, requests for which no token comes in time and that have waited three fifths of their latency target are refused before a loan is asked for. A request without a target asks as long as it waits, 1.5 s. In three fifths there is time for another lender after the shortest term of a silent one where the target is 417 ms or more.

Test: test/processorsfull.test.ts, all slices of 8 control and 80 other hosts in simulated time, 84 workspaces within their rates. The two tests added to src/admission/terms.test.ts fail before, too.

--- a/src/admission/rates.ts
+++ b/src/admission/rates.ts
@@ -10,7 +10,7 @@
 import type { LoanAnswered, LoanTimedOut, LoanWanted, TokensDue } from './messages.js'
 import { findLimit, type AdmissionShared, type Allowance, type PendingLoan, type WaitingRequest } from './state.js'
 import { computeTermMs, getTermMs, recordDelay, recordLateAnswer, addOverdue } from './terms.js'
-import { computeRetryAfterMs, estimateLocalWaitMs, estimateWaitMs, insertWaiting, splitWaiting } from './waiting.js'
+import { computeRetryAfterMs, estimateLocalWaitMs, estimateWaitMs, insertWaiting, splitExpired, splitWaiting } from './waiting.js'
 
 /** Minimum interval between two loans when the last one granted too few tokens. */
 const MIN_LOAN_INTERVAL_MS = 25
@@ -134,10 +134,13 @@
   const { bucket } = allowance
   const granted = grantTokens(key, allowance.waiting, bucket.tokens, maxTermMs, moment)
   const tokens = Math.min(bucket.burst, bucket.tokens - granted.spent)
-  const remaining = applyLoanBackoff(shared, key, { ...allowance, bucket: { ...bucket, tokens }, waiting: granted.waiting, lent: [...allowance.lent, ...granted.lent] }, moment)
-  if (remaining.waiting.length === 0) return { changes: [[key, remaining]], effects: granted.effects }
+  const backedOff = applyLoanBackoff(shared, key, { ...allowance, bucket: { ...bucket, tokens }, waiting: granted.waiting, lent: [...allowance.lent, ...granted.lent] }, moment)
+  const expired = splitExpired(backedOff, moment)
+  const remaining: Allowance = { ...backedOff, waiting: expired.kept }
+  if (backedOff.waiting.length === 0) return { changes: [[key, backedOff]], effects: granted.effects }
   const requested = isLoanNeeded(shared, remaining, moment) ? requestLoan(shared, key, remaining, moment) : { allowance: remaining, effects: [] }
-  const { kept, refused } = splitWaiting(requested.allowance, moment)
+  const split = splitWaiting(requested.allowance, moment)
+  const { kept, refused } = { kept: split.kept, refused: [...expired.refused, ...split.refused] }
   const { reserveShortfall = 0 } = requested.allowance
   const next: Allowance = { ...requested.allowance, waiting: kept, reserveShortfall: Math.max(0, reserveShortfall - refused.length) }
   const retryMs = computeRetryAfterMs(next, moment)
@@ -185,7 +188,7 @@
 
 function isLoanNeeded (shared: AdmissionShared, allowance: Allowance, moment: Moment): boolean {
   if (isIsolated(shared, moment)) return false
-  if (estimateLocalWaitMs(allowance, allowance.waiting.length - 1) <= LOCAL_WAIT_MS) return false
+  if (allowance.waiting.length === 0 || estimateLocalWaitMs(allowance, allowance.waiting.length - 1) <= LOCAL_WAIT_MS) return false
   return allowance.loan === undefined && moment.monotonicMs >= allowance.nextLoanAtMs
 }
 
--- a/src/admission/terms.test.ts
+++ b/src/admission/terms.test.ts
@@ -58,6 +58,14 @@
 }
 
 describe('a host whose loans are answered late', () => {
+  it('asks for no further loan for a request that has waited too long, and refuses it', () => {
+    const borrower = Borrower.create()
+    borrower.request('c1', 0)
+    borrower.expire(borrower.asked[0]!, LATENCY_MS)
+    expect(borrower.asked).to.have.length(1)
+    expect(borrower.decided.at(-1)).to.include({ kind: 'requests/failed', caller: 'c1' })
+  })
+
   it('asks again of a lender that answered after the term, for a longer one', () => {
     const borrower = Borrower.create()
     borrower.request('c1', 0)
@@ -67,6 +75,15 @@
     expect(borrower.asked.map(({ termMs }) => termMs)).to.deep.equal([undefined, 2 * (LOAN_MS + 100)])
   })
 
+  it('uses an answer that comes within the longer term', () => {
+    const borrower = Borrower.create()
+    borrower.request('c1', 0)
+    borrower.expire(borrower.asked[0]!, LATENCY_MS)
+    borrower.request('c2', LATENCY_MS)
+    borrower.answer(borrower.asked[1]!, LATENCY_MS + LOAN_MS + 100)
+    expect(borrower.decided.at(-1)).to.include({ kind: 'requests/admitted', caller: 'c2' })
+  })
+
   it('asks for the shortest term again once answers are fast', () => {
     const borrower = Borrower.create()
     borrower.request('late', 0)
--- a/src/admission/waiting.ts
+++ b/src/admission/waiting.ts
@@ -8,6 +8,8 @@
  * rate, each of its requests waits this long, so the fraction has to leave enough time to answer within the target.
  */
 const MAX_WAIT_FRACTION = 0.2
+/** Fraction of the latency target after which no loan is asked for a request any more: its answer would come too late. */
+const MAX_ASK_FRACTION = 0.6
 /** A request without a latency target waits only for a token that is at most this far off: below what a person notices. */
 const MAX_TOKEN_WAIT_MS = 250
 /** Longest total wait of a request without a latency target: covers an election and its announcement. */
@@ -80,6 +82,22 @@
   return { kept, refused }
 }
 
+/**
+ * Splits the queue into requests for which another loan may be asked, or whose token comes anyway, and requests that waited
+ * too long for that. All are kept while a loan is in flight.
+ * @example splitExpired(allowance, moment).refused
+ */
+export function splitExpired (allowance: Allowance, moment: Moment): SplitQueue {
+  if (allowance.loan !== undefined) return { kept: allowance.waiting, refused: [] }
+  const isKept = allowance.waiting.map((request, position) => moment.monotonicMs < computeAskDeadlineMs(request) || isTokenInTime(allowance, request, position, moment))
+  return { kept: allowance.waiting.filter((_request, position) => isKept[position]), refused: allowance.waiting.filter((_request, position) => !isKept[position]) }
+}
+
+function computeAskDeadlineMs (request: WaitingRequest): number {
+  const { latencyMs } = request.rules
+  return latencyMs === undefined ? computeWaitDeadlineMs(request) : request.sinceMs + latencyMs * MAX_ASK_FRACTION
+}
+
 function isTokenInTime (allowance: Allowance, request: WaitingRequest, position: number, moment: Moment): boolean {
   const nowMs = moment.monotonicMs
   // The answer is due soon, and tells whether there is a token.
