Log where a request spent its time

Change: when it was admitted and sent, how long it waited at the owner, and how long its database took. No decision changes.

--- a/src/requests/decide.ts
+++ b/src/requests/decide.ts
@@ -156,7 +156,7 @@
   const rules = caller.transaction?.rules ?? message.rules
   const deadlineAtMs = rules.timeoutMs === undefined ? admitted.deadlineAtMs : Math.min(admitted.deadlineAtMs, admitted.startedAtMs + rules.timeoutMs)
   const shortened = deadlineAtMs < admitted.deadlineAtMs
-  const running: InFlightRequest = shortened ? { ...admitted, deadlineAtMs } : admitted
+  const running: InFlightRequest = { ...admitted, deadlineAtMs, admittedAtMs: moment.monotonicMs }
   const step = chooseTarget(caller, running, message.rules)
   if (!shortened || step.changes?.[0]?.[1]?.running === undefined) return step
   return { ...step, effects: [...step.effects, createDeadlineTimer(caller.caller, running.request, deadlineAtMs - moment.monotonicMs)] }
@@ -208,7 +208,7 @@
     idleMs: running.rules?.idleTransactionMs,
     payload: running.payload
   })
-  const next: Caller = { ...caller, ticket, running: { ...running, phase: 'running', target } }
+  const next: Caller = { ...caller, ticket, running: { ...running, phase: 'running', target, sentAtMs: moment.monotonicMs } }
   return { ...replaceCaller(next, [order, ...createSlowReplicaTimer(next)]), shared: { ...shared, sender, lastTicket: ticket.order } }
 }
 
--- a/src/requests/log.ts
+++ b/src/requests/log.ts
@@ -1,7 +1,7 @@
 /** Log lines about requests: one when a request ends, and one for each attempt that is retried. */
 import type { Failure } from '../core/errors.js'
 import { writeLog, type CoreEffect, type Moment } from '../core/message.js'
-import type { RequestsMessage, RequestUnanswered } from './messages.js'
+import type { OwnerReport, RequestsMessage, RequestUnanswered } from './messages.js'
 import type { Caller, InFlightRequest, OpenTransaction } from './state.js'
 import type { RequestsEffect, RequestsStep, RequestsStore } from './step.js'
 
@@ -60,11 +60,12 @@
   const failed = effects.find(effect => effect.kind === 'caller/failed' && effect.caller === caller.caller)
   if (failed?.kind === 'caller/failed') return [createLine(caller, running, 'failed', moment, failed.failure)]
   const ended = effects.find(effect => (effect.kind === 'caller/finished' || effect.kind === 'caller/rolled-back') && effect.caller === caller.caller)
-  return [createLine(caller, running, ended === undefined ? 'abandoned by its caller' : 'answered', moment)]
+  const report = message.kind === 'requests/finished' ? message : undefined
+  return [createLine(caller, running, ended === undefined ? 'abandoned by its caller' : 'answered', moment, undefined, report)]
 }
 
-function createLine (caller: Caller, running: InFlightRequest, outcome: string, moment: Moment, failure?: Failure): CoreEffect {
-  const { target, rules, input } = running
+function createLine (caller: Caller, running: InFlightRequest, outcome: string, moment: Moment, failure?: Failure, report?: OwnerReport): CoreEffect {
+  const { target, rules, input, startedAtMs, admittedAtMs, sentAtMs } = running
   return writeLog(failure === undefined ? 'info' : 'warn', `Request ${input.requestId ?? running.request} was ${outcome}.`, {
     request: input.requestId,
     caller: caller.caller,
@@ -82,6 +83,10 @@
     avoided: running.excluded.length === 0 ? undefined : running.excluded,
     phase: running.phase,
     elapsedMs: Math.round(moment.monotonicMs - running.startedAtMs),
+    admittedMs: admittedAtMs === undefined ? undefined : Math.round(admittedAtMs - startedAtMs),
+    sentMs: sentAtMs === undefined ? undefined : Math.round(sentAtMs - startedAtMs),
+    waitedMs: report?.waitedMs,
+    ranMs: report?.ranMs,
     leftMs: Math.round(running.deadlineAtMs - moment.monotonicMs),
     failure: failure?.code,
     effect: failure?.effect,
--- a/src/requests/messages.ts
+++ b/src/requests/messages.ts
@@ -127,6 +127,9 @@
   readonly from?: string
   /** Running and queued requests per slot; absent where placement does not need it. */
   readonly load?: number
+  /** How long the request waited at the owner before its database got it, and how long the database took; absent where not measured. */
+  readonly waitedMs?: number
+  readonly ranMs?: number
 }
 
 /** The attempt failed; the failure tells whether it may have run. */
--- a/src/requests/state.ts
+++ b/src/requests/state.ts
@@ -14,6 +14,9 @@
   /** Number of the request's first attempt. */
   readonly request: number
   readonly startedAtMs: number
+  /** When admission accepted it, and when its current attempt was sent to an owner; absent before. */
+  readonly admittedAtMs?: number
+  readonly sentAtMs?: number
   /** Number of the current attempt. */
   readonly attempt: number
   readonly input: RequestInput
--- a/src/transactions/decide.ts
+++ b/src/transactions/decide.ts
@@ -57,7 +57,7 @@
     case 'transactions/opened': return decideFor(store, parseDatabaseName(message.connection), database => acceptConnection(database, message))
     case 'transactions/open-failed': return decideFor(store, parseDatabaseName(message.connection), database => handleOpenFailed(database, message))
     case 'transactions/output': return decideFor(store, parseDatabaseName(message.connection), database => forwardOutput(database, message))
-    case 'transactions/finished': return decideFor(store, parseDatabaseName(message.connection), database => handleFinished(store.shared, database, message))
+    case 'transactions/finished': return decideFor(store, parseDatabaseName(message.connection), database => handleFinished(store.shared, database, message, moment))
     case 'transactions/broken': return decideFor(store, parseDatabaseName(message.connection), database => handleConnectionBroken(database, message))
   }
 }
@@ -93,7 +93,7 @@
   if (shared.stopping && message.transaction === undefined) return { shared, effects: [refuseRun(message, createFailure('host-stopping'))] }
   if (!store.items.has(message.target.database)) return { shared, effects: [refuseMissing(message)] }
   const tooLate = message.intent !== 'rollback' && isTooLate(shared.endsAtMs, message.expectedMs ?? 0, moment)
-  const step = decideFor(store, message.target.database, database => (tooLate ? refuseLate(database, message) : startRun(shared, database, message, moment)))
+  const step = decideFor(store, message.target.database, database => (tooLate ? refuseLate(database, message) : startRun(shared, database, { ...message, receivedAtMs: moment.monotonicMs }, moment)))
   return { ...step, shared }
 }
 
@@ -198,7 +198,7 @@
   return { database, effects: [{ kind: 'database/credit', connection: unit.connection, bytes: message.bytes }] }
 }
 
-function handleFinished (shared: TransactionsShared, database: OwnedDatabase, message: DatabaseFinished): DatabaseStep {
+function handleFinished (shared: TransactionsShared, database: OwnedDatabase, message: DatabaseFinished, moment: Moment): DatabaseStep {
   const unit = findUnit(database, message.connection)
   if (unit?.phase !== 'running') return createEmptyStep(database)
   const ended = message.status === 'idle'
@@ -206,7 +206,7 @@
   const timer = ended ? clearDeadlineTimer(database.entry.database, unit.caller) : setDeadlineTimer(unit.run, unit.run.idleMs ?? shared.idleTransactionMs)
   const answer = message.refused && ended && unit.partsSent === 0 && unit.run.transaction === undefined
     ? { database: next, effects: [refuseRun(unit.run, createRefusal(next, message), next)] }
-    : answerFinished(next, unit, message)
+    : answerFinished(next, unit, message, moment)
   return continueStep({ database: answer.database, effects: [timer, ...clearSlowReadTimer(unit.run), ...reportObserved(database, message), ...answer.effects] }, startQueued)
 }
 
--- a/src/transactions/durability.ts
+++ b/src/transactions/durability.ts
@@ -1,5 +1,7 @@
 /** Answers to finished requests. The answer to a write waits until a majority of its group stores the write. */
+import type { Moment } from '../core/message.js'
 import { pickLater } from '../core/position.js'
+import type { OwnerReport } from '../requests/messages.js'
 import type { DatabaseFinished, PositionStored } from './messages.js'
 import { computeLoad, type OwnedDatabase, type PendingWrite, type UnitOfWork } from './state.js'
 import type { DatabaseStep, TransactionsEffect } from './step.js'
@@ -7,21 +9,27 @@
 
 /**
  * Answers a finished request: at once if it wrote nothing, or if the database's own answer is the acknowledgement.
- * @example answerFinished(database, unit, message)
+ * @example answerFinished(database, unit, message, moment)
  */
-export function answerFinished (database: OwnedDatabase, unit: UnitOfWork, message: DatabaseFinished): DatabaseStep {
+export function answerFinished (database: OwnedDatabase, unit: UnitOfWork, message: DatabaseFinished, moment: Moment): DatabaseStep {
   const { caller, partsSent: parts } = unit
   const { attempt } = unit.run
   const { status, payload, position } = message
   if (position === undefined || database.guarantees.selfFencing) {
     const wrote = position !== undefined
-    return { database, effects: [sendPeer(unit.from, { kind: 'requests/finished', caller, attempt, status, wrote, position: position ?? database.position, parts, payload, load: computeLoad(database) })] }
+    return { database, effects: [sendPeer(unit.from, { kind: 'requests/finished', caller, attempt, status, wrote, position: position ?? database.position, parts, payload, load: computeLoad(database), ...calculateStages(unit, message, moment) })] }
   }
   const write: PendingWrite = { from: unit.from, caller, attempt, status, position, parts, payload }
   const next: OwnedDatabase = { ...database, pendingWrites: [...database.pendingWrites, write] }
   return acknowledgeDurableWrites(next, { kind: 'transactions/stored', database: database.entry.database, position: database.durablePosition })
 }
 
+// Where the time of a late request went, for its log line.
+function calculateStages ({ run }: UnitOfWork, { observed }: DatabaseFinished, moment: Moment): Pick<OwnerReport, 'waitedMs' | 'ranMs'> {
+  if (observed === undefined || run.receivedAtMs === undefined) return {}
+  return { waitedMs: Math.round(observed.askedAtMs - run.receivedAtMs), ranMs: Math.round(moment.monotonicMs - observed.askedAtMs) }
+}
+
 /**
  * Acknowledges the writes that a majority stores, and waits for the next one while any is pending.
  * @example acknowledgeDurableWrites(database, message)
--- a/src/transactions/messages.ts
+++ b/src/transactions/messages.ts
@@ -19,6 +19,8 @@
   readonly kind: 'transactions/run'
   /** The host that the caller is connected to; set by the receiving host. */
   readonly from?: string
+  /** The monotonic time at which the owner's loop handled it; set by the owner. */
+  readonly receivedAtMs?: number
   readonly ticket: SequenceNumber
   readonly service: string
   readonly workspace?: string
