Routing: an owner that stays silent is polled less and less often

What callers saw: once an owner was late, requests through it stayed late, at some owners for as long as they were watched. Cause: each host that waits for an owner for 100 ms polls it in every round (400 ms). Owners got 47 to 101 polls a second at 2.4 ms of processor each, up to 240 ms of their 324, beside 10 to 36 requests; so the polls kept them late. Change: after the first poll a host polls again 0.8 s later and then every 1.6 s. Silence is counted in rounds as before, so an owner is avoided after the same time. Owners of a host's own groups are polled each round, since floors need them.

--- a/src/routing/decide.ts
+++ b/src/routing/decide.ts
@@ -19,6 +19,8 @@
 const LOAD_MAX_AGE_MS = 1_000
 /** Time without an answer after which an owner is polled, to tell a slow request from an unresponsive host. */
 const OWNER_POLL_AFTER_MS = 100
+/** Rounds between two polls of an owner that stays silent; its last poll has to be younger than `POLL_TTL_MS` when it answers again. */
+const SILENT_POLL_ROUNDS = 4
 /** Without a confirmation by the leader for this long, a host expects no news of another primary: longer than an election takes. */
 const LEADER_CONTACT_MS = 1_500
 /** A replica whose lag is at most this may be chosen although the read has to wait briefly until it reaches the floor. */
@@ -153,13 +155,13 @@
 }
 
 function pollPositions (state: RoutingState, moment: Moment): RoutingStep {
-  const owners = listOwnersToPoll(state, moment)
+  const { watched, polled } = listOwnersToPoll(state, moment)
   const round = state.pollRound + 1
   const pollSentAtMs = new Map([...state.pollSentAtMs].filter(([, sentAtMs]) => moment.monotonicMs - sentAtMs < POLL_TTL_MS))
   pollSentAtMs.set(round, moment.monotonicMs)
-  const polls = owners.map(owner => sendPeer(owner, { kind: 'routing/positions-asked', round }))
+  const polls = polled.map(owner => sendPeer(owner, { kind: 'routing/positions-asked', round }))
   const nextPoll = setTimer('routing/ask', state.askEveryMs, { kind: 'routing/ask-due' })
-  const unansweredPolls = new Map(owners.map(owner => [owner, (state.unansweredPolls.get(owner) ?? -1) + 1]))
+  const unansweredPolls = new Map(watched.map(owner => [owner, (state.unansweredPolls.get(owner) ?? -1) + 1]))
   return { state: { ...dropOldLoads(state, moment), pollRound: round, pollSentAtMs, unansweredPolls }, effects: [...polls, nextPoll] }
 }
 
@@ -184,18 +186,39 @@
   return { ...state, loads: new Map(state.loads).set(database, load), loadReportedAtMs: new Map(state.loadReportedAtMs).set(database, reportedAtMs) }
 }
 
-function listOwnersToPoll (state: RoutingState, moment: Moment): readonly string[] {
-  return state.guarantees.selfFencing ? listPeerOwners(state, moment) : listOwnersInUse(state, moment)
+interface OwnersOfRound {
+  /** Owners whose silence counts. */
+  readonly watched: readonly string[]
+  /** Those of them that are polled in this round. */
+  readonly polled: readonly string[]
+}
+
+function listOwnersToPoll (state: RoutingState, moment: Moment): OwnersOfRound {
+  if (state.guarantees.selfFencing) return listPeerOwners(state, moment)
+  const owners = listOwnersInUse(state, moment)
+  return { watched: owners, polled: owners }
 }
 
 // The owners of the groups of which this host owns a database, those that leave requests of this host unanswered, and
 // one other owner in turn, so that links to all of them are open before requests need them.
-function listPeerOwners (state: RoutingState, moment: Moment): readonly string[] {
+function listPeerOwners (state: RoutingState, moment: Moment): OwnersOfRound {
   const databases = [...state.databases.values()]
   const groups = new Set(databases.filter(({ owner }) => owner === state.self).map(({ entry }) => entry.group))
   const turn = databases[(state.pollOffset + state.pollRound) % Math.max(1, databases.length)]?.owner
-  const isAwaited = (owner: string): boolean => moment.monotonicMs - (state.awaitedOwners.get(owner) ?? Infinity) >= OWNER_POLL_AFTER_MS
-  return [...new Set(databases.flatMap(({ entry, owner }) => (owner !== undefined && owner !== state.self && (groups.has(entry.group) || owner === turn || isAwaited(owner)) ? [owner] : [])))]
+  const due = databases.filter(({ entry, owner }) => groups.has(entry.group) || owner === turn)
+  const awaited = databases.filter(({ owner }) => moment.monotonicMs - (state.awaitedOwners.get(owner ?? '') ?? Infinity) >= OWNER_POLL_AFTER_MS)
+  const watched = listOwners(state, [...due, ...awaited])
+  return { watched, polled: listOwners(state, [...due, ...awaited.filter(({ owner }) => isPollDue(state, owner!))]) }
+}
+
+function listOwners ({ self }: RoutingState, databases: readonly DatabaseWithOwner[]): readonly string[] {
+  return [...new Set(databases.flatMap(({ owner }) => (owner === undefined || owner === self ? [] : [owner])))]
+}
+
+// A silent owner may only be late: polls in each round by all hosts that wait for it would keep it late.
+function isPollDue ({ unansweredPolls }: RoutingState, owner: string): boolean {
+  const silentRounds = (unansweredPolls.get(owner) ?? -1) + 1
+  return silentRounds === 0 || silentRounds % SILENT_POLL_ROUNDS === SILENT_POLL_ROUNDS / 2
 }
 
 // For groups in use on this host: the owners of the primaries and of the databases in this failure
--- a/src/routing/placement.ts
+++ b/src/routing/placement.ts
@@ -3,7 +3,7 @@
 import type { ChooseTarget } from './messages.js'
 import type { DatabaseWithOwner, RoutingState } from './state.js'
 
-/** Consecutive unanswered polls after which a host gets no requests until it answers; a busy host misses fewer. */
+/** Consecutive rounds without an answer to a poll after which a host gets no requests until it answers; a busy host misses fewer. */
 const MAX_UNANSWERED_POLLS = 2
 /** Cost of a database in another failure domain, in requests per slot. */
 const REMOTE_DOMAIN_COST = 1.3
--- a/src/routing/state.ts
+++ b/src/routing/state.ts
@@ -57,7 +57,7 @@
   /** Where this host begins to go through the owners; hosts that start together would all poll the same one otherwise. */
   readonly pollOffset: number
   readonly pollSentAtMs: ReadonlyMap<number, number>
-  /** Consecutive polls without an answer, by polled host. The latest poll doesn't count yet, so an answer sets -1. */
+  /** Consecutive rounds without an answer since a poll, by polled host. The latest round doesn't count yet, so an answer sets -1. */
   readonly unansweredPolls: ReadonlyMap<string, number>
   /** Round-robin counter that spreads reads over equivalent replicas. */
   readonly roundRobinCounter: number
