Routing: owners that a host has reached are polled at an eighth of the pace

Cause: each host polls one owner in turn every 400 ms, so that its link is open before a request needs it, and goes on when all are open. Change: owners that nothing was sent to since they became owners come first, each round; once all were reached, one round in eight polls the next one, since an owner may have restarted.

--- a/src/routing/decide.ts
+++ b/src/routing/decide.ts
@@ -21,6 +21,8 @@
 const OWNER_POLL_AFTER_MS = 100
 /** Rounds between two polls of an owner that stays silent; its last poll has to be younger than `POLL_TTL_MS` when it answers again. */
 const SILENT_POLL_ROUNDS = 4
+/** Rounds between two polls of owners that were reached, whichever is next in turn. */
+const REACHED_POLL_ROUNDS = 8
 /** Without a confirmation by the leader for this long, a host expects no news of another primary: longer than an election takes. */
 const LEADER_CONTACT_MS = 1_500
 /** A replica whose lag is at most this may be chosen although the read has to wait briefly until it reaches the floor. */
@@ -126,10 +128,14 @@
 
 function answerTarget (before: RoutingState, message: ChooseTarget, target: Target, moment: Moment): RoutingStep {
   const awaited = !before.guarantees.selfFencing || target.owner === before.self || before.awaitedOwners.has(target.owner)
-  const state: RoutingState = awaited ? before : { ...before, awaitedOwners: new Map(before.awaitedOwners).set(target.owner, moment.monotonicMs) }
+  const state: RoutingState = awaited ? before : { ...before, reachedOwners: addReached(before, [target.owner]), awaitedOwners: new Map(before.awaitedOwners).set(target.owner, moment.monotonicMs) }
   return { state, effects: [tell({ kind: 'requests/routed', caller: message.caller, attempt: message.attempt, target })] }
 }
 
+function addReached ({ reachedOwners }: RoutingState, owners: readonly string[]): ReadonlySet<string> {
+  return owners.every(owner => reachedOwners.has(owner)) ? reachedOwners : new Set([...reachedOwners, ...owners])
+}
+
 // A retry helps only while this host is in touch with the leader, which may grant another primary.
 function refuse (state: RoutingState, message: ChooseTarget, code: ErrorCode, moment: Moment): RoutingStep {
   const failure = createFailure(code, message.rules.group)
@@ -142,7 +148,8 @@
   const grants = new Map(message.grants.map(grant => [grant.group, grant]))
   const owners = new Set([...databases.values()].map(({ owner }) => owner))
   const awaitedOwners = new Map([...state.awaitedOwners].filter(([owner]) => owners.has(owner)))
-  return { state: { ...state, hosts: message.hosts, databases, grants, awaitedOwners }, effects: [] }
+  const reachedOwners = new Set([...state.reachedOwners].filter(owner => owners.has(owner)))
+  return { state: { ...state, hosts: message.hosts, databases, grants, awaitedOwners, reachedOwners }, effects: [] }
 }
 
 function recordStatus (state: RoutingState, message: StatusRead): RoutingState {
@@ -162,7 +169,7 @@
   const polls = polled.map(owner => sendPeer(owner, { kind: 'routing/positions-asked', round }))
   const nextPoll = setTimer('routing/ask', state.askEveryMs, { kind: 'routing/ask-due' })
   const unansweredPolls = new Map(watched.map(owner => [owner, (state.unansweredPolls.get(owner) ?? -1) + 1]))
-  return { state: { ...dropOldLoads(state, moment), pollRound: round, pollSentAtMs, unansweredPolls }, effects: [...polls, nextPoll] }
+  return { state: { ...dropOldLoads(state, moment), pollRound: round, pollSentAtMs, unansweredPolls, reachedOwners: addReached(state, polled) }, effects: [...polls, nextPoll] }
 }
 
 function dropOldLoads (state: RoutingState, moment: Moment): RoutingState {
@@ -200,17 +207,26 @@
 }
 
 // The owners of the groups of which this host owns a database, those that leave requests of this host unanswered, and
-// one other owner in turn, so that links to all of them are open before requests need them.
+// one other owner in turn.
 function listPeerOwners (state: RoutingState, moment: Moment): OwnersOfRound {
   const databases = [...state.databases.values()]
   const groups = new Set(databases.filter(({ owner }) => owner === state.self).map(({ entry }) => entry.group))
-  const turn = databases[(state.pollOffset + state.pollRound) % Math.max(1, databases.length)]?.owner
+  const turn = pickTurn(state, databases)
   const due = databases.filter(({ entry, owner }) => groups.has(entry.group) || owner === turn)
   const awaited = databases.filter(({ owner }) => moment.monotonicMs - (state.awaitedOwners.get(owner ?? '') ?? Infinity) >= OWNER_POLL_AFTER_MS)
   const watched = listOwners(state, [...due, ...awaited])
   return { watched, polled: listOwners(state, [...due, ...awaited.filter(({ owner }) => isPollDue(state, owner!))]) }
 }
 
+// Links to all owners are to be open before requests need them. One that was reached may have restarted since.
+function pickTurn (state: RoutingState, databases: readonly DatabaseWithOwner[]): string | undefined {
+  const { pollOffset, pollRound, reachedOwners, self } = state
+  const start = (pollOffset + Math.floor(pollRound / REACHED_POLL_ROUNDS)) % Math.max(1, databases.length)
+  const ordered = [...databases.slice(start), ...databases.slice(0, start)]
+  const unreached = ordered.find(({ owner }) => owner !== undefined && owner !== self && !reachedOwners.has(owner))
+  return unreached === undefined && pollRound % REACHED_POLL_ROUNDS === 0 ? ordered[0]?.owner : unreached?.owner
+}
+
 function listOwners ({ self }: RoutingState, databases: readonly DatabaseWithOwner[]): readonly string[] {
   return [...new Set(databases.flatMap(({ owner }) => (owner === undefined || owner === self ? [] : [owner])))]
 }
--- a/src/routing/polling.test.ts
+++ b/src/routing/polling.test.ts
@@ -128,6 +128,27 @@
     expect(polled).to.deep.equal(owners)
   })
 
+  it('seldom polls owners that it has reached, and a new owner in the next round', () => {
+    const fleet = createFleet(200)
+    const owners = new Set(fleet.owners.values())
+    const [host, successor] = fleet.hosts.filter(entry => !owners.has(entry.host))
+    let state = createState(fleet, host!)
+    let polls = 0
+    const run = (rounds: number): void => {
+      for (let round = 0; round < rounds; round++) {
+        polls += listPolled(state, 0).length
+        state = decide(state, { kind: 'routing/ask-due' }, 0).state
+      }
+    }
+    run(GROUPS * COPIES)
+    polls = 0
+    run(80)
+    expect(polls).to.be.within(8, 10)
+    const changed = new Map(fleet.owners).set('db-7', successor!.host)
+    state = decide(state, { kind: 'routing/directory-changed', ...fleet, owners: changed }, 0).state
+    expect(listPolled(state, 0)).to.include(successor!.host)
+  })
+
   it('leaves a database whose answers report a high load, and tries it again after a second', () => {
     const fleet = createFleet(60)
     let state = createState(fleet, fleet.hosts[3]!)
--- a/src/routing/state.ts
+++ b/src/routing/state.ts
@@ -53,6 +53,8 @@
   readonly groupUsedAtMs: ReadonlyMap<string, number>
   /** Owners that have not answered since a request was sent to them, and when it was. */
   readonly awaitedOwners: ReadonlyMap<string, number>
+  /** Owners to which this host has sent something. */
+  readonly reachedOwners: ReadonlySet<string>
   readonly pollRound: number
   /** Where this host begins to go through the owners; hosts that start together would all poll the same one otherwise. */
   readonly pollOffset: number
@@ -84,6 +86,7 @@
     loadReportedAtMs: new Map(),
     groupUsedAtMs: new Map(),
     awaitedOwners: new Map(),
+    reachedOwners: new Set(),
     pollRound: 0,
     pollOffset: hashName(self),
     pollSentAtMs: new Map(),
