Peers: batches that stay long are deflated

Cause: the block format of LZ4 codes no letters, so texts that don't repeat, such as rows, stay as long as they are. Bytes between failure domains are priced, and a byte is worth more than the processor time of its compression where they are dear.

Change: what takes more than 128 bytes in the format of LZ4 is deflated instead, with the same window as its dictionary. The module is now batching.ts, since it chooses.

--- a/src/peers/batch.test.ts
+++ b/src/peers/batch.test.ts
@@ -147,15 +147,15 @@
   })
 
   it('ends the link at a broken batch, as at a broken frame, and delivers none of it', async () => {
-    for (const kind of ['frame', 'batch'] as const) {
+    for (const kind of ['frame', 'batch', 'deflatedBatch'] as const) {
       const lost: string[] = []
       const received: Message[] = []
       await using stream = await openStream(lost, received)
       const packer = LinkPacker.create()
       stream.queue.push(packHint(packer, 0), 1)
       await pollUntil(() => received.length === 1)
-      const hints = [1, 2].map(epoch => encodeFrame('h1', createHint(epoch), STAMP).bytes)
-      const next = kind === 'batch' ? packer.packBatch(hints) : packer.packFrame(hints[0]!)
+      const hints = kind === 'deflatedBatch' ? [createLarge(), createLarge()] : [1, 2].map(epoch => encodeFrame('h1', createHint(epoch), STAMP).bytes)
+      const next = kind === 'frame' ? packer.packFrame(hints[0]!) : packer.packBatch(hints)
       expect(next.content.case).to.equal(kind)
       stream.queue.push({ ...next, content: { case: kind, value: next.content.value!.subarray(0, -4) } } as PackedFrame, 1)
       await pollUntil(() => lost.length === 1)
--- a/src/peers/lz.ts
+++ b/src/peers/batching.ts
@@ -1,8 +1,13 @@
-/** Compresses short inputs of one link, each against those before it, in the block format of LZ4 and in one pass. */
+/** Compresses the batches of one link, each against those before it: in the block format of LZ4 if that makes them short, else with deflate. */
+import { deflateRawSync, inflateRawSync } from 'node:zlib'
 import { assertInvariant } from '../core/invariant.js'
 
 /** How far back a match may lie, in this input and those before it. */
 const WINDOW_BYTES = 8_192
+/** What is longer than this in the format of LZ4 holds texts that do not repeat, which deflate makes shorter by coding their letters. */
+const MAX_LZ_BYTES = 128
+const DEFLATE_OPTIONS = { level: 1, windowBits: 13, memLevel: 4 }
+const INFLATE_OPTIONS = { windowBits: 13 }
 /** The largest input: larger ones are worth the setup of a better compression. */
 export const MAX_INPUT_BYTES = 16_384
 const HASH_BITS = 11
@@ -37,8 +42,17 @@
   }
 }
 
+/** The ways of compression. */
+export type Codec = 'lz' | 'deflate'
+
+/** A compressed input. */
+export interface PackedInput {
+  readonly codec: Codec
+  readonly bytes: Uint8Array
+}
+
 /** Compresses the inputs of one link. */
-export class LzPacker {
+export class BatchPacker {
   readonly #window = new Window()
   /** For each hash of four bytes, where they were seen last, counted over all inputs. */
   readonly #positions = new Int32Array(2 ** HASH_BITS)
@@ -49,22 +63,25 @@
 
   /**
    * Creates the packer of a new link.
-   * @example LzPacker.create().pack(bytes)
+   * @example BatchPacker.create().pack(bytes)
    */
-  static create (): LzPacker {
-    return new LzPacker()
+  static create (): BatchPacker {
+    return new BatchPacker()
   }
 
   /** Compresses the next input of the link. */
-  pack (input: Uint8Array): Uint8Array {
+  pack (input: Uint8Array): PackedInput {
     const start = this.#window.load()
     assertInvariant(input.length <= MAX_INPUT_BYTES, 'an input is bounded', String(input.length))
     WORK.set(input, start)
     const end = start + input.length
     const length = this.#encode(start, end)
+    const packed: PackedInput = length <= MAX_LZ_BYTES
+      ? { codec: 'lz', bytes: Buffer.from(OUTPUT.subarray(0, length)) }
+      : { codec: 'deflate', bytes: deflateRawSync(input, { ...DEFLATE_OPTIONS, dictionary: WORK.subarray(0, start) }) }
     this.#window.store(end)
     this.#base = (this.#base + Math.max(0, end - WINDOW_BYTES)) | 0
-    return Buffer.from(OUTPUT.subarray(0, length))
+    return packed
   }
 
   // Hot path: one pass, in shared memory.
@@ -98,32 +115,39 @@
 }
 
 /** Decompresses the inputs of one link. */
-export class LzUnpacker {
+export class BatchUnpacker {
   readonly #window = new Window()
 
   private constructor () {}
 
   /**
    * Creates the unpacker of a new link.
-   * @example LzUnpacker.create().unpack(packed)
+   * @example BatchUnpacker.create().unpack(packed)
    */
-  static create (): LzUnpacker {
-    return new LzUnpacker()
+  static create (): BatchUnpacker {
+    return new BatchUnpacker()
   }
 
   /**
    * Decompresses the next input of the link.
    * @throws when the bytes are not the next input of the link.
    */
-  unpack (packed: Uint8Array): Uint8Array {
+  unpack ({ codec, bytes }: PackedInput): Uint8Array {
     const start = this.#window.load()
-    const end = decodeSequences(packed, start)
+    const end = codec === 'lz' ? decodeSequences(bytes, start) : decodeDeflated(bytes, start)
     const input = Buffer.from(WORK.subarray(start, end))
     this.#window.store(end)
     return input
   }
 }
 
+// Returns the end of what was decompressed to the shared memory.
+function decodeDeflated (packed: Uint8Array, start: number): number {
+  const input = inflateRawSync(packed, { ...INFLATE_OPTIONS, dictionary: WORK.subarray(0, start), maxOutputLength: MAX_INPUT_BYTES })
+  WORK.set(input, start)
+  return start + input.length
+}
+
 function readFour (at: number): number {
   return WORK[at]! | WORK[at + 1]! << 8 | WORK[at + 2]! << 16 | WORK[at + 3]! << 24
 }
--- a/src/peers/frame.ts
+++ b/src/peers/frame.ts
@@ -3,7 +3,7 @@
 import type { Message } from '../core/message.js'
 import type { Stamp } from '../timeline/stamp.js'
 import { FrameBatchSchema, FrameSchema, PackedFrameSchema, type PackedFrame } from '../gen/fulmartally_pb.js'
-import { LzPacker, LzUnpacker, MAX_INPUT_BYTES } from './lz.js'
+import { BatchPacker, BatchUnpacker, MAX_INPUT_BYTES, type PackedInput } from './batching.js'
 import type { EncodedFrame } from './outbox.js'
 import { FramePacker, FrameUnpacker } from './packing.js'
 
@@ -43,7 +43,7 @@
 /** Compresses the frames of one link. */
 export class LinkPacker {
   readonly #frames = FramePacker.create()
-  readonly #batches = LzPacker.create()
+  readonly #batches = BatchPacker.create()
 
   private constructor () {}
 
@@ -64,14 +64,15 @@
   packBatch (frames: readonly Uint8Array[]): PackedFrame {
     const batch = toBinary(FrameBatchSchema, create(FrameBatchSchema, { frames: [...frames] }))
     if (batch.length > MAX_INPUT_BYTES && frames.length === 1) return this.packFrame(frames[0]!)
-    return create(PackedFrameSchema, { content: { case: 'batch', value: this.#batches.pack(batch) } })
+    const { codec, bytes } = this.#batches.pack(batch)
+    return create(PackedFrameSchema, { content: { case: codec === 'lz' ? 'batch' : 'deflatedBatch', value: bytes } })
   }
 }
 
 /** Decompresses the frames of one link. */
 export class LinkUnpacker {
   readonly #frames = FrameUnpacker.create()
-  readonly #batches = LzUnpacker.create()
+  readonly #batches = BatchUnpacker.create()
 
   private constructor () {}
 
@@ -88,7 +89,14 @@
    * @throws when the bytes are not the next frames.
    */
   unpack ({ content }: PackedFrame): readonly Uint8Array[] {
-    if (content.case === 'batch') return fromBinary(FrameBatchSchema, this.#batches.unpack(content.value)).frames
-    return [this.#frames.unpack(content.value ?? new Uint8Array())]
+    switch (content.case) {
+      case 'batch': return this.#unpackBatch({ codec: 'lz', bytes: content.value })
+      case 'deflatedBatch': return this.#unpackBatch({ codec: 'deflate', bytes: content.value })
+      default: return [this.#frames.unpack(content.value ?? new Uint8Array())]
+    }
+  }
+
+  #unpackBatch (packed: PackedInput): readonly Uint8Array[] {
+    return fromBinary(FrameBatchSchema, this.#batches.unpack(packed)).frames
   }
 }
