Peers: the decoder of a block is a class of short steps

The decoder was one long function with a closure, and the window was made without a static create. No change of behaviour.

--- a/src/peers/batching.ts
+++ b/src/peers/batching.ts
@@ -28,6 +28,12 @@
 class Window {
   #bytes = Buffer.alloc(0)
 
+  private constructor () {}
+
+  static create (): Window {
+    return new Window()
+  }
+
   /** Copies the window to the start of the shared memory, and returns its length. */
   load (): number {
     this.#bytes.copy(WORK)
@@ -53,7 +59,7 @@
 
 /** Compresses the inputs of one link. */
 export class BatchPacker {
-  readonly #window = new Window()
+  readonly #window = Window.create()
   /** For each hash of four bytes, where they were seen last, counted over all inputs. */
   readonly #positions = new Int32Array(2 ** HASH_BITS)
   /** The position of the first byte in the shared memory. */
@@ -116,7 +122,7 @@
 
 /** Decompresses the inputs of one link. */
 export class BatchUnpacker {
-  readonly #window = new Window()
+  readonly #window = Window.create()
 
   private constructor () {}
 
@@ -134,7 +140,7 @@
    */
   unpack ({ codec, bytes }: PackedInput): Uint8Array {
     const start = this.#window.load()
-    const end = codec === 'lz' ? decodeSequences(bytes, start) : decodeDeflated(bytes, start)
+    const end = codec === 'lz' ? BlockDecoder.create(bytes, start).decode() : decodeDeflated(bytes, start)
     const input = Buffer.from(WORK.subarray(start, end))
     this.#window.store(end)
     return input
@@ -184,32 +190,57 @@
   return next
 }
 
-// Returns the end of what was decompressed to the shared memory.
-function decodeSequences (packed: Uint8Array, start: number): number {
-  let read = 0
-  let at = start
-  const readLength = (short: number): number => {
+/** Decompresses one block to the shared memory. */
+class BlockDecoder {
+  readonly #packed: Uint8Array
+  #read = 0
+  #at: number
+
+  private constructor (packed: Uint8Array, start: number) {
+    this.#packed = packed
+    this.#at = start
+  }
+
+  static create (packed: Uint8Array, start: number): BlockDecoder {
+    return new BlockDecoder(packed, start)
+  }
+
+  /** Returns the end of what was decompressed. */
+  decode (): number {
+    while (true) {
+      const token = this.#readByte()
+      this.#readLiterals(this.#readLength(token >>> 4))
+      if (this.#read === this.#packed.length) return this.#at
+      const distance = this.#readByte() | this.#readByte() << 8
+      this.#repeatMatch(distance, this.#readLength(token & MAX_SHORT_LENGTH) + MIN_MATCH_BYTES)
+    }
+  }
+
+  #readByte (): number {
+    return this.#packed[this.#read++] ?? failToRead()
+  }
+
+  #readLength (short: number): number {
     let length = short
     if (short < MAX_SHORT_LENGTH) return length
     let byte
     do {
-      byte = packed[read++] ?? failToRead()
+      byte = this.#readByte()
       length += byte
     } while (byte === MAX_BYTE)
     return length
   }
-  while (true) {
-    const token = packed[read++] ?? failToRead()
-    const literals = readLength(token >>> 4)
-    if (read + literals > packed.length || at + literals > WORK.length) failToRead()
-    for (let index = 0; index < literals; index++) WORK[at++] = packed[read++]!
-    if (read === packed.length) return at
-    if (read + 2 > packed.length) failToRead()
-    const distance = packed[read]! | packed[read + 1]! << 8
-    read += 2
-    const length = readLength(token & MAX_SHORT_LENGTH) + MIN_MATCH_BYTES
-    if (distance === 0 || distance > at || at + length > WORK.length) failToRead()
-    for (let end = at + length; at < end; at++) WORK[at] = WORK[at - distance]!
+
+  #readLiterals (length: number): void {
+    if (this.#read + length > this.#packed.length || this.#at + length > WORK.length) failToRead()
+    for (let index = 0; index < length; index++) WORK[this.#at + index] = this.#packed[this.#read + index]!
+    this.#read += length
+    this.#at += length
+  }
+
+  #repeatMatch (distance: number, length: number): void {
+    if (distance === 0 || distance > this.#at || this.#at + length > WORK.length) failToRead()
+    for (const end = this.#at + length; this.#at < end; this.#at++) WORK[this.#at] = WORK[this.#at - distance]!
   }
 }
 
