A lender's answer names the term that it grants

Cause: since a borrower used a loan for the term that it had asked for unless the answer named a shorter one. A lender of an earlier version knows no terms and keeps room for 250 ms; during a rolling upgrade a token could be used after its room was given to another, beyond the quota.

Change: without a term in the answer the loan lasts 250 ms, as one of the leader does.

--- a/src/admission/lending.ts
+++ b/src/admission/lending.ts
@@ -144,7 +144,7 @@
     if (loan === undefined) effects.push(tell({ kind: 'requests/admitted', caller, attempt, rules }))
     else {
       const termMs = Math.min(loan.termMs, maxTermMs)
-      effects.push(answerLoan(workspace, { ...loan, termMs }, granted, 0, termMs < loan.termMs))
+      effects.push(answerLoan(workspace, { ...loan, termMs }, granted, 0))
       lent.push({ tokens: granted, expiresAtMs: moment.monotonicMs + termMs + LOAN_DRIFT_MARGIN_MS })
     }
   }
@@ -154,9 +154,8 @@
 /**
  * Creates the answer to a loan.
  * @param nextMs the time until there may be another token.
- * @param isShorter true if the term of the loan is shorter than the borrower asked for.
  * @example answerLoan('rota/parish', loan, 0, 120)
  */
-export function answerLoan (workspace: string, { borrower, holder, loan, termMs }: WaitingLoan, tokens: number, nextMs: number, isShorter = false): CoreEffect {
-  return sendPeer(borrower, { kind: 'admission/lent', holder, loan, workspace, tokens, nextMs: Math.min(MAX_NEXT_MS, Math.ceil(nextMs)), termMs: isShorter ? termMs : undefined })
+export function answerLoan (workspace: string, { borrower, holder, loan, termMs }: WaitingLoan, tokens: number, nextMs: number): CoreEffect {
+  return sendPeer(borrower, { kind: 'admission/lent', holder, loan, workspace, tokens, nextMs: Math.min(MAX_NEXT_MS, Math.ceil(nextMs)), termMs: termMs === LOAN_MS ? undefined : termMs })
 }
--- a/src/admission/messages.ts
+++ b/src/admission/messages.ts
@@ -111,7 +111,7 @@
   readonly nextMs: number
   /** Tokens that the reserve still lacks because the leader is new; absent below 1. */
   readonly shortfall?: number
-  /** How long the borrower may use it after it asked, if that is shorter than it asked for. */
+  /** How long the borrower may use it after it asked; that of the leader's loans if absent: an earlier version grants no other. */
   readonly termMs?: number
 }
 
--- a/src/admission/rates.ts
+++ b/src/admission/rates.ts
@@ -70,7 +70,7 @@
   const allowance = store.items.get(key)
   if (allowance?.loan === undefined || !isSameLoan(allowance.loan, message)) return acceptLateAnswer(store.shared, message, moment)
   const filled = refillAllowance({ ...allowance, loan: undefined, unanswered: false }, allowance, getSharesEndMs(store.shared), moment.monotonicMs)
-  const termMs = Math.min(getTermMs(allowance.loan), message.termMs ?? Infinity)
+  const termMs = Math.min(getTermMs(allowance.loan), message.termMs ?? LOAN_MS)
   const shared = recordDelay(recordAnswer(store.shared, allowance.loan), allowance.loan, moment)
   if (moment.monotonicMs > allowance.loan.sentAtMs + termMs) return { shared, ...processWaiting(shared, key, filled, moment) }
   const nextLoanAtMs = computeNextLoanAtMs(store.shared, key, filled, message.nextMs, moment)
--- a/src/admission/terms.test.ts
+++ b/src/admission/terms.test.ts
@@ -47,8 +47,8 @@
     this.handle({ kind: 'admission/loan-overdue', holder, loan, workspace }, nowMs)
   }
 
-  answer ({ holder, loan, workspace }: LoanWanted, nowMs: number): void {
-    this.handle({ kind: 'admission/lent', holder, loan, workspace, tokens: 1, nextMs: 0 }, nowMs)
+  answer ({ holder, loan, workspace, termMs }: LoanWanted, nowMs: number): void {
+    this.handle({ kind: 'admission/lent', holder, loan, workspace, tokens: 1, nextMs: 0, termMs }, nowMs)
   }
 
   #execute (effect: Effect): void {
@@ -84,6 +84,15 @@
     expect(borrower.decided.at(-1)).to.include({ kind: 'requests/admitted', caller: 'c2' })
   })
 
+  it('uses no answer of a lender that granted no longer term after the shortest one', () => {
+    const borrower = Borrower.create()
+    borrower.request('c1', 0)
+    borrower.expire(borrower.asked[0]!, LATENCY_MS)
+    borrower.request('c2', LATENCY_MS)
+    borrower.answer({ ...borrower.asked[1]!, termMs: undefined }, LATENCY_MS + LOAN_MS + 100)
+    expect(borrower.decided.map(({ kind }) => kind)).not.to.include('requests/admitted')
+  })
+
   it('asks for the shortest term again once answers are fast', () => {
     const borrower = Borrower.create()
     borrower.request('late', 0)
