The one lender of a workspace is found without ranking all of them

Cause: a host looks for the lender of a workspace three times for each request and once for each answer, and sorted all lenders by weight each time.

Change: a workspace with one lender takes the heaviest, in one pass; the choice is the same (src/core/rendezvous.test.ts). No behaviour changes.

--- a/src/admission/lending.ts
+++ b/src/admission/lending.ts
@@ -48,7 +48,11 @@
 }
 
 function chooseLenders (workspace: string, rate: number, candidates: readonly string[]): readonly string[] {
-  return rankCandidates(workspace, candidates).slice(0, Math.max(1, Math.ceil(rate / RATE_PER_LENDER)))
+  const count = Math.max(1, Math.ceil(rate / RATE_PER_LENDER))
+  if (count > 1) return rankCandidates(workspace, candidates).slice(0, count)
+  // Most workspaces have one lender, and each request looks for it several times.
+  const lender = pickHeaviest(workspace, candidates)
+  return lender === undefined ? [] : [lender]
 }
 
 /**
