--- a/src/admission/rates.ts
+++ b/src/admission/rates.ts
@@ -139,8 +139,8 @@
   const remaining: Allowance = { ...backedOff, waiting: expired.kept }
   if (backedOff.waiting.length === 0) return { changes: [[key, backedOff]], effects: granted.effects }
   const requested = isLoanNeeded(shared, remaining, moment) ? requestLoan(shared, key, remaining, moment) : { allowance: remaining, effects: [] }
-  const split = splitWaiting(requested.allowance, moment)
-  const { kept, refused } = { kept: split.kept, refused: [...expired.refused, ...split.refused] }
+  const { kept, refused: late } = splitWaiting(requested.allowance, moment)
+  const refused = [...expired.refused, ...late]
   const { reserveShortfall = 0 } = requested.allowance
   const next: Allowance = { ...requested.allowance, waiting: kept, reserveShortfall: Math.max(0, reserveShortfall - refused.length) }
   const retryMs = computeRetryAfterMs(next, moment)
