Queues: a late owner refuses what can only be answered after its deadline

What callers saw: nothing was answered at the primary of a group that got more requests than its owner handles. Cause: remaining time counts from the dispatch, and the estimate of a queue leaves out what a request waited for the owner's loop and what its answer will wait. Change: a request that finds the slots in use is refused, too, if delay, wait and the time of a statement exceed what remains. Deadlines themselves stay: what was started is finished. Ruled out: shorter deadlines at the owner (they would cut statements whose answers are ready).

--- a/src/transactions/decide.ts
+++ b/src/transactions/decide.ts
@@ -146,7 +146,7 @@
 function enqueue (shared: TransactionsShared, database: OwnedDatabase, message: RunRequest, moment: Moment): DatabaseStep {
   const refusal = findRefusal(database, message)
   if (refusal !== undefined) return { database, effects: [refuseRun(message, refusal, database)] }
-  const overload = findOverload(database, message, moment)
+  const overload = findOverload(database, message, shared.lagMs, moment)
   if (overload !== undefined) return { database, effects: [refuseOverload(database, message, overload)] }
   const { queue, refused } = enqueueEntry(database.queue, { flow: nameFlow(message), key: message.caller, item: message }, createLimits(shared))
   const queued = { database: { ...database, queue }, effects: [setDeadlineTimer(message, message.remainingMs), ...refuseDisplaced(database, refused?.item)] }
--- a/src/transactions/pace.test.ts
+++ b/src/transactions/pace.test.ts
@@ -44,17 +44,17 @@
 describe('the estimate of a queue', () => {
   it('refuses requests of the workspace that fills it, and accepts those of the others', () => {
     const database = createDatabase({ large: 20, small: 1 }, 995)
-    expect(findOverload(database, createRun('large', 'c1'), NOW)).to.deep.include({ code: 'overloaded', effect: 'not-run', retryAfterMs: 140 })
-    expect(findOverload(database, createRun('small', 'c2'), NOW)).to.equal(undefined)
+    expect(findOverload(database, createRun('large', 'c1'), 0, NOW)).to.deep.include({ code: 'overloaded', effect: 'not-run', retryAfterMs: 140 })
+    expect(findOverload(database, createRun('small', 'c2'), 0, NOW)).to.equal(undefined)
   })
 
   it('lets a request without a latency target wait until its deadline, since entries ahead of it may leave before', () => {
-    expect(findOverload(createDatabase({ large: 100 }, 100), { ...createRun('large', 'c1'), latencyMs: undefined }, NOW)).to.equal(undefined)
+    expect(findOverload(createDatabase({ large: 100 }, 100), { ...createRun('large', 'c1'), latencyMs: undefined }, 0, NOW)).to.equal(undefined)
   })
 
   it('refuses requests of every workspace when there are too many workspaces, or no entry starts', () => {
     const crowded = createDatabase(Object.fromEntries(Array.from({ length: 12 }, (_, index) => [`w${index}`, 1])), 995)
-    expect(findOverload(crowded, createRun('other', 'c1'), NOW)?.inputs).to.include({ ahead: 12, answerMs: 150 })
-    expect(findOverload(createDatabase({ small: 1 }, 600), createRun('other', 'c1'), NOW)?.inputs).to.include({ ahead: 1, answerMs: 430 })
+    expect(findOverload(crowded, createRun('other', 'c1'), 0, NOW)?.inputs).to.include({ ahead: 12, answerMs: 150 })
+    expect(findOverload(createDatabase({ small: 1 }, 600), createRun('other', 'c1'), 0, NOW)?.inputs).to.include({ ahead: 1, answerMs: 430 })
   })
 })
--- a/src/transactions/pace.ts
+++ b/src/transactions/pace.ts
@@ -35,10 +35,11 @@
 /**
  * Returns the refusal of a request that would wait here until its latency target, or its deadline where that is sooner;
  * undefined where it may be answered in time. What it waited before is not its queue's fault, and a late answer is better
- * than none. A request without a target waits until its deadline: entries ahead of it may leave the queue before.
- * @example findOverload(database, message, moment)?.code // 'overloaded'
+ * than none; one that comes after the deadline is not: its caller has left. A request without a target waits until its deadline: entries ahead of it may leave the queue before.
+ * @param lagMs the delay of this host: remaining time counts from the dispatch, so the request waited that long already.
+ * @example findOverload(database, message, 0, moment)?.code // 'overloaded'
  */
-export function findOverload (database: OwnedDatabase, message: RunRequest, moment: Moment): Failure | undefined {
+export function findOverload (database: OwnedDatabase, message: RunRequest, lagMs: number, moment: Moment): Failure | undefined {
   const { startIntervalMs = 0, saturatedSinceMs } = database.pace
   if (saturatedSinceMs === undefined || message.latencyMs === undefined) return undefined
   const limitMs = Math.min(message.remainingMs, message.latencyMs * TARGET_FRACTION)
@@ -46,7 +47,9 @@
   const waitMs = Math.max(ahead * startIntervalMs, moment.monotonicMs - saturatedSinceMs)
   // Each of the slots starts one entry in this time, so it is how long a statement takes.
   const answerMs = Math.round(waitMs + startIntervalMs * database.entry.slots)
-  if (answerMs <= limitMs) return undefined
-  const retryAfterMs = Math.ceil((answerMs - limitMs) * (1 + moment.random))
-  return { ...createFailure('overloaded', database.entry.database), retryAfterMs, inputs: { ahead, startIntervalMs: Number(startIntervalMs.toFixed(1)), answerMs, limitMs } }
+  const expiredMs = lagMs + waitMs + (database.ranMs ?? 0) - message.remainingMs
+  const excessMs = Math.max(answerMs - limitMs, expiredMs)
+  if (excessMs <= 0) return undefined
+  const retryAfterMs = Math.ceil(excessMs * (1 + moment.random))
+  return { ...createFailure('overloaded', database.entry.database), retryAfterMs, inputs: { ahead, startIntervalMs: Number(startIntervalMs.toFixed(1)), answerMs, limitMs, lagMs: Math.round(lagMs) } }
 }
--- a/src/transactions/support/databaseload.ts
+++ b/src/transactions/support/databaseload.ts
@@ -30,6 +30,8 @@
   readonly latencyMs?: number
   /** How late the owner is: answers of the database and its own timers wait that long. */
   readonly lagMs?: number
+  /** How long requests wait at the late owner before it handles them; callers count it, the owner can't. */
+  readonly inboxMs?: number
 }
 
 /** What became of one request. */
@@ -127,7 +129,7 @@
       latencyMs: this.#load.latencyMs,
       payload: new Uint8Array(0)
     }
-    this.#handle(run)
+    this.#schedule(this.#load.inboxMs ?? 0, () => this.#handle(run))
   }
 
   #drawWorkspace (): number {
--- a/src/transactions/workspaces.test.ts
+++ b/src/transactions/workspaces.test.ts
@@ -17,6 +17,9 @@
 /** A host that is late by 100 ms, as one that uses all of its processor time, beside slots that are needed for a third. */
 const LATE_OWNER: Omit<DatabaseLoad, 'seed'> = { slots: 3, connectionLimit: 48, workspaces: 8, requestsPerSecond: 60, durationMs: 20_000, openMs: 12, statementMs: 18, remainingMs: 800, latencyMs: 250, lagMs: 100 }
 
+/** A host that is late by 400 ms with everything, and callers that leave after 1,000 ms. */
+const VERY_LATE_OWNER: Omit<DatabaseLoad, 'seed'> = { ...LATE_OWNER, workspaces: 1, requestsPerSecond: 150, remainingMs: 1_000, latencyMs: 1_000, lagMs: 400, inboxMs: 400 }
+
 const runAll = (load: Omit<DatabaseLoad, 'seed'>) => SEEDS.map(seed => runDatabaseLoad({ ...load, seed }))
 const countIn = (outcomes: readonly RequestOutcome[], limitMs: number): number => outcomes.filter(({ outcome, elapsedMs }) => outcome === 'finished' && elapsedMs <= limitMs).length / outcomes.length
 
@@ -42,4 +45,11 @@
   it('serves them in time while its owner is late and the slots have room', () => {
     for (const { outcomes } of runAll(LATE_OWNER)) expect(countIn(outcomes, LATE_OWNER.latencyMs!)).to.be.at.least(0.9)
   })
+
+  it('refuses what its late owner could only answer after callers have left, in place of starting it', () => {
+    for (const { outcomes } of runAll(VERY_LATE_OWNER)) {
+      const finished = outcomes.filter(({ outcome }) => outcome === 'finished')
+      expect(countIn(finished, VERY_LATE_OWNER.remainingMs)).to.be.at.least(0.3)
+    }
+  })
 })
