One predicate tells whether a transaction can still be rolled back

The same choice of phases stood in the withdrawal of keys, in the refusal of input and in the loss of a target, each written out. No change of behaviour: a transaction that was lost before is left as it is, as its replacement by an equal record was.

--- a/src/requests/failure.ts
+++ b/src/requests/failure.ts
@@ -5,7 +5,7 @@
 import type { GrantEntry } from '../membership/directory.js'
 import type { AttemptFailed, Intent, PeerLost, Target } from './messages.js'
 import type { Caller, InFlightRequest, RequestsShared } from './state.js'
-import { clearTimers, createCancelEffects, getTransactionStatus, replaceCaller, type RequestsEffect, type RequestsStep, type RequestsStore } from './step.js'
+import { clearTimers, createCancelEffects, getTransactionStatus, isActive, replaceCaller, type RequestsEffect, type RequestsStep, type RequestsStore } from './step.js'
 import { setTimer } from '../messages.js'
 
 /** First delay before a request is routed or dispatched again. */
@@ -123,9 +123,8 @@
  */
 export function rejectInput (caller: Caller, failure: Failure): RequestsStep {
   const { transaction } = caller
-  const ended = transaction === undefined || transaction.phase === 'lost' || transaction.phase === 'revoked'
-  const cancel = ended ? [] : createCancelEffects(caller)
-  const next: Caller = ended ? caller : { ...caller, transaction: { ...transaction, phase: 'lost' } }
+  const cancel = isActive(transaction) ? createCancelEffects(caller) : []
+  const next: Caller = isActive(transaction) ? { ...caller, transaction: { ...transaction, phase: 'lost' } } : caller
   return replaceCaller(next, [...cancel, { kind: 'caller/failed', caller: caller.caller, failure, status: getTransactionStatus(next) }])
 }
 
@@ -179,6 +178,6 @@
     const failure = reached ? createFailure('outcome-unknown', reason) : createFailure('no-database', running.rules?.group)
     return failAttempt(shared, caller, running, { kind: 'requests/failed', caller: caller.caller, attempt: running.attempt, failure, retriable: true }, moment)
   }
-  if (transaction === undefined || transaction.phase === 'revoked' || !matches(transaction.target, transaction.rules.group)) return UNCHANGED
+  if (!isActive(transaction) || !matches(transaction.target, transaction.rules.group)) return UNCHANGED
   return replaceCaller({ ...caller, transaction: { ...transaction, phase: 'lost' } }, [])
 }
--- a/src/requests/step.ts
+++ b/src/requests/step.ts
@@ -4,7 +4,7 @@
 import type { CallerEffect } from '../frontends/frontend.js'
 import { formatToken } from '../sessions/token.js'
 import type { TransactionStatus } from './messages.js'
-import type { Caller, RequestsShared } from './state.js'
+import type { Caller, OpenTransaction, RequestsShared } from './state.js'
 import { sendPeer } from '../messages.js'
 
 /** The effects of the requests slice. */
@@ -31,6 +31,15 @@
   return transaction.phase === 'open' ? 'open' : 'failed'
 }
 
+/**
+ * Tells whether the database may still hold a transaction, so that it can be rolled back there. Of a lost one nobody knows
+ * whether it was committed; a revoked one was rolled back.
+ * @example isActive(caller.transaction) // true
+ */
+export function isActive (transaction: OpenTransaction | undefined): transaction is OpenTransaction {
+  return transaction?.phase === 'open' || transaction?.phase === 'failed'
+}
+
 /**
  * Creates the effect that ends an answer.
  * @example createFinishedEffect(caller, payload)
--- a/src/requests/withdrawal.ts
+++ b/src/requests/withdrawal.ts
@@ -9,8 +9,8 @@
 import { setTimer, tell } from '../messages.js'
 import { endTransaction, failRequest } from './failure.js'
 import type { KeyRevoked, RouteRules } from './messages.js'
-import type { Caller, InFlightRequest, OpenTransaction } from './state.js'
-import { clearTimers, createCancelEffects, replaceCaller, type RequestsEffect, type RequestsStep } from './step.js'
+import type { Caller, InFlightRequest } from './state.js'
+import { clearTimers, createCancelEffects, isActive, replaceCaller, type RequestsEffect, type RequestsStep } from './step.js'
 
 /** How long the caller of a withdrawn key may send nothing, unless its transaction may be idle for longer. */
 const SILENCE_MS = 2_000
@@ -54,11 +54,6 @@
   return replaceCaller({ ...caller, transaction: { ...transaction, phase: 'revoked' } }, [...createCancelEffects(caller), timer])
 }
 
-// Of a lost transaction nobody knows whether it was committed.
-function isActive (transaction: OpenTransaction | undefined): transaction is OpenTransaction {
-  return transaction?.phase === 'open' || transaction?.phase === 'failed'
-}
-
 function createRollbackFailure ({ workspace }: Caller): Failure {
   return createFailure('transaction-revoked', workspace)
 }
