Shares: holders return to a short one all that is beyond their part

While a holder is short, the others gave back what was beyond a ninth more than their part. Among ten holders and more the newest one lacks less than that at each, so nobody gives anything back. Change: while a holder is short the others keep no more than their part.

--- a/src/shares/reserve.ts
+++ b/src/shares/reserve.ts
@@ -15,8 +15,8 @@
 const GROW_THRESHOLD = 1.25
 /** A share shrinks only when its target falls below this fraction of its size; a holder with less than this fraction of its target is short. */
 const SHRINK_THRESHOLD = 0.6
-/** The same while another holder is short. */
-const SHRINK_THRESHOLD_FOR_OTHERS = 0.9
+/** The same while another holder is short: among ten holders, what each would keep of a tenth is all that the newest one lacks. */
+const SHRINK_THRESHOLD_FOR_OTHERS = 1
 
 /** Lent tokens, and the quota without them. */
 export interface LoanGrant {
