--- a/bench/main.ts
+++ b/bench/main.ts
@@ -12,6 +12,7 @@
 import { runPath } from './path.js'
 import { runRate } from './rate.js'
 import { runReads } from './reads.js'
+import { runRequestCost } from './requestcost.js'
 import { showRows, type Row } from './report.js'
 
 const BENCHMARKS: Readonly<Record<string, (directory: string) => Promise<readonly Row[]>>> = {
@@ -22,7 +23,8 @@
   links: runLinks,
   path: runPath,
   rate: runRate,
-  reads: runReads
+  reads: runReads,
+  'request-cost': runRequestCost
 }
 
 const program = new Command('bench')
--- a/bench/usage.ts
+++ b/bench/usage.ts
@@ -11,6 +11,8 @@
 /** CPU time since the start of a process, and its current resident memory. */
 export interface Usage {
   readonly cpuSeconds: number
+  readonly userSeconds: number
+  readonly kernelSeconds: number
   readonly residentMb: number
 }
 
@@ -23,8 +25,12 @@
   const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ')
   const status = await readFile(`/proc/${pid}/status`, 'utf8')
   const residentKb = Number(/VmRSS:\s+(\d+)/.exec(status)?.[1] ?? 0)
+  const userSeconds = Number(fields[USER_TICKS_FIELD]) / TICKS_PER_SECOND
+  const kernelSeconds = Number(fields[SYSTEM_TICKS_FIELD]) / TICKS_PER_SECOND
   return {
-    cpuSeconds: (Number(fields[USER_TICKS_FIELD]) + Number(fields[SYSTEM_TICKS_FIELD])) / TICKS_PER_SECOND,
+    cpuSeconds: userSeconds + kernelSeconds,
+    userSeconds,
+    kernelSeconds,
     residentMb: residentKb / KB_PER_MB
   }
 }
