--- a/src/fairness/queue.test.ts
+++ b/src/fairness/queue.test.ts
@@ -19,6 +19,11 @@
   return dequeued === undefined ? [] : [dequeued.entry.flow, ...dequeueAll(dequeued.queue)]
 }
 
+function dequeueKeys (queue: FairQueue<number>): readonly string[] {
+  const dequeued = dequeueEntry(queue)
+  return dequeued === undefined ? [] : [dequeued.entry.key, ...dequeueKeys(dequeued.queue)]
+}
+
 describe('the fair queue', () => {
   it('alternates between backlogged flows', () => {
     expect(dequeueAll(enqueueAll(enqueueAll(createQueue(), 'large', 4), 'small', 2)).join(' ')).to.equal('large small large small large large')
@@ -50,6 +55,36 @@
     expect(countEntriesAhead(queue, 'large')).to.equal(11)
   })
 
+  it('serves the most urgent entry first within a flow and among flows whose turns are close', () => {
+    const entries = [['a', 'late', 1, 5], ['a', 'soon', 1, 3], ['b', 'first', 0, 9], ['c', 'last', 2, 1]] as const
+    const queue = entries.reduce((filled, [flow, key, rank, dueAtMs]) => enqueueEntry(filled, { flow, key, item: 0, urgency: { rank, dueAtMs } }, LIMITS).queue, createQueue<number>())
+    expect(dequeueKeys(queue)).to.deep.equal(['first', 'soon', 'late', 'last'])
+    expect(countEntriesAhead(queue, 'd', { rank: 0, dueAtMs: 9 })).to.equal(1)
+    expect(countEntriesAhead(queue, 'd', { rank: 2, dueAtMs: 0 })).to.equal(2)
+  })
+
+  it('does not let urgent entries starve another one, nor their flow take more than its share', () => {
+    const enqueueUrgent = (queue: FairQueue<number>, flow: string, turn: number): FairQueue<number> => enqueueEntry(queue, { flow, key: `${flow}${turn}`, item: 0, urgency: { rank: 0, dueAtMs: turn } }, LIMITS).queue
+    let queue = enqueueEntry(createQueue<number>(), { flow: 'patient', key: 'patient', item: 0, urgency: { rank: 9, dueAtMs: 0 } }, LIMITS).queue
+    const served: string[] = []
+    for (let turn = 0; turn < 20; turn++) {
+      const next = dequeueEntry(enqueueUrgent(queue, `urgent${turn}`, turn))!
+      served.push(next.entry.key)
+      queue = next.queue
+    }
+    expect(served.indexOf('patient')).to.be.within(1, 7)
+    let shared = enqueueAll(createQueue<number>(), 'usual', 10)
+    shared = Array.from({ length: 10 }, (_, turn) => turn).reduce((filled, turn) => enqueueEntry(filled, { flow: 'greedy', key: `greedy${turn}`, item: 0, urgency: { rank: -1, dueAtMs: turn } }, LIMITS).queue, shared)
+    const greedy = dequeueAll(shared).slice(0, 10).filter(flow => flow === 'greedy')
+    expect(greedy).to.have.length.within(5, 7)
+  })
+
+  it('gives a flow whose entries take several turns that fraction of the others', () => {
+    const heavy = Array.from({ length: 10 }, (_, index) => index).reduce((filled, index) => enqueueEntry(filled, { flow: 'heavy', key: `heavy${index}`, item: 0, turns: 4 }, LIMITS).queue, createQueue<number>())
+    const first = dequeueAll(enqueueAll(heavy, 'light', 20)).slice(0, 20)
+    expect(first.filter(flow => flow === 'heavy')).to.have.length.within(4, 5)
+  })
+
   it('limits the entries of one flow, and evicts from the longest flow when the queue is full', () => {
     const large = enqueueAll(createQueue<number>(), 'large', 100)
     expect(countEntries(large)).to.equal(LIMITS.flowLength)
--- a/src/fairness/queue.ts
+++ b/src/fairness/queue.ts
@@ -1,19 +1,37 @@
 /**
- * Fair queue: flows of equal weight take turns, and each flow is first in, first out.
+ * Fair queue: flows of equal weight take turns. Within a flow, and among flows whose turns are at most `MAX_LEAD_TURNS`
+ * apart, the most urgent entry is next; of equally urgent ones the first that came. Each `PLAIN_INTERVAL`-th turn goes to the
+ * oldest entry of the flow that is due, however urgent others are, so that none starves.
  *
- * Each flow has a virtual time that grows by one with each dequeued entry; the backlogged flow
- * with the lowest virtual time is next. A flow that was idle starts at the queue's virtual time,
- * so it gains no credit while idle. Each operation takes O(log n) and returns a new queue, except
- * that listing the entries, evicting from a full queue, and looking ahead visit all flows.
+ * Each flow has a virtual time that grows with each dequeued entry by the turns that it takes; the backlogged flow
+ * with the lowest virtual time is due. A flow that was idle starts at the queue's virtual time,
+ * so it gains no credit while idle. Adding and removing entries takes O(log n) and returns a new queue; finding the
+ * next entry, listing the entries, evicting from a full queue, and looking ahead visit all flows.
  */
 import { assertInvariant } from '../core/invariant.js'
 import { SortedMap } from './sortedmap.js'
 
-/** A queued item of a flow. Its key is unique in the queue. */
+/** How far an urgent entry's flow may be ahead of the flow that is due, in turns. */
+const MAX_LEAD_TURNS = 1
+/** One of so many turns goes to the flow that is due, whatever is urgent. */
+const PLAIN_INTERVAL = 8
+
+/** Which of two entries goes first: the one of the lower rank, then the one that is due sooner. */
+export interface Urgency {
+  readonly rank: number
+  readonly dueAtMs: number
+}
+
+const EQUAL_URGENCY: Urgency = { rank: 0, dueAtMs: 0 }
+
+/** A queued item of a flow. Its key is unique in the queue. Entries without an urgency are equally urgent. */
 export interface Entry<Item> {
   readonly flow: string
   readonly key: string
   readonly item: Item
+  readonly urgency?: Urgency
+  /** How many turns of its flow it takes; 1 when absent. */
+  readonly turns?: number
 }
 
 /** Largest number of queued entries, in total and per flow. */
@@ -27,14 +45,18 @@
   readonly sequence: number
 }
 
+interface EntryRank extends Urgency {
+  readonly sequence: number
+}
+
 interface Flow<Item> {
   readonly rank: FlowRank
-  readonly entries: SortedMap<number, Entry<Item>>
+  readonly entries: SortedMap<EntryRank, Entry<Item>>
 }
 
 interface EntryLocation {
   readonly flow: string
-  readonly sequence: number
+  readonly rank: EntryRank
 }
 
 /** An immutable fair queue. */
@@ -43,6 +65,8 @@
   readonly virtualTime: number
   /** Counter of changes; orders equal virtual times and the entries of a flow. */
   readonly sequence: number
+  /** Entries that were dequeued while others waited. */
+  readonly choices: number
   readonly flows: SortedMap<string, Flow<Item>>
   readonly backloggedFlows: SortedMap<FlowRank, string>
   /** Flows without entries whose virtual time is still ahead of the queue's. */
@@ -63,7 +87,8 @@
 }
 
 const compareText = (a: string, b: string): number => (a < b ? -1 : a > b ? 1 : 0)
-const compareNumbers = (a: number, b: number): number => a - b
+const compareUrgency = (a: Urgency, b: Urgency): number => a.rank - b.rank || a.dueAtMs - b.dueAtMs
+const compareEntries = (a: EntryRank, b: EntryRank): number => compareUrgency(a, b) || a.sequence - b.sequence
 const compareRanks = (a: FlowRank, b: FlowRank): number => (a.virtualTime === b.virtualTime ? a.sequence - b.sequence : a.virtualTime - b.virtualTime)
 
 /**
@@ -74,6 +99,7 @@
   return {
     virtualTime: 0,
     sequence: 0,
+    choices: 0,
     flows: SortedMap.create(compareText),
     backloggedFlows: SortedMap.create(compareRanks),
     idleFlows: SortedMap.create(compareRanks),
@@ -95,7 +121,7 @@
  */
 export function findEntry<Item> (queue: FairQueue<Item>, key: string): Entry<Item> | undefined {
   const location = queue.locations.get(key)
-  return location === undefined ? undefined : queue.flows.get(location.flow)?.entries.get(location.sequence)
+  return location === undefined ? undefined : queue.flows.get(location.flow)?.entries.get(location.rank)
 }
 
 /**
@@ -124,53 +150,75 @@
 }
 
 /**
- * Returns the first entry of the first flow, in the order of turns, that a condition accepts. Flows that it does not
- * accept keep their turn.
+ * Returns the entry that is next among those that a condition accepts: one of each flow is offered. Flows that are not
+ * accepted keep their turn.
  * @example findFirstEntry(queue, ({ item }) => hasConnection(item))?.key
  */
 export function findFirstEntry<Item> (queue: FairQueue<Item>, accepts: (entry: Entry<Item>, flowLength: number) => boolean): Entry<Item> | undefined {
+  const plain = isPlainTurn(queue)
+  const leadEndsAt = (queue.backloggedFlows.first?.[0].virtualTime ?? 0) + MAX_LEAD_TURNS
+  let best: Entry<Item> | undefined
   for (const name of queue.backloggedFlows.listValues()) {
-    const { entries } = queue.flows.get(name)!
-    const [, entry] = entries.first!
-    if (accepts(entry, entries.size)) return entry
+    const { entries, rank } = queue.flows.get(name)!
+    if (best !== undefined && (plain || rank.virtualTime > leadEndsAt)) return best
+    const entry = plain ? findOldest(queue, entries) : entries.first![1]
+    const isNext = best === undefined || compareUrgency(entry.urgency ?? EQUAL_URGENCY, best.urgency ?? EQUAL_URGENCY) < 0
+    if (isNext && accepts(entry, entries.size)) best = entry
   }
-  return undefined
+  return best
+}
+
+// A turn that is out of the order of urgency counts only while there is a choice.
+function isPlainTurn ({ choices }: FairQueue<unknown>): boolean {
+  return choices % PLAIN_INTERVAL === PLAIN_INTERVAL - 1
+}
+
+function findOldest<Item> (queue: FairQueue<Item>, entries: Flow<Item>['entries']): Entry<Item> {
+  const getSequence = (entry: Entry<Item>): number => queue.locations.get(entry.key)!.rank.sequence
+  return entries.listValues().reduce((oldest, entry) => (getSequence(entry) < getSequence(oldest) ? entry : oldest))
 }
 
 /**
- * Counts the entries that are dequeued before a new entry of a flow, if flows with entries take turns.
+ * Counts the entries that are dequeued before a new entry of a flow: those that are as urgent, as far as flows take turns,
+ * and what the turns out of the order of urgency take meanwhile.
  * @example countEntriesAhead(queue, 'parish') // 3
  */
-export function countEntriesAhead (queue: FairQueue<unknown>, flow: string): number {
-  const turns = (queue.flows.get(flow)?.entries.size ?? 0) + 1
-  return queue.backloggedFlows.listValues().reduce((sum, name) => sum + Math.min(queue.flows.get(name)!.entries.size, name === flow ? turns - 1 : turns), 0)
+export function countEntriesAhead (queue: FairQueue<unknown>, flow: string, urgency: Urgency = EQUAL_URGENCY): number {
+  const countUrgent = (name: string): number => queue.flows.get(name)?.entries.listValues().filter(entry => compareUrgency(entry.urgency ?? EQUAL_URGENCY, urgency) <= 0).length ?? 0
+  const own = countUrgent(flow)
+  const ahead = queue.backloggedFlows.listValues().reduce((sum, name) => sum + (name === flow ? own : Math.min(countUrgent(name), own + 1)), 0)
+  return Math.min(countEntries(queue), ahead + Math.floor(ahead / (PLAIN_INTERVAL - 1)))
 }
 
 /**
- * Removes and returns the next entry, or the next one of a given flow, which thereby takes its turn early.
+ * Removes and returns the next entry, or the one with a given key, whose flow thereby takes its turn early.
  * @example dequeueEntry(queue)?.entry.item
  */
-export function dequeueEntry<Item> (queue: FairQueue<Item>, flowName?: string): DequeueResult<Item> | undefined {
+export function dequeueEntry<Item> (queue: FairQueue<Item>, flowName?: string, key?: string): DequeueResult<Item> | undefined {
   const first = queue.backloggedFlows.first
   if (first === undefined) return undefined
-  const [{ virtualTime }, firstName] = first
+  const [{ virtualTime }] = first
   assertInvariant(virtualTime >= queue.virtualTime, 'virtual time never decreases', `${virtualTime} after ${queue.virtualTime}`)
-  const name = flowName ?? firstName
-  const flow = queue.flows.get(name)
-  const next = flow?.entries.first
-  if (flow === undefined || next === undefined) return undefined
-  const [, entry] = next
-  const served = { ...flow, rank: { virtualTime: flow.rank.virtualTime + 1, sequence: queue.sequence } }
+  const entry = findNamed(queue, flowName, key)
+  const flow = entry === undefined ? undefined : queue.flows.get(entry.flow)
+  if (flow === undefined || entry === undefined) return undefined
+  const served = { ...flow, rank: { virtualTime: flow.rank.virtualTime + (entry.turns ?? 1), sequence: queue.sequence } }
   const advanced: FairQueue<Item> = {
     ...queue,
     virtualTime,
     sequence: queue.sequence + 1,
-    flows: queue.flows.set(name, served),
-    backloggedFlows: queue.backloggedFlows.delete(flow.rank).set(served.rank, name)
+    choices: queue.choices + (countEntries(queue) > 1 ? 1 : 0),
+    flows: queue.flows.set(entry.flow, served),
+    backloggedFlows: queue.backloggedFlows.delete(flow.rank).set(served.rank, entry.flow)
   }
   return { queue: evictIdleFlows(removeEntry(advanced, entry.key)), entry }
 }
 
+function findNamed<Item> (queue: FairQueue<Item>, flowName: string | undefined, key: string | undefined): Entry<Item> | undefined {
+  if (key !== undefined) return findEntry(queue, key)
+  return flowName === undefined ? findFirstEntry(queue, () => true) : queue.flows.get(flowName)?.entries.first?.[1]
+}
+
 /**
  * Removes the entry with a key, if it is queued; its flow keeps its turn.
  * @example removeEntry(queue, 'caller-1')
@@ -179,7 +227,7 @@
   const location = queue.locations.get(key)
   if (location === undefined) return queue
   const flow = queue.flows.get(location.flow)!
-  const entries = flow.entries.delete(location.sequence)
+  const entries = flow.entries.delete(location.rank)
   const next: FairQueue<Item> = { ...queue, locations: queue.locations.delete(key), flows: queue.flows.set(location.flow, { ...flow, entries }) }
   return entries.size > 0 ? next : markFlowIdle(next, location.flow, flow.rank)
 }
@@ -187,15 +235,16 @@
 function addEntry<Item> (queue: FairQueue<Item>, entry: Entry<Item>): FairQueue<Item> {
   const { sequence } = queue
   const flow = queue.flows.get(entry.flow)
+  const entryRank: EntryRank = { ...(entry.urgency ?? EQUAL_URGENCY), sequence }
   const rank = flow === undefined || flow.entries.size === 0 ? { virtualTime: Math.max(queue.virtualTime, flow?.rank.virtualTime ?? 0), sequence } : flow.rank
-  const entries = (flow?.entries ?? SortedMap.create<number, Entry<Item>>(compareNumbers)).set(sequence, entry)
+  const entries = (flow?.entries ?? SortedMap.create<EntryRank, Entry<Item>>(compareEntries)).set(entryRank, entry)
   return {
     ...queue,
     sequence: sequence + 1,
     flows: queue.flows.set(entry.flow, { rank, entries }),
     backloggedFlows: queue.backloggedFlows.set(rank, entry.flow),
     idleFlows: flow === undefined ? queue.idleFlows : queue.idleFlows.delete(flow.rank),
-    locations: queue.locations.set(entry.key, { flow: entry.flow, sequence })
+    locations: queue.locations.set(entry.key, { flow: entry.flow, rank: entryRank })
   }
 }
 
--- a/src/requests/decide.ts
+++ b/src/requests/decide.ts
@@ -205,6 +205,8 @@
     remainingMs: Math.max(0, Math.round(endsAtMs - moment.monotonicMs)),
     expectedMs: estimateMs(caller, running),
     latencyMs: running.rules?.latencyMs,
+    targetLeftMs: computeTargetLeftMs(running, moment),
+    priority: running.rules?.priority,
     idleMs: running.rules?.idleTransactionMs,
     payload: running.payload
   })
@@ -212,6 +214,10 @@
   return { ...replaceCaller(next, [order, ...createSlowReplicaTimer(next)]), shared: { ...shared, sender, lastTicket: ticket.order } }
 }
 
+function computeTargetLeftMs ({ startedAtMs, rules }: InFlightRequest, moment: Moment): number | undefined {
+  return rules?.latencyMs === undefined ? undefined : Math.round(startedAtMs + rules.latencyMs - moment.monotonicMs)
+}
+
 // The owner reports a replica that does not answer. This timer covers an owner that is lost.
 function createSlowReplicaTimer ({ caller, transaction, running }: Caller): readonly CoreEffect[] {
   const latencyMs = running?.rules?.latencyMs
--- a/src/transactions/decide.ts
+++ b/src/transactions/decide.ts
@@ -16,6 +16,7 @@
 import { computePace, findOverload } from './pace.js'
 import { answerFailed, continueStep, setDeadlineTimer, clearDeadlineTimer, createEmptyStep, refuseRun, type DatabaseStep, type TransactionsStep, type TransactionsStore } from './step.js'
 import { acknowledgeDurableWrites, answerFinished } from './durability.js'
+import { computeUrgency, countTurns } from './urgency.js'
 import { clearSlowReadTimer, reportSlowRead } from './slowread.js'
 import { isNewSequenceNumber, recordSequenceNumber } from './sequence.js'
 import { sendPeer, tell } from '../messages.js'
@@ -148,7 +149,7 @@
   if (refusal !== undefined) return { database, effects: [refuseRun(message, refusal, database)] }
   const overload = findOverload(database, message, shared.lagMs, moment)
   if (overload !== undefined) return { database, effects: [refuseOverload(database, message, overload)] }
-  const { queue, refused } = enqueueEntry(database.queue, { flow: nameFlow(message), key: message.caller, item: message }, createLimits(shared))
+  const { queue, refused } = enqueueEntry(database.queue, { flow: nameFlow(message), key: message.caller, item: message, urgency: computeUrgency(database, message), turns: countTurns(message) }, createLimits(shared))
   const queued = { database: { ...database, queue }, effects: [setDeadlineTimer(message, message.remainingMs), ...refuseDisplaced(database, refused?.item)] }
   return continueStep(queued, startQueued)
 }
--- a/src/transactions/messages.ts
+++ b/src/transactions/messages.ts
@@ -33,6 +33,10 @@
   readonly expectedMs?: number
   /** The latency target of the route; absent where it has none. */
   readonly latencyMs?: number
+  /** What is left of the latency target, counted from the first attempt; negative once it has passed, absent without a target. */
+  readonly targetLeftMs?: number
+  /** The priority of the route; 0 is the highest, absent where it names none. */
+  readonly priority?: number
   /** How long the transaction may stay idle; the host's limit applies when absent. */
   readonly idleMs?: number
   readonly payload: Uint8Array
--- a/src/transactions/pace.ts
+++ b/src/transactions/pace.ts
@@ -6,6 +6,7 @@
 import type { Moment } from '../core/message.js'
 import { countEntries, countEntriesAhead } from '../fairness/queue.js'
 import type { RunRequest } from './messages.js'
+import { computeUrgency } from './urgency.js'
 import { calculateSlotLimit, countUsedSlots, nameFlow, type OwnedDatabase, type QueuePace } from './state.js'
 
 /** Weight of one start in the average of the intervals. */
@@ -43,7 +44,7 @@
   const { startIntervalMs = 0, saturatedSinceMs } = database.pace
   if (saturatedSinceMs === undefined || message.latencyMs === undefined) return undefined
   const limitMs = Math.min(message.remainingMs, message.latencyMs * TARGET_FRACTION)
-  const ahead = countEntriesAhead(database.queue, nameFlow(message))
+  const ahead = countEntriesAhead(database.queue, nameFlow(message), computeUrgency(database, message))
   const waitMs = Math.max(ahead * startIntervalMs, moment.monotonicMs - saturatedSinceMs)
   // Each of the slots starts one entry in this time, so it is how long a statement takes.
   const answerMs = Math.round(waitMs + startIntervalMs * database.entry.slots)
--- a/src/transactions/pool.ts
+++ b/src/transactions/pool.ts
@@ -31,7 +31,7 @@
   if (next === undefined) return createEmptyStep(database)
   const idle = findIdleConnection(database, next.item)
   if (idle === undefined) return openConnection(database, next.item)
-  return continueStep(bindUnit({ ...database, queue: dequeueEntry(database.queue, next.flow)!.queue }, next.item, idle), startQueued)
+  return continueStep(bindUnit({ ...database, queue: dequeueEntry(database.queue, undefined, next.key)!.queue }, next.item, idle), startQueued)
 }
 
 interface ConnectionSupply {
--- a/src/transactions/support/databaseload.ts
+++ b/src/transactions/support/databaseload.ts
@@ -14,6 +14,17 @@
 const QUEUE_LENGTH = 200
 const IDLE_TRANSACTION_MS = 3_000
 
+/** One of several kinds of requests in a load. */
+export interface RequestKind {
+  readonly name: string
+  /** The requests of this kind, of all. */
+  readonly share: number
+  readonly priority?: number
+  readonly latencyMs?: number
+  /** True for a route without keys, whose requests belong to no workspace. */
+  readonly open?: boolean
+}
+
 /** The load pattern. */
 export interface DatabaseLoad {
   readonly seed: number
@@ -32,12 +43,18 @@
   readonly lagMs?: number
   /** How long requests wait at the late owner before it handles them; callers count it, the owner can't. */
   readonly inboxMs?: number
+  /** The kinds of the requests; one kind with the `latencyMs` above when absent. */
+  readonly kinds?: readonly RequestKind[]
+  /** True where all requests are equally urgent, first in, first out. */
+  readonly unranked?: boolean
 }
 
 /** What became of one request. */
 export interface RequestOutcome {
   readonly outcome: 'finished' | 'refused' | 'expired'
   readonly elapsedMs: number
+  /** The name of its kind; absent where the load has one kind. */
+  readonly kind?: string
 }
 
 /** The outcomes of a run, and the connections that it opened. */
@@ -68,7 +85,7 @@
   readonly #slice
   readonly #steps: ScheduledStep[] = []
   readonly #timers = new Map<string, number>()
-  readonly #arrivals = new Map<string, number>()
+  readonly #arrivals = new Map<string, { readonly atMs: number, readonly kind?: RequestKind }>()
   readonly #outcomes: RequestOutcome[] = []
   readonly #shares: readonly number[]
   readonly #waitingForSlot: Array<() => void> = []
@@ -114,7 +131,8 @@
 
   #arrive (number: number): void {
     const caller = `c${number}`
-    this.#arrivals.set(caller, this.#nowMs)
+    const kind = this.#drawKind()
+    this.#arrivals.set(caller, { atMs: this.#nowMs, kind })
     const run: RunRequest = {
       kind: 'transactions/run',
       from: 'entry',
@@ -122,16 +140,28 @@
       attempt: 1,
       ticket: { sender: 'p', order: number },
       service: 's',
-      workspace: `w${this.#drawWorkspace()}`,
+      workspace: kind?.open === true ? undefined : `w${this.#drawWorkspace()}`,
       target: { database: 'a1', owner: 'o', purpose: 'replica', term: 1, floor: ORIGIN },
       intent: 'statement',
       remainingMs: this.#load.remainingMs,
-      latencyMs: this.#load.latencyMs,
+      ...this.#rank(kind),
       payload: new Uint8Array(0)
     }
     this.#schedule(this.#load.inboxMs ?? 0, () => this.#handle(run))
   }
 
+  #rank (kind: RequestKind | undefined): Pick<RunRequest, 'priority' | 'latencyMs' | 'targetLeftMs'> {
+    const latencyMs = kind === undefined ? this.#load.latencyMs : kind.latencyMs
+    return this.#load.unranked === true ? { latencyMs, priority: 0, targetLeftMs: Infinity } : { latencyMs, priority: kind?.priority }
+  }
+
+  #drawKind (): RequestKind | undefined {
+    const { kinds } = this.#load
+    if (kinds === undefined) return undefined
+    let left = uniformFloat64(this.#random)
+    return kinds.find(({ share }) => (left -= share) < 0) ?? kinds.at(-1)
+  }
+
   #drawWorkspace (): number {
     let left = uniformFloat64(this.#random) * this.#shares.reduce((sum, share) => sum + share, 0)
     return this.#shares.findIndex(share => (left -= share) < 0)
@@ -190,8 +220,9 @@
   }
 
   #record (answer: AttemptFailed | AttemptFinished): void {
-    const elapsedMs = this.#nowMs - this.#arrivals.get(answer.caller)!
+    const { atMs, kind } = this.#arrivals.get(answer.caller)!
+    const elapsedMs = this.#nowMs - atMs
     const outcome = answer.kind === 'requests/finished' ? 'finished' : answer.failure.code === 'deadline-passed' ? 'expired' : 'refused'
-    this.#outcomes.push({ outcome, elapsedMs })
+    this.#outcomes.push({ outcome, elapsedMs, kind: kind?.name })
   }
 }
