One budget of waiting for a request; a host that is late refuses what is less urgent

Cause: requests were held until their callers left: each place knew a limit of its own, none the rest of the request's time, and an entry host whose loop is late admitted everything. Change: a request with a latency target may wait for its start for half of its time, at the entry host (arrival, sending, timer) and at the owner (pace, timer); one without a target for as long as its run and the way back leave. What a late owner could not begin in time isn't sent: a read goes elsewhere, the rest is refused as not run. An entry host measures its own lateness and admits by priority. Refused callers come back spread, urgent ones first.

--- a/src/requests/decide.ts
+++ b/src/requests/decide.ts
@@ -3,9 +3,11 @@
 import { clearTimer, type CoreEffect, type Moment } from '../core/message.js'
 import { UNCHANGED } from '../core/store.js'
 import { advanceSession, parseToken, getSeenPosition } from '../sessions/token.js'
-import { expireRequest, failAcknowledgement, failAttempt, failReplacedPrimaries, failRequest, handlePeerLost, rejectInput } from './failure.js'
+import { decideArrival, updateLateness, recordRoute } from './arrival.js'
+import { computeWaitEndMs, isBeyondBudget, recordDelay } from './budget.js'
+import { expireRequest, failAcknowledgement, refuseLate, failAttempt, failReplacedPrimaries, failRequest, handlePeerLost, rejectInput } from './failure.js'
 import { logRequests, logUnanswered } from './log.js'
-import type { AttemptFailed, AttemptFinished, CallerConnected, ConnectionChecked, CountRequested, EndRequested, GrantsConfirmed, OutputDrained, OutputReceived, PeerLost, ReplicaSlow, RequestAdmitted, RequestArrived, RequestInput, RequestRouted, RequestsMessage, RequestUnanswered, RouteRules, SessionReplaced, StopRequested, AttemptId } from './messages.js'
+import type { AttemptFailed, AttemptFinished, CallerConnected, ConnectionChecked, CountRequested, EndRequested, GrantsConfirmed, LagDue, OutputDrained, OutputReceived, PeerLost, ReplicaSlow, RequestAdmitted, RequestArrived, RequestInput, RequestRouted, RequestsMessage, RequestUnanswered, RouteRules, SessionReplaced, StopRequested, AttemptId } from './messages.js'
 import { MAX_RETRY_BUDGET, RETRY_BUDGET_PER_SUCCESS, type Caller, type InFlightRequest, type OpenTransaction, type RequestsShared } from './state.js'
 import { createCancelEffects, createFinishedEffect, getTransactionStatus, replaceCaller, type RequestsEffect, type RequestsStep, type RequestsStore } from './step.js'
 import { endRequests, estimateMs, isRequestTooLate, refuseStopping } from './stopping.js'
@@ -32,13 +34,14 @@
     case 'requests/peer-lost': return handlePeerLost(store, message, moment)
     case 'requests/count-asked': return countBusy(store)
     case 'requests/stop-asked': return { shared: { ...store.shared, endsAtMs: message.endsAtMs }, effects: [] }
+    case 'requests/lag-due': return updateLateness(store, message, moment)
     case 'requests/end-asked': return endRequests(store)
     case 'requests/unanswered': return { effects: [logUnanswered(message)] }
     default: return decideForCaller(store, message, moment)
   }
 }
 
-type CallerMessage = Exclude<RequestsMessage, CallerConnected | GrantsConfirmed | PeerLost | CountRequested | StopRequested | EndRequested | RequestUnanswered>
+type CallerMessage = Exclude<RequestsMessage, LagDue | CallerConnected | GrantsConfirmed | PeerLost | CountRequested | StopRequested | EndRequested | RequestUnanswered>
 
 function countBusy (store: RequestsStore): RequestsStep {
   const busy = [...store.items.values()].filter(caller => caller.running !== undefined || caller.transaction !== undefined).length
@@ -56,13 +59,13 @@
     case 'requests/drained': return forwardCredit(caller, message)
     case 'requests/closed': return closeConnection(caller)
     case 'requests/retry-due': return decideForAttempt(caller, message, running => requestTarget(caller, running))
-    case 'requests/admitted': return decideForAttempt(caller, message, running => admitRequest(acceptKey(caller, message.rules), running, message, moment))
+    case 'requests/admitted': return decideForAttempt(caller, message, running => admitRequest(store.shared, acceptKey(caller, message.rules), running, message, moment))
     case 'requests/routed': return decideForAttempt(caller, message, running => dispatchRequest(store.shared, caller, running, message, moment))
     case 'requests/late': return decideForAttempt(caller, message, running => retrySlowRead(store.shared, caller, running, message, moment))
-    case 'requests/failed': return decideForAttempt(caller, message, running => reportOwner(running, message, failAttempt(store.shared, caller, running, message, moment)))
+    case 'requests/failed': return decideForAttempt(caller, message, running => reportOwner(store.shared, running, message, moment, failAttempt(store.shared, caller, running, message, moment)))
     case 'requests/output': return decideForAttempt(caller, message, running => forwardOutput(caller, running, message))
-    case 'requests/finished': return decideForAttempt(caller, message, running => reportOwner(running, message, finishRequest(store.shared, caller, running, message, moment)))
-    case 'requests/deadline-passed': return caller.running?.request === message.request ? expireRequest(caller, caller.running) : UNCHANGED
+    case 'requests/finished': return decideForAttempt(caller, message, running => reportOwner(store.shared, running, message, moment, finishRequest(store.shared, caller, running, message, moment)))
+    case 'requests/deadline-passed': return caller.running?.request === message.request ? handleTimeOver(caller, caller.running, moment) : UNCHANGED
     case 'requests/key-withdrawn': return revokeKey(caller, message)
     case 'requests/silence-passed': return endSilent(caller)
     case 'requests/overdue': return failAcknowledgement(caller)
@@ -76,9 +79,12 @@
 }
 
 // Routing places requests by the load that owners report, and avoids owners that do not answer.
-function reportOwner ({ target }: InFlightRequest, { from, load }: AttemptFailed | AttemptFinished, step: RequestsStep): RequestsStep {
+function reportOwner (before: RequestsShared, { target, sentAtMs }: InFlightRequest, { from, load, waitedMs, ranMs }: AttemptFailed | AttemptFinished, moment: Moment, step: RequestsStep): RequestsStep {
   if (from === undefined || target === undefined) return step
-  return { ...step, effects: [...step.effects, tell({ kind: 'routing/owner-answered', owner: from, database: target.database, load })] }
+  const shared = step.shared ?? before
+  const measured = waitedMs === undefined || ranMs === undefined || sentAtMs === undefined ? undefined : Math.max(0, moment.monotonicMs - sentAtMs - waitedMs - ranMs)
+  const ownerDelays = measured === undefined ? shared.ownerDelays : new Map(shared.ownerDelays).set(from, recordDelay(shared.ownerDelays.get(from), measured, moment))
+  return { ...step, shared: { ...shared, ownerDelays }, effects: [...step.effects, tell({ kind: 'routing/owner-answered', owner: from, database: target.database, load })] }
 }
 
 function openConnection (message: CallerConnected): RequestsStep {
@@ -121,6 +127,8 @@
   if (caller.transaction?.phase === 'lost') return answerLostTransaction(next, running)
   if (caller.transaction?.phase === 'revoked') return refuseInTransaction(next, running)
   if (isRequestTooLate(shared, next, running, moment)) return refuseStopping(next, running)
+  const arrival = decideArrival(shared, caller, running, moment)
+  if (arrival.failure !== undefined) return { ...failRequest(next, running, arrival.failure), shared: arrival.shared }
   const check = tell({
     kind: 'admission/check-request',
     caller: caller.caller,
@@ -132,7 +140,7 @@
     action: resolveAction(message.input),
     inTransaction: caller.transaction !== undefined
   })
-  return replaceCaller(next, [check, createDeadlineTimer(caller.caller, attempt, limitMs)])
+  return { ...replaceCaller(next, [check, createDeadlineTimer(caller.caller, attempt, limitMs)]), shared: arrival.shared }
 }
 
 function resolveAction ({ action, intent }: RequestInput): 'read' | 'write' {
@@ -142,7 +150,18 @@
 // The database's owner enforces the same deadline and knows whether the request ran,
 // so its answer takes precedence.
 function createDeadlineTimer (caller: string, request: number, afterMs: number): CoreEffect {
-  return setTimer(`requests/deadline/${caller}`, afterMs + DEADLINE_GRACE_MS, { kind: 'requests/deadline-passed', caller, request })
+  return createTimer(caller, request, afterMs + DEADLINE_GRACE_MS)
+}
+
+function createTimer (caller: string, request: number, afterMs: number): CoreEffect {
+  return setTimer(`requests/deadline/${caller}`, afterMs, { kind: 'requests/deadline-passed', caller, request })
+}
+
+// The first time counts for what was not sent yet, the second for what an owner runs.
+function handleTimeOver (caller: Caller, running: InFlightRequest, moment: Moment): RequestsStep {
+  const leftMs = running.deadlineAtMs + DEADLINE_GRACE_MS - moment.monotonicMs
+  if (running.phase === 'running' && leftMs > 0) return { effects: [createTimer(caller.caller, running.request, leftMs)] }
+  return expireRequest(caller, running, moment)
 }
 
 function answerLostTransaction (caller: Caller, running: InFlightRequest): RequestsStep {
@@ -152,14 +171,20 @@
   return replaceCaller(next, [{ kind: 'caller/rolled-back', caller: caller.caller }])
 }
 
-function admitRequest (caller: Caller, admitted: InFlightRequest, message: RequestAdmitted, moment: Moment): RequestsStep {
+function admitRequest (shared: RequestsShared, caller: Caller, admitted: InFlightRequest, message: RequestAdmitted, moment: Moment): RequestsStep {
   const rules = caller.transaction?.rules ?? message.rules
   const deadlineAtMs = rules.timeoutMs === undefined ? admitted.deadlineAtMs : Math.min(admitted.deadlineAtMs, admitted.startedAtMs + rules.timeoutMs)
-  const shortened = deadlineAtMs < admitted.deadlineAtMs
   const running: InFlightRequest = { ...admitted, deadlineAtMs, admittedAtMs: moment.monotonicMs }
+  const remembered = recordRoute(shared, caller, running, message.rules, moment)
   const step = chooseTarget(caller, running, message.rules)
-  if (!shortened || step.changes?.[0]?.[1]?.running === undefined) return step
-  return { ...step, effects: [...step.effects, createDeadlineTimer(caller.caller, running.request, deadlineAtMs - moment.monotonicMs)] }
+  const timers = step.changes?.[0]?.[1]?.running === undefined ? [] : createShorterTimer(caller, admitted, { ...running, rules }, moment)
+  return { ...step, shared: remembered.shared, effects: [...step.effects, ...timers, ...remembered.effects] }
+}
+
+function createShorterTimer ({ caller, transaction }: Caller, before: InFlightRequest, running: InFlightRequest, { monotonicMs }: Moment): readonly CoreEffect[] {
+  const waitEndMs = computeWaitEndMs(running)
+  if (transaction === undefined && waitEndMs < running.deadlineAtMs) return [createTimer(caller, running.request, waitEndMs - monotonicMs)]
+  return running.deadlineAtMs < before.deadlineAtMs ? [createDeadlineTimer(caller, running.request, running.deadlineAtMs - monotonicMs)] : []
 }
 
 function chooseTarget (caller: Caller, running: InFlightRequest, rules: RouteRules): RequestsStep {
@@ -189,6 +214,7 @@
 function dispatchRequest (shared: RequestsShared, caller: Caller, running: InFlightRequest, message: RequestRouted, moment: Moment): RequestsStep {
   const { target } = message
   if (isRequestTooLate(shared, caller, running, moment)) return refuseStopping(caller, running)
+  if (caller.transaction === undefined && isBeyondBudget(shared, running, target.owner, moment)) return refuseLate(shared, caller, running, target, moment)
   const endsAtMs = Math.min(running.deadlineAtMs, shared.endsAtMs ?? Infinity)
   const sender = shared.sender ?? String(moment.random)
   const ticket = { sender, order: shared.lastTicket + 1 }
@@ -206,6 +232,7 @@
     expectedMs: estimateMs(caller, running),
     latencyMs: running.rules?.latencyMs,
     targetLeftMs: computeTargetLeftMs(running, moment),
+    waitMs: computeWaitMs(caller, running, moment),
     priority: running.rules?.priority,
     idleMs: running.rules?.idleTransactionMs,
     payload: running.payload
@@ -218,6 +245,11 @@
   return rules?.latencyMs === undefined ? undefined : Math.round(startedAtMs + rules.latencyMs - moment.monotonicMs)
 }
 
+function computeWaitMs ({ transaction }: Caller, running: InFlightRequest, moment: Moment): number | undefined {
+  const waitEndMs = computeWaitEndMs(running)
+  return transaction !== undefined || waitEndMs >= running.deadlineAtMs ? undefined : Math.max(0, Math.round(waitEndMs - moment.monotonicMs))
+}
+
 // The owner reports a replica that does not answer. This timer covers an owner that is lost.
 function createSlowReplicaTimer ({ caller, transaction, running }: Caller): readonly CoreEffect[] {
   const latencyMs = running?.rules?.latencyMs
--- a/src/requests/failure.ts
+++ b/src/requests/failure.ts
@@ -3,6 +3,8 @@
 import type { Moment } from '../core/message.js'
 import { UNCHANGED } from '../core/store.js'
 import type { GrantEntry } from '../membership/directory.js'
+import { computeWaitEndMs, estimateDelayMs } from './budget.js'
+import { computeRetryAfterMs } from './comeback.js'
 import type { AttemptFailed, Intent, PeerLost, Target } from './messages.js'
 import type { Caller, InFlightRequest, RequestsShared } from './state.js'
 import { clearTimers, createCancelEffects, getTransactionStatus, isActive, replaceCaller, type RequestsEffect, type RequestsStep, type RequestsStore } from './step.js'
@@ -24,7 +26,7 @@
  */
 export function failAttempt (shared: RequestsShared, caller: Caller, running: InFlightRequest, message: AttemptFailed, moment: Moment): RequestsStep {
   const delayMs = computeBackoffMs(running, moment)
-  const inTime = moment.monotonicMs + delayMs < running.deadlineAtMs
+  const inTime = moment.monotonicMs + delayMs < computeWaitEndMs(running)
   const allowed = message.retriable === true && inTime && running.parts === 0 && caller.transaction === undefined && caller.revoked === undefined
   if (allowed && message.failure.effect === 'not-run') return retry(caller, markUnbounded(running, message.failure), delayMs)
   const repeatable = running.rules?.idempotent === true || running.target?.purpose === 'replica'
@@ -66,12 +68,26 @@
 }
 
 /**
- * Ends a request whose deadline has passed. It did not run if it was never sent to an owner.
- * @example expireRequest(caller, running)
+ * Ends a request whose deadline has passed, or that may wait no longer. It did not run if it was never sent to an owner.
+ * @example expireRequest(caller, running, moment)
  */
-export function expireRequest (caller: Caller, running: InFlightRequest): RequestsStep {
-  const sent = running.phase === 'running'
-  return failRequest(caller, running, sent ? createFailure('outcome-unknown', 'the deadline passed') : createFailure('deadline-passed'))
+export function expireRequest (caller: Caller, running: InFlightRequest, moment: Moment): RequestsStep {
+  if (running.phase === 'running') return failRequest(caller, running, createFailure('outcome-unknown', 'the deadline passed'))
+  if (moment.monotonicMs >= running.deadlineAtMs) return failRequest(caller, running, createFailure('deadline-passed'))
+  return failRequest(caller, running, { ...createFailure('not-in-time'), retryAfterMs: computeRetryAfterMs(0, running.rules?.priority, moment) })
+}
+
+/**
+ * Refuses a request whose target's owner is too late to answer in time, before it is sent: another replica may be in time, the
+ * primary is the only one.
+ * @example refuseLate(shared, caller, running, target, moment)
+ */
+export function refuseLate (shared: RequestsShared, caller: Caller, running: InFlightRequest, target: Target, moment: Moment): RequestsStep {
+  const delayMs = estimateDelayMs(shared, target.owner, moment)
+  const inputs = { lateOwner: target.owner, delayMs: Math.round(delayMs), lagMs: Math.round(shared.lagMs) }
+  const failure: Failure = { ...createFailure('not-in-time'), retryAfterMs: Math.ceil(delayMs * (1 + moment.random)), inputs }
+  if (target.purpose === 'primary') return failRequest(caller, running, failure)
+  return failAttempt(shared, caller, { ...running, target }, { kind: 'requests/failed', caller: caller.caller, attempt: running.attempt, failure, retriable: true }, moment)
 }
 
 /**
--- a/src/requests/messages.ts
+++ b/src/requests/messages.ts
@@ -247,6 +247,13 @@
   readonly endsAtMs: number
 }
 
+/** The next measurement of how late this host's loop is. */
+export interface LagDue {
+  readonly kind: 'requests/lag-due'
+  /** The monotonic time for which its timer was set. */
+  readonly dueAtMs: number
+}
+
 /** The stop of this host is at its end; whatever is in flight is answered now. */
 export interface EndRequested {
   readonly kind: 'requests/end-asked'
@@ -254,6 +261,7 @@
 
 /** Any message of the requests slice. */
 export type RequestsMessage =
+  | LagDue
   | StopRequested
   | EndRequested
   | CountRequested
--- a/src/requests/state.ts
+++ b/src/requests/state.ts
@@ -4,8 +4,12 @@
 import type { Session } from '../sessions/token.js'
 import type { GrantEntry } from '../membership/directory.js'
 import type { SequenceNumber } from '../transactions/messages.js'
+import { FULL_ADMITTANCE, type Admittance } from './shedding.js'
 import type { AttemptFinished, RequestInput, RouteRules, Target } from './messages.js'
 
+/** What a route names of the time that its requests may take. */
+export type KnownRules = Pick<RouteRules, 'priority' | 'latencyMs' | 'timeoutMs'>
+
 /** Progress of an in-flight request. */
 export type RequestPhase = 'admitting' | 'routing' | 'waiting' | 'running'
 
@@ -76,6 +80,13 @@
   readonly leaseEndsAtMs: number
 }
 
+/** How long requests to an owner and their answers were on their way lately, beyond the owner's own times. */
+export interface OwnerDelay {
+  readonly delayMs: number
+  /** The monotonic time of its last answer. */
+  readonly answeredAtMs: number
+}
+
 /** State of the slice that belongs to no single caller. */
 export interface RequestsShared {
   readonly grants: ReadonlyMap<string, LeasedGrant>
@@ -87,6 +98,14 @@
   readonly sender?: string
   /** The last sequence number that was used. */
   readonly lastTicket: number
+  /** How late this host's loop is, on average; 0 while nothing is measured. */
+  readonly lagMs: number
+  /** Requests that arrived since the lateness was measured last; absent while it is not measured. */
+  readonly arrivedSinceLag?: number
+  readonly admittance: Admittance
+  /** What the routes of recent requests name, by service and route: what a request needs is known before it is checked. */
+  readonly routeRules: ReadonlyMap<string, KnownRules>
+  readonly ownerDelays: ReadonlyMap<string, OwnerDelay>
   /** Answers that are withheld until the leader confirms their primary again. */
   readonly withheldAnswers: readonly AttemptFinished[]
   /** The monotonic time at which all work has to have ended; absent unless this host is stopping. */
@@ -103,5 +122,5 @@
  * @example createRequestsShared(5_000)
  */
 export function createRequestsShared (requestMs: number, guarantees: DatabaseGuarantees = POSTGRES_GUARANTEES): RequestsShared {
-  return { grants: new Map(), requestMs, guarantees, retryBudget: MAX_RETRY_BUDGET, lastTicket: 0, withheldAnswers: [] }
+  return { grants: new Map(), requestMs, guarantees, retryBudget: MAX_RETRY_BUDGET, lastTicket: 0, lagMs: 0, admittance: FULL_ADMITTANCE, routeRules: new Map(), ownerDelays: new Map(), withheldAnswers: [] }
 }
--- a/src/transactions/decide.ts
+++ b/src/transactions/decide.ts
@@ -51,7 +51,7 @@
     case 'transactions/stop-asked': return { shared: { ...store.shared, endsAtMs: message.endsAtMs }, effects: [] }
     case 'transactions/refuse-work': return { shared: { ...store.shared, stopping: true }, effects: [] }
     case 'transactions/credit': return decideFor(store, message.database, database => forwardCredit(database, message))
-    case 'transactions/time-over': return decideFor(store, message.database, database => expireDeadline(database, message))
+    case 'transactions/time-over': return decideFor(store, message.database, database => expireDeadline(database, message, moment))
     case 'transactions/stored': return decideFor(store, message.database, database => acknowledgeDurableWrites(database, message))
     case 'transactions/position-read': return decideFor(store, message.database, database => updatePosition(store.shared, database, message, moment))
     case 'transactions/read-slow': return decideFor(store, message.database, database => reportSlowRead(database, message))
@@ -150,7 +150,7 @@
   const overload = findOverload(database, message, shared.lagMs, moment)
   if (overload !== undefined) return { database, effects: [refuseOverload(database, message, overload)] }
   const { queue, refused } = enqueueEntry(database.queue, { flow: nameFlow(message), key: message.caller, item: message, urgency: computeUrgency(database, message), turns: countTurns(message) }, createLimits(shared))
-  const queued = { database: { ...database, queue }, effects: [setDeadlineTimer(message, message.remainingMs), ...refuseDisplaced(database, refused?.item)] }
+  const queued = { database: { ...database, queue }, effects: [setDeadlineTimer(message, computeWaitMs(shared, database, message)), ...refuseDisplaced(database, refused?.item)] }
   return continueStep(queued, startQueued)
 }
 
@@ -268,20 +268,40 @@
   return abortsUnit ? abortUnit(next, unit) : { database: next, effects: [clearDeadlineTimer(database.entry.database, caller)] }
 }
 
-function expireDeadline (database: OwnedDatabase, message: DeadlineExpired): DatabaseStep {
+function expireDeadline (database: OwnedDatabase, message: DeadlineExpired, moment: Moment): DatabaseStep {
   const queued = findEntry(database.queue, message.caller)?.item
   if (queued?.attempt === message.attempt) {
     const queue = removeEntry(database.queue, message.caller)
-    return { database: { ...database, queue }, effects: [answerFailed(queued.from!, message, createFailure('deadline-passed'), false)] }
+    return { database: { ...database, queue }, effects: [answerFailed(queued.from!, message, createWaitFailure(queued, moment), false, computeLoad(database))] }
   }
   const unit = database.units.get(message.caller)
   if (unit === undefined || unit.run.attempt !== message.attempt) return createEmptyStep(database)
+  const leftMs = unit.phase === 'idle' ? 0 : computeLeftMs(unit.run, moment)
+  if (leftMs > 0) return { database, effects: [setDeadlineTimer(unit.run, leftMs)] }
   const aborted = abortUnit(database, unit)
   if (unit.phase === 'idle') return aborted
   const failure = createFailure('outcome-unknown', 'the deadline passed')
   return { database: aborted.database, effects: [answerFailed(unit.from, message, failure, false), ...aborted.effects] }
 }
 
+// What its run and the way back take is not left for waiting.
+function computeWaitMs ({ lagMs }: TransactionsShared, { ranMs = 0 }: OwnedDatabase, { remainingMs, waitMs = remainingMs }: RunRequest): number {
+  return Math.max(0, Math.min(waitMs, remainingMs - ranMs - lagMs))
+}
+
+// A request may run for longer than it may wait.
+function computeLeftMs ({ remainingMs, receivedAtMs }: RunRequest, { monotonicMs }: Moment): number {
+  return receivedAtMs === undefined ? 0 : receivedAtMs + remainingMs - monotonicMs
+}
+
+// Those that came with it wait as long: they come back at different times.
+function createWaitFailure (queued: RunRequest, moment: Moment): Failure {
+  const leftMs = computeLeftMs(queued, moment)
+  if (leftMs <= 0) return createFailure('deadline-passed')
+  const waitedMs = queued.remainingMs - leftMs
+  return { ...createFailure('overloaded', queued.target.database), retryAfterMs: Math.ceil(waitedMs * (0.5 + moment.random)), inputs: { waitedMs: Math.round(waitedMs) } }
+}
+
 function handleHostLost (store: TransactionsStore, message: HostLost): TransactionsStep {
   const steps = [...store.items.values()].map(database => {
     const step = cancelCallers(database, message.host)
--- a/src/transactions/messages.ts
+++ b/src/transactions/messages.ts
@@ -35,6 +35,8 @@
   readonly latencyMs?: number
   /** What is left of the latency target, counted from the first attempt; negative once it has passed, absent without a target. */
   readonly targetLeftMs?: number
+  /** How long the request may wait for its start, shorter than the remaining time; absent where it may wait until its deadline. */
+  readonly waitMs?: number
   /** The priority of the route; 0 is the highest, absent where it names none. */
   readonly priority?: number
   /** How long the transaction may stay idle; the host's limit applies when absent. */
--- a/src/transactions/pace.ts
+++ b/src/transactions/pace.ts
@@ -36,14 +36,14 @@
 /**
  * Returns the refusal of a request that would wait here until its latency target, or its deadline where that is sooner;
  * undefined where it may be answered in time. What it waited before is not its queue's fault, and a late answer is better
- * than none; one that comes after the deadline is not: its caller has left. A request without a target waits until its deadline: entries ahead of it may leave the queue before.
+ * than none; one that comes after the deadline is not: its caller has left. A request without a target may wait for as long as its deadline leaves.
  * @param lagMs the delay of this host: remaining time counts from the dispatch, so the request waited that long already.
  * @example findOverload(database, message, 0, moment)?.code // 'overloaded'
  */
 export function findOverload (database: OwnedDatabase, message: RunRequest, lagMs: number, moment: Moment): Failure | undefined {
   const { startIntervalMs = 0, saturatedSinceMs } = database.pace
-  if (saturatedSinceMs === undefined || message.latencyMs === undefined) return undefined
-  const limitMs = Math.min(message.remainingMs, message.latencyMs * TARGET_FRACTION)
+  if (saturatedSinceMs === undefined) return undefined
+  const limitMs = Math.min(message.remainingMs, (message.latencyMs ?? Infinity) * TARGET_FRACTION)
   const ahead = countEntriesAhead(database.queue, nameFlow(message), computeUrgency(database, message))
   const waitMs = Math.max(ahead * startIntervalMs, moment.monotonicMs - saturatedSinceMs)
   // Each of the slots starts one entry in this time, so it is how long a statement takes.
