--- a/src/agreement/catalog.ts
+++ b/src/agreement/catalog.ts
@@ -1,5 +1,6 @@
 /** The catalog: the replicated state of the control hosts. */
 import { applyDocumentsCommand, NO_DOCUMENTS, type DocumentOutcome, type DocumentsCommand, type DocumentsTable } from '../documents/table.js'
+import { applyOrder, NO_EVACUATIONS, type EvacuationTable, type OrderCommand, type OrderOutcome } from '../evacuation/table.js'
 import { applyStoredDatabasesUpdate, type UpdateStoredDatabasesCommand, type StoredDatabaseTable } from '../membership/stored.js'
 import { applyPrimacyCommand, type GroupsTable, type PrimacyCommand } from '../primacy/table.js'
 import { applyRegisterCommand, type HoldersTable, type RegisterCommand } from '../shares/holders.js'
@@ -16,13 +17,15 @@
   readonly holders: HoldersTable
   /** The databases in the leader's directory; absent in snapshots written before this field existed. */
   readonly databases?: StoredDatabaseTable
+  /** Operators' orders on failure domains; absent in snapshots written before this field existed. */
+  readonly evacuations?: EvacuationTable
 }
 
 /** Any command of the log. */
-export type CatalogCommand = DocumentsCommand | PrimacyCommand | RegisterCommand | UpdateStoredDatabasesCommand | SuccessionCommand
+export type CatalogCommand = DocumentsCommand | PrimacyCommand | RegisterCommand | UpdateStoredDatabasesCommand | SuccessionCommand | OrderCommand
 
 /** The outcome of a command; undefined if no caller waits for it. */
-export type CatalogOutcome = DocumentOutcome | undefined
+export type CatalogOutcome = DocumentOutcome | OrderOutcome | undefined
 
 /** The state machine that applies log commands to the catalog. */
 export class CatalogMachine extends StateMachine<Catalog, CatalogCommand, CatalogOutcome> {
@@ -48,6 +51,10 @@
       case 'succession/settle': return { state: { ...state, successions: applySuccessionCommand(state.successions, command) }, outcome: undefined }
       case 'shares/register': return { state: { ...state, holders: applyRegisterCommand(state.holders, command) }, outcome: undefined }
       case 'membership/remember': return { state: { ...state, databases: applyStoredDatabasesUpdate(state.databases ?? {}, command) }, outcome: undefined }
+      case 'evacuation/order': {
+        const applied = applyOrder(state.evacuations ?? NO_EVACUATIONS, command)
+        return { state: { ...state, evacuations: applied.state }, outcome: applied.outcome }
+      }
       default: return { state: { ...state, groups: applyPrimacyCommand(state.groups, command) }, outcome: undefined }
     }
   }
--- a/src/agreement/decide.ts
+++ b/src/agreement/decide.ts
@@ -2,6 +2,9 @@
 import { recordEvent, type CoreEffect, type Moment, type Step } from '../core/message.js'
 import { getOwn } from '../core/own.js'
 import { createTextAnswer } from '../documents/answer.js'
+import type { DocumentOutcome } from '../documents/table.js'
+import { NO_EVACUATIONS, type OrderOutcome } from '../evacuation/table.js'
+import { ORDERS_NAME } from '../evacuation/view.js'
 import { sendPeer, tell } from '../messages.js'
 import { CatalogMachine, type Catalog, type CatalogCommand, type CatalogOutcome } from './catalog.js'
 import { decideReplica } from './decidereplica.js'
@@ -132,12 +135,15 @@
 // An entry that is not committed here may be committed, and acknowledged, elsewhere.
 function listVersions ({ applied, committed, log }: AgreementState): readonly DocumentVersion[] {
   const versions = new Map(Object.entries(applied.documents.services).map(([service, { version }]) => [service, version]))
+  let orders = applied.evacuations?.version ?? 0
   for (const { index, command } of log.entries) {
+    if (index > committed && command.kind === 'evacuation/order') orders += 1
     if (index <= committed || (command.kind !== 'documents/replace' && command.kind !== 'documents/put')) continue
     const { service } = command.document
     const version = command.kind === 'documents/put' ? command.version + 1 : command.version
     versions.set(service, Math.max(version, versions.get(service) ?? 0))
   }
+  if (orders > 0) versions.set(ORDERS_NAME, orders)
   return [...versions].map(([service, version]) => ({ service, version }))
 }
 
@@ -154,11 +160,12 @@
   switch (command.kind) {
     case 'documents/put':
     case 'documents/replace':
-    case 'documents/confirm': return tell({ kind: 'documents/applied', proposal, command, outcome: outcome!, table: state.documents })
+    case 'documents/confirm': return tell({ kind: 'documents/applied', proposal, command, outcome: outcome as DocumentOutcome, table: state.documents })
     case 'succession/appoint':
     case 'succession/settle': return tell({ kind: 'succession/applied', command, table: state.successions })
     case 'shares/register': return tell({ kind: 'shares/registered', holders: state.holders })
     case 'membership/remember': return tell({ kind: 'membership/remembered', databases: state.databases ?? {} })
+    case 'evacuation/order': return tell({ kind: 'evacuation/applied', proposal, command, outcome: outcome as OrderOutcome, table: state.evacuations ?? NO_EVACUATIONS })
     default: return tell({ kind: 'primacy/applied', proposal, command, table: state.groups })
   }
 }
@@ -172,7 +179,8 @@
     tell({ kind: 'operations/leader-known', leader }),
     tell({ kind: 'documents/leadership', leads, epoch, table: state.documents }),
     tell({ kind: 'primacy/leadership', leads, epoch, table: state.groups }),
-    tell({ kind: 'succession/leadership', leads, epoch, table: state.successions })
+    tell({ kind: 'succession/leadership', leads, epoch, table: state.successions }),
+    tell({ kind: 'evacuation/leadership', leads, table: state.evacuations ?? NO_EVACUATIONS })
   ]
 }
 
--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -6,7 +6,7 @@
 import { CliError, EXIT, EXIT_HELP } from './exits.js'
 import { createExplainCommand } from './explain.js'
 import { createKeyCommand } from './keys.js'
-import { createDrainCommand, createPrimaryCommand, createStatusCommand } from './system.js'
+import { createDrainCommand, createEvacuateCommand, createPrimaryCommand, createStatusCommand } from './system.js'
 import type { Terminal } from './terminal.js'
 import { createTimelineCommand } from './timeline.js'
 
@@ -45,6 +45,7 @@
     createKeyCommand(terminal),
     createStatusCommand(terminal),
     createDrainCommand(terminal),
+    createEvacuateCommand(terminal),
     createPrimaryCommand(terminal),
     createTimelineCommand(terminal),
     createExplainCommand(terminal)
--- a/src/cli/system.ts
+++ b/src/cli/system.ts
@@ -1,4 +1,4 @@
-/** `status`, `drain` and `primary move`: inspect and operate the running system. */
+/** `status`, `drain`, `evacuate` and `primary move`: inspect and operate the running system. */
 import { Command } from 'commander'
 import type { SystemStatus } from '../membership/operators.js'
 import { callHosts, type GlobalOptions } from './call.js'
@@ -15,6 +15,14 @@
   readonly wait?: boolean
 }
 
+interface EvacuateOptions extends GlobalOptions {
+  readonly end?: boolean
+}
+
+interface EvacuateOutcome {
+  readonly stranded?: readonly string[]
+}
+
 interface MoveOutcome {
   readonly accepted: boolean
   readonly text?: string
@@ -58,6 +66,29 @@
     })
 }
 
+/**
+ * Creates the command that begins or ends the evacuation of a failure domain.
+ * @example program.addCommand(createEvacuateCommand(terminal))
+ */
+export function createEvacuateCommand (terminal: Terminal): Command {
+  return new Command('evacuate')
+    .description('Takes all databases of a failure domain out of use: they get no more requests, and primaries move elsewhere.')
+    .argument('<domain>', 'the failure domain')
+    .option('--end', 'end the evacuation: the databases are used again')
+    .addHelpText('after', '\nExamples:\n  fulmartally evacuate east\n  fulmartally evacuate east --end')
+    .action(async (domain: string, _options: unknown, command: Command) => {
+      const options = command.optsWithGlobals<EvacuateOptions>()
+      const outcome = await callHosts<EvacuateOutcome>(terminal, options, { name: options.end === true ? 'evacuation/end' : 'evacuation/begin', domain })
+      terminal.write(options.json === true ? JSON.stringify(outcome) : formatEvacuation(domain, options, outcome))
+    })
+}
+
+function formatEvacuation (domain: string, { end }: EvacuateOptions, { stranded = [] }: EvacuateOutcome): string {
+  if (end === true) return `Failure domain ${domain} is not evacuated.`
+  const note = stranded.length === 0 ? '' : ` No database elsewhere serves ${stranded.join(', ')}: requests that need one are refused.`
+  return `Failure domain ${domain} is evacuated.${note}`
+}
+
 /**
  * Creates the group of commands for primaries.
  * @example program.addCommand(createPrimaryCommand(terminal))
@@ -99,10 +130,16 @@
     `Leader ${status.leader ?? 'unknown'}; revision ${revision}, as ${status.host ?? 'a host'} knows it.`,
     formatTable(['host', 'failure domain', 'peers', 'state', 'revision'], status.hosts.map(host =>
       [host.host, host.failureDomain, host.peers, host.draining ? 'draining' : 'serving', host.revision === undefined ? '?' : `${host.revision.epoch}.${host.revision.count}`])),
+    ...((status.evacuated ?? []).length === 0 ? [] : [`Evacuated failure domains: ${status.evacuated!.join(', ')}.`]),
     formatTable(['database', 'group', 'failure domain', 'address', 'owner', 'state'], status.databases.map(database =>
-      [database.database, database.group, database.failureDomain, database.address, database.owner ?? '-', database.departing ? 'departing' : 'serving'])),
+      [database.database, database.group, database.failureDomain, database.address, database.owner ?? '-', describeDatabase(database)])),
     formatTable(['group', 'primary', 'term', 'members'], status.groups.map(group =>
       [group.group, group.primary ?? '(changing)', String(group.term), group.members.join(' ')])),
     formatTable(['service', 'version'], status.documents.map(document => [document.service, String(document.version)]))
   ].join('\n\n')
 }
+
+function describeDatabase ({ departing, evacuated }: SystemStatus['databases'][number]): string {
+  if (departing) return 'departing'
+  return evacuated === true ? 'evacuated' : 'serving'
+}
--- a/src/daemon/slices.ts
+++ b/src/daemon/slices.ts
@@ -7,6 +7,7 @@
 import { StoreSlice } from '../core/store.js'
 import type { DatabaseGuarantees } from '../databases/guarantees.js'
 import { createDocumentsState, decideDocuments } from '../documents/decide.js'
+import { createEvacuationState, decideEvacuation } from '../evacuation/decide.js'
 import { decideMembership } from '../membership/decide.js'
 import { createMembershipState } from '../membership/state.js'
 import { createOperationsState, decideOperations } from '../operations/decide.js'
@@ -41,6 +42,7 @@
     StoreSlice.create({ name: 'admission', shared: createAdmissionShared({ self: host, servesWhenIsolated: settings.authority === 'kept', acceptsCallers: settings.callers !== undefined, startedAtMs }), decide: decideAdmission, checkItem: checkAllowance }),
     DecidingSlice.create({ name: 'agreement', initial: createAgreementState(), decide: decideAgreement }),
     DecidingSlice.create({ name: 'documents', initial: createDocumentsState(), decide: decideDocuments }),
+    DecidingSlice.create({ name: 'evacuation', initial: createEvacuationState(settings.failureDomains), decide: decideEvacuation }),
     DecidingSlice.create({ name: 'membership', initial: createMembershipState(timing), decide: decideMembership }),
     DecidingSlice.create({ name: 'operations', initial: createOperationsState(), decide: decideOperations }),
     DecidingSlice.create({ name: 'primacy', initial: createPrimacyState(!guarantees.selfFencing), decide: decidePrimacy }),
--- a/src/membership/decide.ts
+++ b/src/membership/decide.ts
@@ -10,6 +10,7 @@
 import { isCurrent, pruneIncarnations, recordWithdrawal } from './incarnations.js'
 import { recordDatabaseEvents } from './log.js'
 import type { DatabaseAnnounced, DatabaseAnswered, Heartbeat, HeartbeatAnswered, MembershipMessage, ProbeCompleted, DatabaseWithdrawn, VersionsHeld } from './messages.js'
+import { hasOrders, listEvacuatedDomains, listMarkedDatabases, listOrders, ORDERS_NAME } from '../evacuation/view.js'
 import { listLenders } from './lenders.js'
 import { allocateOwners } from './owners.js'
 import type { Announcement, MembershipState } from './state.js'
@@ -24,6 +25,8 @@
 const PRIMARY_PROOF_MAX_AGE_MS = 600
 /** How long an answer to a heartbeat is accepted. */
 const HEARTBEAT_TTL_MS = 5_000
+/** The part of the time for an evacuation after which an unconfirmed owner refuses work; the rest is for clocks and work under way. */
+const EVACUATION_LEASE_FRACTION = 0.9
 
 /** The effects of the membership slice. */
 export type MembershipEffect = CoreEffect | ProbeDatabase
@@ -105,7 +108,7 @@
   const statuses = new Map([...state.statuses].map(([database, known]) => [database, { ...known, silentMs: known.silentMs + timelyMs }]))
   const ticked = recordTick(state.contact, rankControlHosts(state), intervalMs, moment)
   const sent = sendHeartbeat({ ...state, statuses, contact: ticked.contact }, moment)
-  return { state: sent.state, effects: [...sent.effects, ...ticked.effects] }
+  return { state: sent.state, effects: [...sent.effects, ...ticked.effects, ...tellLease(state, sent.state)] }
 }
 
 function sendHeartbeat (state: MembershipState, moment: Moment): MembershipStep {
@@ -129,8 +132,24 @@
 }
 
 function receiveVersions (state: MembershipState, message: VersionsHeld): MembershipStep {
-  const { contact, effects } = recordVersions(state.contact, message)
-  return { state: { ...state, contact }, effects }
+  const askedAtMs = state.contact.sentAtMsByRound.get(message.round)
+  const documents = message.versions?.filter(({ service }) => service !== ORDERS_NAME)
+  const { contact, effects } = recordVersions(state.contact, { ...message, versions: documents })
+  const holdsAll = askedAtMs !== undefined && message.versions !== undefined && hasOrders(state.directory, message.versions)
+  const ordersConfirmedAtMs = holdsAll ? Math.max(state.ordersConfirmedAtMs ?? askedAtMs, askedAtMs) : state.ordersConfirmedAtMs
+  const next: MembershipState = { ...state, contact, ordersConfirmedAtMs }
+  return { state: next, effects: [...effects, ...tellLease(state, next)] }
+}
+
+// An owner in contact that is not confirmed may have missed an order. One that is cut off goes on by what it has.
+function tellLease (before: MembershipState, after: MembershipState): readonly CoreEffect[] {
+  const untilMs = findLeaseEnd(after)
+  return untilMs === undefined || untilMs === findLeaseEnd(before) ? [] : [tell({ kind: 'transactions/confirmed', untilMs })]
+}
+
+function findLeaseEnd ({ timing, contact, ordersConfirmedAtMs, self }: MembershipState): number | undefined {
+  if (timing.evacuateMs === undefined || ordersConfirmedAtMs === undefined || self?.apart === true) return undefined
+  return contact.isolated ? Infinity : ordersConfirmedAtMs + timing.evacuateMs * EVACUATION_LEASE_FRACTION
 }
 
 // Only a leader answers, through a relay or not, so an answer with a later epoch shows the leader of that epoch.
@@ -155,9 +174,9 @@
   const relay = changed ? findRelay(directory, state.self) : state.relay
   const quietIntervals = changed ? countQuietIntervals(directory) : state.quietIntervals
   const confirmed = recordConfirmation(state.contact, askedAtMs, moment)
-  const next: MembershipState = { ...state, directory, owners, ownedDatabases, relay, quietIntervals, leaderClockOffsetMs, leaderAnsweredAtMs: moment.monotonicMs, contact: confirmed.contact, statuses }
+  const next: MembershipState = { ...state, directory, owners, ownedDatabases, relay, quietIntervals, leaderClockOffsetMs, leaderAnsweredAtMs: moment.monotonicMs, contact: confirmed.contact, ordersConfirmedAtMs: Math.max(state.ordersConfirmedAtMs ?? askedAtMs, askedAtMs), statuses }
   const answered = answerRelayed(next, message)
-  const effects = [...(changed ? notifyChanged(next) : []), ...notifyConfirmed(next, changed, askedAtMs), ...confirmed.effects, ...answered.effects]
+  const effects = [...(changed ? notifyChanged(next, state.ordersConfirmedAtMs) : []), ...tellLease(state, next), ...notifyConfirmed(next, changed, askedAtMs), ...confirmed.effects, ...answered.effects]
   // The leader waits for the first report of a new owner, whose last heartbeat announced a quiet interval.
   const isNewOwner = state.ownedDatabases.size === 0 && ownedDatabases.size > 0
   return { state: answered.state, effects: isNewOwner ? [...effects, createHeartbeatTimer(next)] : effects }
@@ -182,23 +201,33 @@
   ]
 }
 
-function notifyChanged (state: MembershipState): readonly CoreEffect[] {
+function notifyChanged (state: MembershipState, confirmedAtMs: number | undefined): readonly CoreEffect[] {
   const { directory, owners } = state
   const hosts = listEntries(directory, 'host')
-  const databases = listEntries(directory, 'database')
+  const databases = listMarkedDatabases(directory)
   const grants = listEntries(directory, 'grant')
   return [
+    ...notifyOrders(state, hosts, databases),
     { kind: 'peer/learn', addresses: hosts.map(({ host, peers }) => ({ host, peers })) },
     tell({ kind: 'admission/lenders-changed', lenders: listLenders(directory, owners) }),
     tell({ kind: 'operations/control-known', control: listControlHosts(state) }),
     tell({ kind: 'timeline/hosts-known', hosts: hosts.map(({ host }) => host) }),
     tell({ kind: 'routing/directory-changed', hosts, databases, owners, grants }),
-    tell({ kind: 'transactions/owned-changed', databases: [...state.ownedDatabases.values()], grants })
+    tell({ kind: 'transactions/owned-changed', databases: [...state.ownedDatabases.values()], grants, evacuated: listEvacuatedDomains(directory), confirmedAtMs })
+  ]
+}
+
+function notifyOrders ({ self, directory }: MembershipState, hosts: readonly HostEntry[], databases: readonly DatabaseEntry[]): readonly CoreEffect[] {
+  const domains = [...new Set([...hosts, ...databases].map(({ failureDomain }) => failureDomain))]
+  const orders = listOrders(directory)
+  return [
+    ...(self?.control === true ? [tell({ kind: 'evacuation/directory-changed', domains, databases })] : []),
+    ...(orders.size > 0 ? [tell({ kind: 'operations/orders-known', orders })] : [])
   ]
 }
 
 function listOwnDatabases (state: MembershipState, directory: Directory, owners: MembershipState['owners']): MembershipState['ownedDatabases'] {
-  const owned = listEntries(directory, 'database').filter(({ database }) => owners.get(database) === state.self?.host)
+  const owned = listMarkedDatabases(directory).filter(({ database }) => owners.get(database) === state.self?.host)
   const groups = new Map(listEntries(directory, 'document').flatMap(({ document }) => document.groups.map(group => [group.name, group.connections] as const)))
   // A new leader may name databases before documents.
   const findLimit = ({ database, group, slots }: DatabaseEntry): number => groups.get(group) ?? state.ownedDatabases.get(database)?.connectionLimit ?? slots
--- a/src/membership/directory.ts
+++ b/src/membership/directory.ts
@@ -38,6 +38,8 @@
   /** 0 if the group's document sets the limit. */
   readonly connectionLimit: number
   readonly departing: boolean
+  /** True in the view of a host whose directory holds an operators' order to evacuate the failure domain; never announced. */
+  readonly evacuated?: boolean
   /** True while the database announces itself as primary; absent if its announcement has no role. */
   readonly leads?: boolean
 }
@@ -62,8 +64,17 @@
   readonly document: ServiceDocument
 }
 
+/** The last operators' order on a failure domain. */
+export interface EvacuationEntry {
+  readonly kind: 'evacuation'
+  readonly failureDomain: string
+  readonly evacuated: boolean
+  /** The number of the order. */
+  readonly version: number
+}
+
 /** One entry of the directory. */
-export type DirectoryEntry = HostEntry | DatabaseEntry | GrantEntry | DocumentEntry
+export type DirectoryEntry = HostEntry | DatabaseEntry | GrantEntry | DocumentEntry | EvacuationEntry
 
 /** A version of the directory: the epoch of the leader that wrote it, and its number of changes in that epoch. */
 export interface Revision {
@@ -126,6 +137,7 @@
     case 'database': return `database/${entry.database}`
     case 'grant': return `grant/${entry.group}`
     case 'document': return `document/${entry.service}`
+    case 'evacuation': return `evacuation/${entry.failureDomain}`
   }
 }
 
--- a/src/membership/operators.ts
+++ b/src/membership/operators.ts
@@ -1,4 +1,5 @@
 /** Operator requests of the membership slice: the system status, and draining a host. */
+import { listEvacuatedDomains, listMarkedDatabases } from '../evacuation/view.js'
 import { recordEvent, type CoreEffect, type Moment, type Step } from '../core/message.js'
 import { sendPeer, tell } from '../messages.js'
 import { listEntries, type DatabaseEntry, type GrantEntry, type HostEntry, type Revision } from './directory.js'
@@ -31,6 +32,8 @@
   readonly hosts: readonly HostStatus[]
   readonly databases: readonly DatabaseView[]
   readonly groups: readonly GrantEntry[]
+  /** Failure domains whose databases get no requests, by an operators' order; absent from hosts of an earlier version. */
+  readonly evacuated?: readonly string[]
   readonly documents: ReadonlyArray<{ readonly service: string, readonly version: number }>
 }
 
@@ -65,7 +68,7 @@
   const { leaderState, leader, self } = state
   const directory = leaderState?.directory ?? state.directory
   const hosts = listEntries(directory, 'host')
-  const databases = listEntries(directory, 'database')
+  const databases = listMarkedDatabases(directory)
   const owners = allocateOwners(databases, hosts)
   return {
     host: self?.host,
@@ -75,6 +78,7 @@
     hosts: hosts.map(entry => createHostStatus(state, entry, moment)),
     databases: databases.map(entry => ({ ...entry, owner: owners.get(entry.database) })),
     groups: listEntries(directory, 'grant'),
+    evacuated: listEvacuatedDomains(directory),
     documents: listEntries(directory, 'document').map(({ service, version }) => ({ service, version }))
   }
 }
--- a/src/membership/state.ts
+++ b/src/membership/state.ts
@@ -24,6 +24,8 @@
   readonly replicaQuietMs: number
   /** How long a host reports a database after its last announcement. */
   readonly announcementHoldsMs: number
+  /** The time within which an evacuation is in force on every host in contact; without it, owners go on however long they are unconfirmed. */
+  readonly evacuateMs?: number
 }
 
 /** Timing for databases that announce themselves several times a second and whose answers carry no position. */
@@ -80,6 +82,8 @@
   readonly leaderAnsweredAtMs: number
   /** Lower bound of the leader's clock minus this host's, from its last answer; absent before the first answer. */
   readonly leaderClockOffsetMs?: number
+  /** A time at which the directory held all operators' orders that were acknowledged; undefined before the first answer. */
+  readonly ordersConfirmedAtMs?: number
   /** How long the leader has not confirmed this host. */
   readonly contact: ControlContact
   /** The number of the last heartbeat. */
--- a/src/messages.ts
+++ b/src/messages.ts
@@ -3,6 +3,7 @@
 import type { AgreementMessage } from './agreement/messages.js'
 import { sendPeer as sendAny, setTimer as setAny, tell as tellAny, type SendPeer, type SetTimer, type Tell } from './core/message.js'
 import type { DocumentsMessage } from './documents/messages.js'
+import type { EvacuationMessage } from './evacuation/messages.js'
 import type { MembershipMessage } from './membership/messages.js'
 import type { OperationsMessage } from './operations/messages.js'
 import type { PrimacyMessage } from './primacy/messages.js'
@@ -19,6 +20,7 @@
   | AdmissionMessage
   | AgreementMessage
   | DocumentsMessage
+  | EvacuationMessage
   | MembershipMessage
   | OperationsMessage
   | PrimacyMessage
--- a/src/monitoring/metrics.ts
+++ b/src/monitoring/metrics.ts
@@ -3,7 +3,8 @@
 import type { Effect } from '../core/message.js'
 import type { DatabaseEffect } from '../databases/driver.js'
 import type { CallerEffect } from '../frontends/frontend.js'
-import type { GrantEntry } from '../membership/directory.js'
+import { isEvacuated } from '../evacuation/view.js'
+import type { DatabaseEntry, GrantEntry } from '../membership/directory.js'
 import type { HostMessage } from '../messages.js'
 import type { Traffic } from '../peers/traffic.js'
 import { RequestBreakdown } from './breakdown.js'
@@ -23,6 +24,7 @@
   readonly #connections = new Set<string>()
   readonly #terms = new Map<string, number>()
   readonly #versions = new Map<string, number>()
+  readonly #evacuated = new Set<string>()
   readonly #messages = this.#createCounter('messages_total', 'Messages of the loop, by kind.', ['kind'])
   readonly #requests = this.#createCounter('requests_total', 'Requests of callers, by outcome.', ['outcome'])
   readonly #refusals = this.#createCounter('refusals_total', 'Requests and callers that got an error, by its code.', ['code'])
@@ -44,6 +46,7 @@
     this.#addGauge('requests_running', 'Requests that wait or run.', this.#startedAtMs)
     this.#addGauge('callers_connected', 'Connections of callers.', this.#callers)
     this.#addVersions()
+    this.#addGauge('databases_evacuated', 'Databases that get no requests, by an operators\' order that this host knows.', this.#evacuated)
     this.#addGauge('database_connections', 'Connections to databases that this host owns.', this.#connections)
   }
 
@@ -85,7 +88,7 @@
       case 'requests/closed': this.#removeCaller(message.caller); break
       case 'requests/routed': this.#observeRoute(message.caller, message.target.purpose); break
       case 'routing/choose': this.#pendingActions.set(message.caller, message.rules.action); break
-      case 'routing/directory-changed': this.#observeGrants(message.grants); break
+      case 'routing/directory-changed': this.#observeGrants(message.grants); this.#observeEvacuated(message.databases); break
       case 'transactions/open-failed':
       case 'transactions/broken': this.#connections.delete(message.connection); break
       case 'admission/documents-confirmed':
@@ -125,6 +128,11 @@
     this.#routed.increment(action, role)
   }
 
+  #observeEvacuated (databases: readonly DatabaseEntry[]): void {
+    this.#evacuated.clear()
+    for (const entry of databases) if (isEvacuated(entry)) this.#evacuated.add(entry.database)
+  }
+
   #observeGrants (grants: readonly GrantEntry[]): void {
     for (const { group, term, primary } of grants) {
       const known = this.#terms.get(group)
--- a/src/operations/commands.ts
+++ b/src/operations/commands.ts
@@ -2,6 +2,7 @@
 import type { Result } from 'true-myth'
 import * as v from 'valibot'
 import { parseValidJson } from '../core/validjson.js'
+import { Token } from '../core/names.js'
 import type { Finding } from '../core/findings.js'
 
 /** Large enough for a document of maximum length in which every character is escaped. */
@@ -27,13 +28,19 @@
 const MoveSchema = v.pipe(v.strictObject({ name: v.literal('primary/move'), group: ShortName, database: ShortName }), v.readonly())
 /** Takes a host out of service. */
 const DrainSchema = v.pipe(v.strictObject({ name: v.literal('host/drain'), host: ShortName }), v.readonly())
+/** Begins the evacuation of a failure domain: its databases get no more requests. */
+const BeginEvacuationSchema = v.pipe(v.strictObject({ name: v.literal('evacuation/begin'), domain: Token }), v.readonly())
+
+/** Ends the evacuation of a failure domain. */
+const EndEvacuationSchema = v.pipe(v.strictObject({ name: v.literal('evacuation/end'), domain: Token }), v.readonly())
+
 /** Returns hosts, databases, groups and the revision in force; with `local`, in the called host's view. */
 const StatusSchema = v.pipe(v.strictObject({ name: v.literal('status'), local: v.optional(v.boolean(), false) }), v.readonly())
 /** Returns the merged timelines of all processes. */
 const TimelineSchema = v.pipe(v.strictObject({ name: v.literal('timeline/read'), sinceMs: Since, request: v.optional(ShortName), group: v.optional(ShortName) }), v.readonly())
 
 /** The schema of all commands. */
-export const CommandSchema = v.variant('name', [ApplySchema, ShowSchema, ListSchema, DocumentStatusSchema, ControlStatusSchema, MoveSchema, DrainSchema, StatusSchema, TimelineSchema])
+export const CommandSchema = v.variant('name', [ApplySchema, ShowSchema, ListSchema, DocumentStatusSchema, ControlStatusSchema, MoveSchema, DrainSchema, BeginEvacuationSchema, EndEvacuationSchema, StatusSchema, TimelineSchema])
 
 /**
  * Parses and validates an operator's command.
--- a/src/operations/decide.ts
+++ b/src/operations/decide.ts
@@ -20,6 +20,8 @@
   readonly sentAtMs?: number
   /** Whether the command was sent to a leader, which may have executed it. */
   readonly wasSent: boolean
+  /** The last order on the failure domain that this host knew when the command came; 0 for other commands. */
+  readonly after: number
   /** How often it was sent. */
   readonly attempts: number
 }
@@ -28,6 +30,8 @@
 export interface OperationsState {
   readonly leader?: string
   readonly control: readonly string[]
+  /** The last order on each failure domain, by number. */
+  readonly orders: ReadonlyMap<string, number>
   readonly calls: ReadonlyMap<string, PendingCall>
 }
 
@@ -45,7 +49,7 @@
  * @example createOperationsState().leader // undefined
  */
 export function createOperationsState (): OperationsState {
-  return { control: [], calls: new Map() }
+  return { control: [], orders: new Map(), calls: new Map() }
 }
 
 /**
@@ -58,6 +62,7 @@
     case 'operations/answered': return handleAnswer(state, message)
     case 'operations/asked': return startCall(state, message, moment)
     case 'operations/control-known': return sendDueCalls({ ...state, control: message.control }, moment)
+    case 'operations/orders-known': return { state: { ...state, orders: message.orders }, effects: [] }
     case 'operations/retry-due': return retryCalls(state, moment)
   }
 }
@@ -65,12 +70,16 @@
 function startCall (state: OperationsState, request: CommandRequest, moment: Moment): OperationsStep {
   const localEffect = createLocalEffect(request)
   if (localEffect !== undefined) return { state, effects: [localEffect] }
-  const call: PendingCall = { request, deadlineMs: moment.monotonicMs + CALL_TIMEOUT_MS, wasSent: false, attempts: 0 }
+  const call: PendingCall = { request, deadlineMs: moment.monotonicMs + CALL_TIMEOUT_MS, wasSent: false, after: findLastOrder(state, request), attempts: 0 }
   const timer = setTimer('operations/retry', RETRY_INTERVAL_MS, { kind: 'operations/retry-due' })
   const sent = sendDueCalls({ ...state, calls: new Map(state.calls).set(request.operation, call) }, moment)
   return { state: sent.state, effects: [timer, ...sent.effects] }
 }
 
+function findLastOrder ({ orders }: OperationsState, { command }: CommandRequest): number {
+  return 'domain' in command ? orders.get(command.domain) ?? 0 : 0
+}
+
 // The previous leader may have executed a command, so it is resent to the next leader with the same request id.
 function handleLeaderChange (state: OperationsState, leader: string | undefined, moment: Moment): OperationsStep {
   if (leader === state.leader) return { state, effects: [] }
@@ -81,7 +90,7 @@
 function handleAnswer (state: OperationsState, { operation, outcome }: CommandAnswered): OperationsStep {
   const call = state.calls.get(operation)
   const error = (outcome as { readonly error?: string } | undefined)?.error
-  if (call !== undefined && (error === 'not-leader' || error === 'outcome-unknown')) {
+  if (call !== undefined && (error === 'not-leader' || error === 'outcome-unknown' || error === 'not-ready')) {
     const unsent: PendingCall = { ...call, sentAtMs: undefined }
     return { state: { ...state, calls: new Map(state.calls).set(operation, unsent) }, effects: [] }
   }
@@ -113,7 +122,7 @@
   if (due.length === 0) return { state, effects: [] }
   const calls = new Map(state.calls)
   for (const { operation, call } of due) calls.set(operation, { ...call, sentAtMs: moment.monotonicMs, wasSent: true, attempts: call.attempts + 1 })
-  return { state: { ...state, calls }, effects: due.map(({ target, call }) => sendCommand(target, call.request)) }
+  return { state: { ...state, calls }, effects: due.map(({ target, call }) => sendCommand(target, call)) }
 }
 
 function isDue (call: PendingCall, { monotonicMs }: Moment): boolean {
@@ -141,7 +150,7 @@
   }
 }
 
-function sendCommand (target: string, request: CommandRequest): CoreEffect {
+function sendCommand (target: string, { request, after }: PendingCall): CoreEffect {
   const { operation, requestId, command } = request
   switch (command.name) {
     case 'document/apply': return sendPeer(target, { kind: 'documents/apply', operation, requestId, text: command.text, version: command.version, wait: command.wait })
@@ -151,6 +160,8 @@
     case 'document/status': return sendPeer(target, { kind: 'documents/ask', operation, service: command.service, about: 'force' })
     case 'document/list': return sendPeer(target, { kind: 'documents/ask', operation, about: 'text' })
     case 'primary/move': return sendPeer(target, { kind: 'primacy/move', operation, group: command.group, database: command.database })
+    case 'evacuation/begin':
+    case 'evacuation/end': return sendPeer(target, { kind: 'evacuation/ask', operation, requestId, domain: command.domain, evacuated: command.name === 'evacuation/begin', after })
     case 'status': return sendPeer(target, { kind: 'membership/status-asked', operation })
     case 'control/status':
     case 'host/drain':
--- a/src/operations/messages.ts
+++ b/src/operations/messages.ts
@@ -65,5 +65,11 @@
   readonly kind: 'operations/retry-due'
 }
 
+/** The last order on each failure domain that this host knows, by number. */
+export interface OrdersKnown {
+  readonly kind: 'operations/orders-known'
+  readonly orders: ReadonlyMap<string, number>
+}
+
 /** Any message of the operations slice. */
-export type OperationsMessage = CommandRequest | CommandAnswered | LeaderChanged | ControlHostsKnown | RetryDue
+export type OperationsMessage = CommandRequest | CommandAnswered | LeaderChanged | ControlHostsKnown | OrdersKnown | RetryDue
--- a/src/peers/kinds.ts
+++ b/src/peers/kinds.ts
@@ -20,6 +20,7 @@
   'documents/ask',
   'documents/read-asked',
   'documents/replace-asked',
+  'evacuation/ask',
   'membership/beat',
   'membership/beat-answered',
   'membership/drain-asked',
--- a/src/primacy/change.ts
+++ b/src/primacy/change.ts
@@ -2,6 +2,7 @@
 import { getOwn } from '../core/own.js'
 import { comparePositions, coversPosition, ORIGIN, type LogPosition } from '../core/position.js'
 import { assertInvariant } from '../core/invariant.js'
+import { isUnwanted } from './detect.js'
 import type { CommandOutcome, GrantPublished } from './messages.js'
 import type { PrimacyState, StepProgress } from './state.js'
 import { isSafeToPromote, type FencedMember, type GroupChange, type GroupRecord } from './table.js'
@@ -98,7 +99,7 @@
 function chooseNextPrimary (state: PrimacyState, group: string, record: GroupRecord, change: GroupChange, fencedPositions: ReadonlyMap<string, LogPosition>, nowMs: number): PrimacyStep {
   const fenced = [...fencedPositions].map(([database, position]): FencedMember => ({ database, position }))
   const eligible = fenced.filter(member => isSafeToPromote(record.members, member.database, fenced)).map(member => member.database)
-  const remaining = eligible.filter(database => state.databases.get(database)?.entry.departing !== true)
+  const remaining = eligible.filter(database => !isUnwanted(state, database))
   const candidates = remaining.length > 0 ? remaining : eligible
   const primary = candidates.find(database => database === change.target) ?? candidates[0]
   assertInvariant(primary !== undefined, 'a fenced majority has a last position')
--- a/src/primacy/decide.ts
+++ b/src/primacy/decide.ts
@@ -29,6 +29,7 @@
   switch (message.kind) {
     case 'primacy/leadership': return changeLeadership(state, message, nowMs)
     case 'primacy/documents': return { state: updateGroupSizes(state, message), effects: [] }
+    case 'primacy/evacuated': return { state: { ...state, evacuated: message.domains }, effects: [] }
     case 'primacy/command': return commandDatabase(state, message)
     case 'primacy/commanded': return reportOutcome(state, message)
     case 'primacy/applied': return applyCommand(state, message, nowMs)
@@ -42,7 +43,7 @@
 
 function changeLeadership (state: PrimacyState, message: LeadershipChanged, nowMs: number): PrimacyStep {
   const { leads, epoch, table } = message
-  const next: PrimacyState = { ...createPrimacyState(), leads, epoch, table, groupSizes: state.groupSizes, leaseGraceEndsMs: nowMs + LEASE_EXPIRY_MS }
+  const next: PrimacyState = { ...createPrimacyState(), leads, epoch, table, groupSizes: state.groupSizes, evacuated: state.evacuated, leaseGraceEndsMs: nowMs + LEASE_EXPIRY_MS }
   if (!leads) return { state: next, effects: [] }
   return { state: next, effects: [...Object.keys(table).map(group => publishGroup(table, group)), createCheckTimer()] }
 }
--- a/src/primacy/detect.ts
+++ b/src/primacy/detect.ts
@@ -52,17 +52,26 @@
 }
 
 /**
- * Starts a planned change away from a departing primary.
+ * Starts a planned change away from a primary that departs or is in an evacuated failure domain.
  * @example checkDeparting(state, 'a', record, nowMs)
  */
 export function checkDeparting (state: PrimacyState, group: string, record: GroupRecord, nowMs: number): PrimacyStep {
   const { primary, term, closing, members } = record
-  const departing = primary !== undefined && state.databases.get(primary)?.entry.departing === true
-  const target = members.find(member => member !== primary && state.databases.get(member)?.entry.departing === false && isAnswering(state, member, nowMs))
+  const departing = primary !== undefined && isUnwanted(state, primary)
+  const target = members.find(member => member !== primary && state.databases.has(member) && !isUnwanted(state, member) && isAnswering(state, member, nowMs))
   if (!departing || closing !== undefined || target === undefined || nowMs < calculateBackoffEnd(state, group, nowMs)) return { state, effects: [] }
   return propose(state, { kind: 'primacy/close', group, term, target }, nowMs)
 }
 
+/**
+ * Tells whether a member is not to lead while another can: it departs, or its failure domain is evacuated.
+ * @example isUnwanted(state, 'a1')
+ */
+export function isUnwanted ({ databases, evacuated }: PrimacyState, member: string): boolean {
+  const entry = databases.get(member)?.entry
+  return entry !== undefined && (entry.departing || evacuated.has(entry.failureDomain))
+}
+
 // A database that restarted without its data, or that was fenced, is not primary any more.
 function hasLostRole (state: PrimacyState, group: string, record: GroupRecord, nowMs: number): boolean {
   const { status, answeredAtMs = 0 } = state.databases.get(record.primary!) ?? {}
--- a/src/primacy/messages.ts
+++ b/src/primacy/messages.ts
@@ -36,6 +36,12 @@
   readonly groups: ReadonlyArray<{ readonly name: string, readonly databases: number }>
 }
 
+/** The evacuated failure domains changed: the primary of a group is to be elsewhere, if another member can lead. */
+export interface EvacuationsChanged {
+  readonly kind: 'primacy/evacuated'
+  readonly domains: ReadonlySet<string>
+}
+
 /** A grant was inserted into the leader's directory. */
 export interface GrantPublished {
   readonly kind: 'primacy/published'
@@ -96,4 +102,4 @@
 }
 
 /** Any message of the primacy slice. */
-export type PrimacyMessage = HostReported | LeadershipChanged | CommandApplied | DocumentsChanged | GrantPublished | CheckDue | DatabaseCommand | CommandExecuted | CommandOutcome | MovePrimary
+export type PrimacyMessage = HostReported | LeadershipChanged | CommandApplied | DocumentsChanged | EvacuationsChanged | GrantPublished | CheckDue | DatabaseCommand | CommandExecuted | CommandOutcome | MovePrimary
--- a/src/primacy/state.ts
+++ b/src/primacy/state.ts
@@ -48,6 +48,8 @@
   readonly table: GroupsTable
   /** The number of databases of each group, from the documents. */
   readonly groupSizes: ReadonlyMap<string, number>
+  /** Evacuated failure domains. */
+  readonly evacuated: ReadonlySet<string>
   readonly hosts: ReadonlyMap<string, ReportingHost>
   readonly databases: ReadonlyMap<string, TrackedDatabase>
   readonly progress: ReadonlyMap<string, StepProgress>
@@ -69,6 +71,7 @@
     leaseGraceEndsMs: 0,
     table: {},
     groupSizes: new Map(),
+    evacuated: new Set(),
     hosts: new Map(),
     databases: new Map(),
     progress: new Map(),
--- a/src/requests/failure.ts
+++ b/src/requests/failure.ts
@@ -13,7 +13,7 @@
 /** Longest delay before routing is tried again: at 100 ms, all waiting requests reach a new primary within a tenth of a second. */
 const MAX_ROUTING_DELAY_MS = 100
 /** Typical time until a cause of failure is gone: a failover, a change of owner, a drained queue. */
-const RECOVERY_MS: Readonly<Partial<Record<ErrorCode, number>>> = { 'no-primary': 1_000, 'no-database': 500, 'queue-full': 200, 'no-authority': 500 }
+const RECOVERY_MS: Readonly<Partial<Record<ErrorCode, number>>> = { 'no-primary': 1_000, 'no-database': 500, 'queue-full': 200, 'no-authority': 500, evacuated: 1_000, 'transaction-evacuated': 500 }
 /** Longest backoff of a request that owners keep refusing. */
 const MAX_BACKOFF_MS = 400
 
@@ -23,6 +23,7 @@
  * @example failAttempt(store.shared, caller, running, message, moment)
  */
 export function failAttempt (shared: RequestsShared, caller: Caller, running: InFlightRequest, message: AttemptFailed, moment: Moment): RequestsStep {
+  if (message.failure.code === 'transaction-evacuated') return endTransaction(caller, running.input.intent, addRetryAfter(message.failure, moment))
   const delayMs = computeBackoffMs(running, moment)
   const inTime = moment.monotonicMs + delayMs < running.deadlineAtMs
   const allowed = message.retriable === true && inTime && running.parts === 0 && caller.transaction === undefined && caller.revoked === undefined
--- a/src/routing/decide.ts
+++ b/src/routing/decide.ts
@@ -3,6 +3,7 @@
 import type { CoreEffect, Moment, Step } from '../core/message.js'
 import { rankCandidates } from '../core/rendezvous.js'
 import { ORIGIN, coversPosition, pickLater, type LogPosition } from '../core/position.js'
+import { isEvacuated } from '../evacuation/view.js'
 import type { GrantEntry } from '../membership/directory.js'
 import type { Target } from '../requests/messages.js'
 import type { DatabaseAnswered, ChooseTarget, DirectoryChanged, OwnerAnswered, PositionsRequested, PositionsReported, RoutingMessage, StatusRead, ReportedPosition } from './messages.js'
@@ -58,6 +59,7 @@
   const target = !mayBeStale ? undefined : state.guarantees.selfFencing ? chooseBounded(state, message, grant) : chooseCovering(state, message, grant, moment)
   if (target !== undefined) return answerTarget({ ...state, roundRobinCounter: state.roundRobinCounter + 1 }, message, target, moment)
   const primary = grant?.primary === undefined ? undefined : state.databases.get(grant.primary)
+  if (primary !== undefined && isEvacuated(primary.entry)) return refuseEvacuated(state, message)
   if (grant === undefined || grant.closing === true || primary?.owner === undefined || isUnresponsiveOwner(state, primary.owner)) return refuse(state, message, 'no-primary', moment)
   return answerTarget(state, message, createTarget(primary, 'primary', grant.term, ORIGIN), moment)
 }
@@ -98,6 +100,7 @@
     database.entry.database !== primary &&
     database.owner !== undefined &&
     !database.entry.departing &&
+    !isEvacuated(database.entry) &&
     !message.avoid.includes(database.entry.database))
   const covering = eligible.filter(database => coversPosition(getLatestPosition(state, database), floor))
   const local = covering.filter(database => isLocal(state, database))
@@ -143,6 +146,11 @@
   return { state, effects: [tell({ kind: 'requests/failed', caller: message.caller, attempt: message.attempt, failure, retriable })] }
 }
 
+// A promotion takes longer than callers wait, so they are told when to come back.
+function refuseEvacuated (state: RoutingState, { caller, attempt, rules }: ChooseTarget): RoutingStep {
+  return { state, effects: [tell({ kind: 'requests/failed', caller, attempt, failure: createFailure('evacuated', rules.group), retriable: false })] }
+}
+
 function updateDirectory (state: RoutingState, message: DirectoryChanged): RoutingStep {
   const databases = new Map(message.databases.map(entry => [entry.database, { entry, owner: message.owners.get(entry.database) }]))
   const grants = new Map(message.grants.map(grant => [grant.group, grant]))
--- a/src/routing/placement.ts
+++ b/src/routing/placement.ts
@@ -1,5 +1,6 @@
 /** Load-based placement of reads, for databases that refuse a read whose floor they lack. */
 import { pickHeaviest } from '../core/rendezvous.js'
+import { isEvacuated } from '../evacuation/view.js'
 import type { ChooseTarget } from './messages.js'
 import type { DatabaseWithOwner, RoutingState } from './state.js'
 
@@ -31,7 +32,7 @@
 }
 
 function isEligible (state: RoutingState, { entry, owner }: DatabaseWithOwner, { avoid }: ChooseTarget): boolean {
-  return owner !== undefined && !isUnresponsiveOwner(state, owner) && !entry.departing && !avoid.includes(entry.database)
+  return owner !== undefined && !isUnresponsiveOwner(state, owner) && !entry.departing && !isEvacuated(entry) && !avoid.includes(entry.database)
 }
 
 /**
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -46,6 +46,7 @@
   quietMs: v.optional(v.pipe(MillisecondsOrZero, v.description('How long a primary may send nothing, in milliseconds, before its status is read.')), DEFAULT_MEMBERSHIP_TIMING.quietMs),
   replicaQuietMs: v.optional(v.pipe(MillisecondsOrZero, v.description('How long a replica may send nothing, in milliseconds, before its status is read.')), DEFAULT_MEMBERSHIP_TIMING.replicaQuietMs),
   announcementHoldsMs: v.optional(v.pipe(Milliseconds, v.description('How long a database is considered present after its last announcement, in milliseconds.')), DEFAULT_MEMBERSHIP_TIMING.announcementHoldsMs),
+  evacuateMs: v.optional(v.pipe(Milliseconds, v.description('The time within which the evacuation of a failure domain is in force on every host in contact with the control hosts, in milliseconds. A host in contact that is not confirmed for so long refuses work for its databases.'))),
   askEveryMs: v.optional(v.pipe(Milliseconds, v.description('The interval between requests for the log positions of databases, in milliseconds.')), POSITION_POLL_INTERVAL_MS)
 }), v.readonly())
 
@@ -59,6 +60,7 @@
   $schema: v.optional(v.pipe(v.string(), v.description('The location of the JSON Schema, for editors.'))),
   host: Name,
   failureDomain: Name,
+  failureDomains: v.optional(v.pipe(v.array(Name), v.readonly(), v.description('Failure domains of the deployment, for operators\' orders on one that no host or database has announced yet.'))),
   callers: v.optional(v.pipe(Address, v.description('The address at which callers connect. A host without it serves no callers and owns no databases.'))),
   peers: v.pipe(ReachableAddress, v.description('The address at which other hosts and databases connect.')),
   operators: v.pipe(Address, v.description('The address at which operators connect, and at which metrics and health are served.')),
--- a/src/succession/candidates.ts
+++ b/src/succession/candidates.ts
@@ -26,7 +26,7 @@
 const REPORT_WAIT_MS = 400
 
 /** Why a primary has to be replaced. */
-export type ReplacementReason = 'silent' | 'departing' | 'gone' | 'unproven' | 'behind'
+export type ReplacementReason = 'silent' | 'departing' | 'gone' | 'evacuated' | 'unproven' | 'behind'
 
 /**
  * Returns the primary of a group, as known to the leader; undefined if unknown.
@@ -57,7 +57,20 @@
   // The owner asks a primary for its role each second, so one that answers without proof is not primary.
   const provenSinceMs = Math.max(primary.provenAtMs ?? primary.knownSinceMs, state.leadingSinceMs, state.appointedAtMs.get(primary.entry.group) ?? 0)
   if (nowMs - provenSinceMs >= PROOF_TIMEOUT_MS) return 'unproven'
-  return hasLostWrites(state, primary, nowMs) ? 'behind' : undefined
+  if (hasLostWrites(state, primary, nowMs)) return 'behind'
+  return isInEvacuated(state, primary) && listElsewhere(state, listCandidates(state, primary.entry.group, nowMs)).length > 0 ? 'evacuated' : undefined
+}
+
+/**
+ * Tells whether a database's failure domain is evacuated.
+ * @example isInEvacuated(state, primary)
+ */
+export function isInEvacuated ({ evacuated }: SuccessionState, { entry }: TrackedDatabase): boolean {
+  return evacuated.has(entry.failureDomain)
+}
+
+function listElsewhere (state: SuccessionState, databases: readonly TrackedDatabase[]): TrackedDatabase[] {
+  return databases.filter(known => !isInEvacuated(state, known))
 }
 
 // Positions of a primary only grow within a term, and no replica is ahead of it. One that started again and reports less than
@@ -103,11 +116,13 @@
 
 /**
  * Picks the next primary: of the databases that answer and do not depart, the one with the latest position; undefined if there is none.
+ * One in an evacuated failure domain is picked only if there is no other.
  * @example pickSuccessor(state, 'a', primary, nowMs)
  */
 export function pickSuccessor (state: SuccessionState, group: string, primary: TrackedDatabase | undefined, nowMs: number): TrackedDatabase | undefined {
   const candidates = listCandidates(state, group, nowMs).filter(known => known !== primary)
-  return candidates.sort((a, b) => comparePositions(b.status?.position ?? ORIGIN, a.status?.position ?? ORIGIN))[0]
+  const elsewhere = listElsewhere(state, candidates)
+  return (elsewhere.length > 0 ? elsewhere : candidates).sort((a, b) => comparePositions(b.status?.position ?? ORIGIN, a.status?.position ?? ORIGIN))[0]
 }
 
 function listCandidates (state: SuccessionState, group: string, nowMs: number): TrackedDatabase[] {
@@ -133,7 +148,7 @@
   const replicas = [...state.members.values()].filter(known => known.entry.group === group && known.entry.database !== primary?.entry.database)
   const unfenced = replicas.filter(known => !positions.has(known.entry.database))
   const fenced = replicas.filter(known => positions.has(known.entry.database))
-  const latest = fenced.sort((a, b) => comparePositions(positions.get(b.entry.database)!, positions.get(a.entry.database)!) || Number(a.entry.departing) - Number(b.entry.departing))[0]
+  const latest = fenced.sort((a, b) => comparePositions(positions.get(b.entry.database)!, positions.get(a.entry.database)!) || Number(isInEvacuated(state, a)) - Number(isInEvacuated(state, b)) || Number(a.entry.departing) - Number(b.entry.departing))[0]
   const coversPrimary = latest !== undefined && primary?.status !== undefined && primary.restartedAtMs === undefined && comparePositions(positions.get(latest.entry.database)!, primary.status.position) >= 0
   const awaited = coversPrimary ? unfenced.filter(known => (known.answeredAtMs ?? 0) > (primary.answeredAtMs ?? 0) - LONG_SILENCE_MS) : unfenced
   const mayLackCopies = !coversPrimary && replicas.some(known => known.restartedAtMs !== undefined)
--- a/src/succession/decide.ts
+++ b/src/succession/decide.ts
@@ -5,7 +5,7 @@
 import type { DatabaseStatus } from '../membership/directory.js'
 import { setTimer, tell } from '../messages.js'
 import type { FenceReplica } from '../databases/driver.js'
-import { findPrimary, findReplacementReason, pickFencedSuccessor, pickSuccessor, type ReplacementReason } from './candidates.js'
+import { findPrimary, findReplacementReason, isInEvacuated, pickFencedSuccessor, pickSuccessor, type ReplacementReason } from './candidates.js'
 import type { CallAnswered, CommandApplied, ReplicaFenced, LeadershipChanged, HostReported, SuccessionMessage } from './messages.js'
 import { dropFormerIncarnations, isAppointmentSuperseded, markCaughtUp } from './incarnations.js'
 import type { Appointment } from './table.js'
@@ -46,6 +46,7 @@
     case 'succession/reported': return state.leads ? handleReport(state, message, nowMs) : createStep(state)
     case 'succession/withdrawn': return createStep(removeDatabase(state, message.database))
     case 'succession/documents': return createStep({ ...state, requiredCopies: message.copies })
+    case 'succession/evacuated': return createStep({ ...state, evacuated: message.domains })
     case 'succession/fenced': return createStep(recordFenced(state, message))
     case 'succession/check-due': return state.leads ? checkAll(state, nowMs) : createStep(state)
     case 'succession/answered': return state.leads ? recordAnswer(state, message, nowMs) : createStep(state)
@@ -228,7 +229,7 @@
   }
 }
 
-// A departing primary stays published until its successor is promoted; a silent one is withdrawn.
+// A departing or evacuated primary stays published until its successor is promoted; a silent one is withdrawn.
 function callPlatform (state: SuccessionState, group: string, nowMs: number): SuccessionStep {
   const { appointment, database } = getOwn(state.table, group)!
   const known = state.calls.get(group)
@@ -238,7 +239,8 @@
   const effect: AppointPrimary = { kind: 'promotion/appoint', group, database, appointment, fence: state.epoch * FENCING_TOKENS_PER_EPOCH + appointment }
   const published = state.published.get(group)?.database
   const former = published === undefined ? undefined : state.databases.get(published)
-  const isServing = former?.entry.departing === true && findReplacementReason(state, { ...former, entry: { ...former.entry, departing: false } }, nowMs) === undefined
+  const isPlanned = former !== undefined && (former.entry.departing || isInEvacuated(state, former))
+  const isServing = isPlanned && findReplacementReason({ ...state, evacuated: new Set() }, { ...former, entry: { ...former.entry, departing: false } }, nowMs) === undefined
   const withdrawn = isServing ? createStep(state) : publish(state, group, undefined)
   return { state: { ...withdrawn.state, calls: new Map(state.calls).set(group, next) }, effects: [...withdrawn.effects, effect] }
 }
--- a/src/succession/messages.ts
+++ b/src/succession/messages.ts
@@ -45,6 +45,12 @@
   readonly copies: ReadonlyMap<string, number>
 }
 
+/** The evacuated failure domains changed: the primary of a group is to be elsewhere, if another database can lead. */
+export interface EvacuationsChanged {
+  readonly kind: 'succession/evacuated'
+  readonly domains: ReadonlySet<string>
+}
+
 /** A replica stopped receiving from its primary and reported its position. */
 export interface ReplicaFenced {
   readonly kind: 'succession/fenced'
@@ -70,4 +76,4 @@
 }
 
 /** Any message of the succession slice. */
-export type SuccessionMessage = LeadershipChanged | CommandApplied | HostReported | DatabaseWithdrawn | CopiesChanged | ReplicaFenced | CheckDue | CallAnswered
+export type SuccessionMessage = LeadershipChanged | CommandApplied | HostReported | DatabaseWithdrawn | CopiesChanged | EvacuationsChanged | ReplicaFenced | CheckDue | CallAnswered
--- a/src/succession/state.ts
+++ b/src/succession/state.ts
@@ -81,6 +81,8 @@
   readonly calls: ReadonlyMap<string, PromotionCall>
   /** The groups that documents name, and the number of replicas that have to hold a write of each before it is acknowledged. */
   readonly requiredCopies: ReadonlyMap<string, number>
+  /** Evacuated failure domains. */
+  readonly evacuated: ReadonlySet<string>
   readonly fencing: ReadonlyMap<string, FencingProgress>
   /** All databases that have not withdrawn themselves, including silent ones. */
   readonly members: ReadonlyMap<string, TrackedDatabase>
@@ -107,6 +109,7 @@
     hosts: new Map(),
     calls: new Map(),
     requiredCopies: new Map(),
+    evacuated: new Set(),
     fencing: new Map(),
     members: new Map(),
     highestPositions: new Map(),
--- a/src/transactions/decide.ts
+++ b/src/transactions/decide.ts
@@ -3,6 +3,8 @@
 import type { Moment } from '../core/message.js'
 import { coversPosition } from '../core/position.js'
 import { UNCHANGED } from '../core/store.js'
+import { isGraceOver, refuseFirst, refuseUnconfirmed } from '../evacuation/owner.js'
+import { isEvacuated } from '../evacuation/view.js'
 import { removeEntry, enqueueEntry, findEntry, listEntries, type QueueLimits } from '../fairness/queue.js'
 import { dropCatchUpRead, pollPosition, splitCovered, waitForCatchUp } from './catchup.js'
 import type { CancelRequest, CreditGranted, DatabaseFinished, DatabaseOutput, HostLost, LagDue, PositionRead, RunRequest, DeadlineExpired, TransactionsMessage } from './messages.js'
@@ -42,7 +44,8 @@
   switch (message.kind) {
     case 'transactions/run': return handleRun(store, message, moment)
     case 'transactions/cancel': return handleCancel(store, message)
-    case 'transactions/owned-changed': return startMeasuring(store, updateOwnership(store, message), moment)
+    case 'transactions/owned-changed': return startMeasuring(store, updateOwnership(store, message, moment), moment)
+    case 'transactions/confirmed': return { shared: { ...store.shared, confirmedUntilMs: message.untilMs }, effects: [] }
     case 'transactions/lag-due': return updateOverlaps(store, message, moment)
     case 'transactions/host-lost': return handleHostLost(store, message)
     case 'transactions/count-asked': return reportWorkCount(store, message.host)
@@ -106,6 +109,8 @@
   if (from === undefined || !isNewSequenceNumber(store.shared, from, ticket)) return UNCHANGED
   const shared = recordSequenceNumber(store.shared, from, ticket)
   if (shared.stopping && message.transaction === undefined) return { shared, effects: [refuseRun(message, createFailure('host-stopping'))] }
+  const unconfirmed = refuseUnconfirmed(shared, message, moment)
+  if (unconfirmed !== undefined) return { shared, effects: [unconfirmed] }
   if (!store.items.has(message.target.database)) return { shared, effects: [refuseMissing(message)] }
   const tooLate = message.intent !== 'rollback' && isTooLate(shared.endsAtMs, message.expectedMs ?? 0, moment)
   const step = decideFor(store, message.target.database, database => (tooLate ? refuseLate(database, message) : startRun(shared, database, { ...message, receivedAtMs: moment.monotonicMs }, moment)))
@@ -115,7 +120,11 @@
 // A transaction is rolled back, so that its caller can start over at once. A first request may find time at another database.
 function refuseLate (database: OwnedDatabase, message: RunRequest): DatabaseStep {
   if (message.transaction === undefined) return { database, effects: [refuseRun(message, createFailure('host-stopping'), database)] }
-  const answer = answerFailed(message.from!, message, createFailure('transaction-stopped'), false)
+  return endUnit(database, message, createFailure('transaction-stopped'))
+}
+
+function endUnit (database: OwnedDatabase, message: RunRequest, failure: Failure): DatabaseStep {
+  const answer = answerFailed(message.from!, message, failure, false)
   return continueStep({ database, effects: [answer] }, next => cancelWork(next, message.caller, message.attempt))
 }
 
@@ -125,8 +134,9 @@
 }
 
 function startRun (shared: TransactionsShared, database: OwnedDatabase, message: RunRequest, moment: Moment): DatabaseStep {
-  if (message.transaction !== undefined) return continueUnit(database, message)
+  if (message.transaction !== undefined) return continueUnit(database, message, moment)
   return continueStep(cancelWork(database, message.caller, message.attempt), earlier => {
+    if (isEvacuated(earlier.entry)) return { database: earlier, effects: [refuseFirst(earlier, message)] }
     if (message.target.bound !== undefined) return startBoundedRead(shared, earlier, message, message.target.bound, moment)
     return isBehind(earlier, message) ? waitForCatchUp(earlier, message, moment) : enqueue(shared, earlier, message, moment)
   })
@@ -187,11 +197,12 @@
   return undefined
 }
 
-function continueUnit (database: OwnedDatabase, message: RunRequest): DatabaseStep {
+function continueUnit (database: OwnedDatabase, message: RunRequest, moment: Moment): DatabaseStep {
   const unit = database.units.get(message.caller)
   if (unit === undefined || unit.phase !== 'idle' || unit.from !== message.from || unit.firstAttempt !== message.transaction) {
     return { database, effects: [answerFailed(message.from!, message, createFailure('transaction-lost', 'the database does not hold it'), false)] }
   }
+  if (isGraceOver(database, moment)) return endUnit(database, message, createFailure('transaction-evacuated', database.entry.group))
   const next: UnitOfWork = { ...unit, phase: 'running', run: message, partsSent: 0 }
   return { database: replaceUnit(database, next), effects: [setDeadlineTimer(message, message.remainingMs), createExecute(message, unit.connection)] }
 }
--- a/src/transactions/messages.ts
+++ b/src/transactions/messages.ts
@@ -138,6 +138,17 @@
   readonly kind: 'transactions/owned-changed'
   readonly databases: readonly DatabaseEntry[]
   readonly grants: readonly GrantEntry[]
+  /** The evacuated failure domains; none if absent. */
+  readonly evacuated?: readonly string[]
+  /** A time at which none of them was evacuated that is new; absent if unknown. */
+  readonly confirmedAtMs?: number
+}
+
+/** Tells until when this host may take it that it missed no operators' order on a failure domain. */
+export interface OrdersConfirmed {
+  readonly kind: 'transactions/confirmed'
+  /** A monotonic time of this host; Infinity while it is isolated. */
+  readonly untilMs: number
 }
 
 /** Reports the log position that was read from an owned database. */
@@ -213,6 +224,7 @@
   | PositionStored
   | DeadlineExpired
   | HostLost
+  | OrdersConfirmed
   | OwnershipChanged
   | PositionRead
   | OpenBackoffExpired
--- a/src/transactions/ownership.ts
+++ b/src/transactions/ownership.ts
@@ -1,6 +1,9 @@
 /** Decisions on ownership: which databases this host serves, and how it releases one to another host. */
 import { createFailure, type Failure } from '../core/errors.js'
 import { ORIGIN } from '../core/position.js'
+import type { Moment } from '../core/message.js'
+import { markOwned } from '../evacuation/owner.js'
+import { isEvacuated } from '../evacuation/view.js'
 import type { DatabaseEffect } from '../databases/driver.js'
 import type { DatabaseGuarantees } from '../databases/guarantees.js'
 import { createQueue, removeEntry, listEntries } from '../fairness/queue.js'
@@ -12,15 +15,16 @@
 
 /**
  * Replaces the set of owned databases, and starts to release those that this host no longer owns.
- * @example updateOwnership(store, { kind: 'transactions/owned-changed', databases: [], grants: [] })
+ * @example updateOwnership(store, { kind: 'transactions/owned-changed', databases: [], grants: [] }, moment)
  */
-export function updateOwnership (store: TransactionsStore, message: OwnershipChanged): TransactionsStep {
+export function updateOwnership (store: TransactionsStore, message: OwnershipChanged, moment: Moment): TransactionsStep {
+  const { evacuated = [], confirmedAtMs = moment.monotonicMs } = message
   const ownedNames = new Set(message.databases.map(entry => entry.database))
   const generation = store.shared.generation + 1
-  const released = [...store.items.values()].filter(database => !ownedNames.has(database.entry.database)).map(releaseDatabase)
+  const released = [...store.items.values()].filter(database => !ownedNames.has(database.entry.database)).map(database => releaseDatabase(markOwned(database, evacuated, confirmedAtMs)))
   const owned = message.databases.map(entry => {
     const known = store.items.get(entry.database) ?? createOwned(entry, generation, store.shared.guarantees)
-    return updateEntry(known, entry, message.grants.find(grant => grant.group === entry.group))
+    return updateEntry(markOwned({ ...known, entry }, evacuated, confirmedAtMs), message.grants.find(grant => grant.group === entry.group))
   })
   const steps = [...released, ...owned].map(step => completeStep(step.database, step.effects))
   return {
@@ -73,10 +77,10 @@
 }
 
 // Connections beyond a lowered limit stay until they end; no other one is opened meanwhile.
-function updateEntry (known: OwnedDatabase, announced: DatabaseEntry, grant: GrantEntry | undefined): DatabaseStep {
-  const entry: DatabaseEntry = { ...announced, connectionLimit: Math.max(announced.connectionLimit, known.connections.size) }
-  const step = applyGrant({ ...known, entry, releasing: false }, grant)
-  return entry.departing ? continueStep(step, refuseQueued) : step
+function updateEntry (owned: OwnedDatabase, grant: GrantEntry | undefined): DatabaseStep {
+  const entry: DatabaseEntry = { ...owned.entry, connectionLimit: Math.max(owned.entry.connectionLimit, owned.connections.size) }
+  const step = applyGrant({ ...owned, entry, releasing: false }, grant)
+  return entry.departing || isEvacuated(entry) ? continueStep(step, refuseQueued) : step
 }
 
 function applyGrant (database: OwnedDatabase, grant: GrantEntry | undefined): DatabaseStep {
--- a/src/transactions/state.ts
+++ b/src/transactions/state.ts
@@ -61,6 +61,8 @@
 export interface OwnedDatabase {
   readonly entry: DatabaseEntry
   readonly guarantees: DatabaseGuarantees
+  /** From when transactions may go on for a while, if its failure domain is evacuated. */
+  readonly evacuatedAtMs?: number
   /** True once another host owns the database: running units finish, then the record is removed. */
   readonly releasing: boolean
   /** True during the backoff after a connection could not be opened. */
@@ -106,6 +108,8 @@
   readonly stopping: boolean
   /** The monotonic time at which all work has to have ended; absent unless this host is stopping. */
   readonly endsAtMs?: number
+  /** Until when this host may take it that it missed no operators' order on a failure domain; absent where no setting bounds it. */
+  readonly confirmedUntilMs?: number
   /** Positions of the primaries by group, oldest first; empty unless the databases fence themselves. */
   readonly samples: ReadonlyMap<string, readonly PrimarySample[]>
 }
