--- a/src/agreement/trace.test.ts
+++ b/src/agreement/trace.test.ts
@@ -12,9 +12,9 @@
   log: { term: 3, committed: 6 }
 }
 
-// The trace was recorded before these three messages and the vote requests of a cold start existed. All other
+// The trace was recorded before these four messages and the vote requests of a cold start existed. All other
 // effects must be the same.
-const ADDED_AFTER_RECORDING = ['succession/leadership', 'shares/registered', 'membership/remembered']
+const ADDED_AFTER_RECORDING = ['succession/leadership', 'shares/registered', 'membership/remembered', 'evacuation/leadership']
 const isInRecording = (effect: Effect): boolean => {
   if (effect.kind === 'peer/send') return (effect as SendPeer<VoteRequest>).message.cold !== true
   return effect.kind !== 'loop/tell' || !ADDED_AFTER_RECORDING.includes((effect as Tell).message.kind)
--- a/src/membership/decide.ts
+++ b/src/membership/decide.ts
@@ -227,7 +227,7 @@
 }
 
 function listOwnDatabases (state: MembershipState, directory: Directory, owners: MembershipState['owners']): MembershipState['ownedDatabases'] {
-  const owned = listMarkedDatabases(directory).filter(({ database }) => owners.get(database) === state.self?.host)
+  const owned = listEntries(directory, 'database').filter(({ database }) => owners.get(database) === state.self?.host)
   const groups = new Map(listEntries(directory, 'document').flatMap(({ document }) => document.groups.map(group => [group.name, group.connections] as const)))
   // A new leader may name databases before documents.
   const findLimit = ({ database, group, slots }: DatabaseEntry): number => groups.get(group) ?? state.ownedDatabases.get(database)?.connectionLimit ?? slots
--- a/src/succession/decide.test.ts
+++ b/src/succession/decide.test.ts
@@ -61,6 +61,10 @@
     this.#entries.set(index, { ...this.#entries.get(index)!, departing: true })
   }
 
+  setEvacuated (...domains: readonly string[]): void {
+    this.#decide({ kind: 'succession/evacuated', domains: new Set(domains) })
+  }
+
   answer (outcome: 'done' | 'refused' | 'unanswered'): void {
     const { group, appointment } = this.calls[this.calls.length - 1]!
     this.#decide({ kind: 'succession/answered', group, appointment, outcome })
@@ -237,6 +241,62 @@
     expect(leader.published).to.deep.equal(['db-0', 'db-2'])
   })
 
+  it('moves the primary out of an evacuated failure domain, and keeps it published until then', () => {
+    const leader = TestLeader.create()
+    leader.run(3_000)
+    leader.setEvacuated('a')
+    leader.run(100)
+    expect(leader.calls.map(call => call.database)).to.deep.equal(['db-2'])
+    expect(leader.published).to.deep.equal(['db-0'])
+    leader.answer('done')
+    expect(leader.published).to.deep.equal(['db-0', 'db-2'])
+    leader.run(10_000, 2)
+    expect(leader.calls.length).to.equal(1)
+  })
+
+  it('moves the primary out of an evacuated failure domain where writes are acknowledged by a replica\'s copy', () => {
+    const leader = TestLeader.create()
+    leader.requireCopies(1)
+    leader.run(3_000)
+    leader.setEvacuated('a')
+    leader.run(500)
+    expect(leader.calls.map(call => call.database)).to.deep.equal(['db-2'])
+  })
+
+  it('appoints a database of an evacuated failure domain only while no other one can lead', () => {
+    const leader = TestLeader.create()
+    leader.run(3_000)
+    leader.setEvacuated('c')
+    leader.silentDatabases.add(0)
+    leader.run(1_000)
+    expect(leader.calls.map(call => call.database)).to.deep.equal(['db-1'])
+    const alone = TestLeader.create()
+    alone.run(3_000)
+    alone.setEvacuated('c')
+    alone.silentDatabases.add(1)
+    alone.run(3_000)
+    alone.silentDatabases.add(0)
+    alone.run(1_000)
+    expect(alone.calls[0]?.database).to.equal('db-2')
+  })
+
+  it('leaves the primary where it is while all databases of the group are evacuated, and takes the order back', () => {
+    const leader = TestLeader.create()
+    leader.run(3_000)
+    leader.setEvacuated('a', 'b', 'c')
+    leader.run(3_000)
+    expect(leader.calls).to.deep.equal([])
+    leader.setEvacuated('a', 'c')
+    leader.run(100)
+    expect(leader.calls.map(call => call.database)).to.deep.equal(['db-1'])
+    const ended = TestLeader.create()
+    ended.run(3_000)
+    ended.setEvacuated('a')
+    ended.setEvacuated()
+    ended.run(3_000)
+    expect(ended.calls).to.deep.equal([])
+  })
+
   it('accounts for the transit time of a delayed report', () => {
     const leader = TestLeader.create()
     leader.run(3_000)
--- /dev/null
+++ b/test/evacuationorders.test.ts
@@ -0,0 +1,81 @@
+/** Operators' orders on a zone over the platform's protocols: hosts, databases and the stand-in of the platform. */
+import { expect } from 'chai'
+import { createDesiredState, KEY, pollUntil } from './support/wireservice.js'
+import { Requester, WireDeployment } from './support/wire.js'
+
+const ZONE_BY_DATABASE: ReadonlyMap<string, string> = new Map([['i-0', 'zone-a'], ['i-1', 'zone-b'], ['i-2', 'zone-c']])
+/** The promised time from the acknowledgement of an order until it is in force at every host. */
+const EVACUATE_MS = 5_000
+
+async function connectToAll (deployment: WireDeployment, database: string): Promise<readonly Requester[]> {
+  return await Promise.all(deployment.callers.map(async address => (await Requester.create(address, database, KEY))[0]))
+}
+
+async function serveAll (requesters: readonly Requester[], text: string): Promise<void> {
+  for (const [index, requester] of requesters.entries()) await pollUntil(async () => (await requester.query(`s${index}`, text)).error === undefined)
+}
+
+describe('an evacuation on the platform\'s protocols', () => {
+  it('moves the primary out of the zone, keeps all requests from its databases, and is taken back', async () => {
+    await using deployment = await WireDeployment.create()
+    await pollUntil(async () => await deployment.putConfiguration(createDesiredState(3)) === 200)
+    const [writers, readers] = [await connectToAll(deployment, 'orders'), await connectToAll(deployment, 'views')]
+    await serveAll(writers, 'WRITE a one')
+    await serveAll(readers, 'READ a')
+    const former = deployment.group.primary
+    const zone = ZONE_BY_DATABASE.get(former)!
+    expect((await deployment.sendOrder(zone, 'begin')).status).to.equal(200)
+    const acknowledgedAtMs = performance.now()
+    expect((await deployment.sendOrder(zone, 'begin', 1)).status).to.equal(200)
+    await serveAll(writers, 'WRITE a two')
+    expect(deployment.group.primary).not.to.equal(former)
+    expect(performance.now() - acknowledgedAtMs).to.be.below(EVACUATE_MS)
+    const before = deployment.runs.length
+    for (let round = 0; round < 20; round++) {
+      for (const requester of [...writers, ...readers]) await requester.query('r', 'READ a')
+    }
+    const used = new Set(deployment.runs.slice(before).map(({ database }) => database))
+    expect(used.size).to.be.above(0)
+    expect([...used]).not.to.include(former)
+    expect((await deployment.sendOrder(zone, 'end')).status).to.equal(200)
+    await pollUntil(async () => {
+      for (const requester of readers) await requester.query('r', 'READ a')
+      return deployment.runs.slice(before).some(({ database }) => database === former)
+    })
+  })
+
+  it('refuses at once what only an evacuated zone can run, and rolls transactions back that do not end', async () => {
+    await using deployment = await WireDeployment.create()
+    await pollUntil(async () => await deployment.putConfiguration(createDesiredState(3)) === 200)
+    const writers = await connectToAll(deployment, 'orders')
+    await serveAll(writers, 'WRITE a one')
+    const [first, second] = writers
+    expect((await first!.query('t1', 'BEGIN')).status).to.equal('open')
+    expect((await first!.query('t2', 'WRITE a lost')).error).to.equal(undefined)
+    const zones = [...ZONE_BY_DATABASE.values()]
+    for (const zone of zones) expect((await deployment.sendOrder(zone, 'begin')).status).to.equal(200)
+    await pollUntil(async () => (await second!.query('w', 'WRITE a two')).error === 'BUSY')
+    const startedAtMs = performance.now()
+    expect((await second!.query('w', 'WRITE a two')).error).to.equal('BUSY')
+    expect(performance.now() - startedAtMs).to.be.below(150)
+    await new Promise(resolve => setTimeout(resolve, 2_200))
+    const before = deployment.runs.length
+    expect((await first!.query('t3', 'COMMIT')).error).to.equal('ABORTED')
+    expect(deployment.runs.length).to.equal(before)
+    for (const zone of zones) expect((await deployment.sendOrder(zone, 'end')).status).to.equal(200)
+    await serveAll([second!], 'WRITE a three')
+    await pollUntil(async () => (await second!.query('r', 'READ a')).lines[0] === 'ROW three')
+  })
+
+  it('refuses an unknown zone with its place, and knows the zones of the settings', async () => {
+    await using deployment = await WireDeployment.create({ zoneLines: ['zones.zone-d=area'] })
+    await pollUntil(async () => (await deployment.sendOrder('zone-d', 'begin')).status === 200)
+    await pollUntil(async () => (await deployment.sendOrder('nowhere', 'begin')).status === 404)
+    const refused = await deployment.sendOrder('nowhere', 'begin')
+    expect(refused.body).to.include('zone').and.to.include('nowhere')
+    expect((await deployment.sendOrder('a%20b', 'begin')).status).to.equal(400)
+    expect((await deployment.sendOrder('zone-d', 'begin', 2)).status).to.equal(200)
+    expect((await deployment.sendOrder('zone-d', 'end', 1)).status).to.equal(200)
+    expect((await deployment.sendOrder('nowhere', 'end')).status).to.equal(200)
+  })
+})
--- a/test/support/wire.ts
+++ b/test/support/wire.ts
@@ -74,6 +74,8 @@
   readonly workMs?: number
   /** Returns what a statement of a caller waits for before it runs in a database; undefined when it does not wait. */
   readonly holdStatement?: (text: string) => Promise<void> | undefined
+  /** Lines of the settings that name zones beyond those of the hosts. */
+  readonly zoneLines?: readonly string[]
 }
 
 /** Three control hosts, three entry hosts and one group of three databases. */
@@ -115,6 +117,12 @@
     return response.status
   }
 
+  /** Sends an order on a failure domain to a control host; returns the HTTP status and the body. */
+  async sendOrder (zone: string, order: 'begin' | 'end', hostIndex = 0): Promise<{ readonly status: number, readonly body: string }> {
+    const response = await fetch(`http://${this.control[hostIndex]}/-/evacuations/${zone}/${order}`, { method: 'POST' })
+    return { status: response.status, body: await response.text() }
+  }
+
   /** Reads the HTTP status and the version of the desired state from a control host. */
   async readConfiguration (hostIndex = 0): Promise<{ readonly status: number, readonly version?: number }> {
     const response = await fetch(`http://${this.control[hostIndex]}/-/config/get`)
@@ -155,6 +163,8 @@
         'bootstrap=true',
         'beat_interval_ms=300',
         'tolerate.machines=1',
+        'bounds.evacuate_ms=5000',
+        ...(this.#options.zoneLines ?? []),
         `cloud.address=${this.#platform.address}`,
         ...(isControl ? [`listen.control=${ip}:${control}`, `data_dir=${join(this.#directory, String(index))}`] : [`listen.front=${ip}:${front}`, `listen.ready=${ip}:${ready}`])
       ].join('\n')
