Evacuation: tests over processes, of the command line and of explain

Change: explain names the order behind a refusal; the desired state of the platform's tests moves to test/support/wireservice.ts (no test changed by that).

--- a/src/cli/program.test.ts
+++ b/src/cli/program.test.ts
@@ -83,7 +83,7 @@
       expect(await run(terminal, ...args), args.join(' ')).to.equal(2)
     }
     expect(await runProgram(['status'], terminal, {})).to.equal(2)
-    for (const command of ['apply', 'show', 'list', 'key', 'status', 'drain', 'primary', 'timeline', 'check']) {
+    for (const command of ['apply', 'show', 'list', 'key', 'status', 'drain', 'evacuate', 'primary', 'timeline', 'check']) {
       expect(await run(terminal, command, '--help'), command).to.equal(0)
       expect(terminal.printed.pop(), command).to.match(/Exit codes/)
     }
--- a/src/explaining/causes.ts
+++ b/src/explaining/causes.ts
@@ -72,6 +72,22 @@
   }
 }
 
+class EvacuationCause extends Cause {
+  readonly kind = 'evacuation'
+
+  static create (): EvacuationCause {
+    return new EvacuationCause()
+  }
+
+  explain ({ events }: RequestHistory, last: LogLine): Conclusion | undefined {
+    const { failure, group } = last.fields
+    if (failure !== 'evacuated' && failure !== 'transaction-evacuated') return undefined
+    const orders = events.filter(event => event.fields.event === 'evacuation-begun')
+    const effect = failure === 'evacuated' ? `No database of group ${String(group)} outside evacuated failure domains could run the request.` : `The transaction did not end in time at a database of group ${String(group)} that is evacuated, and was rolled back.`
+    return this.createConclusion(effect, orders)
+  }
+}
+
 class HostLossCause extends Cause {
   readonly kind = 'host-lost'
 
@@ -133,7 +149,7 @@
 }
 
 /** All causes, from the most specific to the fallback. */
-const CAUSES: readonly Cause[] = [RateLimitCause.create(), PrimaryChangeCause.create(), HostLossCause.create(), QueueCause.create(), SilentDatabaseCause.create(), ReportedCause.create()]
+const CAUSES: readonly Cause[] = [RateLimitCause.create(), EvacuationCause.create(), PrimaryChangeCause.create(), HostLossCause.create(), QueueCause.create(), SilentDatabaseCause.create(), ReportedCause.create()]
 
 /**
  * Finds the cause of a request's outcome; undefined when the history has no line of the request.
--- a/src/explaining/history.test.ts
+++ b/src/explaining/history.test.ts
@@ -53,6 +53,14 @@
     expect(cause.text).to.include('"a1"').and.include('310 ms').and.include('125 ms')
   })
 
+  it('attributes a refusal to the evacuation of a failure domain', () => {
+    const begun = createLine(-400, 'h9', 'evacuation: Failure domain east is evacuated: its databases get no more requests.', { event: 'evacuation-begun' })
+    const cause = findCause(readHistory([createEnd(0, 'failed', { phase: 'routing', failure: 'evacuated' }), begun, ...NOISE]))!
+    expect(cause.kind).to.equal('evacuation')
+    expect(cause.evidence.map(line => line.text)).to.deep.equal(['evacuation: Failure domain east is evacuated: its databases get no more requests.'])
+    expect(findCause(readHistory([createEnd(0, 'failed', { phase: 'running', failure: 'transaction-evacuated' }), ...NOISE]))!.text).to.include('rolled back')
+  })
+
   it('attributes a refusal to the start of the host only while the host had no share yet', () => {
     const started = createLine(-700, 'h1', 'daemon: Host h1 started; callers connect to h1:1.')
     const findText = (fields: object): string => findCause(readHistory([createEnd(0, 'failed', { phase: 'admitting', failure: 'rate-exceeded', reserve: 'complete', ...fields }), started, ...NOISE]))!.text
--- a/test/cli.test.ts
+++ b/test/cli.test.ts
@@ -118,6 +118,18 @@
     expect((await run('status')).code).to.equal(0)
   })
 
+  it('begins and ends the evacuation of a failure domain, and refuses an unknown one', async () => {
+    const readStatus = async (): Promise<SystemStatus> => JSON.parse((await run('status', '--json')).out) as SystemStatus
+    const { failureDomain } = (await readStatus()).hosts[0]!
+    expect((await run('evacuate', failureDomain)).code).to.equal(0)
+    expect((await run('evacuate', failureDomain)).out).to.include(`Failure domain ${failureDomain} is evacuated.`)
+    expect((await readStatus()).evacuated).to.deep.equal([failureDomain])
+    expect((await run('status')).out).to.include(`Evacuated failure domains: ${failureDomain}.`)
+    expect((await run('evacuate', failureDomain, '--end')).code).to.equal(0)
+    expect((await readStatus()).evacuated).to.deep.equal([])
+    expect(await run('evacuate', 'no-such-domain')).to.deep.include({ code: 1 })
+  })
+
   it('serves metrics with units, health, and readiness, which ends with a drain', async () => {
     await pollUntil('readiness', async () => (await fetchPage(hosts[2]!, '/ready')).status === 200)
     expect(await runAt(hosts[0]!, 'drain', 'host-3')).to.include({ code: 0, out: 'Host host-3 is draining.\n' })
--- a/test/evacuationorders.test.ts
+++ b/test/evacuationorders.test.ts
@@ -7,11 +7,22 @@
 /** The promised time from the acknowledgement of an order until it is in force at every host. */
 const EVACUATE_MS = 5_000
 
-async function connectToAll (deployment: WireDeployment, database: string): Promise<readonly Requester[]> {
-  return await Promise.all(deployment.callers.map(async address => (await Requester.create(address, database, KEY))[0]))
+// Opens a session at each host, once its first statement is answered.
+async function connectToAll (deployment: WireDeployment, database: string, text: string): Promise<readonly Requester[]> {
+  const requesters: Requester[] = []
+  for (const address of deployment.callers) {
+    await pollUntil(async () => {
+      const [requester, answer] = await Requester.create(address, database, KEY)
+      const isServed = answer.error === undefined && (await requester.query('s', text)).error === undefined
+      if (isServed) requesters.push(requester)
+      else requester.close()
+      return isServed
+    })
+  }
+  return requesters
 }
 
-async function serveAll (requesters: readonly Requester[], text: string): Promise<void> {
+async function writeUntilServed (requesters: readonly Requester[], text: string): Promise<void> {
   for (const [index, requester] of requesters.entries()) await pollUntil(async () => (await requester.query(`s${index}`, text)).error === undefined)
 }
 
@@ -19,15 +30,13 @@
   it('moves the primary out of the zone, keeps all requests from its databases, and is taken back', async () => {
     await using deployment = await WireDeployment.create()
     await pollUntil(async () => await deployment.putConfiguration(createDesiredState(3)) === 200)
-    const [writers, readers] = [await connectToAll(deployment, 'orders'), await connectToAll(deployment, 'views')]
-    await serveAll(writers, 'WRITE a one')
-    await serveAll(readers, 'READ a')
+    const [writers, readers] = [await connectToAll(deployment, 'orders', 'WRITE a one'), await connectToAll(deployment, 'views', 'READ a')]
     const former = deployment.group.primary
     const zone = ZONE_BY_DATABASE.get(former)!
     expect((await deployment.sendOrder(zone, 'begin')).status).to.equal(200)
     const acknowledgedAtMs = performance.now()
     expect((await deployment.sendOrder(zone, 'begin', 1)).status).to.equal(200)
-    await serveAll(writers, 'WRITE a two')
+    await writeUntilServed(writers, 'WRITE a two')
     expect(deployment.group.primary).not.to.equal(former)
     expect(performance.now() - acknowledgedAtMs).to.be.below(EVACUATE_MS)
     const before = deployment.runs.length
@@ -47,8 +56,7 @@
   it('refuses at once what only an evacuated zone can run, and rolls transactions back that do not end', async () => {
     await using deployment = await WireDeployment.create()
     await pollUntil(async () => await deployment.putConfiguration(createDesiredState(3)) === 200)
-    const writers = await connectToAll(deployment, 'orders')
-    await serveAll(writers, 'WRITE a one')
+    const writers = await connectToAll(deployment, 'orders', 'WRITE a one')
     const [first, second] = writers
     expect((await first!.query('t1', 'BEGIN')).status).to.equal('open')
     expect((await first!.query('t2', 'WRITE a lost')).error).to.equal(undefined)
@@ -63,7 +71,7 @@
     expect((await first!.query('t3', 'COMMIT')).error).to.equal('ABORTED')
     expect(deployment.runs.length).to.equal(before)
     for (const zone of zones) expect((await deployment.sendOrder(zone, 'end')).status).to.equal(200)
-    await serveAll([second!], 'WRITE a three')
+    await writeUntilServed([second!], 'WRITE a three')
     await pollUntil(async () => (await second!.query('r', 'READ a')).lines[0] === 'ROW three')
   })
 
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -1,31 +1,11 @@
 import { expect } from 'chai'
+import { createDesiredState, KEY, OTHER_KEY, pollUntil } from './support/wireservice.js'
 import { WireDeployment, Requester } from './support/wire.js'
 
-const KEY = 'k-parish-1'
-const OTHER_KEY = 'k-school-1'
 const POLL_INTERVAL_MS = 50
 /** The promised time from the acknowledgement of a version until it is in force at every host. */
 const CONFIG_APPLY_MS = 3_000
 
-const createDesiredState = (version: number, change: object = {}): object => ({
-  version,
-  routes: [
-    { name: 'r1', host: 'orders', path_prefix: '/', type: 'primary', timeout_ms: 2_000, target_latency_ms: 150, priority: 0, service: 'rota', public: false },
-    { name: 'r2', host: 'views', path_prefix: '/', type: 'read_your_writes', timeout_ms: 2_000, target_latency_ms: 150, priority: 1, service: 'rota', max_staleness_ms: 2_500, public: false }
-  ],
-  services: [{ name: 'rota', max_conns: 20, sync_replicas: 0 }],
-  limits: { txn_idle_ms: 3_000 },
-  tenants: [
-    { name: 'parish', api_keys: [KEY], priority: 1, rate_per_s: 500, burst: 500 },
-    { name: 'school', api_keys: [OTHER_KEY], priority: 1, rate_per_s: 500, burst: 500 }
-  ],
-  ...change
-})
-
-async function pollUntil (condition: () => Promise<boolean>): Promise<void> {
-  while (!await condition()) await new Promise(resolve => setTimeout(resolve, POLL_INTERVAL_MS))
-}
-
 async function connectWhenReady (deployment: WireDeployment, callerIndex = 0, database = 'orders'): Promise<Requester> {
   let requester: Requester | undefined
   await pollUntil(async () => {
