--- a/src/primacy/decide.test.ts
+++ b/src/primacy/decide.test.ts
@@ -124,6 +124,23 @@
     expect(waits).to.deep.equal([0, 1_000, 2_000, 4_000, 4_000])
   })
 
+  it('moves a primary out of an evacuated failure domain, unless all others are evacuated, too', () => {
+    const runWith = (...domains: readonly string[]): readonly PrimacyCommand[] => {
+      const leader = createLeader()
+      send(leader, { kind: 'primacy/evacuated', domains: new Set(domains) }, 0)
+      for (let nowMs = 0; nowMs <= 4_000; nowMs += 100) {
+        report(leader, 'h1', 'north', [['d1', 4]], nowMs)
+        report(leader, 'h2', 'east', [['d2', 4]], nowMs)
+        report(leader, 'h3', 'south', [['d3', 4]], nowMs)
+        send(leader, { kind: 'primacy/check-due' }, nowMs)
+      }
+      return leader.proposed
+    }
+    expect(runWith()).to.deep.equal([])
+    expect(runWith('north', 'east')[0]).to.deep.include({ kind: 'primacy/close', target: 'd3' })
+    expect(runWith('north', 'east', 'south')).to.deep.equal([])
+  })
+
   it('replaces a departing member only once a majority holds an entry of the current term', () => {
     const leader = createLeader()
     const runCheck = (nowMs: number, term: number): void => {
