--- a/src/evacuation/effects.test.ts
+++ b/src/evacuation/effects.test.ts
@@ -132,6 +132,13 @@
     expect(listMessages(refused, 'requests/failed')[0]).to.have.nested.property('failure.code', 'transaction-evacuated')
   })
 
+  it('refuses what waits once it may have missed an order', () => {
+    handle(createRun('c1', 1))
+    expect(handle({ kind: 'transactions/confirmed', untilMs: nowMs })).to.deep.equal([])
+    nowMs += 1
+    expect(listMessages(handle({ kind: 'transactions/confirmed', untilMs: nowMs - 1 }), 'requests/failed')).to.have.length(1)
+  })
+
   it('refuses all work while it may have missed an order', () => {
     handle({ kind: 'transactions/confirmed', untilMs: 1_500 })
     nowMs = 1_501
@@ -191,6 +198,14 @@
     expect(listLeases().at(-1)).to.equal(10_100)
   })
 
+  it('tells the end of its lease to the owner, which refuses what waits', () => {
+    start(1_000)
+    beat(1_000, ENTRIES)
+    effects = []
+    for (let atMs = 1_100; atMs <= 2_500; atMs += 100) decide({ kind: 'membership/beat-due' }, atMs)
+    expect(listLeases()).to.deep.equal([1_900])
+  })
+
   it('is confirmed by a majority only if it holds all orders that the majority may hold', () => {
     start(5_000)
     beat(1_000, [...ENTRIES, ORDER])
--- a/src/evacuation/owner.ts
+++ b/src/evacuation/owner.ts
@@ -6,7 +6,7 @@
 import type { Moment } from '../core/message.js'
 import type { RunRequest } from '../transactions/messages.js'
 import type { OwnedDatabase, TransactionsShared } from '../transactions/state.js'
-import { answerFailed, refuseRun, type TransactionsEffect } from '../transactions/step.js'
+import { answerFailed, type TransactionsEffect } from '../transactions/step.js'
 import { isEvacuated, markDatabase } from './view.js'
 
 /** How long a transaction may go on after the order. It counts from the last confirmation before the owner knew of the order. */
@@ -40,12 +40,11 @@
 }
 
 /**
- * Returns the refusal of a request while the host may have missed an order; undefined if it can't have. Another host may own the
- * database by the next try.
+ * Returns the refusal of a request while the host may have missed an order; undefined if it can't have. A read may find another
+ * replica.
  * @example refuseUnconfirmed(shared, message, moment)
  */
 export function refuseUnconfirmed ({ confirmedUntilMs = Infinity }: TransactionsShared, message: RunRequest, { monotonicMs }: Moment): TransactionsEffect | undefined {
   if (monotonicMs <= confirmedUntilMs) return undefined
-  const failure = createFailure('no-authority')
-  return message.transaction === undefined ? refuseRun(message, failure) : answerFailed(message.from!, message, failure, false)
+  return answerFailed(message.from!, message, createFailure('no-authority'), message.transaction === undefined && message.target.purpose === 'replica')
 }
--- a/src/membership/decide.ts
+++ b/src/membership/decide.ts
@@ -108,7 +108,7 @@
   const statuses = new Map([...state.statuses].map(([database, known]) => [database, { ...known, silentMs: known.silentMs + timelyMs }]))
   const ticked = recordTick(state.contact, rankControlHosts(state), intervalMs, moment)
   const sent = sendHeartbeat({ ...state, statuses, contact: ticked.contact }, moment)
-  return { state: sent.state, effects: [...sent.effects, ...ticked.effects, ...tellLease(state, sent.state)] }
+  return { state: sent.state, effects: [...sent.effects, ...ticked.effects, ...tellLease(state, sent.state, moment)] }
 }
 
 function sendHeartbeat (state: MembershipState, moment: Moment): MembershipStep {
@@ -142,9 +142,10 @@
 }
 
 // An owner in contact that is not confirmed may have missed an order. One that is cut off goes on by what it has.
-function tellLease (before: MembershipState, after: MembershipState): readonly CoreEffect[] {
+function tellLease (before: MembershipState, after: MembershipState, moment?: Moment): readonly CoreEffect[] {
   const untilMs = findLeaseEnd(after)
-  return untilMs === undefined || untilMs === findLeaseEnd(before) ? [] : [tell({ kind: 'transactions/confirmed', untilMs })]
+  const hasLapsed = moment !== undefined && untilMs !== undefined && untilMs < moment.monotonicMs && untilMs >= (before.contact.tickedAtMs ?? moment.monotonicMs)
+  return untilMs === undefined || (untilMs === findLeaseEnd(before) && !hasLapsed) ? [] : [tell({ kind: 'transactions/confirmed', untilMs })]
 }
 
 function findLeaseEnd ({ timing, contact, ordersConfirmedAtMs, self }: MembershipState): number | undefined {
@@ -218,10 +219,10 @@
 }
 
 function notifyOrders ({ self, directory }: MembershipState, hosts: readonly HostEntry[], databases: readonly DatabaseEntry[]): readonly CoreEffect[] {
-  const domains = [...new Set([...hosts, ...databases].map(({ failureDomain }) => failureDomain))]
   const orders = listOrders(directory)
+  const domains = (): readonly string[] => [...new Set([...hosts, ...databases].map(({ failureDomain }) => failureDomain))]
   return [
-    ...(self?.control === true ? [tell({ kind: 'evacuation/directory-changed', domains, databases })] : []),
+    ...(self?.control === true ? [tell({ kind: 'evacuation/directory-changed', domains: domains(), databases })] : []),
     ...(orders.size > 0 ? [tell({ kind: 'operations/orders-known', orders })] : [])
   ]
 }
--- a/src/transactions/decide.ts
+++ b/src/transactions/decide.ts
@@ -7,9 +7,9 @@
 import { isEvacuated } from '../evacuation/view.js'
 import { removeEntry, enqueueEntry, findEntry, listEntries, type QueueLimits } from '../fairness/queue.js'
 import { dropCatchUpRead, pollPosition, splitCovered, waitForCatchUp } from './catchup.js'
-import type { CancelRequest, CreditGranted, DatabaseFinished, DatabaseOutput, HostLost, LagDue, PositionRead, RunRequest, DeadlineExpired, TransactionsMessage } from './messages.js'
+import type { CancelRequest, CreditGranted, DatabaseFinished, DatabaseOutput, HostLost, LagDue, OrdersConfirmed, PositionRead, RunRequest, DeadlineExpired, TransactionsMessage } from './messages.js'
 import { completeStep, updateOwnership } from './ownership.js'
-import { abortUnit, createExecute, endOpenBackoff, findUnit, handleConnectionBroken, handleOpenFailed, releaseUnit, startQueued, acceptConnection } from './pool.js'
+import { abortUnit, createExecute, endOpenBackoff, findUnit, handleConnectionBroken, handleOpenFailed, refuseQueued, releaseUnit, startQueued, acceptConnection } from './pool.js'
 import type { StalenessBound } from '../requests/messages.js'
 import { isTooLate } from '../stopping/remaining.js'
 import { findProvenFloor } from '../routing/staleness.js'
@@ -45,7 +45,7 @@
     case 'transactions/run': return handleRun(store, message, moment)
     case 'transactions/cancel': return handleCancel(store, message)
     case 'transactions/owned-changed': return startMeasuring(store, updateOwnership(store, message, moment), moment)
-    case 'transactions/confirmed': return { shared: { ...store.shared, confirmedUntilMs: message.untilMs }, effects: [] }
+    case 'transactions/confirmed': return updateConfirmation(store, message, moment)
     case 'transactions/lag-due': return updateOverlaps(store, message, moment)
     case 'transactions/host-lost': return handleHostLost(store, message)
     case 'transactions/count-asked': return reportWorkCount(store, message.host)
@@ -67,6 +67,14 @@
   }
 }
 
+// What waits when the host may have missed an order is refused like what arrives then.
+function updateConfirmation (store: TransactionsStore, { untilMs }: OrdersConfirmed, moment: Moment): TransactionsStep {
+  const shared: TransactionsShared = { ...store.shared, confirmedUntilMs: untilMs }
+  if (moment.monotonicMs <= untilMs) return { shared, effects: [] }
+  const steps = [...store.items.keys()].map(name => decideFor(store, name, refuseQueued))
+  return { shared, changes: steps.flatMap(step => step.changes ?? []), effects: steps.flatMap(step => step.effects) }
+}
+
 // Hosts without databases measure nothing.
 function startMeasuring (store: TransactionsStore, step: TransactionsStep, moment: Moment): TransactionsStep {
   const starts = store.items.size === 0 && (step.changes?.length ?? 0) > 0
