--- a/src/admission/decide.ts
+++ b/src/admission/decide.ts
@@ -3,6 +3,7 @@
 import { createFailure, type Failure } from '../core/errors.js'
 import { recordEvent, type CoreEffect, type Moment } from '../core/message.js'
 import type { DocumentEntry } from '../membership/directory.js'
+import { mergeHomes } from '../homes/homes.js'
 import type { Route, ServiceDocument, Workspace } from '../documents/document.js'
 import type { RouteRules } from '../requests/messages.js'
 import { addCaller, removeCaller, reportWithdrawnKeys } from './callers.js'
@@ -150,16 +151,16 @@
   const route = message.route === undefined ? undefined : index.routes.get(message.route)
   if (message.route !== undefined && route === undefined) return Result.err(createFailure('unknown-route', message.route))
   if (route?.access === 'open' && !isKeyedTransaction(message)) {
-    return Result.ok({ rules: { ...createRules(route, route.group!, message), open: true } })
+    return Result.ok({ rules: { ...createRules(route, route.group!, message, route.homes), open: true } })
   }
   if (message.workspace === undefined) return Result.err(createFailure('key-needed', message.route ?? ''))
   return checkKey(shared, index, message.workspace, message.keyHash, moment).map(workspace => ({
     workspace,
-    rules: createRules(route, route?.group ?? workspace.group, message)
+    rules: createRules(route, route?.group ?? workspace.group, message, mergeHomes(route?.homes, workspace.homes))
   }))
 }
 
-function createRules (route: Route | undefined, group: string, message: CheckRequest): RouteRules {
+function createRules (route: Route | undefined, group: string, message: CheckRequest, homes: readonly string[] | undefined): RouteRules {
   const { timeoutMs, idleTransactionMs, priority, latencyMs } = route ?? {}
   return {
     group,
@@ -169,7 +170,8 @@
     timeoutMs,
     idleTransactionMs,
     priority,
-    latencyMs
+    latencyMs,
+    homes
   }
 }
 
--- a/src/daemon/slices.ts
+++ b/src/daemon/slices.ts
@@ -8,6 +8,7 @@
 import type { DatabaseGuarantees } from '../databases/guarantees.js'
 import { createDocumentsState, decideDocuments } from '../documents/decide.js'
 import { createEvacuationState, decideEvacuation } from '../evacuation/decide.js'
+import { createRegions } from '../homes/homes.js'
 import { decideMembership } from '../membership/decide.js'
 import { createMembershipState } from '../membership/state.js'
 import { createOperationsState, decideOperations } from '../operations/decide.js'
@@ -42,12 +43,12 @@
     StoreSlice.create({ name: 'admission', shared: createAdmissionShared({ self: host, servesWhenIsolated: settings.authority === 'kept', acceptsCallers: settings.callers !== undefined, startedAtMs }), decide: decideAdmission, checkItem: checkAllowance }),
     DecidingSlice.create({ name: 'agreement', initial: createAgreementState(), decide: decideAgreement }),
     DecidingSlice.create({ name: 'documents', initial: createDocumentsState(), decide: decideDocuments }),
-    DecidingSlice.create({ name: 'evacuation', initial: createEvacuationState(settings.failureDomains), decide: decideEvacuation }),
+    DecidingSlice.create({ name: 'evacuation', initial: createEvacuationState(settings.failureDomains.map(({ name }) => name)), decide: decideEvacuation }),
     DecidingSlice.create({ name: 'membership', initial: createMembershipState(timing), decide: decideMembership }),
     DecidingSlice.create({ name: 'operations', initial: createOperationsState(), decide: decideOperations }),
     DecidingSlice.create({ name: 'primacy', initial: createPrimacyState(!guarantees.selfFencing), decide: decidePrimacy }),
     StoreSlice.create({ name: 'requests', shared: createRequestsShared(limits.requestMs, guarantees), decide: decideRequests }),
-    DecidingSlice.create({ name: 'routing', initial: createRoutingState(host, failureDomain, guarantees, timing.askEveryMs), decide: decideRouting }),
+    DecidingSlice.create({ name: 'routing', initial: createRoutingState(host, failureDomain, guarantees, timing.askEveryMs, createRegions(settings.failureDomains)), decide: decideRouting }),
     StoreSlice.create({ name: 'shares', shared: createSharesShared(), decide: decideShares, checkItem: checkSharesItem }),
     DecidingSlice.create({ name: 'stopping', initial: createStoppingState(host, limits.balancerMs), decide: decideStopping }),
     DecidingSlice.create({ name: 'succession', initial: createSuccessionState(guarantees.selfFencing), decide: decideSuccession }),
--- a/src/documents/document.ts
+++ b/src/documents/document.ts
@@ -5,6 +5,7 @@
 import type { Finding } from '../core/findings.js'
 import { findDuplicates, readArray, readProperty, type RuleViolation } from '../core/unchecked.js'
 import { Name } from '../core/names.js'
+import { findUnknownHomes, type Regions } from '../homes/homes.js'
 
 const MAX_AUTHORITY_LEASE_MS = 5_000
 const DEFAULT_AUTHORITY_LEASE_MS = 2_000
@@ -15,6 +16,8 @@
 const PositiveCount = v.pipe(v.number(), v.integer('Expected a whole number'), v.minValue(1, 'Expected a number of at least 1'))
 const StalenessMs = v.pipe(v.number(), v.minValue(0, 'Expected milliseconds from 0'), v.maxValue(MAX_STALENESS_MS, `Expected at most ${MAX_STALENESS_MS} ms`))
 
+const Homes = v.pipe(v.array(Name), v.minLength(1, 'Expected at least one region'), v.readonly(), v.description('The regions in which the requests may run; those of a route and of a workspace both bind.'))
+
 /** A database group and its number of databases. */
 export const GroupSchema = v.pipe(v.strictObject({
   name: Name,
@@ -32,7 +35,8 @@
   rate: PositiveNumber,
   burst: PositiveCount,
   group: Name,
-  keys: v.pipe(v.optional(v.array(KeySchema), []), v.readonly())
+  keys: v.pipe(v.optional(v.array(KeySchema), []), v.readonly()),
+  homes: v.optional(Homes)
 }), v.readonly())
 
 /** A route: the access and action of its requests, and how stale their answers may be. */
@@ -46,7 +50,8 @@
   latencyMs: v.optional(v.pipe(PositiveCount, v.description('Latency target of a request, in milliseconds.'))),
   priority: v.optional(v.pipe(v.number(), v.integer('Expected a whole number'), v.minValue(0, 'Expected a number from 0'), v.description('Scheduling priority; 0 is the highest.'))),
   idleTransactionMs: v.optional(v.pipe(PositiveCount, v.description('Idle timeout of an open transaction, in milliseconds.'))),
-  group: v.optional(Name)
+  group: v.optional(Name),
+  homes: v.optional(Homes)
 }), v.readonly())
 
 /** The schema of a service's document. */
@@ -70,10 +75,12 @@
 /**
  * Parses and validates a document.
  * @example parseDocument('{ "service": "rota", "owners": ["ana"], "groups": [{ "name": "g", "databases": 3 }] }')
+ * @param regions the regions of the failure domains; homes in others are findings, too. Absent if they are not known.
  * @returns the document, or all findings with line and column.
  */
-export function parseDocument (text: string): Result<ServiceDocument, readonly Finding[]> {
-  return parseValidJson(text, ServiceDocumentSchema, checkReferences)
+export function parseDocument (text: string, regions?: Regions): Result<ServiceDocument, readonly Finding[]> {
+  const check = (value: unknown): readonly RuleViolation[] => [...checkReferences(value), ...(regions === undefined ? [] : findUnknownHomes(value, regions))]
+  return parseValidJson(text, ServiceDocumentSchema, check)
 }
 
 /**
--- a/src/requests/decide.ts
+++ b/src/requests/decide.ts
@@ -3,7 +3,8 @@
 import { clearTimer, type CoreEffect, type Moment } from '../core/message.js'
 import { UNCHANGED } from '../core/store.js'
 import { advanceSession, parseToken, getSeenPosition } from '../sessions/token.js'
-import { expireRequest, failAcknowledgement, failAttempt, failReplacedPrimaries, failRequest, handlePeerLost, rejectInput } from './failure.js'
+import { isAtHome } from '../homes/homes.js'
+import { endTransaction, expireRequest, failAcknowledgement, failAttempt, failReplacedPrimaries, failRequest, handlePeerLost, rejectInput } from './failure.js'
 import { logRequests, logUnanswered } from './log.js'
 import type { AttemptFailed, AttemptFinished, CallerConnected, ConnectionChecked, CountRequested, EndRequested, GrantsConfirmed, OutputDrained, OutputReceived, PeerLost, ReplicaSlow, RequestAdmitted, RequestArrived, RequestInput, RequestRouted, RequestsMessage, RequestUnanswered, RouteRules, SessionReplaced, StopRequested, AttemptId } from './messages.js'
 import { MAX_RETRY_BUDGET, RETRY_BUDGET_PER_SUCCESS, type Caller, type InFlightRequest, type OpenTransaction, type RequestsShared } from './state.js'
@@ -166,6 +167,7 @@
   const { transaction } = caller
   if (transaction?.phase === 'lost') return failRequest(caller, running, createFailure('transaction-lost', 'the connection to its host was lost or its primary was replaced'))
   if (transaction === undefined) return requestTarget(caller, { ...running, rules })
+  if (!isAtHome(rules.homes, transaction.regions)) return endTransaction(caller, running.input.intent, createFailure('transaction-homeless'))
   const next: InFlightRequest = { ...running, rules: transaction.rules, phase: 'routing' }
   const routed = tell({ kind: 'requests/routed', caller: caller.caller, attempt: running.attempt, target: transaction.target })
   return replaceCaller({ ...caller, running: next }, [routed])
@@ -208,7 +210,7 @@
     idleMs: running.rules?.idleTransactionMs,
     payload: running.payload
   })
-  const next: Caller = { ...caller, ticket, running: { ...running, phase: 'running', target, sentAtMs: moment.monotonicMs } }
+  const next: Caller = { ...caller, ticket, running: { ...running, phase: 'running', target, regions: message.regions, sentAtMs: moment.monotonicMs } }
   return { ...replaceCaller(next, [order, ...createSlowReplicaTimer(next)]), shared: { ...shared, sender, lastTicket: ticket.order } }
 }
 
@@ -268,7 +270,7 @@
   const { rules, target } = running
   if (message.status === 'idle' || rules === undefined || target === undefined) return undefined
   const longestMs = Math.max(transaction?.longestMs ?? 0, moment.monotonicMs - running.startedAtMs)
-  return { target, rules, beginAttempt: transaction?.beginAttempt ?? running.attempt, phase: message.status, longestMs }
+  return { target, regions: transaction?.regions ?? running.regions, rules, beginAttempt: transaction?.beginAttempt ?? running.attempt, phase: message.status, longestMs }
 }
 
 function closeConnection (caller: Caller): RequestsStep {
--- a/src/requests/messages.ts
+++ b/src/requests/messages.ts
@@ -34,6 +34,8 @@
   readonly latencyMs?: number
   /** How long an open transaction may stay idle; the host's limit when absent. */
   readonly idleTransactionMs?: number
+  /** The regions in which the request may run; any if absent. */
+  readonly homes?: readonly string[]
   /** True on a route that needs no key; the request then belongs to no workspace. */
   readonly open?: boolean
 }
@@ -119,6 +121,8 @@
 export interface RequestRouted extends AttemptId {
   readonly kind: 'requests/routed'
   readonly target: Target
+  /** The regions of the database and its owner, where the settings name regions. */
+  readonly regions?: readonly string[]
 }
 
 /** What an owner says of a database with each answer; set by the receiving host and the owner. */
--- a/src/requests/state.ts
+++ b/src/requests/state.ts
@@ -25,6 +25,8 @@
   readonly deadlineAtMs: number
   readonly rules?: RouteRules
   readonly target?: Target
+  /** The regions of the database and its owner, where the settings name regions. */
+  readonly regions?: readonly string[]
   /** Databases that could not serve an earlier attempt. */
   readonly excluded: readonly string[]
   /** True once an owner could not determine the floor of the read: the other owners of the group can't either. */
@@ -40,6 +42,8 @@
 /** The open transaction of a caller. */
 export interface OpenTransaction {
   readonly target: Target
+  /** The regions of the database and its owner, where the settings name regions. */
+  readonly regions?: readonly string[]
   readonly rules: RouteRules
   /** The attempt that began the transaction. */
   readonly beginAttempt: number
--- a/src/routing/decide.ts
+++ b/src/routing/decide.ts
@@ -4,11 +4,12 @@
 import { rankCandidates } from '../core/rendezvous.js'
 import { ORIGIN, coversPosition, pickLater, type LogPosition } from '../core/position.js'
 import { isEvacuated } from '../evacuation/view.js'
-import type { GrantEntry } from '../membership/directory.js'
+import { listRegions } from '../homes/homes.js'
+import type { DatabaseEntry, GrantEntry } from '../membership/directory.js'
 import type { Target } from '../requests/messages.js'
 import type { DatabaseAnswered, ChooseTarget, DirectoryChanged, OwnerAnswered, PositionsRequested, PositionsReported, RoutingMessage, StatusRead, ReportedPosition } from './messages.js'
 import { addSample, findFreshFloor } from './staleness.js'
-import { isUnresponsiveOwner, pickLeastLoaded } from './placement.js'
+import { isHome, isUnresponsiveOwner, pickLeastLoaded } from './placement.js'
 import type { TimedPosition, DatabaseWithOwner, PrimarySample, RoutingState } from './state.js'
 import { sendPeer, setTimer, tell } from '../messages.js'
 
@@ -59,7 +60,8 @@
   const target = !mayBeStale ? undefined : state.guarantees.selfFencing ? chooseBounded(state, message, grant) : chooseCovering(state, message, grant, moment)
   if (target !== undefined) return answerTarget({ ...state, roundRobinCounter: state.roundRobinCounter + 1 }, message, target, moment)
   const primary = grant?.primary === undefined ? undefined : state.databases.get(grant.primary)
-  if (primary !== undefined && isEvacuated(primary.entry)) return refuseEvacuated(state, message)
+  if (primary !== undefined && isEvacuated(primary.entry)) return refuseAtOnce(state, message, 'evacuated')
+  if (primary !== undefined && !isHome(primary, rules.homes)) return refuseAtOnce(state, message, 'no-home')
   if (grant === undefined || grant.closing === true || primary?.owner === undefined || isUnresponsiveOwner(state, primary.owner)) return refuse(state, message, 'no-primary', moment)
   return answerTarget(state, message, createTarget(primary, 'primary', grant.term, ORIGIN), moment)
 }
@@ -101,6 +103,7 @@
     database.owner !== undefined &&
     !database.entry.departing &&
     !isEvacuated(database.entry) &&
+    isHome(database, message.rules.homes) &&
     !message.avoid.includes(database.entry.database))
   const covering = eligible.filter(database => coversPosition(getLatestPosition(state, database), floor))
   const local = covering.filter(database => isLocal(state, database))
@@ -132,7 +135,7 @@
 function answerTarget (before: RoutingState, message: ChooseTarget, target: Target, moment: Moment): RoutingStep {
   const awaited = !before.guarantees.selfFencing || target.owner === before.self || before.awaitedOwners.has(target.owner)
   const state: RoutingState = awaited ? before : { ...before, reachedOwners: addReached(before, [target.owner]), awaitedOwners: new Map(before.awaitedOwners).set(target.owner, moment.monotonicMs) }
-  return { state, effects: [tell({ kind: 'requests/routed', caller: message.caller, attempt: message.attempt, target })] }
+  return { state, effects: [tell({ kind: 'requests/routed', caller: message.caller, attempt: message.attempt, target, regions: state.databases.get(target.database)?.regions })] }
 }
 
 function addReached ({ reachedOwners }: RoutingState, owners: readonly string[]): ReadonlySet<string> {
@@ -146,13 +149,14 @@
   return { state, effects: [tell({ kind: 'requests/failed', caller: message.caller, attempt: message.attempt, failure, retriable })] }
 }
 
-// A promotion takes longer than callers wait, so they are told when to come back.
-function refuseEvacuated (state: RoutingState, { caller, attempt, rules }: ChooseTarget): RoutingStep {
-  return { state, effects: [tell({ kind: 'requests/failed', caller, attempt, failure: createFailure('evacuated', rules.group), retriable: false })] }
+// A promotion takes longer than callers wait, so they are told when to come back. Nothing brings a database home.
+function refuseAtOnce (state: RoutingState, { caller, attempt, rules }: ChooseTarget, code: 'evacuated' | 'no-home'): RoutingStep {
+  return { state, effects: [tell({ kind: 'requests/failed', caller, attempt, failure: createFailure(code, rules.group), retriable: false })] }
 }
 
 function updateDirectory (state: RoutingState, message: DirectoryChanged): RoutingStep {
-  const databases = new Map(message.databases.map(entry => [entry.database, { entry, owner: message.owners.get(entry.database) }]))
+  const domains = new Map(state.regions.size === 0 ? [] : message.hosts.map(({ host, failureDomain }) => [host, failureDomain]))
+  const databases = new Map(message.databases.map(entry => [entry.database, createRouted(state, entry, message.owners.get(entry.database), domains)]))
   const grants = new Map(message.grants.map(grant => [grant.group, grant]))
   const owners = new Set([...databases.values()].map(({ owner }) => owner))
   const awaitedOwners = new Map([...state.awaitedOwners].filter(([owner]) => owners.has(owner)))
@@ -160,6 +164,13 @@
   return { state: { ...state, hosts: message.hosts, databases, grants, awaitedOwners, reachedOwners }, effects: [] }
 }
 
+// The regions that a request's body reaches beyond its caller's host: those of the database and of its owner.
+function createRouted ({ regions, self }: RoutingState, entry: DatabaseEntry, owner: string | undefined, domains: ReadonlyMap<string, string>): DatabaseWithOwner {
+  if (regions.size === 0) return { entry, owner }
+  const reached = owner === undefined || owner === self ? [entry.failureDomain] : [entry.failureDomain, domains.get(owner) ?? '']
+  return { entry, owner, regions: listRegions(regions, reached) }
+}
+
 function recordStatus (state: RoutingState, message: StatusRead): RoutingState {
   if (!message.status.answering) return state
   return recordPosition(state, message.status.database, { position: message.status.position, askedAtMs: message.askedAtMs })
--- a/src/routing/placement.ts
+++ b/src/routing/placement.ts
@@ -1,6 +1,7 @@
 /** Load-based placement of reads, for databases that refuse a read whose floor they lack. */
 import { pickHeaviest } from '../core/rendezvous.js'
 import { isEvacuated } from '../evacuation/view.js'
+import { isAtHome } from '../homes/homes.js'
 import type { ChooseTarget } from './messages.js'
 import type { DatabaseWithOwner, RoutingState } from './state.js'
 
@@ -31,8 +32,17 @@
   return equal.find(({ entry }) => entry.database === preferred) ?? equal[0]
 }
 
-function isEligible (state: RoutingState, { entry, owner }: DatabaseWithOwner, { avoid }: ChooseTarget): boolean {
-  return owner !== undefined && !isUnresponsiveOwner(state, owner) && !entry.departing && !isEvacuated(entry) && !avoid.includes(entry.database)
+function isEligible (state: RoutingState, database: DatabaseWithOwner, { avoid, rules }: ChooseTarget): boolean {
+  const { entry, owner } = database
+  return owner !== undefined && !isUnresponsiveOwner(state, owner) && !entry.departing && !isEvacuated(entry) && !avoid.includes(entry.database) && isHome(database, rules.homes)
+}
+
+/**
+ * Checks whether a request with these homes may run at a database.
+ * @example isHome(database, ['east'])
+ */
+export function isHome ({ regions }: DatabaseWithOwner, homes: readonly string[] | undefined): boolean {
+  return isAtHome(homes, regions)
 }
 
 /**
--- a/src/routing/state.ts
+++ b/src/routing/state.ts
@@ -2,6 +2,7 @@
 import type { LogPosition } from '../core/position.js'
 import { hashName } from '../core/rendezvous.js'
 import { POSTGRES_GUARANTEES, type DatabaseGuarantees } from '../databases/guarantees.js'
+import type { Regions } from '../homes/homes.js'
 import type { DatabaseEntry, GrantEntry, HostEntry } from '../membership/directory.js'
 
 /** Default time between two polls of positions. */
@@ -25,6 +26,8 @@
 export interface DatabaseWithOwner {
   readonly entry: DatabaseEntry
   readonly owner: string | undefined
+  /** Its region, and that of its owner unless this host owns it; absent where the settings name no regions. */
+  readonly regions?: readonly string[]
 }
 
 /** State of the routing slice. */
@@ -32,6 +35,8 @@
   readonly self: string
   readonly failureDomain: string
   readonly guarantees: DatabaseGuarantees
+  /** The region of each failure domain that has one. */
+  readonly regions: Regions
   /** Time between two polls of positions. */
   readonly askEveryMs: number
   readonly hosts: readonly HostEntry[]
@@ -69,11 +74,12 @@
  * Creates the state of a host before it has received the directory.
  * @example createRoutingState('host-1', 'domain-1')
  */
-export function createRoutingState (self: string, failureDomain: string, guarantees: DatabaseGuarantees = POSTGRES_GUARANTEES, askEveryMs = POSITION_POLL_INTERVAL_MS): RoutingState {
+export function createRoutingState (self: string, failureDomain: string, guarantees: DatabaseGuarantees = POSTGRES_GUARANTEES, askEveryMs = POSITION_POLL_INTERVAL_MS, regions: Regions = new Map()): RoutingState {
   return {
     self,
     failureDomain,
     guarantees,
+    regions,
     askEveryMs,
     hosts: [],
     databases: new Map(),
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -50,6 +50,8 @@
   askEveryMs: v.optional(v.pipe(Milliseconds, v.description('The interval between requests for the log positions of databases, in milliseconds.')), POSITION_POLL_INTERVAL_MS)
 }), v.readonly())
 
+const FailureDomainSchema = v.pipe(v.strictObject({ name: Name, region: v.optional(Name) }), v.readonly())
+
 const TraceSchema = v.pipe(v.strictObject({
   file: v.pipe(v.string(), v.minLength(1, 'Expected the path of a file')),
   slices: v.pipe(v.array(Name), v.minLength(1, 'Expected at least one slice'), v.readonly())
@@ -60,7 +62,7 @@
   $schema: v.optional(v.pipe(v.string(), v.description('The location of the JSON Schema, for editors.'))),
   host: Name,
   failureDomain: Name,
-  failureDomains: v.optional(v.pipe(v.array(Name), v.readonly(), v.description('Failure domains of the deployment, for operators\' orders on one that no host or database has announced yet.'))),
+  failureDomains: v.optional(v.pipe(v.array(FailureDomainSchema), v.readonly(), v.description('The failure domains of the deployment: operators\' orders may name one before a host or database has announced it, and homes name their regions.')), []),
   callers: v.optional(v.pipe(Address, v.description('The address at which callers connect. A host without it serves no callers and owns no databases.'))),
   peers: v.pipe(ReachableAddress, v.description('The address at which other hosts and databases connect.')),
   operators: v.pipe(Address, v.description('The address at which operators connect, and at which metrics and health are served.')),
@@ -90,6 +92,7 @@
 function checkRules (value: unknown): readonly RuleViolation[] {
   const control = readArray(value, 'control')
   return [
+    ...findDuplicates(readArray(value, 'failureDomains'), ['failureDomains'], 'name'),
     ...findDuplicates(control, ['control'], 'host'),
     ...findDuplicates(control, ['control'], 'peers'),
     ...checkOwnAddresses(value),
