--- a/src/homes/homes.test.ts
+++ b/src/homes/homes.test.ts
@@ -65,6 +65,13 @@
     for (const homes of [['north'], []]) expect(choose(state, createRules('read', homes))).to.equal('no-home not-run false')
   })
 
+  it('keeps a read for the next try while the replicas at home are not eligible', () => {
+    const state = createState('h-w1', { ...USUAL, 'd-n1': 'h-w1' })
+    const homeless: RoutingState = { ...state, grantsConfirmedAtMs: 900, unansweredPolls: new Map([['h-w1', 2]]) }
+    expect(choose(homeless, createRules('read', ['west']))).to.equal('no-database not-run true')
+    expect(choose(homeless, createRules('write', ['west']))).to.equal('no-home not-run false')
+  })
+
   it('passes no body through an owner elsewhere, unless it is the caller\'s own host', () => {
     const owners = { ...USUAL, 'd-w1': 'h-e2' }
     expect(choose(createState('h-w1', owners), createRules('read', ['west']))).to.equal('no-home not-run false')
--- a/src/routing/decide.ts
+++ b/src/routing/decide.ts
@@ -61,7 +61,7 @@
   if (target !== undefined) return answerTarget({ ...state, roundRobinCounter: state.roundRobinCounter + 1 }, message, target, moment)
   const primary = grant?.primary === undefined ? undefined : state.databases.get(grant.primary)
   if (primary !== undefined && isEvacuated(primary.entry)) return refuseAtOnce(state, message, 'evacuated')
-  if (primary !== undefined && !isHome(primary, rules.homes)) return refuseAtOnce(state, message, 'no-home')
+  if (primary !== undefined && !isHome(primary, rules.homes)) return hasReplicaAtHome(state, message) ? refuse(state, message, 'no-database', moment) : refuseAtOnce(state, message, 'no-home')
   if (grant === undefined || grant.closing === true || primary?.owner === undefined || isUnresponsiveOwner(state, primary.owner)) return refuse(state, message, 'no-primary', moment)
   return answerTarget(state, message, createTarget(primary, 'primary', grant.term, ORIGIN), moment)
 }
@@ -149,6 +149,12 @@
   return { state, effects: [tell({ kind: 'requests/failed', caller: message.caller, attempt: message.attempt, failure, retriable })] }
 }
 
+// A replica at home that is not eligible now may be so by the next try.
+function hasReplicaAtHome ({ databases }: RoutingState, { rules }: ChooseTarget): boolean {
+  const mayBeStale = rules.action === 'read' && rules.maxStalenessMs > 0
+  return mayBeStale && [...databases.values()].some(database => database.entry.group === rules.group && isHome(database, rules.homes))
+}
+
 // A promotion takes longer than callers wait, so they are told when to come back. Nothing brings a database home.
 function refuseAtOnce (state: RoutingState, { caller, attempt, rules }: ChooseTarget, code: 'evacuated' | 'no-home'): RoutingStep {
   return { state, effects: [tell({ kind: 'requests/failed', caller, attempt, failure: createFailure(code, rules.group), retriable: false })] }
