Links: only those that something was sent over are pinged each second

Change: a link owes a sign of its peer only for what was sent over it: pinged 1 s after the first unconfirmed message, lost after a further second; idle ones every 5 s. An overdue answer is looked for twice, since after a suspension it may wait to be read.

--- a/src/peers/connect.ts
+++ b/src/peers/connect.ts
@@ -1,5 +1,5 @@
 /** Peer links over Connect: one stream from a host to each host that it sends to. */
-import type { Http2ServerRequest, Http2ServerResponse } from 'node:http2'
+import type { ClientHttp2Stream, Http2ServerRequest, Http2ServerResponse } from 'node:http2'
 import { Http2SessionManager } from '@connectrpc/connect-node'
 import type { Post } from '../core/adapter.js'
 import type { LearnPeers, Message, SendPeer } from '../core/message.js'
@@ -10,14 +10,16 @@
 import { decodeFrame, encodeFrame, LinkPacker, LinkUnpacker, type DecodedFrame } from './frame.js'
 import { isPeerMessage } from './kinds.js'
 import { PeerLink, type PeerAddress } from './link.js'
+import { checkLiveness, CONFIRMED, recordPong, recordSent, type Liveness } from './liveness.js'
 import { Outbox, type EncodedFrame } from './outbox.js'
 import { encodeMessage, GRPC_CONTENT, MessageSender, OK_TRAILERS, PEERS_PATH, receiveMessages, REQUEST_HEADERS } from './stream.js'
 import { countTraffic, type OnTraffic } from './traffic.js'
 import type { HybridLogicalClock } from '../timeline/clock.js'
 
 const HTTP_OK = 200
-const PING_INTERVAL_MS = 1_000
-const PING_TIMEOUT_MS = 1_000
+/** Links that nothing is sent over are pinged this seldom; the others by their liveness. */
+const IDLE_PING_INTERVAL_MS = 5_000
+const IDLE_PING_TIMEOUT_MS = 1_000
 /** The timeout for opening a link. TCP resends a lost SYN only after 1 s, so a new attempt is faster. */
 const OPEN_TIMEOUT_MS = 1_000
 const ABORT_DELAY_MS = 500
@@ -38,6 +40,9 @@
   readonly session: Http2SessionManager
   /** True once the connection is established. */
   opened: boolean
+  /** The stream, once it is open. */
+  stream?: ClientHttp2Stream
+  liveness: Liveness
 }
 
 /** Called when a link from or to a host ends; returns the messages to post. If the link never opened, nothing was sent over it. */
@@ -99,6 +104,7 @@
     }
     const link = this.#findOpen(effect.to) ?? this.#open(effect.to)
     if (link === undefined) return this.#refuseRequest(effect)
+    link.liveness = recordSent(link.liveness, performance.now())
     link.outbox.add(this.#encode(effect.message))
   }
 
@@ -178,20 +184,21 @@
 
   // When a peer ends its session, the stream on it may stay open without an end or an error.
   #detectClosed (): void {
-    for (const [host, link] of this.#links) if (isClosed(link)) this.#handleLoss(host, link)
+    const nowMs = performance.now()
+    for (const [host, link] of this.#links) if (isClosed(link) || isSilent(link, nowMs)) this.#handleLoss(host, link)
   }
 
   // A host whose name is not known yet is named by its address.
   #open (host: string): OpenLink | undefined {
     const address = this.#addresses.get(host) ?? host
     if (!isAddress(address) || this.#closed) return undefined
-    const session = new Http2SessionManager(`http://${address}`, { pingIntervalMs: PING_INTERVAL_MS, pingTimeoutMs: PING_TIMEOUT_MS, pingIdleConnection: true })
+    const session = new Http2SessionManager(`http://${address}`, { pingIntervalMs: IDLE_PING_INTERVAL_MS, pingTimeoutMs: IDLE_PING_TIMEOUT_MS, pingIdleConnection: true })
     const sender = MessageSender.create()
     const packer = LinkPacker.create()
     const outbox = Outbox.create((frames, isAccepted) => {
       if (!sender.send(encodeMessage(this.#pack(packer, frames, isAccepted)))) this.#handleLoss(host, link)
     })
-    const link: OpenLink = { address, sender, outbox, session, opened: false }
+    const link: OpenLink = { address, sender, outbox, session, opened: false, liveness: CONFIRMED }
     this.#links.set(host, link)
     this.#run(host, link).catch(() => this.#handleLoss(host, link))
     session.connect().then(state => {
@@ -208,6 +215,7 @@
     try {
       const unpacker = LinkUnpacker.create()
       const stream = await link.session.request('POST', PEERS_PATH, REQUEST_HEADERS, {})
+      link.stream = stream
       link.sender.open(stream)
       await receiveMessages(stream, packed => {
         link.session.notifyResponseByteRead(stream)
@@ -245,6 +253,15 @@
   }
 }
 
+// Pings a link that owes a sign of its peer; true once the ping is overdue. A link that does not open has a timeout of its own.
+function isSilent (link: OpenLink, nowMs: number): boolean {
+  if (link.stream === undefined) return false
+  const { liveness, action } = checkLiveness(link.liveness, nowMs)
+  link.liveness = liveness
+  if (action === 'ping') link.stream.session?.ping(() => { link.liveness = recordPong(link.liveness) })
+  return action === 'lose'
+}
+
 function isClosed ({ session }: OpenLink): boolean {
   const state = session.state()
   return state === 'closed' || state === 'error'
