A cold database gets at most its rate from all hosts

Change: the owner keeps a token bucket for each database whose group has a coldRate (src/transactions/refill.ts, cold.ts): half of rate * excess + slack, a quarter once it may be a former owner; a new owner starts empty and waits until the last one counts as a former one. Each statement takes a token. What gets none in time is refused as not run (database-cold) with a time to come back; reads go to other databases, since placement adds a cost to cold ones. Without coldRate nothing changes.

--- a/src/daemon/slices.ts
+++ b/src/daemon/slices.ts
@@ -36,7 +36,7 @@
  * @example createSlices(settings, POSTGRES_GUARANTEES, clock.read().monotonicMs)
  */
 export function createSlices (settings: Settings, guarantees: DatabaseGuarantees, startedAtMs: number): readonly Slice[] {
-  const { host, failureDomain, limits, timing } = settings
+  const { host, failureDomain, limits, timing, cold } = settings
   return [
     StoreSlice.create({ name: 'admission', shared: createAdmissionShared({ self: host, servesWhenIsolated: settings.authority === 'kept', acceptsCallers: settings.callers !== undefined, startedAtMs }), decide: decideAdmission, checkItem: checkAllowance }),
     DecidingSlice.create({ name: 'agreement', initial: createAgreementState(), decide: decideAgreement }),
@@ -50,6 +50,6 @@
     DecidingSlice.create({ name: 'stopping', initial: createStoppingState(host, limits.balancerMs), decide: decideStopping }),
     DecidingSlice.create({ name: 'succession', initial: createSuccessionState(guarantees.selfFencing), decide: decideSuccession }),
     StoreSlice.create({ name: 'timeline', shared: createTimelineShared(host), decide: decideTimeline }),
-    StoreSlice.create({ name: 'transactions', shared: createTransactionsShared(limits.queueLength, limits.idleTransactionMs, guarantees), decide: decideTransactions, checkItem: checkOwnedDatabase })
+    StoreSlice.create({ name: 'transactions', shared: createTransactionsShared(limits.queueLength, limits.idleTransactionMs, guarantees, { excess: cold?.excess ?? 1, slack: cold?.slack ?? 0, unheardMs: timing.announcementHoldsMs }), decide: decideTransactions, checkItem: checkOwnedDatabase })
   ]
 }
--- a/src/documents/document.ts
+++ b/src/documents/document.ts
@@ -20,6 +20,7 @@
   name: Name,
   databases: PositiveCount,
   connections: v.optional(v.pipe(PositiveCount, v.description('Maximum number of connections to each database, unless the database reports its own limit.'))),
+  coldRate: v.optional(v.pipe(PositiveNumber, v.description('Requests per second to a database that has just come back and is cold, summed over all hosts; without a limit when absent.'))),
   copies: v.optional(v.pipe(v.number(), v.integer('Expected a whole number'), v.minValue(0, 'Expected a number from 0'), v.description('Number of replicas that must hold a write before the primary acknowledges it.')))
 }), v.readonly())
 
--- a/src/membership/decide.ts
+++ b/src/membership/decide.ts
@@ -178,7 +178,8 @@
   return [
     tell({ kind: 'admission/documents-confirmed', documents, askedAtMs }),
     tell({ kind: 'requests/grants-confirmed', grants: listEntries(directory, 'grant'), askedAtMs }),
-    tell({ kind: 'routing/grants-confirmed', askedAtMs })
+    tell({ kind: 'routing/grants-confirmed', askedAtMs }),
+    ...(state.ownedDatabases.size > 0 && listColdRates(directory).size > 0 ? [tell({ kind: 'transactions/confirmed', askedAtMs })] : [])
   ]
 }
 
@@ -193,10 +194,15 @@
     tell({ kind: 'operations/control-known', control: listControlHosts(state) }),
     tell({ kind: 'timeline/hosts-known', hosts: hosts.map(({ host }) => host) }),
     tell({ kind: 'routing/directory-changed', hosts, databases, owners, grants }),
-    tell({ kind: 'transactions/owned-changed', databases: [...state.ownedDatabases.values()], grants })
+    tell({ kind: 'transactions/owned-changed', databases: [...state.ownedDatabases.values()], grants, coldRates: listColdRates(directory) })
   ]
 }
 
+function listColdRates (directory: Directory): ReadonlyMap<string, number> {
+  const groups = listEntries(directory, 'document').flatMap(({ document }) => document.groups)
+  return new Map(groups.flatMap(({ name, coldRate }) => (coldRate === undefined ? [] : [[name, coldRate] as const])))
+}
+
 function listOwnDatabases (state: MembershipState, directory: Directory, owners: MembershipState['owners']): MembershipState['ownedDatabases'] {
   const owned = listEntries(directory, 'database').filter(({ database }) => owners.get(database) === state.self?.host)
   const groups = new Map(listEntries(directory, 'document').flatMap(({ document }) => document.groups.map(group => [group.name, group.connections] as const)))
@@ -210,13 +216,14 @@
 }
 
 function recordAnnouncement (state: MembershipState, message: DatabaseAnnounced, moment: Moment): MembershipStep {
-  const { entry, order } = message
+  const { entry, order, coldLeftMs = 0 } = message
   const errors = findEntryErrors(entry)
   if (errors.length > 0) return { state, effects: [writeLog('warn', 'An announcement was ignored, since it names no database that can be used.', { errors })] }
   const known = state.announcements.get(entry.database)
   if (isOutOfOrder(known, order)) return createStep(state)
   const announcements = new Map([...state.announcements].filter(([, { receivedAtMs }]) => moment.monotonicMs - receivedAtMs <= state.timing.announcementHoldsMs))
-  announcements.set(entry.database, { entry, receivedAtMs: moment.monotonicMs, order })
+  const coldUntilMs = coldLeftMs > 0 ? moment.monotonicMs + coldLeftMs : undefined
+  announcements.set(entry.database, { entry, receivedAtMs: moment.monotonicMs, coldUntilMs, order })
   return createStep({ ...state, announcements })
 }
 
@@ -244,7 +251,7 @@
 function listAnnounced (state: MembershipState, moment: Moment): readonly DatabaseEntry[] {
   return [...state.announcements.values()]
     .filter(announcement => moment.monotonicMs - announcement.receivedAtMs <= state.timing.announcementHoldsMs)
-    .map(announcement => announcement.entry)
+    .map(({ entry, coldUntilMs }) => (coldUntilMs !== undefined && moment.monotonicMs < coldUntilMs ? { ...entry, cold: true } : entry))
 }
 
 function probeOwned (state: MembershipState, moment: Moment): MembershipStep {
--- a/src/membership/directory.ts
+++ b/src/membership/directory.ts
@@ -40,6 +40,8 @@
   readonly departing: boolean
   /** True while the database announces itself as primary; absent if its announcement has no role. */
   readonly leads?: boolean
+  /** True while it is cold: it came back a short time ago and takes few requests. */
+  readonly cold?: boolean
 }
 
 /** The primary of a group and its term; without a primary during a change. */
--- a/src/membership/entry.ts
+++ b/src/membership/entry.ts
@@ -18,7 +18,8 @@
   slots: v.pipe(v.number(), v.integer('Expected a whole number'), v.minValue(1, 'Expected at least 1'), v.maxValue(MAX_SLOTS, `Expected at most ${MAX_SLOTS}`)),
   connectionLimit: v.pipe(v.number(), v.integer('Expected a whole number'), v.minValue(0, 'Expected a number from 0'), v.maxValue(MAX_CONNECTIONS, `Expected at most ${MAX_CONNECTIONS}`)),
   departing: v.boolean(),
-  leads: v.optional(v.boolean())
+  leads: v.optional(v.boolean()),
+  cold: v.optional(v.boolean())
 })
 
 /**
--- a/src/membership/leader.ts
+++ b/src/membership/leader.ts
@@ -9,6 +9,8 @@
 import { proposeStoredDatabases } from './stored.js'
 import { sendPeer, setTimer, tell } from '../messages.js'
 
+/** How long a database counts as cold after the last report of it as cold: longer than the slowest hosts take between two heartbeats. */
+const COLD_REPORT_HOLDS_MS = 2_000
 /** Time without a heartbeat after which a host is removed from the directory. */
 export const HOST_TIMEOUT_MS = 1_000
 /**
@@ -92,14 +94,24 @@
 function recordHeartbeats (leaderState: LeaderState, heartbeats: readonly Heartbeat[], doubted: ReadonlySet<string>, moment: Moment): LeaderState {
   const hosts = new Map(leaderState.hosts)
   const reportedAtMs = new Map(leaderState.databaseReportedAtMs)
+  const coldReportedAtMs = new Map(leaderState.coldReportedAtMs)
   let { directory } = leaderState
   for (const { self, revision, databases, statuses } of heartbeats) {
-    directory = databases.reduce(putAnnouncedDatabase, putEntry(directory, self))
+    const known = databases.map(entry => keepCold(coldReportedAtMs, entry, moment.monotonicMs))
+    directory = known.reduce(putAnnouncedDatabase, putEntry(directory, self))
     hosts.set(self.host, { entry: self, owns: statuses.length > 0, lastHeartbeatAtMs: moment.monotonicMs, confirmedRevision: revision, databases })
     markReported(reportedAtMs, databases, moment.monotonicMs)
     markAnswered(reportedAtMs, statuses.filter(({ database }) => !doubted.has(database)), moment.monotonicMs)
   }
-  return { ...leaderState, directory, hosts, databaseReportedAtMs: reportedAtMs }
+  return { ...leaderState, directory, hosts, databaseReportedAtMs: reportedAtMs, coldReportedAtMs }
+}
+
+// Another host may still report an older announcement, by which the database was warm.
+function keepCold (coldReportedAtMs: Map<string, number>, entry: DatabaseEntry, nowMs: number): DatabaseEntry {
+  if (entry.cold === true) coldReportedAtMs.set(entry.database, nowMs)
+  else if (nowMs - (coldReportedAtMs.get(entry.database) ?? -Infinity) < COLD_REPORT_HOLDS_MS) return { ...entry, cold: true }
+  else coldReportedAtMs.delete(entry.database)
+  return entry
 }
 
 function notifyReported ({ self, leftAtMs, revision, statuses, databases }: Heartbeat): readonly CoreEffect[] {
--- a/src/membership/messages.ts
+++ b/src/membership/messages.ts
@@ -106,6 +106,8 @@
   readonly entry: DatabaseEntry
   readonly term: number
   readonly primary: boolean
+  /** How much longer the database is cold, in milliseconds; absent if it does not say. */
+  readonly coldLeftMs?: number
   /** The start time of the database and its number of announcements since; an out-of-order one is ignored. */
   readonly order?: { readonly startedAtMs: number, readonly sequence: number }
 }
--- a/src/membership/state.ts
+++ b/src/membership/state.ts
@@ -9,6 +9,8 @@
 export interface Announcement {
   readonly entry: DatabaseEntry
   readonly receivedAtMs: number
+  /** The monotonic time until which the database is cold; absent if it is not. */
+  readonly coldUntilMs?: number
   readonly order?: { readonly startedAtMs: number, readonly sequence: number }
 }
 
@@ -56,6 +58,8 @@
   readonly hosts: ReadonlyMap<string, ReportingHost>
   /** The time of the last report of each database. */
   readonly databaseReportedAtMs: ReadonlyMap<string, number>
+  /** When a host last reported each database as cold. */
+  readonly coldReportedAtMs?: ReadonlyMap<string, number>
   /** The end of the leader's lease: no heartbeat is answered after it, since another host may lead by then. */
   readonly leaseUntilMs: number
   /** No heartbeat is answered before this time unless all awaited hosts have sent one. */
--- a/src/routing/placement.ts
+++ b/src/routing/placement.ts
@@ -10,6 +10,9 @@
 /** Cost of the primary, whose slots writes need, in requests per slot. */
 const PRIMARY_COST = 0.7
 
+/** Cost of a cold database, in requests per slot: it takes few requests, which the primary's writes may need. */
+const COLD_COST = 2
+
 /**
  * Picks the database for a read by the lowest cost: the load, plus penalties for other failure domains and for the
  * primary. Handles the load pattern of one overloaded database beside idle replicas.
@@ -45,5 +48,5 @@
 
 function calculateCost (state: RoutingState, { entry }: DatabaseWithOwner, primary: string | undefined): number {
   const remoteCost = entry.failureDomain === state.failureDomain ? 0 : REMOTE_DOMAIN_COST
-  return (state.loads.get(entry.database) ?? 0) + remoteCost + (entry.database === primary ? PRIMARY_COST : 0)
+  return (state.loads.get(entry.database) ?? 0) + remoteCost + (entry.database === primary ? PRIMARY_COST : 0) + (entry.cold === true ? COLD_COST : 0)
 }
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -40,6 +40,11 @@
   queueLength: v.optional(v.pipe(QueueLength, v.description('The most requests that may be queued for one database.')), 1_000)
 }), v.readonly())
 
+const ColdSchema = v.pipe(v.strictObject({
+  excess: v.optional(v.pipe(v.number(), v.minValue(0, 'Expected a number from 0'), v.description('Factor of `coldRate` that all hosts together may send to a cold database in a second.')), 1),
+  slack: v.optional(v.pipe(v.number(), v.minValue(0, 'Expected a number from 0'), v.description('Requests in a second beside it.')), 0)
+}), v.readonly())
+
 const TimingSchema = v.pipe(v.strictObject({
   beatEveryMs: v.optional(v.pipe(Milliseconds, v.description('The interval between the heartbeats of a host to the leader, in milliseconds.')), DEFAULT_MEMBERSHIP_TIMING.beatEveryMs),
   probeEveryMs: v.optional(v.pipe(Milliseconds, v.description('The interval between the probes of the databases that a host owns, in milliseconds.')), DEFAULT_MEMBERSHIP_TIMING.probeEveryMs),
@@ -70,6 +75,7 @@
   timing: v.optional(TimingSchema, {}),
   logLevel: v.optional(v.picklist(['debug', 'info', 'warn', 'error']), 'info'),
   trace: v.optional(v.pipe(TraceSchema, v.description('Records the messages of some slices for replay. Off by default, since messages may hold data of callers.'))),
+  cold: v.optional(v.pipe(ColdSchema, v.description('How far the requests to a database that came back may exceed the `coldRate` of its group.'))),
   limits: v.optional(LimitsSchema, {})
 }), v.readonly())
 
--- a/src/transactions/decide.ts
+++ b/src/transactions/decide.ts
@@ -7,13 +7,14 @@
 import { dropCatchUpRead, pollPosition, splitCovered, waitForCatchUp } from './catchup.js'
 import type { CancelRequest, CreditGranted, DatabaseFinished, DatabaseOutput, HostLost, LagDue, PositionRead, RunRequest, DeadlineExpired, TransactionsMessage } from './messages.js'
 import { completeStep, updateOwnership } from './ownership.js'
-import { abortUnit, createExecute, endOpenBackoff, findUnit, handleConnectionBroken, handleOpenFailed, releaseUnit, startQueued, acceptConnection } from './pool.js'
+import { abortUnit, endOpenBackoff, findUnit, handleConnectionBroken, handleOpenFailed, releaseUnit, startQueued, acceptConnection } from './pool.js'
 import type { StalenessBound } from '../requests/messages.js'
 import { isTooLate } from '../stopping/remaining.js'
 import { findProvenFloor } from '../routing/staleness.js'
 import { computeLoad, nameFlow, type OwnedDatabase, type TransactionsShared, type UnitOfWork } from './state.js'
 import { updateOverlap, createLagTimer, recordRun, updateLag } from './overlap.js'
 import { computePace, findOverload } from './pace.js'
+import { continueWhenWarm, createRefillTimer, findColdRefusal, startHeld, updateRefills } from './cold.js'
 import { answerFailed, continueStep, setDeadlineTimer, clearDeadlineTimer, createEmptyStep, refuseRun, type DatabaseStep, type TransactionsStep, type TransactionsStore } from './step.js'
 import { acknowledgeDurableWrites, answerFinished } from './durability.js'
 import { clearSlowReadTimer, reportSlowRead } from './slowread.js'
@@ -25,7 +26,8 @@
  * @example decideTransactions(store, { kind: 'transactions/opened', connection: 'db-1#1.1' }, moment)
  */
 export function decideTransactions (store: TransactionsStore, message: TransactionsMessage, moment: Moment): TransactionsStep {
-  return updatePaces(store, decideMessage(store, message, moment), moment)
+  const current = updateRefills(store, moment)
+  return updatePaces(current, decideMessage(current, message, moment), moment)
 }
 
 function updatePaces (store: TransactionsStore, step: TransactionsStep, moment: Moment): TransactionsStep {
@@ -35,7 +37,8 @@
     const pace = computePace(store.items.get(name), after, moment)
     return [name, pace === after.pace ? after : { ...after, pace }] as const
   })
-  return { ...step, changes }
+  const refills = changes.flatMap(([, after]) => createRefillTimer(after))
+  return { ...step, changes, effects: refills.length === 0 ? step.effects : [...step.effects, ...refills] }
 }
 
 function decideMessage (store: TransactionsStore, message: TransactionsMessage, moment: Moment): TransactionsStep {
@@ -43,6 +46,8 @@
     case 'transactions/run': return handleRun(store, message, moment)
     case 'transactions/cancel': return handleCancel(store, message)
     case 'transactions/owned-changed': return startMeasuring(store, updateOwnership(store, message), moment)
+    case 'transactions/confirmed': return { shared: { ...store.shared, confirmedAtMs: Math.max(store.shared.confirmedAtMs, message.askedAtMs) }, effects: [] }
+    case 'transactions/refill-due': return decideFor(store, message.database, database => startHeld(database, moment))
     case 'transactions/lag-due': return updateOverlaps(store, message, moment)
     case 'transactions/host-lost': return handleHostLost(store, message)
     case 'transactions/count-asked': return reportWorkCount(store, message.host)
@@ -125,7 +130,7 @@
 }
 
 function startRun (shared: TransactionsShared, database: OwnedDatabase, message: RunRequest, moment: Moment): DatabaseStep {
-  if (message.transaction !== undefined) return continueUnit(database, message)
+  if (message.transaction !== undefined) return continueUnit(database, message, moment)
   return continueStep(cancelWork(database, message.caller, message.attempt), earlier => {
     if (message.target.bound !== undefined) return startBoundedRead(shared, earlier, message, message.target.bound, moment)
     return isBehind(earlier, message) ? waitForCatchUp(earlier, message, moment) : enqueue(shared, earlier, message, moment)
@@ -146,7 +151,7 @@
 function enqueue (shared: TransactionsShared, database: OwnedDatabase, message: RunRequest, moment: Moment): DatabaseStep {
   const refusal = findRefusal(database, message)
   if (refusal !== undefined) return { database, effects: [refuseRun(message, refusal, database)] }
-  const overload = findOverload(database, message, shared.lagMs, moment)
+  const overload = findColdRefusal(database, message, moment) ?? findOverload(database, message, shared.lagMs, moment)
   if (overload !== undefined) return { database, effects: [refuseOverload(database, message, overload)] }
   const { queue, refused } = enqueueEntry(database.queue, { flow: nameFlow(message), key: message.caller, item: message }, createLimits(shared))
   const queued = { database: { ...database, queue }, effects: [setDeadlineTimer(message, message.remainingMs), ...refuseDisplaced(database, refused?.item)] }
@@ -187,13 +192,13 @@
   return undefined
 }
 
-function continueUnit (database: OwnedDatabase, message: RunRequest): DatabaseStep {
+function continueUnit (database: OwnedDatabase, message: RunRequest, moment: Moment): DatabaseStep {
   const unit = database.units.get(message.caller)
   if (unit === undefined || unit.phase !== 'idle' || unit.from !== message.from || unit.firstAttempt !== message.transaction) {
     return { database, effects: [answerFailed(message.from!, message, createFailure('transaction-lost', 'the database does not hold it'), false)] }
   }
   const next: UnitOfWork = { ...unit, phase: 'running', run: message, partsSent: 0 }
-  return { database: replaceUnit(database, next), effects: [setDeadlineTimer(message, message.remainingMs), createExecute(message, unit.connection)] }
+  return continueWhenWarm(database, next, moment)
 }
 
 function replaceUnit (database: OwnedDatabase, unit: UnitOfWork): OwnedDatabase {
@@ -277,7 +282,7 @@
   if (unit === undefined || unit.run.attempt !== message.attempt) return createEmptyStep(database)
   const aborted = abortUnit(database, unit)
   if (unit.phase === 'idle') return aborted
-  const failure = createFailure('outcome-unknown', 'the deadline passed')
+  const failure = unit.held === true ? createFailure('deadline-passed') : createFailure('outcome-unknown', 'the deadline passed')
   return { database: aborted.database, effects: [answerFailed(unit.from, message, failure, false), ...aborted.effects] }
 }
 
--- a/src/transactions/messages.ts
+++ b/src/transactions/messages.ts
@@ -138,6 +138,21 @@
   readonly kind: 'transactions/owned-changed'
   readonly databases: readonly DatabaseEntry[]
   readonly grants: readonly GrantEntry[]
+  /** The rate of requests to a cold database, by group. */
+  readonly coldRates?: ReadonlyMap<string, number>
+}
+
+/** The leader confirmed that this host's directory was current; told where documents name rates of cold databases. */
+export interface DirectoryConfirmed {
+  readonly kind: 'transactions/confirmed'
+  /** The monotonic time at which this host asked. */
+  readonly askedAtMs: number
+}
+
+/** Requests wait for tokens of a cold database, and the next one is there. */
+export interface RefillDue {
+  readonly kind: 'transactions/refill-due'
+  readonly database: string
 }
 
 /** Reports the log position that was read from an owned database. */
@@ -195,6 +210,8 @@
 
 /** Any message of the transactions slice. */
 export type TransactionsMessage =
+  | DirectoryConfirmed
+  | RefillDue
   | LagDue
   | PrimarySampled
   | WorkCountRequested
--- a/src/transactions/ownership.ts
+++ b/src/transactions/ownership.ts
@@ -24,7 +24,7 @@
   })
   const steps = [...released, ...owned].map(step => completeStep(step.database, step.effects))
   return {
-    shared: { ...store.shared, generation },
+    shared: { ...store.shared, generation, coldRates: message.coldRates ?? store.shared.coldRates },
     changes: steps.flatMap(step => step.changes ?? []),
     effects: steps.flatMap(step => step.effects)
   }
--- a/src/transactions/pool.ts
+++ b/src/transactions/pool.ts
@@ -6,6 +6,7 @@
 import { countEntries, createQueue, dequeueEntry, findFirstEntry, listEntries } from '../fairness/queue.js'
 import { refuseCatchUpReads } from './catchup.js'
 import type { ConnectionBroken, ConnectionOpenFailed, ConnectionOpened, RunRequest } from './messages.js'
+import { hasTokenForNewWork, takeToken } from './refill.js'
 import { calculateSlotLimit, countUsedSlots, type Connection, type OwnedDatabase, type UnitOfWork } from './state.js'
 import { setSlowReadTimer } from './slowread.js'
 import { answerFailed, continueStep, clearDeadlineTimer, createEmptyStep, refuseRun, type DatabaseStep } from './step.js'
@@ -25,7 +26,7 @@
  * @example startQueued(database)
  */
 export function startQueued (database: OwnedDatabase): DatabaseStep {
-  if (countEntries(database.queue) === 0 || countUsedSlots(database) >= calculateSlotLimit(database)) return createEmptyStep(database)
+  if (countEntries(database.queue) === 0 || countUsedSlots(database) >= calculateSlotLimit(database) || !hasTokenForNewWork(database.refill)) return createEmptyStep(database)
   const supply = countConnections(database)
   const next = findFirstEntry(database.queue, ({ item }, flowLength) => isStartable(supply, item, flowLength))
   if (next === undefined) return createEmptyStep(database)
@@ -115,6 +116,7 @@
   const next: OwnedDatabase = {
     ...database,
     started: database.started + 1,
+    refill: takeToken(database.refill),
     units: new Map(database.units).set(caller, unit),
     connections: new Map(database.connections).set(connection, { ...idle, phase: 'bound', caller })
   }
--- a/src/transactions/state.ts
+++ b/src/transactions/state.ts
@@ -1,11 +1,18 @@
 /** State of the transactions slice: one record per database that this host owns. */
 import type { LogPosition } from '../core/position.js'
+import { hasTokenForNewWork } from './refill.js'
 import { POSTGRES_GUARANTEES, type DatabaseGuarantees } from '../databases/guarantees.js'
 import { countEntries, type FairQueue } from '../fairness/queue.js'
 import type { DatabaseEntry } from '../membership/directory.js'
 import type { TransactionStatus } from '../requests/messages.js'
 import type { PrimarySample } from '../routing/state.js'
 import type { RunRequest, SequenceNumber } from './messages.js'
+import type { ColdLimits, Refill } from './refill.js'
+
+/** Load that a cold database reports beside its own while it takes no new work, so that reads go elsewhere. */
+const COLD_LOAD = 4
+/** The limits of a host whose settings name none. */
+const DEFAULT_COLD_LIMITS: ColdLimits = { excess: 1, slack: 0, unheardMs: 1_000 }
 
 /** A connection to a database: opening, idle, or bound to one caller's unit of work. */
 export interface Connection {
@@ -29,6 +36,8 @@
   readonly run: RunRequest
   /** Parts of the current answer that have been sent. */
   readonly partsSent: number
+  /** True while the running request waits here for a token of the cold database. */
+  readonly held?: true
 }
 
 /** A finished write that is not acknowledged yet, because no majority stores its position. */
@@ -88,6 +97,8 @@
   readonly catchUpReads: readonly CatchUpRead[]
   readonly pendingWrites: readonly PendingWrite[]
   readonly durablePosition: LogPosition
+  /** The rate of requests while the database is cold; absent where its group has none. */
+  readonly refill?: Refill
 }
 
 /** State of the slice that belongs to no single database. */
@@ -108,6 +119,11 @@
   readonly endsAtMs?: number
   /** Positions of the primaries by group, oldest first; empty unless the databases fence themselves. */
   readonly samples: ReadonlyMap<string, readonly PrimarySample[]>
+  readonly coldLimits: ColdLimits
+  /** The rate of a cold database, by group. */
+  readonly coldRates: ReadonlyMap<string, number>
+  /** When this host asked the leader for the last confirmation of its directory. */
+  readonly confirmedAtMs: number
 }
 
 /**
@@ -141,17 +157,17 @@
  * Returns the running and queued requests per slot; undefined where placement does not need it.
  * @example computeLoad(database) // 1.33
  */
-export function computeLoad ({ guarantees, units, queue, entry }: OwnedDatabase): number | undefined {
+export function computeLoad ({ guarantees, units, queue, entry, refill }: OwnedDatabase): number | undefined {
   if (!guarantees.slotPerStatement) return undefined
   let running = 0
   for (const unit of units.values()) if (unit.phase === 'running') running += 1
-  return (running + countEntries(queue)) / entry.slots
+  return (running + countEntries(queue)) / entry.slots + (hasTokenForNewWork(refill) ? 0 : COLD_LOAD)
 }
 
 /**
  * Creates the shared state of a host that has received no request.
  * @example createTransactionsShared(1_000, 10_000)
  */
-export function createTransactionsShared (queueLength: number, idleTransactionMs: number, guarantees: DatabaseGuarantees = POSTGRES_GUARANTEES): TransactionsShared {
-  return { queueLength, lagMs: 0, idleTransactionMs, guarantees, sequenceNumbers: new Map(), generation: 0, stopping: false, samples: new Map() }
+export function createTransactionsShared (queueLength: number, idleTransactionMs: number, guarantees: DatabaseGuarantees = POSTGRES_GUARANTEES, coldLimits = DEFAULT_COLD_LIMITS): TransactionsShared {
+  return { queueLength, lagMs: 0, idleTransactionMs, guarantees, sequenceNumbers: new Map(), generation: 0, stopping: false, samples: new Map(), coldLimits, coldRates: new Map(), confirmedAtMs: -Infinity }
 }
--- a/src/transactions/support/databaseload.ts
+++ b/src/transactions/support/databaseload.ts
@@ -9,6 +9,7 @@
 import { decideTransactions } from '../decide.js'
 import { checkOwnedDatabase } from '../invariants.js'
 import type { RunRequest, TransactionsMessage } from '../messages.js'
+import type { ColdLimits } from '../refill.js'
 import { createTransactionsShared } from '../state.js'
 
 const QUEUE_LENGTH = 200
@@ -32,8 +33,17 @@
   readonly lagMs?: number
   /** How long requests wait at the late owner before it handles them; callers count it, the owner can't. */
   readonly inboxMs?: number
+  /** The database is cold, and its group has this rate. */
+  readonly coldRate?: number
+  /** The fraction of requests that open a transaction of three statements; none when absent. */
+  readonly transactionPart?: number
+  /** When the leader's confirmations end; never when absent. */
+  readonly cutAtMs?: number
 }
 
+/** Excess, slack and delay of news in load patterns of cold databases. */
+export const COLD_LIMITS: ColdLimits = { excess: 1.5, slack: 5, unheardMs: 2_000 }
+
 /** What became of one request. */
 export interface RequestOutcome {
   readonly outcome: 'finished' | 'refused' | 'expired'
@@ -44,6 +54,8 @@
 export interface DatabaseLoadResult {
   readonly outcomes: readonly RequestOutcome[]
   readonly opened: number
+  /** When each statement reached the database. */
+  readonly sentAtMs: readonly number[]
 }
 
 interface ScheduledStep {
@@ -70,17 +82,22 @@
   readonly #timers = new Map<string, number>()
   readonly #arrivals = new Map<string, number>()
   readonly #outcomes: RequestOutcome[] = []
+  readonly #sentAtMs: number[] = []
+  /** Statements that are left, by caller with an open transaction. */
+  readonly #statementsLeft = new Map<string, number>()
   readonly #shares: readonly number[]
   readonly #waitingForSlot: Array<() => void> = []
   #slotsInUse = 0
   #nowMs = 0
   #sequence = 0
   #opened = 0
+  #tickets = 0
+  readonly #runs = new Map<string, RunRequest>()
 
   private constructor (load: DatabaseLoad) {
     this.#load = load
     this.#random = xoroshiro128plus(load.seed)
-    const shared = createTransactionsShared(QUEUE_LENGTH, IDLE_TRANSACTION_MS, { selfFencing: true, slotPerStatement: true, connectionPerWorkspace: true })
+    const shared = createTransactionsShared(QUEUE_LENGTH, IDLE_TRANSACTION_MS, { selfFencing: true, slotPerStatement: true, connectionPerWorkspace: true }, COLD_LIMITS)
     this.#slice = StoreSlice.create({ name: 'transactions', shared, decide: decideTransactions, checkItem: checkOwnedDatabase })
     this.#shares = Array.from({ length: load.workspaces }, (_, index) => 1 / (index + 1))
   }
@@ -90,9 +107,10 @@
   }
 
   run (): DatabaseLoadResult {
-    const { slots, connectionLimit } = this.#load
-    const entry: DatabaseEntry = { kind: 'database', database: 'a1', group: 'a', failureDomain: 'east', address: '', slots, connectionLimit, departing: false }
-    this.#handle({ kind: 'transactions/owned-changed', databases: [entry], grants: [] })
+    const { slots, connectionLimit, coldRate } = this.#load
+    const entry: DatabaseEntry = { kind: 'database', database: 'a1', group: 'a', failureDomain: 'east', address: '', slots, connectionLimit, departing: false, ...(coldRate === undefined ? {} : { cold: true }) }
+    this.#handle({ kind: 'transactions/owned-changed', databases: [entry], grants: [], coldRates: new Map(coldRate === undefined ? [] : [['a', coldRate]]) })
+    if (coldRate !== undefined) this.#renewConfirmation()
     this.#scheduleArrival(1)
     while (this.#steps.length > 0) {
       this.#steps.sort((a, b) => b.atMs - a.atMs || b.sequence - a.sequence)
@@ -100,7 +118,13 @@
       this.#nowMs = step.atMs
       step.run()
     }
-    return { outcomes: this.#outcomes, opened: this.#opened }
+    return { outcomes: this.#outcomes, opened: this.#opened, sentAtMs: this.#sentAtMs }
+  }
+
+  #renewConfirmation (): void {
+    if (this.#nowMs > Math.min(this.#load.durationMs, this.#load.cutAtMs ?? Infinity)) return
+    this.#handle({ kind: 'transactions/confirmed', askedAtMs: this.#nowMs })
+    this.#schedule(100, () => this.#renewConfirmation())
   }
 
   #scheduleArrival (number: number): void {
@@ -115,12 +139,13 @@
   #arrive (number: number): void {
     const caller = `c${number}`
     this.#arrivals.set(caller, this.#nowMs)
+    if (this.#load.transactionPart !== undefined && uniformFloat64(this.#random) < this.#load.transactionPart) this.#statementsLeft.set(caller, 2)
     const run: RunRequest = {
       kind: 'transactions/run',
       from: 'entry',
       caller,
       attempt: 1,
-      ticket: { sender: 'p', order: number },
+      ticket: { sender: 'p', order: ++this.#tickets },
       service: 's',
       workspace: `w${this.#drawWorkspace()}`,
       target: { database: 'a1', owner: 'o', purpose: 'replica', term: 1, floor: ORIGIN },
@@ -129,9 +154,17 @@
       latencyMs: this.#load.latencyMs,
       payload: new Uint8Array(0)
     }
+    this.#runs.set(caller, run)
     this.#schedule(this.#load.inboxMs ?? 0, () => this.#handle(run))
   }
 
+  #continueTransaction (caller: string): void {
+    const left = this.#statementsLeft.get(caller)! - 1
+    this.#statementsLeft.set(caller, left)
+    const attempt = 3 - left
+    this.#handle({ ...this.#runs.get(caller)!, attempt, transaction: 1, ticket: { sender: 'p', order: ++this.#tickets }, intent: left === 0 ? 'commit' : 'statement' })
+  }
+
   #drawWorkspace (): number {
     let left = uniformFloat64(this.#random) * this.#shares.reduce((sum, share) => sum + share, 0)
     return this.#shares.findIndex(share => (left -= share) < 0)
@@ -163,7 +196,10 @@
   #startStatement (connection: string): void {
     const statementMs = this.#load.statementMs * (0.5 + uniformFloat64(this.#random))
     const observed = { position: ORIGIN, askedAtMs: this.#nowMs, proven: false }
-    this.#acquireSlot(statementMs, () => this.#handle({ kind: 'transactions/finished', connection, status: 'idle', refused: false, observed, payload: new Uint8Array(0) }))
+    this.#sentAtMs.push(this.#nowMs)
+    const caller = this.#slice.store.items.get('a1')?.connections.get(connection)?.caller ?? ''
+    const status = (this.#statementsLeft.get(caller) ?? 0) > 0 ? 'open' : 'idle'
+    this.#acquireSlot(statementMs, () => this.#handle({ kind: 'transactions/finished', connection, status, refused: false, observed, payload: new Uint8Array(0) }))
   }
 
   // The database runs as many pieces of work as it has slots, in the order of their arrival.
@@ -190,6 +226,10 @@
   }
 
   #record (answer: AttemptFailed | AttemptFinished): void {
+    if (answer.kind === 'requests/finished' && (this.#statementsLeft.get(answer.caller) ?? 0) > 0) {
+      this.#schedule(5, () => this.#continueTransaction(answer.caller))
+      return
+    }
     const elapsedMs = this.#nowMs - this.#arrivals.get(answer.caller)!
     const outcome = answer.kind === 'requests/finished' ? 'finished' : answer.failure.code === 'deadline-passed' ? 'expired' : 'refused'
     this.#outcomes.push({ outcome, elapsedMs })
