--- a/src/explaining/causes.ts
+++ b/src/explaining/causes.ts
@@ -111,8 +111,9 @@
   }
 
   explain (_history: RequestHistory, last: LogLine): Conclusion | undefined {
-    const { failure, phase, database, reason, answerMs, limitMs } = last.fields
+    const { failure, phase, database, reason, answerMs, limitMs, coldRate, waitMs } = last.fields
     if (failure === 'overloaded') return this.createConclusion(`${String(reason)} The answer was expected after ${String(answerMs)} ms, where ${String(limitMs)} ms were allowed.`, [last])
+    if (failure === 'database-cold') return this.createConclusion(`${String(reason)} This host may send it ${String(coldRate)} requests a second; the wait was ${String(waitMs)} ms, where ${String(limitMs)} ms were allowed.`, [last])
     if (failure !== 'queue-full' && !(failure === 'deadline-passed' && phase === 'waiting')) return undefined
     return this.createConclusion(`The request found no free slot of database ${String(database)} before its deadline: the queue of the database was too long.`)
   }
--- a/src/explaining/history.test.ts
+++ b/src/explaining/history.test.ts
@@ -46,6 +46,13 @@
     expect(findText({ reserve: 'unreachable' })).to.include('could not reach the leader')
   })
 
+  it('says how many requests a cold database takes from its owner', () => {
+    const fields = { phase: 'running', database: 'a1', failure: 'database-cold', reason: 'Database "a1" has come back.', coldRate: 15.5, waitMs: 400, limitMs: 100 }
+    const cause = findCause(readHistory([createEnd(0, 'failed', fields), ...NOISE]))!
+    expect(cause.kind).to.equal('queue')
+    expect(cause.text).to.include('15.5 requests a second').and.include('400 ms').and.include('100 ms')
+  })
+
   it('says how long the answer of an overloaded database was expected to take', () => {
     const fields = { phase: 'running', database: 'a1', failure: 'overloaded', reason: 'Database "a1" cannot answer in time.', answerMs: 310, limitMs: 125 }
     const cause = findCause(readHistory([createEnd(0, 'failed', fields), ...NOISE]))!
--- a/src/membership/log.ts
+++ b/src/membership/log.ts
@@ -4,7 +4,7 @@
 import type { LeaderState } from './state.js'
 
 /**
- * Records which databases joined the directory, depart, or left it. Two leaders' directories are not compared.
+ * Records which databases joined the directory, depart, left it, or became cold or warm. Two leaders' directories are not compared.
  * @example recordDatabaseEvents(before.leaderState, after.leaderState)
  */
 export function recordDatabaseEvents (before: LeaderState | undefined, after: LeaderState | undefined): readonly CoreEffect[] {
@@ -14,7 +14,8 @@
   const left = [...known.values()].filter(({ database }) => !current.has(database))
   return [
     ...left.map(entry => recordChange('database-left', 'left the directory', entry)),
-    ...[...current.values()].flatMap(entry => recordArrival(known.get(entry.database), entry))
+    ...[...current.values()].flatMap(entry => recordArrival(known.get(entry.database), entry)),
+    ...[...current.values()].flatMap(entry => recordTemperature(known.get(entry.database), entry))
   ]
 }
 
@@ -27,6 +28,11 @@
   return entry.departing && !known.departing ? [recordChange('database-departing', 'departs', entry)] : []
 }
 
+function recordTemperature (known: DatabaseEntry | undefined, entry: DatabaseEntry): readonly CoreEffect[] {
+  if ((known?.cold === true) === (entry.cold === true)) return []
+  return [entry.cold === true ? recordChange('database-cold', 'is cold and takes few requests', entry) : recordChange('database-warm', 'is warm', entry)]
+}
+
 function recordChange (event: string, change: string, { database, group, address }: DatabaseEntry): CoreEffect {
   return recordEvent(event, `Database ${database} at ${address} ${change}.`, { group })
 }
--- a/src/routing/placement.test.ts
+++ b/src/routing/placement.test.ts
@@ -32,6 +32,14 @@
     expect(pick(createState([4, 4, 0]))).to.equal('db-2')
   })
 
+  it('leaves a cold database to its few requests while others have room', () => {
+    const state = createState([0, 0, 0])
+    const local = state.databases.get('db-0')!
+    const cold: RoutingState = { ...state, databases: new Map(state.databases).set('db-0', { ...local, entry: { ...local.entry, cold: true } }) }
+    expect(pick(cold)).to.equal('db-1')
+    expect(pick({ ...cold, loads: new Map([['db-1', 2], ['db-2', 2]]) })).to.equal('db-0')
+  })
+
   it('prefers a replica over an equally loaded primary', () => {
     expect(pick(createState([0, 0, 0]), ['db-0'])).to.equal('db-1')
   })
