Reads leave their failure domain by a price that each host measures, where the settings say so

Cause: a fixed cost of 1.3 requests a slot, whatever the distance, the load, the bytes and a slow link. Change: src/leaving decides, switched on by placement.leaveDomain (off by default, then as before): measured path, reported load, bytes by a price; the cheaper of two drawn databases against home, with a margin.

--- a/src/daemon/slices.ts
+++ b/src/daemon/slices.ts
@@ -36,7 +36,7 @@
  * @example createSlices(settings, POSTGRES_GUARANTEES, clock.read().monotonicMs)
  */
 export function createSlices (settings: Settings, guarantees: DatabaseGuarantees, startedAtMs: number): readonly Slice[] {
-  const { host, failureDomain, limits, timing, cold } = settings
+  const { host, failureDomain, limits, timing, cold, placement } = settings
   return [
     StoreSlice.create({ name: 'admission', shared: createAdmissionShared({ self: host, servesWhenIsolated: settings.authority === 'kept', acceptsCallers: settings.callers !== undefined, startedAtMs }), decide: decideAdmission, checkItem: checkAllowance }),
     DecidingSlice.create({ name: 'agreement', initial: createAgreementState(), decide: decideAgreement }),
@@ -45,7 +45,7 @@
     DecidingSlice.create({ name: 'operations', initial: createOperationsState(), decide: decideOperations }),
     DecidingSlice.create({ name: 'primacy', initial: createPrimacyState(!guarantees.selfFencing), decide: decidePrimacy }),
     StoreSlice.create({ name: 'requests', shared: createRequestsShared(limits.requestMs, guarantees), decide: decideRequests }),
-    DecidingSlice.create({ name: 'routing', initial: createRoutingState(host, failureDomain, guarantees, timing.askEveryMs), decide: decideRouting }),
+    DecidingSlice.create({ name: 'routing', initial: createRoutingState(host, failureDomain, guarantees, timing.askEveryMs, placement?.leaveDomain === true ? { priceMsPerKib: placement.priceMsPerKib } : undefined), decide: decideRouting }),
     StoreSlice.create({ name: 'shares', shared: createSharesShared(), decide: decideShares, checkItem: checkSharesItem }),
     DecidingSlice.create({ name: 'stopping', initial: createStoppingState(host, limits.balancerMs), decide: decideStopping }),
     DecidingSlice.create({ name: 'succession', initial: createSuccessionState(guarantees.selfFencing), decide: decideSuccession }),
--- a/src/monitoring/metrics.ts
+++ b/src/monitoring/metrics.ts
@@ -27,6 +27,7 @@
   readonly #requests = this.#createCounter('requests_total', 'Requests of callers, by outcome.', ['outcome'])
   readonly #refusals = this.#createCounter('refusals_total', 'Requests and callers that got an error, by its code.', ['code'])
   readonly #routed = this.#createCounter('routed_total', 'Attempts that found a database, by what they do and by the role of the database.', ['action', 'role'])
+  readonly #left = this.#createCounter('reads_left_total', 'Attempts of reads that left the failure domain of their host, by reason; none where a fixed cost decides.', ['reason'])
   readonly #beats = this.#createCounter('beats_total', 'Reports of this host to the leader, sent and answered.', ['outcome'])
   readonly #events = this.#createCounter('events_total', 'Events of the time line, by name.', ['event'])
   readonly #failovers = this.#createCounter('failovers_total', 'Changes of a primary that this host saw.', [])
@@ -83,7 +84,10 @@
       case 'requests/open': this.#callers.add(message.caller); break
       case 'requests/arrived': this.#startedAtMs.set(message.caller, performance.now()); break
       case 'requests/closed': this.#removeCaller(message.caller); break
-      case 'requests/routed': this.#observeRoute(message.caller, message.target.purpose); break
+      case 'requests/routed':
+        this.#observeRoute(message.caller, message.target.purpose)
+        if (message.target.left !== undefined) this.#left.increment(message.target.left)
+        break
       case 'routing/choose': this.#pendingActions.set(message.caller, message.rules.action); break
       case 'routing/directory-changed': this.#observeGrants(message.grants); break
       case 'transactions/open-failed':
--- a/src/requests/decide.ts
+++ b/src/requests/decide.ts
@@ -59,9 +59,9 @@
     case 'requests/admitted': return decideForAttempt(caller, message, running => admitRequest(acceptKey(caller, message.rules), running, message, moment))
     case 'requests/routed': return decideForAttempt(caller, message, running => dispatchRequest(store.shared, caller, running, message, moment))
     case 'requests/late': return decideForAttempt(caller, message, running => retrySlowRead(store.shared, caller, running, message, moment))
-    case 'requests/failed': return decideForAttempt(caller, message, running => reportOwner(running, message, failAttempt(store.shared, caller, running, message, moment)))
+    case 'requests/failed': return decideForAttempt(caller, message, running => reportOwner(running, message, failAttempt(store.shared, caller, running, message, moment), moment))
     case 'requests/output': return decideForAttempt(caller, message, running => forwardOutput(caller, running, message))
-    case 'requests/finished': return decideForAttempt(caller, message, running => reportOwner(running, message, finishRequest(store.shared, caller, running, message, moment)))
+    case 'requests/finished': return decideForAttempt(caller, message, running => reportOwner(running, message, finishRequest(store.shared, caller, running, message, moment), moment))
     case 'requests/deadline-passed': return caller.running?.request === message.request ? expireRequest(caller, caller.running) : UNCHANGED
     case 'requests/key-withdrawn': return revokeKey(caller, message)
     case 'requests/silence-passed': return endSilent(caller)
@@ -76,9 +76,10 @@
 }
 
 // Routing places requests by the load that owners report, and avoids owners that do not answer.
-function reportOwner ({ target }: InFlightRequest, { from, load }: AttemptFailed | AttemptFinished, step: RequestsStep): RequestsStep {
+function reportOwner ({ target, sentAtMs }: InFlightRequest, message: AttemptFailed | AttemptFinished, step: RequestsStep, moment: Moment): RequestsStep {
+  const { from, load, waitedMs, ranMs } = message
   if (from === undefined || target === undefined) return step
-  return { ...step, effects: [...step.effects, tell({ kind: 'routing/owner-answered', owner: from, database: target.database, load })] }
+  return { ...step, effects: [...step.effects, tell({ kind: 'routing/owner-answered', owner: from, database: target.database, load, ...(sentAtMs === undefined || waitedMs === undefined ? {} : { elapsedMs: moment.monotonicMs - sentAtMs, waitedMs, ranMs, bytes: message.kind === 'requests/finished' ? message.payload.byteLength : 0 }) })] }
 }
 
 function openConnection (message: CallerConnected): RequestsStep {
--- a/src/requests/messages.ts
+++ b/src/requests/messages.ts
@@ -1,4 +1,5 @@
 /** Messages of the requests slice: the life cycle of connections and requests. */
+import type { LeavingReason } from '../leaving/decide.js'
 import type { Failure } from '../core/errors.js'
 import type { LogPosition } from '../core/position.js'
 import type { GrantEntry } from '../membership/directory.js'
@@ -49,6 +50,8 @@
   readonly floor: LogPosition
   /** Set where the owner of the database determines the floor. */
   readonly bound?: StalenessBound
+  /** Why the read leaves the failure domain of its host; absent where it stays, or a fixed cost decides. */
+  readonly left?: LeavingReason
 }
 
 /** How stale a read may be, and the latest position of its group that the caller's session has seen. */
--- a/src/routing/decide.ts
+++ b/src/routing/decide.ts
@@ -7,7 +7,8 @@
 import type { Target } from '../requests/messages.js'
 import type { DatabaseAnswered, ChooseTarget, DirectoryChanged, OwnerAnswered, PositionsRequested, PositionsReported, RoutingMessage, StatusRead, ReportedPosition } from './messages.js'
 import { addSample, findFreshFloor } from './staleness.js'
-import { isUnresponsiveOwner, pickLeastLoaded } from './placement.js'
+import { chooseDomain, recordOwnerAnswer as recordPrice, type LeavingChoice } from '../leaving/decide.js'
+import { createCandidates, isUnresponsiveOwner, pickLeastLoaded } from './placement.js'
 import type { TimedPosition, DatabaseWithOwner, PrimarySample, RoutingState } from './state.js'
 import { sendPeer, setTimer, tell } from '../messages.js'
 
@@ -55,7 +56,8 @@
   const state: RoutingState = { ...before, groupUsedAtMs: new Map(before.groupUsedAtMs).set(rules.group, moment.monotonicMs) }
   const grant = state.grants.get(rules.group)
   const mayBeStale = rules.action === 'read' && rules.maxStalenessMs > 0 && message.primaryOnly !== true
-  const target = !mayBeStale ? undefined : state.guarantees.selfFencing ? chooseBounded(state, message, grant) : chooseCovering(state, message, grant, moment)
+  const leaving = mayBeStale && state.leaving !== undefined ? chooseDomain(state.leaving, state.failureDomain, rules.group, createCandidates(state, message), moment.random, moment.monotonicMs) : undefined
+  const target = !mayBeStale ? undefined : state.guarantees.selfFencing ? chooseBounded(state, message, grant, leaving) : chooseCovering(state, message, grant, moment)
   if (target !== undefined) return answerTarget({ ...state, roundRobinCounter: state.roundRobinCounter + 1 }, message, target, moment)
   const primary = grant?.primary === undefined ? undefined : state.databases.get(grant.primary)
   if (grant === undefined || grant.closing === true || primary?.owner === undefined || isUnresponsiveOwner(state, primary.owner)) return refuse(state, message, 'no-primary', moment)
@@ -64,11 +66,11 @@
 
 // A self-fencing database refuses a read whose floor it lacks, so any replica may be chosen. Its owner determines the
 // floor: only the owners of a group exchange its positions, which would cost each host of a large fleet more than its requests.
-function chooseBounded (state: RoutingState, message: ChooseTarget, grant: GrantEntry | undefined): Target | undefined {
-  const replica = pickLeastLoaded(state, message)
+function chooseBounded (state: RoutingState, message: ChooseTarget, grant: GrantEntry | undefined, leaving: LeavingChoice | undefined): Target | undefined {
+  const replica = pickLeastLoaded(state, message, leaving?.candidates.map(({ database }) => database))
   if (replica === undefined) return undefined
   const bound = { maxStalenessMs: message.rules.maxStalenessMs, seen: message.seen }
-  return { ...createTarget(replica, 'replica', grant?.term ?? 0, ORIGIN), bound }
+  return { ...createTarget(replica, 'replica', grant?.term ?? 0, ORIGIN), bound, ...(leaving?.left === undefined ? {} : { left: leaving.left }) }
 }
 
 function chooseCovering (state: RoutingState, message: ChooseTarget, grant: GrantEntry | undefined, moment: Moment): Target | undefined {
@@ -184,9 +186,16 @@
   return { ...state, loads, loadReportedAtMs }
 }
 
-function recordOwnerAnswer (state: RoutingState, { owner, database, load }: OwnerAnswered, moment: Moment): RoutingState {
+function recordOwnerAnswer (state: RoutingState, message: OwnerAnswered, moment: Moment): RoutingState {
+  const { owner, database, load } = message
   const next = load === undefined || owner === state.self ? state : recordLoad(state, database, load, moment.monotonicMs)
-  return state.awaitedOwners.has(owner) ? markAnswering(next, owner) : next
+  return recordPath(state.awaitedOwners.has(owner) ? markAnswering(next, owner) : next, message, moment)
+}
+
+function recordPath (state: RoutingState, { database, elapsedMs, waitedMs, ranMs, bytes = 0 }: OwnerAnswered, moment: Moment): RoutingState {
+  const entry = state.databases.get(database)?.entry
+  if (state.leaving === undefined || entry === undefined || elapsedMs === undefined || waitedMs === undefined || ranMs === undefined) return state
+  return { ...state, leaving: recordPrice(state.leaving, { group: entry.group, failureDomain: entry.failureDomain, elapsedMs, waitedMs, ranMs, bytes }, moment.monotonicMs) }
 }
 
 function recordLoad (state: RoutingState, database: string, load: number, reportedAtMs: number): RoutingState {
--- a/src/routing/messages.ts
+++ b/src/routing/messages.ts
@@ -98,6 +98,11 @@
   readonly owner: string
   readonly database: string
   readonly load?: number
+  /** How long the attempt took, and what its owner measured; absent where an answer tells nothing of it. */
+  readonly elapsedMs?: number
+  readonly waitedMs?: number
+  readonly ranMs?: number
+  readonly bytes?: number
 }
 
 /** Any message of the routing slice. */
--- a/src/routing/placement.ts
+++ b/src/routing/placement.ts
@@ -1,5 +1,7 @@
 /** Load-based placement of reads, for databases that refuse a read whose floor they lack. */
 import { pickHeaviest } from '../core/rendezvous.js'
+import type { LeavingCandidate } from '../leaving/decide.js'
+import type { DatabaseEntry } from '../membership/directory.js'
 import type { ChooseTarget } from './messages.js'
 import type { DatabaseWithOwner, RoutingState } from './state.js'
 
@@ -16,17 +18,41 @@
 /**
  * Picks the database for a read by the lowest cost: the load, plus penalties for other failure domains and for the
  * primary. Handles the load pattern of one overloaded database beside idle replicas.
+ * @param among the databases that may be picked; all where absent.
  * @example pickLeastLoaded(state, { kind: 'routing/choose', caller: 'c1', attempt: 1, rules, seen, avoid: [] })
  */
-export function pickLeastLoaded (state: RoutingState, message: ChooseTarget): DatabaseWithOwner | undefined {
+export function pickLeastLoaded (state: RoutingState, message: ChooseTarget, among?: readonly string[]): DatabaseWithOwner | undefined {
   const { group } = message.rules
-  const eligible = [...state.databases.values()].filter(database => database.entry.group === group && isEligible(state, database, message))
+  const eligible = listEligible(state, message).filter(({ entry }) => among === undefined || among.includes(entry.database))
   const primary = state.grants.get(group)?.primary
   const rated = eligible.map((database, index) => ({ database, cost: calculateCost(state, database, primary), order: (index + state.roundRobinCounter) % eligible.length }))
   const [first, ...others] = rated.sort((a, b) => a.cost - b.cost || a.order - b.order)
   return first === undefined ? undefined : pickPreferred(message.workspace, [first, ...others.filter(other => other.cost === first.cost)].map(({ database }) => database))
 }
 
+function listEligible (state: RoutingState, message: ChooseTarget): readonly DatabaseWithOwner[] {
+  return [...state.databases.values()].filter(database => database.entry.group === message.rules.group && isEligible(state, database, message))
+}
+
+/**
+ * Lists the databases that may serve a read, with what is known of their load.
+ * @example createCandidates(state, message)[0]?.load // 0.67
+ */
+export function createCandidates (state: RoutingState, message: ChooseTarget): readonly LeavingCandidate[] {
+  const primary = state.grants.get(message.rules.group)?.primary
+  return listEligible(state, message).map(({ entry }) => ({
+    database: entry.database,
+    failureDomain: entry.failureDomain,
+    slots: entry.slots,
+    load: state.loads.get(entry.database),
+    extraCost: calculateRoleCost(entry, primary)
+  }))
+}
+
+function calculateRoleCost (entry: DatabaseEntry, primary: string | undefined): number {
+  return (entry.database === primary ? PRIMARY_COST : 0) + (entry.cold === true ? COLD_COST : 0)
+}
+
 // A connection serves one workspace, so a workspace whose reads stay at one of several equal databases needs fewer openings.
 function pickPreferred (workspace: string | undefined, equal: readonly DatabaseWithOwner[]): DatabaseWithOwner | undefined {
   const preferred = workspace === undefined ? undefined : pickHeaviest(workspace, equal.map(({ entry }) => entry.database))
@@ -47,6 +73,6 @@
 }
 
 function calculateCost (state: RoutingState, { entry }: DatabaseWithOwner, primary: string | undefined): number {
-  const remoteCost = entry.failureDomain === state.failureDomain ? 0 : REMOTE_DOMAIN_COST
-  return (state.loads.get(entry.database) ?? 0) + remoteCost + (entry.database === primary ? PRIMARY_COST : 0) + (entry.cold === true ? COLD_COST : 0)
+  const remoteCost = state.leaving !== undefined || entry.failureDomain === state.failureDomain ? 0 : REMOTE_DOMAIN_COST
+  return (state.loads.get(entry.database) ?? 0) + remoteCost + calculateRoleCost(entry, primary)
 }
--- a/src/routing/state.ts
+++ b/src/routing/state.ts
@@ -1,6 +1,7 @@
 /** State of the routing slice. */
 import type { LogPosition } from '../core/position.js'
 import { hashName } from '../core/rendezvous.js'
+import { createLeavingState, type LeavingSettings, type LeavingState } from '../leaving/state.js'
 import { POSTGRES_GUARANTEES, type DatabaseGuarantees } from '../databases/guarantees.js'
 import type { DatabaseEntry, GrantEntry, HostEntry } from '../membership/directory.js'
 
@@ -61,6 +62,8 @@
   readonly pollSentAtMs: ReadonlyMap<number, number>
   /** Consecutive rounds without an answer since a poll, by polled host. The latest round doesn't count yet, so an answer sets -1. */
   readonly unansweredPolls: ReadonlyMap<string, number>
+  /** Figures on reads that leave the failure domain; absent where a fixed cost decides. */
+  readonly leaving?: LeavingState
   /** Round-robin counter that spreads reads over equivalent replicas. */
   readonly roundRobinCounter: number
 }
@@ -69,7 +72,7 @@
  * Creates the state of a host before it has received the directory.
  * @example createRoutingState('host-1', 'domain-1')
  */
-export function createRoutingState (self: string, failureDomain: string, guarantees: DatabaseGuarantees = POSTGRES_GUARANTEES, askEveryMs = POSITION_POLL_INTERVAL_MS): RoutingState {
+export function createRoutingState (self: string, failureDomain: string, guarantees: DatabaseGuarantees = POSTGRES_GUARANTEES, askEveryMs = POSITION_POLL_INTERVAL_MS, leaving?: LeavingSettings): RoutingState {
   return {
     self,
     failureDomain,
@@ -91,6 +94,7 @@
     pollOffset: hashName(self),
     pollSentAtMs: new Map(),
     unansweredPolls: new Map(),
+    leaving: leaving === undefined ? undefined : createLeavingState(leaving),
     roundRobinCounter: 0
   }
 }
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -45,6 +45,11 @@
   slack: v.optional(v.pipe(v.number(), v.minValue(0, 'Expected a number from 0'), v.description('Requests in a second beside it.')), 0)
 }), v.readonly())
 
+const PlacementSchema = v.pipe(v.strictObject({
+  leaveDomain: v.optional(v.pipe(v.boolean(), v.description('Whether a host decides from what it measures when reads leave its failure domain; a fixed cost decides otherwise.')), false),
+  priceMsPerKib: v.optional(v.pipe(v.number(), v.minValue(0, 'Expected a number from 0'), v.description('What a KiB between failure domains costs, in milliseconds that a read may wait at home instead.')), 0)
+}), v.readonly())
+
 const TimingSchema = v.pipe(v.strictObject({
   beatEveryMs: v.optional(v.pipe(Milliseconds, v.description('The interval between the heartbeats of a host to the leader, in milliseconds.')), DEFAULT_MEMBERSHIP_TIMING.beatEveryMs),
   probeEveryMs: v.optional(v.pipe(Milliseconds, v.description('The interval between the probes of the databases that a host owns, in milliseconds.')), DEFAULT_MEMBERSHIP_TIMING.probeEveryMs),
@@ -76,6 +81,7 @@
   logLevel: v.optional(v.picklist(['debug', 'info', 'warn', 'error']), 'info'),
   trace: v.optional(v.pipe(TraceSchema, v.description('Records the messages of some slices for replay. Off by default, since messages may hold data of callers.'))),
   cold: v.optional(v.pipe(ColdSchema, v.description('How far the requests to a database that came back may exceed the `coldRate` of its group.'))),
+  placement: v.optional(PlacementSchema),
   limits: v.optional(LimitsSchema, {})
 }), v.readonly())
 
