--- a/src/membership/decide.ts
+++ b/src/membership/decide.ts
@@ -179,7 +179,7 @@
     tell({ kind: 'admission/documents-confirmed', documents, askedAtMs }),
     tell({ kind: 'requests/grants-confirmed', grants: listEntries(directory, 'grant'), askedAtMs }),
     tell({ kind: 'routing/grants-confirmed', askedAtMs }),
-    ...(state.ownedDatabases.size > 0 && listColdRates(directory).size > 0 ? [tell({ kind: 'transactions/confirmed', askedAtMs })] : [])
+    ...(state.ownedDatabases.size > 0 && [...listColdRates(directory).values()].some(rate => rate > 0) ? [tell({ kind: 'transactions/confirmed', askedAtMs })] : [])
   ]
 }
 
@@ -198,9 +198,10 @@
   ]
 }
 
+// A group without a rate has 0: a new leader may name databases before documents, and the rates known stay in force until then.
 function listColdRates (directory: Directory): ReadonlyMap<string, number> {
   const groups = listEntries(directory, 'document').flatMap(({ document }) => document.groups)
-  return new Map(groups.flatMap(({ name, coldRate }) => (coldRate === undefined ? [] : [[name, coldRate] as const])))
+  return new Map(groups.map(({ name, coldRate = 0 }) => [name, coldRate]))
 }
 
 function listOwnDatabases (state: MembershipState, directory: Directory, owners: MembershipState['owners']): MembershipState['ownedDatabases'] {
--- a/src/transactions/cold.test.ts
+++ b/src/transactions/cold.test.ts
@@ -1,5 +1,9 @@
 /** A database that comes back while its callers wait: the same load with and without a rate for cold databases. */
 import { expect } from 'chai'
+import { StoreSlice } from '../core/store.js'
+import type { DatabaseEntry } from '../membership/directory.js'
+import { decideTransactions } from './decide.js'
+import { createTransactionsShared } from './state.js'
 import { runDatabaseLoad, COLD_LIMITS, type DatabaseLoad, type DatabaseLoadResult } from './support/databaseload.js'
 
 const RATE = 20
@@ -49,4 +53,16 @@
     expect(countOutcomes(limited, 'finished')).to.be.at.most(3 * LIMIT / 4)
     expect(countOutcomes(limited, 'expired')).to.equal(0)
   })
+
+  it('keeps its rate while a new leader names databases but no documents yet', () => {
+    const entry: DatabaseEntry = { kind: 'database', database: 'a1', group: 'a', failureDomain: 'east', address: '', slots: 3, connectionLimit: 9, departing: false, cold: true }
+    const slice = StoreSlice.create({ name: 'transactions', shared: createTransactionsShared(10, 1_000, undefined, COLD_LIMITS), decide: decideTransactions })
+    const own = (coldRates: ReadonlyMap<string, number>): ReadonlyMap<string, number> => {
+      slice.handle({ kind: 'transactions/owned-changed', databases: [entry], grants: [], coldRates }, { monotonicMs: 0, wallMs: 0, random: 0 })
+      return slice.store.shared.coldRates
+    }
+    expect(own(new Map([['a', RATE]])).get('a')).to.equal(RATE)
+    expect(own(new Map()).get('a')).to.equal(RATE)
+    expect(own(new Map([['a', 0]])).size).to.equal(0)
+  })
 })
--- a/src/transactions/messages.ts
+++ b/src/transactions/messages.ts
@@ -138,7 +138,7 @@
   readonly kind: 'transactions/owned-changed'
   readonly databases: readonly DatabaseEntry[]
   readonly grants: readonly GrantEntry[]
-  /** The rate of requests to a cold database, by group. */
+  /** The rate of requests to a cold database, by group; 0 where there is no limit. Groups that are absent keep theirs. */
   readonly coldRates?: ReadonlyMap<string, number>
 }
 
--- a/src/transactions/ownership.ts
+++ b/src/transactions/ownership.ts
@@ -24,12 +24,16 @@
   })
   const steps = [...released, ...owned].map(step => completeStep(step.database, step.effects))
   return {
-    shared: { ...store.shared, generation, coldRates: message.coldRates ?? store.shared.coldRates },
+    shared: { ...store.shared, generation, coldRates: mergeColdRates(store.shared.coldRates, message.coldRates) },
     changes: steps.flatMap(step => step.changes ?? []),
     effects: steps.flatMap(step => step.effects)
   }
 }
 
+function mergeColdRates (known: ReadonlyMap<string, number>, named: OwnershipChanged['coldRates']): ReadonlyMap<string, number> {
+  return named === undefined ? known : new Map([...new Map([...known, ...named])].filter(([, rate]) => rate > 0))
+}
+
 /**
  * Turns the step of one database into a step of the slice; removes a released database with its last unit of work.
  * @example completeStep(step.database, step.effects)
