--- a/src/transactions/cold.test.ts
+++ b/src/transactions/cold.test.ts
@@ -3,6 +3,7 @@
 import { StoreSlice } from '../core/store.js'
 import type { DatabaseEntry } from '../membership/directory.js'
 import { decideTransactions } from './decide.js'
+import type { TransactionsMessage } from './messages.js'
 import { createTransactionsShared } from './state.js'
 import { runDatabaseLoad, COLD_LIMITS, type DatabaseLoad, type DatabaseLoadResult } from './support/databaseload.js'
 
@@ -58,7 +59,8 @@
     const entry: DatabaseEntry = { kind: 'database', database: 'a1', group: 'a', failureDomain: 'east', address: '', slots: 3, connectionLimit: 9, departing: false, cold: true }
     const slice = StoreSlice.create({ name: 'transactions', shared: createTransactionsShared(10, 1_000, undefined, COLD_LIMITS), decide: decideTransactions })
     const own = (coldRates: ReadonlyMap<string, number>): ReadonlyMap<string, number> => {
-      slice.handle({ kind: 'transactions/owned-changed', databases: [entry], grants: [], coldRates }, { monotonicMs: 0, wallMs: 0, random: 0 })
+      const message: TransactionsMessage = { kind: 'transactions/owned-changed', databases: [entry], grants: [], coldRates }
+      slice.handle(message, { monotonicMs: 0, wallMs: 0, random: 0 })
       return slice.store.shared.coldRates
     }
     expect(own(new Map([['a', RATE]])).get('a')).to.equal(RATE)
--- a/src/transactions/invariants.ts
+++ b/src/transactions/invariants.ts
@@ -8,11 +8,12 @@
  * @throws InvariantError when an invariant is violated.
  */
 export function checkOwnedDatabase (database: OwnedDatabase): void {
-  const { entry, guarantees, units, connections } = database
+  const { entry, guarantees, units, connections, refill } = database
   for (const unit of units.values()) {
     const connection = connections.get(unit.connection)
     assertInvariant(connection?.phase === 'bound' && connection.caller === unit.caller, 'each unit has a connection of its own', `${unit.caller} at ${unit.connection}`)
   }
+  assertInvariant(refill === undefined || (refill.tokens >= 0 && refill.tokens <= refill.capacity), 'tokens of a cold database within their bucket', `${refill?.tokens} of ${refill?.capacity} at ${entry.database}`)
   let bound = 0
   for (const connection of connections.values()) {
     if (connection.phase !== 'bound') continue
