--- a/src/transactions/ownership.ts
+++ b/src/transactions/ownership.ts
@@ -79,7 +79,9 @@
 // Connections beyond a lowered limit stay until they end; no other one is opened meanwhile.
 function updateEntry (known: OwnedDatabase, announced: DatabaseEntry, grant: GrantEntry | undefined): DatabaseStep {
   const entry: DatabaseEntry = { ...announced, connectionLimit: Math.max(announced.connectionLimit, known.connections.size) }
-  const step = applyGrant({ ...known, entry, releasing: false }, grant)
+  // A database that comes back before its last unit ended has had another owner, which may be cut off.
+  const refill = known.releasing ? undefined : known.refill
+  const step = applyGrant({ ...known, entry, releasing: false, refill }, grant)
   return entry.departing ? continueStep(step, refuseQueued) : step
 }
 
--- a/test/support/requestssimulation.ts
+++ b/test/support/requestssimulation.ts
@@ -15,11 +15,13 @@
 import { createRequestsShared } from '../../src/requests/state.js'
 import { checkOwnedDatabase } from '../../src/transactions/invariants.js'
 import { decideTransactions } from '../../src/transactions/decide.js'
+import type { ColdLimits } from '../../src/transactions/refill.js'
 import { createTransactionsShared } from '../../src/transactions/state.js'
 
 const REQUEST_TIMEOUT_MS = 500
 const IDLE_TIMEOUT_MS = 1_000
 const CONNECTION_LIMIT = 4
+const COLD_LIMITS: ColdLimits = { excess: 1.5, slack: 5, unheardMs: 500 }
 const HOSTS = ['entry', 'one', 'two'] as const
 const GRANT: GrantEntry = { kind: 'grant', group: 'a', term: 1, primary: 'a1', members: ['a1', 'a2'] }
 
@@ -53,7 +55,7 @@
 export class RequestsSimulation {
   readonly #random
   readonly #requests = StoreSlice.create({ name: 'requests', shared: createRequestsShared(REQUEST_TIMEOUT_MS), decide: decideRequests })
-  readonly #owners = new Map(HOSTS.map(host => [host, StoreSlice.create({ name: 'transactions', shared: createTransactionsShared(6, IDLE_TIMEOUT_MS), decide: decideTransactions, checkItem: checkOwnedDatabase })]))
+  readonly #owners = new Map(HOSTS.map(host => [host, StoreSlice.create({ name: 'transactions', shared: createTransactionsShared(6, IDLE_TIMEOUT_MS, undefined, COLD_LIMITS), decide: decideTransactions, checkItem: checkOwnedDatabase })]))
   readonly #timers = new Map<string, { readonly host: HostName, readonly atMs: number, readonly message: Message }>()
   readonly #links = new Map<string, Message[]>()
   readonly #delayed: Array<{ readonly to: HostName, readonly message: Message }> = []
@@ -70,12 +72,22 @@
   #nowMs = 0
   #offset = 0
 
-  private constructor (seed: number) {
+  readonly #cutUntilMs = new Map<HostName, number>()
+  readonly #coldRate: number | undefined
+  /** When statements were sent, by database. */
+  readonly #sentAtMs = new Map<string, number[]>()
+
+  private constructor (seed: number, coldRate: number | undefined) {
     this.#random = xoroshiro128plus(seed)
+    this.#coldRate = coldRate
   }
 
-  static create (seed: number): RequestsSimulation {
-    return new RequestsSimulation(seed)
+  /**
+   * Creates a schedule.
+   * @param coldRate the databases are cold, and their group has this rate.
+   */
+  static create (seed: number, coldRate?: number): RequestsSimulation {
+    return new RequestsSimulation(seed, coldRate)
   }
 
   /** Runs random steps, completes all requests, closes all callers, and checks that no state remains. */
@@ -89,9 +101,18 @@
     for (const caller of this.#statuses.keys()) this.#post('entry', { kind: 'requests/closed', caller })
     for (let round = 0; round < 50; round++) this.#runRound()
     this.#checkRemaining()
+    for (const [database, sentAtMs] of this.#sentAtMs) this.#checkColdLimit(database, sentAtMs)
     return { violations: this.#violations, outcomeCounts: this.#outcomeCounts }
   }
 
+  #checkColdLimit (database: string, sentAtMs: readonly number[]): void {
+    const limit = (this.#coldRate ?? Infinity) * COLD_LIMITS.excess + COLD_LIMITS.slack
+    for (const startMs of sentAtMs) {
+      const count = sentAtMs.filter(atMs => atMs >= startMs && atMs <= startMs + 1_000).length
+      if (count > limit) this.#violations.push(`${database} is cold and got ${count} statements in the second from ${startMs}, ${limit} are allowed`)
+    }
+  }
+
   #draw (below: number): number {
     return uniformInt(this.#random, 0, below - 1)
   }
@@ -207,13 +228,18 @@
   }
 
   #grantLease (): void {
+    // A host that lost its leader hears nothing for a while.
+    if (this.#coldRate !== undefined && this.#draw(40) === 0) this.#cutUntilMs.set(this.#draw(2) === 0 ? 'one' : 'two', this.#nowMs + this.#draw(3_000))
+    for (const host of ['one', 'two'] as const) {
+      if (this.#coldRate !== undefined && this.#nowMs >= (this.#cutUntilMs.get(host) ?? 0)) this.#post(host, { kind: 'transactions/confirmed', askedAtMs: this.#nowMs })
+    }
     this.#post('entry', { kind: 'requests/grants-confirmed', grants: [GRANT], askedAtMs: this.#nowMs })
   }
 
   #announceOwned (host: HostName): void {
-    const entry = (database: string): DatabaseEntry => ({ kind: 'database', database, group: 'a', failureDomain: 'f', address: database, slots: 2, connectionLimit: 3, departing: false })
+    const entry = (database: string): DatabaseEntry => ({ kind: 'database', database, group: 'a', failureDomain: 'f', address: database, slots: 2, connectionLimit: 3, departing: false, ...(this.#coldRate === undefined ? {} : { cold: true }) })
     const databases = [...(this.#primaryOwner === host ? [entry('a1')] : []), ...(host === 'two' ? [entry('a2')] : [])]
-    this.#post(host, { kind: 'transactions/owned-changed', databases, grants: [GRANT] })
+    this.#post(host, { kind: 'transactions/owned-changed', databases, grants: [GRANT], coldRates: this.#coldRate === undefined ? undefined : new Map([['a', this.#coldRate]]) })
   }
 
   #changeOwner (): void {
@@ -297,6 +323,7 @@
     const connection = this.#connections.get(`${host}:${effect.connection}`)
     if (connection === undefined) return
     const issued = this.#issuedRequests.get(Number(Buffer.from(effect.payload).toString()))!
+    this.#sentAtMs.set(connection.database, [...(this.#sentAtMs.get(connection.database) ?? []), this.#nowMs])
     if (connection.work !== undefined) this.#violations.push(`${effect.connection} received request ${issued.id} while request ${connection.work.issued.id} runs`)
     if (connection.transaction !== issued.beginRequestId) this.#violations.push(`request ${issued.id} of transaction ${issued.beginRequestId} ran in ${connection.transaction}`)
     const refused = issued.beginRequestId === undefined && issued.route === 'write' && this.#draw(10) === 0
