--- a/src/transactions/cold.ts
+++ b/src/transactions/cold.ts
@@ -27,7 +27,7 @@
  */
 export function updateRefills (store: TransactionsStore, moment: Moment): TransactionsStore {
   const { coldRates, coldLimits: limits, confirmedAtMs } = store.shared
-  if (coldRates.size === 0 && [...store.items.values()].every(({ refill }) => refill === undefined)) return store
+  if (coldRates.size === 0) return store
   const items = new Map([...store.items].map(([name, database]) => {
     const { entry, releasing, connections, refill } = database
     const rate = coldRates.get(entry.group)
--- a/src/transactions/ownership.ts
+++ b/src/transactions/ownership.ts
@@ -17,14 +17,16 @@
 export function updateOwnership (store: TransactionsStore, message: OwnershipChanged): TransactionsStep {
   const ownedNames = new Set(message.databases.map(entry => entry.database))
   const generation = store.shared.generation + 1
+  const coldRates = mergeColdRates(store.shared.coldRates, message.coldRates)
   const released = [...store.items.values()].filter(database => !ownedNames.has(database.entry.database)).map(releaseDatabase)
   const owned = message.databases.map(entry => {
     const known = store.items.get(entry.database) ?? createOwned(entry, generation, store.shared.guarantees)
-    return updateEntry(known, entry, message.grants.find(grant => grant.group === entry.group))
+    const refill = coldRates.has(entry.group) ? known.refill : undefined
+    return updateEntry({ ...known, refill }, entry, message.grants.find(grant => grant.group === entry.group))
   })
   const steps = [...released, ...owned].map(step => completeStep(step.database, step.effects))
   return {
-    shared: { ...store.shared, generation, coldRates: mergeColdRates(store.shared.coldRates, message.coldRates) },
+    shared: { ...store.shared, generation, coldRates },
     changes: steps.flatMap(step => step.changes ?? []),
     effects: steps.flatMap(step => step.effects)
   }
