--- a/src/transactions/ownership.ts
+++ b/src/transactions/ownership.ts
@@ -18,11 +18,11 @@
   const ownedNames = new Set(message.databases.map(entry => entry.database))
   const generation = store.shared.generation + 1
   const coldRates = mergeColdRates(store.shared.coldRates, message.coldRates)
-  const released = [...store.items.values()].filter(database => !ownedNames.has(database.entry.database)).map(releaseDatabase)
+  const limited = [...store.items.values()].map(database => (coldRates.has(database.entry.group) ? database : { ...database, refill: undefined }))
+  const released = limited.filter(database => !ownedNames.has(database.entry.database)).map(releaseDatabase)
   const owned = message.databases.map(entry => {
-    const known = store.items.get(entry.database) ?? createOwned(entry, generation, store.shared.guarantees)
-    const refill = coldRates.has(entry.group) ? known.refill : undefined
-    return updateEntry({ ...known, refill }, entry, message.grants.find(grant => grant.group === entry.group))
+    const known = limited.find(database => database.entry.database === entry.database) ?? createOwned(entry, generation, store.shared.guarantees)
+    return updateEntry(known, entry, message.grants.find(grant => grant.group === entry.group))
   })
   const steps = [...released, ...owned].map(step => completeStep(step.database, step.effects))
   return {
