--- a/src/transactions/ownership.ts
+++ b/src/transactions/ownership.ts
@@ -21,19 +21,25 @@
   const { evacuated = [], confirmedAtMs = moment.monotonicMs } = message
   const ownedNames = new Set(message.databases.map(entry => entry.database))
   const generation = store.shared.generation + 1
-  const released = [...store.items.values()].filter(database => !ownedNames.has(database.entry.database)).map(database => releaseDatabase(markOwned(database, evacuated, confirmedAtMs)))
+  const coldRates = mergeColdRates(store.shared.coldRates, message.coldRates)
+  const limited = [...store.items.values()].map(database => (coldRates.has(database.entry.group) ? database : { ...database, refill: undefined }))
+  const released = limited.filter(database => !ownedNames.has(database.entry.database)).map(database => releaseDatabase(markOwned(database, evacuated, confirmedAtMs)))
   const owned = message.databases.map(entry => {
-    const known = store.items.get(entry.database) ?? createOwned(entry, generation, store.shared.guarantees)
+    const known = limited.find(database => database.entry.database === entry.database) ?? createOwned(entry, generation, store.shared.guarantees)
     return updateEntry(markOwned({ ...known, entry }, evacuated, confirmedAtMs), message.grants.find(grant => grant.group === entry.group))
   })
   const steps = [...released, ...owned].map(step => completeStep(step.database, step.effects))
   return {
-    shared: { ...store.shared, generation },
+    shared: { ...store.shared, generation, coldRates },
     changes: steps.flatMap(step => step.changes ?? []),
     effects: steps.flatMap(step => step.effects)
   }
 }
 
+function mergeColdRates (known: ReadonlyMap<string, number>, named: OwnershipChanged['coldRates']): ReadonlyMap<string, number> {
+  return named === undefined ? known : new Map([...new Map([...known, ...named])].filter(([, rate]) => rate > 0))
+}
+
 /**
  * Turns the step of one database into a step of the slice; removes a released database with its last unit of work.
  * @example completeStep(step.database, step.effects)
@@ -79,7 +85,9 @@
 // Connections beyond a lowered limit stay until they end; no other one is opened meanwhile.
 function updateEntry (owned: OwnedDatabase, grant: GrantEntry | undefined): DatabaseStep {
   const entry: DatabaseEntry = { ...owned.entry, connectionLimit: Math.max(owned.entry.connectionLimit, owned.connections.size) }
-  const step = applyGrant({ ...owned, entry, releasing: false }, grant)
+  // A database that comes back before its last unit ended has had another owner, which may be cut off.
+  const refill = owned.releasing ? undefined : owned.refill
+  const step = applyGrant({ ...owned, entry, releasing: false, refill }, grant)
   return entry.departing || isEvacuated(entry) ? continueStep(step, refuseQueued) : step
 }
 
