--- a/src/core/loop.ts
+++ b/src/core/loop.ts
@@ -94,23 +94,23 @@
     }
   }
 
-  // Hot path: messages from one slice to another are delivered in the same turn, so that
-  // a statement passes through all its slices without waiting for the event loop.
+  // Hot path: messages from one slice to another are delivered in the same turn, so that a statement passes through
+  // all its slices without waiting for the event loop. A message's end is the moment of the next one.
   #deliver (): void {
-    let startedAtMs = this.#parts.clock.read().monotonicMs
-    const endsAtMs = startedAtMs + MAX_TURN_MS
-    for (let handled = 0; handled < MAX_MESSAGES_PER_TURN && startedAtMs <= endsAtMs; handled++) {
+    let moment = this.#parts.clock.read()
+    const endsAtMs = moment.monotonicMs + MAX_TURN_MS
+    for (let handled = 0; handled < MAX_MESSAGES_PER_TURN && moment.monotonicMs <= endsAtMs; handled++) {
       const message = this.#inbox.take()
       if (message === undefined) return
       const slice = readOwner(message.kind)
-      for (const effect of this.#decide(message, slice)) {
+      for (const effect of this.#decide(message, slice, moment)) {
         if (effect.kind === 'loop/tell') this.#inbox.tell((effect as Tell).message)
         else this.#execute(effect, slice)
       }
       if (this.#stopped) return
-      const endedAtMs = this.#parts.clock.read().monotonicMs
-      this.#parts.onHandled?.(message, endedAtMs - startedAtMs)
-      startedAtMs = endedAtMs
+      const ended = this.#parts.clock.read()
+      this.#parts.onHandled?.(message, ended.monotonicMs - moment.monotonicMs)
+      moment = ended
     }
     if (this.#inbox.size > 0) this.#scheduleTurn()
   }
@@ -121,10 +121,9 @@
     setImmediate(this.#drain)
   }
 
-  #decide (message: Message, owner: string): readonly Effect[] {
+  #decide (message: Message, owner: string, moment: Moment): readonly Effect[] {
     const slice = this.#slices.get(owner)
     assertInvariant(slice !== undefined, 'a slice is registered for each message', message.kind)
-    const moment = this.#parts.clock.read()
     this.#parts.recorder?.(message, moment)
     return slice.handle(message, moment)
   }
--- a/src/peers/connect.ts
+++ b/src/peers/connect.ts
@@ -1,5 +1,5 @@
 /** Peer links over Connect: one stream from a host to each host that it sends to. */
-import type { Http2ServerRequest, Http2ServerResponse } from 'node:http2'
+import type { Http2ServerRequest, Http2ServerResponse, ServerHttp2Stream } from 'node:http2'
 import { Http2SessionManager } from '@connectrpc/connect-node'
 import type { Post } from '../core/adapter.js'
 import type { LearnPeers, Message, SendPeer } from '../core/message.js'
@@ -109,10 +109,11 @@
   /** Receives the stream of another host; returns false when a request is not one. */
   readonly handleRequest = (request: Http2ServerRequest, response: Http2ServerResponse): boolean => {
     if (request.url !== PEERS_PATH) return false
+    request.on('error', () => undefined)
     response.on('error', () => undefined)
     response.writeHead(HTTP_OK, { 'content-type': GRPC_CONTENT })
     response.write(encodeMessage(this.#pack(LinkPacker.create(), [this.#encode(ACCEPT_BATCHES)], false)))
-    this.#receive(request).finally(() => {
+    this.#receive(request.stream).finally(() => {
       response.addTrailers(OK_TRAILERS)
       response.end()
     })
@@ -125,11 +126,11 @@
     for (const host of [...this.#links.keys()]) this.#drop(host)
   }
 
-  async #receive (request: Http2ServerRequest): Promise<void> {
+  async #receive (stream: ServerHttp2Stream): Promise<void> {
     const unpacker = LinkUnpacker.create()
     let from: string | undefined
     try {
-      await receiveMessages(request, packed => {
+      await receiveMessages(stream, packed => {
         for (const frame of this.#unpack(unpacker, packed)) from = this.#receiveFrame(frame)
       })
     } catch {
--- a/src/peers/outbox.ts
+++ b/src/peers/outbox.ts
@@ -3,6 +3,9 @@
 /** The most bytes in a batch before compression, unless a single frame is larger: a batch is only read once all of it has arrived. */
 const MAX_BATCH_BYTES = 8_192
 
+/** Reactions to it run as microtasks; unlike `queueMicrotask`, they create no asynchronous resource each. */
+const TURN_END = Promise.resolve()
+
 /** A message as it travels between hosts, before compression. */
 export interface EncodedFrame {
   readonly kind: string
@@ -15,7 +18,7 @@
 /** Passes frames on as batches at the end of the turn in which they were added. */
 export class Outbox {
   readonly #onBatch: OnBatch
-  #waiting: readonly EncodedFrame[] = []
+  #waiting: EncodedFrame[] = []
   #waitingBytes = 0
   #isAccepted = false
 
@@ -41,8 +44,8 @@
     const isFull = !this.#isAccepted || this.#waitingBytes + frame.bytes.length > MAX_BATCH_BYTES
     if (this.#waiting.length > 0 && isFull) this.#sendWaiting()
     // Microtasks run when the turn ends, before the runtime serves sockets and timers.
-    if (this.#waiting.length === 0) queueMicrotask(() => this.#sendWaiting())
-    this.#waiting = [...this.#waiting, frame]
+    if (this.#waiting.length === 0) TURN_END.then(() => this.#sendWaiting())
+    this.#waiting.push(frame)
     this.#waitingBytes += frame.bytes.length
   }
 
