request-cost: flags apply to half of the entry hosts, which are reported as a role of their own

Runs of the same flags that followed each other differed by a third (35.0 and 46.5 ms a second) on this machine beside other work, so flags are compared within a run. Twelve entry hosts and four groups, so that both halves own databases of each zone.

--- a/bench/requestcost.ts
+++ b/bench/requestcost.ts
@@ -16,23 +16,23 @@
 import { readUsage, type Usage } from './usage.js'
 
 const ZONES = ['zone-a', 'zone-b', 'zone-c']
-const SERVICES = ['rota', 'ledger']
+const SERVICES = ['rota', 'ledger', 'stock', 'permits']
 const WORKSPACES = 12
 const CONTROL_HOSTS = 3
-const ENTRY_HOSTS = 9
+const ENTRY_HOSTS = 12
 const SESSIONS_PER_HOST = 4
 const WORK_MS = 3
 const SECONDS = 8
 /** Requests a second of each entry host: as its hosts start, idle, as in the fleet, and warm. */
 const RATES_PER_HOST = [10, 0, 10, 60]
-/** Further flags of the runtime, to try them or to write profiles. */
+/** Further flags of the runtime for half of the entry hosts, which form a role of their own: runs that follow each other differ by more than flags do. */
 const FLAGS_VARIABLE = 'BENCH_NODE_FLAGS'
 const START_TIMEOUT_MS = 30_000
 const STOP_TIMEOUT_MS = 12_000
 const RETRY_MS = 100
 const MS_PER_SECOND = 1_000
 const UNLIMITED = 1_000_000
-const ROLES = ['entry', 'control'] as const
+const ROLES = ['entry', 'trial', 'control'] as const
 type Role = typeof ROLES[number]
 
 interface BenchHost {
@@ -51,7 +51,7 @@
     await WireDatabase.create({ id: `${group.service}-${index}`, zone, group, control, workMs: WORK_MS, onRun: () => undefined }))))
   try {
     await putConfiguration(control[0]!)
-    const sessions = await openSessions(hosts.filter(({ role }) => role === 'entry'))
+    const sessions = await openSessions(hosts.filter(({ role }) => role !== 'control'))
     const rows: Row[] = []
     for (const rate of RATES_PER_HOST) rows.push(...await observeRate(hosts, sessions, rate))
     return rows
@@ -66,10 +66,11 @@
   const requests = rate * ENTRY_HOSTS * SECONDS
   const load = rate === 0 ? await sleep(SECONDS * MS_PER_SECOND) : await runLoad({ rate: rate * ENTRY_HOSTS, seconds: SECONDS, send: async index => await sessions[index % sessions.length]!.request(index) })
   const after = await Promise.all(hosts.map(async ({ child }) => await readUsage(child.pid!)))
-  return ROLES.map(role => {
+  return ROLES.filter(role => hosts.some(host => host.role === role)).map(role => {
     const indexes = [...hosts.keys()].filter(index => hosts[index]!.role === role)
+    const asked = role === 'control' ? requests : requests * indexes.length / ENTRY_HOSTS
     const sum = (read: (usage: Usage) => number): number => indexes.reduce((total, index) => total + read(after[index]!) - read(before[index]!), 0)
-    const perRequest = (seconds: number): number => roundFigure(MS_PER_SECOND * seconds / Math.max(1, requests))
+    const perRequest = (seconds: number): number => roundFigure(MS_PER_SECOND * seconds / Math.max(1, asked))
     return {
       role,
       perHostPerSecond: rate,
@@ -86,8 +87,9 @@
   const net = process.pid % 200 + 20
   const ips = Array.from({ length: CONTROL_HOSTS + ENTRY_HOSTS }, (_, index) => `127.${net}.0.${index + 1}`)
   const commands = await readCommands()
+  const flags = process.env[FLAGS_VARIABLE]?.split(' ') ?? []
   return await Promise.all(ips.map(async (ip, index) => {
-    const role: Role = index < CONTROL_HOSTS ? 'control' : 'entry'
+    const role: Role = index < CONTROL_HOSTS ? 'control' : flags.length > 0 && Math.floor(index / ZONES.length) % 2 === 0 ? 'trial' : 'entry'
     const dataFolder = join(directory, `data-${index}`)
     await mkdir(dataFolder)
     const settings = join(directory, `host-${index}.conf`)
@@ -103,8 +105,7 @@
       ...(role === 'control' ? [`listen.control=${ip}:${control}`, `data_dir=${dataFolder}`] : [`listen.front=${ip}:${front}`, `listen.ready=${ip}:${ready}`])
     ].join('\n'))
     const [program, ...args] = commands[role]
-    const flags = process.env[FLAGS_VARIABLE]?.split(' ') ?? []
-    const child = spawn(program!, [...args.slice(0, -1), ...flags, ...args.slice(-1)], { env: { PATH: process.env.PATH, FULMARTALLY_SETTINGS: settings }, stdio: ['ignore', 'pipe', 'pipe'] })
+    const child = spawn(program!, [...args.slice(0, -1), ...(role === 'trial' ? flags : []), ...args.slice(-1)], { env: { PATH: process.env.PATH, FULMARTALLY_SETTINGS: settings }, stdio: ['ignore', 'pipe', 'pipe'] })
     const log = createWriteStream(join(directory, `host-${index}.log`))
     child.stdout.pipe(log)
     child.stderr.pipe(log)
@@ -124,7 +125,7 @@
 async function readCommands (): Promise<Readonly<Record<Role, readonly string[]>>> {
   const text = await readFile('deploy/system.toml', 'utf8')
   const read = (role: Role): readonly string[] => new RegExp(`\\[roles\\.${role}\\]\\s+run = "([^"]+)"`).exec(text)![1]!.split(' ')
-  return { entry: read('entry'), control: read('control') }
+  return { entry: read('entry'), trial: read('entry'), control: read('control') }
 }
 
 async function putConfiguration (control: string): Promise<void> {
