--- a/src/peers/connect.ts
+++ b/src/peers/connect.ts
@@ -1,4 +1,4 @@
-/** Peer links over Connect: one stream from a host to each host that it sends to. */
+/** Peer links by the `Connect` method of `proto/`: one stream from a host to each host that it sends to. */
 import type { Http2ServerRequest, Http2ServerResponse, ServerHttp2Stream } from 'node:http2'
 import { Http2SessionManager } from '@connectrpc/connect-node'
 import type { Post } from '../core/adapter.js'
@@ -49,7 +49,7 @@
   readonly onTraffic: OnTraffic
 }
 
-/** Transfers messages over Connect streams on HTTP/2. */
+/** Transfers messages over streams of gRPC on HTTP/2. */
 export class ConnectPeerLink extends PeerLink {
   readonly #self: string
   readonly #post: Post
--- a/src/peers/stream.ts
+++ b/src/peers/stream.ts
@@ -33,7 +33,10 @@
 
 /** Splits the bytes of a stream into its messages. */
 export class MessageReader {
-  #incomplete: Buffer = Buffer.alloc(0)
+  #chunks: Buffer[] = []
+  #length = 0
+  /** The length from which on the next message may be complete. */
+  #neededLength = HEADER_BYTES
 
   private constructor () {}
 
@@ -50,18 +53,26 @@
    * @throws RangeError when a message is compressed, too long or no packed frame.
    */
   read (chunk: Buffer): readonly PackedFrame[] {
-    const bytes = this.#incomplete.length === 0 ? chunk : Buffer.concat([this.#incomplete, chunk])
+    this.#chunks.push(chunk)
+    this.#length += chunk.length
+    if (this.#length < this.#neededLength) return []
+    const bytes = this.#chunks.length === 1 ? chunk : Buffer.concat(this.#chunks)
     const messages: PackedFrame[] = []
     let at = 0
+    this.#neededLength = HEADER_BYTES
     while (bytes.length - at >= HEADER_BYTES) {
       const length = bytes.readUInt32BE(at + 1)
       if (bytes[at] !== 0 || length > MAX_MESSAGE_BYTES) throw new RangeError('a message of the stream is compressed or too long')
       const end = at + HEADER_BYTES + length
+      this.#neededLength = end - at
       if (end > bytes.length) break
       messages.push(readPacked(bytes.subarray(at + HEADER_BYTES, end)))
       at = end
+      this.#neededLength = HEADER_BYTES
     }
-    this.#incomplete = bytes.subarray(at)
+    // An empty rest would keep the memory of its chunk.
+    this.#chunks = at === bytes.length ? [] : [bytes.subarray(at)]
+    this.#length = bytes.length - at
     return messages
   }
 }
