Delays of late owners only are kept; lateness is measured again when requests come back

Cause: each answer copied the delays of all owners; a host whose requests had ceased never measured its lateness again. Change: delays below 50 ms are not kept; an arrival counts only while lateness is measured. Both have a test in src/requests/budget.test.ts.

--- a/src/requests/arrival.ts
+++ b/src/requests/arrival.ts
@@ -32,7 +32,7 @@
   const rules = before.routeRules.get(nameRoute(caller, running))
   if (rules === undefined || caller.transaction !== undefined) return { shared: before }
   const { admittance, admitted } = admitArrival(before.admittance, rules, moment.random)
-  const shared: RequestsShared = { ...before, admittance, arrivedSinceLag: (before.arrivedSinceLag ?? 0) + 1 }
+  const shared: RequestsShared = { ...before, admittance, arrivedSinceLag: before.arrivedSinceLag === undefined ? undefined : before.arrivedSinceLag + 1 }
   const timeoutMs = Math.min(running.deadlineAtMs - running.startedAtMs, rules.timeoutMs ?? Infinity)
   const timed: TimedRequest = { startedAtMs: running.startedAtMs, deadlineAtMs: running.startedAtMs + timeoutMs, rules }
   if (admitted && !isBeyondBudget(shared, timed, undefined, moment)) return { shared }
--- a/src/requests/budget.test.ts
+++ b/src/requests/budget.test.ts
@@ -6,7 +6,7 @@
 import type { RunRequest } from '../transactions/messages.js'
 import { decideRequests } from './decide.js'
 import type { RouteRules, Target } from './messages.js'
-import { createRequestsShared } from './state.js'
+import { createRequestsShared, type RequestsShared } from './state.js'
 
 const GUARANTEES = { selfFencing: true, slotPerStatement: true, connectionPerWorkspace: true }
 const RULES: RouteRules = { group: 'g', action: 'read', maxStalenessMs: 1_500, idempotent: false, latencyMs: 100, timeoutMs: 800 }
@@ -22,11 +22,19 @@
 
   static create (): FakeHost {
     const host = new FakeHost()
-    host.take({ kind: 'requests/open', caller: 'c', service: 's', keyHash: 'h' })
-    host.take({ kind: 'requests/open-checked', caller: 'c', workspace: 'w' })
+    host.connect()
     return host
   }
 
+  get shared (): RequestsShared {
+    return this.#slice.store.shared
+  }
+
+  connect (): void {
+    this.take({ kind: 'requests/open', caller: 'c', service: 's', keyHash: 'h' })
+    this.take({ kind: 'requests/open-checked', caller: 'c', workspace: 'w' })
+  }
+
   get attempt (): number {
     return this.#slice.store.items.get('c')!.attempts
   }
@@ -118,6 +126,27 @@
     expect(findRun(host.dispatch({ ...REPLICA, database: 'a3', owner: 'h3' }))).to.not.equal(undefined)
   })
 
+  it('forgets the delay of an owner that answers in time again', () => {
+    const host = FakeHost.create()
+    host.run(PRIMARY, 60)
+    expect(host.shared.ownerDelays.get('h2')?.delayMs).to.equal(60)
+    host.run(PRIMARY, 0)
+    expect(host.shared.ownerDelays.size).to.equal(0)
+  })
+
+  it('measures how late this host is while requests arrive, and again when they come back', () => {
+    const host = FakeHost.create()
+    host.arrive()
+    const first = findTimer(host.admit(), 'requests/lag')!
+    host.dispatch(PRIMARY)
+    host.take({ kind: 'requests/closed', caller: 'c' })
+    const second = findTimer(host.take(first.message as HostMessage), 'requests/lag')!
+    expect(findTimer(host.take(second.message as HostMessage), 'requests/lag')).to.equal(undefined)
+    host.connect()
+    host.arrive()
+    expect(findTimer(host.admit(), 'requests/lag')).to.not.equal(undefined)
+  })
+
   it('refuses a request at its arrival while this host is late by more than it may wait', () => {
     const host = FakeHost.create()
     host.run(PRIMARY, 0)
--- a/src/requests/budget.ts
+++ b/src/requests/budget.ts
@@ -9,6 +9,8 @@
 const WAIT_FRACTION = 0.5
 /** How long the last delay of an owner is taken for its next one; it is tried again after it. */
 const DELAY_MAX_AGE_MS = 1_000
+/** Shorter delays change no decision, and are not kept. */
+const MIN_DELAY_MS = 50
 /** Weight of one sample in the average of an owner's delay. */
 const SAMPLE_WEIGHT = 0.3
 /** Weight of one sample in the average lateness of this host. */
@@ -48,12 +50,18 @@
 }
 
 /**
- * Records how long a request and its answer were on their way, by the owner's times.
- * @example recordDelay(undefined, 30, moment).delayMs // 30
+ * Records how long a request and its answer were on their way, by the owner's times. Only the delays of late owners are kept.
+ * @example recordDelay(new Map(), 'host-2', 300, moment).get('host-2')?.delayMs // 300
  */
-export function recordDelay (before: OwnerDelay | undefined, delayMs: number, moment: Moment): OwnerDelay {
+export function recordDelay (delays: ReadonlyMap<string, OwnerDelay>, owner: string, sampleMs: number, moment: Moment): ReadonlyMap<string, OwnerDelay> {
+  const before = delays.get(owner)
   const isRecent = before !== undefined && moment.monotonicMs - before.answeredAtMs < DELAY_MAX_AGE_MS
-  return { delayMs: isRecent ? before.delayMs + (delayMs - before.delayMs) * SAMPLE_WEIGHT : delayMs, answeredAtMs: moment.monotonicMs }
+  const delayMs = isRecent ? before.delayMs + (sampleMs - before.delayMs) * SAMPLE_WEIGHT : sampleMs
+  if (before === undefined && delayMs < MIN_DELAY_MS) return delays
+  const next = new Map(delays)
+  if (delayMs < MIN_DELAY_MS) next.delete(owner)
+  else next.set(owner, { delayMs, answeredAtMs: moment.monotonicMs })
+  return next
 }
 
 /**
--- a/src/requests/decide.ts
+++ b/src/requests/decide.ts
@@ -83,8 +83,8 @@
   if (from === undefined || target === undefined) return step
   const shared = step.shared ?? before
   const measured = waitedMs === undefined || ranMs === undefined || sentAtMs === undefined ? undefined : Math.max(0, moment.monotonicMs - sentAtMs - waitedMs - ranMs)
-  const ownerDelays = measured === undefined ? shared.ownerDelays : new Map(shared.ownerDelays).set(from, recordDelay(shared.ownerDelays.get(from), measured, moment))
-  return { ...step, shared: { ...shared, ownerDelays }, effects: [...step.effects, tell({ kind: 'routing/owner-answered', owner: from, database: target.database, load })] }
+  const ownerDelays = measured === undefined ? shared.ownerDelays : recordDelay(shared.ownerDelays, from, measured, moment)
+  return { ...step, shared: ownerDelays === shared.ownerDelays ? step.shared : { ...shared, ownerDelays }, effects: [...step.effects, tell({ kind: 'routing/owner-answered', owner: from, database: target.database, load })] }
 }
 
 function openConnection (message: CallerConnected): RequestsStep {
--- a/src/requests/state.ts
+++ b/src/requests/state.ts
@@ -105,6 +105,7 @@
   readonly admittance: Admittance
   /** What the routes of recent requests name, by service and route: what a request needs is known before it is checked. */
   readonly routeRules: ReadonlyMap<string, KnownRules>
+  /** Owners whose answers came late. */
   readonly ownerDelays: ReadonlyMap<string, OwnerDelay>
   /** Answers that are withheld until the leader confirms their primary again. */
   readonly withheldAnswers: readonly AttemptFinished[]
