--- a/src/transactions/pool.ts
+++ b/src/transactions/pool.ts
@@ -5,6 +5,7 @@
 import type { DatabaseEffect } from '../databases/driver.js'
 import { countEntries, createQueue, dequeueEntry, findFirstEntry, listEntries } from '../fairness/queue.js'
 import { refuseCatchUpReads } from './catchup.js'
+import { pickLeastUsed, recordUse } from './keeping.js'
 import type { ConnectionBroken, ConnectionOpenFailed, ConnectionOpened, RunRequest } from './messages.js'
 import { calculateSlotLimit, countUsedSlots, type Connection, type OwnedDatabase, type UnitOfWork } from './state.js'
 import { setSlowReadTimer } from './slowread.js'
@@ -97,13 +98,14 @@
   return guarantees.connectionPerWorkspace ? Math.max(1, Math.floor(entry.connectionLimit * OWNER_CONNECTION_SHARE)) : entry.connectionLimit
 }
 
-// At the limit, the connection that was idle longest is evicted, if possible one of a workspace that has no requests waiting.
+// At the limit, the idle connection that was used least is evicted, if possible one of a workspace that has no requests waiting.
 function evictIdleConnection (database: OwnedDatabase): DatabaseStep {
   const { connections, guarantees } = database
   if (!guarantees.connectionPerWorkspace || connections.size < calculateConnectionLimit(database)) return createEmptyStep(database)
   const idleConnections = [...connections.values()].filter(connection => connection.phase === 'idle')
   const waiting = new Set(listEntries(database.queue).map(({ item }) => item.workspace))
-  const idle = idleConnections.find(({ workspace }) => !waiting.has(workspace)) ?? idleConnections[0]
+  const unwanted = idleConnections.filter(({ workspace }) => !waiting.has(workspace))
+  const idle = pickLeastUsed(unwanted.length > 0 ? unwanted : idleConnections, database.started, calculateConnectionLimit(database))
   if (idle === undefined) return createEmptyStep(database)
   return { database: removeConnection(database, idle.connection), effects: [{ kind: 'database/close', connection: idle.connection }] }
 }
@@ -116,7 +118,7 @@
     ...database,
     started: database.started + 1,
     units: new Map(database.units).set(caller, unit),
-    connections: new Map(database.connections).set(connection, { ...idle, phase: 'bound', caller })
+    connections: new Map(database.connections).set(connection, { ...recordUse(idle, database.started, calculateConnectionLimit(database)), phase: 'bound', caller })
   }
   return { database: next, effects: [createExecute(message, connection), ...setSlowReadTimer(message)] }
 }
@@ -195,11 +197,11 @@
   const { connection } = unit
   const units = new Map(database.units)
   units.delete(unit.caller)
-  const { workspace } = database.connections.get(connection)!
+  const { workspace, uses, usedAt } = database.connections.get(connection)!
   // Removed and added again, so that the map is ordered by last use.
   const connections = new Map(database.connections)
   connections.delete(connection)
-  return { ...database, units, connections: connections.set(connection, { connection, phase: 'idle', workspace }) }
+  return { ...database, units, connections: connections.set(connection, { connection, phase: 'idle', workspace, uses, usedAt }) }
 }
 
 /**
--- a/src/transactions/state.ts
+++ b/src/transactions/state.ts
@@ -14,6 +14,9 @@
   readonly caller?: string
   /** The workspace that the connection was opened for; absent when any workspace may use it. */
   readonly workspace?: string
+  /** The requests that started on it, older ones counting less, and the database's count of starts at the last one; absent before the first. */
+  readonly uses?: number
+  readonly usedAt?: number
 }
 
 /** A single request or a transaction that holds a slot and a connection. */
