--- a/src/requests/arrival.ts
+++ b/src/requests/arrival.ts
@@ -34,7 +34,7 @@
   const { admittance, admitted } = admitArrival(before.admittance, rules, moment.random)
   const shared: RequestsShared = { ...before, admittance, arrivedSinceLag: before.arrivedSinceLag === undefined ? undefined : before.arrivedSinceLag + 1 }
   const timeoutMs = Math.min(running.deadlineAtMs - running.startedAtMs, rules.timeoutMs ?? Infinity)
-  const timed: TimedRequest = { startedAtMs: running.startedAtMs, deadlineAtMs: running.startedAtMs + timeoutMs, rules }
+  const timed: TimedRequest = { startedAtMs: running.startedAtMs, deadlineAtMs: running.startedAtMs + timeoutMs, mayHaveRun: false, rules }
   if (admitted && !isBeyondBudget(shared, timed, undefined, moment)) return { shared }
   const inputs = { lagMs: Math.round(shared.lagMs), room: Number(admittance.room.toFixed(2)), priority: rules.priority ?? 'none' }
   return { shared, failure: { ...createFailure('not-in-time'), retryAfterMs: computeRetryAfterMs(admittance.room, rules.priority, moment), inputs } }
--- a/src/requests/budget.test.ts
+++ b/src/requests/budget.test.ts
@@ -93,6 +93,18 @@
     expect(findFailure(host.take(later.message as HostMessage))).to.include({ code: 'outcome-unknown', effect: 'unknown' })
   })
 
+  it('tries a read that may have run again also after that time', () => {
+    const host = FakeHost.create()
+    host.arrive()
+    host.admit({ ...RULES, latencyMs: 450 })
+    host.dispatch(REPLICA)
+    host.nowMs += 450
+    const effects = host.take({ kind: 'requests/late', caller: 'c', attempt: host.attempt })
+    expect(findFailure(effects)).to.equal(undefined)
+    host.take({ kind: 'requests/retry-due', caller: 'c', attempt: host.attempt })
+    expect(findRun(host.dispatch({ ...REPLICA, database: 'a3', owner: 'h3' }))?.waitMs).to.equal(undefined)
+  })
+
   it('lets a request without a latency target wait until its deadline', () => {
     const host = FakeHost.create()
     host.arrive()
--- a/src/requests/budget.ts
+++ b/src/requests/budget.ts
@@ -16,16 +16,16 @@
 /** Weight of one sample in the average lateness of this host. */
 const LAG_WEIGHT = 0.4
 
-/** The times of a request, and what its route names. */
-export type TimedRequest = Pick<InFlightRequest, 'startedAtMs' | 'deadlineAtMs'> & { readonly rules?: KnownRules }
+/** The times of a request, whether it was begun before, and what its route names. */
+export type TimedRequest = Pick<InFlightRequest, 'startedAtMs' | 'deadlineAtMs' | 'mayHaveRun'> & { readonly rules?: KnownRules }
 
 /**
- * Computes the monotonic time until which a request may wait for its start. One without a latency target may wait until its
- * deadline: it may outlast a change of primary.
+ * Computes the monotonic time until which a request may wait for its start. One without a latency target, or one that may have
+ * run, may wait until its deadline: the first may outlast a change of primary, the second can't be refused as not run.
  * @example computeWaitEndMs(running) // 400 ms after the arrival of a request that may take 800 ms
  */
-export function computeWaitEndMs ({ startedAtMs, deadlineAtMs, rules }: TimedRequest): number {
-  if (rules?.latencyMs === undefined) return deadlineAtMs
+export function computeWaitEndMs ({ startedAtMs, deadlineAtMs, mayHaveRun, rules }: TimedRequest): number {
+  if (rules?.latencyMs === undefined || mayHaveRun) return deadlineAtMs
   return startedAtMs + (deadlineAtMs - startedAtMs) * WAIT_FRACTION
 }
 
--- a/src/requests/failure.ts
+++ b/src/requests/failure.ts
@@ -26,7 +26,8 @@
  */
 export function failAttempt (shared: RequestsShared, caller: Caller, running: InFlightRequest, message: AttemptFailed, moment: Moment): RequestsStep {
   const delayMs = computeBackoffMs(running, moment)
-  const inTime = moment.monotonicMs + delayMs < computeWaitEndMs(running)
+  const mayHaveRun = running.mayHaveRun || message.failure.effect !== 'not-run'
+  const inTime = moment.monotonicMs + delayMs < computeWaitEndMs({ ...running, mayHaveRun })
   const allowed = message.retriable === true && inTime && running.parts === 0 && caller.transaction === undefined && caller.revoked === undefined
   if (allowed && message.failure.effect === 'not-run') return retry(caller, markUnbounded(running, message.failure), delayMs)
   const repeatable = running.rules?.idempotent === true || running.target?.purpose === 'replica'
