--- a/src/requests/budget.ts
+++ b/src/requests/budget.ts
@@ -9,21 +9,23 @@
 const WAIT_FRACTION = 0.5
 /** How long the last delay of an owner is taken for its next one; it is tried again after it. */
 const DELAY_MAX_AGE_MS = 1_000
+/** Shorter delays change no decision, and are not kept. */
+const MIN_DELAY_MS = 50
 /** Weight of one sample in the average of an owner's delay. */
 const SAMPLE_WEIGHT = 0.3
 /** Weight of one sample in the average lateness of this host. */
 const LAG_WEIGHT = 0.4
 
-/** The times of a request, and what its route names. */
-export type TimedRequest = Pick<InFlightRequest, 'startedAtMs' | 'deadlineAtMs'> & { readonly rules?: KnownRules }
+/** The times of a request, whether it was begun before, and what its route names. */
+export type TimedRequest = Pick<InFlightRequest, 'startedAtMs' | 'deadlineAtMs' | 'mayHaveRun'> & { readonly rules?: KnownRules }
 
 /**
- * Computes the monotonic time until which a request may wait for its start. One without a latency target may wait until its
- * deadline: it may outlast a change of primary.
+ * Computes the monotonic time until which a request may wait for its start. One without a latency target, or one that may have
+ * run, may wait until its deadline: the first may outlast a change of primary, the second can't be refused as not run.
  * @example computeWaitEndMs(running) // 400 ms after the arrival of a request that may take 800 ms
  */
-export function computeWaitEndMs ({ startedAtMs, deadlineAtMs, rules }: TimedRequest): number {
-  if (rules?.latencyMs === undefined) return deadlineAtMs
+export function computeWaitEndMs ({ startedAtMs, deadlineAtMs, mayHaveRun, rules }: TimedRequest): number {
+  if (rules?.latencyMs === undefined || mayHaveRun) return deadlineAtMs
   return startedAtMs + (deadlineAtMs - startedAtMs) * WAIT_FRACTION
 }
 
@@ -48,12 +50,18 @@
 }
 
 /**
- * Records how long a request and its answer were on their way, by the owner's times.
- * @example recordDelay(undefined, 30, moment).delayMs // 30
+ * Records how long a request and its answer were on their way, by the owner's times. Only the delays of late owners are kept.
+ * @example recordDelay(new Map(), 'host-2', 300, moment).get('host-2')?.delayMs // 300
  */
-export function recordDelay (before: OwnerDelay | undefined, delayMs: number, moment: Moment): OwnerDelay {
+export function recordDelay (delays: ReadonlyMap<string, OwnerDelay>, owner: string, sampleMs: number, moment: Moment): ReadonlyMap<string, OwnerDelay> {
+  const before = delays.get(owner)
   const isRecent = before !== undefined && moment.monotonicMs - before.answeredAtMs < DELAY_MAX_AGE_MS
-  return { delayMs: isRecent ? before.delayMs + (delayMs - before.delayMs) * SAMPLE_WEIGHT : delayMs, answeredAtMs: moment.monotonicMs }
+  const delayMs = isRecent ? before.delayMs + (sampleMs - before.delayMs) * SAMPLE_WEIGHT : sampleMs
+  if (before === undefined && delayMs < MIN_DELAY_MS) return delays
+  const next = new Map(delays)
+  if (delayMs < MIN_DELAY_MS) next.delete(owner)
+  else next.set(owner, { delayMs, answeredAtMs: moment.monotonicMs })
+  return next
 }
 
 /**
--- a/src/requests/decide.ts
+++ b/src/requests/decide.ts
@@ -85,9 +85,9 @@
   if (from === undefined || target === undefined) return step
   const shared = step.shared ?? before
   const measured = waitedMs === undefined || ranMs === undefined || sentAtMs === undefined ? undefined : Math.max(0, moment.monotonicMs - sentAtMs - waitedMs - ranMs)
-  const ownerDelays = measured === undefined ? shared.ownerDelays : new Map(shared.ownerDelays).set(from, recordDelay(shared.ownerDelays.get(from), measured, moment))
+  const ownerDelays = measured === undefined ? shared.ownerDelays : recordDelay(shared.ownerDelays, from, measured, moment)
   const times = sentAtMs === undefined || waitedMs === undefined ? {} : { elapsedMs: moment.monotonicMs - sentAtMs, waitedMs, ranMs, bytes: message.kind === 'requests/finished' ? message.payload.byteLength : 0 }
-  return { ...step, shared: { ...shared, ownerDelays }, effects: [...step.effects, tell({ kind: 'routing/owner-answered', owner: from, database: target.database, load, ...times })] }
+  return { ...step, shared: ownerDelays === shared.ownerDelays ? step.shared : { ...shared, ownerDelays }, effects: [...step.effects, tell({ kind: 'routing/owner-answered', owner: from, database: target.database, load, ...times })] }
 }
 
 function openConnection (message: CallerConnected): RequestsStep {
