One account of bytes and connections keeps crowds of clients from running a process out of memory

Cause: each bound stood by itself (64 lines of 1 MiB a session, 64 MiB a frame, any number of connections), and none was of the process. Change: src/memory, with the account, its limits from the settings or the machine, and pure decisions: what is read ahead, which requests are refused (53200, not run), which connections give way or are closed.

--- a/src/core/errors.ts
+++ b/src/core/errors.ts
@@ -21,6 +21,7 @@
   'rate-exceeded': { sqlState: '53400', effect: 'not-run', text: (d: string) => `Workspace "${d}" exceeded its rate limit: try again later.` },
   'queue-full': { sqlState: '53300', effect: 'not-run', text: (d: string) => `The request queue of database "${d}" is full: try again later.` },
   overloaded: { sqlState: '53000', effect: 'not-run', text: (d: string) => `Database "${d}" cannot answer in time, since too many requests wait for it: try again later.` },
+  'memory-full': { sqlState: '53200', effect: 'not-run', text: () => 'This host has no memory left for the request: try again later, or send less at once.' },
   'deadline-passed': { sqlState: '57014', effect: 'not-run', text: () => 'The deadline passed before the request ran: try again, or allow more time.' },
   'no-primary': { sqlState: '57P03', effect: 'not-run', text: (d: string) => `Group "${d}" has no primary at present: try again after the failover.` },
   'no-database': { sqlState: '57P03', effect: 'not-run', text: (d: string) => `No database of group "${d}" can serve the request: try again later.` },
--- a/src/daemon/edge.ts
+++ b/src/daemon/edge.ts
@@ -3,6 +3,7 @@
 import type { Adapter } from '../core/adapter.js'
 import type { Clock } from '../core/clock.js'
 import type { DatabaseGuarantees } from '../databases/guarantees.js'
+import type { MemoryAccount } from '../memory/account.js'
 import type { HostPost } from '../messages.js'
 import type { LineStream } from '../monitoring/linewriter.js'
 import type { Log } from '../monitoring/log.js'
@@ -20,6 +21,8 @@
   readonly operate: (command: Command) => Promise<unknown>
   /** Writes what fails outside of the slices. */
   readonly log: Log
+  /** Counts the bytes and connections of the process. */
+  readonly account: MemoryAccount
 }
 
 /** Translates between the slices and one set of protocols; it makes no decisions. */
--- a/src/daemon/host.ts
+++ b/src/daemon/host.ts
@@ -7,6 +7,8 @@
 import { SystemClock, type Clock } from '../core/clock.js'
 import { Loop } from '../core/loop.js'
 import { FileJournal } from '../journal/files.js'
+import { MemoryAccount } from '../memory/account.js'
+import { calculateLimits, readMachine } from '../memory/limits.js'
 import type { HostPost } from '../messages.js'
 import type { Command } from '../operations/messages.js'
 import { OperatorsServer } from '../operations/server.js'
@@ -68,28 +70,30 @@
     const loop = createLoop(settings, clock, edge, monitor, trace, onFault)
     const journal = settings.dataFolder === undefined ? undefined : await FileJournal.create(settings.dataFolder, loop.post, onFault)
     if (journal !== undefined) loop.addAdapter(journal)
+    const account = MemoryAccount.create(calculateLimits(settings.limits, readMachine()), loop.post)
+    monitor.metrics.addHeldBytes(() => account.bytes)
     const link = ConnectPeerLink.create(settings.host, loop.post, (host, opened) => [
       { kind: 'requests/peer-lost', host, reached: opened } as Message,
       { kind: 'transactions/host-lost', host } as Message
-    ], { clock: stamps, onTraffic: traffic => monitor.metrics.observeTraffic(traffic) })
+    ], { clock: stamps, onTraffic: traffic => monitor.metrics.observeTraffic(traffic), account })
     const operatorsApi = OperatorsServer.create(loop.post)
     const operate = async (command: Command): Promise<unknown> => await operatorsApi.runCommand(randomUUID(), command)
-    const adapters = edge.createAdapters({ settings, clock, post: loop.post, checkReadiness: monitor.checkReadiness, operate, log })
+    const adapters = edge.createAdapters({ settings, clock, post: loop.post, checkReadiness: monitor.checkReadiness, operate, log, account })
     const recorder = TimelineRecorder.create({ host: settings.host, clock: stamps, post: loop.post })
     const exit = ProcessExit.create()
-    for (const adapter of [link, ...adapters, operatorsApi, log, recorder, exit]) loop.addAdapter(adapter)
+    for (const adapter of [link, account, ...adapters, operatorsApi, log, recorder, exit]) loop.addAdapter(adapter)
     const peers = await listenForPeers(settings.peers, router => {
       link.addRoutes(router)
       edge.addRoutes(router)
-    }, log.reportServerError)
-    const operators = await listenForOperators(settings.operators, router => operatorsApi.addRoutes(router), log.reportServerError, monitor.createPages())
+    }, log.reportServerError, account)
+    const operators = await listenForOperators(settings.operators, router => operatorsApi.addRoutes(router), log.reportServerError, account, monitor.createPages())
     const callers = await edge.listen()
     startSlices(settings, loop, link, peers, journal)
     log.write('daemon', 'info', `Host ${settings.host} started; ${callers === undefined ? 'it serves no callers' : `callers connect to ${callers}`}.`)
     const addresses: HostAddresses = { callers, peers: peers.address, operators: operators.address }
     const post: HostPost = loop.post
     const stop = (): void => post({ kind: 'stopping/asked', limitMs: settings.limits.drainMs })
-    return new Host(addresses, stop, exit.ended, post, log, [edge, operators, peers, link, loop, ...[journal, trace].filter(component => component !== undefined)])
+    return new Host(addresses, stop, exit.ended, post, log, [edge, operators, peers, link, account, loop, ...[journal, trace].filter(component => component !== undefined)])
   }
 
   /** Updates the addresses of the control hosts after a change of the settings. */
--- a/src/daemon/listen.ts
+++ b/src/daemon/listen.ts
@@ -1,15 +1,19 @@
 /** The servers for peers and operators. */
-import { createServer as createHttpServer, type Server } from 'node:http'
+import type { Server } from 'node:http'
 import { createServer as createHttp2Server, type Http2Server, type ServerHttp2Session } from 'node:http2'
 import type { AddressInfo } from 'node:net'
 import { connectNodeAdapter } from '@connectrpc/connect-node'
 import type { ConnectRouter } from '@connectrpc/connect'
+import type { MemoryAccount } from '../memory/account.js'
+import { createLimitedServer, observePeers } from '../memory/servers.js'
 import type { HandlePage } from '../monitoring/pages.js'
 import { splitAddress } from '../core/address.js'
 import { startListening } from '../core/listening.js'
 
 /** The largest command that an operator may send. */
 const MAX_COMMAND_BYTES = 4_194_304
+/** The largest compressed message of a peer: a replicated log with some large documents. */
+const MAX_PEER_MESSAGE_BYTES = 16_777_216
 
 type RequestHandler = ReturnType<typeof connectNodeAdapter>
 
@@ -23,9 +27,10 @@
  * Serves Connect over HTTP/2 for peers and databases.
  * @example await listenForPeers('127.0.0.1:0', router => link.addRoutes(router), onError)
  */
-export async function listenForPeers (address: string, routes: (router: ConnectRouter) => void, onError: (error: Error) => void): Promise<ListeningServer> {
+export async function listenForPeers (address: string, routes: (router: ConnectRouter) => void, onError: (error: Error) => void, account?: MemoryAccount): Promise<ListeningServer> {
   const sessions = new Set<ServerHttp2Session>()
-  const server = createHttp2Server(connectNodeAdapter({ routes, shutdownSignal: undefined }))
+  const server = createHttp2Server(connectNodeAdapter({ routes, shutdownSignal: undefined, readMaxBytes: MAX_PEER_MESSAGE_BYTES }))
+  if (account !== undefined) observePeers(server, account)
   server.on('session', session => {
     sessions.add(session)
     session.on('close', () => sessions.delete(session))
@@ -42,11 +47,11 @@
 
 /**
  * Serves Connect over HTTP/1.1 for operators, together with the monitoring pages.
- * @example await listenForOperators('127.0.0.1:0', router => operatorsApi.addRoutes(router), onError)
+ * @example await listenForOperators('127.0.0.1:0', router => operatorsApi.addRoutes(router), onError, account)
  */
-export async function listenForOperators (address: string, routes: (router: ConnectRouter) => void, onError: (error: Error) => void, handlePage?: HandlePage): Promise<ListeningServer> {
+export async function listenForOperators (address: string, routes: (router: ConnectRouter) => void, onError: (error: Error) => void, account: MemoryAccount, handlePage?: HandlePage): Promise<ListeningServer> {
   const fallback = handlePage as RequestHandler | undefined
-  const server = createHttpServer(connectNodeAdapter({ routes, fallback, readMaxBytes: MAX_COMMAND_BYTES }))
+  const server = createLimitedServer(account, connectNodeAdapter({ routes, fallback, readMaxBytes: MAX_COMMAND_BYTES }))
   const listening = await listen(server, address, onError)
   return {
     address: listening,
--- a/src/daemon/slices.ts
+++ b/src/daemon/slices.ts
@@ -9,6 +9,9 @@
 import { createDocumentsState, decideDocuments } from '../documents/decide.js'
 import { decideMembership } from '../membership/decide.js'
 import { createMembershipState } from '../membership/state.js'
+import { decideMemory } from '../memory/decide.js'
+import { calculateLimits, readMachine } from '../memory/limits.js'
+import { createMemoryState } from '../memory/state.js'
 import { createOperationsState, decideOperations } from '../operations/decide.js'
 import { decidePrimacy } from '../primacy/decide.js'
 import { createPrimacyState } from '../primacy/state.js'
@@ -27,8 +30,8 @@
 import { decideTransactions } from '../transactions/decide.js'
 import { createTransactionsShared } from '../transactions/state.js'
 
-/** A leader that answers its followers late loses its lease, and each election adds to the load that delayed it. */
-export const PRIORITIES: Priorities = [new Set(['agreement'])]
+/** A leader that answers its followers late loses its lease, and each election adds to the load that delayed it. Room is made before it is used. */
+export const PRIORITIES: Priorities = [new Set(['agreement', 'memory'])]
 
 /**
  * Creates the slices of a host from its settings.
@@ -42,6 +45,7 @@
     DecidingSlice.create({ name: 'agreement', initial: createAgreementState(), decide: decideAgreement }),
     DecidingSlice.create({ name: 'documents', initial: createDocumentsState(), decide: decideDocuments }),
     DecidingSlice.create({ name: 'membership', initial: createMembershipState(timing), decide: decideMembership }),
+    DecidingSlice.create({ name: 'memory', initial: createMemoryState(calculateLimits(limits, readMachine())), decide: decideMemory }),
     DecidingSlice.create({ name: 'operations', initial: createOperationsState(), decide: decideOperations }),
     DecidingSlice.create({ name: 'primacy', initial: createPrimacyState(!guarantees.selfFencing), decide: decidePrimacy }),
     StoreSlice.create({ name: 'requests', shared: createRequestsShared(limits.requestMs, guarantees), decide: decideRequests }),
--- /dev/null
+++ b/src/memory/servers.ts
@@ -0,0 +1,81 @@
+/** Applies the limits of a process to its HTTP servers. */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { Http2Server } from 'node:http2'
+import type { Socket } from 'node:net'
+import type { ConnectionShare, MemoryAccount } from './account.js'
+
+const UNAVAILABLE = 503
+/** What a body of unstated length is taken to hold. */
+const UNSTATED_BODY_BYTES = 65_536
+const CHECK_INTERVAL_MS = 1_000
+/** Calls that may be sent ahead on a connection; common clients send none. */
+const MAX_UNANSWERED_CALLS = 16
+
+interface Connection {
+  readonly share: ConnectionShare
+  unanswered: number
+}
+
+type HandleRequest = (request: IncomingMessage, response: ServerResponse) => void
+
+/**
+ * Creates an HTTP/1.1 server for operators or databases, whose connections and bodies are limited. A call whose body has no
+ * room is answered with 503 before its body is read, and its connection ends.
+ * @example createLimitedServer(account, (request, response) => response.end())
+ */
+export function createLimitedServer (account: MemoryAccount, handle: HandleRequest): Server {
+  const { startMs, messageMs } = account.limits
+  const connections = new WeakMap<Socket, Connection>()
+  const options = { headersTimeout: startMs, requestTimeout: startMs + messageMs, connectionsCheckingInterval: CHECK_INTERVAL_MS }
+  const server = createServer(options, (request, response) => {
+    const connection = connections.get(request.socket)
+    if (connection !== undefined && admitCall(connection, request, response)) handle(request, response)
+  })
+  server.on('connection', socket => {
+    const share = account.open(socket, 'operator')
+    if (share !== undefined) connections.set(socket, { share, unanswered: 0 })
+  })
+  return server
+}
+
+function admitCall (connection: Connection, request: IncomingMessage, response: ServerResponse): boolean {
+  const { share } = connection
+  share.finishStart()
+  connection.unanswered += 1
+  if (connection.unanswered > MAX_UNANSWERED_CALLS) {
+    request.socket.destroy()
+    return false
+  }
+  const bytes = readBodyBytes(request)
+  share.update(bytes, bytes > 0)
+  request.once('end', () => share.update(bytes, false))
+  response.once('close', () => {
+    connection.unanswered -= 1
+    share.update(0, false)
+  })
+  if (share.hasRoom()) return true
+  share.countRefused()
+  response.writeHead(UNAVAILABLE, { 'content-length': 0, connection: 'close' })
+  response.end()
+  return false
+}
+
+function readBodyBytes ({ headers }: IncomingMessage): number {
+  const stated = Number(headers['content-length'] ?? 0)
+  if (stated > 0) return stated
+  return headers['transfer-encoding'] === undefined ? 0 : UNSTATED_BODY_BYTES
+}
+
+/**
+ * Takes the connections of an HTTP/2 server for peers into the account.
+ * @example observePeers(server, account)
+ */
+export function observePeers (server: Http2Server, account: MemoryAccount): void {
+  // The server emits 'session' while it handles 'connection'.
+  let accepted: ConnectionShare | undefined
+  server.prependListener('connection', (socket: Socket) => { accepted = account.open(socket, 'peer') })
+  server.on('session', session => {
+    const share = accepted
+    session.once('remoteSettings', () => share?.finishStart())
+  })
+}
--- a/src/messages.ts
+++ b/src/messages.ts
@@ -4,6 +4,7 @@
 import { sendPeer as sendAny, setTimer as setAny, tell as tellAny, type SendPeer, type SetTimer, type Tell } from './core/message.js'
 import type { DocumentsMessage } from './documents/messages.js'
 import type { MembershipMessage } from './membership/messages.js'
+import type { MemoryMessage } from './memory/messages.js'
 import type { OperationsMessage } from './operations/messages.js'
 import type { PrimacyMessage } from './primacy/messages.js'
 import type { RequestsMessage } from './requests/messages.js'
@@ -20,6 +21,7 @@
   | AgreementMessage
   | DocumentsMessage
   | MembershipMessage
+  | MemoryMessage
   | OperationsMessage
   | PrimacyMessage
   | RequestsMessage
--- a/src/monitoring/metrics.ts
+++ b/src/monitoring/metrics.ts
@@ -4,6 +4,7 @@
 import type { DatabaseEffect } from '../databases/driver.js'
 import type { CallerEffect } from '../frontends/frontend.js'
 import type { GrantEntry } from '../membership/directory.js'
+import type { CloseConnection } from '../memory/decide.js'
 import type { HostMessage } from '../messages.js'
 import type { Traffic } from '../peers/traffic.js'
 import { RequestBreakdown } from './breakdown.js'
@@ -31,6 +32,7 @@
   readonly #events = this.#createCounter('events_total', 'Events of the time line, by name.', ['event'])
   readonly #failovers = this.#createCounter('failovers_total', 'Changes of a primary that this host saw.', [])
   readonly #peerBytes = this.#createCounter('peer_bytes_total', 'Bytes of messages between hosts, without TCP and TLS.', ['direction', 'purpose'])
+  readonly #limited = this.#createCounter('limits_total', 'Actions of the limits on bytes and connections, by action.', ['action'])
   readonly #breakdown = RequestBreakdown.create(this.#registry)
   readonly #duration = new Histogram({
     name: `${METRIC_PREFIX}request_duration_seconds`,
@@ -65,6 +67,16 @@
     })
   }
 
+  /** Adds the gauge of the bytes that connections hold. */
+  addHeldBytes (readBytes: () => number): void {
+    const gauge: Gauge = new Gauge({
+      name: `${METRIC_PREFIX}held_bytes`,
+      help: 'Bytes that connections hold: read and not answered, or written and not read.',
+      registers: [this.#registry],
+      collect: () => gauge.set(readBytes())
+    })
+  }
+
   /** The content type of the rendered metrics. */
   get contentType (): string {
     return this.#registry.contentType
@@ -91,6 +103,9 @@
       case 'admission/documents-confirmed':
         for (const { service, version } of message.documents ?? []) this.#versions.set(service, Math.max(version, this.#versions.get(service) ?? 0))
         break
+      case 'memory/measured':
+        for (const [action, count] of Object.entries(message.counts)) if (count > 0) this.#limited.incrementBy(count as number, action)
+        break
       case 'membership/beat-due': this.#beats.increment('sent'); break
       case 'membership/beat-answered': this.#beats.increment('answered'); break
     }
@@ -98,7 +113,7 @@
 
   /** Counts an effect before it is executed. */
   observeEffect (effect: Effect): void {
-    const known = effect as CallerEffect | DatabaseEffect | { readonly kind: 'timeline/record', readonly event: string }
+    const known = effect as CallerEffect | DatabaseEffect | CloseConnection | { readonly kind: 'timeline/record', readonly event: string }
     switch (known.kind) {
       case 'caller/finished': this.#endRequest(known.caller, 'finished'); break
       case 'caller/failed':
@@ -109,6 +124,7 @@
       case 'caller/refused': this.#refusals.increment(known.failure.code); break
       case 'database/open': this.#connections.add(known.connection); break
       case 'database/close': this.#connections.delete(known.connection); break
+      case 'connection/close': this.#limited.increment(known.reason); break
       case 'timeline/record': this.#events.increment(known.event); break
     }
   }
--- a/src/peers/connect.ts
+++ b/src/peers/connect.ts
@@ -2,13 +2,15 @@
 import { createClient, type ConnectRouter } from '@connectrpc/connect'
 import { createGrpcTransport, Http2SessionManager } from '@connectrpc/connect-node'
 import type { Post } from '../core/adapter.js'
-import type { LearnPeers, Message, SendPeer } from '../core/message.js'
+import { sendPeer, type LearnPeers, type Message, type SendPeer } from '../core/message.js'
 import { Peers, type PackedFrame } from '../gen/fulmartally_pb.js'
 import { isAddress } from '../core/address.js'
 import { assertInvariant } from '../core/invariant.js'
+import type { MemoryAccount } from '../memory/account.js'
 import type { HostMessage } from '../messages.js'
 import { decodeFrame, encodeFrame, LinkPacker, LinkUnpacker, type DecodedFrame } from './frame.js'
 import { isPeerMessage } from './kinds.js'
+import { LargeRequests } from './largerequests.js'
 import { PeerLink, type PeerAddress } from './link.js'
 import { Outbox, type EncodedFrame } from './outbox.js'
 import { SendQueue } from './queue.js'
@@ -47,6 +49,8 @@
 export interface LinkObservers {
   readonly clock: HybridLogicalClock
   readonly onTraffic: OnTraffic
+  /** Counts the bytes of the process; absent where nothing is counted. */
+  readonly account?: MemoryAccount
 }
 
 /** Transfers messages over Connect streams on HTTP/2. */
@@ -56,6 +60,7 @@
   readonly #onLinkLost: OnLinkLost
   readonly #observers: LinkObservers
   readonly #addresses = new Map<string, string>()
+  readonly #largeRequests: LargeRequests | undefined
   readonly #links = new Map<string, OpenLink>()
   /** Hosts that could not be reached, and the monotonic time until which no new attempt is made. */
   readonly #unreachableUntilMs = new Map<string, number>()
@@ -68,6 +73,7 @@
     this.#post = post
     this.#onLinkLost = onLinkLost
     this.#observers = observers
+    this.#largeRequests = observers.account === undefined ? undefined : LargeRequests.create(observers.account)
     this.#closedCheck = setInterval(() => this.#detectClosed(), CLOSED_CHECK_INTERVAL_MS).unref()
   }
 
@@ -99,7 +105,9 @@
     }
     const link = this.#findOpen(effect.to) ?? this.#open(effect.to)
     if (link === undefined) return this.#refuseRequest(effect)
-    link.outbox.add(this.#encode(effect.message))
+    const refusal = this.#largeRequests?.send(effect.to, effect.message)
+    if (refusal !== undefined) this.#post(refusal)
+    else link.outbox.add(this.#encode(effect.message))
   }
 
   #refuseRequest ({ to, message }: SendPeer): void {
@@ -120,7 +128,7 @@
 
   async * #receive (frames: AsyncIterable<PackedFrame>): AsyncGenerator<PackedFrame> {
     yield this.#pack(LinkPacker.create(), [this.#encode(ACCEPT_BATCHES)], false)
-    const unpacker = LinkUnpacker.create()
+    const unpacker = LinkUnpacker.create(this.#observers.account?.limits.peerMessageBytes)
     let from: string | undefined
     try {
       for await (const packed of frames) {
@@ -152,7 +160,10 @@
   // Returns the sender.
   #receiveFrame ({ from, message, stamp }: DecodedFrame): string {
     this.#observers.clock.merge(stamp)
-    if (isPeerMessage(message)) this.#post(message)
+    if (!isPeerMessage(message)) return from
+    const refusal = this.#largeRequests?.receive(from, message)
+    if (refusal === undefined) this.#post(message)
+    else this.execute(sendPeer(from, refusal))
     return from
   }
 
@@ -202,7 +213,7 @@
 
   async #run (host: string, link: OpenLink, client: ReturnType<typeof createClient<typeof Peers>>): Promise<void> {
     try {
-      const unpacker = LinkUnpacker.create()
+      const unpacker = LinkUnpacker.create(this.#observers.account?.limits.peerMessageBytes)
       for await (const packed of client.connect(link.queue, { signal: link.abort.signal })) {
         const frames = this.#unpack(unpacker, packed)
         frames.forEach(frame => this.#receiveFrame(frame))
@@ -235,6 +246,7 @@
 
   #reportLoss (host: string, opened: boolean): void {
     if (this.#closed) return
+    this.#largeRequests?.removeHost(host)
     for (const message of this.#onLinkLost(host, opened)) this.#post(message)
   }
 }
--- a/src/peers/frame.ts
+++ b/src/peers/frame.ts
@@ -71,17 +71,19 @@
 
 /** Decompresses the frames of one link. */
 export class LinkUnpacker {
-  readonly #frames = FrameUnpacker.create()
+  readonly #frames: FrameUnpacker
   readonly #batches = BatchUnpacker.create()
 
-  private constructor () {}
+  private constructor (maxBytes: number | undefined) {
+    this.#frames = FrameUnpacker.create(maxBytes)
+  }
 
   /**
    * Creates the unpacker of a new link.
    * @example LinkUnpacker.create().unpack(packed).length // 1
    */
-  static create (): LinkUnpacker {
-    return new LinkUnpacker()
+  static create (maxBytes?: number): LinkUnpacker {
+    return new LinkUnpacker(maxBytes)
   }
 
   /**
--- a/src/peers/packing.ts
+++ b/src/peers/packing.ts
@@ -9,8 +9,8 @@
 const DEFLATE_MEMORY_LEVEL = 4
 /** Selects the fastest search: a better one saves only 1% of the bytes of such frames. */
 const DEFLATE_LEVEL = 1
-/** The largest decompressed frame; far above the size of the largest document. */
-const MAX_UNPACKED_BYTES = 64 * 1_048_576
+/** The largest decompressed frame where the memory of the process allows it; far above the size of the largest document. */
+export const MAX_UNPACKED_BYTES = 64 * 1_048_576
 
 const EMPTY = Buffer.alloc(0)
 
@@ -38,16 +38,20 @@
 
 /** Decompresses frames at the receiving end of a link. */
 export class FrameUnpacker {
+  readonly #maxBytes: number
   #window: Buffer = EMPTY
 
-  private constructor () {}
+  private constructor (maxBytes: number) {
+    this.#maxBytes = maxBytes
+  }
 
   /**
    * Creates the unpacker of a new link.
+   * @param maxBytes the largest decompressed frame.
    * @example FrameUnpacker.create().unpack(packed)
    */
-  static create (): FrameUnpacker {
-    return new FrameUnpacker()
+  static create (maxBytes = MAX_UNPACKED_BYTES): FrameUnpacker {
+    return new FrameUnpacker(maxBytes)
   }
 
   /**
@@ -55,7 +59,7 @@
    * @throws when the bytes are not the next frame of the link.
    */
   unpack (packed: Uint8Array): Uint8Array {
-    const frame = inflateRawSync(packed, { dictionary: this.#window, windowBits: WINDOW_BITS, maxOutputLength: MAX_UNPACKED_BYTES })
+    const frame = inflateRawSync(packed, { dictionary: this.#window, windowBits: WINDOW_BITS, maxOutputLength: this.#maxBytes })
     this.#window = advanceWindow(this.#window, frame)
     return frame
   }
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -23,6 +23,8 @@
 const MillisecondsOrZero = v.pipe(v.number(), v.integer('Expected a whole number of milliseconds'), v.minValue(0, 'Expected at least 0 ms'), v.maxValue(MAX_DURATION_MS, `Expected at most ${MAX_DURATION_MS} ms`))
 const Bytes = v.pipe(v.number(), v.integer('Expected a whole number of bytes'), v.minValue(1024, 'Expected at least 1024 bytes'), v.maxValue(MAX_MESSAGE_BYTES, `Expected at most ${MAX_MESSAGE_BYTES} bytes`))
 
+const HeldBytes = v.pipe(v.number(), v.integer('Expected a whole number of bytes'), v.minValue(0, 'Expected at least 0 bytes'))
+const ConnectionCount = v.pipe(v.number(), v.integer('Expected a whole number'), v.minValue(0, 'Expected at least 0'))
 const QueueLength = v.pipe(v.number(), v.integer('Expected a whole number'), v.minValue(1, 'Expected at least 1'), v.maxValue(MAX_QUEUE_LENGTH, `Expected at most ${MAX_QUEUE_LENGTH}`))
 const FolderPath = v.pipe(v.string(), v.minLength(1, 'Expected the path of a folder'))
 const ControlSchema = v.pipe(
@@ -37,7 +39,12 @@
   idleTransactionMs: v.optional(v.pipe(Milliseconds, v.description('How long a transaction may be idle, in milliseconds, before the host ends it.')), 10_000),
   drainMs: v.optional(v.pipe(Milliseconds, v.description('How long a graceful stop may take, in milliseconds.')), 30_000),
   balancerMs: v.optional(v.pipe(MillisecondsOrZero, v.description('How long a stopping host still accepts callers, in milliseconds, until the load balancer has detected that it is not ready.')), 0),
-  queueLength: v.optional(v.pipe(QueueLength, v.description('The most requests that may be queued for one database.')), 1_000)
+  queueLength: v.optional(v.pipe(QueueLength, v.description('The most requests that may be queued for one database.')), 1_000),
+  heldBytes: v.optional(v.pipe(HeldBytes, v.description('The most bytes that connections may hold together, read and not answered or written and not read; 0 takes an eighth of the memory of the process.')), 0),
+  connections: v.optional(v.pipe(ConnectionCount, v.description('The most connections that may be open to this host; 0 follows from the descriptors and the memory of the process.')), 0),
+  startMs: v.optional(v.pipe(Milliseconds, v.description('How long a connection may take, in milliseconds, until its first message is complete.')), 10_000),
+  messageMs: v.optional(v.pipe(Milliseconds, v.description('How long the rest of a message may take once it has begun, in milliseconds.')), 30_000),
+  unreadMs: v.optional(v.pipe(Milliseconds, v.description('How long a connection may read nothing of an answer, in milliseconds.')), 30_000)
 }), v.readonly())
 
 const TimingSchema = v.pipe(v.strictObject({
