The PostgreSQL front end counts its bytes and connections in the account of the process

Cause: messages far over the limit were kept after the connection had ended, parts of a message were copied with each chunk, and nothing bounded what half-sent messages and batches without an end hold together. Change: the connection has its share of the account; it stops reading and refuses requests without room.

--- a/src/daemon/postgres.ts
+++ b/src/daemon/postgres.ts
@@ -32,8 +32,8 @@
     return new PostgresEdge()
   }
 
-  createAdapters ({ settings, post, log }: EdgeParts): readonly Adapter[] {
-    const frontEnd = PostgresFrontEnd.create({ host: settings.host, post, messageBytes: settings.limits.messageBytes, onServerError: log.reportServerError })
+  createAdapters ({ settings, post, log, account }: EdgeParts): readonly Adapter[] {
+    const frontEnd = PostgresFrontEnd.create({ host: settings.host, post, messageBytes: settings.limits.messageBytes, onServerError: log.reportServerError, account })
     const driver = PostgresDriver.create(post)
     this.#adapters = { callers: settings.callers, frontEnd, driver, announcements: ConnectAnnouncements.create(post) }
     return [frontEnd, driver]
--- a/src/frontends/postgres/connection.ts
+++ b/src/frontends/postgres/connection.ts
@@ -4,6 +4,7 @@
 import { hashKey } from '../../admission/keys.js'
 import { createFailure, type Failure } from '../../core/errors.js'
 import { FRONTEND } from '../../databases/postgres/codes.js'
+import type { ConnectionShare } from '../../memory/account.js'
 import type { HostPost } from '../../messages.js'
 import type { CallerEffect } from '../frontend.js'
 import { parseBatch, readString, type Batch, type BatchMessage, type PreparedStatements } from './batch.js'
@@ -27,6 +28,8 @@
   readonly socket: Socket
   readonly post: HostPost
   readonly messageBytes: number
+  /** The connection in the account of the process; absent where nothing is counted. */
+  readonly share?: ConnectionShare
 }
 
 /** Reads a caller's requests and writes its answers. */
@@ -36,6 +39,7 @@
   #preparedStatements: PreparedStatements = new Map()
   #collected: BatchMessage[] = []
   #collectedBytes = 0
+  #runningBytes = 0
   #stopping = false
   #ended = false
   #batch: Batch | undefined
@@ -55,7 +59,9 @@
       messageBytes: parts.messageBytes,
       onStartup: state => this.#start(state),
       onMessage: (bytes, state) => this.#handleMessage(bytes, state),
-      onRefuse: failure => this.stop(failure)
+      onRefuse: failure => this.stop(failure),
+      share: parts.share,
+      countHeldBytes: () => [this.#collectedBytes + this.#runningBytes, this.#collectedBytes]
     })
     const starting = setTimeout(() => this.stop(createFailure('protocol-violation', 'the startup took too long')), START_TIMEOUT_MS)
     this.#clearStartTimer = () => clearTimeout(starting)
@@ -104,6 +110,7 @@
     if (this.#ended) return
     this.#ended = true
     this.#parts.socket.end(failure === undefined ? '' : encodeFailure(failure, 'FATAL'))
+    this.#parts.share?.finish()
   }
 
   /** Closes the connection as soon as its caller has no running request and no open transaction. */
@@ -144,6 +151,7 @@
     })
     this.#resolveOpen = undefined
     this.#clearStartTimer()
+    this.#parts.share?.finishStart()
     if (failure !== undefined) return this.stop(failure)
     await this.#protocol.completeAuthentication()
   }
@@ -192,12 +200,18 @@
   async #run (messages: readonly BatchMessage[]): Promise<true> {
     this.#collected = []
     this.#collectedBytes = 0
+    this.#runningBytes = messages.reduce((sum, { bytes }) => sum + bytes.length, 0)
     await this.#waitForDrain()
+    const { share } = this.#parts
+    const hasRoom = share?.hasRoom() !== false
+    if (!hasRoom) share?.countRefused()
     const batch = parseBatch(messages, this.#preparedStatements)
     await new Promise<void>(resolve => {
       this.#resolveRequest = resolve
-      batch.match({ Ok: complete => this.#postBatch(complete), Err: failure => this.#reject(failure) })
+      if (!hasRoom) this.#reject(createFailure('memory-full'))
+      else batch.match({ Ok: complete => this.#postBatch(complete), Err: failure => this.#reject(failure) })
     })
+    this.#runningBytes = 0
     return true
   }
 
--- a/src/frontends/postgres/frontend.ts
+++ b/src/frontends/postgres/frontend.ts
@@ -2,6 +2,7 @@
 import { randomBytes } from 'node:crypto'
 import { createServer, type AddressInfo, type Server, type Socket } from 'node:net'
 import { createFailure } from '../../core/errors.js'
+import type { MemoryAccount } from '../../memory/account.js'
 import type { HostPost } from '../../messages.js'
 import { startListening } from '../../core/listening.js'
 import { FrontEnd, type CallerEffect, type FrontEndEffect } from '../frontend.js'
@@ -16,6 +17,8 @@
   readonly messageBytes: number
   /** Called with each error of the listening server. */
   readonly onServerError: (error: Error) => void
+  /** Counts the bytes and connections of the process; absent where nothing is counted. */
+  readonly account?: MemoryAccount
 }
 
 /** Serves callers that speak the PostgreSQL protocol. */
@@ -70,11 +73,14 @@
   }
 
   #accept (socket: Socket): void {
+    const { account } = this.#parts
+    const share = account?.open(socket, 'caller')
+    if (account !== undefined && share === undefined) return
     socket.setNoDelay(true)
     this.#accepted += 1
     const caller = `${this.#parts.host}/${this.#incarnation}/${this.#accepted}`
     const { post, messageBytes } = this.#parts
-    this.#connections.set(caller, CallerConnection.create({ caller, socket, post, messageBytes }))
+    this.#connections.set(caller, CallerConnection.create({ caller, socket, post, messageBytes, share }))
     socket.on('close', () => this.#connections.delete(caller))
   }
 }
--- a/src/frontends/postgres/protocol.ts
+++ b/src/frontends/postgres/protocol.ts
@@ -2,6 +2,7 @@
 import type { Socket } from 'node:net'
 import { PostgresConnection, type State } from 'pg-gateway'
 import { createFailure, type Failure } from '../../core/errors.js'
+import type { ConnectionShare } from '../../memory/account.js'
 
 const LENGTH_BYTES = 4
 /** The largest startup message. */
@@ -20,6 +21,10 @@
   readonly onMessage: (bytes: Uint8Array, state: State) => Promise<boolean>
   /** Called when the connection cannot continue; has to close it. */
   readonly onRefuse: (failure: Failure) => void
+  /** The connection in the account of the process; absent where nothing is counted. */
+  readonly share?: ConnectionShare
+  /** Returns the bytes of handled messages that are not answered, and of those the bytes of a batch that has no end yet. */
+  readonly countHeldBytes?: () => readonly [number, number]
 }
 
 /**
@@ -30,13 +35,23 @@
 export class SerialProtocol extends PostgresConnection {
   readonly #messageBytes: number
   readonly #onRefuse: (failure: Failure) => void
+  readonly #share: ConnectionShare | undefined
+  readonly #countHeldBytes: () => readonly [number, number]
   #incomplete: Buffer = Buffer.alloc(0)
+  /** Chunks of a message that is not complete yet; they are joined once it is. */
+  #parts: Buffer[] = []
+  #partsBytes = 0
+  /** The length that the incomplete message is known to have at least. */
+  #neededBytes = 0
+  #queuedBytes = 0
   #lastChunk: Promise<void> = Promise.resolve()
 
   private constructor (socket: Socket, options: ProtocolOptions) {
     super(socket, options)
     this.#messageBytes = options.messageBytes
     this.#onRefuse = options.onRefuse
+    this.#share = options.share
+    this.#countHeldBytes = options.countHeldBytes ?? (() => [0, 0])
   }
 
   /**
@@ -48,8 +63,30 @@
   }
 
   override async handleData (data: Buffer): Promise<void> {
+    this.#queuedBytes += data.length
+    this.updateShare()
     this.#lastChunk = this.#lastChunk.then(async () => await this.#handleChunk(data))
     await this.#lastChunk
+    this.#queuedBytes -= data.length
+    this.updateShare()
+    this.#awaitRoom()
+  }
+
+  /** Updates the bytes of the connection in the account of the process. */
+  updateShare (): void {
+    if (this.#share === undefined) return
+    const incompleteBytes = this.#partsBytes + this.#incomplete.length
+    const [heldBytes, batchBytes] = this.#countHeldBytes()
+    this.#share.update(this.#queuedBytes + incompleteBytes + heldBytes, incompleteBytes + batchBytes > 0)
+  }
+
+  #awaitRoom (): void {
+    if (this.#share === undefined || this.#share.hasRoom()) return
+    this.socket.pause()
+    this.#share.awaitRoom(() => {
+      this.socket.resume()
+      this.#awaitRoom()
+    })
   }
 
   // The startup is answered in several steps, between which the connection may be ended.
@@ -58,23 +95,39 @@
   }
 
   async #handleChunk (chunk: Buffer): Promise<void> {
-    this.#incomplete = this.#incomplete.length === 0 ? chunk : Buffer.concat([this.#incomplete, chunk])
+    if (this.socket.destroyed || this.socket.writableEnded) return this.#drop()
+    this.#parts.push(chunk)
+    this.#partsBytes += chunk.length
+    if (this.#incomplete.length + this.#partsBytes < this.#neededBytes) return
+    this.#incomplete = Buffer.concat([this.#incomplete, ...this.#parts])
+    this.#parts = []
+    this.#partsBytes = 0
     for (let message = this.#splitMessage(); message !== undefined; message = this.#splitMessage()) {
       await this.#processMessage(message)
     }
   }
 
+  // The connection has ended: what still arrives is not kept.
+  #drop (): void {
+    this.#parts = []
+    this.#partsBytes = 0
+    this.#incomplete = Buffer.alloc(0)
+  }
+
   #splitMessage (): Buffer | undefined {
     if (this.socket.destroyed || this.socket.writableEnded) return undefined
     const codeBytes = this.hasStarted ? 1 : 0
-    if (this.#incomplete.length < codeBytes + LENGTH_BYTES) return undefined
+    this.#neededBytes = codeBytes + LENGTH_BYTES
+    if (this.#incomplete.length < this.#neededBytes) return undefined
     const end = codeBytes + this.#incomplete.readUInt32BE(codeBytes)
     const maxBytes = this.hasStarted ? this.#messageBytes : MAX_STARTUP_BYTES
     if (end > maxBytes) return this.#refuse(createFailure('message-too-large', String(maxBytes)))
     if (end < codeBytes + LENGTH_BYTES) return this.#refuse(createFailure('protocol-violation', 'the length of a message is wrong'))
+    this.#neededBytes = end
     if (end > this.#incomplete.length) return undefined
     const message = this.#incomplete.subarray(0, end)
     this.#incomplete = this.#incomplete.subarray(end)
+    this.#neededBytes = 0
     return message
   }
 
