--- a/test/crowds/lines.test.ts
+++ b/test/crowds/lines.test.ts
@@ -57,6 +57,11 @@
     await runCrowdAt(site, site.callers[0]!, READERS, { reads: false, send })
   })
 
+  it('fills many line sessions with values of legal size', async () => {
+    const send: ClientBehaviour['send'] = async connection => await connection.write(`${START}QUERY s SET v ${'x'.repeat(LEGAL_BYTES)}\r\n`)
+    await runAtFront(READERS, { reads: true, send })
+  })
+
   it('opens line connections without a first message', async () => {
     await runAtFront(CONNECTIONS, { reads: true, returns: true, send: async connection => await connection.write('') })
   })
--- a/test/crowds/postgres.test.ts
+++ b/test/crowds/postgres.test.ts
@@ -63,6 +63,11 @@
     await runAtFront(READERS, { reads: true, send })
   })
 
+  it('fills many PostgreSQL sessions with prepared statements of legal size', async () => {
+    const parse = serialize.parse({ name: 's', text: `SELECT '${'x'.repeat(LEGAL_BYTES)}'`, types: [] })
+    await runAtFront(READERS, { reads: true, send: async connection => await connection.write(Buffer.concat([START, parse, serialize.sync()])) })
+  })
+
   it('opens PostgreSQL connections without a first message', async () => {
     await runAtFront(CONNECTIONS, { reads: true, returns: true, send: async connection => await connection.write('') })
   })
