Session state, large requests of one workspace and bytes of PostgreSQL messages count in the account

Cause: values and prepared statements of legal size stay as long as their sessions; a small rest of a chunk, and the reader of the PostgreSQL gateway, kept whole messages of idle sessions; memory was read on faster than it was collected after a close. Change: state of all sessions gets half of the limit; several connections with one key, or of operators, get half for large requests; a message is read into one buffer of its stated length; reading goes on 100 ms after a pause; a share that ended counts nothing more.

--- a/src/frontends/postgres/batch.ts
+++ b/src/frontends/postgres/batch.ts
@@ -49,7 +49,7 @@
   const updated = new Map(prepared)
   for (const message of messages) {
     if (message.code === FRONTEND.query) updated.delete('')
-    if (message.code === FRONTEND.parse) updated.set(readString(message, 0), message.bytes)
+    if (message.code === FRONTEND.parse) updated.set(readString(message, 0), Buffer.from(message.bytes))
     if (message.code === FRONTEND.close && readTargetType(message) === STATEMENT_TYPE) updated.delete(readString(message, 1))
   }
   return updated
--- a/src/frontends/postgres/connection.ts
+++ b/src/frontends/postgres/connection.ts
@@ -1,6 +1,7 @@
 /** One caller's connection in the PostgreSQL protocol. */
 import type { Socket } from 'node:net'
 import type { State } from 'pg-gateway'
+import { Result } from 'true-myth'
 import { hashKey } from '../../admission/keys.js'
 import { createFailure, type Failure } from '../../core/errors.js'
 import { FRONTEND } from '../../databases/postgres/codes.js'
@@ -20,6 +21,8 @@
 const START_TIMEOUT_MS = 10_000
 /** Bytes of unsent answers from which on the caller's next request waits until the socket has drained. */
 const SOCKET_HIGH_WATER_MARK_BYTES = 1_048_576
+/** A running request is held as its messages, their text and the encoded payload. */
+const COPIES = 3
 const SERVER_VERSION = '16.0 (fulmartally)'
 
 /** The dependencies of a connection. */
@@ -127,7 +130,7 @@
 
   async #handleMessage (bytes: Uint8Array, state: State): Promise<boolean> {
     if (!state.hasStarted) return false
-    const message: BatchMessage = { code: bytes[0]!, bytes: Buffer.from(bytes) }
+    const message: BatchMessage = { code: bytes[0]!, bytes: Buffer.from(bytes.buffer, bytes.byteOffset, bytes.length) }
     if (!state.isAuthenticated) {
       if (message.code !== FRONTEND.password) return this.#refuseMessage('a password was expected')
       await this.#open(state, hashKey(readString(message, 0)))
@@ -137,6 +140,7 @@
   }
 
   async #open (state: State, keyHash: string | undefined): Promise<void> {
+    if (keyHash !== undefined) this.#parts.share?.setParty(keyHash)
     const parameters: Readonly<Record<string, string | undefined>> = state.clientInfo?.parameters ?? {}
     const failure = await new Promise<Failure | undefined>(resolve => {
       this.#resolveOpen = resolve
@@ -200,16 +204,16 @@
   async #run (messages: readonly BatchMessage[]): Promise<true> {
     this.#collected = []
     this.#collectedBytes = 0
-    this.#runningBytes = messages.reduce((sum, { bytes }) => sum + bytes.length, 0)
+    this.#runningBytes = messages.reduce((sum, { bytes }) => sum + bytes.length, 0) * COPIES
+    this.#protocol.updateShare()
     await this.#waitForDrain()
     const { share } = this.#parts
-    const hasRoom = share?.hasRoom() !== false
+    const hasRoom = share?.isAdmitted() !== false
     if (!hasRoom) share?.countRefused()
-    const batch = parseBatch(messages, this.#preparedStatements)
+    const batch = hasRoom ? parseBatch(messages, this.#preparedStatements) : Result.err<Batch, Failure>(createFailure('memory-full'))
     await new Promise<void>(resolve => {
       this.#resolveRequest = resolve
-      if (!hasRoom) this.#reject(createFailure('memory-full'))
-      else batch.match({ Ok: complete => this.#postBatch(complete), Err: failure => this.#reject(failure) })
+      batch.match({ Ok: complete => this.#keepStatements(complete) ? this.#postBatch(complete) : this.#reject(createFailure('memory-full')), Err: failure => this.#reject(failure) })
     })
     this.#runningBytes = 0
     return true
@@ -229,6 +233,14 @@
     this.#parts.post({ kind: 'requests/rejected', caller: this.#parts.caller, failure })
   }
 
+  #keepStatements ({ preparedStatements }: Batch): boolean {
+    const { share } = this.#parts
+    if (share === undefined || (preparedStatements.size === 0 && this.#preparedStatements.size === 0)) return true
+    let bytes = 0
+    for (const statement of preparedStatements.values()) bytes += statement.length
+    return share.setStateBytes(bytes)
+  }
+
   #postBatch (batch: Batch): void {
     const { caller, post } = this.#parts
     this.#preparedStatements = batch.preparedStatements
@@ -270,6 +282,7 @@
     this.#resolveRequest = undefined
     this.#status = status
     if (!this.#ended) this.#parts.socket.write(Buffer.concat([...parts, encodeReady(status)]))
+    this.#protocol.updateShare()
     resolve()
     if (this.#stopping && this.idle) this.stop(createFailure('host-stopping'))
   }
@@ -279,6 +292,7 @@
     if (this.#ended) return
     const bytes = payload.length
     socket.write(payload, () => post({ kind: 'requests/drained', caller, bytes }))
+    this.#protocol.updateShare()
   }
 
   #close (): void {
--- a/src/frontends/postgres/protocol.ts
+++ b/src/frontends/postgres/protocol.ts
@@ -10,6 +10,7 @@
 const CANCEL_REQUEST = 80_877_102
 const GSS_REQUEST = 80_877_104
 const GSS_REFUSED = 'N'
+const EMPTY = Buffer.alloc(0)
 
 /** The startup parameters and callbacks of a connection. */
 export interface ProtocolOptions {
@@ -37,10 +38,9 @@
   readonly #onRefuse: (failure: Failure) => void
   readonly #share: ConnectionShare | undefined
   readonly #countHeldBytes: () => readonly [number, number]
-  #incomplete: Buffer = Buffer.alloc(0)
-  /** Chunks of a message that is not complete yet; they are joined once it is. */
-  #parts: Buffer[] = []
-  #partsBytes = 0
+  #incomplete: Buffer = EMPTY
+  /** What the incomplete message lies at the start of, with room for more chunks. */
+  #storage: Buffer = EMPTY
   /** The length that the incomplete message is known to have at least. */
   #neededBytes = 0
   #queuedBytes = 0
@@ -75,7 +75,7 @@
   /** Updates the bytes of the connection in the account of the process. */
   updateShare (): void {
     if (this.#share === undefined) return
-    const incompleteBytes = this.#partsBytes + this.#incomplete.length
+    const incompleteBytes = this.#incomplete.length
     const [heldBytes, batchBytes] = this.#countHeldBytes()
     this.#share.update(this.#queuedBytes + incompleteBytes + heldBytes, incompleteBytes + batchBytes > 0)
   }
@@ -96,12 +96,8 @@
 
   async #handleChunk (chunk: Buffer): Promise<void> {
     if (this.socket.destroyed || this.socket.writableEnded) return this.#drop()
-    this.#parts.push(chunk)
-    this.#partsBytes += chunk.length
-    if (this.#incomplete.length + this.#partsBytes < this.#neededBytes) return
-    this.#incomplete = Buffer.concat([this.#incomplete, ...this.#parts])
-    this.#parts = []
-    this.#partsBytes = 0
+    if (this.#incomplete.length === 0) this.#incomplete = chunk
+    else this.#append(chunk)
     for (let message = this.#splitMessage(); message !== undefined; message = this.#splitMessage()) {
       await this.#processMessage(message)
     }
@@ -109,9 +105,20 @@
 
   // The connection has ended: what still arrives is not kept.
   #drop (): void {
-    this.#parts = []
-    this.#partsBytes = 0
-    this.#incomplete = Buffer.alloc(0)
+    this.#storage = EMPTY
+    this.#incomplete = EMPTY
+  }
+
+  // The storage has the length that the message states, so each byte is copied once, however small the chunks are.
+  #append (chunk: Buffer): void {
+    const start = this.#incomplete.length
+    const length = start + chunk.length
+    if (length > this.#storage.length) {
+      this.#storage = Buffer.allocUnsafeSlow(Math.max(length, this.#neededBytes))
+      this.#incomplete.copy(this.#storage)
+    }
+    chunk.copy(this.#storage, start)
+    this.#incomplete = this.#storage.subarray(0, length)
   }
 
   #splitMessage (): Buffer | undefined {
@@ -126,7 +133,10 @@
     this.#neededBytes = end
     if (end > this.#incomplete.length) return undefined
     const message = this.#incomplete.subarray(0, end)
-    this.#incomplete = this.#incomplete.subarray(end)
+    const rest = this.#incomplete.subarray(end)
+    // A view of the storage would keep the whole of it.
+    this.#incomplete = rest.length === 0 ? EMPTY : this.#storage === EMPTY ? rest : Buffer.from(rest)
+    this.#storage = EMPTY
     this.#neededBytes = 0
     return message
   }
@@ -135,6 +145,7 @@
     try {
       if (!this.hasStarted && this.#answerSpecialRequest(message)) return
       await this.handleMessage(message)
+      this.reader.setBuffer(0, EMPTY)
     } catch {
       this.#refuse(createFailure('protocol-violation', 'a message is malformed'))
     }
--- a/src/memory/account.ts
+++ b/src/memory/account.ts
@@ -2,13 +2,22 @@
 import type { Socket } from 'node:net'
 import { Adapter } from '../core/adapter.js'
 import type { HostPost } from '../messages.js'
-import { isAccepted, chooseReplaced, hasRoom, isReadAhead, type CloseConnection } from './decide.js'
+import { chooseReplaced, hasRoom, isAccepted, isReadAhead, isRequestAdmitted, isStateAdmitted, ORDINARY_BYTES, type CloseConnection } from './decide.js'
 import type { ConnectionKind, ConnectionUse, LimitCounts, Stage } from './messages.js'
 import { NO_COUNTS, type MemoryLimits } from './state.js'
 
 const MEASURE_INTERVAL_MS = 1_000
 /** Reading goes on once this part of the limit is free again. */
 const RESUME_FRACTION = 0.9
+/** What was released is collected meanwhile: reading on at once would add faster than the memory is freed. */
+const RESUME_DELAY_MS = 100
+
+/** Those who share a part of the account: the connections of a workspace, or those of operators and databases. */
+interface Party {
+  readonly name: string
+  connections: number
+  bytes: number
+}
 
 /** One connection in the account. */
 export class ConnectionShare {
@@ -16,10 +25,13 @@
   readonly kind: ConnectionKind
   readonly #account: MemoryAccount
   readonly #socket: Socket
+  #party: Party | undefined
   #stage: Stage = 'starting'
   #sinceMs = performance.now()
   #readBytes = 0
   #unreadBytes = 0
+  #stateBytes = 0
+  #released = false
   /** How much the other end had read when it last read something. */
   #takenBytes = 0
 
@@ -51,7 +63,7 @@
   /** Updates the bytes that were read and not answered; `receiving` while the rest of a message is missing. */
   update (readBytes: number, receiving: boolean): void {
     this.#setBytes(readBytes, this.#socket.writableLength)
-    if (this.#stage !== 'starting' && this.#stage !== 'ending') this.#changeStage(receiving ? 'receiving' : this.#unreadBytes > 0 ? 'unread' : 'idle')
+    if (this.#stage !== 'starting' && this.#stage !== 'ending') this.#changeStage(receiving ? 'receiving' : this.#unreadBytes > ORDINARY_BYTES ? 'unread' : 'idle')
   }
 
   /** The first message is complete: the connection is in use from now on. */
@@ -71,10 +83,32 @@
     const takenBytes = bytesWritten - writableLength
     if ((this.#stage === 'unread' || this.#stage === 'ending') && takenBytes > this.#takenBytes) this.#sinceMs = nowMs
     this.#takenBytes = takenBytes
-    if (this.#stage === 'unread' && writableLength === 0) this.#changeStage('idle')
+    if (this.#stage === 'unread' && writableLength <= ORDINARY_BYTES) this.#changeStage('idle')
     return this.#stage !== 'idle'
   }
 
+  /** Names those whose part of the account the connection shares. */
+  setParty (party: string): void {
+    if (this.#released) return
+    this.#removeFromParty()
+    this.#party = this.#account.findParty(party)
+    this.#party.connections += 1
+    this.#party.bytes += this.bytes
+  }
+
+  /** Whether a request that the connection holds runs. */
+  isAdmitted (): boolean {
+    return isRequestAdmitted(this.#account.limits, this.#account.bytes, this.bytes, this.#party?.bytes ?? this.bytes)
+  }
+
+  /** Changes what the session keeps for as long as it lasts; returns false, without a change, where there is no room for more. */
+  setStateBytes (bytes: number): boolean {
+    if (this.#released && bytes > 0) return false
+    if (!this.#account.changeState(bytes - this.#stateBytes, bytes)) return false
+    this.#stateBytes = bytes
+    return true
+  }
+
   /** Whether the process has room for what the connection holds. */
   hasRoom (): boolean {
     return this.#account.hasRoomFor(this.bytes)
@@ -103,17 +137,32 @@
   /** Releases all bytes of a connection that has ended. */
   release (): void {
     this.#setBytes(0, 0)
+    this.#released = true
+    this.setStateBytes(0)
+    this.#removeFromParty()
+  }
+
+  #removeFromParty (): void {
+    const party = this.#party
+    if (party === undefined) return
+    this.#party = undefined
+    party.connections -= 1
+    party.bytes -= this.bytes
+    if (party.connections === 0) this.#account.removeParty(party.name)
   }
 
   #setBytes (readBytes: number, unreadBytes: number): void {
+    if (this.#released) return
     const change = readBytes + unreadBytes - this.bytes
     this.#readBytes = readBytes
     this.#unreadBytes = unreadBytes
-    if (change !== 0) this.#account.addBytes(change)
+    if (change === 0) return
+    if (this.#party !== undefined) this.#party.bytes += change
+    this.#account.addBytes(change)
   }
 
   #changeStage (stage: Stage): void {
-    if (stage === this.#stage) return
+    if (this.#released || stage === this.#stage) return
     this.#stage = stage
     this.#sinceMs = performance.now()
     if (stage !== 'idle') this.#account.addWaiting(this)
@@ -128,12 +177,15 @@
   readonly #shares = new Map<number, ConnectionShare>()
   /** Connections that may have left the idle stage since the last measurement. */
   readonly #waiting = new Set<ConnectionShare>()
+  readonly #parties = new Map<string, Party>()
   readonly #paused = new Map<ConnectionShare, () => void>()
   readonly #measuring: NodeJS.Timeout
   #counts: LimitCounts = NO_COUNTS
   #bytes = 0
+  #stateBytes = 0
   #opened = 0
   #measureIsDue = false
+  #resuming: NodeJS.Timeout | undefined
 
   private constructor (limits: MemoryLimits, post: HostPost) {
     super()
@@ -184,7 +236,17 @@
   addBytes (change: number): void {
     this.#bytes += change
     if (this.#bytes > this.limits.heldBytes) this.#scheduleObservation()
-    else if (this.#paused.size > 0 && this.#bytes < this.limits.heldBytes * RESUME_FRACTION) this.#resumeAll()
+    else if (this.#paused.size > 0) this.#scheduleResumption()
+  }
+
+  /** Changes the bytes of the state of all sessions; returns false, without a change, where there is no room for more. */
+  changeState (change: number, sessionBytes: number): boolean {
+    if (change > 0 && !isStateAdmitted(this.limits, this.#stateBytes + change, sessionBytes)) {
+      this.countRefused()
+      return false
+    }
+    this.#stateBytes += change
+    return true
   }
 
   /** Watches a connection that left the idle stage. */
@@ -192,6 +254,20 @@
     this.#waiting.add(share)
   }
 
+  /** Returns those whose part of the account some connections share. */
+  findParty (name: string): Party {
+    const known = this.#parties.get(name)
+    if (known !== undefined) return known
+    const party: Party = { name, connections: 0, bytes: 0 }
+    this.#parties.set(name, party)
+    return party
+  }
+
+  /** Removes those who have no connection left. */
+  removeParty (name: string): void {
+    this.#parties.delete(name)
+  }
+
   /** Whether the process has room for what a connection or a request holds. */
   hasRoomFor (bytes: number): boolean {
     return hasRoom(this.limits, this.#bytes, bytes)
@@ -206,6 +282,7 @@
   awaitRoom (share: ConnectionShare, resume: () => void): void {
     if (!this.#paused.has(share)) this.#counts = { ...this.#counts, pauses: this.#counts.pauses + 1 }
     this.#paused.set(share, resume)
+    this.#scheduleResumption()
   }
 
   /** Counts a request that was refused because the process has no room for it. */
@@ -215,6 +292,7 @@
 
   async [Symbol.asyncDispose] (): Promise<void> {
     clearInterval(this.#measuring)
+    clearTimeout(this.#resuming)
   }
 
   #removeShare (share: ConnectionShare): void {
@@ -234,10 +312,18 @@
     return true
   }
 
+  #scheduleResumption (): void {
+    this.#resuming ??= setTimeout(() => {
+      this.#resuming = undefined
+      if (this.#bytes < this.limits.heldBytes * RESUME_FRACTION) this.#resumeAll()
+      else if (this.#paused.size > 0) this.#scheduleResumption()
+    }, RESUME_DELAY_MS)
+  }
+
   #resumeAll (): void {
     const paused = [...this.#paused.values()]
     this.#paused.clear()
-    for (const resume of paused) setImmediate(resume)
+    for (const resume of paused) resume()
   }
 
   #scheduleObservation (): void {
--- a/src/memory/decide.test.ts
+++ b/src/memory/decide.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai'
-import { chooseReplaced, decideMemory, hasRoom, isAccepted, isReadAhead, ORDINARY_BYTES } from './decide.js'
+import { chooseReplaced, decideMemory, hasRoom, isAccepted, isReadAhead, isStateAdmitted, ORDINARY_BYTES } from './decide.js'
 import type { ConnectionUse, UseMeasured } from './messages.js'
 import { createMemoryState, NO_COUNTS, type MemoryLimits } from './state.js'
 
@@ -24,6 +24,10 @@
     expect(hasRoom(LIMITS, 13_000_000, ORDINARY_BYTES)).to.equal(false)
   })
 
+  it('leave room for small states of sessions that large ones do not get', () => {
+    expect([isStateAdmitted(LIMITS, 5_000_000, 900_000), isStateAdmitted(LIMITS, 5_000_001, 900_000), isStateAdmitted(LIMITS, 9_000_000, 4_096)]).to.deep.equal([true, false, true])
+  })
+
   it('leave what is sent ahead of a running request with its sender', () => {
     expect(isReadAhead(LIMITS, 0, ORDINARY_BYTES)).to.equal(true)
     expect(isReadAhead(LIMITS, 0, ORDINARY_BYTES + 1)).to.equal(false)
--- a/src/memory/decide.ts
+++ b/src/memory/decide.ts
@@ -11,6 +11,12 @@
 const RELIEVED_FRACTION = 0.75
 /** The part of all connections up to which those of each kind are accepted: some are left for operators and databases, and for peers. */
 const CONNECTION_FRACTIONS: Readonly<Record<ConnectionKind, number>> = { caller: 0.75, operator: 0.875, peer: 1 }
+/** The part of the limit that several connections of one workspace may take with large requests. */
+const PARTY_FRACTION = 0.5
+/** The part of the limit that the state of all sessions may take, beside what connections hold. */
+const STATE_FRACTION = 0.5
+/** What a session may keep while others have taken that part, and how far beyond it. */
+const ORDINARY_STATE_BYTES = 4_096
 const REPORT_INTERVAL_MS = 1_000
 /** The order in which connections give way when all are in use: nobody misses one that never began. */
 const REPLACED_STAGES: readonly Stage[] = ['ending', 'starting', 'receiving', 'unread']
@@ -34,6 +40,26 @@
   return processBytes <= (connectionBytes <= ORDINARY_BYTES ? limits.heldBytes * ORDINARY_FACTOR : limits.heldBytes)
 }
 
+/**
+ * Whether a request of a connection runs. Load: many messages of legal size of one workspace, through several connections;
+ * those of others still find room.
+ * @example isRequestAdmitted(limits, 5_000_000, 200, 4_000_000) // true
+ * @param partyBytes bytes of all connections of the workspace, this one included.
+ */
+export function isRequestAdmitted (limits: MemoryLimits, processBytes: number, connectionBytes: number, partyBytes: number): boolean {
+  if (!hasRoom(limits, processBytes, connectionBytes)) return false
+  return connectionBytes <= ORDINARY_BYTES || partyBytes <= connectionBytes || partyBytes <= limits.heldBytes * PARTY_FRACTION
+}
+
+/**
+ * Whether a session may keep so much state, such as prepared statements. Load: many sessions that each keep what is legal.
+ * @example isStateAdmitted(limits, 1_000_000, 4_000) // true
+ * @param allBytes bytes of the state of all sessions, this one included.
+ */
+export function isStateAdmitted ({ heldBytes }: MemoryLimits, allBytes: number, sessionBytes: number): boolean {
+  return allBytes <= heldBytes * (sessionBytes <= ORDINARY_STATE_BYTES ? 2 * STATE_FRACTION : STATE_FRACTION)
+}
+
 /**
  * Whether a connection is read further while a request of it runs. Load: many messages sent ahead on one connection; what is
  * not read waits with its sender.
--- a/src/memory/servers.ts
+++ b/src/memory/servers.ts
@@ -8,6 +8,8 @@
 /** What a body of unstated length is taken to hold. */
 const UNSTATED_BODY_BYTES = 65_536
 const CHECK_INTERVAL_MS = 1_000
+/** Those who share a part of the account as callers of HTTP servers. */
+const OPERATORS = 'operators'
 /** Calls that may be sent ahead on a connection; common clients send none. */
 const MAX_UNANSWERED_CALLS = 16
 
@@ -33,7 +35,9 @@
   })
   server.on('connection', socket => {
     const share = account.open(socket, 'operator')
-    if (share !== undefined) connections.set(socket, { share, unanswered: 0 })
+    if (share === undefined) return
+    share.setParty(OPERATORS)
+    connections.set(socket, { share, unanswered: 0 })
   })
   return server
 }
@@ -48,12 +52,14 @@
   }
   const bytes = readBodyBytes(request)
   share.update(bytes, bytes > 0)
-  request.once('end', () => share.update(bytes, false))
+  const hasRoom = share.isAdmitted()
+  if (hasRoom) request.once('end', () => share.update(bytes, false))
   response.once('close', () => {
     connection.unanswered -= 1
     share.update(0, false)
   })
-  if (share.hasRoom()) return true
+  if (hasRoom) return true
+  share.update(0, true)
   share.countRefused()
   response.writeHead(UNAVAILABLE, { 'content-length': 0, connection: 'close' })
   response.end()
