--- a/src/daemon/listen.ts
+++ b/src/daemon/listen.ts
@@ -1,9 +1,12 @@
 /** The servers for peers and operators. */
-import { createServer as createHttpServer, type Server } from 'node:http'
+import type { Server } from 'node:http'
 import { createServer as createHttp2Server, type Http2Server, type Http2ServerRequest, type Http2ServerResponse, type ServerHttp2Session } from 'node:http2'
 import type { AddressInfo } from 'node:net'
 import { connectNodeAdapter } from '@connectrpc/connect-node'
 import type { ConnectRouter } from '@connectrpc/connect'
+import type { MemoryAccount } from '../memory/account.js'
+import { createLimitedServer, observePeers } from '../memory/servers.js'
+import { MAX_MESSAGE_BYTES } from '../peers/stream.js'
 import type { HandlePage } from '../monitoring/pages.js'
 import { splitAddress } from '../core/address.js'
 import { startListening } from '../core/listening.js'
@@ -26,12 +29,13 @@
  * Serves Connect over HTTP/2 for peers and databases; `handleStream` takes the streams of peers before it.
  * @example await listenForPeers('127.0.0.1:0', router => edge.addRoutes(router), onError, link.handleRequest)
  */
-export async function listenForPeers (address: string, routes: (router: ConnectRouter) => void, onError: (error: Error) => void, handleStream: HandleStream = () => false): Promise<ListeningServer> {
+export async function listenForPeers (address: string, routes: (router: ConnectRouter) => void, onError: (error: Error) => void, handleStream: HandleStream = () => false, account?: MemoryAccount): Promise<ListeningServer> {
   const sessions = new Set<ServerHttp2Session>()
-  const handle = connectNodeAdapter({ routes, shutdownSignal: undefined })
+  const handle = connectNodeAdapter({ routes, shutdownSignal: undefined, readMaxBytes: MAX_MESSAGE_BYTES })
   const server = createHttp2Server((request, response) => {
     if (!handleStream(request, response)) handle(request, response)
   })
+  if (account !== undefined) observePeers(server, account)
   server.on('session', session => {
     sessions.add(session)
     session.on('close', () => sessions.delete(session))
@@ -48,11 +52,11 @@
 
 /**
  * Serves Connect over HTTP/1.1 for operators, together with the monitoring pages.
- * @example await listenForOperators('127.0.0.1:0', router => operatorsApi.addRoutes(router), onError)
+ * @example await listenForOperators('127.0.0.1:0', router => operatorsApi.addRoutes(router), onError, account)
  */
-export async function listenForOperators (address: string, routes: (router: ConnectRouter) => void, onError: (error: Error) => void, handlePage?: HandlePage): Promise<ListeningServer> {
+export async function listenForOperators (address: string, routes: (router: ConnectRouter) => void, onError: (error: Error) => void, account: MemoryAccount, handlePage?: HandlePage): Promise<ListeningServer> {
   const fallback = handlePage as RequestHandler | undefined
-  const server = createHttpServer(connectNodeAdapter({ routes, fallback, readMaxBytes: MAX_COMMAND_BYTES }))
+  const server = createLimitedServer(account, connectNodeAdapter({ routes, fallback, readMaxBytes: MAX_COMMAND_BYTES }))
   const listening = await listen(server, address, onError)
   return {
     address: listening,
--- a/src/peers/connect.ts
+++ b/src/peers/connect.ts
@@ -2,13 +2,15 @@
 import type { ClientHttp2Stream, Http2ServerRequest, Http2ServerResponse, ServerHttp2Stream } from 'node:http2'
 import { Http2SessionManager } from '@connectrpc/connect-node'
 import type { Post } from '../core/adapter.js'
-import type { LearnPeers, Message, SendPeer } from '../core/message.js'
+import { sendPeer, type LearnPeers, type Message, type SendPeer } from '../core/message.js'
 import type { PackedFrame } from '../gen/fulmartally_pb.js'
 import { isAddress } from '../core/address.js'
 import { assertInvariant } from '../core/invariant.js'
+import type { MemoryAccount } from '../memory/account.js'
 import type { HostMessage } from '../messages.js'
 import { decodeFrame, encodeFrame, LinkPacker, LinkUnpacker, type DecodedFrame } from './frame.js'
 import { isPeerMessage } from './kinds.js'
+import { LargeRequests } from './largerequests.js'
 import { PeerLink, type PeerAddress } from './link.js'
 import { checkLiveness, CONFIRMED, recordPong, recordSent, type Liveness } from './liveness.js'
 import { Outbox, type EncodedFrame } from './outbox.js'
@@ -52,6 +54,8 @@
 export interface LinkObservers {
   readonly clock: HybridLogicalClock
   readonly onTraffic: OnTraffic
+  /** Counts the bytes of the process; absent where nothing is counted. */
+  readonly account?: MemoryAccount
 }
 
 /** Transfers messages over streams of gRPC on HTTP/2. */
@@ -61,6 +65,7 @@
   readonly #onLinkLost: OnLinkLost
   readonly #observers: LinkObservers
   readonly #addresses = new Map<string, string>()
+  readonly #largeRequests: LargeRequests | undefined
   readonly #links = new Map<string, OpenLink>()
   /** Hosts that could not be reached, and the monotonic time until which no new attempt is made. */
   readonly #unreachableUntilMs = new Map<string, number>()
@@ -73,6 +78,7 @@
     this.#post = post
     this.#onLinkLost = onLinkLost
     this.#observers = observers
+    this.#largeRequests = observers.account === undefined ? undefined : LargeRequests.create(observers.account)
     this.#closedCheck = setInterval(() => this.#detectClosed(), CLOSED_CHECK_INTERVAL_MS).unref()
   }
 
@@ -104,6 +110,8 @@
     }
     const link = this.#findOpen(effect.to) ?? this.#open(effect.to)
     if (link === undefined) return this.#refuseRequest(effect)
+    const refusal = this.#largeRequests?.send(effect.to, effect.message)
+    if (refusal !== undefined) return this.#post(refusal)
     link.liveness = recordSent(link.liveness, performance.now())
     link.outbox.add(this.#encode(effect.message))
   }
@@ -133,7 +141,7 @@
   }
 
   async #receive (stream: ServerHttp2Stream): Promise<void> {
-    const unpacker = LinkUnpacker.create()
+    const unpacker = LinkUnpacker.create(this.#observers.account?.limits.peerMessageBytes)
     let from: string | undefined
     try {
       await receiveMessages(stream, packed => {
@@ -165,7 +173,10 @@
   // Returns the sender.
   #receiveFrame ({ from, message, stamp }: DecodedFrame): string {
     this.#observers.clock.merge(stamp)
-    if (isPeerMessage(message)) this.#post(message)
+    if (!isPeerMessage(message)) return from
+    const refusal = this.#largeRequests?.receive(from, message)
+    if (refusal === undefined) this.#post(message)
+    else this.execute(sendPeer(from, refusal))
     return from
   }
 
@@ -214,7 +225,7 @@
 
   async #run (host: string, link: OpenLink): Promise<void> {
     try {
-      const unpacker = LinkUnpacker.create()
+      const unpacker = LinkUnpacker.create(this.#observers.account?.limits.peerMessageBytes)
       const stream = await link.session.request('POST', PEERS_PATH, REQUEST_HEADERS, {})
       link.stream = stream
       link.sender.open(stream)
@@ -250,6 +261,7 @@
 
   #reportLoss (host: string, opened: boolean): void {
     if (this.#closed) return
+    this.#largeRequests?.removeHost(host)
     for (const message of this.#onLinkLost(host, opened)) this.#post(message)
   }
 }
--- a/src/peers/stream.ts
+++ b/src/peers/stream.ts
@@ -14,8 +14,8 @@
 
 /** The length of the flags and of the length before each message. */
 const HEADER_BYTES = 5
-/** Far above the size of the largest frame. */
-const MAX_MESSAGE_BYTES = 64 * 1_048_576
+/** The largest compressed message of a peer: a replicated log with some large documents. */
+export const MAX_MESSAGE_BYTES = 16_777_216
 /** The most that waits for a peer that does not read; its link is closed when it is full. */
 const MAX_WAITING_BYTES = 256 * 1_048_576
 const MAX_WAITING_MESSAGES = 65_536
