--- a/test/evacuationorders.test.ts
+++ b/test/evacuationorders.test.ts
@@ -75,6 +75,31 @@
     await pollUntil(async () => (await second!.query('r', 'READ a')).lines[0] === 'ROW three')
   })
 
+  it('keeps an acknowledged order when all control hosts restart at once, and a withdrawal', async () => {
+    await using deployment = await WireDeployment.create()
+    await pollUntil(async () => await deployment.putConfiguration(createDesiredState(3)) === 200)
+    const readers = await connectToAll(deployment, 'views', 'READ a')
+    const former = deployment.group.primary
+    const zone = ZONE_BY_DATABASE.get(former)!
+    expect((await deployment.sendOrder(zone, 'begin')).status).to.equal(200)
+    await deployment.restartControl()
+    await pollUntil(async () => deployment.group.primary !== former)
+    await new Promise(resolve => setTimeout(resolve, EVACUATE_MS))
+    const before = deployment.runs.length
+    for (let round = 0; round < 20; round++) {
+      for (const requester of readers) await requester.query('r', 'READ a')
+    }
+    const used = new Set(deployment.runs.slice(before).map(({ database }) => database))
+    expect(used.size).to.be.above(0)
+    expect([...used]).not.to.include(former)
+    await pollUntil(async () => (await deployment.sendOrder(zone, 'end')).status === 200)
+    await deployment.restartControl()
+    await pollUntil(async () => {
+      for (const requester of readers) await requester.query('r', 'READ a')
+      return deployment.runs.slice(before).some(({ database }) => database === former)
+    })
+  })
+
   it('refuses an unknown zone with its place, and knows the zones of the settings', async () => {
     await using deployment = await WireDeployment.create({ zoneLines: ['zones.zone-d=area'] })
     await pollUntil(async () => (await deployment.sendOrder('zone-d', 'begin')).status === 200)
--- a/test/support/wire.ts
+++ b/test/support/wire.ts
@@ -88,6 +88,7 @@
   readonly #directory: string
   readonly #options: WireDeploymentOptions
   readonly #hosts: Host[] = []
+  readonly #settings: string[] = []
   #platform!: WirePlatform
 
   private constructor (directory: string, options: WireDeploymentOptions) {
@@ -138,6 +139,12 @@
     await host[Symbol.asyncDispose]()
   }
 
+  /** Ends all control hosts at once, and starts them again with what they stored. */
+  async restartControl (): Promise<void> {
+    await Promise.all(this.control.map(async (_, index) => await this.#hosts[index]![Symbol.asyncDispose]()))
+    for (const index of this.control.keys()) this.#hosts[index] = await startHost(this.#settings[index]!)
+  }
+
   async [Symbol.asyncDispose] (): Promise<void> {
     for (const database of this.databases) database.stop()
     await Promise.all(this.#hosts.map(async host => await host[Symbol.asyncDispose]()))
@@ -168,9 +175,8 @@
         `cloud.address=${this.#platform.address}`,
         ...(isControl ? [`listen.control=${ip}:${control}`, `data_dir=${join(this.#directory, String(index))}`] : [`listen.front=${ip}:${front}`, `listen.ready=${ip}:${ready}`])
       ].join('\n')
-      const platform = parsePlatformSettings(settings)
-      const settingsWithLogLevel = { ...platform, settings: { ...platform.settings, logLevel: 'error' as const } }
-      this.#hosts.push(await Host.create(settingsWithLogLevel.settings, error => { throw error }, PlatformEdge.create(settingsWithLogLevel)))
+      this.#settings.push(settings)
+      this.#hosts.push(await startHost(settings))
       if (isControl) this.control.push(`${ip}:${control}`)
       else this.callers.push(`${ip}:${front}`)
     }
@@ -180,6 +186,12 @@
   }
 }
 
+async function startHost (text: string): Promise<Host> {
+  const platform = parsePlatformSettings(text)
+  const settingsWithLogLevel = { ...platform, settings: { ...platform.settings, logLevel: 'error' as const } }
+  return await Host.create(settingsWithLogLevel.settings, error => { throw error }, PlatformEdge.create(settingsWithLogLevel))
+}
+
 /** Picks free loopback ports. */
 export async function pickPorts (count: number): Promise<readonly number[]> {
   const servers = Array.from({ length: count }, () => createServer())
