Command line: check tells doubts about a document, and what differs from the version in force

Cause: the operators' wish for a check before sending: entries that can never match, limits that contradict each other, and what differs from the version in force. check knew errors alone. A doubt keeps nothing from being accepted and ends with code 0. Conclusion: documents only; desired states of the users' platform have no command of their own.

--- a/src/cli/program.test.ts
+++ b/src/cli/program.test.ts
@@ -93,4 +93,17 @@
     expect(found!.split('\n')).to.have.length(4)
     expect(found).to.match(/^f\.jsonc:1:\d+ colour: Unknown name: check its spelling or remove it\.$/m)
   })
+
+  it('tells doubts about a document with their place, and what differs from the version in force, before it is sent', async () => {
+    const terminal = new FakeTerminal()
+    expect(await run(terminal, 'check', 'document', 'f.jsonc')).to.equal(0)
+    expect(terminal.printed.at(-2)).to.equal('f.jsonc: no findings.')
+    expect(terminal.printed.at(-1)).to.match(/^Accepted, but doubtful:\nf\.jsonc:3:\d+ groups\[0\]: No route leads to group a/)
+    expect(await run(terminal, 'check', 'document', 'f.jsonc', '--current', '--host', 'up')).to.equal(0)
+    expect(terminal.printed.at(-1)).to.equal('Nothing differs.')
+    expect(terminal.calls.map(({ name }) => name)).to.deep.equal(['document/show'])
+    expect(await run(terminal, 'check', 'document', 'f.jsonc', '--against', 'g.jsonc', '--json')).to.equal(0)
+    expect(JSON.parse(terminal.printed.at(-1)!)).to.deep.include({ file: 'f.jsonc', findings: [], differences: [] })
+    expect(await run(terminal, 'check', 'document', 'f.jsonc', '--current', '--host', 'down')).to.equal(69)
+  })
 })
