--- a/src/messages.ts
+++ b/src/messages.ts
@@ -5,6 +5,7 @@
 import type { DocumentsMessage } from './documents/messages.js'
 import type { EvacuationMessage } from './evacuation/messages.js'
 import type { MembershipMessage } from './membership/messages.js'
+import type { MemoryMessage } from './memory/messages.js'
 import type { OperationsMessage } from './operations/messages.js'
 import type { PrimacyMessage } from './primacy/messages.js'
 import type { RequestsMessage } from './requests/messages.js'
@@ -22,6 +23,7 @@
   | DocumentsMessage
   | EvacuationMessage
   | MembershipMessage
+  | MemoryMessage
   | OperationsMessage
   | PrimacyMessage
   | RequestsMessage
--- a/src/monitoring/metrics.ts
+++ b/src/monitoring/metrics.ts
@@ -5,6 +5,7 @@
 import type { CallerEffect } from '../frontends/frontend.js'
 import { isEvacuated } from '../evacuation/view.js'
 import type { DatabaseEntry, GrantEntry } from '../membership/directory.js'
+import type { CloseConnection } from '../memory/decide.js'
 import type { HostMessage } from '../messages.js'
 import type { Traffic } from '../peers/traffic.js'
 import { RequestBreakdown } from './breakdown.js'
@@ -29,10 +30,12 @@
   readonly #requests = this.#createCounter('requests_total', 'Requests of callers, by outcome.', ['outcome'])
   readonly #refusals = this.#createCounter('refusals_total', 'Requests and callers that got an error, by its code.', ['code'])
   readonly #routed = this.#createCounter('routed_total', 'Attempts that found a database, by what they do and by the role of the database.', ['action', 'role'])
+  readonly #left = this.#createCounter('reads_left_total', 'Attempts of reads that left the failure domain of their host, by reason; none where a fixed cost decides.', ['reason'])
   readonly #beats = this.#createCounter('beats_total', 'Reports of this host to the leader, sent and answered.', ['outcome'])
   readonly #events = this.#createCounter('events_total', 'Events of the time line, by name.', ['event'])
   readonly #failovers = this.#createCounter('failovers_total', 'Changes of a primary that this host saw.', [])
   readonly #peerBytes = this.#createCounter('peer_bytes_total', 'Bytes of messages between hosts, without TCP and TLS.', ['direction', 'purpose'])
+  readonly #limited = this.#createCounter('limits_total', 'Actions of the limits on bytes and connections, by action.', ['action'])
   readonly #breakdown = RequestBreakdown.create(this.#registry)
   readonly #duration = new Histogram({
     name: `${METRIC_PREFIX}request_duration_seconds`,
@@ -68,6 +71,16 @@
     })
   }
 
+  /** Adds the gauge of the bytes that connections hold. */
+  addHeldBytes (readBytes: () => number): void {
+    const gauge: Gauge = new Gauge({
+      name: `${METRIC_PREFIX}held_bytes`,
+      help: 'Bytes that connections hold: read and not answered, or written and not read.',
+      registers: [this.#registry],
+      collect: () => gauge.set(readBytes())
+    })
+  }
+
   /** The content type of the rendered metrics. */
   get contentType (): string {
     return this.#registry.contentType
@@ -86,7 +99,10 @@
       case 'requests/open': this.#callers.add(message.caller); break
       case 'requests/arrived': this.#startedAtMs.set(message.caller, performance.now()); break
       case 'requests/closed': this.#removeCaller(message.caller); break
-      case 'requests/routed': this.#observeRoute(message.caller, message.target.purpose); break
+      case 'requests/routed':
+        this.#observeRoute(message.caller, message.target.purpose)
+        if (message.target.left !== undefined) this.#left.increment(message.target.left)
+        break
       case 'routing/choose': this.#pendingActions.set(message.caller, message.rules.action); break
       case 'routing/directory-changed': this.#observeGrants(message.grants); this.#observeEvacuated(message.databases); break
       case 'transactions/open-failed':
@@ -94,6 +110,9 @@
       case 'admission/documents-confirmed':
         for (const { service, version } of message.documents ?? []) this.#versions.set(service, Math.max(version, this.#versions.get(service) ?? 0))
         break
+      case 'memory/measured':
+        for (const [action, count] of Object.entries(message.counts)) if (count > 0) this.#limited.incrementBy(count as number, action)
+        break
       case 'membership/beat-due': this.#beats.increment('sent'); break
       case 'membership/beat-answered': this.#beats.increment('answered'); break
     }
@@ -101,7 +120,7 @@
 
   /** Counts an effect before it is executed. */
   observeEffect (effect: Effect): void {
-    const known = effect as CallerEffect | DatabaseEffect | { readonly kind: 'timeline/record', readonly event: string }
+    const known = effect as CallerEffect | DatabaseEffect | CloseConnection | { readonly kind: 'timeline/record', readonly event: string }
     switch (known.kind) {
       case 'caller/finished': this.#endRequest(known.caller, 'finished'); break
       case 'caller/failed':
@@ -112,6 +131,7 @@
       case 'caller/refused': this.#refusals.increment(known.failure.code); break
       case 'database/open': this.#connections.add(known.connection); break
       case 'database/close': this.#connections.delete(known.connection); break
+      case 'connection/close': this.#limited.increment(known.reason); break
       case 'timeline/record': this.#events.increment(known.event); break
     }
   }
--- a/src/peers/connect.ts
+++ b/src/peers/connect.ts
@@ -1,14 +1,16 @@
-/** Peer links over Connect: one stream from a host to each host that it sends to. */
-import type { ClientHttp2Stream, Http2ServerRequest, Http2ServerResponse } from 'node:http2'
+/** Peer links by the `Connect` method of `proto/`: one stream from a host to each host that it sends to. */
+import type { ClientHttp2Stream, Http2ServerRequest, Http2ServerResponse, ServerHttp2Stream } from 'node:http2'
 import { Http2SessionManager } from '@connectrpc/connect-node'
 import type { Post } from '../core/adapter.js'
-import type { LearnPeers, Message, SendPeer } from '../core/message.js'
+import { sendPeer, type LearnPeers, type Message, type SendPeer } from '../core/message.js'
 import type { PackedFrame } from '../gen/fulmartally_pb.js'
 import { isAddress } from '../core/address.js'
 import { assertInvariant } from '../core/invariant.js'
+import type { MemoryAccount } from '../memory/account.js'
 import type { HostMessage } from '../messages.js'
 import { decodeFrame, encodeFrame, LinkPacker, LinkUnpacker, type DecodedFrame } from './frame.js'
 import { isPeerMessage } from './kinds.js'
+import { LargeRequests } from './largerequests.js'
 import { PeerLink, type PeerAddress } from './link.js'
 import { checkLiveness, CONFIRMED, recordPong, recordSent, type Liveness } from './liveness.js'
 import { Outbox, type EncodedFrame } from './outbox.js'
@@ -52,15 +54,18 @@
 export interface LinkObservers {
   readonly clock: HybridLogicalClock
   readonly onTraffic: OnTraffic
+  /** Counts the bytes of the process; absent where nothing is counted. */
+  readonly account?: MemoryAccount
 }
 
-/** Transfers messages over Connect streams on HTTP/2. */
+/** Transfers messages over streams of gRPC on HTTP/2. */
 export class ConnectPeerLink extends PeerLink {
   readonly #self: string
   readonly #post: Post
   readonly #onLinkLost: OnLinkLost
   readonly #observers: LinkObservers
   readonly #addresses = new Map<string, string>()
+  readonly #largeRequests: LargeRequests | undefined
   readonly #links = new Map<string, OpenLink>()
   /** Hosts that could not be reached, and the monotonic time until which no new attempt is made. */
   readonly #unreachableUntilMs = new Map<string, number>()
@@ -73,6 +78,7 @@
     this.#post = post
     this.#onLinkLost = onLinkLost
     this.#observers = observers
+    this.#largeRequests = observers.account === undefined ? undefined : LargeRequests.create(observers.account)
     this.#closedCheck = setInterval(() => this.#detectClosed(), CLOSED_CHECK_INTERVAL_MS).unref()
   }
 
@@ -104,6 +110,8 @@
     }
     const link = this.#findOpen(effect.to) ?? this.#open(effect.to)
     if (link === undefined) return this.#refuseRequest(effect)
+    const refusal = this.#largeRequests?.send(effect.to, effect.message)
+    if (refusal !== undefined) return this.#post(refusal)
     link.liveness = recordSent(link.liveness, performance.now())
     link.outbox.add(this.#encode(effect.message))
   }
@@ -115,10 +123,11 @@
   /** Receives the stream of another host; returns false when a request is not one. */
   readonly handleRequest = (request: Http2ServerRequest, response: Http2ServerResponse): boolean => {
     if (request.url !== PEERS_PATH) return false
+    request.on('error', () => undefined)
     response.on('error', () => undefined)
     response.writeHead(HTTP_OK, { 'content-type': GRPC_CONTENT })
     response.write(encodeMessage(this.#pack(LinkPacker.create(), [this.#encode(ACCEPT_BATCHES)], false)))
-    this.#receive(request).finally(() => {
+    this.#receive(request.stream).finally(() => {
       response.addTrailers(OK_TRAILERS)
       response.end()
     })
@@ -131,11 +140,11 @@
     for (const host of [...this.#links.keys()]) this.#drop(host)
   }
 
-  async #receive (request: Http2ServerRequest): Promise<void> {
-    const unpacker = LinkUnpacker.create()
+  async #receive (stream: ServerHttp2Stream): Promise<void> {
+    const unpacker = LinkUnpacker.create(this.#observers.account?.limits.peerMessageBytes)
     let from: string | undefined
     try {
-      await receiveMessages(request, packed => {
+      await receiveMessages(stream, packed => {
         for (const frame of this.#unpack(unpacker, packed)) from = this.#receiveFrame(frame)
       })
     } catch {
@@ -164,7 +173,10 @@
   // Returns the sender.
   #receiveFrame ({ from, message, stamp }: DecodedFrame): string {
     this.#observers.clock.merge(stamp)
-    if (isPeerMessage(message)) this.#post(message)
+    if (!isPeerMessage(message)) return from
+    const refusal = this.#largeRequests?.receive(from, message)
+    if (refusal === undefined) this.#post(message)
+    else this.execute(sendPeer(from, refusal))
     return from
   }
 
@@ -213,7 +225,7 @@
 
   async #run (host: string, link: OpenLink): Promise<void> {
     try {
-      const unpacker = LinkUnpacker.create()
+      const unpacker = LinkUnpacker.create(this.#observers.account?.limits.peerMessageBytes)
       const stream = await link.session.request('POST', PEERS_PATH, REQUEST_HEADERS, {})
       link.stream = stream
       link.sender.open(stream)
@@ -249,6 +261,7 @@
 
   #reportLoss (host: string, opened: boolean): void {
     if (this.#closed) return
+    this.#largeRequests?.removeHost(host)
     for (const message of this.#onLinkLost(host, opened)) this.#post(message)
   }
 }
--- a/src/transactions/messages.ts
+++ b/src/transactions/messages.ts
@@ -148,6 +148,8 @@
   readonly evacuated?: readonly string[]
   /** A time at which none of them was evacuated that is new; absent if unknown. */
   readonly confirmedAtMs?: number
+  /** The rate of requests to a cold database, by group; 0 where there is no limit. Groups that are absent keep theirs. */
+  readonly coldRates?: ReadonlyMap<string, number>
 }
 
 /** Tells until when this host may take it that it missed no operators' order on a failure domain. */
@@ -157,6 +159,19 @@
   readonly untilMs: number
 }
 
+/** The leader confirmed that this host's directory was current; told where documents name rates of cold databases. */
+export interface DirectoryConfirmed {
+  readonly kind: 'transactions/contact-confirmed'
+  /** The monotonic time at which this host asked. */
+  readonly askedAtMs: number
+}
+
+/** Requests wait for tokens of a cold database, and the next one is there. */
+export interface RefillDue {
+  readonly kind: 'transactions/refill-due'
+  readonly database: string
+}
+
 /** Reports the log position that was read from an owned database. */
 export interface PositionRead {
   readonly kind: 'transactions/position-read'
@@ -212,6 +227,8 @@
 
 /** Any message of the transactions slice. */
 export type TransactionsMessage =
+  | DirectoryConfirmed
+  | RefillDue
   | LagDue
   | PrimarySampled
   | WorkCountRequested
