Evacuation: a read waits for a replica elsewhere that is not eligible at the moment, and for none at home that is evacuated

Cause: with an evacuated primary, routing refused a read at once, as final, although a replica elsewhere was only without an owner or unresponsive at the moment (the homes branch had got this, the evacuation branch had not). The other way round, a read with homes was kept for replicas at home that are all evacuated, and for one that only the primary may serve. Change: one check for both: replicas that are at home and not evacuated; for an evacuated primary also not tried before.

--- a/src/evacuation/effects.test.ts
+++ b/src/evacuation/effects.test.ts
@@ -37,9 +37,9 @@
       latestPositions: new Map(['a1', 'a2', 'a3'].map(name => [name, { position: { term: 1, offset: 5 }, askedAtMs: 990 }]))
     }
   }
-  const choose = (state: RoutingState, action: 'read' | 'write'): Effect => {
-    const rules = { group: 'a', action, maxStalenessMs: 1_500, idempotent: false } as const
-    return decideRouting(state, { kind: 'routing/choose', caller: 'c', attempt: 1, rules, seen: ORIGIN, avoid: [] }, { monotonicMs: 1_000, wallMs: 0, random: 0 }).effects[0]!
+  const choose = (state: RoutingState, action: 'read' | 'write', avoid: readonly string[] = [], homes?: readonly string[]): Effect => {
+    const rules = { group: 'a', action, maxStalenessMs: 1_500, idempotent: false, homes } as const
+    return decideRouting(state, { kind: 'routing/choose', caller: 'c', attempt: 1, rules, seen: ORIGIN, avoid }, { monotonicMs: 1_000, wallMs: 0, random: 0 }).effects[0]!
   }
 
   for (const selfFencing of [true, false]) {
@@ -55,6 +55,23 @@
     expect(choose(createState([1, 2, 3]), 'read')).to.deep.nested.include({ 'message.failure.code': refused.code })
     expect(choose(createState([2, 3]), 'write')).to.have.nested.property('message.target.database', 'a1')
   })
+
+  it('keeps a read for the next try while the replicas elsewhere are not eligible', () => {
+    const withoutOwners = (state: RoutingState): RoutingState => ({ ...state, databases: new Map([...state.databases].map(([name, { entry }]) => [name, { entry, owner: undefined }])) })
+    const state = withoutOwners(createState([1]))
+    expect(choose(state, 'read')).to.deep.nested.include({ 'message.kind': 'requests/failed', 'message.retriable': true, 'message.failure.code': 'no-database' })
+    expect(choose(state, 'write')).to.deep.nested.include({ 'message.retriable': false, 'message.failure.code': 'evacuated' })
+    expect(choose(withoutOwners(createState([1, 2, 3])), 'read')).to.deep.nested.include({ 'message.retriable': false, 'message.failure.code': 'evacuated' })
+    expect(choose(state, 'read', ['a2', 'a3'])).to.deep.nested.include({ 'message.retriable': false, 'message.failure.code': 'evacuated' })
+  })
+
+  it('keeps no read for a replica at home that is evacuated', () => {
+    const state = createState([2])
+    const regions = { a1: ['east'], a2: ['west'], a3: ['east'] }
+    const homed: RoutingState = { ...state, databases: new Map([...state.databases].map(([name, database]) => [name, { ...database, regions: regions[name as keyof typeof regions] }])) }
+    expect(choose(homed, 'read', [], ['west'])).to.deep.nested.include({ 'message.retriable': false, 'message.failure.code': 'no-home' })
+    expect(choose(homed, 'read', [], ['north'])).to.deep.nested.include({ 'message.retriable': false, 'message.failure.code': 'no-home' })
+  })
 })
 
 describe('the owner of an evacuated database', () => {
--- a/src/routing/decide.ts
+++ b/src/routing/decide.ts
@@ -62,8 +62,8 @@
   const target = !mayBeStale ? undefined : state.guarantees.selfFencing ? chooseBounded(state, message, grant, leaving) : chooseCovering(state, message, grant, moment)
   if (target !== undefined) return answerTarget({ ...state, roundRobinCounter: state.roundRobinCounter + 1 }, message, target, moment)
   const primary = grant?.primary === undefined ? undefined : state.databases.get(grant.primary)
-  if (primary !== undefined && isEvacuated(primary.entry)) return refuseAtOnce(state, message, 'evacuated')
-  if (primary !== undefined && !isHome(primary, rules.homes)) return hasReplicaAtHome(state, message) ? refuse(state, message, 'no-database', moment) : refuseAtOnce(state, message, 'no-home')
+  if (primary !== undefined && isEvacuated(primary.entry)) return hasReplica(state, message, message.avoid) ? refuse(state, message, 'no-database', moment) : refuseAtOnce(state, message, 'evacuated')
+  if (primary !== undefined && !isHome(primary, rules.homes)) return hasReplica(state, message, []) ? refuse(state, message, 'no-database', moment) : refuseAtOnce(state, message, 'no-home')
   if (grant === undefined || grant.closing === true || primary?.owner === undefined || isUnresponsiveOwner(state, primary.owner)) return refuse(state, message, 'no-primary', moment)
   return answerTarget(state, message, createTarget(primary, 'primary', grant.term, ORIGIN), moment)
 }
@@ -151,10 +151,13 @@
   return { state, effects: [tell({ kind: 'requests/failed', caller: message.caller, attempt: message.attempt, failure, retriable })] }
 }
 
-// A replica at home that is not eligible now may be so by the next try.
-function hasReplicaAtHome ({ databases }: RoutingState, { rules }: ChooseTarget): boolean {
-  const mayBeStale = rules.action === 'read' && rules.maxStalenessMs > 0
-  return mayBeStale && [...databases.values()].some(database => database.entry.group === rules.group && isHome(database, rules.homes))
+// A replica at home that is not eligible now may be so by the next try, unless it is evacuated.
+function hasReplica ({ databases }: RoutingState, { rules, primaryOnly }: ChooseTarget, avoid: readonly string[]): boolean {
+  const mayBeStale = rules.action === 'read' && rules.maxStalenessMs > 0 && primaryOnly !== true
+  return mayBeStale && [...databases.values()].some(database => {
+    const { entry } = database
+    return entry.group === rules.group && !isEvacuated(entry) && !avoid.includes(entry.database) && isHome(database, rules.homes)
+  })
 }
 
 // A promotion takes longer than callers wait, so they are told when to come back. Nothing brings a database home.
