Databases are marked as cold only where a document names their rate, and never in the control hosts' log

Cause: databases of all deployments announce for how long they are cold. Also without a coldRate, the mark changed the directory of all hosts twice for each start of a database, made routing avoid it (COLD_COST), wrote events, and each change went through the control hosts' log (membership/remember), which is a sync on each of them; without a rate nothing was to change. Change: the leader drops the mark of groups without a rate, and looks for rates only while a database is reported as cold; stored entries carry no mark.

--- a/src/membership/decide.ts
+++ b/src/membership/decide.ts
@@ -5,7 +5,7 @@
 import { computeTimelyMs, recordConfirmation, recordTick, recordVersions } from './contact.js'
 import { followLeader, listControlHosts, listHeartbeatTargets, followHint, rankControlHosts } from './discovery.js'
 import { reportRollout } from './rollout.js'
-import { applyChanges, listEntries, type DatabaseEntry, type DatabaseStatus, type Directory, type HostEntry } from './directory.js'
+import { applyChanges, listColdRates, listEntries, type DatabaseEntry, type DatabaseStatus, type Directory, type HostEntry } from './directory.js'
 import { removeDatabases, removeHost, publishEntry, evictSilent, receiveHeartbeat } from './leader.js'
 import { isCurrent, pruneIncarnations, recordWithdrawal } from './incarnations.js'
 import { recordDatabaseEvents } from './log.js'
@@ -228,12 +228,6 @@
   ]
 }
 
-// A group without a rate has 0: a new leader may name databases before documents, and the rates known stay in force until then.
-function listColdRates (directory: Directory): ReadonlyMap<string, number> {
-  const groups = listEntries(directory, 'document').flatMap(({ document }) => document.groups)
-  return new Map(groups.map(({ name, coldRate = 0 }) => [name, coldRate]))
-}
-
 function listOwnDatabases (state: MembershipState, directory: Directory, owners: MembershipState['owners']): MembershipState['ownedDatabases'] {
   const owned = listEntries(directory, 'database').filter(({ database }) => owners.get(database) === state.self?.host)
   const groups = new Map(listEntries(directory, 'document').flatMap(({ document }) => document.groups.map(group => [group.name, group.connections] as const)))
--- a/src/membership/directory.ts
+++ b/src/membership/directory.ts
@@ -202,3 +202,23 @@
   }
   return entries
 }
+
+/**
+ * Lists the rates of cold databases by group. A group without a rate has 0: a new leader may name databases before documents,
+ * and the rates known stay in force until then.
+ * @example listColdRates(directory).get('a') // 20
+ */
+export function listColdRates (directory: Directory): ReadonlyMap<string, number> {
+  const groups = listEntries(directory, 'document').flatMap(({ document }) => document.groups)
+  return new Map(groups.map(({ name, coldRate = 0 }) => [name, coldRate]))
+}
+
+/**
+ * Returns the entry of a database without the mark that it is cold.
+ * @example dropCold({ ...entry, cold: true }).cold // undefined
+ */
+export function dropCold (entry: DatabaseEntry): DatabaseEntry {
+  if (entry.cold === undefined) return entry
+  const { cold: _, ...rest } = entry
+  return rest
+}
--- a/src/membership/leader.ts
+++ b/src/membership/leader.ts
@@ -1,6 +1,6 @@
 /** The leader's side of membership: builds the directory from the heartbeats of hosts. */
 import type { CoreEffect, Moment, Step } from '../core/message.js'
-import { createDirectory, removeEntry, listChangesSince, listEntries, putEntry, getEntryKey, type DatabaseEntry, type DatabaseStatus, type Directory, type DirectoryEntry } from './directory.js'
+import { createDirectory, dropCold, removeEntry, listChangesSince, listColdRates, listEntries, putEntry, getEntryKey, type DatabaseEntry, type DatabaseStatus, type Directory, type DirectoryEntry } from './directory.js'
 import { keepValidEntries } from './entry.js'
 import { isCurrent, listDoubted, mergeKnownDatabases, recordReports, pruneIncarnations, type IncarnationTable } from './incarnations.js'
 import type { Heartbeat, HostLeft } from './messages.js'
@@ -95,9 +95,11 @@
   const hosts = new Map(leaderState.hosts)
   const reportedAtMs = new Map(leaderState.databaseReportedAtMs)
   const coldReportedAtMs = new Map(leaderState.coldReportedAtMs)
+  const rates = coldReportedAtMs.size > 0 || heartbeats.some(({ databases }) => databases.some(({ cold }) => cold === true)) ? listColdRates(leaderState.directory) : undefined
   let { directory } = leaderState
   for (const { self, revision, databases, statuses } of heartbeats) {
-    const known = databases.map(entry => keepCold(coldReportedAtMs, entry, moment.monotonicMs))
+    // Where no document names a rate, nothing depends on it.
+    const known = databases.map(entry => ((rates?.get(entry.group) ?? 0) > 0 ? keepCold(coldReportedAtMs, entry, moment.monotonicMs) : dropCold(entry)))
     directory = known.reduce(putAnnouncedDatabase, putEntry(directory, self))
     hosts.set(self.host, { entry: self, owns: statuses.length > 0, lastHeartbeatAtMs: moment.monotonicMs, confirmedRevision: revision, databases })
     markReported(reportedAtMs, databases, moment.monotonicMs)
--- a/src/membership/stored.ts
+++ b/src/membership/stored.ts
@@ -2,7 +2,7 @@
 import type { CoreEffect } from '../core/message.js'
 import { getOwn } from '../core/own.js'
 import { tell } from '../messages.js'
-import { listEntries, type DatabaseEntry, type Directory } from './directory.js'
+import { dropCold, listEntries, type DatabaseEntry, type Directory } from './directory.js'
 
 /** The stored databases, by name. */
 export type StoredDatabaseTable = Readonly<Record<string, DatabaseEntry>>
@@ -28,7 +28,8 @@
  * @example proposeStoredDatabases(state.storedDatabases, leaderState.directory)
  */
 export function proposeStoredDatabases (table: StoredDatabaseTable, directory: Directory): readonly CoreEffect[] {
-  const entries = listEntries(directory, 'database')
+  // A new leader learns by announcements which databases are cold.
+  const entries = listEntries(directory, 'database').map(dropCold)
   const presentNames = new Set(entries.map(entry => entry.database))
   const present = entries.filter(entry => !isSame(getOwn(table, entry.database), entry))
   const gone = Object.keys(table).filter(database => !presentNames.has(database))
