--- a/src/core/trace.ts
+++ b/src/core/trace.ts
@@ -84,14 +84,16 @@
   const value = (this as Readonly<Record<string, unknown>>)[key]
   if (value === Infinity || value === -Infinity) return { $number: String(value) }
   if (value instanceof Map) return { $map: [...value] }
+  if (value instanceof Set) return { $set: [...value] }
   if (value instanceof Uint8Array) return { $bytes: Buffer.from(value).toString('base64') }
   return encoded
 }
 
 function decodeValue (_key: string, value: unknown): unknown {
-  const { $number, $map, $bytes } = (value ?? {}) as { readonly $number?: string, readonly $map?: ReadonlyArray<readonly [unknown, unknown]>, readonly $bytes?: string }
+  const { $number, $map, $set, $bytes } = (value ?? {}) as { readonly $number?: string, readonly $map?: ReadonlyArray<readonly [unknown, unknown]>, readonly $set?: readonly unknown[], readonly $bytes?: string }
   if ($number !== undefined) return Number($number)
   if ($map !== undefined) return new Map($map)
+  if ($set !== undefined) return new Set($set)
   if ($bytes !== undefined) return Uint8Array.from(Buffer.from($bytes, 'base64'))
   return value
 }
