--- a/src/transactions/cold.test.ts
+++ b/src/transactions/cold.test.ts
@@ -67,4 +67,12 @@
     expect(own(new Map()).get('a')).to.equal(RATE)
     expect(own(new Map([['a', 0]])).size).to.equal(0)
   })
+
+  it('waits for the last owner from when this one became owner, not from its first request', () => {
+    const entry: DatabaseEntry = { kind: 'database', database: 'a1', group: 'a', failureDomain: 'east', address: '', slots: 3, connectionLimit: 9, departing: false }
+    const slice = StoreSlice.create({ name: 'transactions', shared: createTransactionsShared(10, 1_000, undefined, COLD_LIMITS), decide: decideTransactions })
+    const message: TransactionsMessage = { kind: 'transactions/owned-changed', databases: [entry], grants: [], coldRates: new Map([['a', RATE]]) }
+    slice.handle(message, { monotonicMs: 0, wallMs: 0, random: 0 })
+    expect(slice.store.items.get('a1')!.refill).to.deep.include({ tokens: 0, refilledAtMs: 1_000 })
+  })
 })
--- a/src/transactions/cold.ts
+++ b/src/transactions/cold.ts
@@ -9,8 +9,8 @@
 import type { RunRequest } from './messages.js'
 import { abortUnit, createExecute, startQueued } from './pool.js'
 import { estimateTokenWaitMs, hasTokenForNewWork, hasToken, takeToken, updateRefill, type Refill } from './refill.js'
-import { calculateSlotLimit, computeLoad, countUsedSlots, type OwnedDatabase, type UnitOfWork } from './state.js'
-import { answerFailed, clearDeadlineTimer, continueStep, setDeadlineTimer, type DatabaseStep, type TransactionsStore } from './step.js'
+import { calculateSlotLimit, computeLoad, countUsedSlots, type OwnedDatabase, type TransactionsShared, type UnitOfWork } from './state.js'
+import { answerFailed, clearDeadlineTimer, continueStep, setDeadlineTimer, type DatabaseStep, type TransactionsStep, type TransactionsStore } from './step.js'
 
 /** Fraction of the latency target for which a request waits for a token; the rest is for its turn and the statement. */
 const TARGET_FRACTION = 0.5
@@ -26,17 +26,27 @@
  * @example updateRefills(store, moment).items.get('a1')?.refill?.limited
  */
 export function updateRefills (store: TransactionsStore, moment: Moment): TransactionsStore {
-  const { coldRates, coldLimits: limits, confirmedAtMs } = store.shared
-  if (coldRates.size === 0) return store
-  const items = new Map([...store.items].map(([name, database]) => {
-    const { entry, releasing, connections, refill } = database
-    const rate = coldRates.get(entry.group)
-    const next = rate === undefined ? undefined : updateRefill(refill, { rate, limits, cold: entry.cold === true, releasing, connections: connections.size, confirmedAtMs }, moment.monotonicMs)
-    return [name, { ...database, refill: next }] as const
-  }))
+  if (store.shared.coldRates.size === 0) return store
+  const items = new Map([...store.items].map(([name, database]) => [name, { ...database, refill: computeRefill(store.shared, database, moment) }] as const))
   return { ...store, items }
 }
 
+function computeRefill ({ coldRates, coldLimits: limits, confirmedAtMs }: TransactionsShared, database: OwnedDatabase, moment: Moment): Refill | undefined {
+  const { entry, releasing, connections, refill } = database
+  const rate = coldRates.get(entry.group)
+  return rate === undefined ? undefined : updateRefill(refill, { rate, limits, cold: entry.cold === true, releasing, connections: connections.size, confirmedAtMs }, moment.monotonicMs)
+}
+
+/**
+ * Starts the rates of databases whose owner or rate changed: a new owner's wait for the last one counts from then.
+ * @example startRefills(updateOwnership(store, message, moment), moment)
+ */
+export function startRefills (step: TransactionsStep, moment: Moment): TransactionsStep {
+  const { shared, changes } = step
+  if (shared === undefined || shared.coldRates.size === 0) return step
+  return { ...step, changes: changes?.map(([name, database]) => [name, database === undefined ? undefined : { ...database, refill: computeRefill(shared, database, moment) }] as const) }
+}
+
 /**
  * Returns the refusal of new work that would wait too long for a token; undefined where the database is warm or has a token in time.
  * @example findColdRefusal(database, message, moment)?.code // 'database-cold'
--- a/src/transactions/decide.ts
+++ b/src/transactions/decide.ts
@@ -16,7 +16,7 @@
 import { computeLoad, nameFlow, type OwnedDatabase, type TransactionsShared, type UnitOfWork } from './state.js'
 import { updateOverlap, createLagTimer, recordRun, updateLag } from './overlap.js'
 import { computePace, findOverload } from './pace.js'
-import { continueWhenWarm, createRefillTimer, findColdRefusal, startHeld, updateRefills } from './cold.js'
+import { continueWhenWarm, createRefillTimer, findColdRefusal, startHeld, startRefills, updateRefills } from './cold.js'
 import { answerFailed, continueStep, setDeadlineTimer, clearDeadlineTimer, createEmptyStep, refuseRun, type DatabaseStep, type TransactionsStep, type TransactionsStore } from './step.js'
 import { acknowledgeDurableWrites, answerFinished } from './durability.js'
 import { computeUrgency, countTurns } from './urgency.js'
@@ -48,7 +48,7 @@
   switch (message.kind) {
     case 'transactions/run': return handleRun(store, message, moment)
     case 'transactions/cancel': return handleCancel(store, message)
-    case 'transactions/owned-changed': return startMeasuring(store, updateOwnership(store, message, moment), moment)
+    case 'transactions/owned-changed': return startMeasuring(store, startRefills(updateOwnership(store, message, moment), moment), moment)
     case 'transactions/confirmed': return updateConfirmation(store, message, moment)
     case 'transactions/contact-confirmed': return { shared: { ...store.shared, confirmedAtMs: Math.max(store.shared.confirmedAtMs, message.askedAtMs) }, effects: [] }
     case 'transactions/refill-due': return decideFor(store, message.database, database => startHeld(database, moment))
