Evacuation: a statement that waited for a token of a cold database is not sent once its transaction's time is over

Cause: the time of a transaction after an order was checked when its statement arrived, not when the token came; an owner that loses contact keeps a quarter of the rate, so the token may come seconds later than estimated. Change: held statements of an evacuated database are ended like those that arrive then. Runs: the new test fails before and passes after; src/evacuation and src/transactions/cold.test.ts pass.

--- a/src/evacuation/effects.test.ts
+++ b/src/evacuation/effects.test.ts
@@ -140,6 +140,30 @@
     expect(listMessages(refused, 'requests/failed')[0]).to.have.nested.property('failure.code', 'transaction-evacuated')
   })
 
+  it('sends no statement of a transaction that waited for a token of a cold database past that time', () => {
+    const rates = { coldRates: new Map([['a', 0.5]]) }
+    const shared = createTransactionsShared(10, 10_000, GUARANTEES, { excess: 1, slack: 2, unheardMs: 1_000 })
+    slice = StoreSlice.create({ name: 'transactions', shared, decide: decideTransactions, checkItem: checkOwnedDatabase })
+    const own = (evacuated: readonly string[]): readonly Effect[] => handle({ kind: 'transactions/owned-changed', databases: [createEntry(1, { cold: true })], grants: [GRANT], evacuated, confirmedAtMs: nowMs, ...rates })
+    const pass = (ms: number): void => {
+      for (const endsAtMs = nowMs + ms; nowMs < endsAtMs;) {
+        nowMs += 100
+        handle({ kind: 'transactions/contact-confirmed', askedAtMs: nowMs })
+      }
+    }
+    pass(100)
+    own([])
+    pass(5_500)
+    begin('c1')
+    pass(3_800)
+    expect(listSentToDatabase(handle(createRun('c1', 2, { transaction: 1 })))).to.deep.equal([])
+    own(['domain-1'])
+    pass(TRANSACTION_GRACE_MS)
+    const refused = handle({ kind: 'transactions/refill-due', database: 'a1' })
+    expect(listSentToDatabase(refused)).to.deep.equal([])
+    expect(listMessages(refused, 'requests/failed')[0]).to.have.nested.property('failure.code', 'transaction-evacuated')
+  })
+
   it('refuses the transactions of a database that it releases as well', () => {
     begin('c1')
     setOwned(['domain-1'], [])
--- a/src/transactions/cold.ts
+++ b/src/transactions/cold.ts
@@ -4,6 +4,7 @@
  */
 import { createFailure, type Failure } from '../core/errors.js'
 import type { CoreEffect, Moment } from '../core/message.js'
+import { isGraceOver } from '../evacuation/owner.js'
 import { setTimer } from '../messages.js'
 import { countEntries, listEntries, removeEntry } from '../fairness/queue.js'
 import type { RunRequest } from './messages.js'
@@ -98,12 +99,19 @@
 export function startHeld (database: OwnedDatabase, moment: Moment): DatabaseStep {
   const held = [...database.units.values()].find(unit => unit.held === true)
   if (held === undefined) return continueStep(startQueued(database), next => refuseExcess(next, moment))
+  if (isGraceOver(database, moment)) return continueStep(endHeld(database, held), next => startHeld(next, moment))
   if (!hasToken(database.refill)) return refuseExcess(database, moment)
   const { held: _, ...unit } = held
   const step: DatabaseStep = { database: replaceUnit(database, unit, takeToken(database.refill)), effects: [createExecute(unit.run, unit.connection)] }
   return continueStep(step, next => startHeld(next, moment))
 }
 
+// The order came while it waited.
+function endHeld (database: OwnedDatabase, unit: UnitOfWork): DatabaseStep {
+  const answer = answerFailed(unit.from, unit.run, createFailure('transaction-evacuated', database.entry.group), false)
+  return continueStep({ database, effects: [answer] }, next => abortUnit(next, unit))
+}
+
 function refuseExcess (database: OwnedDatabase, moment: Moment): DatabaseStep {
   const { refill, entry } = database
   if (refill?.limited !== true) return { database, effects: [] }
