Waiting: the end of the wait for a start does not end a request that may have run

Cause: gave what may have run until its deadline, but the timer at half of the time still ended it while it waited for its next try or its target; as it may have run, its caller got an unknown outcome in place of the retry.

--- a/src/requests/budget.test.ts
+++ b/src/requests/budget.test.ts
@@ -105,6 +105,18 @@
     expect(findRun(host.dispatch({ ...REPLICA, database: 'a3', owner: 'h3' }))?.waitMs).to.equal(undefined)
   })
 
+  it('does not end a read that may have run while it waits for its next try', () => {
+    const host = FakeHost.create()
+    host.arrive()
+    const timer = findTimer(host.admit({ ...RULES, latencyMs: 350 }), 'requests/deadline')!
+    host.dispatch(REPLICA)
+    host.nowMs += 400
+    host.take({ kind: 'requests/late', caller: 'c', attempt: host.attempt })
+    const effects = host.take(timer.message as HostMessage)
+    expect(findFailure(effects)).to.equal(undefined)
+    expect(findTimer(effects, 'requests/deadline')?.afterMs).to.equal(700)
+  })
+
   it('lets a request without a latency target wait until its deadline', () => {
     const host = FakeHost.create()
     host.arrive()
