--- a/src/requests/decide.ts
+++ b/src/requests/decide.ts
@@ -162,8 +162,9 @@
 
 // The first time counts for what was not sent yet, the second for what an owner runs or may have run.
 function handleTimeOver (caller: Caller, running: InFlightRequest, moment: Moment): RequestsStep {
-  const leftMs = running.deadlineAtMs + DEADLINE_GRACE_MS - moment.monotonicMs
-  if ((running.phase === 'running' || running.mayHaveRun) && leftMs > 0) return { effects: [createTimer(caller.caller, running.request, leftMs)] }
+  const endMs = running.phase === 'running' ? running.deadlineAtMs + DEADLINE_GRACE_MS : computeWaitEndMs(running)
+  const leftMs = endMs - moment.monotonicMs
+  if (leftMs > 0) return { effects: [createTimer(caller.caller, running.request, leftMs)] }
   return expireRequest(caller, running, moment)
 }
 
