--- a/src/evacuation/effects.test.ts
+++ b/src/evacuation/effects.test.ts
@@ -37,9 +37,9 @@
       latestPositions: new Map(['a1', 'a2', 'a3'].map(name => [name, { position: { term: 1, offset: 5 }, askedAtMs: 990 }]))
     }
   }
-  const choose = (state: RoutingState, action: 'read' | 'write'): Effect => {
-    const rules = { group: 'a', action, maxStalenessMs: 1_500, idempotent: false } as const
-    return decideRouting(state, { kind: 'routing/choose', caller: 'c', attempt: 1, rules, seen: ORIGIN, avoid: [] }, { monotonicMs: 1_000, wallMs: 0, random: 0 }).effects[0]!
+  const choose = (state: RoutingState, action: 'read' | 'write', avoid: readonly string[] = [], homes?: readonly string[]): Effect => {
+    const rules = { group: 'a', action, maxStalenessMs: 1_500, idempotent: false, homes } as const
+    return decideRouting(state, { kind: 'routing/choose', caller: 'c', attempt: 1, rules, seen: ORIGIN, avoid }, { monotonicMs: 1_000, wallMs: 0, random: 0 }).effects[0]!
   }
 
   for (const selfFencing of [true, false]) {
@@ -55,6 +55,23 @@
     expect(choose(createState([1, 2, 3]), 'read')).to.deep.nested.include({ 'message.failure.code': refused.code })
     expect(choose(createState([2, 3]), 'write')).to.have.nested.property('message.target.database', 'a1')
   })
+
+  it('keeps a read for the next try while the replicas elsewhere are not eligible', () => {
+    const withoutOwners = (state: RoutingState): RoutingState => ({ ...state, databases: new Map([...state.databases].map(([name, { entry }]) => [name, { entry, owner: undefined }])) })
+    const state = withoutOwners(createState([1]))
+    expect(choose(state, 'read')).to.deep.nested.include({ 'message.kind': 'requests/failed', 'message.retriable': true, 'message.failure.code': 'no-database' })
+    expect(choose(state, 'write')).to.deep.nested.include({ 'message.retriable': false, 'message.failure.code': 'evacuated' })
+    expect(choose(withoutOwners(createState([1, 2, 3])), 'read')).to.deep.nested.include({ 'message.retriable': false, 'message.failure.code': 'evacuated' })
+    expect(choose(state, 'read', ['a2', 'a3'])).to.deep.nested.include({ 'message.retriable': false, 'message.failure.code': 'evacuated' })
+  })
+
+  it('keeps no read for a replica at home that is evacuated', () => {
+    const state = createState([2])
+    const regions = { a1: ['east'], a2: ['west'], a3: ['east'] }
+    const homed: RoutingState = { ...state, databases: new Map([...state.databases].map(([name, database]) => [name, { ...database, regions: regions[name as keyof typeof regions] }])) }
+    expect(choose(homed, 'read', [], ['west'])).to.deep.nested.include({ 'message.retriable': false, 'message.failure.code': 'no-home' })
+    expect(choose(homed, 'read', [], ['north'])).to.deep.nested.include({ 'message.retriable': false, 'message.failure.code': 'no-home' })
+  })
 })
 
 describe('the owner of an evacuated database', () => {
@@ -123,6 +140,30 @@
     expect(listMessages(refused, 'requests/failed')[0]).to.have.nested.property('failure.code', 'transaction-evacuated')
   })
 
+  it('sends no statement of a transaction that waited for a token of a cold database past that time', () => {
+    const rates = { coldRates: new Map([['a', 0.5]]) }
+    const shared = createTransactionsShared(10, 10_000, GUARANTEES, { excess: 1, slack: 2, unheardMs: 1_000 })
+    slice = StoreSlice.create({ name: 'transactions', shared, decide: decideTransactions, checkItem: checkOwnedDatabase })
+    const own = (evacuated: readonly string[]): readonly Effect[] => handle({ kind: 'transactions/owned-changed', databases: [createEntry(1, { cold: true })], grants: [GRANT], evacuated, confirmedAtMs: nowMs, ...rates })
+    const pass = (ms: number): void => {
+      for (const endsAtMs = nowMs + ms; nowMs < endsAtMs;) {
+        nowMs += 100
+        handle({ kind: 'transactions/contact-confirmed', askedAtMs: nowMs })
+      }
+    }
+    pass(100)
+    own([])
+    pass(5_500)
+    begin('c1')
+    pass(3_800)
+    expect(listSentToDatabase(handle(createRun('c1', 2, { transaction: 1 })))).to.deep.equal([])
+    own(['domain-1'])
+    pass(TRANSACTION_GRACE_MS)
+    const refused = handle({ kind: 'transactions/refill-due', database: 'a1' })
+    expect(listSentToDatabase(refused)).to.deep.equal([])
+    expect(listMessages(refused, 'requests/failed')[0]).to.have.nested.property('failure.code', 'transaction-evacuated')
+  })
+
   it('refuses the transactions of a database that it releases as well', () => {
     begin('c1')
     setOwned(['domain-1'], [])
