HTTP bodies: released when a call is answered early, counted together when calls are sent ahead

Cause: a call whose answer ended before its body had arrived (an unknown path, a body over its limit) counted the stated length again at the end of the body, and kept it for as long as the connection lived; with calls sent ahead, the last one replaced the bodies of those before it. Change: each connection adds up the bodies of its unanswered calls; the end of a body only ends the waiting for its rest.

--- a/src/memory/servers.ts
+++ b/src/memory/servers.ts
@@ -16,6 +16,10 @@
 interface Connection {
   readonly share: ConnectionShare
   unanswered: number
+  /** Bodies of the unanswered calls. */
+  bodyBytes: number
+  /** True while the rest of a body is missing. */
+  receiving: boolean
 }
 
 type HandleRequest = (request: IncomingMessage, response: ServerResponse) => void
@@ -37,7 +41,7 @@
     const share = account.open(socket, 'operator')
     if (share === undefined) return
     share.setParty(OPERATORS)
-    connections.set(socket, { share, unanswered: 0 })
+    connections.set(socket, { share, unanswered: 0, bodyBytes: 0, receiving: false })
   })
   return server
 }
@@ -51,21 +55,28 @@
     return false
   }
   const bytes = readBodyBytes(request)
-  share.update(bytes, bytes > 0)
+  changeBodies(connection, bytes, bytes > 0)
   const hasRoom = share.isAdmitted()
-  if (hasRoom) request.once('end', () => share.update(bytes, false))
+  if (hasRoom) request.once('end', () => changeBodies(connection, 0, false))
+  else changeBodies(connection, -bytes, true)
+  // The rest of the body may arrive after it.
   response.once('close', () => {
     connection.unanswered -= 1
-    share.update(0, false)
+    changeBodies(connection, hasRoom ? -bytes : 0, connection.receiving)
   })
   if (hasRoom) return true
-  share.update(0, true)
   share.countRefused()
   response.writeHead(UNAVAILABLE, { 'content-length': 0, connection: 'close' })
   response.end()
   return false
 }
 
+function changeBodies (connection: Connection, change: number, receiving: boolean): void {
+  connection.bodyBytes += change
+  connection.receiving = receiving
+  connection.share.update(connection.bodyBytes, receiving)
+}
+
 function readBodyBytes ({ headers }: IncomingMessage): number {
   const stated = Number(headers['content-length'] ?? 0)
   if (stated > 0) return stated
