--- a/src/memory/payloads.ts
+++ b/src/memory/payloads.ts
@@ -50,7 +50,7 @@
   /** Adds the request of a caller. */
   add (caller: string, host: string, bytes: number, remainingMs: number, nowMs: number): void {
     this.remove(caller)
-    this.#expire(nowMs)
+    this.expire(nowMs)
     this.#payloads.set(caller, { host, bytes, endsAtMs: nowMs + remainingMs + GRACE_MS })
     this.#change(host, bytes)
   }
@@ -78,7 +78,8 @@
     return nowMs < (this.#fullUntilMs.get(host) ?? 0)
   }
 
-  #expire (nowMs: number): void {
+  /** Removes requests that could not be answered any more. */
+  expire (nowMs: number): void {
     for (const [caller, { endsAtMs }] of [...this.#payloads]) if (endsAtMs < nowMs) this.remove(caller)
   }
 
--- a/src/peers/connect.ts
+++ b/src/peers/connect.ts
@@ -197,6 +197,7 @@
   // When a peer ends its session, the stream on it may stay open without an end or an error.
   #detectClosed (): void {
     const nowMs = performance.now()
+    this.#largeRequests?.expire(nowMs)
     for (const [host, link] of this.#links) if (isClosed(link) || isSilent(link, nowMs)) this.#handleLoss(host, link)
   }
 
--- a/src/peers/largerequests.ts
+++ b/src/peers/largerequests.ts
@@ -63,6 +63,12 @@
     }
   }
 
+  /** Forgets requests that could not be answered any more, so that a lost answer takes no room for good. */
+  expire (nowMs: number): void {
+    this.#sent.expire(nowMs)
+    this.#received.expire(nowMs)
+  }
+
   /** Forgets the requests to and from a host whose link was lost. */
   removeHost (host: string): void {
     this.#sent.removeHost(host)
@@ -72,15 +78,18 @@
   #sendRequest (to: string, message: RunRequest): AttemptFailed | undefined {
     const nowMs = performance.now()
     const bytes = message.payload.length
+    this.expire(nowMs)
     if (this.#sent.isFull(to, nowMs) || !isSent(this.#account.limits, this.#sent.countBytes(to), bytes)) return this.#refuse(message)
     this.#sent.add(message.caller, to, bytes, message.remainingMs, nowMs)
     return undefined
   }
 
   #receiveRequest (from: string, message: RunRequest): AttemptFailed | undefined {
+    const nowMs = performance.now()
     const bytes = message.payload.length
+    this.expire(nowMs)
     if (!this.#account.hasRoomFor(bytes)) return this.#refuse(message)
-    this.#received.add(message.caller, from, bytes, message.remainingMs, performance.now())
+    this.#received.add(message.caller, from, bytes, message.remainingMs, nowMs)
     return undefined
   }
 
