Account: a connection that has ended does not wait for room

Cause: a request that ends with its connection asked to be called back; the callback kept the connection until there was room again. Test: red before, green now.

--- a/src/memory/account.test.ts
+++ b/src/memory/account.test.ts
@@ -94,6 +94,19 @@
     expect([resumed, waiter.share!.hasRoom()]).to.deep.equal([1, true])
   })
 
+  it('does not wait for the room of a connection that has ended', async () => {
+    await using account = MemoryAccount.create(LIMITS, () => undefined)
+    const [holder, ended, waiter] = [openConnection(account), openConnection(account), openConnection(account)]
+    holder.share!.update(2_000_000, true)
+    ended.socket.destroy()
+    const resumed: string[] = []
+    ended.share!.awaitRoom(() => resumed.push('ended'))
+    waiter.share!.awaitRoom(() => resumed.push('waiter'))
+    holder.socket.destroy()
+    await pollUntil('the connection to be read on', async () => resumed.includes('waiter'))
+    expect(resumed).to.deep.equal(['waiter'])
+  })
+
   it('closes the oldest connection that has not started for a new one, and refuses a new one when all are idle', async () => {
     await using account = MemoryAccount.create(LIMITS, () => undefined)
     const connections = [openConnection(account), openConnection(account), openConnection(account)]
--- a/src/memory/account.ts
+++ b/src/memory/account.ts
@@ -280,6 +280,7 @@
 
   /** Calls back once there is room again. */
   awaitRoom (share: ConnectionShare, resume: () => void): void {
+    if (!this.#shares.has(share.number)) return
     if (!this.#paused.has(share)) this.#counts = { ...this.#counts, pauses: this.#counts.pauses + 1 }
     this.#paused.set(share, resume)
     this.#scheduleResumption()
