PostgreSQL connections are receiving only while nothing runs

Cause: as at the line front: what was read ahead of a running request made its connection one that could be closed for its size or time, with a request that may have run.

--- a/src/frontends/postgres/connection.test.ts
+++ b/src/frontends/postgres/connection.test.ts
@@ -1,7 +1,10 @@
-import { createServer, type AddressInfo, type Server } from 'node:net'
+import { connect, createServer, type AddressInfo, type Server } from 'node:net'
 import { expect } from 'chai'
 import pg from 'pg'
+import { serialize } from 'pg-protocol'
 import { createFailure } from '../../core/errors.js'
+import { pollUntil } from '../../../test/support/poll.js'
+import { MemoryAccount } from '../../memory/account.js'
 import type { HostMessage } from '../../messages.js'
 import { CallerConnection } from './connection.js'
 
@@ -52,3 +55,36 @@
     }
   })
 })
+
+describe('the stage of a PostgreSQL connection that sends requests ahead', () => {
+  // Guards against a connection that is closed for its time or size while its request runs, and for the time of many messages together.
+  it('is receiving only while nothing runs', async () => {
+    await using account = MemoryAccount.create({ heldBytes: 1_000_000, connections: 4, peerMessageBytes: 1, startMs: 10_000, messageMs: 30_000, unreadMs: 20_000 }, () => undefined)
+    const stages: Array<() => string> = []
+    const connections: CallerConnection[] = []
+    let arrived = 0
+    const server = createServer(socket => {
+      const share = account.open(socket, 'caller')!
+      stages.push(() => share.use.stage)
+      const post = (message: HostMessage): void => {
+        if (message.kind === 'requests/open') connections[0]!.execute({ kind: 'caller/opened', caller: CALLER })
+        if (message.kind === 'requests/arrived') arrived += 1
+      }
+      connections.push(CallerConnection.create({ caller: CALLER, socket, messageBytes: 1_048_576, post, share }))
+    })
+    await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+    const socket = connect((server.address() as AddressInfo).port, '127.0.0.1').resume()
+    const query = serialize.query('SELECT 1')
+    const half = query.length / 2 | 0
+    socket.write(Buffer.concat([serialize.startup({ user: 'open', database: 'rota' }), query, query.subarray(0, half)]))
+    await pollUntil('the first request', async () => arrived === 1)
+    expect(stages[0]!()).to.equal('idle')
+    connections[0]!.execute({ kind: 'caller/finished', caller: CALLER, payload: Buffer.alloc(0), status: 'idle' })
+    await pollUntil('the rest to be missing', async () => stages[0]!() === 'receiving')
+    socket.write(Buffer.concat([query.subarray(half), query.subarray(0, half)]))
+    await pollUntil('the second request', async () => arrived === 2)
+    expect(stages[0]!()).to.equal('idle')
+    socket.destroy()
+    await new Promise(resolve => server.close(resolve))
+  })
+})
--- a/src/frontends/postgres/protocol.ts
+++ b/src/frontends/postgres/protocol.ts
@@ -77,7 +77,8 @@
     if (this.#share === undefined) return
     const incompleteBytes = this.#incomplete.length
     const [heldBytes, batchBytes] = this.#countHeldBytes()
-    this.#share.update(this.#queuedBytes + incompleteBytes + heldBytes, incompleteBytes + batchBytes > 0)
+    const runs = heldBytes > batchBytes
+    this.#share.update(this.#queuedBytes + incompleteBytes + heldBytes, !runs && incompleteBytes + batchBytes > 0)
   }
 
   #awaitRoom (): void {
