Account: a connection that waits for nothing any more is not closed

Cause: which connections are closed is decided on a measurement; one that had completed its message by then, and whose request may run, was closed all the same. Test: red before, green now.

--- a/src/memory/account.test.ts
+++ b/src/memory/account.test.ts
@@ -94,6 +94,19 @@
     expect([resumed, waiter.share!.hasRoom()]).to.deep.equal([1, true])
   })
 
+  // Guards against a request that ends with its connection although it runs, decided on what was measured before.
+  it('leaves a connection that waits for nothing any more', async () => {
+    await using account = MemoryAccount.create(LIMITS, () => undefined)
+    const [done, waiting] = [openConnection(account), openConnection(account)]
+    for (const { share } of [done, waiting]) {
+      share!.finishStart()
+      share!.update(600_000, true)
+    }
+    done.share!.update(600_000, false)
+    for (const { share } of [done, waiting]) account.execute({ kind: 'connection/close', connection: share!.number, reason: 'memory-full' })
+    expect([done, waiting].map(({ socket }) => socket.destroyed)).to.deep.equal([false, true])
+  })
+
   it('does not wait for the room of a connection that has ended', async () => {
     await using account = MemoryAccount.create(LIMITS, () => undefined)
     const [holder, ended, waiter] = [openConnection(account), openConnection(account), openConnection(account)]
--- a/src/memory/account.ts
+++ b/src/memory/account.ts
@@ -213,7 +213,9 @@
   }
 
   execute (effect: CloseConnection): void {
-    this.#shares.get(effect.connection)?.close()
+    const share = this.#shares.get(effect.connection)
+    // It may have gone on since it was measured.
+    if (share !== undefined && share.use.stage !== 'idle') share.close()
   }
 
   /** Takes a connection that was just accepted into the account; undefined when all are in use, and the connection was closed. */
