Many connections that hold little each are closed once ordinary requests are refused

Cause: half-sent messages and unread answers up to 32 KiB were never closed for their size, and unread ones had no time limit. With a heap of 160 MB and 4,300 descriptors, 900 of the 2,821 callers that are accepted hold 27 MB so, beyond 1.25 of heldBytes: each ordinary request was refused; for as long as they like where nothing is read. Change: calculateFairBytes, what all connections could hold together (4.3 KiB there, 32 KiB at most), is what is kept once ordinary requests are refused, and the threshold of the time limit for unread answers. What was read meanwhile is seen before a connection is replaced. Tests: 3 red before (0 of 651 closed; idle instead of unread; the one that had read was replaced), green now.

--- a/src/memory/account.test.ts
+++ b/src/memory/account.test.ts
@@ -68,6 +68,29 @@
     expect(second.share!.isAdmitted()).to.equal(true)
   })
 
+  it('gives a time limit to unread answers that many connections together have no room for', async () => {
+    await using account = MemoryAccount.create({ ...LIMITS, connections: 300 }, () => undefined)
+    const [slow, ordinary] = [openConnection(account), openConnection(account)]
+    for (const { share } of [slow, ordinary]) share!.finishStart()
+    slow.socket.writableLength = 5_000
+    ordinary.socket.writableLength = 2_000
+    for (const { share } of [slow, ordinary]) share!.update(0, false)
+    expect([slow, ordinary].map(({ share }) => share!.use.stage)).to.deep.equal(['unread', 'idle'])
+  })
+
+  it('does not replace a connection whose answer was read meanwhile', async () => {
+    await using account = MemoryAccount.create(LIMITS, () => undefined)
+    const connections = [openConnection(account), openConnection(account), openConnection(account)]
+    for (const { share, socket } of connections) {
+      share!.finishStart()
+      socket.writableLength = 50_000
+      share!.update(0, false)
+    }
+    connections[0]!.socket.writableLength = 0
+    openConnection(account)
+    expect(connections.map(({ socket }) => socket.destroyed)).to.deep.equal([false, true, false])
+  })
+
   it('asks for a decision at once when it is over its limit', async () => {
     const posted: HostMessage[] = []
     await using account = MemoryAccount.create(LIMITS, message => posted.push(message))
--- a/src/memory/account.ts
+++ b/src/memory/account.ts
@@ -2,7 +2,7 @@
 import type { Socket } from 'node:net'
 import { Adapter } from '../core/adapter.js'
 import type { HostPost } from '../messages.js'
-import { chooseReplaced, hasRoom, isAccepted, isReadAhead, isRequestAdmitted, isStateAdmitted, ORDINARY_BYTES, type CloseConnection } from './decide.js'
+import { calculateFairBytes, chooseReplaced, hasRoom, isAccepted, isReadAhead, isRequestAdmitted, isStateAdmitted, type CloseConnection } from './decide.js'
 import type { ConnectionKind, ConnectionUse, LimitCounts, Stage } from './messages.js'
 import { NO_COUNTS, type MemoryLimits } from './state.js'
 
@@ -63,7 +63,7 @@
   /** Updates the bytes that were read and not answered; `receiving` while the rest of a message is missing. */
   update (readBytes: number, receiving: boolean): void {
     this.#setBytes(readBytes, this.#socket.writableLength)
-    if (this.#stage !== 'starting' && this.#stage !== 'ending') this.#changeStage(receiving ? 'receiving' : this.#unreadBytes > ORDINARY_BYTES ? 'unread' : 'idle')
+    if (this.#stage !== 'starting' && this.#stage !== 'ending') this.#changeStage(receiving ? 'receiving' : this.#unreadBytes > this.#account.fairBytes ? 'unread' : 'idle')
   }
 
   /** The first message is complete: the connection is in use from now on. */
@@ -83,7 +83,7 @@
     const takenBytes = bytesWritten - writableLength
     if ((this.#stage === 'unread' || this.#stage === 'ending') && takenBytes > this.#takenBytes) this.#sinceMs = nowMs
     this.#takenBytes = takenBytes
-    if (this.#stage === 'unread' && writableLength <= ORDINARY_BYTES) this.#changeStage('idle')
+    if (this.#stage === 'unread' && writableLength <= this.#account.fairBytes) this.#changeStage('idle')
     return this.#stage !== 'idle'
   }
 
@@ -173,6 +173,8 @@
 export class MemoryAccount extends Adapter {
   readonly name = 'connection'
   readonly limits: MemoryLimits
+  /** What each connection may hold if all of them hold as much. */
+  readonly fairBytes: number
   readonly #post: HostPost
   readonly #shares = new Map<number, ConnectionShare>()
   /** Connections that may have left the idle stage since the last measurement. */
@@ -190,6 +192,7 @@
   private constructor (limits: MemoryLimits, post: HostPost) {
     super()
     this.limits = limits
+    this.fairBytes = calculateFairBytes(limits)
     this.#post = post
     this.#measuring = setInterval(() => this.#observeWaiting(), MEASURE_INTERVAL_MS).unref()
   }
@@ -306,7 +309,8 @@
   }
 
   #replaceOne (): boolean {
-    const replaced = chooseReplaced([...this.#waiting].map(share => share.use))
+    const nowMs = performance.now()
+    const replaced = chooseReplaced([...this.#waiting].filter(share => share.observe(nowMs)).map(share => share.use))
     if (replaced === undefined) return false
     const share = this.#shares.get(replaced.connection)!
     this.#removeShare(share)
--- a/src/memory/decide.test.ts
+++ b/src/memory/decide.test.ts
@@ -40,6 +40,16 @@
     expect(listClosed(createMeasured(waiting.slice(0, 10)))).to.deep.equal([])
   })
 
+  // Guards against a host that refuses everybody because of connections that hold little each.
+  it('close many half-sent messages of ordinary size once they take the room of ordinary requests', () => {
+    const limits = { ...LIMITS, connections: 3_000 }
+    const countClosed = (count: number): number => {
+      const waiting = Array.from({ length: count }, (_, index) => createUse(index, { bytes: 30_000, stage: index % 2 === 0 ? 'receiving' : 'unread' }))
+      return decideMemory(createMemoryState(limits), createMeasured([...waiting, createUse(-1, { bytes: 2_000 })]), MOMENT).effects.filter(({ kind }) => kind === 'connection/close').length
+    }
+    expect([countClosed(400), countClosed(900)]).to.deep.equal([0, 651])
+  })
+
   it('close no connection whose request runs, and none of ordinary size', () => {
     const waiting = [createUse(1, { stage: 'idle', bytes: 20_000_000 }), createUse(2, { bytes: ORDINARY_BYTES })]
     expect(listClosed(createMeasured(waiting))).to.deep.equal([])
--- a/src/memory/decide.ts
+++ b/src/memory/decide.ts
@@ -40,6 +40,15 @@
   return processBytes <= (connectionBytes <= ORDINARY_BYTES ? limits.heldBytes * ORDINARY_FACTOR : limits.heldBytes)
 }
 
+/**
+ * Returns what each connection may hold if all of them hold as much, at most what messages of ordinary size take. Load: as many
+ * connections as are accepted, each with little that was half sent or is not read.
+ * @example calculateFairBytes(limits) // 4_096
+ */
+export function calculateFairBytes ({ heldBytes, connections }: MemoryLimits): number {
+  return Math.min(ORDINARY_BYTES, Math.floor(heldBytes * RELIEVED_FRACTION / connections))
+}
+
 /**
  * Whether a request of a connection runs. Load: many messages of legal size of one workspace, through several connections;
  * those of others still find room.
@@ -112,12 +121,15 @@
 }
 
 // Load: many large messages that stop half-way, or large answers that nobody reads: refusing further requests frees nothing.
-function chooseLargest ({ heldBytes }: MemoryLimits, { waiting, bytes }: UseMeasured): readonly CloseConnection[] {
+// Ordinary ones are closed, too, once there are so many that ordinary requests are refused.
+function chooseLargest (limits: MemoryLimits, { waiting, bytes }: UseMeasured): readonly CloseConnection[] {
+  const { heldBytes } = limits
   if (bytes <= heldBytes) return []
+  const keptBytes = bytes > heldBytes * ORDINARY_FACTOR ? calculateFairBytes(limits) : ORDINARY_BYTES
   let excess = bytes - heldBytes * RELIEVED_FRACTION
   const closed: CloseConnection[] = []
   for (const use of waiting.filter(({ stage }) => stage !== 'idle').sort((a, b) => b.bytes - a.bytes || a.sinceMs - b.sinceMs)) {
-    if (excess <= 0 || use.bytes <= ORDINARY_BYTES) break
+    if (excess <= 0 || use.bytes <= keptBytes) break
     excess -= use.bytes
     closed.push(createClose(use.connection, 'memory-full'))
   }
