Limits of connections follow the machine's descriptors of the settings file

Cause: connections followed /proc/self/limits alone. Where the platform counts descriptors itself (limits.max_fds) and the system allows more (20,000 on this machine), a heap of 166 MiB allowed 5,312 connections, 3,984 of them callers, on a machine with 4,300 descriptors, 200 of them reserved: a crowd could take those for peers and databases. Change: the setting limits.descriptors (0: as the system says), from limits.max_fds on the platform; with 4,300, 3,762 connections, 2,821 of them callers. Tests: limits red before (17,500 instead of 3,584), green now.

--- a/src/memory/limits.test.ts
+++ b/src/memory/limits.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai'
 import { calculateLimits } from './limits.js'
 
-const SETTINGS = { heldBytes: 0, connections: 0, startMs: 1, messageMs: 2, unreadMs: 3 }
+const SETTINGS = { heldBytes: 0, connections: 0, descriptors: 0, startMs: 1, messageMs: 2, unreadMs: 3 }
 
 describe('limits that follow from the machine', () => {
   it('hold several messages of 1 MiB and some thousand sessions with the heap of a small entry host', () => {
@@ -15,6 +15,12 @@
     expect(calculateLimits(SETTINGS, { memoryBytes: 2 ** 30, descriptors: 4_096 }).connections).to.equal(3_584)
   })
 
+  // Guards against a machine that counts descriptors itself while the system allows the process more.
+  it('take no more descriptors than the settings allow', () => {
+    expect(calculateLimits({ ...SETTINGS, descriptors: 4_096 }, { memoryBytes: 2 ** 30, descriptors: 20_000 }).connections).to.equal(3_584)
+    expect(calculateLimits({ ...SETTINGS, descriptors: 20_000 }, { memoryBytes: 2 ** 30, descriptors: 256 }).connections).to.equal(160)
+  })
+
   it('give way to the settings', () => {
     expect(calculateLimits({ ...SETTINGS, heldBytes: 5, connections: 7 }, { memoryBytes: 2 ** 30, descriptors: 256 })).to.deep.equal({ heldBytes: 5, connections: 7, peerMessageBytes: 64 * 1_048_576, startMs: 1, messageMs: 2, unreadMs: 3 })
   })
--- a/src/memory/limits.ts
+++ b/src/memory/limits.ts
@@ -29,6 +29,7 @@
 export interface LimitSettings {
   readonly heldBytes: number
   readonly connections: number
+  readonly descriptors: number
   readonly startMs: number
   readonly messageMs: number
   readonly unreadMs: number
@@ -38,7 +39,8 @@
  * Returns the limits of a process.
  * @example calculateLimits(settings.limits, readMachine()).heldBytes
  */
-export function calculateLimits (settings: LimitSettings, { memoryBytes, descriptors }: Machine): MemoryLimits {
+export function calculateLimits (settings: LimitSettings, { memoryBytes, descriptors: allowed }: Machine): MemoryLimits {
+  const descriptors = settings.descriptors > 0 ? Math.min(settings.descriptors, allowed) : allowed
   const reserved = Math.max(MIN_RESERVED_DESCRIPTORS, descriptors * RESERVED_FRACTION)
   const connections = Math.max(1, Math.floor(Math.min(descriptors - reserved, memoryBytes * CONNECTIONS_FRACTION / CONNECTION_BYTES)))
   const { startMs, messageMs, unreadMs } = settings
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -42,6 +42,7 @@
   queueLength: v.optional(v.pipe(QueueLength, v.description('The most requests that may be queued for one database.')), 1_000),
   heldBytes: v.optional(v.pipe(HeldBytes, v.description('The most bytes that connections may hold together, read and not answered or written and not read; 0 takes an eighth of the memory of the process.')), 0),
   connections: v.optional(v.pipe(ConnectionCount, v.description('The most connections that may be open to this host; 0 follows from the descriptors and the memory of the process.')), 0),
+  descriptors: v.optional(v.pipe(ConnectionCount, v.description('The most descriptors that the process may use where its machine allows fewer than the system says; 0 takes what the system says.')), 0),
   startMs: v.optional(v.pipe(Milliseconds, v.description('How long a connection may take, in milliseconds, until its first message is complete.')), 10_000),
   messageMs: v.optional(v.pipe(Milliseconds, v.description('How long the rest of a message may take once it has begun, in milliseconds.')), 30_000),
   unreadMs: v.optional(v.pipe(Milliseconds, v.description('How long a connection may read nothing of an answer, in milliseconds.')), 30_000)
