HTTP bodies of unstated length are counted as they arrive

Cause: a body sent in chunks counted as 64 KiB, however much of it was held (4 MiB of a command, 16 MiB of a configuration). Change: what arrives beyond that is counted, and a call that has no more room ends with its connection; its body is incomplete, so nothing of it ran.

--- a/src/memory/servers.test.ts
+++ b/src/memory/servers.test.ts
@@ -60,6 +60,32 @@
     expect(server.account.bytes).to.equal(0)
   })
 
+  it('are counted as they arrive when their length is not stated', async () => {
+    await using server = await HeldServer.create()
+    const socket = server.connect()
+    const chunk = `${(5 * BODY.length).toString(16)}\r\n${BODY.repeat(5)}\r\n`
+    socket.write(`POST / HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n${chunk}0\r\n\r\n`)
+    const { request, response } = await server.awaitCall(0)
+    request.resume()
+    await once(request, 'end')
+    expect(server.account.bytes).to.equal(5 * BODY.length)
+    response.end()
+    await once(response, 'close')
+    expect(server.account.bytes).to.equal(0)
+    socket.write('POST / HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n')
+    const early = await server.awaitCall(1)
+    early.response.end()
+    await once(early.response, 'close')
+    socket.write(`${chunk}0\r\n\r\n`)
+    await once(early.request, 'end')
+    expect(server.account.bytes).to.equal(0)
+    socket.on('error', () => undefined).write(`POST / HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n${chunk.repeat(6)}`)
+    const refused = await server.awaitCall(2)
+    refused.request.on('error', () => undefined).resume()
+    await once(refused.response, 'close')
+    expect([server.account.bytes, refused.request.complete]).to.deep.equal([0, false])
+  })
+
   it('are counted together when a connection sends calls ahead', async () => {
     await using server = await HeldServer.create()
     server.connect().write((HEAD + BODY).repeat(2))
--- a/src/memory/servers.ts
+++ b/src/memory/servers.ts
@@ -5,7 +5,7 @@
 import type { ConnectionShare, MemoryAccount } from './account.js'
 
 const UNAVAILABLE = 503
-/** What a body of unstated length is taken to hold. */
+/** What a body of unstated length is taken to hold until more of it has arrived. */
 const UNSTATED_BODY_BYTES = 65_536
 const CHECK_INTERVAL_MS = 1_000
 /** Those who share a part of the account as callers of HTTP servers. */
@@ -54,7 +54,8 @@
     request.socket.destroy()
     return false
   }
-  const bytes = readBodyBytes(request)
+  let bytes = readBodyBytes(request)
+  let isAnswered = false
   changeBodies(connection, bytes, bytes > 0)
   const hasRoom = share.isAdmitted()
   if (hasRoom) request.once('end', () => changeBodies(connection, 0, false))
@@ -62,25 +63,52 @@
   // The rest of the body may arrive after it.
   response.once('close', () => {
     connection.unanswered -= 1
+    isAnswered = true
     changeBodies(connection, hasRoom ? -bytes : 0, connection.receiving)
   })
-  if (hasRoom) return true
+  if (hasRoom) {
+    if (!isStated(request)) {
+      observeChunks(request, arrivedBytes => {
+        const change = Math.max(0, arrivedBytes - bytes)
+        if (change === 0 || isAnswered) return true
+        bytes += change
+        changeBodies(connection, change, true)
+        const isAdmitted = share.isAdmitted()
+        if (!isAdmitted) share.countRefused()
+        return isAdmitted
+      })
+    }
+    return true
+  }
   share.countRefused()
   response.writeHead(UNAVAILABLE, { 'content-length': 0, connection: 'close' })
   response.end()
   return false
 }
 
+// A listener would take the body from its reader.
+function observeChunks (request: IncomingMessage, isAdmitted: (arrivedBytes: number) => boolean): void {
+  const push = request.push.bind(request)
+  let arrivedBytes = 0
+  request.push = (chunk: Buffer | null, encoding?: BufferEncoding) => {
+    arrivedBytes += chunk?.length ?? 0
+    if (chunk !== null && !isAdmitted(arrivedBytes)) request.socket.destroy()
+    return push(chunk, encoding)
+  }
+}
+
 function changeBodies (connection: Connection, change: number, receiving: boolean): void {
   connection.bodyBytes += change
   connection.receiving = receiving
   connection.share.update(connection.bodyBytes, receiving)
 }
 
-function readBodyBytes ({ headers }: IncomingMessage): number {
-  const stated = Number(headers['content-length'] ?? 0)
-  if (stated > 0) return stated
-  return headers['transfer-encoding'] === undefined ? 0 : UNSTATED_BODY_BYTES
+function readBodyBytes (request: IncomingMessage): number {
+  return isStated(request) ? Number(request.headers['content-length'] ?? 0) : UNSTATED_BODY_BYTES
+}
+
+function isStated ({ headers }: IncomingMessage): boolean {
+  return headers['transfer-encoding'] === undefined
 }
 
 /**
--- a/test/crowds/http.test.ts
+++ b/test/crowds/http.test.ts
@@ -60,6 +60,12 @@
       await runAtServer(CONNECTIONS, { reads: true, returns: true, send: async connection => await connection.write(`POST ${path} HTTP/1.1\r\nhost:`) })
     })
 
+    it(`stops half-way in bodies of unstated length ${name}`, async () => {
+      const head = `POST ${path} HTTP/1.1\r\nhost: h\r\ncontent-type: application/json\r\ntransfer-encoding: chunked\r\n\r\n`
+      const part = Buffer.concat([Buffer.from(`${head}${LEGAL_BODY.length.toString(16)}\r\n`), LEGAL_BODY])
+      await runAtServer(CONNECTIONS, { reads: true, returns: true, send: async connection => await connection.write(part) })
+    })
+
     it(`stops half-way in the body ${name}`, async () => {
       const half = LEGAL_BODY.subarray(0, BODY_BYTES / 2)
       await runAtServer(CONNECTIONS, { reads: true, returns: true, send: async connection => await connection.write(Buffer.concat([Buffer.from(formatHead(path, LEGAL_BODY.length)), half])) })
