--- a/src/memory/account.test.ts
+++ b/src/memory/account.test.ts
@@ -68,6 +68,29 @@
     expect(second.share!.isAdmitted()).to.equal(true)
   })
 
+  it('gives a time limit to unread answers that many connections together have no room for', async () => {
+    await using account = MemoryAccount.create({ ...LIMITS, connections: 300 }, () => undefined)
+    const [slow, ordinary] = [openConnection(account), openConnection(account)]
+    for (const { share } of [slow, ordinary]) share!.finishStart()
+    slow.socket.writableLength = 5_000
+    ordinary.socket.writableLength = 2_000
+    for (const { share } of [slow, ordinary]) share!.update(0, false)
+    expect([slow, ordinary].map(({ share }) => share!.use.stage)).to.deep.equal(['unread', 'idle'])
+  })
+
+  it('does not replace a connection whose answer was read meanwhile', async () => {
+    await using account = MemoryAccount.create(LIMITS, () => undefined)
+    const connections = [openConnection(account), openConnection(account), openConnection(account)]
+    for (const { share, socket } of connections) {
+      share!.finishStart()
+      socket.writableLength = 50_000
+      share!.update(0, false)
+    }
+    connections[0]!.socket.writableLength = 0
+    openConnection(account)
+    expect(connections.map(({ socket }) => socket.destroyed)).to.deep.equal([false, true, false])
+  })
+
   it('asks for a decision at once when it is over its limit', async () => {
     const posted: HostMessage[] = []
     await using account = MemoryAccount.create(LIMITS, message => posted.push(message))
@@ -94,6 +117,32 @@
     expect([resumed, waiter.share!.hasRoom()]).to.deep.equal([1, true])
   })
 
+  // Guards against a request that ends with its connection although it runs, decided on what was measured before.
+  it('leaves a connection that waits for nothing any more', async () => {
+    await using account = MemoryAccount.create(LIMITS, () => undefined)
+    const [done, waiting] = [openConnection(account), openConnection(account)]
+    for (const { share } of [done, waiting]) {
+      share!.finishStart()
+      share!.update(600_000, true)
+    }
+    done.share!.update(600_000, false)
+    for (const { share } of [done, waiting]) account.execute({ kind: 'connection/close', connection: share!.number, reason: 'memory-full' })
+    expect([done, waiting].map(({ socket }) => socket.destroyed)).to.deep.equal([false, true])
+  })
+
+  it('does not wait for the room of a connection that has ended', async () => {
+    await using account = MemoryAccount.create(LIMITS, () => undefined)
+    const [holder, ended, waiter] = [openConnection(account), openConnection(account), openConnection(account)]
+    holder.share!.update(2_000_000, true)
+    ended.socket.destroy()
+    const resumed: string[] = []
+    ended.share!.awaitRoom(() => resumed.push('ended'))
+    waiter.share!.awaitRoom(() => resumed.push('waiter'))
+    holder.socket.destroy()
+    await pollUntil('the connection to be read on', async () => resumed.includes('waiter'))
+    expect(resumed).to.deep.equal(['waiter'])
+  })
+
   it('closes the oldest connection that has not started for a new one, and refuses a new one when all are idle', async () => {
     await using account = MemoryAccount.create(LIMITS, () => undefined)
     const connections = [openConnection(account), openConnection(account), openConnection(account)]
--- a/src/memory/servers.ts
+++ b/src/memory/servers.ts
@@ -5,7 +5,7 @@
 import type { ConnectionShare, MemoryAccount } from './account.js'
 
 const UNAVAILABLE = 503
-/** What a body of unstated length is taken to hold. */
+/** What a body of unstated length is taken to hold until more of it has arrived. */
 const UNSTATED_BODY_BYTES = 65_536
 const CHECK_INTERVAL_MS = 1_000
 /** Those who share a part of the account as callers of HTTP servers. */
@@ -16,6 +16,10 @@
 interface Connection {
   readonly share: ConnectionShare
   unanswered: number
+  /** Bodies of the unanswered calls. */
+  bodyBytes: number
+  /** True while the rest of a body is missing. */
+  receiving: boolean
 }
 
 type HandleRequest = (request: IncomingMessage, response: ServerResponse) => void
@@ -37,7 +41,7 @@
     const share = account.open(socket, 'operator')
     if (share === undefined) return
     share.setParty(OPERATORS)
-    connections.set(socket, { share, unanswered: 0 })
+    connections.set(socket, { share, unanswered: 0, bodyBytes: 0, receiving: false })
   })
   return server
 }
@@ -50,26 +54,61 @@
     request.socket.destroy()
     return false
   }
-  const bytes = readBodyBytes(request)
-  share.update(bytes, bytes > 0)
+  let bytes = readBodyBytes(request)
+  let isAnswered = false
+  changeBodies(connection, bytes, bytes > 0)
   const hasRoom = share.isAdmitted()
-  if (hasRoom) request.once('end', () => share.update(bytes, false))
+  if (hasRoom) request.once('end', () => changeBodies(connection, 0, false))
+  else changeBodies(connection, -bytes, true)
+  // The rest of the body may arrive after it.
   response.once('close', () => {
     connection.unanswered -= 1
-    share.update(0, false)
+    isAnswered = true
+    changeBodies(connection, hasRoom ? -bytes : 0, connection.receiving)
   })
-  if (hasRoom) return true
-  share.update(0, true)
+  if (hasRoom) {
+    if (!isStated(request)) {
+      observeChunks(request, arrivedBytes => {
+        const change = Math.max(0, arrivedBytes - bytes)
+        if (change === 0 || isAnswered) return true
+        bytes += change
+        changeBodies(connection, change, true)
+        const isAdmitted = share.isAdmitted()
+        if (!isAdmitted) share.countRefused()
+        return isAdmitted
+      })
+    }
+    return true
+  }
   share.countRefused()
   response.writeHead(UNAVAILABLE, { 'content-length': 0, connection: 'close' })
   response.end()
   return false
 }
 
-function readBodyBytes ({ headers }: IncomingMessage): number {
-  const stated = Number(headers['content-length'] ?? 0)
-  if (stated > 0) return stated
-  return headers['transfer-encoding'] === undefined ? 0 : UNSTATED_BODY_BYTES
+// A listener would take the body from its reader.
+function observeChunks (request: IncomingMessage, isAdmitted: (arrivedBytes: number) => boolean): void {
+  const push = request.push.bind(request)
+  let arrivedBytes = 0
+  request.push = (chunk: Buffer | null, encoding?: BufferEncoding) => {
+    arrivedBytes += chunk?.length ?? 0
+    if (chunk !== null && !isAdmitted(arrivedBytes)) request.socket.destroy()
+    return push(chunk, encoding)
+  }
+}
+
+function changeBodies (connection: Connection, change: number, receiving: boolean): void {
+  connection.bodyBytes += change
+  connection.receiving = receiving
+  connection.share.update(connection.bodyBytes, receiving)
+}
+
+function readBodyBytes (request: IncomingMessage): number {
+  return isStated(request) ? Number(request.headers['content-length'] ?? 0) : UNSTATED_BODY_BYTES
+}
+
+function isStated ({ headers }: IncomingMessage): boolean {
+  return headers['transfer-encoding'] === undefined
 }
 
 /**
