Requests: a read that may have run goes on between two attempts

Cause: the timer of the end of waiting ended any request that wasn't with an owner at that moment. A read whose first attempt may have run was so answered with an unknown outcome at half of its time, though its next attempt was due at once and computeWaitEndMs lets it wait until its deadline. Change: such a request gets the rest of its time. Figures: the new test of src/requests/budget.test.ts failed before (outcome-unknown after 400 of 800 ms), passes now.

--- a/src/requests/budget.test.ts
+++ b/src/requests/budget.test.ts
@@ -105,6 +105,21 @@
     expect(findRun(host.dispatch({ ...REPLICA, database: 'a3', owner: 'h3' }))?.waitMs).to.equal(undefined)
   })
 
+  it('leaves a read that may have run all of its time when the time to start passes between two attempts', () => {
+    const host = FakeHost.create()
+    host.arrive()
+    const timer = findTimer(host.admit({ ...RULES, latencyMs: 390 }), 'requests/deadline')!
+    host.dispatch(REPLICA)
+    host.nowMs += 390
+    host.take({ kind: 'requests/late', caller: 'c', attempt: host.attempt })
+    host.nowMs += 10
+    const effects = host.take(timer.message as HostMessage)
+    expect(findFailure(effects)).to.equal(undefined)
+    expect(findTimer(effects, 'requests/deadline')?.afterMs).to.equal(700)
+    host.take({ kind: 'requests/retry-due', caller: 'c', attempt: host.attempt })
+    expect(findRun(host.dispatch({ ...REPLICA, database: 'a3', owner: 'h3' }))).to.not.equal(undefined)
+  })
+
   it('lets a request without a latency target wait until its deadline', () => {
     const host = FakeHost.create()
     host.arrive()
--- a/src/requests/decide.ts
+++ b/src/requests/decide.ts
@@ -160,10 +160,11 @@
   return setTimer(`requests/deadline/${caller}`, afterMs, { kind: 'requests/deadline-passed', caller, request })
 }
 
-// The first time counts for what was not sent yet, the second for what an owner runs.
+// The first time counts for what was never sent, the second for what an owner runs or may have run.
 function handleTimeOver (caller: Caller, running: InFlightRequest, moment: Moment): RequestsStep {
   const leftMs = running.deadlineAtMs + DEADLINE_GRACE_MS - moment.monotonicMs
-  if (running.phase === 'running' && leftMs > 0) return { effects: [createTimer(caller.caller, running.request, leftMs)] }
+  const mayGoOn = running.phase === 'running' ? leftMs > 0 : running.mayHaveRun && moment.monotonicMs < running.deadlineAtMs
+  if (mayGoOn) return { effects: [createTimer(caller.caller, running.request, leftMs)] }
   return expireRequest(caller, running, moment)
 }
 
