Transactions: a transaction that has begun isn't ended by the time to start of its first request

Cause: a timer that fired can't be withdrawn. Since the end of waiting uses the deadline's timer, it fires while requests run, not only when callers have left. Where the database's answer is ahead of it in the inbox of a late host, the unit is idle when it is handled, and it was taken for the idle limit: the connection closed, and the caller got transaction-lost. Change: the message of the idle limit says so; the deadline of an attempt that has ended changes nothing.

--- a/src/transactions/decide.test.ts
+++ b/src/transactions/decide.test.ts
@@ -146,6 +146,16 @@
     expect([...readDatabase().units.keys()]).to.deep.equal(['c1'])
   })
 
+  it('keeps a transaction when the time to start of its first request passes while the answer of the database waits to be handled', () => {
+    const run = createRun('c1', 1, { intent: 'begin', waitMs: 250 })
+    const [connection] = listOpened(handle(run))
+    handle({ kind: 'transactions/opened', connection: connection! })
+    nowMs = 250
+    handle({ kind: 'transactions/finished', connection: connection!, status: 'open', refused: false, payload: Buffer.alloc(0) })
+    expect(listKinds(handle({ kind: 'transactions/time-over', database: 'a1', caller: 'c1', attempt: 1 }))).to.not.include('database/close')
+    expect(readDatabase().units.size).to.equal(1)
+  })
+
   it('ends a transaction that exceeds its idle limit', () => {
     const connection = start(createRun('c1', 1, { intent: 'begin' }))
     const idle = handle({ kind: 'transactions/finished', connection, status: 'open', refused: false, payload: Buffer.alloc(0) })
--- a/src/transactions/decide.ts
+++ b/src/transactions/decide.ts
@@ -17,7 +17,7 @@
 import { updateOverlap, createLagTimer, recordRun, updateLag } from './overlap.js'
 import { computePace, findOverload } from './pace.js'
 import { continueWhenWarm, createRefillTimer, findColdRefusal, startHeld, updateRefills } from './cold.js'
-import { answerFailed, continueStep, setDeadlineTimer, clearDeadlineTimer, createEmptyStep, refuseRun, type DatabaseStep, type TransactionsStep, type TransactionsStore } from './step.js'
+import { answerFailed, continueStep, setDeadlineTimer, setIdleTimer, clearDeadlineTimer, createEmptyStep, refuseRun, type DatabaseStep, type TransactionsStep, type TransactionsStore } from './step.js'
 import { acknowledgeDurableWrites, answerFinished } from './durability.js'
 import { computeUrgency, countTurns } from './urgency.js'
 import { clearSlowReadTimer, reportSlowRead } from './slowread.js'
@@ -244,7 +244,7 @@
   const measured = recordRun(database, message, moment)
   const ended = message.status === 'idle'
   const next = ended ? releaseUnit(measured, unit) : replaceUnit(measured, { ...unit, phase: 'idle' })
-  const timer = ended ? clearDeadlineTimer(database.entry.database, unit.caller) : setDeadlineTimer(unit.run, unit.run.idleMs ?? shared.idleTransactionMs)
+  const timer = ended ? clearDeadlineTimer(database.entry.database, unit.caller) : setIdleTimer(unit.run, unit.run.idleMs ?? shared.idleTransactionMs)
   const answer = message.refused && ended && unit.partsSent === 0 && unit.run.transaction === undefined
     ? { database: next, effects: [refuseRun(unit.run, createRefusal(next, message), next)] }
     : answerFinished(next, unit, message, moment)
@@ -299,7 +299,9 @@
     return { database: { ...database, queue }, effects: [answerFailed(queued.from!, message, createWaitFailure(queued, moment), false, computeLoad(database))] }
   }
   const unit = database.units.get(message.caller)
-  if (unit === undefined || unit.run.attempt !== message.attempt) return createEmptyStep(database)
+  // The deadline of an attempt that has ended may have passed before its timer was replaced.
+  const isStale = unit?.phase === 'idle' && message.idle !== true
+  if (unit === undefined || unit.run.attempt !== message.attempt || isStale) return createEmptyStep(database)
   const leftMs = unit.phase === 'idle' ? 0 : computeLeftMs(unit.run, moment)
   if (leftMs > 0) return { database, effects: [setDeadlineTimer(unit.run, leftMs)] }
   const aborted = abortUnit(database, unit)
--- a/src/transactions/messages.ts
+++ b/src/transactions/messages.ts
@@ -131,6 +131,8 @@
 export interface DeadlineExpired extends AttemptId {
   readonly kind: 'transactions/time-over'
   readonly database: string
+  /** True for the idle limit. */
+  readonly idle?: boolean
 }
 
 /** The link to another host broke: the transactions of its callers end. */
--- a/src/transactions/step.ts
+++ b/src/transactions/step.ts
@@ -64,6 +64,15 @@
   return setTimer(nameDeadlineTimer(database, message.caller), afterMs, { kind: 'transactions/time-over', database, caller: message.caller, attempt: message.attempt })
 }
 
+/**
+ * Creates the effect that sets the idle limit of a transaction, in place of the deadline of its last attempt.
+ * @example setIdleTimer(unit.run, unit.run.idleMs ?? shared.idleTransactionMs)
+ */
+export function setIdleTimer (message: RunRequest, afterMs: number): CoreEffect {
+  const { database } = message.target
+  return setTimer(nameDeadlineTimer(database, message.caller), afterMs, { kind: 'transactions/time-over', database, caller: message.caller, attempt: message.attempt, idle: true })
+}
+
 /**
  * Creates the effect that clears a caller's deadline timer at a database.
  * @example clearDeadlineTimer('a1', 'host-1/4f/7')
