Requests: who is refused because this host is late is told when to come back

Cause: a request that was refused when it was to be sent, since this host had become late meanwhile, got the delay of its owner as the time to come back: 0 ms where the owner is in time. All of them came back at once to the late host. Change: it is at least that of the other refusals of a late host. Figures: the new test of src/requests/budget.test.ts failed before (retryAfterMs 0), passes now.

--- a/src/requests/budget.test.ts
+++ b/src/requests/budget.test.ts
@@ -141,6 +141,16 @@
     expect(findRun(host.dispatch(PRIMARY))).to.not.equal(undefined)
   })
 
+  it('names a time to come back also when it is this host that became late before it sent the request', () => {
+    const host = FakeHost.create()
+    host.arrive()
+    host.admit()
+    host.take({ kind: 'requests/lag-due', dueAtMs: host.nowMs - 1_000 })
+    const failure = findFailure(host.dispatch(PRIMARY))!
+    expect(failure).to.include({ code: 'not-in-time', effect: 'not-run' })
+    expect(failure.retryAfterMs).to.be.above(0)
+  })
+
   it('places a read elsewhere at once when the owner of its replica is late', () => {
     const host = FakeHost.create()
     host.run(REPLICA, 500)
--- a/src/requests/failure.ts
+++ b/src/requests/failure.ts
@@ -87,7 +87,9 @@
 export function refuseLate (shared: RequestsShared, caller: Caller, running: InFlightRequest, target: Target, moment: Moment): RequestsStep {
   const delayMs = estimateDelayMs(shared, target.owner, moment)
   const inputs = { lateOwner: target.owner, delayMs: Math.round(delayMs), lagMs: Math.round(shared.lagMs) }
-  const failure: Failure = { ...createFailure('not-in-time'), retryAfterMs: Math.ceil(delayMs * (1 + moment.random)), inputs }
+  // Where this host is late itself, its owner's delay says nothing.
+  const retryAfterMs = Math.max(Math.ceil(delayMs * (1 + moment.random)), computeRetryAfterMs(shared.admittance.room, running.rules?.priority, moment))
+  const failure: Failure = { ...createFailure('not-in-time'), retryAfterMs, inputs }
   if (target.purpose === 'primary') return failRequest(caller, running, failure)
   return failAttempt(shared, caller, { ...running, target }, { kind: 'requests/failed', caller: caller.caller, attempt: running.attempt, failure, retriable: true }, moment)
 }
