Links: a link to an address that its host has left is reported as lost

Cause: it was closed without a word. What had been sent over it waited for its deadline, or, when the new address could not be reached, was answered as not run and tried again at another database, though it may have run. Change: the loss is reported, and as one of an open link if it was open. Figures: the new test of src/peers/reopen.test.ts saw only the failed new link before, now first the loss of the old one.

--- a/src/peers/connect.ts
+++ b/src/peers/connect.ts
@@ -94,7 +94,11 @@
     for (const { host, peers } of addresses) {
       if (this.#addresses.get(host) === peers) continue
       this.#addresses.set(host, peers)
+      const link = this.#links.get(host)
+      if (link === undefined) continue
+      // What was sent over it may have run, so that a new link that doesn't open says nothing of it.
       this.#drop(host)
+      this.#reportLoss(host, link.opened)
     }
   }
 
--- a/src/peers/reopen.test.ts
+++ b/src/peers/reopen.test.ts
@@ -54,6 +54,25 @@
     expect(lost).to.deep.equal(['h2'])
   })
 
+  it('reports the end of a link to an address that its host has left, before it says that the new one can not be reached', async () => {
+    const lost: boolean[] = []
+    const gone = await listenForPeers('127.0.0.1:0', () => undefined, throwError)
+    await gone[Symbol.asyncDispose]()
+    await using link = ConnectPeerLink.create('h1', () => undefined, (_host, opened) => {
+      lost.push(opened)
+      return []
+    }, OBSERVERS)
+    const receiver = ConnectPeerLink.create('h2', () => undefined, () => [], OBSERVERS)
+    await using first = await listenForPeers('127.0.0.1:0', () => undefined, throwError, receiver.handleRequest)
+    link.learnAddresses([{ host: 'h2', peers: first.address }])
+    link.execute({ kind: 'peer/send', to: 'h2', message: { kind: 'transactions/run' } })
+    await new Promise(resolve => setTimeout(resolve, SETTLE_MS))
+    link.learnAddresses([{ host: 'h2', peers: gone.address }])
+    link.execute({ kind: 'peer/send', to: 'h2', message: { kind: 'transactions/run' } })
+    await pollUntil(() => lost.includes(false))
+    expect(lost).to.deep.equal([true, false])
+  })
+
   it('reports that nothing was sent to a host that could not be reached', async () => {
     const lost: boolean[] = []
     const gone = await listenForPeers('127.0.0.1:0', () => undefined, throwError)
