Links: incomplete messages of all streams have a limit together

Change: what all streams hold of incomplete messages is bounded to 18 MiB, which the largest one fits in; the stream that exceeds it is broken, and its session ends with it.

--- a/src/peers/connect.ts
+++ b/src/peers/connect.ts
@@ -14,7 +14,7 @@
 import { PeerLink, type PeerAddress } from './link.js'
 import { checkLiveness, CONFIRMED, recordPong, recordSent, type Liveness } from './liveness.js'
 import { Outbox, type EncodedFrame } from './outbox.js'
-import { encodeMessage, GRPC_CONTENT, MessageSender, OK_TRAILERS, PEERS_PATH, receiveMessages, REQUEST_HEADERS } from './stream.js'
+import { encodeMessage, GRPC_CONTENT, MessageSender, OK_TRAILERS, PEERS_PATH, IncompleteMessages, MAX_INCOMPLETE_BYTES, receiveMessages, REQUEST_HEADERS } from './stream.js'
 import { countTraffic, type OnTraffic } from './traffic.js'
 import type { HybridLogicalClock } from '../timeline/clock.js'
 
@@ -70,6 +70,7 @@
   /** Hosts that could not be reached, and the monotonic time until which no new attempt is made. */
   readonly #unreachableUntilMs = new Map<string, number>()
   readonly #closedCheck: NodeJS.Timeout
+  readonly #incomplete = IncompleteMessages.create(MAX_INCOMPLETE_BYTES)
   #closed = false
 
   private constructor (self: string, post: Post, onLinkLost: OnLinkLost, observers: LinkObservers) {
@@ -148,11 +149,12 @@
     const unpacker = LinkUnpacker.create(this.#observers.account?.limits.peerMessageBytes)
     let from: string | undefined
     try {
-      await receiveMessages(stream, packed => {
+      await receiveMessages(stream, this.#incomplete, packed => {
         for (const frame of this.#unpack(unpacker, packed)) from = this.#receiveFrame(frame)
       })
     } catch {
-      // A broken stream is handled like one that ended.
+      // A broken stream is handled like one that ended; its session ends, since a peer may go on to send.
+      stream.session?.destroy()
     }
     if (from !== undefined) this.#reportLoss(from, true)
   }
@@ -234,7 +236,7 @@
       const stream = await link.session.request('POST', PEERS_PATH, REQUEST_HEADERS, {})
       link.stream = stream
       link.sender.open(stream)
-      await receiveMessages(stream, packed => {
+      await receiveMessages(stream, this.#incomplete, packed => {
         link.session.notifyResponseByteRead(stream)
         const frames = this.#unpack(unpacker, packed)
         frames.forEach(frame => this.#receiveFrame(frame))
--- a/src/peers/stream.ts
+++ b/src/peers/stream.ts
@@ -16,6 +16,8 @@
 const HEADER_BYTES = 5
 /** The largest compressed message of a peer: a replicated log with some large documents. */
 export const MAX_MESSAGE_BYTES = 16_777_216
+/** What incomplete messages of all streams may hold together: the largest one, and usual ones beside it. */
+export const MAX_INCOMPLETE_BYTES = 18_874_368
 /** The most that waits for a peer that does not read; its link is closed when it is full. */
 const MAX_WAITING_BYTES = 256 * 1_048_576
 const MAX_WAITING_MESSAGES = 65_536
@@ -48,6 +50,11 @@
     return new MessageReader()
   }
 
+  /** What is held of a message that is not complete. */
+  get incompleteBytes (): number {
+    return this.#length
+  }
+
   /**
    * Adds a chunk and returns the messages that are complete.
    * @throws RangeError when a message is compressed, too long or no packed frame.
@@ -77,13 +84,47 @@
   }
 }
 
-/** Passes the messages of a stream on; resolves when it ends, and rejects when it breaks or `handle` throws. */
-export async function receiveMessages (stream: Readable, handle: (packed: PackedFrame) => void): Promise<void> {
+/** Limits what the incomplete messages of all streams hold together: peers that stop half-way would add up. */
+export class IncompleteMessages {
+  readonly #limitBytes: number
+  #bytes = 0
+
+  private constructor (limitBytes: number) {
+    this.#limitBytes = limitBytes
+  }
+
+  /**
+   * Creates the limit of a host.
+   * @example IncompleteMessages.create(MAX_INCOMPLETE_BYTES)
+   */
+  static create (limitBytes: number): IncompleteMessages {
+    return new IncompleteMessages(limitBytes)
+  }
+
+  /**
+   * Replaces what one stream holds.
+   * @throws RangeError when the stream takes all of them over the limit.
+   */
+  replace (beforeBytes: number, afterBytes: number): void {
+    this.#bytes += afterBytes - beforeBytes
+    if (afterBytes > beforeBytes && this.#bytes > this.#limitBytes) throw new RangeError('the incomplete messages of all streams are too long')
+  }
+}
+
+/** Passes the messages of a stream on; resolves when it ends, and rejects when it breaks, `handle` throws or incomplete messages are too long. */
+export async function receiveMessages (stream: Readable, incomplete: IncompleteMessages, handle: (packed: PackedFrame) => void): Promise<void> {
   const reader = MessageReader.create()
+  let heldBytes = 0
+  const replaceHeld = (bytes: number): void => {
+    const before = heldBytes
+    heldBytes = bytes
+    incomplete.replace(before, bytes)
+  }
   await new Promise<void>((resolve, reject) => {
     const receive = (chunk: Buffer): void => {
       try {
         for (const packed of reader.read(chunk)) handle(packed)
+        replaceHeld(reader.incompleteBytes)
       } catch (error) {
         stream.off('data', receive)
         reject(error instanceof Error ? error : new Error(String(error)))
@@ -93,7 +134,7 @@
     stream.on('error', reject)
     stream.once('end', resolve)
     stream.once('close', resolve)
-  })
+  }).finally(() => replaceHeld(0))
 }
 
 /** Writes the messages of one stream, also before it is open; the writer never waits. */
