--- a/src/admission/rates.ts
+++ b/src/admission/rates.ts
@@ -9,7 +9,7 @@
 import { answerLoan, createWaitingLoan, findLender, findSilence, getSharesEndMs, grantTokens, recordAnswer, recordAttempt, recordSilence } from './lending.js'
 import type { LoanAnswered, LoanTimedOut, LoanWanted, TokensDue } from './messages.js'
 import { findLimit, type AdmissionShared, type Allowance, type PendingLoan, type WaitingRequest } from './state.js'
-import { countStockTokens, countTokensForWaiting, addStock, recordArrival, takeStockToken } from './stock.js'
+import { countStockTokens, addStock, recordArrival, takeStockToken } from './stock.js'
 import { computeTermMs, getTermMs, recordDelay, recordLateAnswer, addOverdue } from './terms.js'
 import { computeRetryAfterMs, estimateLocalWaitMs, estimateWaitMs, insertWaiting, splitExpired, splitWaiting } from './waiting.js'
 
@@ -82,12 +82,9 @@
   const shared = recordDelay(recordAnswer(store.shared, allowance.loan), allowance.loan, moment)
   if (moment.monotonicMs > allowance.loan.sentAtMs + termMs) return { shared, ...processWaiting(shared, key, filled, moment) }
   const nextLoanAtMs = computeNextLoanAtMs(store.shared, key, filled, message.nextMs, moment)
-  const tokens = filled.bucket.tokens + message.tokens
-  const { extra = 0 } = message
-  const needed = countTokensForWaiting(filled, tokens, extra, allowance.loan.sentAtMs, moment.monotonicMs)
-  const bucket = { ...filled.bucket, tokens: tokens + needed }
+  const bucket = { ...filled.bucket, tokens: filled.bucket.tokens + message.tokens }
   const maxTermMs = allowance.loan.lender === undefined ? LOAN_MS : MAX_LOAN_MS
-  const stocked = addStock(filled, extra - needed, allowance.loan.sentAtMs)
+  const stocked = addStock(filled, message.extra ?? 0, allowance.loan.sentAtMs)
   const step = processWaiting(shared, key, { ...stocked, bucket, nextLoanAtMs, nextMs: message.nextMs, reserveShortfall: message.shortfall }, moment, maxTermMs)
   return { shared, ...step, effects: [clearTimer(formatTimerName(key)), ...step.effects] }
 }
--- a/src/admission/stock.ts
+++ b/src/admission/stock.ts
@@ -55,17 +55,6 @@
   return Math.max(0, Math.min(wanted, Math.floor(left - burst * RESERVED_BURST_FRACTION)))
 }
 
-/**
- * Counts the further tokens of a loan that requests need which came while it was on its way. None are lent on, since that would
- * be for longer than their time.
- * @param tokens the tokens that the waiting requests get without them.
- * @example countTokensForWaiting(allowance, 1, 3, loan.sentAtMs, moment.monotonicMs) // 2 if three requests wait
- */
-export function countTokensForWaiting ({ waiting }: Allowance, tokens: number, extra: number, sentAtMs: number, nowMs: number): number {
-  if (nowMs > sentAtMs + STOCK_MS || waiting.some(({ loan }) => loan !== undefined)) return 0
-  return Math.max(0, Math.min(extra, waiting.length - Math.floor(tokens)))
-}
-
 /**
  * Adds the stock of a loan to what is left of the earlier one, which may be used no longer than before.
  * @example addStock(allowance, 2, loan.sentAtMs).stock
