--- a/src/admission/allowance.ts
+++ b/src/admission/allowance.ts
@@ -1,7 +1,6 @@
 /** Local allowance of a workspace: this host's share as a token bucket, and the requests that wait for tokens. */
 import type { Workspace } from '../documents/document.js'
 import { TOTAL_PARTS } from '../shares/state.js'
-import { isArrivalRecent } from './stock.js'
 import { createBucket, refillBucket, resizeBucket } from './bucket.js'
 import type { Allowance } from './state.js'
 
@@ -72,8 +71,8 @@
 
 /**
  * Tells whether the allowance can be removed without losing state.
- * @example isUnused(createAllowance(workspace, 0), 0) // true
+ * @example isUnused(createAllowance(workspace, 0)) // true
  */
-export function isUnused (allowance: Allowance, nowMs: number): boolean {
-  return !isArrivalRecent(allowance, nowMs) && allowance.parts === 0 && allowance.perSecond === 0 && allowance.arrived === 0 && allowance.reportedPerSecond === 0 && allowance.waiting.length === 0 && allowance.loan === undefined
+export function isUnused (allowance: Allowance): boolean {
+  return allowance.parts === 0 && allowance.perSecond === 0 && allowance.arrived === 0 && allowance.reportedPerSecond === 0 && allowance.waiting.length === 0 && allowance.loan === undefined
 }
--- a/src/admission/lease.ts
+++ b/src/admission/lease.ts
@@ -60,7 +60,7 @@
   const round = current.round + 1
   const reportsAll = current.applied === 0 || round % FULL_REPORT_ROUNDS === 0
   const demands = listChanged(counted, reportsAll)
-  const changes = counted.map(([key, item]) => [key, markReported(item, reportsAll, moment)] as const)
+  const changes = counted.map(([key, item]) => [key, markReported(item, reportsAll)] as const)
   const asked: ShareLease = { ...current, round, borrowsFromRound: role === 'borrower' ? current.borrowsFromRound ?? round : undefined, demandUpdatedAtMs: moment.monotonicMs }
   const isNeeded = asked.leader !== undefined && isRenewalNeeded(shared, asked, counted)
   const isSent = isNeeded && moment.monotonicMs >= asked.confirmsFromMs && !isAwaited(shared, current, moment)
@@ -188,10 +188,10 @@
   return counted.some(([, item]) => isWanted(item)) ? 'lender' : 'borrower'
 }
 
-function markReported (item: Allowance, reportsAll: boolean, { monotonicMs }: Moment): Allowance | undefined {
+function markReported (item: Allowance, reportsAll: boolean): Allowance | undefined {
   const reportedPerSecond = reportsAll || isDemandChanged(item) ? item.perSecond : item.reportedPerSecond
   const next: Allowance = { ...item, reportedPerSecond }
-  return isUnused(next, monotonicMs) && !isDemandChanged(item) ? undefined : next
+  return isUnused(next) && !isDemandChanged(item) ? undefined : next
 }
 
 function listHeld (lease: ShareLease, counted: CountedDemand): readonly HeldShare[] | undefined {
--- a/src/admission/lending.ts
+++ b/src/admission/lending.ts
@@ -8,8 +8,6 @@
 import { sendPeer } from '../messages.js'
 import { LOAN_DRIFT_MARGIN_MS, LOAN_MS, MAX_LOAN_MS } from '../shares/state.js'
 import type { LoanWanted } from './messages.js'
-import { countSpareTokens, STOCK_DRIFT_MARGIN_MS, STOCK_MS } from './stock.js'
-import type { TokenBucket } from './bucket.js'
 import { findLimit, type AdmissionShared, type LentTokens, type PendingLoan, type SilentLender, type WaitingLoan, type WaitingRequest } from './state.js'
 
 /** The longest time until the next token that a lender names. */
@@ -128,17 +126,17 @@
  * Creates the waiting request of another host's loan.
  * @example createWaitingLoan({ kind: 'admission/loan-wanted', holder, loan: 7, workspace, tokens: 1 }, 'host-9', moment)
  */
-export function createWaitingLoan ({ holder, loan, tokens, extra = 0, termMs = LOAN_MS }: LoanWanted, borrower: string, moment: Moment): WaitingRequest {
+export function createWaitingLoan ({ holder, loan, tokens, termMs = LOAN_MS }: LoanWanted, borrower: string, moment: Moment): WaitingRequest {
   const rules = { group: '', action: 'read', maxStalenessMs: 0, idempotent: false } as const
-  return { caller: holder, attempt: loan, rules, sinceMs: moment.monotonicMs, loan: { borrower, holder, loan, tokens, extra, termMs: Math.min(MAX_LOAN_MS, termMs) } }
+  return { caller: holder, attempt: loan, rules, sinceMs: moment.monotonicMs, loan: { borrower, holder, loan, tokens, termMs: Math.min(MAX_LOAN_MS, termMs) } }
 }
 
 /**
  * Gives tokens to the requests and loans that wait, in their order; the last loan may get fewer than it asked for.
  * @param maxTermMs how long loans may be used at most.
- * @example grantTokens('rota/parish', allowance.waiting, allowance.bucket, MAX_LOAN_MS, moment).spent
+ * @example grantTokens('rota/parish', allowance.waiting, allowance.bucket.tokens, MAX_LOAN_MS, moment).spent
  */
-export function grantTokens (workspace: string, waiting: readonly WaitingRequest[], { tokens, burst }: Pick<TokenBucket, 'tokens' | 'burst'>, maxTermMs: number, moment: Moment): GrantedTokens {
+export function grantTokens (workspace: string, waiting: readonly WaitingRequest[], tokens: number, maxTermMs: number, moment: Moment): GrantedTokens {
   const effects: CoreEffect[] = []
   const lent: LentTokens[] = []
   let left = Math.floor(tokens)
@@ -150,11 +148,8 @@
     if (loan === undefined) effects.push(tell({ kind: 'requests/admitted', caller, attempt, rules }))
     else {
       const termMs = Math.min(loan.termMs, maxTermMs)
-      const extra = maxTermMs < STOCK_MS || index < waiting.length - 1 ? 0 : countSpareTokens(loan.extra, left, burst)
-      left -= extra
-      effects.push(answerLoan(workspace, { ...loan, termMs, extra }, granted, 0))
+      effects.push(answerLoan(workspace, { ...loan, termMs }, granted, 0))
       lent.push({ tokens: granted, expiresAtMs: moment.monotonicMs + termMs + LOAN_DRIFT_MARGIN_MS })
-      if (extra > 0) lent.push({ tokens: extra, expiresAtMs: moment.monotonicMs + STOCK_MS + STOCK_DRIFT_MARGIN_MS })
     }
   }
   return { effects, spent: Math.floor(tokens) - left, lent, waiting: waiting.slice(index) }
@@ -165,6 +160,6 @@
  * @param nextMs the time until there may be another token.
  * @example answerLoan('rota/parish', loan, 0, 120)
  */
-export function answerLoan (workspace: string, { borrower, holder, loan, extra, termMs }: WaitingLoan, tokens: number, nextMs: number): CoreEffect {
-  return sendPeer(borrower, { kind: 'admission/lent', holder, loan, workspace, tokens, extra: tokens === 0 || extra === 0 ? undefined : extra, nextMs: Math.min(MAX_NEXT_MS, Math.ceil(nextMs)), termMs: termMs === LOAN_MS ? undefined : termMs })
+export function answerLoan (workspace: string, { borrower, holder, loan, termMs }: WaitingLoan, tokens: number, nextMs: number): CoreEffect {
+  return sendPeer(borrower, { kind: 'admission/lent', holder, loan, workspace, tokens, nextMs: Math.min(MAX_NEXT_MS, Math.ceil(nextMs)), termMs: termMs === LOAN_MS ? undefined : termMs })
 }
--- a/src/admission/messages.ts
+++ b/src/admission/messages.ts
@@ -96,8 +96,6 @@
   readonly loan: number
   readonly workspace: string
   readonly tokens: number
-  /** Tokens that the borrower would like for its next requests; none if absent. */
-  readonly extra?: number
   /** How long the borrower may use the loan after it asked; that of the leader's loans if absent. */
   readonly termMs?: number
 }
@@ -109,8 +107,6 @@
   readonly loan: number
   readonly workspace: string
   readonly tokens: number
-  /** Further tokens, for the next requests; none if absent. */
-  readonly extra?: number
   /** Time until the reserve, or the lender's share, has another token; 0 when it has more now. */
   readonly nextMs: number
   /** Tokens that the reserve still lacks because the leader is new; absent below 1. */
--- a/src/admission/rates.ts
+++ b/src/admission/rates.ts
@@ -9,7 +9,6 @@
 import { answerLoan, createWaitingLoan, findLender, findSilence, getSharesEndMs, grantTokens, recordAnswer, recordAttempt, recordSilence } from './lending.js'
 import type { LoanAnswered, LoanTimedOut, LoanWanted, TokensDue } from './messages.js'
 import { findLimit, type AdmissionShared, type Allowance, type PendingLoan, type WaitingRequest } from './state.js'
-import { countStockTokens, addStock, recordArrival, takeStockToken } from './stock.js'
 import { computeTermMs, getTermMs, recordDelay, recordLateAnswer, addOverdue } from './terms.js'
 import { computeRetryAfterMs, estimateLocalWaitMs, estimateWaitMs, insertWaiting, splitExpired, splitWaiting } from './waiting.js'
 
@@ -42,18 +41,11 @@
   const { shared } = store
   const known = store.items.get(key) ?? createAllowance(workspace, moment.monotonicMs)
   const filled = refillAllowance(known, workspace, getSharesEndMs(shared), moment.monotonicMs)
-  const borrows = findLender(shared, key, moment) !== undefined
   // What a lender admits is part of its demand.
-  const counted = borrows ? recordArrival(filled, moment.monotonicMs) : { ...filled, arrived: filled.arrived + 1 }
-  const stocked = takeStockToken(counted, moment.monotonicMs)
-  if (stocked !== undefined) return admitRequest(key, stocked, request)
+  const counted: Allowance = { ...filled, arrived: filled.arrived + (findLender(shared, key, moment) === undefined ? 1 : 0) }
   return processWaiting(shared, key, { ...counted, waiting: insertWaiting(counted.waiting, request) }, moment)
 }
 
-function admitRequest (key: string, allowance: Allowance, { caller, attempt, rules }: WaitingRequest): AdmissionStep {
-  return { changes: [[key, allowance]], effects: [tell({ kind: 'requests/admitted', caller, attempt, rules })] }
-}
-
 /**
  * Lends tokens of this host's share to another host. What the share lacks is borrowed from the leader in turn.
  * @example acceptLoanRequest(store, { kind: 'admission/loan-wanted', from: 'host-9', holder, loan: 7, workspace: 'rota/parish', tokens: 1 }, moment)
@@ -84,8 +76,7 @@
   const nextLoanAtMs = computeNextLoanAtMs(store.shared, key, filled, message.nextMs, moment)
   const bucket = { ...filled.bucket, tokens: filled.bucket.tokens + message.tokens }
   const maxTermMs = allowance.loan.lender === undefined ? LOAN_MS : MAX_LOAN_MS
-  const stocked = addStock(filled, message.extra ?? 0, allowance.loan.sentAtMs)
-  const step = processWaiting(shared, key, { ...stocked, bucket, nextLoanAtMs, nextMs: message.nextMs, reserveShortfall: message.shortfall }, moment, maxTermMs)
+  const step = processWaiting(shared, key, { ...filled, bucket, nextLoanAtMs, nextMs: message.nextMs, reserveShortfall: message.shortfall }, moment, maxTermMs)
   return { shared, ...step, effects: [clearTimer(formatTimerName(key)), ...step.effects] }
 }
 
@@ -141,7 +132,7 @@
 // Admits requests that have a token, requests a loan for the others, and refuses those that would wait too long.
 function processWaiting (shared: AdmissionShared, key: string, allowance: Allowance, moment: Moment, maxTermMs = MAX_LOAN_MS): AdmissionStep {
   const { bucket } = allowance
-  const granted = grantTokens(key, allowance.waiting, bucket, maxTermMs, moment)
+  const granted = grantTokens(key, allowance.waiting, bucket.tokens, maxTermMs, moment)
   const tokens = Math.min(bucket.burst, bucket.tokens - granted.spent)
   const backedOff = applyLoanBackoff(shared, key, { ...allowance, bucket: { ...bucket, tokens }, waiting: granted.waiting, lent: [...allowance.lent, ...granted.lent] }, moment)
   const expired = splitExpired(backedOff, moment)
@@ -215,9 +206,8 @@
   const lender = findSource(shared, key, allowance, moment)
   const wanted = { holder, loan, workspace: key, tokens }
   const termMs = lender === undefined ? LOAN_MS : computeTermMs(shared)
-  const stockTokens = lender === undefined ? 0 : countStockTokens(allowance)
   const toLeader = lease.leader === undefined ? [] : [sendPeer(lease.leader, { kind: 'shares/wanted', epoch: lease.epoch, ...wanted, lendsOn: shared.lenders.length > 0 ? true : undefined })]
-  const sent = lender === undefined ? toLeader : [sendPeer(lender, { kind: 'admission/loan-wanted', ...wanted, extra: stockTokens === 0 ? undefined : stockTokens, termMs: termMs === LOAN_MS ? undefined : termMs })]
+  const sent = lender === undefined ? toLeader : [sendPeer(lender, { kind: 'admission/loan-wanted', ...wanted, termMs: termMs === LOAN_MS ? undefined : termMs })]
   return {
     shared: recordAttempt({ ...shared, lease: { ...lease, nextLoanId: lease.nextLoanId + 1 } }, lender, termMs, moment),
     allowance: { ...allowance, loan: { holder, loan, lender, sentAtMs: moment.monotonicMs, termMs } },
--- a/src/admission/state.ts
+++ b/src/admission/state.ts
@@ -78,8 +78,6 @@
   readonly holder: string
   readonly loan: number
   readonly tokens: number
-  /** Tokens for the borrower's next requests, if the lender has enough. */
-  readonly extra: number
   /** How long the borrower may use it after it asked. */
   readonly termMs: number
 }
@@ -98,12 +96,6 @@
   readonly expiresAtMs: number
 }
 
-/** Tokens of a loan that wait for the next requests of the borrower. */
-export interface TokenStock {
-  readonly tokens: number
-  readonly expiresAtMs: number
-}
-
 /** A loan request in flight. */
 export interface PendingLoan {
   readonly holder: string
@@ -132,11 +124,6 @@
   readonly loan?: PendingLoan
   /** On a lender: tokens that borrowers may still use. They take up room in the bucket until then. */
   readonly lent: readonly LentTokens[]
-  /** On a borrower: tokens for the next requests. */
-  readonly stock?: TokenStock
-  /** When the last request arrived, and the average interval between requests; absent before the second one. */
-  readonly arrivedAtMs?: number
-  readonly intervalMs?: number
   /** No loan is requested before this time, since the last one granted too few tokens or was not answered. */
   readonly nextLoanAtMs: number
   /** True while the leader, or the lender, does not answer this host's loan requests. */
