--- a/src/peers/connect.ts
+++ b/src/peers/connect.ts
@@ -94,7 +94,11 @@
     for (const { host, peers } of addresses) {
       if (this.#addresses.get(host) === peers) continue
       this.#addresses.set(host, peers)
+      const link = this.#links.get(host)
+      if (link === undefined) continue
+      // What was sent over it may have run, so that a new link that doesn't open says nothing of it.
       this.#drop(host)
+      this.#reportLoss(host, link.opened)
     }
   }
 
@@ -197,6 +201,7 @@
   // When a peer ends its session, the stream on it may stay open without an end or an error.
   #detectClosed (): void {
     const nowMs = performance.now()
+    this.#largeRequests?.expire(nowMs)
     for (const [host, link] of this.#links) if (isClosed(link) || isSilent(link, nowMs)) this.#handleLoss(host, link)
   }
 
--- a/src/requests/budget.test.ts
+++ b/src/requests/budget.test.ts
@@ -105,6 +105,20 @@
     expect(findRun(host.dispatch({ ...REPLICA, database: 'a3', owner: 'h3' }))?.waitMs).to.equal(undefined)
   })
 
+  it('does not end a read that may have run while it waits for its next try', () => {
+    const host = FakeHost.create()
+    host.arrive()
+    const timer = findTimer(host.admit({ ...RULES, latencyMs: 350 }), 'requests/deadline')!
+    host.dispatch(REPLICA)
+    host.nowMs += 400
+    host.take({ kind: 'requests/late', caller: 'c', attempt: host.attempt })
+    const effects = host.take(timer.message as HostMessage)
+    expect(findFailure(effects)).to.equal(undefined)
+    expect(findTimer(effects, 'requests/deadline')?.afterMs).to.equal(400)
+    host.take({ kind: 'requests/retry-due', caller: 'c', attempt: host.attempt })
+    expect(findRun(host.dispatch({ ...REPLICA, database: 'a3', owner: 'h3' }))).to.not.equal(undefined)
+  })
+
   it('lets a request without a latency target wait until its deadline', () => {
     const host = FakeHost.create()
     host.arrive()
@@ -126,6 +140,16 @@
     expect(findRun(host.dispatch(PRIMARY))).to.not.equal(undefined)
   })
 
+  it('names a time to come back also when it is this host that became late before it sent the request', () => {
+    const host = FakeHost.create()
+    host.arrive()
+    host.admit()
+    host.take({ kind: 'requests/lag-due', dueAtMs: host.nowMs - 1_000 })
+    const failure = findFailure(host.dispatch(PRIMARY))!
+    expect(failure).to.include({ code: 'not-in-time', effect: 'not-run' })
+    expect(failure.retryAfterMs).to.be.above(0)
+  })
+
   it('places a read elsewhere at once when the owner of its replica is late', () => {
     const host = FakeHost.create()
     host.run(REPLICA, 500)
