Routing, transactions: one check of bounded reads, one replacement of a unit

What may run on a replica was written twice in src/routing/decide.ts, and the replacement of a caller's unit of work in src/transactions/decide.ts and cold.ts. One function serves both places now; behaviour stays as it is.

--- a/src/routing/decide.ts
+++ b/src/routing/decide.ts
@@ -57,7 +57,7 @@
   const { rules } = message
   const state: RoutingState = { ...before, groupUsedAtMs: new Map(before.groupUsedAtMs).set(rules.group, moment.monotonicMs) }
   const grant = state.grants.get(rules.group)
-  const mayBeStale = rules.action === 'read' && rules.maxStalenessMs > 0 && message.primaryOnly !== true
+  const mayBeStale = isBoundedRead(message)
   const leaving = mayBeStale && state.leaving !== undefined ? chooseDomain(state.leaving, state.failureDomain, rules.group, createCandidates(state, message), moment.random, moment.monotonicMs) : undefined
   const target = !mayBeStale ? undefined : state.guarantees.selfFencing ? chooseBounded(state, message, grant, leaving) : chooseCovering(state, message, grant, moment)
   if (target !== undefined) return answerTarget({ ...state, roundRobinCounter: state.roundRobinCounter + 1 }, message, target, moment)
@@ -151,10 +151,14 @@
   return { state, effects: [tell({ kind: 'requests/failed', caller: message.caller, attempt: message.attempt, failure, retriable })] }
 }
 
+function isBoundedRead ({ rules, primaryOnly }: ChooseTarget): boolean {
+  return rules.action === 'read' && rules.maxStalenessMs > 0 && primaryOnly !== true
+}
+
 // A replica at home that is not eligible now may be so by the next try, unless it is evacuated.
-function hasReplica ({ databases }: RoutingState, { rules, primaryOnly }: ChooseTarget, avoid: readonly string[]): boolean {
-  const mayBeStale = rules.action === 'read' && rules.maxStalenessMs > 0 && primaryOnly !== true
-  return mayBeStale && [...databases.values()].some(database => {
+function hasReplica ({ databases }: RoutingState, message: ChooseTarget, avoid: readonly string[]): boolean {
+  const { rules } = message
+  return isBoundedRead(message) && [...databases.values()].some(database => {
     const { entry } = database
     return entry.group === rules.group && !isEvacuated(entry) && !avoid.includes(entry.database) && isHome(database, rules.homes)
   })
--- a/src/transactions/cold.ts
+++ b/src/transactions/cold.ts
@@ -10,7 +10,7 @@
 import type { RunRequest } from './messages.js'
 import { abortUnit, createExecute, startQueued } from './pool.js'
 import { estimateTokenWaitMs, hasTokenForNewWork, hasToken, takeToken, updateRefill, type Refill } from './refill.js'
-import { calculateSlotLimit, computeLoad, countUsedSlots, type OwnedDatabase, type TransactionsShared, type UnitOfWork } from './state.js'
+import { calculateSlotLimit, computeLoad, countUsedSlots, replaceUnit, type OwnedDatabase, type TransactionsShared, type UnitOfWork } from './state.js'
 import { answerFailed, clearDeadlineTimer, continueStep, setDeadlineTimer, type DatabaseStep, type TransactionsStep, type TransactionsStore } from './step.js'
 
 /** Fraction of the latency target for which a request waits for a token; the rest is for its turn and the statement. */
@@ -80,15 +80,11 @@
   const { run, connection } = unit
   const held = countHeld(database)
   const timer = setDeadlineTimer(run, run.remainingMs)
-  if (held === 0 && hasToken(database.refill)) return { database: replaceUnit(database, unit, takeToken(database.refill)), effects: [timer, createExecute(run, connection)] }
+  if (held === 0 && hasToken(database.refill)) return { database: replaceUnit({ ...database, refill: takeToken(database.refill) }, unit), effects: [timer, createExecute(run, connection)] }
   const refusal = createRefusal(database, run, estimateTokenWaitMs(database.refill!, held + 1), moment)
-  if (refusal === undefined) return { database: replaceUnit(database, { ...unit, held: true }, database.refill), effects: [timer] }
+  if (refusal === undefined) return { database: replaceUnit(database, { ...unit, held: true }), effects: [timer] }
   const answer = answerFailed(run.from!, run, refusal, false, computeLoad(database))
-  return continueStep({ database: replaceUnit(database, unit, database.refill), effects: [answer] }, next => abortUnit(next, unit))
-}
-
-function replaceUnit (database: OwnedDatabase, unit: UnitOfWork, refill: Refill | undefined): OwnedDatabase {
-  return { ...database, units: new Map(database.units).set(unit.caller, unit), refill }
+  return continueStep({ database: replaceUnit(database, unit), effects: [answer] }, next => abortUnit(next, unit))
 }
 
 /**
@@ -102,7 +98,7 @@
   if (isGraceOver(database, moment)) return continueStep(endHeld(database, held), next => startHeld(next, moment))
   if (!hasToken(database.refill)) return refuseExcess(database, moment)
   const { held: _, ...unit } = held
-  const step: DatabaseStep = { database: replaceUnit(database, unit, takeToken(database.refill)), effects: [createExecute(unit.run, unit.connection)] }
+  const step: DatabaseStep = { database: replaceUnit({ ...database, refill: takeToken(database.refill) }, unit), effects: [createExecute(unit.run, unit.connection)] }
   return continueStep(step, next => startHeld(next, moment))
 }
 
--- a/src/transactions/decide.ts
+++ b/src/transactions/decide.ts
@@ -13,7 +13,7 @@
 import type { StalenessBound } from '../requests/messages.js'
 import { isTooLate } from '../stopping/remaining.js'
 import { findProvenFloor } from '../routing/staleness.js'
-import { computeLoad, nameFlow, type OwnedDatabase, type TransactionsShared, type UnitOfWork } from './state.js'
+import { computeLoad, nameFlow, replaceUnit, type OwnedDatabase, type TransactionsShared, type UnitOfWork } from './state.js'
 import { updateOverlap, createLagTimer, recordRun, updateLag } from './overlap.js'
 import { computePace, findOverload } from './pace.js'
 import { continueWhenWarm, createRefillTimer, findColdRefusal, startHeld, startRefills, updateRefills } from './cold.js'
@@ -221,10 +221,6 @@
   return continueWhenWarm(database, next, moment)
 }
 
-function replaceUnit (database: OwnedDatabase, unit: UnitOfWork): OwnedDatabase {
-  return { ...database, units: new Map(database.units).set(unit.caller, unit) }
-}
-
 function forwardOutput (database: OwnedDatabase, message: DatabaseOutput): DatabaseStep {
   const unit = findUnit(database, message.connection)
   if (unit?.phase !== 'running') return createEmptyStep(database)
--- a/src/transactions/state.ts
+++ b/src/transactions/state.ts
@@ -152,6 +152,14 @@
   return running + [...connections.values()].filter(connection => connection.phase === 'opening').length
 }
 
+/**
+ * Replaces the unit of work of a caller.
+ * @example replaceUnit(database, { ...unit, phase: 'idle' }).units.size
+ */
+export function replaceUnit (database: OwnedDatabase, unit: UnitOfWork): OwnedDatabase {
+  return { ...database, units: new Map(database.units).set(unit.caller, unit) }
+}
+
 /**
  * Names the flow of a request in the fair queue: one for each workspace of a service.
  * @example nameFlow(message) // 'rota/parish'
