Review: the scripts take a free port for databases and end what they started when they are ended

Cause: a fixed port may be in use, and a script that was ended from outside left its processes. Change: stand-ins of the review alone.

--- a/review/lab/handover.js
+++ b/review/lab/handover.js
@@ -55,7 +55,7 @@
     const database = new Database({
       id,
       ip: hosts.pickIp(),
-      port: 9_000,
+      port: hosts.databasePort,
       zone,
       group,
       control: hosts.control,
--- a/review/lab/hosts.js
+++ b/review/lab/hosts.js
@@ -36,7 +36,8 @@
   /** Writes the settings of all hosts; starts nothing yet. */
   static async create ({ fronts = 3, control = 3, platform, extra = [] }) {
     const hosts = new Hosts()
-    const [peers, operators, front, ready, controlPort] = await pickPorts(5)
+    const [peers, operators, front, ready, controlPort, databasePort] = await pickPorts(6)
+    hosts.databasePort = databasePort
     hosts.list = [
       ...Array.from({ length: control }, (_, index) => ({ name: `control-${index + 1}`, role: 'control', zone: ZONES[index % 3], ip: hosts.pickIp() })),
       ...Array.from({ length: fronts }, (_, index) => ({ name: `front-${index + 1}`, role: 'entry', zone: ZONES[index % 3], ip: hosts.pickIp() }))
--- a/review/lab/scene.js
+++ b/review/lab/scene.js
@@ -38,15 +38,28 @@
   }
 }
 
-/** Runs a scene and ends the process: 1 where the rule was broken, 0 where it held, 2 where the scene could not run. */
+/** The longest that a script runs, in milliseconds. */
+const LIMIT_MS = 115_000
+
+/**
+ * Runs a scene and ends the process: 1 where the rule was broken, 0 where it held, 2 where the scene could not run, took too
+ * long or was ended from outside. `dispose` ends all processes that were started.
+ */
 export async function runScene (record, scene, dispose) {
-  let code = 2
+  const finish = async code => {
+    await dispose()
+    record('exit', code)
+    process.exit(code)
+  }
+  const abort = reason => {
+    record('could not run:', reason)
+    finish(2)
+  }
+  setTimeout(() => abort('it took too long'), LIMIT_MS).unref()
+  for (const signal of ['SIGTERM', 'SIGINT']) process.once(signal, () => abort(signal))
   try {
-    code = await scene() ? 1 : 0
+    await finish(await scene() ? 1 : 0)
   } catch (error) {
-    record('could not run:', error.stack ?? String(error))
+    abort(error.stack ?? String(error))
   }
-  await dispose()
-  record('exit', code)
-  process.exit(code)
 }
