--- a/review/7/run.js
+++ b/review/7/run.js
@@ -8,7 +8,7 @@
 const TROUBLE = process.env.TROUBLE !== '0'
 const PAUSE_MS = 200
 const CUT_MS = 5_000
-const DRAIN_AFTER_CUT_MS = 3_300
+const DRAIN_AFTER_CUT_MS = 3_600
 
 const record = openRecord(new URL('record.txt', import.meta.url))
 const scene = await Handover.create({ record })
