--- a/src/core/errors.ts
+++ b/src/core/errors.ts
@@ -32,6 +32,7 @@
   'host-stopping': { sqlState: '57P01', effect: 'not-run', text: () => 'This host is stopping: connect to another host.' },
   'transaction-stopped': { sqlState: '57P01', effect: 'not-run', text: () => 'This host is stopping, and the transaction was rolled back: run it again through another host.' },
   'transaction-evacuated': { sqlState: '57P01', effect: 'not-run', text: (d: string) => `The database of the transaction is evacuated, and the transaction was rolled back: run it again at another database of group "${d}".` },
+  'transaction-closed': { sqlState: '57P01', effect: 'not-run', text: (d: string) => `The primary of group "${d}" is being replaced or is not confirmed, and the transaction was rolled back: run it again.` },
   'transaction-homeless': { sqlState: '57P01', effect: 'not-run', text: () => 'The request may not run in the region of its transaction, which was rolled back: run it again.' },
   'transaction-revoked': { sqlState: '28P01', effect: 'not-run', text: (d: string) => `The key is no longer valid for workspace "${d}", and the transaction was rolled back: issue a new key, and run it again.` },
   'outcome-unknown': { sqlState: '40003', effect: 'unknown', text: (d: string) => `The outcome of the request is unknown (${d}): check whether it took effect before trying again.` },
--- a/src/membership/decide.ts
+++ b/src/membership/decide.ts
@@ -9,7 +9,7 @@
 import { removeDatabases, removeHost, publishEntry, evictSilent, receiveHeartbeat } from './leader.js'
 import { isCurrent, pruneIncarnations, recordWithdrawal } from './incarnations.js'
 import { recordDatabaseEvents } from './log.js'
-import type { DatabaseAnnounced, DatabaseAnswered, Heartbeat, HeartbeatAnswered, MembershipMessage, ProbeCompleted, DatabaseWithdrawn, VersionsHeld } from './messages.js'
+import type { DatabaseAnnounced, DatabaseAnswered, Heartbeat, HeartbeatAnswered, MembershipMessage, ProbeCompleted, DatabaseWithdrawn, VersionsHeld, WritesChanged } from './messages.js'
 import { hasOrders, listEvacuatedDomains, listMarkedDatabases, listOrders, ORDERS_NAME } from '../evacuation/view.js'
 import { listLenders } from './lenders.js'
 import { allocateOwners } from './owners.js'
@@ -55,6 +55,7 @@
     case 'membership/probe-due': return probeOwned(state, moment)
     case 'membership/probed': return recordProbe(state, message)
     case 'membership/answered': return createStep(recordAnswer(state, message))
+    case 'membership/writes-changed': return recordWrites(state, message)
     case 'membership/withdrawn': return withdrawDatabase(state, message, moment)
     case 'membership/control-changed': return changeControl({ ...state, control: message.control })
     case 'membership/beat': return acceptHeartbeat(state, message, moment)
@@ -126,11 +127,18 @@
     revision: state.directory.revision,
     databases: listAnnounced(state, moment),
     statuses: [...state.statuses.values()].map(known => ({ ...known.status, ageMs: moment.monotonicMs - known.askedAtMs, silentMs: known.silentMs })),
+    writes: state.writes.size === 0 ? undefined : [...state.writes.values()],
     relayed: next.relayedHeartbeats.get(round)
   }
   return { state: next, effects: [...targets.map(target => sendPeer(target, heartbeat)), createHeartbeatTimer(state)] }
 }
 
+// A change of primary waits for this report, and the first commit after one for its answer.
+function recordWrites (state: MembershipState, { group, phase, acknowledged }: WritesChanged): MembershipStep {
+  const writes = new Map(state.writes).set(group, { group, phase, acknowledged })
+  return { state: { ...state, writes }, effects: [setTimer('membership/beat', 0, { kind: 'membership/beat-due' })] }
+}
+
 function receiveVersions (state: MembershipState, message: VersionsHeld): MembershipStep {
   const askedAtMs = state.contact.sentAtMsByRound.get(message.round)
   const documents = message.versions?.filter(({ service }) => service !== ORDERS_NAME)
@@ -199,10 +207,15 @@
     tell({ kind: 'admission/documents-confirmed', documents, askedAtMs }),
     tell({ kind: 'requests/grants-confirmed', grants: listEntries(directory, 'grant'), askedAtMs }),
     tell({ kind: 'routing/grants-confirmed', askedAtMs }),
-    ...(state.ownedDatabases.size > 0 && [...listColdRates(directory).values()].some(rate => rate > 0) ? [tell({ kind: 'transactions/contact-confirmed', askedAtMs })] : [])
+    ...(isConfirmationNeeded(state) ? [tell({ kind: 'transactions/contact-confirmed', askedAtMs })] : [])
   ]
 }
 
+function isConfirmationNeeded ({ directory, ownedDatabases }: MembershipState): boolean {
+  const hasColdRate = ownedDatabases.size > 0 && [...listColdRates(directory).values()].some(rate => rate > 0)
+  return hasColdRate || listEntries(directory, 'grant').some(({ leased }) => leased === true)
+}
+
 function notifyChanged (state: MembershipState, confirmedAtMs: number | undefined): readonly CoreEffect[] {
   const { directory, owners } = state
   const hosts = listEntries(directory, 'host')
--- a/src/membership/directory.ts
+++ b/src/membership/directory.ts
@@ -46,6 +46,17 @@
   readonly cold?: boolean
 }
 
+/** Whether a host may commit at the primary of a group: `closing` while commits that it sent are not answered yet. */
+export type CommitPhase = 'open' | 'closing' | 'closed'
+
+/** What a host reports of its commit lease in a group, where a replica's copy acknowledges a write. */
+export interface WriteReport {
+  readonly group: string
+  readonly phase: CommitPhase
+  /** The highest position of a commit that was acknowledged to this process of the host. */
+  readonly acknowledged?: LogPosition
+}
+
 /** The primary of a group and its term; without a primary during a change. */
 export interface GrantEntry {
   readonly kind: 'grant'
@@ -54,8 +65,13 @@
   readonly primary?: string
   /** The databases whose majority must store a write. */
   readonly members: readonly string[]
-  /** True while the primary drains: running work ends, and no new work is accepted. */
+  /**
+   * True while the primary drains: running work ends, and no new work is accepted. Where databases fence themselves, this goes
+   * for what may write.
+   */
   readonly closing?: boolean
+  /** True where a replica's copy acknowledges a write: hosts then need a lease of the leader to commit. */
+  readonly leased?: boolean
 }
 
 /** The document in force of a service. */
--- a/src/membership/leader.ts
+++ b/src/membership/leader.ts
@@ -116,11 +116,11 @@
   return entry
 }
 
-function notifyReported ({ self, leftAtMs, revision, statuses, databases }: Heartbeat): readonly CoreEffect[] {
+function notifyReported ({ self, round, leftAtMs, revision, statuses, databases, writes }: Heartbeat): readonly CoreEffect[] {
   const { host, failureDomain } = self
   return [
     tell({ kind: 'primacy/reported', host, failureDomain, statuses, databases, revision }),
-    tell({ kind: 'succession/reported', host, failureDomain, apart: self.apart === true, leftAtMs, statuses, databases })
+    tell({ kind: 'succession/reported', host, failureDomain, apart: self.apart === true, leftAtMs, statuses, databases, ...(writes === undefined ? {} : { writes, process: self.incarnation, round }) })
   ]
 }
 
--- a/src/membership/messages.ts
+++ b/src/membership/messages.ts
@@ -1,6 +1,6 @@
 /** Messages of the membership slice. */
 import type { LogPosition } from '../core/position.js'
-import type { DatabaseEntry, DatabaseStatus, DirectoryChange, DirectoryEntry, HostEntry, Incarnation, Revision } from './directory.js'
+import type { CommitPhase, DatabaseEntry, DatabaseStatus, DirectoryChange, DirectoryEntry, HostEntry, Incarnation, Revision, WriteReport } from './directory.js'
 import type { StoredDatabaseTable } from './stored.js'
 
 /** The process started and knows its own addresses. */
@@ -59,6 +59,8 @@
   readonly revision: Revision
   readonly databases: readonly DatabaseEntry[]
   readonly statuses: readonly DatabaseStatus[]
+  /** Where this process may commit, or could; absent where no replica's copy acknowledges a write. */
+  readonly writes?: readonly WriteReport[]
   /** Heartbeats of other hosts that the sender relays. */
   readonly relayed?: readonly Heartbeat[]
 }
@@ -138,6 +140,14 @@
   readonly proven: boolean
 }
 
+/** The lease of this host to commit in a group changed. */
+export interface WritesChanged {
+  readonly kind: 'membership/writes-changed'
+  readonly group: string
+  readonly phase: CommitPhase
+  readonly acknowledged?: LogPosition
+}
+
 /** A probe of a database's status completed. */
 export interface ProbeCompleted {
   readonly kind: 'membership/probed'
@@ -198,6 +208,7 @@
 /** Any message of the membership slice. */
 export type MembershipMessage =
   | DatabaseAnswered
+  | WritesChanged
   | ControlHostsChanged
   | DatabaseWithdrawn
   | LeaveRequested
--- a/src/membership/state.ts
+++ b/src/membership/state.ts
@@ -1,6 +1,6 @@
 /** State of the membership slice. */
 import { NO_CONTACT, type ControlContact } from './contact.js'
-import { createDirectory, type DatabaseEntry, type DatabaseStatus, type Directory, type HostEntry, type Revision } from './directory.js'
+import { createDirectory, type DatabaseEntry, type DatabaseStatus, type Directory, type HostEntry, type Revision, type WriteReport } from './directory.js'
 import type { IncarnationTable } from './incarnations.js'
 import type { Heartbeat } from './messages.js'
 import type { StoredDatabaseTable } from './stored.js'
@@ -104,6 +104,8 @@
   readonly quietIntervals: number
   readonly announcements: ReadonlyMap<string, Announcement>
   readonly statuses: ReadonlyMap<string, TimedStatus>
+  /** Where this host may commit, or could, by group. */
+  readonly writes: ReadonlyMap<string, WriteReport>
   /** This host's copy of the directory. */
   readonly directory: Directory
   /** The owner of each database of that directory. */
@@ -136,6 +138,7 @@
     relayedHeartbeats: new Map(),
     announcements: new Map(),
     statuses: new Map(),
+    writes: new Map(),
     directory: createDirectory(0),
     owners: new Map(),
     ownedDatabases: new Map(),
--- a/src/primacy/tools.ts
+++ b/src/primacy/tools.ts
@@ -9,7 +9,7 @@
 import type { GroupRecord, GroupsTable, PrimacyCommand } from './table.js'
 
 /** Maximum relative difference between the rates of two hosts' clocks. */
-const MAX_CLOCK_DRIFT = 0.01
+export const MAX_CLOCK_DRIFT = 0.01
 /** Time after a host's heartbeat at which its grant lease has expired, even with clock drift. */
 export const LEASE_EXPIRY_MS = GRANT_LEASE_MS * (1 + MAX_CLOCK_DRIFT) + 1
 /** Time without an answer after which a database counts as silent, and a primary may be replaced; also the limit for a host's heartbeats. */
--- a/src/requests/decide.ts
+++ b/src/requests/decide.ts
@@ -232,6 +232,7 @@
     workspace: running.rules?.open === true ? undefined : caller.workspace,
     target,
     intent: running.input.intent,
+    ...(target.purpose === 'primary' && resolveAction(running.input) === 'write' ? { writes: true } as const : {}),
     transaction: caller.transaction?.beginAttempt,
     remainingMs: Math.max(0, Math.round(endsAtMs - moment.monotonicMs)),
     expectedMs: estimateMs(caller, running),
--- a/src/routing/decide.ts
+++ b/src/routing/decide.ts
@@ -64,10 +64,15 @@
   const primary = grant?.primary === undefined ? undefined : state.databases.get(grant.primary)
   if (primary !== undefined && isEvacuated(primary.entry)) return hasReplica(state, message, message.avoid) ? refuse(state, message, 'no-database', moment) : refuseAtOnce(state, message, 'evacuated')
   if (primary !== undefined && !isHome(primary, rules.homes)) return hasReplica(state, message, []) ? refuse(state, message, 'no-database', moment) : refuseAtOnce(state, message, 'no-home')
-  if (grant === undefined || grant.closing === true || primary?.owner === undefined || isUnresponsiveOwner(state, primary.owner)) return refuse(state, message, 'no-primary', moment)
+  if (grant === undefined || isClosed(state, grant, rules) || primary?.owner === undefined || isUnresponsiveOwner(state, primary.owner)) return refuse(state, message, 'no-primary', moment)
   return answerTarget(state, message, createTarget(primary, 'primary', grant.term, ORIGIN), moment)
 }
 
+// A self-fencing primary that is closed serves reads until its successor leads.
+function isClosed ({ guarantees }: RoutingState, { closing }: GrantEntry, { action }: ChooseTarget['rules']): boolean {
+  return closing === true && !(guarantees.selfFencing && action === 'read')
+}
+
 // A self-fencing database refuses a read whose floor it lacks, so any replica may be chosen. Its owner determines the
 // floor: only the owners of a group exchange its positions, which would cost each host of a large fleet more than its requests.
 function chooseBounded (state: RoutingState, message: ChooseTarget, grant: GrantEntry | undefined, leaving: LeavingChoice | undefined): Target | undefined {
--- a/src/succession/candidates.ts
+++ b/src/succession/candidates.ts
@@ -114,6 +114,23 @@
   return [...state.hosts.values()].filter(host => !host.apart && host.failureDomain === entry.failureDomain)
 }
 
+/**
+ * Tells whether a primary that departs or is evacuated would stay primary otherwise: it serves until its successor leads.
+ * @example isServing(state, primary, nowMs)
+ */
+export function isServing (state: SuccessionState, primary: TrackedDatabase, nowMs: number): boolean {
+  const isPlanned = primary.entry.departing || isInEvacuated(state, primary)
+  return isPlanned && findReplacementReason({ ...state, evacuated: new Set() }, { ...primary, entry: { ...primary.entry, departing: false } }, nowMs) === undefined
+}
+
+/**
+ * Tells whether another database of the primary's group could lead.
+ * @example hasOtherCandidate(state, primary, nowMs)
+ */
+export function hasOtherCandidate (state: SuccessionState, primary: TrackedDatabase, nowMs: number): boolean {
+  return listCandidates(state, primary.entry.group, nowMs).some(({ entry }) => entry.database !== primary.entry.database)
+}
+
 /**
  * Picks the next primary: of the databases that answer and do not depart, the one with the latest position; undefined if there is none.
  * One in an evacuated failure domain is picked only if there is no other.
--- /dev/null
+++ b/src/succession/closing.ts
@@ -0,0 +1,117 @@
+/**
+ * Replacement of a primary whose writes are acknowledged by a replica's copy. The primary is closed for writes first; once no
+ * host can acknowledge a commit any more, the replicas stop receiving and are compared. The group stays closed until an appointment
+ * has ended: a database that joins, starts again or can't be reached meanwhile may hold more than the successor, but nothing that
+ * was acknowledged.
+ */
+import { recordEvent } from '../core/message.js'
+import type { FenceReplica } from '../databases/driver.js'
+import { hasOtherCandidate, isServing, pickFencedSuccessor, type ReplacementReason } from './candidates.js'
+import type { ReplicaFenced } from './messages.js'
+import type { FencingProgress, SuccessionState, TrackedDatabase } from './state.js'
+import { appoint, createStep, isAppointmentSettling, publish, type SuccessionStep } from './steps.js'
+import { isQuiesced } from './writers.js'
+
+/** Delay before replicas that did not answer are fenced again. */
+const FENCE_RETRY_DELAY_MS = 400
+/** How long a primary that serves stays closed without a successor: longer than commit leases last. */
+const CLOSE_TIMEOUT_MS = 3_000
+
+/**
+ * Takes the next step of replacing a primary.
+ * @example replaceClosed(state, 'a', primary, 'departing', nowMs)
+ */
+export function replaceClosed (state: SuccessionState, group: string, primary: TrackedDatabase | undefined, reason: ReplacementReason, nowMs: number): SuccessionStep {
+  const progress = state.fencing.get(group)
+  if (isAppointmentSettling(state, group, nowMs)) return progress === undefined ? publish(state, group, primary?.entry.database) : createStep(state)
+  const serves = primary !== undefined && isServing(state, primary, nowMs)
+  if (progress === undefined) return serves && !hasOtherCandidate(state, primary, nowMs) ? publish(state, group, primary.entry.database) : beginClosing(state, group, primary, reason, nowMs)
+  if (progress.proposed !== undefined) return appointAgain(state, group, progress.proposed, reason, nowMs)
+  if (serves && nowMs - progress.startedAtMs >= CLOSE_TIMEOUT_MS) return cancelClosing(state, group, primary, nowMs)
+  if (progress.quiescedAtMs !== undefined) return fenceReplicas(state, group, progress, primary, reason, nowMs)
+  if (!isQuiesced(state, group, nowMs)) return createStep(state)
+  const quiet: FencingProgress = { ...progress, quiescedAtMs: nowMs }
+  return fenceReplicas(replaceProgress(state, group, quiet), group, quiet, primary, reason, nowMs)
+}
+
+/**
+ * Tells whether the appointment of a group's next primary is proposed. It may be committed at any time, so the group stays closed
+ * even if the primary answers again.
+ * @example isProposed(state, 'a')
+ */
+export function isProposed ({ fencing }: SuccessionState, group: string): boolean {
+  return fencing.get(group)?.proposed !== undefined
+}
+
+/**
+ * Opens a group again whose primary need not be replaced any more; its replicas resume receiving.
+ * @example resumeGroup(state, 'a', primary)
+ */
+export function resumeGroup (state: SuccessionState, group: string, primary: TrackedDatabase | undefined): SuccessionStep {
+  const published = publish(state, group, primary?.entry.database)
+  if (!state.fencing.has(group)) return published
+  const members = listMembers(state, group)
+  return { state: dropProgress(published.state, group), effects: [...published.effects, ...members.map(known => createFenceEffect(state, known, true))] }
+}
+
+/**
+ * Records the position of a replica that stopped receiving. One that was read while hosts may have committed is not compared.
+ * @example recordFenced(state, message)
+ */
+export function recordFenced (state: SuccessionState, { group, database, position }: ReplicaFenced): SuccessionState {
+  const progress = state.fencing.get(group)
+  if (progress?.quiescedAtMs === undefined || !state.members.has(database)) return state
+  return replaceProgress(state, group, { ...progress, positions: new Map(progress.positions).set(database, position) })
+}
+
+/**
+ * Drops the progress of a group, whose appointment is committed or whose primary stays.
+ * @example dropProgress(state, 'a').fencing.has('a') // false
+ */
+export function dropProgress (state: SuccessionState, group: string): SuccessionState {
+  const fencing = new Map(state.fencing)
+  fencing.delete(group)
+  return { ...state, fencing }
+}
+
+function replaceProgress (state: SuccessionState, group: string, progress: FencingProgress): SuccessionState {
+  return { ...state, fencing: new Map(state.fencing).set(group, progress) }
+}
+
+// Reports that arrived before the directory changed may still name hosts that commit, so these are looked at with the next check.
+function beginClosing (state: SuccessionState, group: string, primary: TrackedDatabase | undefined, reason: ReplacementReason, nowMs: number): SuccessionStep {
+  const begun = replaceProgress(state, group, { startedAtMs: nowMs, askedAtMs: -Infinity, positions: new Map() })
+  const isPublished = primary !== undefined && (isServing(state, primary, nowMs) || state.published.get(group)?.database === primary.entry.database)
+  const closed = isPublished ? publish(begun, group, primary.entry.database, true) : createStep(begun)
+  const event = recordEvent('primary-closing', `Group ${group}: the primary is ${reason}; it is closed for writes until another database leads.`, { group })
+  return { state: closed.state, effects: [event, ...closed.effects] }
+}
+
+// Without a successor callers do better with the primary that they have, for as long as it serves.
+function cancelClosing (state: SuccessionState, group: string, primary: TrackedDatabase, nowMs: number): SuccessionStep {
+  const reopened = resumeGroup({ ...state, appointedAtMs: new Map(state.appointedAtMs).set(group, nowMs) }, group, primary)
+  const event = recordEvent('primary-reopened', `Group ${group}: no database can take over from ${primary.entry.database}, which is open for writes again.`, { group })
+  return { state: reopened.state, effects: [event, ...reopened.effects] }
+}
+
+function appointAgain (state: SuccessionState, group: string, proposed: string, reason: ReplacementReason, nowMs: number): SuccessionStep {
+  const successor = state.members.get(proposed)
+  return successor === undefined ? createStep(state) : appoint(state, group, successor, reason, nowMs)
+}
+
+function fenceReplicas (state: SuccessionState, group: string, progress: FencingProgress, primary: TrackedDatabase | undefined, reason: ReplacementReason, nowMs: number): SuccessionStep {
+  const { awaited, successor } = pickFencedSuccessor(state, group, primary)
+  if (successor !== undefined) return appoint(replaceProgress(state, group, { ...progress, proposed: successor.entry.database }), group, successor, reason, nowMs)
+  if (nowMs - progress.askedAtMs < FENCE_RETRY_DELAY_MS) return createStep(state)
+  return { state: replaceProgress(state, group, { ...progress, askedAtMs: nowMs }), effects: awaited.map(known => createFenceEffect(state, known, false)) }
+}
+
+function createFenceEffect (state: SuccessionState, { entry }: TrackedDatabase, receives: boolean): FenceReplica {
+  const { group, database, address } = entry
+  const terms = listMembers(state, group).map(known => known.status?.position.term ?? 0)
+  return { kind: 'database/fence', group, database, address, term: Math.max(0, ...terms) + 1, receives }
+}
+
+function listMembers ({ members }: SuccessionState, group: string): readonly TrackedDatabase[] {
+  return [...members.values()].filter(({ entry }) => entry.group === group)
+}
--- a/src/succession/decide.ts
+++ b/src/succession/decide.ts
@@ -1,38 +1,31 @@
 /** Decisions of the succession slice, which the leader takes: failover of self-fencing databases through calls to the platform. */
 import { getOwn } from '../core/own.js'
 import { comparePositions } from '../core/position.js'
-import { recordEvent, type CoreEffect, type Moment, type Step } from '../core/message.js'
+import { recordEvent, type CoreEffect, type Moment } from '../core/message.js'
 import type { DatabaseStatus } from '../membership/directory.js'
 import { setTimer, tell } from '../messages.js'
-import type { FenceReplica } from '../databases/driver.js'
-import { findPrimary, findReplacementReason, isInEvacuated, pickFencedSuccessor, pickSuccessor, type ReplacementReason } from './candidates.js'
-import type { CallAnswered, CommandApplied, ReplicaFenced, LeadershipChanged, HostReported, SuccessionMessage } from './messages.js'
+import { findPrimary, findReplacementReason, isServing, pickSuccessor } from './candidates.js'
+import { dropProgress, isProposed, recordFenced, replaceClosed, resumeGroup } from './closing.js'
+import type { CallAnswered, CommandApplied, LeadershipChanged, HostReported, SuccessionMessage } from './messages.js'
 import { dropFormerIncarnations, isAppointmentSuperseded, markCaughtUp } from './incarnations.js'
 import type { Appointment } from './table.js'
 import type { AppointPrimary, PromotionCall, TrackedDatabase, SuccessionState } from './state.js'
+import { appoint, APPOINTMENT_INTERVAL_MS, createStep, isAppointmentSettling, publish, type SuccessionStep } from './steps.js'
+import { recordWriters } from './writers.js'
 
 /** Time between two checks of all groups. */
 const CHECK_INTERVAL_MS = 50
 /** How long a database is known after the last report of a host. */
 const REPORT_TTL_MS = 4_000
-/** Minimum time between two appointments of a group: longer than a promotion takes. */
-const APPOINTMENT_INTERVAL_MS = 2_500
-/** Time after which an uncommitted appointment is proposed again. */
-const PROPOSAL_TIMEOUT_MS = 1_000
 /** Delay before an unanswered call is retried, and before the next appointment after a failed one. */
 const CALL_RETRY_DELAY_MS = 300
 /** Delay before a call that the platform throttled is retried. */
 const THROTTLED_RETRY_DELAY_MS = 500
-/** Delay before replicas that did not answer are fenced again. */
-const FENCE_RETRY_DELAY_MS = 400
 /** Unanswered tries after which the appointment fails, so that another database can be appointed. */
 const MAX_TRIES = 4
 /** Fencing tokens per epoch: the maximum number of appointments of a group under one leader. */
 const FENCING_TOKENS_PER_EPOCH = 1_048_576
 
-type SuccessionEffect = CoreEffect | AppointPrimary | FenceReplica
-type SuccessionStep = Step<SuccessionState, SuccessionEffect>
-
 /**
  * Decides on one message of the succession slice.
  * @example decideSuccession(state, { kind: 'succession/check-due' }, moment)
@@ -53,12 +46,8 @@
   }
 }
 
-function createStep (state: SuccessionState): SuccessionStep {
-  return { state, effects: [] }
-}
-
 function changeLeadership (state: SuccessionState, { leads, epoch, table }: LeadershipChanged, nowMs: number): SuccessionStep {
-  const next: SuccessionState = { ...state, leads, epoch, table, leadingSinceMs: nowMs, databases: new Map(), hosts: new Map(), members: new Map(), fencing: new Map(), calls: new Map(), published: new Map(), appointedAtMs: new Map(), highestPositions: new Map() }
+  const next: SuccessionState = { ...state, leads, epoch, table, leadingSinceMs: nowMs, databases: new Map(), hosts: new Map(), members: new Map(), fencing: new Map(), writers: new Map(), calls: new Map(), published: new Map(), appointedAtMs: new Map(), highestPositions: new Map() }
   return { state: next, effects: leads ? [createCheckTimer()] : [] }
 }
 
@@ -66,7 +55,7 @@
   const { group } = command
   const changed = getOwn(state.table, group) !== getOwn(table, group)
   const appointed = changed && command.kind === 'succession/appoint'
-  const next: SuccessionState = { ...state, table, appointedAtMs: appointed ? new Map(state.appointedAtMs).set(group, nowMs) : state.appointedAtMs }
+  const next: SuccessionState = appointed ? { ...dropProgress(state, group), table, appointedAtMs: new Map(state.appointedAtMs).set(group, nowMs) } : { ...state, table }
   return state.leads && changed ? checkGroup(next, group, nowMs) : createStep(next)
 }
 
@@ -81,7 +70,8 @@
   }, createStep(recorded))
 }
 
-function recordReport (state: SuccessionState, { host, failureDomain, apart, leftAtMs, statuses, databases, remembered }: HostReported, restarted: ReadonlySet<string>, nowMs: number): SuccessionState {
+function recordReport (state: SuccessionState, message: HostReported, restarted: ReadonlySet<string>, nowMs: number): SuccessionState {
+  const { host, failureDomain, apart, leftAtMs, statuses, databases, remembered } = message
   const known = new Map(state.databases)
   for (const entry of databases) {
     const restartedAtMs = restarted.has(entry.database) ? nowMs : undefined
@@ -93,7 +83,7 @@
   releaseUnreported(known, host, statuses)
   const members = new Map([...state.members, ...known])
   const highestPositions = recordPositions(state.highestPositions, known, statuses, nowMs)
-  return { ...state, databases: known, members, highestPositions, hosts: new Map(state.hosts).set(host, { lastHeartbeatAtMs: nowMs, failureDomain, apart }) }
+  return { ...state, databases: known, members, highestPositions, writers: recordWriters(state, message, nowMs), hosts: new Map(state.hosts).set(host, { lastHeartbeatAtMs: nowMs, failureDomain, apart }) }
 }
 
 function recordPositions (before: SuccessionState['highestPositions'], databases: ReadonlyMap<string, TrackedDatabase>, statuses: readonly DatabaseStatus[], nowMs: number): SuccessionState['highestPositions'] {
@@ -162,73 +152,13 @@
 function checkPrimary (state: SuccessionState, group: string, nowMs: number): SuccessionStep {
   const primary = findPrimary(state, group)
   const reason = findReplacementReason(state, primary, nowMs)
-  if (reason === undefined) return resumeReplicas(publish(state, group, primary?.entry.database), group)
-  if ((state.requiredCopies.get(group) ?? 0) > 0) return fenceGroup(state, group, primary, reason, nowMs)
+  if (reason === undefined && !isProposed(state, group)) return resumeGroup(state, group, primary)
+  if (reason === undefined || (state.requiredCopies.get(group) ?? 0) > 0) return replaceClosed(state, group, primary, reason ?? 'silent', nowMs)
   const successor = isAppointmentSettling(state, group, nowMs) ? undefined : pickSuccessor(state, group, primary, nowMs)
   if (successor === undefined) return publish(state, group, primary?.entry.database)
   return appoint(state, group, successor, reason, nowMs)
 }
 
-// Where a replica's copy acknowledges a write, replicas are fenced before their positions are compared, so that
-// no write can be acknowledged after the comparison.
-function fenceGroup (state: SuccessionState, group: string, primary: TrackedDatabase | undefined, reason: ReplacementReason, nowMs: number): SuccessionStep {
-  if (isAppointmentSettling(state, group, nowMs)) return publish(state, group, primary?.entry.database)
-  const { awaited, successor } = pickFencedSuccessor(state, group, primary)
-  if (successor !== undefined && state.fencing.has(group)) {
-    const appointed = appoint(state, group, successor, reason, nowMs)
-    const fencing = new Map(state.fencing)
-    fencing.delete(group)
-    return { state: { ...appointed.state, fencing }, effects: appointed.effects }
-  }
-  const progress = state.fencing.get(group)
-  if (progress !== undefined && nowMs - progress.askedAtMs < FENCE_RETRY_DELAY_MS) return createStep(state)
-  const next = { askedAtMs: nowMs, positions: progress?.positions ?? new Map() }
-  return { state: { ...state, fencing: new Map(state.fencing).set(group, next) }, effects: awaited.map(known => createFenceEffect(state, known, false)) }
-}
-
-function recordFenced (state: SuccessionState, { group, database, position }: ReplicaFenced): SuccessionState {
-  const progress = state.fencing.get(group)
-  if (progress === undefined || !state.members.has(database)) return state
-  return { ...state, fencing: new Map(state.fencing).set(group, { ...progress, positions: new Map(progress.positions).set(database, position) }) }
-}
-
-// The primary answers again, so its replicas resume receiving.
-function resumeReplicas (step: SuccessionStep, group: string): SuccessionStep {
-  if (!step.state.fencing.has(group)) return step
-  const fencing = new Map(step.state.fencing)
-  fencing.delete(group)
-  const members = [...step.state.members.values()].filter(known => known.entry.group === group)
-  return { state: { ...step.state, fencing }, effects: [...step.effects, ...members.map(known => createFenceEffect(step.state, known, true))] }
-}
-
-function createFenceEffect (state: SuccessionState, { entry }: TrackedDatabase, receives: boolean): FenceReplica {
-  const { group, database, address } = entry
-  const terms = [...state.members.values()].filter(known => known.entry.group === group).map(known => known.status?.position.term ?? 0)
-  return { kind: 'database/fence', group, database, address, term: Math.max(0, ...terms) + 1, receives }
-}
-
-// One appointment of a group has to settle before the next begins.
-function isAppointmentSettling (state: SuccessionState, group: string, nowMs: number): boolean {
-  const appointedAtMs = state.appointedAtMs.get(group)
-  return appointedAtMs !== undefined && nowMs - appointedAtMs < APPOINTMENT_INTERVAL_MS
-}
-
-function appoint (state: SuccessionState, group: string, successor: TrackedDatabase, reason: ReplacementReason, nowMs: number): SuccessionStep {
-  const appointment = (getOwn(state.table, group)?.appointment ?? 0) + 1
-  const { database, incarnation } = successor.entry
-  // Prevents another proposal until the command is applied or times out.
-  const appointedAtMs = new Map(state.appointedAtMs).set(group, nowMs - APPOINTMENT_INTERVAL_MS + PROPOSAL_TIMEOUT_MS)
-  const position = successor.status?.position
-  const text = `Group ${group}: the primary is ${reason}; ${database} is appointed (appointment ${appointment}), at ${position?.term}.${position?.offset}.`
-  return {
-    state: { ...state, appointedAtMs },
-    effects: [
-      tell({ kind: 'agreement/propose', proposal: `succession/${group}/${appointment}`, command: { kind: 'succession/appoint', group, appointment, database, instance: incarnation?.instance } }),
-      recordEvent('primary-appointed', text, { group })
-    ]
-  }
-}
-
 // A departing or evacuated primary stays published until its successor is promoted; a silent one is withdrawn.
 function callPlatform (state: SuccessionState, group: string, nowMs: number): SuccessionStep {
   const { appointment, database } = getOwn(state.table, group)!
@@ -239,9 +169,7 @@
   const effect: AppointPrimary = { kind: 'promotion/appoint', group, database, appointment, fence: state.epoch * FENCING_TOKENS_PER_EPOCH + appointment }
   const published = state.published.get(group)?.database
   const former = published === undefined ? undefined : state.databases.get(published)
-  const isPlanned = former !== undefined && (former.entry.departing || isInEvacuated(state, former))
-  const isServing = isPlanned && findReplacementReason({ ...state, evacuated: new Set() }, { ...former, entry: { ...former.entry, departing: false } }, nowMs) === undefined
-  const withdrawn = isServing ? createStep(state) : publish(state, group, undefined)
+  const withdrawn = former !== undefined && isServing(state, former, nowMs) ? createStep(state) : publish(state, group, undefined)
   return { state: { ...withdrawn.state, calls: new Map(state.calls).set(group, next) }, effects: [...withdrawn.effects, effect] }
 }
 
@@ -278,20 +206,6 @@
   return { state: published.state, effects: [event, settled, ...published.effects] }
 }
 
-function publish (state: SuccessionState, group: string, database: string | undefined): SuccessionStep {
-  const known = state.published.get(group)
-  if (known !== undefined && known.database === database) return createStep(state)
-  if (known === undefined && database === undefined) return createStep(state)
-  const term = getOwn(state.table, group)?.appointment ?? 0
-  return {
-    state: { ...state, published: new Map(state.published).set(group, { database }) },
-    effects: [
-      tell({ kind: 'membership/publish', entry: { kind: 'grant', group, term, primary: database, members: [] } }),
-      recordEvent('primary-published', `Group ${group}: the published primary is ${database ?? 'none'}.`, { group })
-    ]
-  }
-}
-
 function createCheckTimer (): CoreEffect {
   return setTimer('succession/check', CHECK_INTERVAL_MS, { kind: 'succession/check-due' })
 }
--- a/src/succession/messages.ts
+++ b/src/succession/messages.ts
@@ -1,6 +1,6 @@
 /** Messages of the succession slice, which manages the primaries of self-fencing databases. */
 import type { LogPosition } from '../core/position.js'
-import type { DatabaseEntry, DatabaseStatus } from '../membership/directory.js'
+import type { DatabaseEntry, DatabaseStatus, WriteReport } from '../membership/directory.js'
 import type { SuccessionCommand, AppointmentTable } from './table.js'
 
 /** This host became the leader or stopped leading. */
@@ -29,6 +29,10 @@
   readonly leftAtMs?: number
   readonly statuses: readonly DatabaseStatus[]
   readonly databases: readonly DatabaseEntry[]
+  /** Where the host may commit, or could; then with the process that says so and the number of its heartbeat. */
+  readonly writes?: readonly WriteReport[]
+  readonly process?: string
+  readonly round?: number
   /** True if the databases are known only from the log: no host has reported them since the control hosts restarted. */
   readonly remembered?: true
 }
--- a/src/succession/state.ts
+++ b/src/succession/state.ts
@@ -1,7 +1,7 @@
 /** State of the succession slice; only the leader uses more than the table. */
 import type { Effect } from '../core/message.js'
 import type { LogPosition } from '../core/position.js'
-import type { DatabaseEntry, DatabaseStatus } from '../membership/directory.js'
+import type { CommitPhase, DatabaseEntry, DatabaseStatus } from '../membership/directory.js'
 import type { AppointmentTable } from './table.js'
 
 /** Calls the platform to promote a database to primary of its group; posts `succession/answered`. */
@@ -43,13 +43,30 @@
   readonly seenAtMs: number
 }
 
-/** Progress of fencing the replicas of a group before one of them is appointed. */
+/** Progress of closing a group for writes and fencing its replicas before one of them is appointed. */
 export interface FencingProgress {
+  /** When the primary was closed. */
+  readonly startedAtMs: number
+  /** From when on no host can acknowledge a commit; absent before. */
+  readonly quiescedAtMs?: number
   readonly askedAtMs: number
+  /** The database whose appointment is proposed. */
+  readonly proposed?: string
   /** Positions of the replicas that stopped receiving. */
   readonly positions: ReadonlyMap<string, LogPosition>
 }
 
+/** A process of a host that may commit in a group, or could. */
+export interface Writer {
+  /** The time of its last heartbeat that says so. */
+  readonly heardAtMs: number
+  /** The number of that heartbeat. */
+  readonly round: number
+  readonly phase: CommitPhase
+  /** The highest position of a commit that it acknowledged, as of that heartbeat. */
+  readonly acknowledged?: LogPosition
+}
+
 /** A host that sends heartbeats to this leader. */
 export interface ReportingHost {
   readonly lastHeartbeatAtMs: number
@@ -84,12 +101,14 @@
   /** Evacuated failure domains. */
   readonly evacuated: ReadonlySet<string>
   readonly fencing: ReadonlyMap<string, FencingProgress>
+  /** The processes of hosts that report a commit lease, by group; absent before the first such report. */
+  readonly writers: ReadonlyMap<string, ReadonlyMap<string, Writer>>
   /** All databases that have not withdrawn themselves, including silent ones. */
   readonly members: ReadonlyMap<string, TrackedDatabase>
   /** The latest position of each group. */
   readonly highestPositions: ReadonlyMap<string, HighestPosition>
-  /** The published primary of each group. */
-  readonly published: ReadonlyMap<string, { readonly database: string | undefined }>
+  /** The published primary of each group, whether it is closed for writes, and whether hosts need a lease to commit. */
+  readonly published: ReadonlyMap<string, { readonly database: string | undefined, readonly closing: boolean, readonly leased: boolean }>
   /** The time from which the delay between appointments counts, by group. */
   readonly appointedAtMs: ReadonlyMap<string, number>
 }
@@ -111,6 +130,7 @@
     requiredCopies: new Map(),
     evacuated: new Set(),
     fencing: new Map(),
+    writers: new Map(),
     members: new Map(),
     highestPositions: new Map(),
     published: new Map(),
--- a/src/transactions/cold.ts
+++ b/src/transactions/cold.ts
@@ -8,6 +8,7 @@
 import { setTimer } from '../messages.js'
 import { countEntries, listEntries, removeEntry } from '../fairness/queue.js'
 import type { RunRequest } from './messages.js'
+import { findCommitRefusal } from './commits.js'
 import { abortUnit, createExecute, startQueued } from './pool.js'
 import { estimateTokenWaitMs, hasTokenForNewWork, hasToken, takeToken, updateRefill, type Refill } from './refill.js'
 import { calculateSlotLimit, computeLoad, countUsedSlots, replaceUnit, type OwnedDatabase, type TransactionsShared, type UnitOfWork } from './state.js'
@@ -77,10 +78,10 @@
  * @example continueWhenWarm(database, unit, moment)
  */
 export function continueWhenWarm (database: OwnedDatabase, unit: UnitOfWork, moment: Moment): DatabaseStep {
-  const { run, connection } = unit
+  const { run } = unit
   const held = countHeld(database)
   const timer = setDeadlineTimer(run, run.remainingMs)
-  if (held === 0 && hasToken(database.refill)) return { database: replaceUnit({ ...database, refill: takeToken(database.refill) }, unit), effects: [timer, createExecute(run, connection)] }
+  if (held === 0 && hasToken(database.refill)) return { database: replaceUnit({ ...database, refill: takeToken(database.refill) }, unit), effects: [timer, createExecute(database, unit)] }
   const refusal = createRefusal(database, run, estimateTokenWaitMs(database.refill!, held + 1), moment)
   if (refusal === undefined) return { database: replaceUnit(database, { ...unit, held: true }), effects: [timer] }
   const answer = answerFailed(run.from!, run, refusal, false, computeLoad(database))
@@ -95,16 +96,17 @@
 export function startHeld (database: OwnedDatabase, moment: Moment): DatabaseStep {
   const held = [...database.units.values()].find(unit => unit.held === true)
   if (held === undefined) return continueStep(startQueued(database), next => refuseExcess(next, moment))
-  if (isGraceOver(database, moment)) return continueStep(endHeld(database, held), next => startHeld(next, moment))
+  const failure = isGraceOver(database, moment) ? createFailure('transaction-evacuated', database.entry.group) : findCommitRefusal(database, held.run, held, moment)
+  if (failure !== undefined) return continueStep(endHeld(database, held, failure), next => startHeld(next, moment))
   if (!hasToken(database.refill)) return refuseExcess(database, moment)
   const { held: _, ...unit } = held
-  const step: DatabaseStep = { database: replaceUnit({ ...database, refill: takeToken(database.refill) }, unit), effects: [createExecute(unit.run, unit.connection)] }
+  const step: DatabaseStep = { database: replaceUnit({ ...database, refill: takeToken(database.refill) }, unit), effects: [createExecute(database, unit)] }
   return continueStep(step, next => startHeld(next, moment))
 }
 
-// The order came while it waited.
-function endHeld (database: OwnedDatabase, unit: UnitOfWork): DatabaseStep {
-  const answer = answerFailed(unit.from, unit.run, createFailure('transaction-evacuated', database.entry.group), false)
+// An order came, or the primary was closed, while it waited.
+function endHeld (database: OwnedDatabase, unit: UnitOfWork, failure: Failure): DatabaseStep {
+  const answer = answerFailed(unit.from, unit.run, failure, false)
   return continueStep({ database, effects: [answer] }, next => abortUnit(next, unit))
 }
 
--- a/src/transactions/decide.ts
+++ b/src/transactions/decide.ts
@@ -13,14 +13,16 @@
 import type { StalenessBound } from '../requests/messages.js'
 import { isTooLate } from '../stopping/remaining.js'
 import { findProvenFloor } from '../routing/staleness.js'
-import { computeLoad, nameFlow, replaceUnit, type OwnedDatabase, type TransactionsShared, type UnitOfWork } from './state.js'
+import { computeLoad, nameFlow, replaceUnit, type OwnedDatabase, type TransactionsShared } from './state.js'
 import { updateOverlap, createLagTimer, recordRun, updateLag } from './overlap.js'
 import { computePace, findOverload } from './pace.js'
 import { continueWhenWarm, createRefillTimer, findColdRefusal, startHeld, startRefills, updateRefills } from './cold.js'
 import { answerFailed, continueStep, setDeadlineTimer, setIdleTimer, clearDeadlineTimer, createEmptyStep, refuseRun, type DatabaseStep, type TransactionsStep, type TransactionsStore } from './step.js'
+import { findCommitRefusal, recordCommit, updateCommitLeases } from './commits.js'
 import { acknowledgeDurableWrites, answerFinished } from './durability.js'
 import { computeUrgency, countTurns } from './urgency.js'
 import { clearSlowReadTimer, reportSlowRead } from './slowread.js'
+import { markWrote } from './writing.js'
 import { isNewSequenceNumber, recordSequenceNumber } from './sequence.js'
 import { sendPeer, tell } from '../messages.js'
 
@@ -30,7 +32,7 @@
  */
 export function decideTransactions (store: TransactionsStore, message: TransactionsMessage, moment: Moment): TransactionsStep {
   const current = updateRefills(store, moment)
-  return updatePaces(current, decideMessage(current, message, moment), moment)
+  return updateCommitLeases(current, updatePaces(current, decideMessage(current, message, moment), moment), moment)
 }
 
 function updatePaces (store: TransactionsStore, step: TransactionsStep, moment: Moment): TransactionsStep {
@@ -68,7 +70,7 @@
     case 'transactions/opened': return decideFor(store, parseDatabaseName(message.connection), database => acceptConnection(database, message))
     case 'transactions/open-failed': return decideFor(store, parseDatabaseName(message.connection), database => handleOpenFailed(database, message))
     case 'transactions/output': return decideFor(store, parseDatabaseName(message.connection), database => forwardOutput(database, message))
-    case 'transactions/finished': return decideFor(store, parseDatabaseName(message.connection), database => handleFinished(store.shared, database, message, moment))
+    case 'transactions/finished': return finishRun(store, message, moment)
     case 'transactions/broken': return decideFor(store, parseDatabaseName(message.connection), database => handleConnectionBroken(database, message))
   }
 }
@@ -168,7 +170,7 @@
 }
 
 function enqueue (shared: TransactionsShared, database: OwnedDatabase, message: RunRequest, moment: Moment): DatabaseStep {
-  const refusal = findRefusal(database, message)
+  const refusal = findRefusal(database, message) ?? findCommitRefusal(database, message, undefined, moment)
   if (refusal !== undefined) return { database, effects: [refuseRun(message, refusal, database)] }
   const overload = findColdRefusal(database, message, moment) ?? findOverload(database, message, shared.lagMs, moment)
   if (overload !== undefined) return { database, effects: [refuseOverload(database, message, overload)] }
@@ -205,8 +207,8 @@
   const { entry } = database
   const unavailable = database.backingOff && database.connections.size === 0
   if (database.releasing || entry.departing || unavailable) return createFailure('no-database', entry.group)
-  const replaced = !database.guarantees.selfFencing && database.term !== target.term
-  if (target.purpose === 'primary' && (replaced || database.closing === true)) return createFailure('no-primary', entry.group)
+  const replaced = !database.guarantees.selfFencing && (database.term !== target.term || database.closing === true)
+  if (target.purpose === 'primary' && replaced) return createFailure('no-primary', entry.group)
   if (isBehind(database, message)) return createFailure('no-database', entry.group)
   return undefined
 }
@@ -217,10 +219,18 @@
     return { database, effects: [answerFailed(message.from!, message, createFailure('transaction-lost', 'the database does not hold it'), false)] }
   }
   if (isGraceOver(database, moment)) return endUnit(database, message, createFailure('transaction-evacuated', database.entry.group))
-  const next: UnitOfWork = { ...unit, phase: 'running', run: message, partsSent: 0 }
+  const closed = findCommitRefusal(database, message, unit, moment)
+  if (closed !== undefined) return endUnit(database, message, closed)
+  const next = markWrote({ ...unit, phase: 'running', run: message, partsSent: 0 })
   return continueWhenWarm(database, next, moment)
 }
 
+function finishRun (store: TransactionsStore, message: DatabaseFinished, moment: Moment): TransactionsStep {
+  const name = parseDatabaseName(message.connection)
+  const step = decideFor(store, name, database => handleFinished(store.shared, database, message, moment))
+  return { ...step, shared: recordCommit(store, name, message) }
+}
+
 function forwardOutput (database: OwnedDatabase, message: DatabaseOutput): DatabaseStep {
   const unit = findUnit(database, message.connection)
   if (unit?.phase !== 'running') return createEmptyStep(database)
--- a/src/transactions/durability.ts
+++ b/src/transactions/durability.ts
@@ -1,10 +1,12 @@
 /** Answers to finished requests. The answer to a write waits until a majority of its group stores the write. */
+import { createFailure } from '../core/errors.js'
 import type { Moment } from '../core/message.js'
 import { pickLater } from '../core/position.js'
 import type { OwnerReport } from '../requests/messages.js'
 import type { DatabaseFinished, PositionStored } from './messages.js'
 import { computeLoad, type OwnedDatabase, type PendingWrite, type UnitOfWork } from './state.js'
-import type { DatabaseStep, TransactionsEffect } from './step.js'
+import { answerFailed, type DatabaseStep, type TransactionsEffect } from './step.js'
+import { isCommitting } from './writing.js'
 import { sendPeer } from '../messages.js'
 
 /**
@@ -17,7 +19,10 @@
   const { status, payload, position } = message
   if (position === undefined || database.guarantees.selfFencing) {
     const wrote = position !== undefined
-    return { database, effects: [sendPeer(unit.from, { kind: 'requests/finished', caller, attempt, status, wrote, position: position ?? database.position, parts, payload, load: computeLoad(database), ...calculateStages(unit, message, moment) })] }
+    const limit = wrote && database.commitsUntilMs !== undefined && isCommitting(unit) ? { notAfterMs: database.commitsUntilMs } : {}
+    // The replicas may have been compared by now, before this commit reached any of them.
+    if (limit.notAfterMs !== undefined && moment.monotonicMs >= limit.notAfterMs) return { database, effects: [answerFailed(unit.from, unit.run, createFailure('outcome-unknown', 'the leader has not confirmed this host'), false)] }
+    return { database, effects: [{ ...sendPeer(unit.from, { kind: 'requests/finished', caller, attempt, status, wrote, position: position ?? database.position, parts, payload, load: computeLoad(database), ...calculateStages(unit, message, moment) }), ...limit }] }
   }
   const write: PendingWrite = { from: unit.from, caller, attempt, status, position, parts, payload }
   const next: OwnedDatabase = { ...database, pendingWrites: [...database.pendingWrites, write] }
--- a/src/transactions/messages.ts
+++ b/src/transactions/messages.ts
@@ -26,6 +26,8 @@
   readonly workspace?: string
   readonly target: Target
   readonly intent: Intent
+  /** True if the statement writes, or begins or ends a transaction that may; absent otherwise. */
+  readonly writes?: true
   /** The attempt that began the caller's open transaction; absent outside a transaction. */
   readonly transaction?: number
   readonly remainingMs: number
@@ -161,7 +163,7 @@
   readonly untilMs: number
 }
 
-/** The leader confirmed that this host's directory was current; told where documents name rates of cold databases. */
+/** The leader confirmed that this host's directory was current; told where documents name rates of cold databases, or hosts need a lease to commit. */
 export interface DirectoryConfirmed {
   readonly kind: 'transactions/contact-confirmed'
   /** The monotonic time at which this host asked. */
--- a/src/transactions/ownership.ts
+++ b/src/transactions/ownership.ts
@@ -11,6 +11,7 @@
 import type { OwnershipChanged } from './messages.js'
 import type { OwnedDatabase } from './state.js'
 import { answerFailed, continueStep, clearDeadlineTimer, createEmptyStep, refuseRun, type DatabaseStep, type TransactionsEffect, type TransactionsStep, type TransactionsStore } from './step.js'
+import { refuseQueuedWrites } from './commits.js'
 import { abortUnit, refuseQueued } from './pool.js'
 
 /**
@@ -23,7 +24,7 @@
   const generation = store.shared.generation + 1
   const coldRates = mergeColdRates(store.shared.coldRates, message.coldRates)
   const limited = [...store.items.values()].map(database => (coldRates.has(database.entry.group) ? database : { ...database, refill: undefined }))
-  const released = limited.filter(database => !ownedNames.has(database.entry.database)).map(database => releaseDatabase(markOwned(database, evacuated, confirmedAtMs)))
+  const released = limited.filter(database => !ownedNames.has(database.entry.database)).map(database => releaseDatabase(updateTerm(markOwned(database, evacuated, confirmedAtMs), message.grants)))
   const owned = message.databases.map(entry => {
     const known = limited.find(database => database.entry.database === entry.database) ?? createOwned(entry, generation, store.shared.guarantees)
     return updateEntry(markOwned({ ...known, entry }, evacuated, confirmedAtMs), message.grants.find(grant => grant.group === entry.group))
@@ -74,6 +75,12 @@
   }
 }
 
+// Transactions that are open here go on until the primary is closed or replaced, whoever owns it then.
+function updateTerm (database: OwnedDatabase, grants: readonly GrantEntry[]): OwnedDatabase {
+  const { guarantees, entry } = database
+  return guarantees.selfFencing ? applyGrant(database, grants.find(({ group }) => group === entry.group)).database : database
+}
+
 // Queued requests are refused as not run; running ones may finish here.
 function releaseDatabase (database: OwnedDatabase): DatabaseStep {
   const idle = [...database.connections.values()].filter(connection => connection.phase !== 'bound')
@@ -96,7 +103,8 @@
   const term = grant?.primary === name ? grant.term : undefined
   const members = grant?.members ?? database.members
   const closing = grant?.closing === true
-  if (term === database.term || database.guarantees.selfFencing) return createEmptyStep({ ...database, term, members, closing })
+  if (database.guarantees.selfFencing) return refuseQueuedWrites({ ...database, term, members, closing, leased: grant === undefined ? database.leased : grant.leased })
+  if (term === database.term) return createEmptyStep({ ...database, term, members, closing })
   const replaced = createFailure('outcome-unknown', 'the primary was replaced')
   const failed = database.pendingWrites.map(write => answerFailed(write.from, write, replaced, false))
   const queuedForPrimary = listEntries(database.queue).map(waiting => waiting.item).filter(message => message.target.purpose === 'primary')
--- a/src/transactions/pool.ts
+++ b/src/transactions/pool.ts
@@ -11,6 +11,7 @@
 import { calculateSlotLimit, countUsedSlots, type Connection, type OwnedDatabase, type UnitOfWork } from './state.js'
 import { setSlowReadTimer } from './slowread.js'
 import { answerFailed, continueStep, clearDeadlineTimer, createEmptyStep, refuseRun, type DatabaseStep } from './step.js'
+import { isCommitting } from './writing.js'
 
 /**
  * The share of the connection limit that one owner uses where each connection belongs to a workspace. The rest is
@@ -122,18 +123,20 @@
     units: new Map(database.units).set(caller, unit),
     connections: new Map(database.connections).set(connection, { ...recordUse(idle, database.started, calculateConnectionLimit(database)), phase: 'bound', caller })
   }
-  return { database: next, effects: [createExecute(message, connection), ...setSlowReadTimer(message)] }
+  return { database: next, effects: [createExecute(next, unit), ...setSlowReadTimer(message)] }
 }
 
 /**
  * Creates the effect that runs a request on a connection. A request that was routed to a replica
- * may not write, even if the database was promoted in the meantime.
- * @example createExecute(message, 'a1#1.1')
+ * may not write, even if the database was promoted in the meantime. A commit is not sent once the lease for it has ended.
+ * @example createExecute(database, unit)
  */
-export function createExecute (message: RunRequest, connection: string): DatabaseEffect {
-  const { service, workspace, intent, target, payload } = message
-  const outsideTransaction = message.transaction === undefined
-  return { kind: 'database/execute', connection, service, workspace, intent, readOnly: target.purpose === 'replica', floor: outsideTransaction && target.purpose === 'replica' ? target.floor : undefined, payload }
+export function createExecute ({ commitsUntilMs }: OwnedDatabase, unit: UnitOfWork): DatabaseEffect {
+  const { run, connection } = unit
+  const { service, workspace, intent, target, payload } = run
+  const outsideTransaction = run.transaction === undefined
+  const limit = commitsUntilMs !== undefined && isCommitting(unit) ? { notAfterMs: commitsUntilMs } : {}
+  return { ...limit, kind: 'database/execute', connection, service, workspace, intent, readOnly: target.purpose === 'replica', floor: outsideTransaction && target.purpose === 'replica' ? target.floor : undefined, payload }
 }
 
 /**
--- a/src/transactions/state.ts
+++ b/src/transactions/state.ts
@@ -3,7 +3,7 @@
 import { hasTokenForNewWork } from './refill.js'
 import { POSTGRES_GUARANTEES, type DatabaseGuarantees } from '../databases/guarantees.js'
 import { countEntries, type FairQueue } from '../fairness/queue.js'
-import type { DatabaseEntry } from '../membership/directory.js'
+import type { CommitPhase, DatabaseEntry } from '../membership/directory.js'
 import type { TransactionStatus } from '../requests/messages.js'
 import type { PrimarySample } from '../routing/state.js'
 import type { RunRequest, SequenceNumber } from './messages.js'
@@ -41,6 +41,17 @@
   readonly partsSent: number
   /** True while the running request waits here for a token of the cold database. */
   readonly held?: true
+  /** True once a statement that writes was sent in its transaction. */
+  readonly wrote?: true
+}
+
+/** The lease of this host to commit at the primary of a group, where a replica's copy acknowledges a write. */
+export interface CommitLease {
+  readonly phase: CommitPhase
+  /** The monotonic time of the change to `open`: only heartbeats after it name the group. */
+  readonly namedAtMs: number
+  /** The highest position of a commit that a database acknowledged to this host. */
+  readonly acknowledged?: LogPosition
 }
 
 /** A finished write that is not acknowledged yet, because no majority stores its position. */
@@ -104,6 +115,10 @@
   readonly durablePosition: LogPosition
   /** The rate of requests while the database is cold; absent where its group has none. */
   readonly refill?: Refill
+  /** True where a replica's copy acknowledges a write, by the last grant of its group. */
+  readonly leased?: boolean
+  /** The monotonic time until which commits may be sent and acknowledged; absent where that needs no lease. */
+  readonly commitsUntilMs?: number
 }
 
 /** State of the slice that belongs to no single database. */
@@ -131,6 +146,8 @@
   readonly coldRates: ReadonlyMap<string, number>
   /** When this host asked the leader for the last confirmation of its directory. */
   readonly confirmedAtMs: number
+  /** The commit leases of this host by group; those that ended stay, with what was acknowledged. */
+  readonly commitLeases: ReadonlyMap<string, CommitLease>
 }
 
 /**
@@ -184,5 +201,5 @@
  * @example createTransactionsShared(1_000, 10_000)
  */
 export function createTransactionsShared (queueLength: number, idleTransactionMs: number, guarantees: DatabaseGuarantees = POSTGRES_GUARANTEES, coldLimits = DEFAULT_COLD_LIMITS): TransactionsShared {
-  return { queueLength, lagMs: 0, idleTransactionMs, guarantees, sequenceNumbers: new Map(), generation: 0, stopping: false, samples: new Map(), coldLimits, coldRates: new Map(), confirmedAtMs: -Infinity }
+  return { queueLength, lagMs: 0, idleTransactionMs, guarantees, sequenceNumbers: new Map(), generation: 0, stopping: false, samples: new Map(), coldLimits, coldRates: new Map(), confirmedAtMs: -Infinity, commitLeases: new Map() }
 }
