Resumes replicas by what they report, whoever paused them

Cause: what was paused stood in the leader's memory alone. An appointment and a change of the leader dropped it; RESUME was sent once, and its answer was not looked at. The replicas stayed paused, so no copy acknowledged a commit.

The term at which a replica is paused stands in its status; no process read it.

Ruled out: a wrong or missing primary (the COMMITs run there), connections to its former start (the statements before the COMMIT are answered).

Change: owners read that term with the status of a database and report it. Where hosts need a lease to commit, a database that answers requests is asked for its status each second, since those answers don't tell.

Why it works: the decision compares what replicas should do with what they do, so it needs no record, survives each leader, and repeats what is lost.

--- a/src/membership/decide.ts
+++ b/src/membership/decide.ts
@@ -23,6 +23,8 @@
  * bounded reads only while there is a fresh proof, so a primary whose queue is too long for reads has to be probed.
  */
 const PRIMARY_PROOF_MAX_AGE_MS = 600
+/** Age of the last status from which on a database is probed although it answers, where hosts need a lease to commit. */
+const FENCE_MAX_AGE_MS = 1_000
 /** How long an answer to a heartbeat is accepted. */
 const HEARTBEAT_TTL_MS = 5_000
 /** The part of the time for an evacuation after which an unconfirmed owner refuses work; the rest is for clocks and work under way. */
@@ -293,9 +295,11 @@
 }
 
 function probeOwned (state: MembershipState, moment: Moment): MembershipStep {
-  const primaries = new Set(listEntries(state.directory, 'grant').map(grant => grant.primary))
+  const grants = listEntries(state.directory, 'grant')
+  const primaries = new Set(grants.map(grant => grant.primary))
+  const leased = new Set(grants.filter(grant => grant.leased === true).map(({ group }) => group))
   const probes = [...state.ownedDatabases.values()]
-    .filter(({ database }) => isProbeNeeded(state, database, primaries.has(database), moment))
+    .filter(({ database, group }) => isProbeNeeded(state, database, primaries.has(database), moment) || (leased.has(group) && isFenceUnread(state, database, moment)))
     .map((entry): ProbeDatabase => ({ kind: 'database/probe', database: entry.database, address: entry.address, group: entry.group, askedAtMs: moment.monotonicMs, primary: primaries.has(entry.database) }))
   return { state, effects: [...probes, createProbeTimer(state)] }
 }
@@ -308,11 +312,16 @@
   return primary && moment.monotonicMs - (known.provenAtMs ?? -Infinity) >= PRIMARY_PROOF_MAX_AGE_MS
 }
 
+// Answers to requests do not tell whether replication is paused.
+function isFenceUnread ({ statuses }: MembershipState, database: string, { monotonicMs }: Moment): boolean {
+  return monotonicMs - (statuses.get(database)?.readAtMs ?? -Infinity) >= FENCE_MAX_AGE_MS
+}
+
 function recordAnswer (state: MembershipState, { database, position, askedAtMs, proven }: DatabaseAnswered): MembershipState {
   const known = state.statuses.get(database)
   if (known !== undefined && known.askedAtMs > askedAtMs) return state
   const status: DatabaseStatus = { fencedTerm: 0, ...known?.status, database, answering: true, position, primary: proven }
-  return { ...state, statuses: new Map(state.statuses).set(database, { status, askedAtMs, provenAtMs: proven ? askedAtMs : known?.provenAtMs, silentMs: 0 }) }
+  return { ...state, statuses: new Map(state.statuses).set(database, { status, askedAtMs, readAtMs: known?.readAtMs, provenAtMs: proven ? askedAtMs : known?.provenAtMs, silentMs: 0 }) }
 }
 
 function recordProbe (state: MembershipState, message: ProbeCompleted): MembershipStep {
@@ -320,7 +329,7 @@
   const known = state.statuses.get(status.database)
   const provenAtMs = status.primary ? askedAtMs : known?.provenAtMs
   const silentMs = status.answering ? 0 : known?.silentMs ?? 0
-  const statuses = new Map(state.statuses).set(status.database, { status, askedAtMs, provenAtMs, silentMs })
+  const statuses = new Map(state.statuses).set(status.database, { status, askedAtMs, readAtMs: askedAtMs, provenAtMs, silentMs })
   const effects: CoreEffect[] = [tell({ kind: 'routing/status-read', status: message.status, askedAtMs: message.askedAtMs })]
   if (message.status.answering) {
     effects.push(tell({ kind: 'transactions/position-read', database: message.status.database, position: message.status.position }))
--- a/src/membership/directory.ts
+++ b/src/membership/directory.ts
@@ -122,7 +122,7 @@
   readonly answering: boolean
   readonly primary: boolean
   readonly position: LogPosition
-  /** The fencing token: the highest term at which the database was fenced. */
+  /** The fencing token: the highest term at which the database was fenced; where databases fence themselves, that at which replication is paused, or 0. */
   readonly fencedTerm: number
   /** The address that a replica replicates from. */
   readonly source?: string
--- a/src/membership/state.ts
+++ b/src/membership/state.ts
@@ -37,6 +37,8 @@
 export interface TimedStatus {
   readonly status: DatabaseStatus
   readonly askedAtMs: number
+  /** When the last status was asked for that was read from the database itself, rather than from an answer to a request. */
+  readonly readAtMs?: number
   /** A time before the last answer that proved the database to be primary. */
   readonly provenAtMs?: number
   /** Time since the last answer, on the clock of a loop that is on time. */
--- a/src/succession/closing.ts
+++ b/src/succession/closing.ts
@@ -5,10 +5,10 @@
  * was acknowledged.
  */
 import { recordEvent } from '../core/message.js'
-import type { FenceReplica } from '../databases/driver.js'
 import { hasOtherCandidate, isServing, pickFencedSuccessor, type ReplacementReason } from './candidates.js'
 import type { ReplicaFenced } from './messages.js'
 import type { FencingProgress, SuccessionState, TrackedDatabase } from './state.js'
+import { createFenceEffect, resumeReplicas } from './receiving.js'
 import { appoint, createStep, isAppointmentSettling, publish, type SuccessionStep } from './steps.js'
 import { isQuiesced } from './writers.js'
 
@@ -23,9 +23,9 @@
  */
 export function replaceClosed (state: SuccessionState, group: string, primary: TrackedDatabase | undefined, reason: ReplacementReason, nowMs: number): SuccessionStep {
   const progress = state.fencing.get(group)
-  if (isAppointmentSettling(state, group, nowMs)) return progress === undefined ? publish(state, group, primary?.entry.database) : createStep(state)
+  if (isAppointmentSettling(state, group, nowMs)) return progress === undefined ? resumeGroup(state, group, primary, nowMs) : createStep(state)
   const serves = primary !== undefined && isServing(state, primary, nowMs)
-  if (progress === undefined) return serves && !hasOtherCandidate(state, primary, nowMs) ? publish(state, group, primary.entry.database) : beginClosing(state, group, primary, reason, nowMs)
+  if (progress === undefined) return serves && !hasOtherCandidate(state, primary, nowMs) ? resumeGroup(state, group, primary, nowMs) : beginClosing(state, group, primary, reason, nowMs)
   if (progress.proposed !== undefined) return appointAgain(state, group, progress.proposed, reason, nowMs)
   if (serves && nowMs - progress.startedAtMs >= CLOSE_TIMEOUT_MS) return cancelClosing(state, group, primary, nowMs)
   if (progress.quiescedAtMs !== undefined) return fenceReplicas(state, group, progress, primary, reason, nowMs)
@@ -44,14 +44,14 @@
 }
 
 /**
- * Opens a group again whose primary need not be replaced any more; its replicas resume receiving.
- * @example resumeGroup(state, 'a', primary)
+ * Opens a group whose primary need not be replaced, or not any more, and lets its replicas receive.
+ * @example resumeGroup(state, 'a', primary, nowMs)
  */
-export function resumeGroup (state: SuccessionState, group: string, primary: TrackedDatabase | undefined): SuccessionStep {
+export function resumeGroup (state: SuccessionState, group: string, primary: TrackedDatabase | undefined, nowMs: number): SuccessionStep {
   const published = publish(state, group, primary?.entry.database)
-  if (!state.fencing.has(group)) return published
-  const members = listMembers(state, group)
-  return { state: dropProgress(published.state, group), effects: [...published.effects, ...members.map(known => createFenceEffect(state, known, true))] }
+  const wasFencing = state.fencing.has(group)
+  const resumed = resumeReplicas(wasFencing ? dropProgress(published.state, group) : published.state, group, wasFencing, nowMs)
+  return { state: resumed.state, effects: [...published.effects, ...resumed.effects] }
 }
 
 /**
@@ -89,7 +89,7 @@
 
 // Without a successor callers do better with the primary that they have, for as long as it serves.
 function cancelClosing (state: SuccessionState, group: string, primary: TrackedDatabase, nowMs: number): SuccessionStep {
-  const reopened = resumeGroup({ ...state, appointedAtMs: new Map(state.appointedAtMs).set(group, nowMs) }, group, primary)
+  const reopened = resumeGroup({ ...state, appointedAtMs: new Map(state.appointedAtMs).set(group, nowMs) }, group, primary, nowMs)
   const event = recordEvent('primary-reopened', `Group ${group}: no database can take over from ${primary.entry.database}, which is open for writes again.`, { group })
   return { state: reopened.state, effects: [event, ...reopened.effects] }
 }
@@ -105,13 +105,3 @@
   if (nowMs - progress.askedAtMs < FENCE_RETRY_DELAY_MS) return createStep(state)
   return { state: replaceProgress(state, group, { ...progress, askedAtMs: nowMs }), effects: awaited.map(known => createFenceEffect(state, known, false)) }
 }
-
-function createFenceEffect (state: SuccessionState, { entry }: TrackedDatabase, receives: boolean): FenceReplica {
-  const { group, database, address } = entry
-  const terms = listMembers(state, group).map(known => known.status?.position.term ?? 0)
-  return { kind: 'database/fence', group, database, address, term: Math.max(0, ...terms) + 1, receives }
-}
-
-function listMembers ({ members }: SuccessionState, group: string): readonly TrackedDatabase[] {
-  return [...members.values()].filter(({ entry }) => entry.group === group)
-}
--- a/src/succession/decide.ts
+++ b/src/succession/decide.ts
@@ -47,7 +47,7 @@
 }
 
 function changeLeadership (state: SuccessionState, { leads, epoch, table }: LeadershipChanged, nowMs: number): SuccessionStep {
-  const next: SuccessionState = { ...state, leads, epoch, table, leadingSinceMs: nowMs, databases: new Map(), hosts: new Map(), members: new Map(), fencing: new Map(), writers: new Map(), calls: new Map(), published: new Map(), appointedAtMs: new Map(), highestPositions: new Map() }
+  const next: SuccessionState = { ...state, leads, epoch, table, leadingSinceMs: nowMs, databases: new Map(), hosts: new Map(), members: new Map(), fencing: new Map(), resumedAtMs: new Map(), writers: new Map(), calls: new Map(), published: new Map(), appointedAtMs: new Map(), highestPositions: new Map() }
   return { state: next, effects: leads ? [createCheckTimer()] : [] }
 }
 
@@ -152,7 +152,7 @@
 function checkPrimary (state: SuccessionState, group: string, nowMs: number): SuccessionStep {
   const primary = findPrimary(state, group)
   const reason = findReplacementReason(state, primary, nowMs)
-  if (reason === undefined && !isProposed(state, group)) return resumeGroup(state, group, primary)
+  if (reason === undefined && !isProposed(state, group)) return resumeGroup(state, group, primary, nowMs)
   if (reason === undefined || (state.requiredCopies.get(group) ?? 0) > 0) return replaceClosed(state, group, primary, reason ?? 'silent', nowMs)
   const successor = isAppointmentSettling(state, group, nowMs) ? undefined : pickSuccessor(state, group, primary, nowMs)
   if (successor === undefined) return publish(state, group, primary?.entry.database)
--- a/src/succession/state.ts
+++ b/src/succession/state.ts
@@ -101,6 +101,8 @@
   /** Evacuated failure domains. */
   readonly evacuated: ReadonlySet<string>
   readonly fencing: ReadonlyMap<string, FencingProgress>
+  /** When each database was last told to receive. */
+  readonly resumedAtMs: ReadonlyMap<string, number>
   /** The processes of hosts that report a commit lease, by group; absent before the first such report. */
   readonly writers: ReadonlyMap<string, ReadonlyMap<string, Writer>>
   /** All databases that have not withdrawn themselves, including silent ones. */
@@ -130,6 +132,7 @@
     requiredCopies: new Map(),
     evacuated: new Set(),
     fencing: new Map(),
+    resumedAtMs: new Map(),
     writers: new Map(),
     members: new Map(),
     highestPositions: new Map(),
--- /dev/null
+++ b/src/succession/support/testleader.ts
@@ -0,0 +1,86 @@
+/** A leader of a group whose writes are acknowledged by a replica's copy, without links between hosts. */
+import type { Effect, Tell } from '../../core/message.js'
+import type { FenceReplica } from '../../databases/driver.js'
+import type { DatabaseEntry, DatabaseStatus, GrantEntry, WriteReport } from '../../membership/directory.js'
+import { decideSuccession } from '../decide.js'
+import type { SuccessionMessage } from '../messages.js'
+import { createSuccessionState, type AppointPrimary } from '../state.js'
+import { applySuccessionCommand, type SuccessionCommand } from '../table.js'
+
+const STEP_MS = 50
+
+/** A leader with a log that commits unless told otherwise, and three databases that one host reports. */
+export class TestLeader {
+  readonly calls: AppointPrimary[] = []
+  readonly grants: GrantEntry[] = []
+  readonly offsets = [50, 50, 50]
+  readonly silent = new Set<number>()
+  /** The term at which each database is paused; 0 while it receives. */
+  readonly heldTerms = [0, 0, 0]
+  /** How many of the next orders to receive are lost. */
+  lostResumes = 0
+  readonly departing = new Set<number>()
+  /** What the owner of the primary reports; undefined while it is silent. */
+  writes: WriteReport | undefined = { group: 'g', phase: 'open' }
+  commitsProposals = true
+  #state = createSuccessionState(true)
+  #nowMs = 10_000
+  #round = 0
+
+  static create (): TestLeader {
+    const leader = new TestLeader()
+    leader.#decide({ kind: 'succession/leadership', leads: true, epoch: 3, table: {} })
+    leader.#decide({ kind: 'succession/documents', copies: new Map([['g', 1]]) })
+    leader.run(3_000)
+    return leader
+  }
+
+  run (ms: number): void {
+    for (let passedMs = 0; passedMs < ms; passedMs += STEP_MS) {
+      this.#nowMs += STEP_MS
+      this.report(this.writes)
+      this.#decide({ kind: 'succession/check-due' })
+    }
+  }
+
+  /** Reports the databases, and what a host says of its commits. */
+  report (writes: WriteReport | undefined, round = ++this.#round): void {
+    const databases = [0, 1, 2].map((index): DatabaseEntry => ({ kind: 'database', database: `db-${index}`, group: 'g', failureDomain: 'a', address: '', slots: 3, connectionLimit: 10, departing: this.departing.has(index), leads: index === 0 }))
+    const statuses = this.offsets.map((offset, index): DatabaseStatus => ({ database: `db-${index}`, answering: !this.silent.has(index), primary: index === 0, position: { term: 1, offset }, fencedTerm: this.heldTerms[index]!, ageMs: 0 }))
+    const report = { kind: 'succession/reported', failureDomain: 'a', apart: false, leftAtMs: this.#nowMs, statuses, databases } as const
+    this.#decide({ ...report, host: 'prober' })
+    if (writes !== undefined) this.#decide({ ...report, host: 'owner', statuses: [], databases: [], writes: [writes], process: 'p1', round })
+  }
+
+  /** Another host leads, which knows the table alone. */
+  lead (): void {
+    this.#decide({ kind: 'succession/leadership', leads: true, epoch: 4, table: this.#state.table })
+  }
+
+  answer (outcome: 'done' | 'refused' | 'unanswered'): void {
+    const { group, appointment } = this.calls.at(-1)!
+    this.#decide({ kind: 'succession/answered', group, appointment, outcome })
+  }
+
+  #decide (message: SuccessionMessage): void {
+    const step = decideSuccession(this.#state, message, { monotonicMs: this.#nowMs, wallMs: 0, random: 0.5 })
+    this.#state = step.state
+    for (const effect of step.effects) this.#execute(effect)
+  }
+
+  #execute (effect: Effect): void {
+    if (effect.kind === 'promotion/appoint') this.calls.push(effect as AppointPrimary)
+    if (effect.kind === 'database/fence') this.#answerFence(effect as FenceReplica)
+    if (effect.kind !== 'loop/tell') return
+    const message = (effect as Tell).message as { readonly kind: string, readonly command?: SuccessionCommand, readonly entry?: GrantEntry }
+    if (message.kind === 'membership/publish') this.grants.push(message.entry!)
+    if (message.kind === 'agreement/propose' && this.commitsProposals) this.#decide({ kind: 'succession/applied', command: message.command!, table: applySuccessionCommand(this.#state.table, message.command!) })
+  }
+
+  #answerFence ({ database, term, receives }: FenceReplica): void {
+    const index = Number(database.slice('db-'.length))
+    if (this.silent.has(index) || (receives && this.lostResumes-- > 0)) return
+    this.heldTerms[index] = receives ? 0 : term
+    if (!receives) this.#decide({ kind: 'succession/fenced', group: 'g', database, position: { term: 1, offset: this.offsets[index]! } })
+  }
+}
--- a/standin/wire/database.ts
+++ b/standin/wire/database.ts
@@ -55,6 +55,7 @@
   /** Starts again at its address under its id after a crash: it counts its heartbeats anew, and keeps its log. */
   async restart (): Promise<void> {
     this.member.running = true
+    this.member.heldTerm = 0
     this.#startedAtMs = Date.now()
     this.#sequence = 0
     this.#departing = false
--- a/standin/wire/group.ts
+++ b/standin/wire/group.ts
@@ -14,6 +14,8 @@
   log: readonly CommittedWrite[]
   /** False while the replica receives no log entries. */
   replicating: boolean
+  /** The term at which replication is paused; 0 while it is not. */
+  heldTerm: number
   running: boolean
 }
 
@@ -51,12 +53,20 @@
 
   /** Adds a database; the first one becomes the primary. */
   addMember (id: string): GroupMember {
-    const member: GroupMember = { id, log: [], replicating: true, running: true }
+    const member: GroupMember = { id, log: [], replicating: true, heldTerm: 0, running: true }
     this.members.set(id, member)
     if (this.#primary === '') this.#primary = id
     return member
   }
 
+  /** Pauses replication at a term above that of the group, or resumes it at 0; a primary is not paused. */
+  setHeldTerm (id: string, heldTerm: number): void {
+    const member = this.members.get(id)!
+    if (heldTerm > 0 && (heldTerm <= this.#term || id === this.#primary)) return
+    member.heldTerm = heldTerm
+    this.#replicateLog()
+  }
+
   /** Appends the writes of one commit to the primary's log; replicas receive them after the replication lag. */
   appendCommit (id: string, writes: ReadonlyArray<readonly [item: string, data: string]>): void {
     const primary = this.members.get(id)!
@@ -76,7 +86,7 @@
     if (id === this.#primary) return true
     this.#primary = id
     this.#term += 1
-    for (const other of this.members.values()) other.log = member.log
+    for (const other of this.members.values()) Object.assign(other, { log: member.log, heldTerm: 0 })
     return true
   }
 
@@ -84,7 +94,7 @@
     const primary = this.members.get(this.#primary)
     if (primary === undefined) return
     for (const member of this.members.values()) {
-      if (member.replicating && member.running) member.log = primary.log
+      if (member.replicating && member.heldTerm === 0 && member.running) member.log = primary.log
     }
   }
 }
--- a/standin/wire/session.ts
+++ b/standin/wire/session.ts
@@ -85,7 +85,11 @@
   #run (id: string, text: string): readonly string[] {
     const [word, ...rest] = text.split(' ')
     switch (word) {
-      case 'STATUS': return [`ROW ${this.#isPrimary() ? 'primary' : 'replica'} ${this.#options.group.term} ${this.#readPosition()} 0 0 0 1`, 'DONE -']
+      case 'STATUS': return this.#describeStatus()
+      case 'PAUSE':
+      case 'RESUME':
+        this.#options.group.setHeldTerm(this.#options.member.id, word === 'PAUSE' ? Number(rest[0]) : 0)
+        return this.#describeStatus()
       case 'SET':
         this.#sessionValues.set(rest[0]!, rest.slice(1).join(' '))
         return ['DONE -']
@@ -110,6 +114,11 @@
     }
   }
 
+  #describeStatus (): readonly string[] {
+    const { group, member } = this.#options
+    return [`ROW ${this.#isPrimary() ? 'primary' : 'replica'} ${group.term} ${this.#readPosition()} ${member.heldTerm} 0 0 1`, 'DONE -']
+  }
+
   #execute (id: string, text: string, [name, item, data]: readonly string[]): readonly string[] {
     const definition = this.#prepared.get(name ?? '')
     if (definition === undefined) return ['ERROR NOSTMT no such name']
