Promotes what covers all acknowledged commits, reached replicas or not

Cause: a replica that had been silent for 3 s before the primary's last answer was not awaited, if another one covered the position that the primary had reported last. The system can't tell a replica that is down from one that it does not reach, which goes on acknowledging commits; and a reported position lacks the commits after the report.

Change: as a host stops committing it reports the position up to which it acknowledged commits. A replica that covers all these positions is appointed without waiting for the others. The commits of a process that ended without a report are covered by what the primary says after its lease has ended. Where neither is known, all replicas are awaited, without an exception for silence, and the event replacement-waits names them.

Why it works: only hosts acknowledge commits to callers, and each one is heard or has lost its lease by then; it does not matter which copies exist.

src/succession/closing.test.ts, "opens it again": the silent databases of the test lack acknowledged commits now, since one that held them would be appointed; what it expects stays.

--- a/src/databases/driver.ts
+++ b/src/databases/driver.ts
@@ -89,8 +89,16 @@
   readonly receives: boolean
 }
 
+/** Reads the position of a replica, which goes on receiving; posts `succession/position-read`. */
+export interface ReadPosition extends Effect {
+  readonly kind: 'database/read-position'
+  readonly group: string
+  readonly database: string
+  readonly address: string
+}
+
 /** The effects that a database driver executes. */
-export type DatabaseEffect = FenceReplica | OpenConnection | ExecuteRequest | GrantCredit | CloseConnection | ProbeDatabase | AwaitStored | CommandDatabase
+export type DatabaseEffect = FenceReplica | ReadPosition | OpenConnection | ExecuteRequest | GrantCredit | CloseConnection | ProbeDatabase | AwaitStored | CommandDatabase
 
 /** Runs statements and commands at databases. */
 export abstract class DatabaseDriver extends Adapter {
--- a/src/databases/postgres/driver.ts
+++ b/src/databases/postgres/driver.ts
@@ -48,6 +48,7 @@
       case 'database/await-stored': return this.#awaitStored(effect)
       case 'database/command': return this.#command(effect)
       // PostgreSQL databases are fenced by `database/command`.
+      case 'database/read-position':
       case 'database/fence':
     }
   }
--- a/src/succession/candidates.ts
+++ b/src/succession/candidates.ts
@@ -1,6 +1,6 @@
 /** Identifies the primary of a group, whether it has to be replaced, and its successor. */
 import { getOwn } from '../core/own.js'
-import { comparePositions, ORIGIN, type LogPosition } from '../core/position.js'
+import { comparePositions, coversPosition, ORIGIN, pickLater, type LogPosition } from '../core/position.js'
 import { findAppointedInstance } from './incarnations.js'
 import type { ReportingHost, TrackedDatabase, SuccessionState } from './state.js'
 
@@ -18,8 +18,6 @@
 const PROOF_OVERRIDE_DELAY_MS = 3_000
 /** How long a new leader waits for the announcement of a primary before the primary counts as gone: a lost announcement is repeated by then. */
 const ANNOUNCEMENT_WAIT_MS = 3_000
-/** A replica that was silent for this long before the primary's last answer lacks the last acknowledged writes: many times the replication delay. */
-const LONG_SILENCE_MS = 3_000
 /** How long a primary may answer without proving its role: several probes of its owner, and a promotion. */
 const PROOF_TIMEOUT_MS = 5_000
 /** How long a new leader waits for reports of hosts. */
@@ -146,6 +144,21 @@
   return listMembers(state, group).filter(known => !known.entry.departing && nowMs - (known.answeredAtMs ?? -Infinity) < CANDIDATE_ANSWER_MAX_AGE_MS)
 }
 
+/**
+ * Picks the next primary where writes are acknowledged by a replica's copy: a replica that covers each acknowledged commit, whatever
+ * the others hold. Of several, one that stays in use, and that holds most.
+ * @param acknowledged a position that covers each acknowledged commit of the group.
+ * @example pickCoveringSuccessor(state, 'a', primary, acknowledged, nowMs)?.entry.database
+ */
+export function pickCoveringSuccessor (state: SuccessionState, group: string, primary: TrackedDatabase | undefined, acknowledged: LogPosition, nowMs: number): TrackedDatabase | undefined {
+  const progress = state.fencing.get(group)
+  const findPosition = ({ entry, status }: TrackedDatabase): LogPosition =>
+    [progress?.positions.get(entry.database), progress?.readPositions.get(entry.database), status?.position].reduce<LogPosition>((latest, position = ORIGIN) => pickLater(latest, position), ORIGIN)
+  const answering = listMembers(state, group).filter(known => nowMs - (known.answeredAtMs ?? -Infinity) < CANDIDATE_ANSWER_MAX_AGE_MS)
+  const covering = answering.filter(known => known.entry.database !== primary?.entry.database && coversPosition(findPosition(known), acknowledged))
+  return covering.sort((a, b) => Number(isInEvacuated(state, a)) - Number(isInEvacuated(state, b)) || Number(a.entry.departing) - Number(b.entry.departing) || comparePositions(findPosition(b), findPosition(a)))[0]
+}
+
 /** The outcome of fencing the replicas of a group: those still awaited, and the successor once there are none. */
 export interface FencedChoice {
   readonly awaited: readonly TrackedDatabase[]
@@ -153,23 +166,20 @@
 }
 
 /**
- * Picks the next primary where writes are acknowledged by a replica's copy: the replica with the latest position, once
- * every replica that may hold an acknowledged write is fenced. A replica that was silent long before the primary lacks
- * the primary's last writes, so it is not awaited if a fenced one covers the primary's position. The position of a primary
- * that started again covers nothing. A replica that did may have lost the only copy of a write, so that without such a
- * cover the primary is waited for.
+ * Picks the next primary where it is not known what was acknowledged: the replica with the latest position, once every replica
+ * is fenced. One that can't be reached is awaited, however long it has been silent: it may be cut off from this system alone, and
+ * have acknowledged a write that no other one holds. A replica that started again may have lost the only copy of one, so that
+ * the primary is waited for until it has caught up.
  * @example pickFencedSuccessor(state, 'a', primary).successor
  */
 export function pickFencedSuccessor (state: SuccessionState, group: string, primary: TrackedDatabase | undefined): FencedChoice {
   const positions = state.fencing.get(group)?.positions ?? new Map<string, LogPosition>()
   const replicas = [...state.members.values()].filter(known => known.entry.group === group && known.entry.database !== primary?.entry.database)
-  const unfenced = replicas.filter(known => !positions.has(known.entry.database))
-  const fenced = replicas.filter(known => positions.has(known.entry.database))
-  const latest = fenced.sort((a, b) => comparePositions(positions.get(b.entry.database)!, positions.get(a.entry.database)!) || Number(isInEvacuated(state, a)) - Number(isInEvacuated(state, b)) || Number(a.entry.departing) - Number(b.entry.departing))[0]
-  const coversPrimary = latest !== undefined && primary?.status !== undefined && primary.restartedAtMs === undefined && comparePositions(positions.get(latest.entry.database)!, primary.status.position) >= 0
-  const awaited = coversPrimary ? unfenced.filter(known => (known.answeredAtMs ?? 0) > (primary.answeredAtMs ?? 0) - LONG_SILENCE_MS) : unfenced
-  const mayLackCopies = !coversPrimary && replicas.some(known => known.restartedAtMs !== undefined)
-  return awaited.length === 0 && latest !== undefined && !mayLackCopies ? { awaited, successor: latest } : { awaited }
+  const awaited = replicas.filter(known => !positions.has(known.entry.database))
+  const mayLackCopies = replicas.some(known => known.restartedAtMs !== undefined)
+  if (awaited.length > 0 || mayLackCopies) return { awaited }
+  const latest = [...replicas].sort((a, b) => comparePositions(positions.get(b.entry.database)!, positions.get(a.entry.database)!) || Number(isInEvacuated(state, a)) - Number(isInEvacuated(state, b)) || Number(a.entry.departing) - Number(b.entry.departing))[0]
+  return latest === undefined ? { awaited } : { awaited, successor: latest }
 }
 
 function listMembers (state: SuccessionState, group: string): TrackedDatabase[] {
--- a/src/succession/closing.test.ts
+++ b/src/succession/closing.test.ts
@@ -55,6 +55,8 @@
   })
 
   it('opens it again where no other database can take over', () => {
+    leader.offsets.fill(40, 1)
+    leader.report(leader.writes)
     leader.silent.add(1).add(2)
     leader.writes = CLOSED
     leader.run(3_500)
--- a/src/succession/closing.ts
+++ b/src/succession/closing.ts
@@ -1,19 +1,27 @@
 /**
- * Replacement of a primary whose writes are acknowledged by a replica's copy. The primary is closed for writes first; once no
- * host can acknowledge a commit any more, the replicas stop receiving and are compared. The group stays closed until an appointment
+ * Replacement of a primary whose writes are acknowledged by a replica's copy. The primary is closed for writes first. Once no
+ * host can acknowledge a commit any more, a replica that covers all that was acknowledged is appointed; where that is not known, or
+ * none does, the replicas stop receiving and are compared. The group stays closed until an appointment
  * has ended: a database that joins, starts again or can't be reached meanwhile may hold more than the successor, but nothing that
  * was acknowledged.
  */
 import { recordEvent } from '../core/message.js'
-import { hasOtherCandidate, isServing, pickFencedSuccessor, type ReplacementReason } from './candidates.js'
-import type { ReplicaFenced } from './messages.js'
+import type { ReadPosition } from '../databases/driver.js'
+import { hasOtherCandidate, isServing, pickCoveringSuccessor, pickFencedSuccessor, type ReplacementReason } from './candidates.js'
+import type { PositionRead, ReplicaFenced } from './messages.js'
 import type { FencingProgress, SuccessionState, TrackedDatabase } from './state.js'
 import { createFenceEffect, resumeReplicas } from './receiving.js'
 import { appoint, createStep, isAppointmentSettling, publish, type SuccessionStep } from './steps.js'
-import { isQuiesced } from './writers.js'
+import { findAcknowledged, isQuiesced } from './writers.js'
 
 /** Delay before replicas that did not answer are fenced again. */
 const FENCE_RETRY_DELAY_MS = 400
+/** How long replicas go on receiving once no commit is acknowledged any more: many times the replication delay. */
+const CATCH_UP_MS = 300
+/** Delay between two reads of their positions meanwhile. */
+const READ_INTERVAL_MS = 100
+/** Time after which an event tells what a group waits for: longer than a change of primary takes. */
+const WAITING_REPORT_MS = 5_000
 /** How long a primary that serves stays closed without a successor: longer than commit leases last. */
 const CLOSE_TIMEOUT_MS = 3_000
 
@@ -28,10 +36,10 @@
   if (progress === undefined) return serves && !hasOtherCandidate(state, primary, nowMs) ? resumeGroup(state, group, primary, nowMs) : beginClosing(state, group, primary, reason, nowMs)
   if (progress.proposed !== undefined) return appointAgain(state, group, progress.proposed, reason, nowMs)
   if (serves && nowMs - progress.startedAtMs >= CLOSE_TIMEOUT_MS) return cancelClosing(state, group, primary, nowMs)
-  if (progress.quiescedAtMs !== undefined) return fenceReplicas(state, group, progress, primary, reason, nowMs)
+  if (progress.quiescedAtMs !== undefined) return chooseSuccessor(state, group, progress, primary, reason, nowMs)
   if (!isQuiesced(state, group, nowMs)) return createStep(state)
   const quiet: FencingProgress = { ...progress, quiescedAtMs: nowMs }
-  return fenceReplicas(replaceProgress(state, group, quiet), group, quiet, primary, reason, nowMs)
+  return chooseSuccessor(replaceProgress(state, group, quiet), group, quiet, primary, reason, nowMs)
 }
 
 /**
@@ -64,6 +72,16 @@
   return replaceProgress(state, group, { ...progress, positions: new Map(progress.positions).set(database, position) })
 }
 
+/**
+ * Records the position of a replica that goes on receiving: it only grows.
+ * @example recordPosition(state, message)
+ */
+export function recordPosition (state: SuccessionState, { group, database, position }: PositionRead): SuccessionState {
+  const progress = state.fencing.get(group)
+  if (progress === undefined || !state.members.has(database)) return state
+  return replaceProgress(state, group, { ...progress, readPositions: new Map(progress.readPositions).set(database, position) })
+}
+
 /**
  * Drops the progress of a group, whose appointment is committed or whose primary stays.
  * @example dropProgress(state, 'a').fencing.has('a') // false
@@ -80,7 +98,7 @@
 
 // Reports that arrived before the directory changed may still name hosts that commit, so these are looked at with the next check.
 function beginClosing (state: SuccessionState, group: string, primary: TrackedDatabase | undefined, reason: ReplacementReason, nowMs: number): SuccessionStep {
-  const begun = replaceProgress(state, group, { startedAtMs: nowMs, askedAtMs: -Infinity, positions: new Map() })
+  const begun = replaceProgress(state, group, { startedAtMs: nowMs, askedAtMs: -Infinity, readPositions: new Map(), positions: new Map() })
   const isPublished = primary !== undefined && (isServing(state, primary, nowMs) || state.published.get(group)?.database === primary.entry.database)
   const closed = isPublished ? publish(begun, group, primary.entry.database, true) : createStep(begun)
   const event = recordEvent('primary-closing', `Group ${group}: the primary is ${reason}; it is closed for writes until another database leads.`, { group })
@@ -99,9 +117,34 @@
   return successor === undefined ? createStep(state) : appoint(state, group, successor, reason, nowMs)
 }
 
-function fenceReplicas (state: SuccessionState, group: string, progress: FencingProgress, primary: TrackedDatabase | undefined, reason: ReplacementReason, nowMs: number): SuccessionStep {
+// What was acknowledged is known in most cases. Then a replica that covers it may lead, and the others need not be reached.
+function chooseSuccessor (state: SuccessionState, group: string, progress: FencingProgress, primary: TrackedDatabase | undefined, reason: ReplacementReason, nowMs: number): SuccessionStep {
+  const acknowledged = findAcknowledged(state, group)
+  const covering = acknowledged === undefined ? undefined : pickCoveringSuccessor(state, group, primary, acknowledged, nowMs)
   const { awaited, successor } = pickFencedSuccessor(state, group, primary)
-  if (successor !== undefined) return appoint(replaceProgress(state, group, { ...progress, proposed: successor.entry.database }), group, successor, reason, nowMs)
+  const chosen = covering ?? successor
+  if (chosen !== undefined) return appoint(replaceProgress(state, group, { ...progress, proposed: chosen.entry.database }), group, chosen, reason, nowMs)
+  if (acknowledged !== undefined && nowMs - (progress.quiescedAtMs ?? nowMs) < CATCH_UP_MS) return readReplicas(state, group, progress, primary, nowMs)
   if (nowMs - progress.askedAtMs < FENCE_RETRY_DELAY_MS) return createStep(state)
-  return { state: replaceProgress(state, group, { ...progress, askedAtMs: nowMs }), effects: awaited.map(known => createFenceEffect(state, known, false)) }
+  const reported = reportWaiting(state, group, { ...progress, askedAtMs: nowMs }, awaited, nowMs)
+  return { state: reported.state, effects: [...awaited.map(known => createFenceEffect(state, known, false)), ...reported.effects] }
+}
+
+function readReplicas (state: SuccessionState, group: string, progress: FencingProgress, primary: TrackedDatabase | undefined, nowMs: number): SuccessionStep {
+  if (nowMs - (progress.readAtMs ?? -Infinity) < READ_INTERVAL_MS) return createStep(state)
+  const replicas = [...state.members.values()].filter(({ entry }) => entry.group === group && entry.database !== primary?.entry.database)
+  return { state: replaceProgress(state, group, { ...progress, readAtMs: nowMs }), effects: replicas.map(createReadEffect) }
+}
+
+// Without it, an operator sees only that the group has no primary.
+function reportWaiting (state: SuccessionState, group: string, progress: FencingProgress, awaited: readonly TrackedDatabase[], nowMs: number): SuccessionStep {
+  const isLate = progress.waits === undefined && nowMs - progress.startedAtMs >= WAITING_REPORT_MS
+  if (!isLate) return createStep(replaceProgress(state, group, progress))
+  const names = awaited.map(({ entry }) => entry.database).join(', ')
+  const event = recordEvent('replacement-waits', `Group ${group}: no database is sure to hold all acknowledged writes; the group waits for its primary, or for ${names === '' ? 'a replica that catches up' : names}.`, { group })
+  return { state: replaceProgress(state, group, { ...progress, waits: true }), effects: [event] }
+}
+
+function createReadEffect ({ entry: { group, database, address } }: TrackedDatabase): ReadPosition {
+  return { kind: 'database/read-position', group, database, address }
 }
--- a/src/succession/decide.ts
+++ b/src/succession/decide.ts
@@ -5,13 +5,13 @@
 import type { DatabaseStatus } from '../membership/directory.js'
 import { setTimer, tell } from '../messages.js'
 import { findPrimary, findReplacementReason, isServing, pickSuccessor } from './candidates.js'
-import { dropProgress, isProposed, recordFenced, replaceClosed, resumeGroup } from './closing.js'
+import { dropProgress, isProposed, recordFenced, recordPosition, replaceClosed, resumeGroup } from './closing.js'
 import type { CallAnswered, CommandApplied, LeadershipChanged, HostReported, SuccessionMessage } from './messages.js'
 import { dropFormerIncarnations, isAppointmentSuperseded, markCaughtUp } from './incarnations.js'
 import type { Appointment } from './table.js'
 import type { AppointPrimary, PromotionCall, TrackedDatabase, SuccessionState } from './state.js'
 import { appoint, APPOINTMENT_INTERVAL_MS, createStep, isAppointmentSettling, publish, type SuccessionStep } from './steps.js'
-import { recordWriters } from './writers.js'
+import { dropLapsedWriters, recordWriters } from './writers.js'
 
 /** Time between two checks of all groups. */
 const CHECK_INTERVAL_MS = 50
@@ -41,6 +41,7 @@
     case 'succession/documents': return createStep({ ...state, requiredCopies: message.copies })
     case 'succession/evacuated': return createStep({ ...state, evacuated: message.domains })
     case 'succession/fenced': return createStep(recordFenced(state, message))
+    case 'succession/position-read': return createStep(recordPosition(state, message))
     case 'succession/check-due': return state.leads ? checkAll(state, nowMs) : createStep(state)
     case 'succession/answered': return state.leads ? recordAnswer(state, message, nowMs) : createStep(state)
   }
@@ -146,14 +147,21 @@
   if (!state.requiredCopies.has(group)) return createStep(state)
   const current = getOwn(state.table, group)
   if (current !== undefined && current.outcome === undefined) return isAppointmentSuperseded(state, group, current) ? failAppointment(state, group, current, nowMs) : callPlatform(state, group, nowMs)
-  return checkPrimary(markCaughtUp(state, group, findPrimary(state, group)), group, nowMs)
+  const primary = findPrimary(state, group)
+  const known = markCaughtUp(state, group, primary)
+  return checkPrimary(isCopied(known, group) ? dropLapsedWriters(known, group, primary, nowMs) : known, group, nowMs)
+}
+
+// A replica's copy acknowledges the writes of the group.
+function isCopied ({ requiredCopies }: SuccessionState, group: string): boolean {
+  return (requiredCopies.get(group) ?? 0) > 0
 }
 
 function checkPrimary (state: SuccessionState, group: string, nowMs: number): SuccessionStep {
   const primary = findPrimary(state, group)
   const reason = findReplacementReason(state, primary, nowMs)
   if (reason === undefined && !isProposed(state, group)) return resumeGroup(state, group, primary, nowMs)
-  if (reason === undefined || (state.requiredCopies.get(group) ?? 0) > 0) return replaceClosed(state, group, primary, reason ?? 'silent', nowMs)
+  if (reason === undefined || isCopied(state, group)) return replaceClosed(state, group, primary, reason ?? 'silent', nowMs)
   const successor = isAppointmentSettling(state, group, nowMs) ? undefined : pickSuccessor(state, group, primary, nowMs)
   if (successor === undefined) return publish(state, group, primary?.entry.database)
   return appoint(state, group, successor, reason, nowMs)
--- a/src/succession/incarnations.ts
+++ b/src/succession/incarnations.ts
@@ -29,7 +29,8 @@
 }
 
 function dropPositions (progress: FencingProgress, formers: ReadonlyMap<string, unknown>): FencingProgress {
-  return { ...progress, positions: new Map([...progress.positions].filter(([database]) => !formers.has(database))) }
+  const isPresent = ([database]: readonly [string, LogPosition]): boolean => !formers.has(database)
+  return { ...progress, positions: new Map([...progress.positions].filter(isPresent)), readPositions: new Map([...progress.readPositions].filter(isPresent)) }
 }
 
 /**
--- a/src/succession/messages.ts
+++ b/src/succession/messages.ts
@@ -63,6 +63,14 @@
   readonly position: LogPosition
 }
 
+/** A replica told its position, and goes on receiving. */
+export interface PositionRead {
+  readonly kind: 'succession/position-read'
+  readonly group: string
+  readonly database: string
+  readonly position: LogPosition
+}
+
 /** The leader's timer for checking all groups fired. */
 export interface CheckDue {
   readonly kind: 'succession/check-due'
@@ -80,4 +88,4 @@
 }
 
 /** Any message of the succession slice. */
-export type SuccessionMessage = LeadershipChanged | CommandApplied | HostReported | DatabaseWithdrawn | CopiesChanged | EvacuationsChanged | ReplicaFenced | CheckDue | CallAnswered
+export type SuccessionMessage = LeadershipChanged | CommandApplied | HostReported | DatabaseWithdrawn | CopiesChanged | EvacuationsChanged | ReplicaFenced | PositionRead | CheckDue | CallAnswered
--- a/src/succession/state.ts
+++ b/src/succession/state.ts
@@ -49,9 +49,16 @@
   readonly startedAtMs: number
   /** From when on no host can acknowledge a commit; absent before. */
   readonly quiescedAtMs?: number
+  /** When replicas were last asked to stop receiving. */
   readonly askedAtMs: number
+  /** When their positions were last read before that. */
+  readonly readAtMs?: number
+  /** True once an event says which databases the group waits for. */
+  readonly waits?: true
   /** The database whose appointment is proposed. */
   readonly proposed?: string
+  /** Positions that replicas told since then, while they went on receiving. */
+  readonly readPositions: ReadonlyMap<string, LogPosition>
   /** Positions of the replicas that stopped receiving. */
   readonly positions: ReadonlyMap<string, LogPosition>
 }
@@ -67,6 +74,13 @@
   readonly acknowledged?: LogPosition
 }
 
+/** The processes that may commit in a group, or could, and what the commits of others are covered by. */
+export interface GroupWriters {
+  /** Covers each commit that was acknowledged by a process that is not listed any more. */
+  readonly floor: LogPosition
+  readonly processes: ReadonlyMap<string, Writer>
+}
+
 /** A host that sends heartbeats to this leader. */
 export interface ReportingHost {
   readonly lastHeartbeatAtMs: number
@@ -104,7 +118,7 @@
   /** When each database was last told to receive. */
   readonly resumedAtMs: ReadonlyMap<string, number>
   /** The processes of hosts that report a commit lease, by group; absent before the first such report. */
-  readonly writers: ReadonlyMap<string, ReadonlyMap<string, Writer>>
+  readonly writers: ReadonlyMap<string, GroupWriters>
   /** All databases that have not withdrawn themselves, including silent ones. */
   readonly members: ReadonlyMap<string, TrackedDatabase>
   /** The latest position of each group. */
--- a/src/succession/steps.ts
+++ b/src/succession/steps.ts
@@ -1,7 +1,7 @@
 /** Steps of the succession slice that several of its decisions use: an appointment, and the published primary. */
 import { getOwn } from '../core/own.js'
 import { recordEvent, type CoreEffect, type Step } from '../core/message.js'
-import type { FenceReplica } from '../databases/driver.js'
+import type { FenceReplica, ReadPosition } from '../databases/driver.js'
 import { tell } from '../messages.js'
 import type { ReplacementReason } from './candidates.js'
 import type { AppointPrimary, SuccessionState, TrackedDatabase } from './state.js'
@@ -12,7 +12,7 @@
 const PROPOSAL_TIMEOUT_MS = 1_000
 
 /** The effects of the succession slice. */
-export type SuccessionEffect = CoreEffect | AppointPrimary | FenceReplica
+export type SuccessionEffect = CoreEffect | AppointPrimary | FenceReplica | ReadPosition
 /** A step of the succession slice. */
 export type SuccessionStep = Step<SuccessionState, SuccessionEffect>
 
--- a/src/succession/support/testleader.ts
+++ b/src/succession/support/testleader.ts
@@ -1,6 +1,6 @@
 /** A leader of a group whose writes are acknowledged by a replica's copy, without links between hosts. */
-import type { Effect, Tell } from '../../core/message.js'
-import type { FenceReplica } from '../../databases/driver.js'
+import type { Effect, RecordEvent, Tell } from '../../core/message.js'
+import type { FenceReplica, ReadPosition } from '../../databases/driver.js'
 import type { DatabaseEntry, DatabaseStatus, GrantEntry, WriteReport } from '../../membership/directory.js'
 import { decideSuccession } from '../decide.js'
 import type { SuccessionMessage } from '../messages.js'
@@ -13,6 +13,8 @@
 export class TestLeader {
   readonly calls: AppointPrimary[] = []
   readonly grants: GrantEntry[] = []
+  /** The names of recorded events, in order. */
+  readonly events: string[] = []
   readonly offsets = [50, 50, 50]
   readonly silent = new Set<number>()
   /** The term at which each database is paused; 0 while it receives. */
@@ -71,12 +73,19 @@
   #execute (effect: Effect): void {
     if (effect.kind === 'promotion/appoint') this.calls.push(effect as AppointPrimary)
     if (effect.kind === 'database/fence') this.#answerFence(effect as FenceReplica)
+    if (effect.kind === 'timeline/record') this.events.push((effect as RecordEvent).event)
+    if (effect.kind === 'database/read-position') this.#answerRead(effect as ReadPosition)
     if (effect.kind !== 'loop/tell') return
     const message = (effect as Tell).message as { readonly kind: string, readonly command?: SuccessionCommand, readonly entry?: GrantEntry }
     if (message.kind === 'membership/publish') this.grants.push(message.entry!)
     if (message.kind === 'agreement/propose' && this.commitsProposals) this.#decide({ kind: 'succession/applied', command: message.command!, table: applySuccessionCommand(this.#state.table, message.command!) })
   }
 
+  #answerRead ({ database }: ReadPosition): void {
+    const index = Number(database.slice('db-'.length))
+    if (!this.silent.has(index)) this.#decide({ kind: 'succession/position-read', group: 'g', database, position: { term: 1, offset: this.offsets[index]! } })
+  }
+
   #answerFence ({ database, term, receives }: FenceReplica): void {
     const index = Number(database.slice('db-'.length))
     if (this.silent.has(index) || (receives && this.lostResumes-- > 0)) return
--- a/src/succession/writers.ts
+++ b/src/succession/writers.ts
@@ -1,8 +1,9 @@
 /** The hosts that may commit at a group's primary, as the leader knows them from their heartbeats. */
+import { ORIGIN, pickLater, type LogPosition } from '../core/position.js'
 import { MAX_CLOCK_DRIFT } from '../primacy/tools.js'
 import { COMMIT_LEASE_MS } from '../transactions/commits.js'
 import type { HostReported } from './messages.js'
-import type { SuccessionState, Writer } from './state.js'
+import type { GroupWriters, SuccessionState, TrackedDatabase, Writer } from './state.js'
 
 /** Time after a heartbeat at which the commit lease that its answer granted has ended, even with clock drift. */
 export const COMMIT_LEASE_EXPIRY_MS = COMMIT_LEASE_MS * (1 + MAX_CLOCK_DRIFT) + 1
@@ -13,34 +14,66 @@
 /**
  * Records what a host reports of its commit leases. Each process of a host counts by itself: a later one knows nothing of
  * what an earlier one sent.
- * @example recordWriters(state, message, nowMs).get('a')?.size
+ * @example recordWriters(state, message, nowMs).get('a')?.processes.size
  */
 export function recordWriters (state: SuccessionState, { host, process, round = 0, writes = [] }: HostReported, nowMs: number): SuccessionState['writers'] {
   if (writes.length === 0) return state.writers
   const next = new Map(state.writers)
   const name = `${host}/${process}`
   for (const { group, phase, acknowledged } of writes) {
-    const writers = next.get(group) ?? listWriters(state, group)
+    const writers = next.get(group) ?? getWriters(state, group)
     // A relay may hold an earlier heartbeat for longer than a later one.
-    if ((writers.get(name)?.round ?? -1) > round) continue
-    next.set(group, new Map(writers).set(name, { heardAtMs: nowMs, round, phase, acknowledged }))
+    if ((writers.processes.get(name)?.round ?? -1) > round) continue
+    next.set(group, { ...writers, processes: new Map(writers.processes).set(name, { heardAtMs: nowMs, round, phase, acknowledged }) })
   }
   return next
 }
 
+/**
+ * Drops the processes that can't commit any more and whose commits are covered: by what they reported as they stopped, or by a
+ * position of the primary that was read after their leases had ended.
+ * @example dropLapsedWriters(state, 'a', primary, nowMs).writers.get('a')?.floor
+ */
+export function dropLapsedWriters (state: SuccessionState, group: string, primary: TrackedDatabase | undefined, nowMs: number): SuccessionState {
+  const writers = getWriters(state, group)
+  const dropped = [...writers.processes].filter(([, writer]) => hasLapsed(writer, nowMs) && (writer.phase === 'closed' || isCovered(writer, primary)))
+  if (dropped.length === 0) return state
+  const processes = new Map([...writers.processes].filter(([name]) => !dropped.some(([other]) => other === name)))
+  const floor = dropped.map(([, writer]) => (writer.phase === 'closed' ? writer.acknowledged : primary?.status?.position) ?? ORIGIN).reduce(pickLater, writers.floor)
+  return { ...state, writers: new Map(state.writers).set(group, { floor, processes }) }
+}
+
 /**
  * Tells whether no host can acknowledge a commit of a group any more: each one has reported that it stopped, or its lease has
  * surely ended. Holds from then on, unless a primary of the group is published without being closed.
  * @example isQuiesced(state, 'a', nowMs)
  */
 export function isQuiesced (state: SuccessionState, group: string, nowMs: number): boolean {
-  return [...listWriters(state, group).values()].every(writer => writer.phase === 'closed' || hasLapsed(writer, nowMs))
+  return [...getWriters(state, group).processes.values()].every(writer => writer.phase === 'closed' || hasLapsed(writer, nowMs))
+}
+
+/**
+ * Finds a position that covers each acknowledged commit of a quiesced group; undefined if a process ended without telling what it
+ * acknowledged, and the primary was not read since.
+ * @example findAcknowledged(state, 'a')?.offset
+ */
+export function findAcknowledged (state: SuccessionState, group: string): LogPosition | undefined {
+  const { floor, processes } = getWriters(state, group)
+  const writers = [...processes.values()]
+  if (writers.some(({ phase }) => phase !== 'closed')) return undefined
+  return writers.map(({ acknowledged }) => acknowledged ?? ORIGIN).reduce(pickLater, floor)
 }
 
 function hasLapsed ({ heardAtMs }: Writer, nowMs: number): boolean {
   return nowMs >= heardAtMs + COMMIT_LEASE_EXPIRY_MS
 }
 
-function listWriters ({ writers, leadingSinceMs }: SuccessionState, group: string): ReadonlyMap<string, Writer> {
-  return writers.get(group) ?? new Map([[FORMER_WRITERS, { heardAtMs: leadingSinceMs, round: 0, phase: 'open' }]])
+// A primary that started again may hold less than what it acknowledged before.
+function isCovered ({ heardAtMs }: Writer, primary: TrackedDatabase | undefined): boolean {
+  if (primary?.status === undefined || primary.restartedAtMs !== undefined) return false
+  return Math.min(primary.provenAtMs ?? -Infinity, primary.answeredAtMs ?? -Infinity) >= heardAtMs + COMMIT_LEASE_EXPIRY_MS
+}
+
+function getWriters ({ writers, leadingSinceMs }: SuccessionState, group: string): GroupWriters {
+  return writers.get(group) ?? { floor: ORIGIN, processes: new Map([[FORMER_WRITERS, { heardAtMs: leadingSinceMs, round: 0, phase: 'open' }]]) }
 }
