Takes no database for covering commits whose number it has not reached

What callers would see: acknowledged commits that are not in the log of the promoted database, where a database was down during one promotion and is a candidate in the next.

Cause: positions were compared by term first. Such a database tells the new term with its old log, and so counted as covering a commit of the former term that it never received.

Why it works: numbers go on through all terms, and each primary held what was acknowledged before. A database that holds an acknowledged commit has reached its number, whatever its term.

--- a/src/succession/candidates.ts
+++ b/src/succession/candidates.ts
@@ -155,10 +155,15 @@
   const findPosition = ({ entry, status }: TrackedDatabase): LogPosition =>
     [progress?.positions.get(entry.database), progress?.readPositions.get(entry.database), status?.position].reduce<LogPosition>((latest, position = ORIGIN) => pickLater(latest, position), ORIGIN)
   const answering = listMembers(state, group).filter(known => nowMs - (known.answeredAtMs ?? -Infinity) < CANDIDATE_ANSWER_MAX_AGE_MS)
-  const covering = answering.filter(known => known.entry.database !== primary?.entry.database && coversPosition(findPosition(known), acknowledged))
+  const covering = answering.filter(known => known.entry.database !== primary?.entry.database && coversCommits(findPosition(known), acknowledged))
   return covering.sort((a, b) => Number(isInEvacuated(state, a)) - Number(isInEvacuated(state, b)) || Number(a.entry.departing) - Number(b.entry.departing) || comparePositions(findPosition(b), findPosition(a)))[0]
 }
 
+// Numbers go on through all terms. A database that was down during a promotion may know the new term before it has received its log.
+function coversCommits (position: LogPosition, acknowledged: LogPosition): boolean {
+  return coversPosition(position, acknowledged) && position.offset >= acknowledged.offset
+}
+
 /** The outcome of fencing the replicas of a group: those still awaited, and the successor once there are none. */
 export interface FencedChoice {
   readonly awaited: readonly TrackedDatabase[]
--- a/src/succession/support/testleader.ts
+++ b/src/succession/support/testleader.ts
@@ -16,6 +16,7 @@
   /** The names of recorded events, in order. */
   readonly events: string[] = []
   readonly offsets = [50, 50, 50]
+  readonly terms = [1, 1, 1]
   readonly silent = new Set<number>()
   /** The term at which each database is paused; 0 while it receives. */
   readonly heldTerms = [0, 0, 0]
@@ -48,7 +49,7 @@
   /** Reports the databases, and what a host says of its commits. */
   report (writes: WriteReport | undefined, round = ++this.#round): void {
     const databases = [0, 1, 2].map((index): DatabaseEntry => ({ kind: 'database', database: `db-${index}`, group: 'g', failureDomain: 'a', address: '', slots: 3, connectionLimit: 10, departing: this.departing.has(index), leads: index === 0 }))
-    const statuses = this.offsets.map((offset, index): DatabaseStatus => ({ database: `db-${index}`, answering: !this.silent.has(index), primary: index === 0, position: { term: 1, offset }, fencedTerm: this.heldTerms[index]!, ageMs: 0 }))
+    const statuses = this.offsets.map((offset, index): DatabaseStatus => ({ database: `db-${index}`, answering: !this.silent.has(index), primary: index === 0, position: { term: this.terms[index]!, offset }, fencedTerm: this.heldTerms[index]!, ageMs: 0 }))
     const report = { kind: 'succession/reported', failureDomain: 'a', apart: false, leftAtMs: this.#nowMs, statuses, databases } as const
     this.#decide({ ...report, host: 'prober' })
     if (writes !== undefined) this.#decide({ ...report, host: 'owner', statuses: [], databases: [], writes: [writes], process: 'p1', round })
@@ -83,13 +84,13 @@
 
   #answerRead ({ database }: ReadPosition): void {
     const index = Number(database.slice('db-'.length))
-    if (!this.silent.has(index)) this.#decide({ kind: 'succession/position-read', group: 'g', database, position: { term: 1, offset: this.offsets[index]! } })
+    if (!this.silent.has(index)) this.#decide({ kind: 'succession/position-read', group: 'g', database, position: { term: this.terms[index]!, offset: this.offsets[index]! } })
   }
 
   #answerFence ({ database, term, receives }: FenceReplica): void {
     const index = Number(database.slice('db-'.length))
     if (this.silent.has(index) || (receives && this.lostResumes-- > 0)) return
     this.heldTerms[index] = receives ? 0 : term
-    if (!receives) this.#decide({ kind: 'succession/fenced', group: 'g', database, position: { term: 1, offset: this.offsets[index]! } })
+    if (!receives) this.#decide({ kind: 'succession/fenced', group: 'g', database, position: { term: this.terms[index]!, offset: this.offsets[index]! } })
   }
 }
--- a/src/succession/unreachedreplicas.test.ts
+++ b/src/succession/unreachedreplicas.test.ts
@@ -33,6 +33,16 @@
     expect(leader.calls.map(({ database }) => database)).to.deep.equal(['db-1'])
   })
 
+  it('is awaited although another one knows a later term, whose log it has not received', () => {
+    leader.run(SILENT_MS)
+    leader.offsets[1] = 40
+    leader.terms[1] = 2
+    leader.departing.add(0)
+    leader.writes = { group: 'g', phase: 'closed', acknowledged: { term: 1, offset: 50 } }
+    leader.run(2_000)
+    expect(leader.calls).to.deep.equal([])
+  })
+
   it('is awaited once it is not known what was acknowledged, since the owner is lost with the primary', () => {
     leader.run(SILENT_MS)
     leader.silent.add(0)
