Confirms a primary before it is opened again after a call

What callers would see: acknowledged commits that are not in the log of the promoted database, where a call to the platform got no answer or was accepted late, the former primary answered again, and the call was carried out then.

Cause: an appointment that ended as failed was taken for one without effect, and 3 s after it was committed the proof of the former primary overruled its successor, also while that was being promoted.

Change: where a replica's copy acknowledges a write, a primary whose last appointment failed or named another database stays closed for writes until the platform has taken a later call for that primary itself, and 2.5 s more. The log says that an appointment confirms.

Why it works: the later fencing token overtakes calls that are still under way, and what was accepted before has taken effect by the end of that time.

--- a/src/succession/candidates.ts
+++ b/src/succession/candidates.ts
@@ -23,8 +23,8 @@
 /** How long a new leader waits for reports of hosts. */
 const REPORT_WAIT_MS = 400
 
-/** Why a primary has to be replaced. */
-export type ReplacementReason = 'silent' | 'departing' | 'gone' | 'evacuated' | 'unproven' | 'behind'
+/** Why a primary has to be replaced, or to be confirmed by the platform. */
+export type ReplacementReason = 'silent' | 'departing' | 'gone' | 'evacuated' | 'unproven' | 'behind' | 'unconfirmed'
 
 /**
  * Returns the primary of a group, as known to the leader; undefined if unknown.
--- a/src/succession/closing.ts
+++ b/src/succession/closing.ts
@@ -10,6 +10,7 @@
 import { hasOtherCandidate, isServing, pickCoveringSuccessor, pickFencedSuccessor, type ReplacementReason } from './candidates.js'
 import type { PositionRead, ReplicaFenced } from './messages.js'
 import type { FencingProgress, SuccessionState, TrackedDatabase } from './state.js'
+import { isPrimaryConfirmed } from './confirmation.js'
 import { createFenceEffect, resumeReplicas } from './receiving.js'
 import { appoint, createStep, isAppointmentSettling, publish, type SuccessionStep } from './steps.js'
 import { findAcknowledged, isQuiesced } from './writers.js'
@@ -34,7 +35,7 @@
   if (isAppointmentSettling(state, group, nowMs)) return progress === undefined ? resumeGroup(state, group, primary, nowMs) : createStep(state)
   const serves = primary !== undefined && isServing(state, primary, nowMs)
   if (progress === undefined) return serves && !hasOtherCandidate(state, primary, nowMs) ? resumeGroup(state, group, primary, nowMs) : beginClosing(state, group, primary, reason, nowMs)
-  if (progress.proposed !== undefined) return appointAgain(state, group, progress.proposed, reason, nowMs)
+  if (progress.proposed !== undefined) return appointAgain(state, group, progress.proposed, primary, reason, nowMs)
   if (serves && nowMs - progress.startedAtMs >= CLOSE_TIMEOUT_MS) return cancelClosing(state, group, primary, nowMs)
   if (progress.quiescedAtMs !== undefined) return chooseSuccessor(state, group, progress, primary, reason, nowMs)
   if (!isQuiesced(state, group, nowMs)) return createStep(state)
@@ -52,14 +53,20 @@
 }
 
 /**
- * Opens a group whose primary need not be replaced, or not any more, and lets its replicas receive.
+ * Opens a group whose primary need not be replaced, or not any more, and lets its replicas receive. Where a replica's copy
+ * acknowledges a write, it first makes sure that no earlier call to the platform replaces the primary later.
  * @example resumeGroup(state, 'a', primary, nowMs)
  */
 export function resumeGroup (state: SuccessionState, group: string, primary: TrackedDatabase | undefined, nowMs: number): SuccessionStep {
-  const published = publish(state, group, primary?.entry.database)
+  const isConfirmed = primary === undefined || (state.requiredCopies.get(group) ?? 0) === 0 || isPrimaryConfirmed(state, group, primary, nowMs)
+  const published = publish(state, group, primary?.entry.database, !isConfirmed)
   const wasFencing = state.fencing.has(group)
   const resumed = resumeReplicas(wasFencing ? dropProgress(published.state, group) : published.state, group, wasFencing, nowMs)
-  return { state: resumed.state, effects: [...published.effects, ...resumed.effects] }
+  const effects = [...published.effects, ...resumed.effects]
+  if (isConfirmed || isAppointmentSettling(resumed.state, group, nowMs)) return { state: resumed.state, effects }
+  const proposed = { ...createProgress(nowMs), proposed: primary.entry.database }
+  const appointed = appoint(replaceProgress(resumed.state, group, proposed), group, primary, 'unconfirmed', nowMs)
+  return { state: appointed.state, effects: [...effects, ...appointed.effects] }
 }
 
 /**
@@ -92,13 +99,17 @@
   return { ...state, fencing }
 }
 
+function createProgress (nowMs: number): FencingProgress {
+  return { startedAtMs: nowMs, askedAtMs: -Infinity, readPositions: new Map(), positions: new Map() }
+}
+
 function replaceProgress (state: SuccessionState, group: string, progress: FencingProgress): SuccessionState {
   return { ...state, fencing: new Map(state.fencing).set(group, progress) }
 }
 
 // Reports that arrived before the directory changed may still name hosts that commit, so these are looked at with the next check.
 function beginClosing (state: SuccessionState, group: string, primary: TrackedDatabase | undefined, reason: ReplacementReason, nowMs: number): SuccessionStep {
-  const begun = replaceProgress(state, group, { startedAtMs: nowMs, askedAtMs: -Infinity, readPositions: new Map(), positions: new Map() })
+  const begun = replaceProgress(state, group, createProgress(nowMs))
   const isPublished = primary !== undefined && (isServing(state, primary, nowMs) || state.published.get(group)?.database === primary.entry.database)
   const closed = isPublished ? publish(begun, group, primary.entry.database, true) : createStep(begun)
   const event = recordEvent('primary-closing', `Group ${group}: the primary is ${reason}; it is closed for writes until another database leads.`, { group })
@@ -112,9 +123,10 @@
   return { state: reopened.state, effects: [event, ...reopened.effects] }
 }
 
-function appointAgain (state: SuccessionState, group: string, proposed: string, reason: ReplacementReason, nowMs: number): SuccessionStep {
+function appointAgain (state: SuccessionState, group: string, proposed: string, primary: TrackedDatabase | undefined, reason: ReplacementReason, nowMs: number): SuccessionStep {
   const successor = state.members.get(proposed)
-  return successor === undefined ? createStep(state) : appoint(state, group, successor, reason, nowMs)
+  const confirms = proposed === primary?.entry.database
+  return successor === undefined ? createStep(state) : appoint(state, group, successor, confirms ? 'unconfirmed' : reason, nowMs)
 }
 
 // What was acknowledged is known in most cases. Then a replica that covers it may lead, and the others need not be reached.
--- a/src/succession/decide.ts
+++ b/src/succession/decide.ts
@@ -177,7 +177,8 @@
   const effect: AppointPrimary = { kind: 'promotion/appoint', group, database, appointment, fence: state.epoch * FENCING_TOKENS_PER_EPOCH + appointment }
   const published = state.published.get(group)?.database
   const former = published === undefined ? undefined : state.databases.get(published)
-  const withdrawn = former !== undefined && isServing(state, former, nowMs) ? createStep(state) : publish(state, group, undefined)
+  const stays = former !== undefined && (former.entry.database === database || isServing(state, former, nowMs))
+  const withdrawn = stays ? createStep(state) : publish(state, group, undefined)
   return { state: { ...withdrawn.state, calls: new Map(state.calls).set(group, next) }, effects: [...withdrawn.effects, effect] }
 }
 
@@ -187,7 +188,7 @@
   if (known?.appointment === appointment && known.superseded === true) return createStep(state)
   const call: PromotionCall = { appointment, calledAtMs: nowMs, tries: known?.appointment === appointment ? known.tries : 0, superseded: true }
   return {
-    state: { ...state, calls: new Map(state.calls).set(group, call), appointedAtMs: new Map(state.appointedAtMs).set(group, nowMs - APPOINTMENT_INTERVAL_MS + CALL_RETRY_DELAY_MS) },
+    state: delayAppointment({ ...state, calls: new Map(state.calls).set(group, call) }, group, nowMs),
     effects: [
       proposeOutcome(group, appointment, 'failed'),
       recordEvent('appointment-superseded', `Group ${group}: ${database} has started again since appointment ${appointment}, which fails.`, { group })
@@ -209,11 +210,22 @@
     return { state: { ...state, calls: new Map(state.calls).set(group, { ...call, dueAtMs: nowMs + delayMs }) }, effects: [event] }
   }
   const settled = proposeOutcome(group, appointment, outcome === 'done' ? 'done' : 'failed')
-  // Hosts use the new primary at once; until its promotion completes, it refuses their requests.
-  const published = outcome === 'done' ? publish(state, group, getOwn(state.table, group)!.database) : createStep({ ...state, appointedAtMs: new Map(state.appointedAtMs).set(group, nowMs - APPOINTMENT_INTERVAL_MS + CALL_RETRY_DELAY_MS) })
+  const published = outcome === 'done' ? publishAppointed(state, group, nowMs) : createStep(delayAppointment(state, group, nowMs))
   return { state: published.state, effects: [event, settled, ...published.effects] }
 }
 
+// Hosts use the new primary at once; until its promotion completes, it refuses their requests. One that is confirmed stays closed
+// until what the platform had accepted before has taken effect. Until then the former one goes on proving its role.
+function publishAppointed (state: SuccessionState, group: string, nowMs: number): SuccessionStep {
+  const { database, confirms } = getOwn(state.table, group)!
+  const answered = isCopied(state, group) ? { ...state, appointedAtMs: new Map(state.appointedAtMs).set(group, nowMs) } : state
+  return publish(answered, group, database, confirms === true)
+}
+
+function delayAppointment (state: SuccessionState, group: string, nowMs: number): SuccessionState {
+  return { ...state, appointedAtMs: new Map(state.appointedAtMs).set(group, nowMs - APPOINTMENT_INTERVAL_MS + CALL_RETRY_DELAY_MS) }
+}
+
 function createCheckTimer (): CoreEffect {
   return setTimer('succession/check', CHECK_INTERVAL_MS, { kind: 'succession/check-due' })
 }
--- a/src/succession/steps.ts
+++ b/src/succession/steps.ts
@@ -47,7 +47,7 @@
   return {
     state: { ...state, appointedAtMs },
     effects: [
-      tell({ kind: 'agreement/propose', proposal: `succession/${group}/${appointment}`, command: { kind: 'succession/appoint', group, appointment, database, instance: incarnation?.instance } }),
+      tell({ kind: 'agreement/propose', proposal: `succession/${group}/${appointment}`, command: { kind: 'succession/appoint', group, appointment, database, instance: incarnation?.instance, ...(reason === 'unconfirmed' ? { confirms: true } as const : {}) } }),
       recordEvent('primary-appointed', text, { group })
     ]
   }
--- a/src/succession/table.ts
+++ b/src/succession/table.ts
@@ -9,6 +9,8 @@
   readonly database: string
   /** The instance whose start was appointed, if it has one: a later start of it takes over the role, not the log. */
   readonly instance?: string
+  /** True if the database was primary already: the call overtakes earlier ones that got no answer. */
+  readonly confirms?: true
   /** The outcome of the call: `done` if the platform accepted the promotion, `failed` if it refused or did not answer; undefined while in progress. */
   readonly outcome?: 'done' | 'failed'
 }
@@ -24,6 +26,7 @@
   readonly appointment: number
   readonly database: string
   readonly instance?: string
+  readonly confirms?: true
 }
 
 /** Records the final outcome of an appointment's call. */
@@ -53,6 +56,6 @@
   const { appointment } = command
   if (command.kind === 'succession/settle') return known !== undefined && known.appointment === appointment ? { ...known, outcome: command.outcome } : known
   if (appointment !== (known?.appointment ?? 0) + 1) return known
-  const { database, instance } = command
-  return instance === undefined ? { appointment, database } : { appointment, database, instance }
+  const { database, instance, confirms } = command
+  return { appointment, database, ...(instance === undefined ? {} : { instance }), ...(confirms === undefined ? {} : { confirms }) }
 }
