Opens a confirmed primary in time although it departs

What callers would see: no writes for as long as a primary departs and nobody can take over, where it was confirmed before: each cancelled closing began the wait for earlier calls anew.

Cause: that wait was counted from the same time as the delay between appointments, which a cancelled closing sets. It counts from the platform's answer now, which the call keeps.

--- a/src/succession/closing.ts
+++ b/src/succession/closing.ts
@@ -1,9 +1,8 @@
 /**
  * Replacement of a primary whose writes are acknowledged by a replica's copy. The primary is closed for writes first. Once no
- * host can acknowledge a commit any more, a replica that covers all that was acknowledged is appointed; where that is not known, or
- * none does, the replicas stop receiving and are compared. The group stays closed until an appointment
- * has ended: a database that joins, starts again or can't be reached meanwhile may hold more than the successor, but nothing that
- * was acknowledged.
+ * host can acknowledge a commit any more, a replica that covers all that was acknowledged is appointed; where that is not known,
+ * or none does, the replicas stop receiving and are compared. The group stays closed until an appointment has ended: a database
+ * that joins, starts again or can't be reached meanwhile may hold more than the successor, but nothing that was acknowledged.
  */
 import { recordEvent } from '../core/message.js'
 import type { ReadPosition } from '../databases/driver.js'
@@ -12,12 +11,12 @@
 import type { FencingProgress, SuccessionState, TrackedDatabase } from './state.js'
 import { isPrimaryConfirmed } from './confirmation.js'
 import { createFenceEffect, resumeReplicas } from './receiving.js'
-import { appoint, createStep, isAppointmentSettling, publish, type SuccessionStep } from './steps.js'
+import { appoint, createStep, isAppointmentSettling, isCopied, publish, type SuccessionStep } from './steps.js'
 import { findAcknowledged, isQuiesced } from './writers.js'
 
 /** Delay before replicas that did not answer are fenced again. */
 const FENCE_RETRY_DELAY_MS = 400
-/** How long replicas go on receiving once no commit is acknowledged any more: many times the replication delay. */
+/** How long replicas may still catch up once no commit is acknowledged any more: many times the replication delay. */
 const CATCH_UP_MS = 300
 /** Delay between two reads of their positions meanwhile. */
 const READ_INTERVAL_MS = 100
@@ -39,8 +38,8 @@
   if (serves && nowMs - progress.startedAtMs >= CLOSE_TIMEOUT_MS) return cancelClosing(state, group, primary, nowMs)
   if (progress.quiescedAtMs !== undefined) return chooseSuccessor(state, group, progress, primary, reason, nowMs)
   if (!isQuiesced(state, group, nowMs)) return createStep(state)
-  const quiet: FencingProgress = { ...progress, quiescedAtMs: nowMs }
-  return chooseSuccessor(replaceProgress(state, group, quiet), group, quiet, primary, reason, nowMs)
+  const quiesced: FencingProgress = { ...progress, quiescedAtMs: nowMs }
+  return chooseSuccessor(replaceProgress(state, group, quiesced), group, quiesced, primary, reason, nowMs)
 }
 
 /**
@@ -58,17 +57,25 @@
  * @example resumeGroup(state, 'a', primary, nowMs)
  */
 export function resumeGroup (state: SuccessionState, group: string, primary: TrackedDatabase | undefined, nowMs: number): SuccessionStep {
-  const isConfirmed = primary === undefined || (state.requiredCopies.get(group) ?? 0) === 0 || isPrimaryConfirmed(state, group, primary, nowMs)
-  const published = publish(state, group, primary?.entry.database, !isConfirmed)
-  const wasFencing = state.fencing.has(group)
-  const resumed = resumeReplicas(wasFencing ? dropProgress(published.state, group) : published.state, group, wasFencing, nowMs)
-  const effects = [...published.effects, ...resumed.effects]
+  if (primary === undefined || !isCopied(state, group)) return resumeFenced(publish(state, group, primary?.entry.database), group, nowMs)
+  const isConfirmed = isPrimaryConfirmed(state, group, primary, nowMs)
+  const published = publish(state, group, primary.entry.database, !isConfirmed)
+  const fenced = resumeFenced(published, group, nowMs)
+  const resumed = resumeReplicas(fenced.state, group, false, nowMs)
+  const effects = [...fenced.effects, ...resumed.effects]
   if (isConfirmed || isAppointmentSettling(resumed.state, group, nowMs)) return { state: resumed.state, effects }
   const proposed = { ...createProgress(nowMs), proposed: primary.entry.database }
   const appointed = appoint(replaceProgress(resumed.state, group, proposed), group, primary, 'unconfirmed', nowMs)
   return { state: appointed.state, effects: [...effects, ...appointed.effects] }
 }
 
+// Replicas that this leader paused receive again at once, rather than with their next report.
+function resumeFenced (step: SuccessionStep, group: string, nowMs: number): SuccessionStep {
+  if (!step.state.fencing.has(group)) return step
+  const resumed = resumeReplicas(dropProgress(step.state, group), group, true, nowMs)
+  return { state: resumed.state, effects: [...step.effects, ...resumed.effects] }
+}
+
 /**
  * Records the position of a replica that stopped receiving. One that was read while hosts may have committed is not compared.
  * @example recordFenced(state, message)
--- a/src/succession/confirmation.test.ts
+++ b/src/succession/confirmation.test.ts
@@ -55,4 +55,17 @@
     expect(leader.grants.some(isOpen)).to.equal(false)
     expect(leader.calls.at(-1)).to.include({ database: 'db-0' })
   })
+
+  it('is opened again in time although it departs, while none can take over', () => {
+    for (let tries = 0; tries < MAX_TRIES; tries++) {
+      leader.answer('unanswered')
+      leader.run(500)
+    }
+    leader.answer('done')
+    leader.departing.add(0)
+    leader.offsets.fill(40, 1)
+    leader.unreached.add(1).add(2)
+    leader.run(10_000)
+    expect(leader.grants.some(isOpen)).to.equal(true)
+  })
 })
--- a/src/succession/confirmation.ts
+++ b/src/succession/confirmation.ts
@@ -5,7 +5,7 @@
 import { getOwn } from '../core/own.js'
 import { findAppointedInstance } from './incarnations.js'
 import type { SuccessionState, TrackedDatabase } from './state.js'
-import { isAppointmentSettling } from './steps.js'
+import { APPOINTMENT_INTERVAL_MS } from './steps.js'
 import type { Appointment } from './table.js'
 
 /**
@@ -18,7 +18,7 @@
   const appointment = getOwn(state.table, group)
   if (appointment === undefined) return true
   if (appointment.outcome !== 'done' || findAppointed(state, group, appointment) !== primary) return false
-  return appointment.confirms !== true || !isSettling(state, group, nowMs)
+  return appointment.confirms !== true || nowMs - findAnsweredAtMs(state, group, appointment) >= APPOINTMENT_INTERVAL_MS
 }
 
 function findAppointed (state: SuccessionState, group: string, appointment: Appointment): TrackedDatabase | undefined {
@@ -26,6 +26,7 @@
 }
 
 // A new leader does not know when the call was answered.
-function isSettling (state: SuccessionState, group: string, nowMs: number): boolean {
-  return isAppointmentSettling({ ...state, appointedAtMs: new Map([[group, state.appointedAtMs.get(group) ?? state.leadingSinceMs]]) }, group, nowMs)
+function findAnsweredAtMs ({ calls, leadingSinceMs }: SuccessionState, group: string, { appointment }: Appointment): number {
+  const call = calls.get(group)
+  return (call?.appointment === appointment ? call.answeredAtMs : undefined) ?? leadingSinceMs
 }
--- a/src/succession/decide.ts
+++ b/src/succession/decide.ts
@@ -10,7 +10,7 @@
 import { dropFormerIncarnations, isAppointmentSuperseded, markCaughtUp } from './incarnations.js'
 import type { Appointment } from './table.js'
 import type { AppointPrimary, PromotionCall, TrackedDatabase, SuccessionState } from './state.js'
-import { appoint, APPOINTMENT_INTERVAL_MS, createStep, isAppointmentSettling, publish, type SuccessionStep } from './steps.js'
+import { appoint, APPOINTMENT_INTERVAL_MS, createStep, isAppointmentSettling, isCopied, publish, type SuccessionStep } from './steps.js'
 import { dropLapsedWriters, recordWriters } from './writers.js'
 
 /** Time between two checks of all groups. */
@@ -152,11 +152,6 @@
   return checkPrimary(isCopied(known, group) ? dropLapsedWriters(known, group, primary, nowMs) : known, group, nowMs)
 }
 
-// A replica's copy acknowledges the writes of the group.
-function isCopied ({ requiredCopies }: SuccessionState, group: string): boolean {
-  return (requiredCopies.get(group) ?? 0) > 0
-}
-
 function checkPrimary (state: SuccessionState, group: string, nowMs: number): SuccessionStep {
   const primary = findPrimary(state, group)
   const reason = findReplacementReason(state, primary, nowMs)
@@ -210,15 +205,16 @@
     return { state: { ...state, calls: new Map(state.calls).set(group, { ...call, dueAtMs: nowMs + delayMs }) }, effects: [event] }
   }
   const settled = proposeOutcome(group, appointment, outcome === 'done' ? 'done' : 'failed')
-  const published = outcome === 'done' ? publishAppointed(state, group, nowMs) : createStep(delayAppointment(state, group, nowMs))
+  const published = outcome === 'done' ? publishAppointed(state, group, call, nowMs) : createStep(delayAppointment(state, group, nowMs))
   return { state: published.state, effects: [event, settled, ...published.effects] }
 }
 
 // Hosts use the new primary at once; until its promotion completes, it refuses their requests. One that is confirmed stays closed
 // until what the platform had accepted before has taken effect. Until then the former one goes on proving its role.
-function publishAppointed (state: SuccessionState, group: string, nowMs: number): SuccessionStep {
+function publishAppointed (state: SuccessionState, group: string, call: PromotionCall, nowMs: number): SuccessionStep {
   const { database, confirms } = getOwn(state.table, group)!
-  const answered = isCopied(state, group) ? { ...state, appointedAtMs: new Map(state.appointedAtMs).set(group, nowMs) } : state
+  const appointedAtMs = isCopied(state, group) ? new Map(state.appointedAtMs).set(group, nowMs) : state.appointedAtMs
+  const answered = { ...state, appointedAtMs, calls: new Map(state.calls).set(group, { ...call, answeredAtMs: nowMs }) }
   return publish(answered, group, database, confirms === true)
 }
 
--- a/src/succession/state.ts
+++ b/src/succession/state.ts
@@ -92,6 +92,8 @@
 export interface PromotionCall {
   readonly appointment: number
   readonly calledAtMs: number
+  /** When the platform carried it out; absent before. */
+  readonly answeredAtMs?: number
   /** The time of the next try; undefined while one is in flight. */
   readonly dueAtMs?: number
   readonly tries: number
--- a/src/succession/steps.ts
+++ b/src/succession/steps.ts
@@ -24,6 +24,14 @@
   return { state, effects: [] }
 }
 
+/**
+ * Tells whether a replica's copy acknowledges the writes of a group.
+ * @example isCopied(state, 'a')
+ */
+export function isCopied ({ requiredCopies }: SuccessionState, group: string): boolean {
+  return (requiredCopies.get(group) ?? 0) > 0
+}
+
 /**
  * Tells whether the last appointment of a group has to settle before the next one begins.
  * @example isAppointmentSettling(state, 'a', nowMs)
@@ -60,7 +68,7 @@
  */
 export function publish (state: SuccessionState, group: string, database: string | undefined, closing = false): SuccessionStep {
   const known = state.published.get(group)
-  const leased = (state.requiredCopies.get(group) ?? 0) > 0
+  const leased = isCopied(state, group)
   if (known !== undefined && known.database === database && known.closing === closing && known.leased === leased) return createStep(state)
   if (known === undefined && database === undefined) return createStep(state)
   const term = getOwn(state.table, group)?.appointment ?? 0
--- a/src/succession/support/testleader.ts
+++ b/src/succession/support/testleader.ts
@@ -18,6 +18,8 @@
   readonly offsets = [50, 50, 50]
   readonly terms = [1, 1, 1]
   readonly silent = new Set<number>()
+  /** Databases that the leader does not reach, while their owner does. */
+  readonly unreached = new Set<number>()
   /** The term at which each database is paused; 0 while it receives. */
   readonly heldTerms = [0, 0, 0]
   /** How many of the next orders to receive are lost. */
@@ -84,12 +86,12 @@
 
   #answerRead ({ database }: ReadPosition): void {
     const index = Number(database.slice('db-'.length))
-    if (!this.silent.has(index)) this.#decide({ kind: 'succession/position-read', group: 'g', database, position: { term: this.terms[index]!, offset: this.offsets[index]! } })
+    if (!this.silent.has(index) && !this.unreached.has(index)) this.#decide({ kind: 'succession/position-read', group: 'g', database, position: { term: this.terms[index]!, offset: this.offsets[index]! } })
   }
 
   #answerFence ({ database, term, receives }: FenceReplica): void {
     const index = Number(database.slice('db-'.length))
-    if (this.silent.has(index) || (receives && this.lostResumes-- > 0)) return
+    if (this.silent.has(index) || this.unreached.has(index) || (receives && this.lostResumes-- > 0)) return
     this.heldTerms[index] = receives ? 0 : term
     if (!receives) this.#decide({ kind: 'succession/fenced', group: 'g', database, position: { term: this.terms[index]!, offset: this.offsets[index]! } })
   }
--- a/src/transactions/commits.ts
+++ b/src/transactions/commits.ts
@@ -1,8 +1,8 @@
 /**
- * Commit leases, for groups where a replica's copy acknowledges a write. A group's primary can only be replaced without losing a write if
- * none is acknowledged after its replicas were compared. So a host sends nothing that may commit unless the leader has confirmed
- * a heartbeat that names the group, within the lease, and the directory does not close the primary. The host's heartbeats say
- * once all it sent is answered, and up to which position it acknowledged writes.
+ * Commit leases, for groups where a replica's copy acknowledges a write. Such a primary can only be replaced without losing a write
+ * if none is acknowledged after its replicas were compared. So a host sends nothing that may commit unless the leader has
+ * confirmed a heartbeat that names the group, within the lease, and the directory does not close the primary. The host's
+ * heartbeats say once all it sent is answered, and up to which position it acknowledged writes.
  */
 import { createFailure, type Failure } from '../core/errors.js'
 import type { Moment } from '../core/message.js'
