--- a/src/succession/support/copiessimulation.ts
+++ b/src/succession/support/copiessimulation.ts
@@ -121,7 +121,7 @@
     const member = members[Math.floor(this.#random() * members.length)]!
     const owner = this.#owners[Math.floor(this.#random() * HOSTS)]!
     const durationMs = this.#random() * MAX_FAULT_MS
-    switch (Math.floor(this.#random() * 9)) {
+    switch (Math.floor(this.#random() * 10)) {
       case 0: return this.#drainDatabase(this.#group.primary)
       case 1: return members.length < MAX_MEMBERS ? this.#group.addMember(`db-${members.length}`) : undefined
       case 2: return this.#cutMember(member, durationMs)
@@ -135,6 +135,8 @@
         this.#platformDownUntilMs = this.#nowMs + durationMs
         return
       case 8: return this.#replaceLeader()
+      case 9:
+        owner.cutUntilMs = this.#nowMs + durationMs
     }
   }
 
@@ -171,7 +173,7 @@
       member.cut = false
       if (!member.running) this.#group.restart(member.name)
     }
-    for (const owner of this.#owners) owner.frozenUntilMs = 0
+    for (const owner of this.#owners) Object.assign(owner, { frozenUntilMs: 0, cutUntilMs: 0 })
   }
 
   #lead (): void {
@@ -202,7 +204,7 @@
     const databases = owned.filter(({ running, cut }) => running && !cut).map(({ name }) => this.#createEntry(name))
     const leader = this.#leaders.at(-1)!
     this.#schedule(this.#random() * 40, () => {
-      if (leader.endsAtMs <= this.#nowMs) return
+      if (leader.endsAtMs <= this.#nowMs || owner.cutUntilMs > this.#nowMs) return
       this.#decide(leader, { kind: 'succession/reported', host: owner.name, failureDomain: `zone-${this.#owners.indexOf(owner)}`, apart: false, leftAtMs: sentAtMs, statuses, databases, ...(writes.size === 0 ? {} : { writes: [...writes.values()], process: String(process), round }) })
       const { epoch, revision, grant } = leader
       this.#schedule(this.#random() * 40, () => this.#receiveAnswer(owner, process, { epoch, revision, grant }, sentAtMs))
@@ -210,7 +212,7 @@
   }
 
   #receiveAnswer (owner: Owner, process: number, { epoch, revision, grant }: Pick<Leader, 'epoch' | 'revision' | 'grant'>, askedAtMs: number): void {
-    if (owner.process !== process) return
+    if (owner.process !== process || owner.cutUntilMs > this.#nowMs) return
     if (owner.frozenUntilMs > this.#nowMs) return this.#schedule(owner.frozenUntilMs - this.#nowMs, () => this.#receiveAnswer(owner, process, { epoch, revision, grant }, askedAtMs))
     if (epoch < owner.epoch || (epoch === owner.epoch && revision < owner.revision)) return
     if (epoch !== owner.epoch || revision !== owner.revision) {
