Counts what an answering primary holds, in place of one replica

The platform had accepted a successor that ended before it led; the former primary, which still led, ended for good without deregistering, and leaders and hosts were replaced.

Cause: with no host left that knew what was acknowledged, all replicas are awaited, and the former primary counted as one of the appointed database, which answers and never led.

Change: the supposed primary is asked as well, if it answers. Each commit is held by the primary and a replica, so if the primary was read, did not start again and is covered by the successor, a single replica need not be awaited.

Why it works: whichever database is missing, the other holder of each acknowledged commit is among those that were compared.

Measured: the new test of unreachedreplicas.test.ts fails without the change.

--- a/src/succession/candidates.ts
+++ b/src/succession/candidates.ts
@@ -173,18 +173,30 @@
 /**
  * Picks the next primary where it is not known what was acknowledged: the replica with the latest position, once every replica
  * is fenced. One that can't be reached is awaited, however long it has been silent: it may be cut off from this system alone, and
- * have acknowledged a write that no other one holds. A replica that started again may have lost the only copy of one, so that
+ * have acknowledged a commit that no other replica holds. The primary holds that commit as well, so a single one need not be
+ * awaited if the primary was read, and is covered. A replica that started again may have lost the only copy of a commit, so that
  * the primary is waited for until it has caught up.
  * @example pickFencedSuccessor(state, 'a', primary).successor
  */
 export function pickFencedSuccessor (state: SuccessionState, group: string, primary: TrackedDatabase | undefined): FencedChoice {
-  const positions = state.fencing.get(group)?.positions ?? new Map<string, LogPosition>()
+  const progress = state.fencing.get(group)
+  const positions = progress?.positions ?? new Map<string, LogPosition>()
   const replicas = [...state.members.values()].filter(known => known.entry.group === group && known.entry.database !== primary?.entry.database)
-  const awaited = replicas.filter(known => !positions.has(known.entry.database))
-  const mayLackCopies = replicas.some(known => known.restartedAtMs !== undefined)
-  if (awaited.length > 0 || mayLackCopies) return { awaited }
-  const latest = [...replicas].sort((a, b) => comparePositions(positions.get(b.entry.database)!, positions.get(a.entry.database)!) || Number(isInEvacuated(state, a)) - Number(isInEvacuated(state, b)) || Number(a.entry.departing) - Number(b.entry.departing))[0]
-  return latest === undefined ? { awaited } : { awaited, successor: latest }
+  const missing = replicas.filter(known => !positions.has(known.entry.database))
+  const primaryPosition = positions.get(primary?.entry.database ?? '')
+  const isPrimaryAwaited = primary !== undefined && primaryPosition === undefined && isAnsweringSince(primary, progress?.quiescedAtMs)
+  const awaited = isPrimaryAwaited ? [...missing, primary] : missing
+  if (replicas.some(known => known.restartedAtMs !== undefined)) return { awaited }
+  const read = replicas.filter(known => positions.has(known.entry.database))
+  const latest = read.sort((a, b) => comparePositions(positions.get(b.entry.database)!, positions.get(a.entry.database)!) || Number(isInEvacuated(state, a)) - Number(isInEvacuated(state, b)) || Number(a.entry.departing) - Number(b.entry.departing))[0]
+  if (latest === undefined) return { awaited }
+  const coversPrimary = primaryPosition !== undefined && primary?.restartedAtMs === undefined && coversCommits(positions.get(latest.entry.database)!, primaryPosition)
+  return missing.length === 0 || (missing.length === 1 && coversPrimary) ? { awaited, successor: latest } : { awaited }
+}
+
+// A database that was appointed and does not lead is as good as a replica.
+function isAnsweringSince ({ answeredAtMs = -Infinity }: TrackedDatabase, sinceMs = Infinity): boolean {
+  return answeredAtMs >= sinceMs
 }
 
 function listMembers (state: SuccessionState, group: string): TrackedDatabase[] {
--- a/src/succession/support/testleader.ts
+++ b/src/succession/support/testleader.ts
@@ -28,6 +28,8 @@
   /** What the owner of the primary reports; undefined while it is silent. */
   writes: WriteReport | undefined = { group: 'g', phase: 'open' }
   commitsProposals = true
+  /** False once the announced primary answers like a replica. */
+  proves = true
   #state = createSuccessionState(true)
   #nowMs = 10_000
   #round = 0
@@ -51,7 +53,7 @@
   /** Reports the databases, and what a host says of its commits. */
   report (writes: WriteReport | undefined, round = ++this.#round): void {
     const databases = [0, 1, 2].map((index): DatabaseEntry => ({ kind: 'database', database: `db-${index}`, group: 'g', failureDomain: 'a', address: '', slots: 3, connectionLimit: 10, departing: this.departing.has(index), leads: index === 0 }))
-    const statuses = this.offsets.map((offset, index): DatabaseStatus => ({ database: `db-${index}`, answering: !this.silent.has(index), primary: index === 0, position: { term: this.terms[index]!, offset }, fencedTerm: this.heldTerms[index]!, ageMs: 0 }))
+    const statuses = this.offsets.map((offset, index): DatabaseStatus => ({ database: `db-${index}`, answering: !this.silent.has(index), primary: index === 0 && this.proves, position: { term: this.terms[index]!, offset }, fencedTerm: this.heldTerms[index]!, ageMs: 0 }))
     const report = { kind: 'succession/reported', failureDomain: 'a', apart: false, leftAtMs: this.#nowMs, statuses, databases } as const
     this.#decide({ ...report, host: 'prober' })
     if (writes !== undefined) this.#decide({ ...report, host: 'owner', statuses: [], databases: [], writes: [writes], process: 'p1', round })
--- a/src/succession/unreachedreplicas.test.ts
+++ b/src/succession/unreachedreplicas.test.ts
@@ -58,4 +58,13 @@
     leader.run(1_500)
     expect(leader.calls.map(({ database }) => database)).to.deep.equal(['db-1'])
   })
+
+  it('is not awaited for ever where the appointed primary answers and never led, so that it tells what it holds', () => {
+    leader.run(SILENT_MS)
+    leader.lead()
+    leader.proves = false
+    leader.writes = undefined
+    leader.run(10_000)
+    expect(leader.calls.map(({ database }) => database)).to.deep.equal(['db-1'])
+  })
 })
