Appoints no database below what is known to be acknowledged

Cause: once no known replica covered the acknowledged position, the leader went on to the comparison of all replicas it knew, which does not look at that position; the replica that held the commits had withdrawn itself. Ruled out: a position that was not known or wrong (all hosts lived and reported it), and commits after the comparison. Change: the highest position that a host reported as acknowledged binds each choice. Why it works: a database below it lacks a commit that was acknowledged, whoever else is missing.

--- a/src/succession/candidates.ts
+++ b/src/succession/candidates.ts
@@ -175,10 +175,12 @@
  * is fenced. One that can't be reached is awaited, however long it has been silent: it may be cut off from this system alone, and
  * have acknowledged a commit that no other replica holds. The primary holds that commit as well, so a single one need not be
  * awaited if the primary was read, and is covered. A replica that started again may have lost the only copy of a commit, so that
- * the primary is waited for until it has caught up.
- * @example pickFencedSuccessor(state, 'a', primary).successor
+ * the primary is waited for until it has caught up. Whoever is missing, a database below a commit that is known to be acknowledged
+ * lacks it: then a database that this leader does not know of holds that commit.
+ * @param acknowledged the highest position that is known to be acknowledged.
+ * @example pickFencedSuccessor(state, 'a', primary, acknowledged).successor
  */
-export function pickFencedSuccessor (state: SuccessionState, group: string, primary: TrackedDatabase | undefined): FencedChoice {
+export function pickFencedSuccessor (state: SuccessionState, group: string, primary: TrackedDatabase | undefined, acknowledged: LogPosition): FencedChoice {
   const progress = state.fencing.get(group)
   const positions = progress?.positions ?? new Map<string, LogPosition>()
   const replicas = [...state.members.values()].filter(known => known.entry.group === group && known.entry.database !== primary?.entry.database)
@@ -189,7 +191,7 @@
   if (replicas.some(known => known.restartedAtMs !== undefined)) return { awaited }
   const read = replicas.filter(known => positions.has(known.entry.database))
   const latest = read.sort((a, b) => comparePositions(positions.get(b.entry.database)!, positions.get(a.entry.database)!) || Number(isInEvacuated(state, a)) - Number(isInEvacuated(state, b)) || Number(a.entry.departing) - Number(b.entry.departing))[0]
-  if (latest === undefined) return { awaited }
+  if (latest === undefined || !coversCommits(positions.get(latest.entry.database)!, acknowledged)) return { awaited }
   const coversPrimary = primaryPosition !== undefined && primary?.restartedAtMs === undefined && coversCommits(positions.get(latest.entry.database)!, primaryPosition)
   return missing.length === 0 || (missing.length === 1 && coversPrimary) ? { awaited, successor: latest } : { awaited }
 }
--- a/src/succession/closing.ts
+++ b/src/succession/closing.ts
@@ -12,7 +12,7 @@
 import { isPrimaryConfirmed } from './confirmation.js'
 import { createFenceEffect, resumeReplicas } from './receiving.js'
 import { appoint, createStep, isAppointmentSettling, isCopied, publish, type SuccessionStep } from './steps.js'
-import { findAcknowledged, isQuiesced } from './writers.js'
+import { findAcknowledged, findHighestAcknowledged, isQuiesced } from './writers.js'
 
 /** Delay before replicas that did not answer are fenced again. */
 const FENCE_RETRY_DELAY_MS = 400
@@ -140,7 +140,7 @@
 function chooseSuccessor (state: SuccessionState, group: string, progress: FencingProgress, primary: TrackedDatabase | undefined, reason: ReplacementReason, nowMs: number): SuccessionStep {
   const acknowledged = findAcknowledged(state, group)
   const covering = acknowledged === undefined ? undefined : pickCoveringSuccessor(state, group, primary, acknowledged, nowMs)
-  const { awaited, successor } = pickFencedSuccessor(state, group, primary)
+  const { awaited, successor } = pickFencedSuccessor(state, group, primary, findHighestAcknowledged(state, group))
   const chosen = covering ?? successor
   if (chosen !== undefined) return appoint(replaceProgress(state, group, { ...progress, proposed: chosen.entry.database }), group, chosen, reason, nowMs)
   if (acknowledged !== undefined && nowMs - (progress.quiescedAtMs ?? nowMs) < CATCH_UP_MS) return readReplicas(state, group, progress, primary, nowMs)
--- a/src/succession/state.ts
+++ b/src/succession/state.ts
@@ -76,6 +76,8 @@
 
 /** The processes that may commit in a group, or could, and what the commits of others are covered by. */
 export interface GroupWriters {
+  /** The highest position that a process which is not listed any more reported as acknowledged. */
+  readonly acknowledged: LogPosition
   /** Covers each commit that was acknowledged by a process that is not listed any more. */
   readonly floor: LogPosition
   readonly processes: ReadonlyMap<string, Writer>
--- a/src/succession/support/testleader.ts
+++ b/src/succession/support/testleader.ts
@@ -25,6 +25,7 @@
   /** How many of the next orders to receive are lost. */
   lostResumes = 0
   readonly departing = new Set<number>()
+  readonly withdrawn = new Set<number>()
   /** What the owner of the primary reports; undefined while it is silent. */
   writes: WriteReport | undefined = { group: 'g', phase: 'open' }
   commitsProposals = true
@@ -52,13 +53,20 @@
 
   /** Reports the databases, and what a host says of its commits. */
   report (writes: WriteReport | undefined, round = ++this.#round): void {
-    const databases = [0, 1, 2].map((index): DatabaseEntry => ({ kind: 'database', database: `db-${index}`, group: 'g', failureDomain: 'a', address: '', slots: 3, connectionLimit: 10, departing: this.departing.has(index), leads: index === 0 }))
+    const databases = [0, 1, 2].filter(index => !this.withdrawn.has(index)).map((index): DatabaseEntry => ({ kind: 'database', database: `db-${index}`, group: 'g', failureDomain: 'a', address: '', slots: 3, connectionLimit: 10, departing: this.departing.has(index), leads: index === 0 }))
     const statuses = this.offsets.map((offset, index): DatabaseStatus => ({ database: `db-${index}`, answering: !this.silent.has(index), primary: index === 0 && this.proves, position: { term: this.terms[index]!, offset }, fencedTerm: this.heldTerms[index]!, ageMs: 0 }))
     const report = { kind: 'succession/reported', failureDomain: 'a', apart: false, leftAtMs: this.#nowMs, statuses, databases } as const
     this.#decide({ ...report, host: 'prober' })
     if (writes !== undefined) this.#decide({ ...report, host: 'owner', statuses: [], databases: [], writes: [writes], process: 'p1', round })
   }
 
+  /** A database ends as planned. */
+  withdraw (index: number): void {
+    this.withdrawn.add(index)
+    this.silent.add(index)
+    this.#decide({ kind: 'succession/withdrawn', database: `db-${index}` })
+  }
+
   /** Another host leads, which knows the table alone. */
   lead (): void {
     this.#decide({ kind: 'succession/leadership', leads: true, epoch: 4, table: this.#state.table })
--- a/src/succession/writers.ts
+++ b/src/succession/writers.ts
@@ -39,8 +39,9 @@
   const dropped = [...writers.processes].filter(([, writer]) => hasLapsed(writer, nowMs) && (writer.phase === 'closed' || isCovered(writer, primary)))
   if (dropped.length === 0) return state
   const processes = new Map([...writers.processes].filter(([name]) => !dropped.some(([other]) => other === name)))
+  const acknowledged = dropped.map(([, writer]) => writer.acknowledged ?? ORIGIN).reduce(pickLater, writers.acknowledged)
   const floor = dropped.map(([, writer]) => (writer.phase === 'closed' ? writer.acknowledged : primary?.status?.position) ?? ORIGIN).reduce(pickLater, writers.floor)
-  return { ...state, writers: new Map(state.writers).set(group, { floor, processes }) }
+  return { ...state, writers: new Map(state.writers).set(group, { acknowledged, floor, processes }) }
 }
 
 /**
@@ -64,6 +65,16 @@
   return writers.map(({ acknowledged }) => acknowledged ?? ORIGIN).reduce(pickLater, floor)
 }
 
+/**
+ * Finds the highest position of a commit that a host reported as acknowledged: a database below it lacks that commit, whatever
+ * else is known.
+ * @example findHighestAcknowledged(state, 'a').offset
+ */
+export function findHighestAcknowledged (state: SuccessionState, group: string): LogPosition {
+  const { acknowledged, processes } = getWriters(state, group)
+  return [...processes.values()].map(writer => writer.acknowledged ?? ORIGIN).reduce(pickLater, acknowledged)
+}
+
 function hasLapsed ({ heardAtMs }: Writer, nowMs: number): boolean {
   return nowMs >= heardAtMs + COMMIT_LEASE_EXPIRY_MS
 }
@@ -75,5 +86,5 @@
 }
 
 function getWriters ({ writers, leadingSinceMs }: SuccessionState, group: string): GroupWriters {
-  return writers.get(group) ?? { floor: ORIGIN, processes: new Map([[FORMER_WRITERS, { heardAtMs: leadingSinceMs, round: 0, phase: 'open' }]]) }
+  return writers.get(group) ?? { acknowledged: ORIGIN, floor: ORIGIN, processes: new Map([[FORMER_WRITERS, { heardAtMs: leadingSinceMs, round: 0, phase: 'open' }]]) }
 }
