Keeps the replica sets of groups with copied writes in the log

Cause: a leader that begins learned of replicas from the directory and the stored list, which drop what is silent for a second; so it compared one replica and took it for all. A replica that had withdrawn itself, and the former start of one that started again, were forgotten in the same way. Ruled out: two leaders that call, and a position that a host had reported to the new leader. Change: the log keeps each group's replica set; a database leaves it once it has ended and what it may hold is covered. The comparison rests on the two holders that each commit has. Why it works: whoever may hold a commit that no reachable database holds is in the set, whatever the directory says, so the leader waits for it.

--- a/src/agreement/catalog.ts
+++ b/src/agreement/catalog.ts
@@ -4,6 +4,7 @@
 import { applyStoredDatabasesUpdate, type UpdateStoredDatabasesCommand, type StoredDatabaseTable } from '../membership/stored.js'
 import { applyPrimacyCommand, type GroupsTable, type PrimacyCommand } from '../primacy/table.js'
 import { applyRegisterCommand, type HoldersTable, type RegisterCommand } from '../shares/holders.js'
+import { applyReplicaSetUpdate, type ReplicaSetTable, type UpdateReplicaSetCommand } from '../succession/replicaset.js'
 import { applySuccessionCommand, type SuccessionCommand, type AppointmentTable } from '../succession/table.js'
 import { StateMachine, type ApplyResult } from './statemachine.js'
 
@@ -17,12 +18,14 @@
   readonly holders: HoldersTable
   /** The databases in the leader's directory; absent in snapshots written before this field existed. */
   readonly databases?: StoredDatabaseTable
+  /** Databases that may hold what replicas' copies acknowledged; absent in snapshots written before this field existed. */
+  readonly replicaSets?: ReplicaSetTable
   /** Operators' orders on failure domains; absent in snapshots written before this field existed. */
   readonly evacuations?: EvacuationTable
 }
 
 /** Any command of the log. */
-export type CatalogCommand = DocumentsCommand | PrimacyCommand | RegisterCommand | UpdateStoredDatabasesCommand | SuccessionCommand | OrderCommand
+export type CatalogCommand = DocumentsCommand | PrimacyCommand | RegisterCommand | UpdateStoredDatabasesCommand | SuccessionCommand | UpdateReplicaSetCommand | OrderCommand
 
 /** The outcome of a command; undefined if no caller waits for it. */
 export type CatalogOutcome = DocumentOutcome | OrderOutcome | undefined
@@ -49,6 +52,7 @@
       }
       case 'succession/appoint':
       case 'succession/settle': return { state: { ...state, successions: applySuccessionCommand(state.successions, command) }, outcome: undefined }
+      case 'succession/replicas': return { state: { ...state, replicaSets: applyReplicaSetUpdate(state.replicaSets ?? {}, command) }, outcome: undefined }
       case 'shares/register': return { state: { ...state, holders: applyRegisterCommand(state.holders, command) }, outcome: undefined }
       case 'membership/remember': return { state: { ...state, databases: applyStoredDatabasesUpdate(state.databases ?? {}, command) }, outcome: undefined }
       case 'evacuation/order': {
--- a/src/agreement/decide.ts
+++ b/src/agreement/decide.ts
@@ -163,6 +163,7 @@
     case 'documents/confirm': return tell({ kind: 'documents/applied', proposal, command, outcome: outcome as DocumentOutcome, table: state.documents })
     case 'succession/appoint':
     case 'succession/settle': return tell({ kind: 'succession/applied', command, table: state.successions })
+    case 'succession/replicas': return tell({ kind: 'succession/replicas-applied', group: command.group, replicaSets: state.replicaSets ?? {} })
     case 'shares/register': return tell({ kind: 'shares/registered', holders: state.holders })
     case 'membership/remember': return tell({ kind: 'membership/remembered', databases: state.databases ?? {} })
     case 'evacuation/order': return tell({ kind: 'evacuation/applied', proposal, command, outcome: outcome as OrderOutcome, table: state.evacuations ?? NO_EVACUATIONS })
@@ -179,7 +180,7 @@
     tell({ kind: 'operations/leader-known', leader }),
     tell({ kind: 'documents/leadership', leads, epoch, table: state.documents }),
     tell({ kind: 'primacy/leadership', leads, epoch, table: state.groups }),
-    tell({ kind: 'succession/leadership', leads, epoch, table: state.successions }),
+    tell({ kind: 'succession/leadership', leads, epoch, table: state.successions, replicaSets: state.replicaSets ?? {} }),
     tell({ kind: 'evacuation/leadership', leads, table: state.evacuations ?? NO_EVACUATIONS })
   ]
 }
--- a/src/membership/leader.ts
+++ b/src/membership/leader.ts
@@ -2,7 +2,7 @@
 import type { CoreEffect, Moment, Step } from '../core/message.js'
 import { createDirectory, dropCold, removeEntry, listChangesSince, listColdRates, listEntries, putEntry, getEntryKey, type DatabaseEntry, type DatabaseStatus, type Directory, type DirectoryEntry } from './directory.js'
 import { keepValidEntries } from './entry.js'
-import { isCurrent, listDoubted, mergeKnownDatabases, recordReports, pruneIncarnations, type IncarnationTable } from './incarnations.js'
+import { isCurrent, listDoubted, listWithdrawals, mergeKnownDatabases, recordReports, pruneIncarnations, type IncarnationTable } from './incarnations.js'
 import type { Heartbeat, HostLeft } from './messages.js'
 import { MIN_RELAYED_HOSTS } from './relay.js'
 import type { LeaderState, MembershipState, ReportingHost } from './state.js'
@@ -57,8 +57,10 @@
     awaitedHosts
   }
   const report = { kind: 'succession/reported', host: state.self?.host ?? '', failureDomain: state.self?.failureDomain ?? '', apart: true, statuses: [] } as const
-  const notifications = [tell({ ...report, databases: knownDatabases }), tell({ ...report, databases: storedDatabases, remembered: true })]
-  return { state: { ...state, incarnations, leaderState }, effects: [...notifications, createSweepTimer()] }
+  const reports = [tell({ ...report, databases: knownDatabases }), tell({ ...report, databases: storedDatabases, remembered: true })]
+  // The former leader may have been lost before it stored them.
+  const withdrawals = listWithdrawals(state.incarnations).map(({ database }) => tell({ kind: 'succession/withdrawn', database }))
+  return { state: { ...state, incarnations, leaderState }, effects: [...reports, ...withdrawals, createSweepTimer()] }
 }
 
 /**
--- a/src/succession/candidates.ts
+++ b/src/succession/candidates.ts
@@ -1,6 +1,6 @@
 /** Identifies the primary of a group, whether it has to be replaced, and its successor. */
 import { getOwn } from '../core/own.js'
-import { comparePositions, coversPosition, ORIGIN, pickLater, type LogPosition } from '../core/position.js'
+import { comparePositions, ORIGIN } from '../core/position.js'
 import { findAppointedInstance } from './incarnations.js'
 import type { ReportingHost, TrackedDatabase, SuccessionState } from './state.js'
 
@@ -141,64 +141,15 @@
 }
 
 function listCandidates (state: SuccessionState, group: string, nowMs: number): TrackedDatabase[] {
-  return listMembers(state, group).filter(known => !known.entry.departing && nowMs - (known.answeredAtMs ?? -Infinity) < CANDIDATE_ANSWER_MAX_AGE_MS)
+  return listMembers(state, group).filter(known => !known.entry.departing && isAnswering(known, nowMs))
 }
 
 /**
- * Picks the next primary where writes are acknowledged by a replica's copy: a replica that covers each acknowledged commit, whatever
- * the others hold. Of several, one that stays in use, and that holds most.
- * @param acknowledged a position that covers each acknowledged commit of the group.
- * @example pickCoveringSuccessor(state, 'a', primary, acknowledged, nowMs)?.entry.database
+ * Tells whether a database has answered recently enough to lead next.
+ * @example isAnswering(known, nowMs)
  */
-export function pickCoveringSuccessor (state: SuccessionState, group: string, primary: TrackedDatabase | undefined, acknowledged: LogPosition, nowMs: number): TrackedDatabase | undefined {
-  const progress = state.fencing.get(group)
-  const findPosition = ({ entry, status }: TrackedDatabase): LogPosition =>
-    [progress?.positions.get(entry.database), progress?.readPositions.get(entry.database), status?.position].reduce<LogPosition>((latest, position = ORIGIN) => pickLater(latest, position), ORIGIN)
-  const answering = listMembers(state, group).filter(known => nowMs - (known.answeredAtMs ?? -Infinity) < CANDIDATE_ANSWER_MAX_AGE_MS)
-  const covering = answering.filter(known => known.entry.database !== primary?.entry.database && coversCommits(findPosition(known), acknowledged))
-  return covering.sort((a, b) => Number(isInEvacuated(state, a)) - Number(isInEvacuated(state, b)) || Number(a.entry.departing) - Number(b.entry.departing) || comparePositions(findPosition(b), findPosition(a)))[0]
-}
-
-// Numbers go on through all terms. A database that was down during a promotion may know the new term before it has received its log.
-function coversCommits (position: LogPosition, acknowledged: LogPosition): boolean {
-  return coversPosition(position, acknowledged) && position.offset >= acknowledged.offset
-}
-
-/** The outcome of fencing the replicas of a group: those still awaited, and the successor once there are none. */
-export interface FencedChoice {
-  readonly awaited: readonly TrackedDatabase[]
-  readonly successor?: TrackedDatabase
-}
-
-/**
- * Picks the next primary where it is not known what was acknowledged: the replica with the latest position, once every replica
- * is fenced. One that can't be reached is awaited, however long it has been silent: it may be cut off from this system alone, and
- * have acknowledged a commit that no other replica holds. The primary holds that commit as well, so a single one need not be
- * awaited if the primary was read, and is covered. A replica that started again may have lost the only copy of a commit, so that
- * the primary is waited for until it has caught up. Whoever is missing, a database below a commit that is known to be acknowledged
- * lacks it: then a database that this leader does not know of holds that commit.
- * @param acknowledged the highest position that is known to be acknowledged.
- * @example pickFencedSuccessor(state, 'a', primary, acknowledged).successor
- */
-export function pickFencedSuccessor (state: SuccessionState, group: string, primary: TrackedDatabase | undefined, acknowledged: LogPosition): FencedChoice {
-  const progress = state.fencing.get(group)
-  const positions = progress?.positions ?? new Map<string, LogPosition>()
-  const replicas = [...state.members.values()].filter(known => known.entry.group === group && known.entry.database !== primary?.entry.database)
-  const missing = replicas.filter(known => !positions.has(known.entry.database))
-  const primaryPosition = positions.get(primary?.entry.database ?? '')
-  const isPrimaryAwaited = primary !== undefined && primaryPosition === undefined && isAnsweringSince(primary, progress?.quiescedAtMs)
-  const awaited = isPrimaryAwaited ? [...missing, primary] : missing
-  if (replicas.some(known => known.restartedAtMs !== undefined)) return { awaited }
-  const read = replicas.filter(known => positions.has(known.entry.database))
-  const latest = read.sort((a, b) => comparePositions(positions.get(b.entry.database)!, positions.get(a.entry.database)!) || Number(isInEvacuated(state, a)) - Number(isInEvacuated(state, b)) || Number(a.entry.departing) - Number(b.entry.departing))[0]
-  if (latest === undefined || !coversCommits(positions.get(latest.entry.database)!, acknowledged)) return { awaited }
-  const coversPrimary = primaryPosition !== undefined && primary?.restartedAtMs === undefined && coversCommits(positions.get(latest.entry.database)!, primaryPosition)
-  return missing.length === 0 || (missing.length === 1 && coversPrimary) ? { awaited, successor: latest } : { awaited }
-}
-
-// A database that was appointed and does not lead is as good as a replica.
-function isAnsweringSince ({ answeredAtMs = -Infinity }: TrackedDatabase, sinceMs = Infinity): boolean {
-  return answeredAtMs >= sinceMs
+export function isAnswering ({ answeredAtMs = -Infinity }: TrackedDatabase, nowMs: number): boolean {
+  return nowMs - answeredAtMs < CANDIDATE_ANSWER_MAX_AGE_MS
 }
 
 function listMembers (state: SuccessionState, group: string): TrackedDatabase[] {
--- a/src/succession/closing.ts
+++ b/src/succession/closing.ts
@@ -6,10 +6,11 @@
  */
 import { recordEvent } from '../core/message.js'
 import type { ReadPosition } from '../databases/driver.js'
-import { hasOtherCandidate, isServing, pickCoveringSuccessor, pickFencedSuccessor, type ReplacementReason } from './candidates.js'
+import { hasOtherCandidate, isServing, type ReplacementReason } from './candidates.js'
 import type { PositionRead, ReplicaFenced } from './messages.js'
 import type { FencingProgress, SuccessionState, TrackedDatabase } from './state.js'
 import { isPrimaryConfirmed } from './confirmation.js'
+import { pickCoveringSuccessor, pickFencedSuccessor } from './quorum.js'
 import { createFenceEffect, resumeReplicas } from './receiving.js'
 import { appoint, createStep, isAppointmentSettling, isCopied, publish, type SuccessionStep } from './steps.js'
 import { findAcknowledged, findHighestAcknowledged, isQuiesced } from './writers.js'
@@ -136,34 +137,47 @@
   return successor === undefined ? createStep(state) : appoint(state, group, successor, confirms ? 'unconfirmed' : reason, nowMs)
 }
 
-// What was acknowledged is known in most cases. Then a replica that covers it may lead, and the others need not be reached.
+// What was acknowledged is known in most cases. Then a replica that covers it may lead, and the others need not be reached. A
+// database that answers without having led is a replica, whatever it was appointed for.
 function chooseSuccessor (state: SuccessionState, group: string, progress: FencingProgress, primary: TrackedDatabase | undefined, reason: ReplacementReason, nowMs: number): SuccessionStep {
+  const former = reason === 'unproven' ? undefined : primary
   const acknowledged = findAcknowledged(state, group)
-  const covering = acknowledged === undefined ? undefined : pickCoveringSuccessor(state, group, primary, acknowledged, nowMs)
-  const { awaited, successor } = pickFencedSuccessor(state, group, primary, findHighestAcknowledged(state, group))
+  const covering = acknowledged === undefined ? undefined : pickCoveringSuccessor(state, group, former, acknowledged, nowMs)
+  const { unread, successor } = pickFencedSuccessor(state, group, former, findHighestAcknowledged(state, group))
   const chosen = covering ?? successor
   if (chosen !== undefined) return appoint(replaceProgress(state, group, { ...progress, proposed: chosen.entry.database }), group, chosen, reason, nowMs)
-  if (acknowledged !== undefined && nowMs - (progress.quiescedAtMs ?? nowMs) < CATCH_UP_MS) return readReplicas(state, group, progress, primary, nowMs)
+  if (acknowledged !== undefined && nowMs - (progress.quiescedAtMs ?? nowMs) < CATCH_UP_MS) return readReplicas(state, group, progress, former, nowMs)
   if (nowMs - progress.askedAtMs < FENCE_RETRY_DELAY_MS) return createStep(state)
-  const reported = reportWaiting(state, group, { ...progress, askedAtMs: nowMs }, awaited, nowMs)
-  return { state: reported.state, effects: [...awaited.map(known => createFenceEffect(state, known, false)), ...reported.effects] }
+  const reported = reportWaiting(state, group, { ...progress, askedAtMs: nowMs }, unread, nowMs)
+  const asked = unread.filter(known => known.ended === undefined && (known !== former || isAnsweringSince(known, progress.quiescedAtMs)))
+  return { state: reported.state, effects: [...asked.map(known => createFenceEffect(state, known, false)), ...reported.effects] }
+}
+
+// A former primary that answers tells what it holds, and can't be stopped from receiving.
+function isAnsweringSince ({ answeredAtMs = -Infinity }: TrackedDatabase, sinceMs = Infinity): boolean {
+  return answeredAtMs >= sinceMs
 }
 
 function readReplicas (state: SuccessionState, group: string, progress: FencingProgress, primary: TrackedDatabase | undefined, nowMs: number): SuccessionStep {
   if (nowMs - (progress.readAtMs ?? -Infinity) < READ_INTERVAL_MS) return createStep(state)
-  const replicas = [...state.members.values()].filter(({ entry }) => entry.group === group && entry.database !== primary?.entry.database)
+  const replicas = [...state.members.values()].filter(({ entry, ended }) => entry.group === group && ended === undefined && entry.database !== primary?.entry.database)
   return { state: replaceProgress(state, group, { ...progress, readAtMs: nowMs }), effects: replicas.map(createReadEffect) }
 }
 
 // Without it, an operator sees only that the group has no primary.
-function reportWaiting (state: SuccessionState, group: string, progress: FencingProgress, awaited: readonly TrackedDatabase[], nowMs: number): SuccessionStep {
+function reportWaiting (state: SuccessionState, group: string, progress: FencingProgress, unread: readonly TrackedDatabase[], nowMs: number): SuccessionStep {
   const isLate = progress.waits === undefined && nowMs - progress.startedAtMs >= WAITING_REPORT_MS
   if (!isLate) return createStep(replaceProgress(state, group, progress))
-  const names = awaited.map(({ entry }) => entry.database).join(', ')
-  const event = recordEvent('replacement-waits', `Group ${group}: no database is sure to hold all acknowledged writes; the group waits for its primary, or for ${names === '' ? 'a replica that catches up' : names}.`, { group })
+  const names = unread.map(describeAwaited).join(', ')
+  const event = recordEvent('replacement-waits', `Group ${group}: no database is sure to hold all acknowledged writes; the group waits for ${names === '' ? 'a replica that catches up' : names}.`, { group })
   return { state: replaceProgress(state, group, { ...progress, waits: true }), effects: [event] }
 }
 
+function describeAwaited ({ entry: { database, address }, ended }: TrackedDatabase): string {
+  if (ended === undefined) return database
+  return ended.end === 'withdrawn' ? `the database that takes over the log of ${database} at ${address}` : `what ${database} held before it started again`
+}
+
 function createReadEffect ({ entry: { group, database, address } }: TrackedDatabase): ReadPosition {
   return { kind: 'database/read-position', group, database, address }
 }
--- a/src/succession/decide.ts
+++ b/src/succession/decide.ts
@@ -6,8 +6,10 @@
 import { setTimer, tell } from '../messages.js'
 import { findPrimary, findReplacementReason, isServing, pickSuccessor } from './candidates.js'
 import { dropProgress, isProposed, recordFenced, recordPosition, replaceClosed, resumeGroup } from './closing.js'
-import type { CallAnswered, CommandApplied, LeadershipChanged, HostReported, SuccessionMessage } from './messages.js'
+import { dropCovered, endDatabase } from './coverage.js'
+import type { CallAnswered, CommandApplied, LeadershipChanged, HostReported, ReplicaSetApplied, SuccessionMessage } from './messages.js'
 import { dropFormerIncarnations, isAppointmentSuperseded, markCaughtUp } from './incarnations.js'
+import { loadMembers, storeReplicaSet } from './replicaset.js'
 import type { Appointment } from './table.js'
 import type { AppointPrimary, PromotionCall, TrackedDatabase, SuccessionState } from './state.js'
 import { appoint, APPOINTMENT_INTERVAL_MS, createStep, isAppointmentSettling, isCopied, publish, type SuccessionStep } from './steps.js'
@@ -37,7 +39,8 @@
     case 'succession/leadership': return changeLeadership(state, message, nowMs)
     case 'succession/applied': return applyCommand(state, message, nowMs)
     case 'succession/reported': return state.leads ? handleReport(state, message, nowMs) : createStep(state)
-    case 'succession/withdrawn': return createStep(removeDatabase(state, message.database))
+    case 'succession/replicas-applied': return createStep(applyReplicaSet(state, message))
+    case 'succession/withdrawn': return createStep(endDatabase(state, message.database, 'withdrawn', nowMs))
     case 'succession/documents': return createStep({ ...state, requiredCopies: message.copies })
     case 'succession/evacuated': return createStep({ ...state, evacuated: message.domains })
     case 'succession/fenced': return createStep(recordFenced(state, message))
@@ -47,8 +50,8 @@
   }
 }
 
-function changeLeadership (state: SuccessionState, { leads, epoch, table }: LeadershipChanged, nowMs: number): SuccessionStep {
-  const next: SuccessionState = { ...state, leads, epoch, table, leadingSinceMs: nowMs, databases: new Map(), hosts: new Map(), members: new Map(), fencing: new Map(), resumedAtMs: new Map(), writers: new Map(), calls: new Map(), published: new Map(), appointedAtMs: new Map(), highestPositions: new Map() }
+function changeLeadership (state: SuccessionState, { leads, epoch, table, replicaSets = {} }: LeadershipChanged, nowMs: number): SuccessionStep {
+  const next: SuccessionState = { ...state, leads, epoch, table, replicaSets, replicasProposedAtMs: new Map(), leadingSinceMs: nowMs, databases: new Map(), hosts: new Map(), members: loadMembers(replicaSets, nowMs), fencing: new Map(), resumedAtMs: new Map(), writers: new Map(), calls: new Map(), published: new Map(), appointedAtMs: new Map(), highestPositions: new Map() }
   return { state: next, effects: leads ? [createCheckTimer()] : [] }
 }
 
@@ -60,9 +63,15 @@
   return state.leads && changed ? checkGroup(next, group, nowMs) : createStep(next)
 }
 
+function applyReplicaSet (state: SuccessionState, { group, replicaSets }: ReplicaSetApplied): SuccessionState {
+  const replicasProposedAtMs = new Map(state.replicasProposedAtMs)
+  replicasProposedAtMs.delete(group)
+  return { ...state, replicaSets, replicasProposedAtMs }
+}
+
 // A primary that starts again is published under its new name at once.
 function handleReport (state: SuccessionState, message: HostReported, nowMs: number): SuccessionStep {
-  const { state: current, restarted } = dropFormerIncarnations(state, message.databases)
+  const { state: current, restarted } = dropFormerIncarnations(state, message.databases, nowMs)
   const recorded = recordReport(current, message, restarted, nowMs)
   const groups = new Set(message.databases.filter(({ database }) => restarted.has(database)).map(({ group }) => group))
   return [...groups].reduce<SuccessionStep>((step, group) => {
@@ -124,14 +133,6 @@
   return Math.max(silentSinceMs, sentAtMs - silentMs)
 }
 
-function removeDatabase (state: SuccessionState, database: string): SuccessionState {
-  const databases = new Map(state.databases)
-  databases.delete(database)
-  const members = new Map(state.members)
-  members.delete(database)
-  return { ...state, databases, members }
-}
-
 function checkAll (state: SuccessionState, nowMs: number): SuccessionStep {
   const databases = new Map([...state.databases].filter(([, known]) => nowMs - known.lastSeenAtMs < REPORT_TTL_MS))
   const groups = new Set([...[...databases.values()].map(known => known.entry.group), ...Object.keys(state.table)])
@@ -148,8 +149,10 @@
   const current = getOwn(state.table, group)
   if (current !== undefined && current.outcome === undefined) return isAppointmentSuperseded(state, group, current) ? failAppointment(state, group, current, nowMs) : callPlatform(state, group, nowMs)
   const primary = findPrimary(state, group)
-  const known = markCaughtUp(state, group, primary)
-  return checkPrimary(isCopied(known, group) ? dropLapsedWriters(known, group, primary, nowMs) : known, group, nowMs)
+  const known = dropCovered(markCaughtUp(state, group, primary), group, primary, nowMs)
+  const stored = storeReplicaSet(known, group, nowMs)
+  const checked = checkPrimary(isCopied(known, group) ? dropLapsedWriters(stored.state, group, primary, nowMs) : stored.state, group, nowMs)
+  return { state: checked.state, effects: [...stored.effects, ...checked.effects] }
 }
 
 function checkPrimary (state: SuccessionState, group: string, nowMs: number): SuccessionStep {
--- a/src/succession/incarnations.test.ts
+++ b/src/succession/incarnations.test.ts
@@ -6,7 +6,7 @@
 import { decideSuccession } from './decide.js'
 import type { SuccessionMessage } from './messages.js'
 import { createSuccessionState, type AppointPrimary, type SuccessionState } from './state.js'
-import { applySuccessionCommand, type SuccessionCommand } from './table.js'
+import { TestLog, type ProposedCommand } from './support/testlog.js'
 
 const DOMAINS = ['a', 'b', 'c'] as const
 const STEP_MS = 50
@@ -26,13 +26,14 @@
   readonly databases: SimulatedDatabase[] = [50, 48, 49].map(offset => ({ startedAtMs: 1_000, offset, answering: true, departing: false }))
   /** The index of the database that the platform made primary. */
   primary = 0
+  readonly #log = TestLog.create()
   #state: SuccessionState = createSuccessionState(true)
   #nowMs = 10_000
   #term = 1
 
   static create (copies = 0): TestLeader {
     const leader = new TestLeader()
-    leader.#decide({ kind: 'succession/leadership', leads: true, epoch: 3, table: {} })
+    leader.#decide(leader.#log.lead(3))
     leader.#decide({ kind: 'succession/documents', copies: new Map([['g', copies]]) })
     return leader
   }
@@ -45,9 +46,9 @@
     return this.#createEntry(index).database
   }
 
-  /** Another host leads, which knows the table alone. */
+  /** Another host leads, which knows the log alone. */
   lead (): void {
-    this.#decide({ kind: 'succession/leadership', leads: true, epoch: 4, table: this.#state.table })
+    this.#decide(this.#log.lead(4))
     this.#decide({ kind: 'succession/documents', copies: this.#state.requiredCopies })
   }
 
@@ -104,8 +105,8 @@
     const { message } = effect as Tell
     if (message.kind === 'membership/publish') this.published.push((message as unknown as { readonly entry: { readonly primary?: string } }).entry.primary)
     if (message.kind !== 'agreement/propose') return
-    const { command } = message as unknown as { readonly command: SuccessionCommand }
-    this.#decide({ kind: 'succession/applied', command, table: applySuccessionCommand(this.#state.table, command) })
+    const { command } = message as unknown as { readonly command: ProposedCommand }
+    this.#decide(this.#log.commit(command))
   }
 }
 
--- a/src/succession/incarnations.ts
+++ b/src/succession/incarnations.ts
@@ -1,6 +1,7 @@
 /** What the leader keeps and drops as a database starts again: the new start holds nothing of what the former one answered for. */
 import { comparePositions, ORIGIN, type LogPosition } from '../core/position.js'
 import type { DatabaseEntry } from '../membership/directory.js'
+import { endDatabase } from './coverage.js'
 import type { FencingProgress, SuccessionState, TrackedDatabase } from './state.js'
 import type { Appointment } from './table.js'
 
@@ -11,21 +12,21 @@
 }
 
 /**
- * Drops the former starts of reported databases, with their positions and the progress of fencing them.
- * @example dropFormerIncarnations(state, entries).restarted.has('i-1~1700')
+ * Drops the former starts of reported databases, with their positions and the progress of fencing them. Those that may hold
+ * what a copy acknowledged stay in their replica sets as ended.
+ * @example dropFormerIncarnations(state, entries, nowMs).restarted.has('i-1~1700')
  */
-export function dropFormerIncarnations (state: SuccessionState, reported: readonly DatabaseEntry[]): DroppedIncarnations {
+export function dropFormerIncarnations (state: SuccessionState, reported: readonly DatabaseEntry[], nowMs: number): DroppedIncarnations {
   const started = reported.filter(({ database, incarnation }) => incarnation !== undefined && !state.databases.has(database))
   const formers = new Map(started.flatMap(entry => listFormer(state, entry).map(former => [former.entry.database, entry] as const)))
   if (formers.size === 0) return { state, restarted: new Set() }
-  const databases = new Map([...state.databases].filter(([database]) => !formers.has(database)))
-  const members = new Map([...state.members].filter(([database]) => !formers.has(database)))
+  const ended = [...formers.keys()].reduce((current, database) => endDatabase(current, database, 'superseded', nowMs), state)
   const fencing = new Map([...state.fencing].map(([group, progress]) => [group, dropPositions(progress, formers)]))
-  return { state: { ...state, databases, members, fencing }, restarted: new Set([...formers.values()].map(({ database }) => database)) }
+  return { state: { ...ended, fencing }, restarted: new Set([...formers.values()].map(({ database }) => database)) }
 }
 
 function listFormer ({ members }: SuccessionState, { database, incarnation }: DatabaseEntry): readonly TrackedDatabase[] {
-  return [...members.values()].filter(({ entry }) => entry.database !== database && entry.incarnation?.instance === incarnation?.instance)
+  return [...members.values()].filter(({ entry, ended }) => ended === undefined && entry.database !== database && entry.incarnation?.instance === incarnation?.instance)
 }
 
 function dropPositions (progress: FencingProgress, formers: ReadonlyMap<string, unknown>): FencingProgress {
--- a/src/succession/messages.ts
+++ b/src/succession/messages.ts
@@ -1,6 +1,7 @@
 /** Messages of the succession slice, which manages the primaries of self-fencing databases. */
 import type { LogPosition } from '../core/position.js'
 import type { DatabaseEntry, DatabaseStatus, WriteReport } from '../membership/directory.js'
+import type { ReplicaSetTable } from './replicaset.js'
 import type { SuccessionCommand, AppointmentTable } from './table.js'
 
 /** This host became the leader or stopped leading. */
@@ -9,6 +10,14 @@
   readonly leads: boolean
   readonly epoch: number
   readonly table: AppointmentTable
+  readonly replicaSets?: ReplicaSetTable
+}
+
+/** A change of a replica set was committed and applied on this host. */
+export interface ReplicaSetApplied {
+  readonly kind: 'succession/replicas-applied'
+  readonly group: string
+  readonly replicaSets: ReplicaSetTable
 }
 
 /** A command was committed and applied on this host. */
@@ -88,4 +97,4 @@
 }
 
 /** Any message of the succession slice. */
-export type SuccessionMessage = LeadershipChanged | CommandApplied | HostReported | DatabaseWithdrawn | CopiesChanged | EvacuationsChanged | ReplicaFenced | PositionRead | CheckDue | CallAnswered
+export type SuccessionMessage = LeadershipChanged | CommandApplied | ReplicaSetApplied | HostReported | DatabaseWithdrawn | CopiesChanged | EvacuationsChanged | ReplicaFenced | PositionRead | CheckDue | CallAnswered
--- a/src/succession/receiving.ts
+++ b/src/succession/receiving.ts
@@ -34,5 +34,5 @@
 }
 
 function listMembers ({ members }: SuccessionState, group: string): readonly TrackedDatabase[] {
-  return [...members.values()].filter(({ entry }) => entry.group === group)
+  return [...members.values()].filter(({ entry, ended }) => entry.group === group && ended === undefined)
 }
--- a/src/succession/state.ts
+++ b/src/succession/state.ts
@@ -2,6 +2,7 @@
 import type { Effect } from '../core/message.js'
 import type { LogPosition } from '../core/position.js'
 import type { CommitPhase, DatabaseEntry, DatabaseStatus } from '../membership/directory.js'
+import type { DatabaseEnd, ReplicaSetTable } from './replicaset.js'
 import type { AppointmentTable } from './table.js'
 
 /** Calls the platform to promote a database to primary of its group; posts `succession/answered`. */
@@ -35,6 +36,17 @@
   readonly provenAtMs?: number
   /** When it took the place of a former start of its instance, while it may lack writes that this one acknowledged. */
   readonly restartedAtMs?: number
+  /** Set once it has ended for good, while it may hold a commit that too few others hold. */
+  readonly ended?: DatabaseEnding
+}
+
+/** The end of a database that stays in its replica set. */
+export interface DatabaseEnding {
+  readonly end: DatabaseEnd
+  /** From when on it surely received nothing more. */
+  readonly atMs: number
+  /** A position that covers all that it holds of what was acknowledged; absent until the primary was read. */
+  readonly target?: LogPosition
 }
 
 /** The latest position that any database of a group reported, and an upper bound for the time at which it was read. */
@@ -123,8 +135,11 @@
   readonly resumedAtMs: ReadonlyMap<string, number>
   /** The processes of hosts that report a commit lease, by group; absent before the first such report. */
   readonly writers: ReadonlyMap<string, GroupWriters>
-  /** All databases that have not withdrawn themselves, including silent ones. */
+  /** All databases that may hold what was acknowledged, including silent ones, and ended ones that are not covered yet. */
   readonly members: ReadonlyMap<string, TrackedDatabase>
+  /** The replica sets in the control hosts' log, and when a change of each was proposed that is not applied yet. */
+  readonly replicaSets: ReplicaSetTable
+  readonly replicasProposedAtMs: ReadonlyMap<string, number>
   /** The latest position of each group. */
   readonly highestPositions: ReadonlyMap<string, HighestPosition>
   /** The published primary of each group, whether it is closed for writes, and whether hosts need a lease to commit. */
@@ -153,6 +168,8 @@
     resumedAtMs: new Map(),
     writers: new Map(),
     members: new Map(),
+    replicaSets: {},
+    replicasProposedAtMs: new Map(),
     highestPositions: new Map(),
     published: new Map(),
     appointedAtMs: new Map()
--- a/src/succession/steps.ts
+++ b/src/succession/steps.ts
@@ -8,8 +8,8 @@
 
 /** Minimum time between two appointments of a group: longer than a promotion takes. */
 export const APPOINTMENT_INTERVAL_MS = 2_500
-/** Time after which an uncommitted appointment is proposed again. */
-const PROPOSAL_TIMEOUT_MS = 1_000
+/** Time after which a command that is not committed is proposed again. */
+export const PROPOSAL_TIMEOUT_MS = 1_000
 
 /** The effects of the succession slice. */
 export type SuccessionEffect = CoreEffect | AppointPrimary | FenceReplica | ReadPosition
--- a/src/succession/support/copiesgroup.ts
+++ b/src/succession/support/copiesgroup.ts
@@ -9,6 +9,7 @@
 /** A database with its copy of the log. */
 export interface Member {
   readonly name: string
+  readonly address: string
   log: readonly Commit[]
   /** The term of the primary that it follows or is. */
   term: number
@@ -17,6 +18,8 @@
   running: boolean
   /** True while neither hosts nor the leader reach it; it still receives. */
   cut: boolean
+  /** True while nothing reaches it from its primary. */
+  deaf: boolean
 }
 
 /** The parts that a group gets from its simulation. */
@@ -55,11 +58,24 @@
 
   /** Adds a database with what the primary holds; the first one leads. */
   addMember (name: string): void {
-    const log = this.members.get(this.primary)?.log ?? []
-    this.members.set(name, { name, log, term: this.term, paused: false, running: true, cut: false })
+    this.#add(name, name, this.members.get(this.primary)?.log ?? [])
     if (this.primary === '') this.primary = name
   }
 
+  /** Ends a database as planned: its log is transferred to another one at its address. */
+  removeMember (name: string): Member {
+    const member = this.members.get(name)!
+    member.running = false
+    this.members.delete(name)
+    return member
+  }
+
+  /** Adds a database at the address of one that ended, with its log. */
+  replaceMember ({ address, log }: Member, name: string): void {
+    this.#add(name, address, log)
+    this.#replicate(this.members.get(this.primary), this.members.get(name)!)
+  }
+
   /** Appends a commit; the callback gets its number once a replica holds it, and undefined if the database does not lead. */
   commit (name: string, commit: string, onAnswered: (offset: number | undefined) => void): void {
     this.#parts.schedule(this.#parts.random() * MAX_WORK_MS, () => {
@@ -79,7 +95,7 @@
   resume (name: string): void {
     const member = this.members.get(name)!
     member.paused = false
-    this.#replicate(this.members.get(this.primary)!, member)
+    this.#replicate(this.members.get(this.primary), member)
   }
 
   /** Starts a database again: it keeps its log, and receives. */
@@ -87,7 +103,7 @@
     const member = this.members.get(name)!
     member.running = true
     member.paused = false
-    if (name !== this.primary) this.#replicate(this.members.get(this.primary)!, member)
+    if (name !== this.primary) this.#replicate(this.members.get(this.primary), member)
   }
 
   /** Handles a promotion call. */
@@ -98,6 +114,11 @@
     return 'done'
   }
 
+  // A transferred log has the term of its last commit until the database receives.
+  #add (name: string, address: string, log: readonly Commit[]): void {
+    this.members.set(name, { name, address, log, term: log.at(-1)?.term ?? this.term, paused: false, running: true, cut: false, deaf: false })
+  }
+
   #replicateAll (from: Member, offset: number, onAnswered: (offset: number) => void): void {
     const { term } = this
     let isAnswered = false
@@ -118,20 +139,23 @@
     return random() * (random() < 0.1 ? MAX_SLOW_LAG_MS : MAX_LAG_MS)
   }
 
-  #replicate (from: Member, to: Member): void {
-    if (from.running && to.running && !to.paused) to.log = from.log
+  #replicate (from: Member | undefined, to: Member): void {
+    if (from?.running === true && to.running && !to.paused && !to.deaf) Object.assign(to, { log: from.log, term: this.term })
   }
 
   // What was accepted is carried out, also behind a later call.
   #lead (name: string): void {
-    const member = this.members.get(name)!
-    if (!member.running || name === this.primary) return
+    const member = this.members.get(name)
+    if (member?.running !== true || name === this.primary) return
     this.#parts.onPromoted(member)
     this.term += 1
     this.primary = name
     for (const other of this.members.values()) {
-      Object.assign(other, { paused: false, term: this.term })
-      if (other.running) other.log = member.log
+      // Replicas that were ahead are rolled back.
+      if (other.deaf) other.log = other.log.filter((commit, index) => member.log[index]?.name === commit.name)
+      else Object.assign(other, { paused: false, term: this.term })
+      if (other.running && !other.deaf) other.log = member.log
     }
+    member.term = this.term
   }
 }
--- a/src/succession/support/copiessimulation.ts
+++ b/src/succession/support/copiessimulation.ts
@@ -16,8 +16,8 @@
 import { decideSuccession } from '../decide.js'
 import type { SuccessionMessage } from '../messages.js'
 import { createSuccessionState, type AppointPrimary } from '../state.js'
-import { applySuccessionCommand, type AppointmentTable, type SuccessionCommand } from '../table.js'
 import { CopiesGroup, type Member } from './copiesgroup.js'
+import { TestLog, type ProposedCommand } from './testlog.js'
 
 const STEP_MS = 5
 const CHECK_MS = 50
@@ -32,6 +32,10 @@
 const CALL_TIMEOUT_MS = 1_000
 const MAX_LATE_CALL_MS = 4_000
 const ELECTION_MS = 900
+/** How long a database stays in the directory, and so in the stored list, after the last report of it. */
+const EVICTED_AFTER_MS = 1_000
+const MAX_DRAIN_MS = 4_000
+const REPLACED_AFTER_MS = 2_000
 const GUARANTEES = { selfFencing: true, slotPerStatement: true, connectionPerWorkspace: false }
 
 interface Leader {
@@ -66,13 +70,19 @@
   readonly #group: CopiesGroup
   readonly #owners = Array.from({ length: HOSTS }, (_, index) => createOwner(index))
   readonly #departing = new Set<string>()
+  readonly #withdrawn = new Set<string>()
+  /** The last report of each database to a leader. */
+  readonly #reported = new Map<string, { readonly entry: DatabaseEntry, readonly atMs: number }>()
+  /** A database that is lost for good. */
+  #lost: string | undefined
   readonly #acknowledgedCommits = new Set<string>()
+  readonly #log = TestLog.create()
   readonly #timers = new Map<string, number>()
   #scheduled: Array<{ readonly atMs: number, readonly run: () => void }> = []
   #leaders: Leader[] = []
-  #table: AppointmentTable = {}
   #nowMs = 0
   #commits = 0
+  #names = 0
   #hasFaults = true
   #platformDownUntilMs = 0
   #lastAcknowledgedAtMs = 0
@@ -80,7 +90,7 @@
   private constructor (seed: number) {
     this.#random = createRandom(seed)
     this.#group = CopiesGroup.create({ random: this.#random, schedule: (afterMs, run) => this.#schedule(afterMs, run), onPromoted: member => this.#checkPromoted(member) })
-    for (const name of ['db-0', 'db-1', 'db-2']) this.#group.addMember(name)
+    for (let index = 0; index < HOSTS; index++) this.#group.addMember(this.#createName())
     this.#lead()
   }
 
@@ -101,7 +111,14 @@
       for (const { run } of due) run()
       for (const owner of this.#owners) if (this.#random() < 0.1) this.#write(owner)
     }
-    expect(this.#nowMs - this.#lastAcknowledgedAtMs, 'ms without an acknowledged write after recovery').to.be.below(SERVED_MS)
+    expect(this.#nowMs - this.#lastAcknowledgedAtMs, `ms without an acknowledged write after recovery, with ${this.#describe()}`).to.be.below(SERVED_MS)
+  }
+
+  #describe (): string {
+    const { state, grant } = this.#leaders.at(-1)!
+    const databases = [...this.#group.members.values()].map(({ name, running, term, log }) => `${name} ${running ? 'at' : 'down at'} ${term}.${log.length}`)
+    const members = [...state.members.values()].map(({ entry, ended }) => `${entry.database}${ended === undefined ? '' : ` ${ended.end}`}`)
+    return `${databases.join(', ')} (primary ${this.#group.primary}), members ${members.join(', ')}, grant ${grant?.primary} ${grant?.closing === true ? 'closing' : ''}`
   }
 
   #schedule (afterMs: number, run: () => void): void {
@@ -118,15 +135,16 @@
   #drawFault (): void {
     if (this.#random() > 0.1) return
     const members = [...this.#group.members.values()]
+    if (members.length === 0) return
     const member = members[Math.floor(this.#random() * members.length)]!
     const owner = this.#owners[Math.floor(this.#random() * HOSTS)]!
     const durationMs = this.#random() * MAX_FAULT_MS
-    switch (Math.floor(this.#random() * 10)) {
+    switch (Math.floor(this.#random() * 13)) {
       case 0: return this.#drainDatabase(this.#group.primary)
-      case 1: return members.length < MAX_MEMBERS ? this.#group.addMember(`db-${members.length}`) : undefined
+      case 1: return members.length < MAX_MEMBERS ? this.#group.addMember(this.#createName()) : undefined
       case 2: return this.#cutMember(member, durationMs)
       case 3: return this.#cutPower(member, durationMs)
-      case 4: return this.#group.restart(member.name)
+      case 4: return this.#restart(member)
       case 5:
         owner.frozenUntilMs = this.#nowMs + durationMs / 2
         return
@@ -137,12 +155,44 @@
       case 8: return this.#replaceLeader()
       case 9:
         owner.cutUntilMs = this.#nowMs + durationMs
+        return
+      case 10: return this.#holdReplica(member, durationMs)
+      case 11: return this.#drainDatabase(member.name)
+      case 12: return this.#loseDatabase(member)
     }
   }
 
+  // It serves for a while, withdraws itself and ends; another one starts at its address with its log.
   #drainDatabase (name: string): void {
+    if (this.#departing.has(name) || name === this.#lost || !this.#group.members.has(name)) return
     this.#departing.add(name)
-    this.#schedule(MAX_FAULT_MS, () => this.#departing.delete(name))
+    this.#schedule(this.#random() * MAX_DRAIN_MS, () => {
+      if (this.#group.members.get(name)?.running !== true) return
+      const member = this.#group.removeMember(name)
+      this.#withdrawn.add(name)
+      this.#tellLeader({ kind: 'succession/withdrawn', database: name })
+      this.#schedule(REPLACED_AFTER_MS, () => this.#group.replaceMember(member, this.#createName()))
+    })
+  }
+
+  #holdReplica (member: Member, durationMs: number): void {
+    member.deaf = true
+    this.#schedule(durationMs, () => { member.deaf = false })
+  }
+
+  #loseDatabase (member: Member): void {
+    if (this.#lost !== undefined || this.#departing.has(member.name)) return
+    this.#lost = member.name
+    member.running = false
+  }
+
+  #createName (): string {
+    return `db-${this.#names++}`
+  }
+
+  #tellLeader (message: SuccessionMessage): void {
+    const leader = this.#leaders.at(-1)!
+    if (leader.endsAtMs > this.#nowMs) this.#decide(leader, message)
   }
 
   #cutMember (member: Member, durationMs: number): void {
@@ -152,7 +202,11 @@
 
   #cutPower (member: Member, durationMs: number): void {
     member.running = false
-    this.#schedule(durationMs, () => this.#group.restart(member.name))
+    this.#schedule(durationMs, () => this.#restart(member))
+  }
+
+  #restart ({ name }: Member): void {
+    if (name !== this.#lost && this.#group.members.has(name)) this.#group.restart(name)
   }
 
   #restartOwner (owner: Owner): void {
@@ -168,26 +222,27 @@
   #endFaults (): void {
     this.#hasFaults = false
     this.#platformDownUntilMs = 0
-    this.#departing.clear()
     for (const member of this.#group.members.values()) {
-      member.cut = false
-      if (!member.running) this.#group.restart(member.name)
+      Object.assign(member, { cut: false, deaf: false })
+      if (!member.running) this.#restart(member)
     }
     for (const owner of this.#owners) Object.assign(owner, { frozenUntilMs: 0, cutUntilMs: 0 })
   }
 
   #lead (): void {
+    const formerEndedAtMs = this.#leaders.at(-1)?.endsAtMs ?? 0
     for (const leader of this.#leaders) leader.endsAtMs = Math.min(leader.endsAtMs, this.#nowMs)
-    const known = [...this.#leaders.at(-1)?.state.members.keys() ?? []].map(name => this.#createEntry(name))
+    const known = [...this.#reported.values()].filter(({ entry, atMs }) => formerEndedAtMs - atMs <= EVICTED_AFTER_MS && !this.#withdrawn.has(entry.database)).map(({ entry }) => entry)
     const leader: Leader = { epoch: this.#leaders.length + 1, state: createSuccessionState(true), grant: undefined, revision: 0, endsAtMs: Infinity }
     this.#leaders.push(leader)
-    this.#decide(leader, { kind: 'succession/leadership', leads: true, epoch: leader.epoch, table: this.#table })
+    this.#decide(leader, this.#log.lead(leader.epoch))
     this.#decide(leader, { kind: 'succession/documents', copies: new Map([['g', 1]]) })
     this.#decide(leader, { kind: 'succession/reported', host: 'control', failureDomain: 'zone-0', apart: true, statuses: [], databases: known })
+    for (const database of this.#withdrawn) this.#decide(leader, { kind: 'succession/withdrawn', database })
   }
 
   #createEntry (name: string): DatabaseEntry {
-    return { kind: 'database', database: name, group: 'g', failureDomain: `zone-${Number(name.slice(3)) % HOSTS}`, address: name, slots: 4, connectionLimit: 40, departing: this.#departing.has(name), leads: this.#group.primary === name }
+    return { kind: 'database', database: name, group: 'g', failureDomain: `zone-${Number(name.slice(3)) % HOSTS}`, address: this.#group.members.get(name)!.address, slots: 4, connectionLimit: 40, departing: this.#departing.has(name), leads: this.#group.primary === name }
   }
 
   #findOwner (name: string): Owner {
@@ -205,7 +260,9 @@
     const leader = this.#leaders.at(-1)!
     this.#schedule(this.#random() * 40, () => {
       if (leader.endsAtMs <= this.#nowMs || owner.cutUntilMs > this.#nowMs) return
-      this.#decide(leader, { kind: 'succession/reported', host: owner.name, failureDomain: `zone-${this.#owners.indexOf(owner)}`, apart: false, leftAtMs: sentAtMs, statuses, databases, ...(writes.size === 0 ? {} : { writes: [...writes.values()], process: String(process), round }) })
+      const present = databases.filter(({ database }) => !this.#withdrawn.has(database))
+      for (const entry of present) this.#reported.set(entry.database, { entry, atMs: this.#nowMs })
+      this.#decide(leader, { kind: 'succession/reported', host: owner.name, failureDomain: `zone-${this.#owners.indexOf(owner)}`, apart: false, leftAtMs: sentAtMs, statuses, databases: present, ...(writes.size === 0 ? {} : { writes: [...writes.values()], process: String(process), round }) })
       const { epoch, revision, grant } = leader
       this.#schedule(this.#random() * 40, () => this.#receiveAnswer(owner, process, { epoch, revision, grant }, sentAtMs))
     })
@@ -249,7 +306,7 @@
     const { connection, payload } = effect as Effect & { readonly connection: string, readonly payload: Uint8Array }
     const database = connection?.slice(0, connection.lastIndexOf('#'))
     if (effect.kind === 'database/open') this.#schedule(2, () => this.#post(owner, process, { kind: 'transactions/opened', connection }))
-    if (effect.kind !== 'database/execute' || this.#group.members.get(database)!.cut) return
+    if (effect.kind !== 'database/execute' || this.#group.members.get(database)?.cut !== false) return
     this.#group.commit(database, Buffer.from(payload).toString(), offset => {
       const position = offset === undefined ? undefined : { term: this.#group.term, offset }
       this.#post(owner, process, { kind: 'transactions/finished', connection, status: 'idle', refused: offset === undefined, position, payload })
@@ -297,21 +354,20 @@
     if (effect.kind === 'database/fence') return this.#fence(leader, effect as FenceReplica)
     if (effect.kind === 'database/read-position') return this.#readPosition(leader, effect as ReadPosition)
     if (effect.kind !== 'loop/tell') return
-    const message = (effect as Tell).message as { readonly kind: string, readonly command?: SuccessionCommand, readonly entry?: GrantEntry }
+    const message = (effect as Tell).message as { readonly kind: string, readonly command?: ProposedCommand, readonly entry?: GrantEntry }
     if (message.kind === 'membership/publish') Object.assign(leader, { grant: message.entry, revision: leader.revision + 1 })
     if (message.kind === 'agreement/propose') this.#schedule(this.#random() * 60, () => this.#commitCommand(leader, message.command!))
   }
 
-  #commitCommand (leader: Leader, command: SuccessionCommand): void {
+  #commitCommand (leader: Leader, command: ProposedCommand): void {
     if (leader.endsAtMs <= this.#nowMs) return
-    this.#table = applySuccessionCommand(this.#table, command)
-    this.#decide(leader, { kind: 'succession/applied', command, table: this.#table })
+    this.#decide(leader, this.#log.commit(command))
   }
 
   #fence (leader: Leader, { database, term, receives }: FenceReplica): void {
     this.#schedule(this.#random() * 20, () => {
-      const member = this.#group.members.get(database)!
-      if (!member.running || member.cut) return
+      const member = this.#group.members.get(database)
+      if (member?.running !== true || member.cut) return
       if (receives) return this.#group.resume(database)
       this.#group.stopReceiving(database, term)
       const position = { term: member.term, offset: member.log.length }
@@ -321,9 +377,10 @@
 
   #readPosition (leader: Leader, { database }: ReadPosition): void {
     this.#schedule(this.#random() * 20, () => {
-      const member = this.#group.members.get(database)!
+      const member = this.#group.members.get(database)
+      if (member?.running !== true || member.cut) return
       const position = { term: member.term, offset: member.log.length }
-      if (member.running && !member.cut && leader.endsAtMs > this.#nowMs) this.#decide(leader, { kind: 'succession/position-read', group: 'g', database, position })
+      if (leader.endsAtMs > this.#nowMs) this.#decide(leader, { kind: 'succession/position-read', group: 'g', database, position })
     })
   }
 
--- a/src/succession/support/testleader.ts
+++ b/src/succession/support/testleader.ts
@@ -5,11 +5,11 @@
 import { decideSuccession } from '../decide.js'
 import type { SuccessionMessage } from '../messages.js'
 import { createSuccessionState, type AppointPrimary } from '../state.js'
-import { applySuccessionCommand, type SuccessionCommand } from '../table.js'
+import { TestLog, type ProposedCommand } from './testlog.js'
 
 const STEP_MS = 50
 
-/** A leader with a log that commits unless told otherwise, and three databases that one host reports. */
+/** A leader with a log that commits unless told otherwise, and databases that one host reports, three at first. */
 export class TestLeader {
   readonly calls: AppointPrimary[] = []
   readonly grants: GrantEntry[] = []
@@ -26,18 +26,24 @@
   lostResumes = 0
   readonly departing = new Set<number>()
   readonly withdrawn = new Set<number>()
+  /** Databases that announce themselves no longer. */
+  readonly lost = new Set<number>()
+  readonly addresses = ['10.0.0.0', '10.0.0.1', '10.0.0.2']
+  /** What `replacement-waits` says, in order. */
+  readonly awaited: string[] = []
   /** What the owner of the primary reports; undefined while it is silent. */
   writes: WriteReport | undefined = { group: 'g', phase: 'open' }
   commitsProposals = true
   /** False once the announced primary answers like a replica. */
   proves = true
+  readonly #log = TestLog.create()
   #state = createSuccessionState(true)
   #nowMs = 10_000
   #round = 0
 
   static create (): TestLeader {
     const leader = new TestLeader()
-    leader.#decide({ kind: 'succession/leadership', leads: true, epoch: 3, table: {} })
+    leader.#decide(leader.#log.lead(3))
     leader.#decide({ kind: 'succession/documents', copies: new Map([['g', 1]]) })
     leader.run(3_000)
     return leader
@@ -53,7 +59,8 @@
 
   /** Reports the databases, and what a host says of its commits. */
   report (writes: WriteReport | undefined, round = ++this.#round): void {
-    const databases = [0, 1, 2].filter(index => !this.withdrawn.has(index)).map((index): DatabaseEntry => ({ kind: 'database', database: `db-${index}`, group: 'g', failureDomain: 'a', address: '', slots: 3, connectionLimit: 10, departing: this.departing.has(index), leads: index === 0 }))
+    const present = this.offsets.map((_, index) => index).filter(index => !this.withdrawn.has(index) && !this.lost.has(index))
+    const databases = present.map((index): DatabaseEntry => ({ kind: 'database', database: `db-${index}`, group: 'g', failureDomain: 'a', address: this.addresses[index]!, slots: 3, connectionLimit: 10, departing: this.departing.has(index), leads: index === 0 }))
     const statuses = this.offsets.map((offset, index): DatabaseStatus => ({ database: `db-${index}`, answering: !this.silent.has(index), primary: index === 0 && this.proves, position: { term: this.terms[index]!, offset }, fencedTerm: this.heldTerms[index]!, ageMs: 0 }))
     const report = { kind: 'succession/reported', failureDomain: 'a', apart: false, leftAtMs: this.#nowMs, statuses, databases } as const
     this.#decide({ ...report, host: 'prober' })
@@ -67,9 +74,28 @@
     this.#decide({ kind: 'succession/withdrawn', database: `db-${index}` })
   }
 
-  /** Another host leads, which knows the table alone. */
+  /** A database is lost without a word. */
+  lose (index: number): void {
+    this.lost.add(index)
+    this.silent.add(index)
+  }
+
+  /** Another database starts at the address of one that has ended, with its log. */
+  replace (index: number): void {
+    this.offsets.push(this.offsets[index]!)
+    this.terms.push(this.terms[index]!)
+    this.heldTerms.push(0)
+    this.addresses.push(this.addresses[index]!)
+  }
+
+  /** Changes how many replicas have to hold a write. */
+  requireCopies (copies: number): void {
+    this.#decide({ kind: 'succession/documents', copies: new Map([['g', copies]]) })
+  }
+
+  /** Another host leads, which knows the log alone. */
   lead (): void {
-    this.#decide({ kind: 'succession/leadership', leads: true, epoch: 4, table: this.#state.table })
+    this.#decide(this.#log.lead(4))
   }
 
   answer (outcome: 'done' | 'refused' | 'unanswered'): void {
@@ -86,12 +112,17 @@
   #execute (effect: Effect): void {
     if (effect.kind === 'promotion/appoint') this.calls.push(effect as AppointPrimary)
     if (effect.kind === 'database/fence') this.#answerFence(effect as FenceReplica)
-    if (effect.kind === 'timeline/record') this.events.push((effect as RecordEvent).event)
+    if (effect.kind === 'timeline/record') this.#recordEvent(effect as RecordEvent)
     if (effect.kind === 'database/read-position') this.#answerRead(effect as ReadPosition)
     if (effect.kind !== 'loop/tell') return
-    const message = (effect as Tell).message as { readonly kind: string, readonly command?: SuccessionCommand, readonly entry?: GrantEntry }
+    const message = (effect as Tell).message as { readonly kind: string, readonly command?: ProposedCommand, readonly entry?: GrantEntry }
     if (message.kind === 'membership/publish') this.grants.push(message.entry!)
-    if (message.kind === 'agreement/propose' && this.commitsProposals) this.#decide({ kind: 'succession/applied', command: message.command!, table: applySuccessionCommand(this.#state.table, message.command!) })
+    if (message.kind === 'agreement/propose' && this.commitsProposals) this.#decide(this.#log.commit(message.command!))
+  }
+
+  #recordEvent ({ event, text }: RecordEvent): void {
+    this.events.push(event)
+    if (event === 'replacement-waits') this.awaited.push(text)
   }
 
   #answerRead ({ database }: ReadPosition): void {
