Closes a primary that has withdrawn itself

Cause: only a primary that the leader knows was closed in the directory before its replacement; one that had withdrawn itself stayed published as open. Ruled out: a call or a comparison that waits; the group never came to either. Change: whichever database is published is closed. Why it works: each host is told so with its next heartbeat, and reports that it has stopped.

--- a/src/succession/closing.ts
+++ b/src/succession/closing.ts
@@ -118,8 +118,10 @@
 // Reports that arrived before the directory changed may still name hosts that commit, so these are looked at with the next check.
 function beginClosing (state: SuccessionState, group: string, primary: TrackedDatabase | undefined, reason: ReplacementReason, nowMs: number): SuccessionStep {
   const begun = replaceProgress(state, group, createProgress(nowMs))
-  const isPublished = primary !== undefined && (isServing(state, primary, nowMs) || state.published.get(group)?.database === primary.entry.database)
-  const closed = isPublished ? publish(begun, group, primary.entry.database, true) : createStep(begun)
+  // One that is gone may still serve the hosts that have not heard of it.
+  const published = state.published.get(group)?.database
+  const former = primary !== undefined && isServing(state, primary, nowMs) ? primary.entry.database : published
+  const closed = former === undefined ? createStep(begun) : publish(begun, group, former, true)
   const event = recordEvent('primary-closing', `Group ${group}: the primary is ${reason}; it is closed for writes until another database leads.`, { group })
   return { state: closed.state, effects: [event, ...closed.effects] }
 }
--- a/src/succession/departedreplicas.test.ts
+++ b/src/succession/departedreplicas.test.ts
@@ -40,4 +40,11 @@
     leader.run(500)
     expect(leader.grants.at(-1)).to.deep.include({ primary: 'db-0' }).and.not.to.have.property('closing')
   })
+
+  it('closes a primary that has withdrawn itself, since hosts may not have heard of it', () => {
+    leader.withdraw(0)
+    leader.run(200)
+    expect(leader.grants.at(-1)).to.deep.include({ primary: 'db-0', closing: true })
+    expect(leader.calls).to.deep.equal([])
+  })
 })
