Confirms no former primary whose proof is outdated

Cause: after an appointment that failed, the database that proved its role last counts as primary, among those that are still known; an old proof of a former primary counted, and the call that confirms it compares nothing. Ruled out: the comparison and the acknowledged position; neither was asked. Change: after a failed appointment, a proof counts for 2.5 s. Why it works: a primary answers its owner's question for its role each second, and whoever doesn't is compared like a replica. Measured: confirmation.test.ts, 'is not confirmed if another database has led since', fails before and passes after.

--- a/src/succession/candidates.ts
+++ b/src/succession/candidates.ts
@@ -2,6 +2,7 @@
 import { getOwn } from '../core/own.js'
 import { comparePositions, ORIGIN } from '../core/position.js'
 import { findAppointedInstance } from './incarnations.js'
+import { isCopied } from './steps.js'
 import type { ReportingHost, TrackedDatabase, SuccessionState } from './state.js'
 
 /** Time without an answer after which a primary is replaced: longer than an overloaded one needs to answer, well below a client's timeout. */
@@ -20,6 +21,8 @@
 const ANNOUNCEMENT_WAIT_MS = 3_000
 /** How long a primary may answer without proving its role: several probes of its owner, and a promotion. */
 const PROOF_TIMEOUT_MS = 5_000
+/** Maximum age of the proof of a database that is to be confirmed as primary: two questions of its owner for its role. */
+const CONFIRMED_PROOF_MAX_AGE_MS = 2_500
 /** How long a new leader waits for reports of hosts. */
 const REPORT_WAIT_MS = 400
 
@@ -55,6 +58,7 @@
   // The owner asks a primary for its role each second, so one that answers without proof is not primary.
   const provenSinceMs = Math.max(primary.provenAtMs ?? primary.knownSinceMs, state.leadingSinceMs, state.appointedAtMs.get(primary.entry.group) ?? 0)
   if (nowMs - provenSinceMs >= PROOF_TIMEOUT_MS) return 'unproven'
+  if (isProofOutdated(state, primary, nowMs)) return 'unproven'
   if (hasLostWrites(state, primary, nowMs)) return 'behind'
   return isInEvacuated(state, primary) && listElsewhere(state, listCandidates(state, primary.entry.group, nowMs)).length > 0 ? 'evacuated' : undefined
 }
@@ -71,6 +75,12 @@
   return databases.filter(known => !isInEvacuated(state, known))
 }
 
+// After an appointment that failed, the last database that proved its role counts as primary. Another one may have led since, and
+// have ended.
+function isProofOutdated (state: SuccessionState, { entry, provenAtMs = -Infinity }: TrackedDatabase, nowMs: number): boolean {
+  return isCopied(state, entry.group) && getOwn(state.table, entry.group)?.outcome === 'failed' && nowMs - provenAtMs >= CONFIRMED_PROOF_MAX_AGE_MS
+}
+
 // Positions of a primary only grow within a term, and no replica is ahead of it. One that started again and reports less than
 // was seen before it was asked came back without its log; it is replaced if another database holds more.
 function hasLostWrites (state: SuccessionState, { entry, status, restartedAtMs, answeredAtMs = 0 }: TrackedDatabase, nowMs: number): boolean {
--- a/src/succession/confirmation.test.ts
+++ b/src/succession/confirmation.test.ts
@@ -68,4 +68,25 @@
     leader.run(10_000)
     expect(leader.grants.some(isOpen)).to.equal(true)
   })
+
+  it('is not confirmed if another database has led since, which has ended after an appointment that failed', () => {
+    leader.silent.add(0)
+    leader.writes = { group: 'g', phase: 'closed', acknowledged: { term: 1, offset: 50 } }
+    leader.run(2_000)
+    expect(leader.calls.map(({ database }) => database)).to.deep.equal(['db-1'])
+    leader.answer('done')
+    leader.primary = 1
+    leader.silent.delete(0)
+    leader.terms.fill(2)
+    leader.offsets.splice(1, 2, 60, 60)
+    leader.writes = { group: 'g', phase: 'open' }
+    leader.run(5_000)
+    leader.departing.add(1)
+    leader.writes = { group: 'g', phase: 'closed', acknowledged: { term: 2, offset: 60 } }
+    leader.run(300)
+    leader.answer('refused')
+    leader.withdraw(1)
+    leader.run(3_000)
+    expect(leader.calls.map(({ database }) => database)).to.deep.equal(['db-1', 'db-2', 'db-2'])
+  })
 })
--- a/src/succession/support/testleader.ts
+++ b/src/succession/support/testleader.ts
@@ -34,6 +34,8 @@
   /** What the owner of the primary reports; undefined while it is silent. */
   writes: WriteReport | undefined = { group: 'g', phase: 'open' }
   commitsProposals = true
+  /** The index of the database that leads. */
+  primary = 0
   /** False once the announced primary answers like a replica. */
   proves = true
   readonly #log = TestLog.create()
@@ -60,8 +62,8 @@
   /** Reports the databases, and what a host says of its commits. */
   report (writes: WriteReport | undefined, round = ++this.#round): void {
     const present = this.offsets.map((_, index) => index).filter(index => !this.withdrawn.has(index) && !this.lost.has(index))
-    const databases = present.map((index): DatabaseEntry => ({ kind: 'database', database: `db-${index}`, group: 'g', failureDomain: 'a', address: this.addresses[index]!, slots: 3, connectionLimit: 10, departing: this.departing.has(index), leads: index === 0 }))
-    const statuses = this.offsets.map((offset, index): DatabaseStatus => ({ database: `db-${index}`, answering: !this.silent.has(index), primary: index === 0 && this.proves, position: { term: this.terms[index]!, offset }, fencedTerm: this.heldTerms[index]!, ageMs: 0 }))
+    const databases = present.map((index): DatabaseEntry => ({ kind: 'database', database: `db-${index}`, group: 'g', failureDomain: 'a', address: this.addresses[index]!, slots: 3, connectionLimit: 10, departing: this.departing.has(index), leads: index === this.primary }))
+    const statuses = this.offsets.map((offset, index): DatabaseStatus => ({ database: `db-${index}`, answering: !this.silent.has(index), primary: index === this.primary && this.proves, position: { term: this.terms[index]!, offset }, fencedTerm: this.heldTerms[index]!, ageMs: 0 }))
     const report = { kind: 'succession/reported', failureDomain: 'a', apart: false, leftAtMs: this.#nowMs, statuses, databases } as const
     this.#decide({ ...report, host: 'prober' })
     if (writes !== undefined) this.#decide({ ...report, host: 'owner', statuses: [], databases: [], writes: [writes], process: 'p1', round })
