Names the processes that may commit in the log

Callers saw: with sync_replicas 1, a group without a primary for as long as a replica that had crashed for good stayed away, if the primary was lost within 2 s of a change of the leader, although the other replica held all that was acknowledged. Cause: a new leader did not know which hosts might have committed under the former one, so that it could not ask them all; only a read of the primary 2 s later told what was acknowledged. Ruled out: the replica set itself, which rightly holds a silent database: it may be cut off from this system alone. Change: the log names the processes, a grant names those that the log names, and a host commits only once it is named. Why it works: each process that could commit under any leader is known to the next one, and each that lives reports what it acknowledged. Cost: the first commit of a process waits for an entry of the log and a heartbeat; owners of replicas are named in advance. Measured: replicaset.test.ts, 'does not hold it up either if the primary is lost as the leader changes', and commits.test.ts, 'are sent only once the log names this process', fail before and pass after.

--- a/src/membership/decide.ts
+++ b/src/membership/decide.ts
@@ -5,7 +5,7 @@
 import { computeTimelyMs, recordConfirmation, recordTick, recordVersions } from './contact.js'
 import { followLeader, listControlHosts, listHeartbeatTargets, followHint, rankControlHosts } from './discovery.js'
 import { reportRollout } from './rollout.js'
-import { applyChanges, listColdRates, listEntries, type DatabaseEntry, type DatabaseStatus, type Directory, type HostEntry } from './directory.js'
+import { applyChanges, listColdRates, listEntries, type DatabaseEntry, type DatabaseStatus, type Directory, type HostEntry, nameProcess } from './directory.js'
 import { removeDatabases, removeHost, publishEntry, evictSilent, receiveHeartbeat } from './leader.js'
 import { isCurrent, pruneIncarnations, recordWithdrawal } from './incarnations.js'
 import { recordDatabaseEvents } from './log.js'
@@ -230,7 +230,7 @@
     tell({ kind: 'operations/control-known', control: listControlHosts(state) }),
     tell({ kind: 'timeline/hosts-known', hosts: hosts.map(({ host }) => host) }),
     tell({ kind: 'routing/directory-changed', hosts, databases, owners, grants }),
-    tell({ kind: 'transactions/owned-changed', databases: [...state.ownedDatabases.values()], grants, evacuated: listEvacuatedDomains(directory), confirmedAtMs, coldRates: listColdRates(directory) })
+    tell({ kind: 'transactions/owned-changed', databases: [...state.ownedDatabases.values()], grants, process: nameProcess(state.self?.host ?? '', state.self?.incarnation), evacuated: listEvacuatedDomains(directory), confirmedAtMs, coldRates: listColdRates(directory) })
   ]
 }
 
--- a/src/membership/directory.ts
+++ b/src/membership/directory.ts
@@ -49,6 +49,14 @@
 /** Whether a host may commit at the primary of a group: `closing` while commits that it sent are not answered yet. */
 export type CommitPhase = 'open' | 'closing' | 'closed'
 
+/**
+ * Names the process of a host, as grants do.
+ * @example nameProcess('host-2', '1f') // 'host-2/1f'
+ */
+export function nameProcess (host: string, incarnation: string | undefined): string {
+  return `${host}/${incarnation ?? ''}`
+}
+
 /** What a host reports of its commit lease in a group, where a replica's copy acknowledges a write. */
 export interface WriteReport {
   readonly group: string
@@ -72,6 +80,8 @@
   readonly closing?: boolean
   /** True where a replica's copy acknowledges a write: hosts then need a lease of the leader to commit. */
   readonly leased?: boolean
+  /** The processes of hosts that may commit under such a lease, since the log names them; absent if it need not. */
+  readonly writers?: readonly string[]
 }
 
 /** The document in force of a service. */
--- a/src/succession/coverage.ts
+++ b/src/succession/coverage.ts
@@ -30,7 +30,7 @@
 
 // The documents may not be known yet to a leader that begins.
 function isKept (state: SuccessionState, { entry: { group, database } }: TrackedDatabase): boolean {
-  return isCopied(state, group) || getOwn(getOwn(state.replicaSets, group) ?? {}, database) !== undefined
+  return isCopied(state, group) || getOwn(getOwn(state.replicaSets, group)?.members ?? {}, database) !== undefined
 }
 
 /**
--- a/src/succession/decide.ts
+++ b/src/succession/decide.ts
@@ -7,13 +7,13 @@
 import { findPrimary, findReplacementReason, isServing, pickSuccessor } from './candidates.js'
 import { dropProgress, isProposed, recordFenced, recordPosition, replaceClosed, resumeGroup } from './closing.js'
 import { dropCovered, endDatabase } from './coverage.js'
-import type { CallAnswered, CommandApplied, LeadershipChanged, HostReported, ReplicaSetApplied, SuccessionMessage } from './messages.js'
+import type { CallAnswered, CommandApplied, LeadershipChanged, HostReported, SuccessionMessage } from './messages.js'
 import { dropFormerIncarnations, isAppointmentSuperseded, markCaughtUp } from './incarnations.js'
-import { loadMembers, storeReplicaSet } from './replicaset.js'
+import { learnReplicaSets, loadMembers, storeReplicaSet } from './replicaset.js'
 import type { Appointment } from './table.js'
 import type { AppointPrimary, PromotionCall, TrackedDatabase, SuccessionState } from './state.js'
 import { appoint, APPOINTMENT_INTERVAL_MS, createStep, isAppointmentSettling, isCopied, publish, type SuccessionStep } from './steps.js'
-import { dropLapsedWriters, recordWriters } from './writers.js'
+import { dropLapsedWriters, loadWriters, recordWriters } from './writers.js'
 
 /** Time between two checks of all groups. */
 const CHECK_INTERVAL_MS = 50
@@ -39,7 +39,7 @@
     case 'succession/leadership': return changeLeadership(state, message, nowMs)
     case 'succession/applied': return applyCommand(state, message, nowMs)
     case 'succession/reported': return state.leads ? handleReport(state, message, nowMs) : createStep(state)
-    case 'succession/replicas-applied': return createStep(applyReplicaSet(state, message))
+    case 'succession/replicas-applied': return createStep(learnReplicaSets(state, message.group, message.replicaSets))
     case 'succession/withdrawn': return createStep(endDatabase(state, message.database, 'withdrawn', nowMs))
     case 'succession/documents': return createStep({ ...state, requiredCopies: message.copies })
     case 'succession/evacuated': return createStep({ ...state, evacuated: message.domains })
@@ -51,7 +51,7 @@
 }
 
 function changeLeadership (state: SuccessionState, { leads, epoch, table, replicaSets = {} }: LeadershipChanged, nowMs: number): SuccessionStep {
-  const next: SuccessionState = { ...state, leads, epoch, table, replicaSets, replicasProposedAtMs: new Map(), leadingSinceMs: nowMs, databases: new Map(), hosts: new Map(), members: loadMembers(replicaSets, nowMs), fencing: new Map(), resumedAtMs: new Map(), writers: new Map(), calls: new Map(), published: new Map(), appointedAtMs: new Map(), highestPositions: new Map() }
+  const next: SuccessionState = { ...state, leads, epoch, table, replicaSets, replicasProposedAtMs: new Map(), leadingSinceMs: nowMs, databases: new Map(), hosts: new Map(), members: loadMembers(replicaSets, nowMs), fencing: new Map(), resumedAtMs: new Map(), retiredWriters: new Map(), writers: loadWriters(replicaSets, nowMs), calls: new Map(), published: new Map(), appointedAtMs: new Map(), highestPositions: new Map() }
   return { state: next, effects: leads ? [createCheckTimer()] : [] }
 }
 
@@ -63,12 +63,6 @@
   return state.leads && changed ? checkGroup(next, group, nowMs) : createStep(next)
 }
 
-function applyReplicaSet (state: SuccessionState, { group, replicaSets }: ReplicaSetApplied): SuccessionState {
-  const replicasProposedAtMs = new Map(state.replicasProposedAtMs)
-  replicasProposedAtMs.delete(group)
-  return { ...state, replicaSets, replicasProposedAtMs }
-}
-
 // A primary that starts again is published under its new name at once.
 function handleReport (state: SuccessionState, message: HostReported, nowMs: number): SuccessionStep {
   const { state: current, restarted } = dropFormerIncarnations(state, message.databases, nowMs)
@@ -149,9 +143,9 @@
   const current = getOwn(state.table, group)
   if (current !== undefined && current.outcome === undefined) return isAppointmentSuperseded(state, group, current) ? failAppointment(state, group, current, nowMs) : callPlatform(state, group, nowMs)
   const primary = findPrimary(state, group)
-  const known = dropCovered(markCaughtUp(state, group, primary), group, primary, nowMs)
-  const stored = storeReplicaSet(known, group, nowMs)
-  const checked = checkPrimary(isCopied(known, group) ? dropLapsedWriters(stored.state, group, primary, nowMs) : stored.state, group, nowMs)
+  const covered = dropCovered(markCaughtUp(state, group, primary), group, primary, nowMs)
+  const stored = storeReplicaSet(isCopied(covered, group) ? dropLapsedWriters(covered, group, primary, nowMs) : covered, group, nowMs)
+  const checked = checkPrimary(stored.state, group, nowMs)
   return { state: checked.state, effects: [...stored.effects, ...checked.effects] }
 }
 
--- a/src/succession/replicaset.test.ts
+++ b/src/succession/replicaset.test.ts
@@ -120,6 +120,30 @@
     expect(listCalls()).to.deep.equal(['db-1'])
   })
 
+  it('does not hold it up either if the primary is lost as the leader changes, since the hosts say what they acknowledged', () => {
+    leader.lose(2)
+    leader.run(3_000)
+    leader.lead()
+    leader.lose(0)
+    leader.writes = CLOSED
+    leader.run(RECOVERY_MS)
+    expect(listCalls()).to.deep.equal(['db-1'])
+  })
+
+  it('names the processes that may commit to hosts once the log does, and one that was silent anew', () => {
+    expect(leader.grants.at(-1)?.writers).to.include('owner/p1')
+    leader.writes = undefined
+    leader.run(COMMIT_LEASE_EXPIRY_MS + 1_000)
+    expect(leader.grants.at(-1)?.writers).to.not.include('owner/p1')
+    leader.commitsProposals = false
+    leader.writes = { group: 'g', phase: 'open' }
+    leader.run(500)
+    expect(leader.grants.at(-1)?.writers).to.not.include('owner/p1')
+    leader.commitsProposals = true
+    leader.run(1_500)
+    expect(leader.grants.at(-1)?.writers).to.include('owner/p1')
+  })
+
   it('holds up neither of two planned departures in turn', () => {
     leader.withdraw(2)
     leader.run(REPORTED_MS)
--- a/src/succession/replicaset.ts
+++ b/src/succession/replicaset.ts
@@ -1,13 +1,15 @@
 /**
  * The replica sets that the control hosts' log keeps: the databases of each group that may hold a commit which a copy
- * acknowledged. A leader that begins knows them although they are silent, or have ended, and hosts report them no longer.
+ * acknowledged, and the processes of hosts that may have acknowledged it. A leader that begins knows them although they are silent,
+ * or have ended, and hosts report them no longer.
  */
-import type { Moment } from '../core/message.js'
 import { getOwn } from '../core/own.js'
+import type { LogPosition } from '../core/position.js'
 import { dropCold, type DatabaseEntry } from '../membership/directory.js'
 import { tell } from '../messages.js'
 import type { SuccessionState, TrackedDatabase } from './state.js'
 import { createStep, isCopied, PROPOSAL_TIMEOUT_MS, type SuccessionStep } from './steps.js'
+import { describeWriters } from './writers.js'
 
 /**
  * How a database ended for good: it withdrew itself, and its log is transferred to the next one at its address; or another start
@@ -21,8 +23,22 @@
   readonly end?: DatabaseEnd
 }
 
-/** The databases of one group, by name. */
-export type ReplicaSet = Readonly<Record<string, ReplicaRecord>>
+/** The processes of hosts that may commit in a group. */
+export interface StoredWriters {
+  readonly processes: readonly string[]
+  /** Covers each commit that was acknowledged by a process that is not named any more. */
+  readonly floor: LogPosition
+  /** The highest position that such a process reported as acknowledged. */
+  readonly acknowledged: LogPosition
+}
+
+/** What the log keeps of one group. */
+export interface ReplicaSet {
+  /** Databases by name. */
+  readonly members: Readonly<Record<string, ReplicaRecord>>
+  readonly writers?: StoredWriters
+}
+
 /** Replica sets by group. */
 export type ReplicaSetTable = Readonly<Record<string, ReplicaSet>>
 
@@ -34,25 +50,29 @@
   readonly present: readonly ReplicaRecord[]
   /** Databases whose commits are covered by others. */
   readonly covered: readonly string[]
+  /** Replaces the stored ones; absent if they have not changed. */
+  readonly writers?: StoredWriters
 }
 
 /**
  * Applies a command to the replica sets.
  * @example applyReplicaSetUpdate({}, { kind: 'succession/replicas', group: 'a', present: [{ entry }], covered: [] })
  */
-export function applyReplicaSetUpdate (table: ReplicaSetTable, { group, present, covered }: UpdateReplicaSetCommand): ReplicaSetTable {
-  const kept = Object.entries(getOwn(table, group) ?? {}).filter(([database]) => !covered.includes(database))
-  const changed = Object.fromEntries([...kept, ...present.map(record => [record.entry.database, record] as const)])
+export function applyReplicaSetUpdate (table: ReplicaSetTable, { group, present, covered, writers }: UpdateReplicaSetCommand): ReplicaSetTable {
+  const known = getOwn(table, group) ?? { members: {} }
+  const kept = Object.entries(known.members).filter(([database]) => !covered.includes(database))
+  const members = Object.fromEntries([...kept, ...present.map(record => [record.entry.database, record] as const)])
   const others = Object.entries(table).filter(([name]) => name !== group)
-  return Object.fromEntries(Object.keys(changed).length === 0 ? others : [...others, [group, changed] as const])
+  const changed: ReplicaSet = { ...known, members, ...(writers === undefined ? {} : { writers }) }
+  return Object.fromEntries(Object.keys(members).length === 0 ? others : [...others, [group, changed] as const])
 }
 
 /**
  * Lists the members with which a leader begins. What has ended did so before the leader began.
- * @example loadMembers({ a: { a1: { entry } } }, moment.monotonicMs).get('a1')?.entry.group // 'a'
+ * @example loadMembers({ a: { members: { a1: { entry } } } }, moment.monotonicMs).get('a1')?.entry.group // 'a'
  */
-export function loadMembers (table: ReplicaSetTable, nowMs: Moment['monotonicMs']): SuccessionState['members'] {
-  const records = Object.values(table).flatMap(set => Object.values(set))
+export function loadMembers (table: ReplicaSetTable, nowMs: number): SuccessionState['members'] {
+  const records = Object.values(table).flatMap(({ members }) => Object.values(members))
   return new Map(records.map(({ entry, end }) => [entry.database, { entry, knownSinceMs: nowMs, lastSeenAtMs: nowMs, ...(end === undefined ? {} : { ended: { end, atMs: nowMs } }) }]))
 }
 
@@ -61,19 +81,47 @@
  * @example storeReplicaSet(state, 'a', nowMs).effects.length
  */
 export function storeReplicaSet (state: SuccessionState, group: string, nowMs: number): SuccessionStep {
-  const stored = getOwn(state.replicaSets, group) ?? {}
-  const members = isCopied(state, group) ? [...state.members.values()].filter(({ entry }) => entry.group === group) : []
-  const present = members.map(createRecord).filter(record => !isSame(getOwn(stored, record.entry.database), record))
-  const covered = Object.keys(stored).filter(database => !members.some(({ entry }) => entry.database === database))
+  const stored = getOwn(state.replicaSets, group) ?? { members: {} }
   const isProposed = nowMs - (state.replicasProposedAtMs.get(group) ?? -Infinity) < PROPOSAL_TIMEOUT_MS
-  if (isProposed || (present.length === 0 && covered.length === 0)) return createStep(state)
-  const command: UpdateReplicaSetCommand = { kind: 'succession/replicas', group, present, covered }
+  if (isProposed) return createStep(state)
+  const members = isCopied(state, group) ? [...state.members.values()].filter(({ entry }) => entry.group === group) : []
+  const present = members.map(createRecord).filter(record => !isSame(getOwn(stored.members, record.entry.database), record))
+  const covered = Object.keys(stored.members).filter(database => !members.some(({ entry }) => entry.database === database))
+  const writers = members.length === 0 ? undefined : findChangedWriters(state, group, stored.writers)
+  if (present.length === 0 && covered.length === 0 && writers === undefined) return createStep(state)
+  const command: UpdateReplicaSetCommand = { kind: 'succession/replicas', group, present, covered, ...(writers === undefined ? {} : { writers }) }
   return {
-    state: { ...state, replicasProposedAtMs: new Map(state.replicasProposedAtMs).set(group, nowMs) },
+    state: { ...state, replicasProposedAtMs: new Map(state.replicasProposedAtMs).set(group, nowMs), retiredWriters: markRetired(state, group, stored.writers, writers) },
     effects: [tell({ kind: 'agreement/propose', proposal: `succession/${group}/replicas`, command })]
   }
 }
 
+// One that is being retired is named again only once the log names it no longer.
+function findChangedWriters (state: SuccessionState, group: string, stored: StoredWriters | undefined): StoredWriters | undefined {
+  const { processes, ...rest } = describeWriters(state, group)
+  const retired = state.retiredWriters.get(group)
+  const named = processes.filter(process => retired?.has(process) !== true)
+  const isChanged = stored === undefined || named.length !== stored.processes.length || named.some(process => !stored.processes.includes(process))
+  return isChanged ? { processes: named, ...rest } : undefined
+}
+
+function markRetired ({ retiredWriters }: SuccessionState, group: string, stored: StoredWriters | undefined, next: StoredWriters | undefined): SuccessionState['retiredWriters'] {
+  const retired = next === undefined ? [] : (stored?.processes ?? []).filter(process => !next.processes.includes(process))
+  return retired.length === 0 ? retiredWriters : new Map(retiredWriters).set(group, new Set([...retiredWriters.get(group) ?? [], ...retired]))
+}
+
+/**
+ * Learns the replica sets of the log once a change of one is applied.
+ * @example learnReplicaSets(state, 'a', replicaSets).replicasProposedAtMs.has('a') // false
+ */
+export function learnReplicaSets (state: SuccessionState, group: string, replicaSets: ReplicaSetTable): SuccessionState {
+  const replicasProposedAtMs = new Map(state.replicasProposedAtMs)
+  replicasProposedAtMs.delete(group)
+  const named = getOwn(replicaSets, group)?.writers?.processes ?? []
+  const retired = [...state.retiredWriters.get(group) ?? []].filter(process => named.includes(process))
+  return { ...state, replicaSets, replicasProposedAtMs, retiredWriters: new Map(state.retiredWriters).set(group, new Set(retired)) }
+}
+
 // Hosts may differ for a while in what a database last said of itself.
 function createRecord ({ entry, ended }: TrackedDatabase): ReplicaRecord {
   const { leads: _, ...lasting } = dropCold(entry)
--- a/src/succession/state.ts
+++ b/src/succession/state.ts
@@ -140,10 +140,12 @@
   /** The replica sets in the control hosts' log, and when a change of each was proposed that is not applied yet. */
   readonly replicaSets: ReplicaSetTable
   readonly replicasProposedAtMs: ReadonlyMap<string, number>
+  /** Processes that the log is to name no longer, by group: they must not commit before it names them anew. */
+  readonly retiredWriters: ReadonlyMap<string, ReadonlySet<string>>
   /** The latest position of each group. */
   readonly highestPositions: ReadonlyMap<string, HighestPosition>
-  /** The published primary of each group, whether it is closed for writes, and whether hosts need a lease to commit. */
-  readonly published: ReadonlyMap<string, { readonly database: string | undefined, readonly closing: boolean, readonly leased: boolean }>
+  /** The published primary of each group, whether it is closed for writes, whether hosts need a lease to commit, and which may hold one. */
+  readonly published: ReadonlyMap<string, { readonly database: string | undefined, readonly closing: boolean, readonly leased: boolean, readonly writers: readonly string[] }>
   /** The time from which the delay between appointments counts, by group. */
   readonly appointedAtMs: ReadonlyMap<string, number>
 }
@@ -170,6 +172,7 @@
     members: new Map(),
     replicaSets: {},
     replicasProposedAtMs: new Map(),
+    retiredWriters: new Map(),
     highestPositions: new Map(),
     published: new Map(),
     appointedAtMs: new Map()
--- a/src/succession/steps.ts
+++ b/src/succession/steps.ts
@@ -69,14 +69,26 @@
 export function publish (state: SuccessionState, group: string, database: string | undefined, closing = false): SuccessionStep {
   const known = state.published.get(group)
   const leased = isCopied(state, group)
-  if (known !== undefined && known.database === database && known.closing === closing && known.leased === leased) return createStep(state)
+  const writers = leased ? listRegistered(state, group) : []
+  if (known !== undefined && known.database === database && known.closing === closing && known.leased === leased && isEqual(known.writers, writers)) return createStep(state)
   if (known === undefined && database === undefined) return createStep(state)
   const term = getOwn(state.table, group)?.appointment ?? 0
   return {
-    state: { ...state, published: new Map(state.published).set(group, { database, closing, leased }) },
+    state: { ...state, published: new Map(state.published).set(group, { database, closing, leased, writers }) },
     effects: [
-      tell({ kind: 'membership/publish', entry: { kind: 'grant', group, term, primary: database, members: [], ...(closing ? { closing } : {}), ...(leased ? { leased } : {}) } }),
+      tell({ kind: 'membership/publish', entry: { kind: 'grant', group, term, primary: database, members: [], ...(closing ? { closing } : {}), ...(leased ? { leased, writers } : {}) } }),
       recordEvent('primary-published', `Group ${group}: the published primary is ${database ?? 'none'}${closing ? ', closed for writes' : ''}.`, { group })
     ]
   }
 }
+
+// Those that report, and that the log names and goes on to name.
+function listRegistered ({ replicaSets, writers, retiredWriters }: SuccessionState, group: string): readonly string[] {
+  const retired = retiredWriters.get(group)
+  const present = writers.get(group)?.processes
+  return (getOwn(replicaSets, group)?.writers?.processes ?? []).filter(process => present?.has(process) === true && retired?.has(process) !== true)
+}
+
+function isEqual (a: readonly string[], b: readonly string[]): boolean {
+  return a.length === b.length && a.every((name, index) => name === b[index])
+}
--- a/src/succession/support/copiesgroup.ts
+++ b/src/succession/support/copiesgroup.ts
@@ -150,12 +150,15 @@
     this.#parts.onPromoted(member)
     this.term += 1
     this.primary = name
-    for (const other of this.members.values()) {
-      // Replicas that were ahead are rolled back.
-      if (other.deaf) other.log = other.log.filter((commit, index) => member.log[index]?.name === commit.name)
-      else Object.assign(other, { paused: false, term: this.term })
-      if (other.running && !other.deaf) other.log = member.log
-    }
+    for (const other of this.members.values()) if (other.running) this.#follow(member, other)
     member.term = this.term
   }
+
+  // Replicas that were ahead are rolled back. One that nothing reaches may know the new term before it has received its log; one
+  // that is down knows nothing of it.
+  #follow (primary: Member, other: Member): void {
+    if (!other.deaf) Object.assign(other, { paused: false, log: primary.log })
+    other.log = other.log.filter((commit, index) => primary.log[index]?.name === commit.name)
+    other.term = this.term
+  }
 }
--- a/src/succession/support/copiessimulation.ts
+++ b/src/succession/support/copiessimulation.ts
@@ -9,7 +9,7 @@
 import { ORIGIN } from '../../core/position.js'
 import { StoreSlice } from '../../core/store.js'
 import type { FenceReplica, ReadPosition } from '../../databases/driver.js'
-import type { DatabaseEntry, DatabaseStatus, GrantEntry, WriteReport } from '../../membership/directory.js'
+import { nameProcess, type DatabaseEntry, type DatabaseStatus, type GrantEntry, type WriteReport } from '../../membership/directory.js'
 import { decideTransactions } from '../../transactions/decide.js'
 import type { TransactionsMessage } from '../../transactions/messages.js'
 import { createTransactionsShared } from '../../transactions/state.js'
@@ -275,7 +275,7 @@
     if (epoch !== owner.epoch || revision !== owner.revision) {
       Object.assign(owner, { epoch, revision, grant })
       const databases = [...this.#group.members.keys()].filter(name => this.#findOwner(name) === owner).map(name => ({ ...this.#createEntry(name), departing: false }))
-      this.#handle(owner, { kind: 'transactions/owned-changed', databases, grants: grant === undefined ? [] : [grant] })
+      this.#handle(owner, { kind: 'transactions/owned-changed', databases, grants: grant === undefined ? [] : [grant], process: nameProcess(owner.name, String(process)) })
     }
     this.#handle(owner, { kind: 'transactions/contact-confirmed', askedAtMs })
   }
--- a/src/succession/writers.ts
+++ b/src/succession/writers.ts
@@ -2,13 +2,15 @@
 import { ORIGIN, pickLater, type LogPosition } from '../core/position.js'
 import { MAX_CLOCK_DRIFT } from '../primacy/tools.js'
 import { COMMIT_LEASE_MS } from '../transactions/commits.js'
+import { nameProcess } from '../membership/directory.js'
 import type { HostReported } from './messages.js'
+import type { ReplicaSetTable, StoredWriters } from './replicaset.js'
 import type { GroupWriters, SuccessionState, TrackedDatabase, Writer } from './state.js'
 
 /** Time after a heartbeat at which the commit lease that its answer granted has ended, even with clock drift. */
 export const COMMIT_LEASE_EXPIRY_MS = COMMIT_LEASE_MS * (1 + MAX_CLOCK_DRIFT) + 1
 
-/** Stands for the hosts that only the former leader answered. */
+/** Stands for the hosts that a former leader answered whose log did not name them. */
 const FORMER_WRITERS = 'former'
 
 /**
@@ -19,7 +21,7 @@
 export function recordWriters (state: SuccessionState, { host, process, round = 0, writes = [] }: HostReported, nowMs: number): SuccessionState['writers'] {
   if (writes.length === 0) return state.writers
   const next = new Map(state.writers)
-  const name = `${host}/${process}`
+  const name = nameProcess(host, process)
   for (const { group, phase, acknowledged } of writes) {
     const writers = next.get(group) ?? getWriters(state, group)
     // A relay may hold an earlier heartbeat for longer than a later one.
@@ -75,6 +77,29 @@
   return [...processes.values()].map(writer => writer.acknowledged ?? ORIGIN).reduce(pickLater, acknowledged)
 }
 
+/**
+ * Lists the processes that could commit under the former leader, as the log names them. Each one counts until it reports to this
+ * leader, or its lease has surely ended.
+ * @example loadWriters(state.replicaSets, nowMs).get('a')?.processes.size
+ */
+export function loadWriters (table: ReplicaSetTable, nowMs: number): SuccessionState['writers'] {
+  const groups = Object.entries(table).flatMap(([group, { writers }]) => (writers === undefined ? [] : [[group, writers] as const]))
+  return new Map(groups.map(([group, { processes, floor, acknowledged }]) => [group, { floor, acknowledged, processes: new Map(processes.map(name => [name, createUnheard(nowMs)])) }]))
+}
+
+/**
+ * Describes what the log is to hold of the processes that may commit in a group.
+ * @example describeWriters(state, 'a').processes
+ */
+export function describeWriters (state: SuccessionState, group: string): StoredWriters {
+  const { floor, acknowledged, processes } = getWriters(state, group)
+  return { floor, acknowledged, processes: [...processes.keys()] }
+}
+
+function createUnheard (heardAtMs: number): Writer {
+  return { heardAtMs, round: 0, phase: 'open' }
+}
+
 function hasLapsed ({ heardAtMs }: Writer, nowMs: number): boolean {
   return nowMs >= heardAtMs + COMMIT_LEASE_EXPIRY_MS
 }
@@ -86,5 +111,5 @@
 }
 
 function getWriters ({ writers, leadingSinceMs }: SuccessionState, group: string): GroupWriters {
-  return writers.get(group) ?? { acknowledged: ORIGIN, floor: ORIGIN, processes: new Map([[FORMER_WRITERS, { heardAtMs: leadingSinceMs, round: 0, phase: 'open' }]]) }
+  return writers.get(group) ?? { acknowledged: ORIGIN, floor: ORIGIN, processes: new Map([[FORMER_WRITERS, createUnheard(leadingSinceMs)]]) }
 }
--- a/src/transactions/commits.test.ts
+++ b/src/transactions/commits.test.ts
@@ -70,6 +70,15 @@
     confirm()
   })
 
+  it('are sent only once the log names this process, so that the next leader waits for it', () => {
+    const ownAs = (writers: readonly string[]): readonly Effect[] => handle({ kind: 'transactions/owned-changed', databases: [ENTRY], grants: [{ ...GRANT, writers }], process: 'host-1/1f' })
+    ownAs(['host-1/1e'])
+    confirm()
+    expectRefused(run('statement', 1), 'no-primary')
+    ownAs(['host-1/1e', 'host-1/1f'])
+    expect(run('statement', 1).some(({ kind }) => kind === 'database/open')).to.equal(true)
+  })
+
   it('are refused once the primary is closed, and what was written is rolled back', () => {
     begin()
     write()
--- a/src/transactions/commits.ts
+++ b/src/transactions/commits.ts
@@ -1,8 +1,8 @@
 /**
  * Commit leases, for groups where a replica's copy acknowledges a write. Such a primary can only be replaced without losing a write
  * if none is acknowledged after its replicas were compared. So a host sends nothing that may commit unless the leader has
- * confirmed a heartbeat that names the group, within the lease, and the directory does not close the primary. The host's
- * heartbeats say once all it sent is answered, and up to which position it acknowledged writes.
+ * confirmed a heartbeat that names the group, within the lease, the control hosts' log names this process, and the directory does
+ * not close the primary. The host's heartbeats say once all it sent is answered, and up to which position it acknowledged writes.
  */
 import { createFailure, type Failure } from '../core/errors.js'
 import type { Moment } from '../core/message.js'
@@ -64,7 +64,7 @@
   const changed = next.filter(([group, lease]) => lease !== before.commitLeases.get(group))
   const shared: TransactionsShared = changed.length === 0 ? before : { ...before, commitLeases: new Map(next) }
   const changes = [...items].flatMap(([name, database]) => {
-    const commitsUntilMs = database.leased === true ? computeLeaseEndMs(shared, database.entry.group) : undefined
+    const commitsUntilMs = database.leased === true ? computeLeaseEndMs(shared, database) : undefined
     return commitsUntilMs === database.commitsUntilMs ? [] : [[name, { ...database, commitsUntilMs }] as const]
   })
   if (changed.length === 0 && changes.length === 0) return step
@@ -111,8 +111,10 @@
   return members.some(({ units }) => [...units.values()].some(isCommitting)) ? 'closing' : 'closed'
 }
 
-// A heartbeat counts only if it named the group, so that the leader knows whose commits it has to wait for.
-function computeLeaseEndMs ({ commitLeases, confirmedAtMs }: TransactionsShared, group: string): number {
-  const lease = commitLeases.get(group)
-  return lease === undefined || lease.phase === 'closed' || confirmedAtMs <= lease.namedAtMs ? -Infinity : confirmedAtMs + COMMIT_LEASE_MS
+// A heartbeat counts only if it named the group, so that the leader knows whose commits it has to wait for. The next leader knows
+// it from the log, so it counts only once the log names this process.
+function computeLeaseEndMs ({ commitLeases, confirmedAtMs }: TransactionsShared, { entry, registered }: OwnedDatabase): number {
+  const lease = commitLeases.get(entry.group)
+  const isHeld = registered !== false && lease !== undefined && lease.phase !== 'closed' && confirmedAtMs > lease.namedAtMs
+  return isHeld ? confirmedAtMs + COMMIT_LEASE_MS : -Infinity
 }
--- a/src/transactions/messages.ts
+++ b/src/transactions/messages.ts
@@ -148,6 +148,8 @@
   readonly kind: 'transactions/owned-changed'
   readonly databases: readonly DatabaseEntry[]
   readonly grants: readonly GrantEntry[]
+  /** The name of this process in the grants. */
+  readonly process?: string
   /** The evacuated failure domains; none if absent. */
   readonly evacuated?: readonly string[]
   /** A time at which none of them was evacuated that is new; absent if unknown. */
--- a/src/transactions/ownership.ts
+++ b/src/transactions/ownership.ts
@@ -24,10 +24,10 @@
   const generation = store.shared.generation + 1
   const coldRates = mergeColdRates(store.shared.coldRates, message.coldRates)
   const limited = [...store.items.values()].map(database => (coldRates.has(database.entry.group) ? database : { ...database, refill: undefined }))
-  const released = limited.filter(database => !ownedNames.has(database.entry.database)).map(database => releaseDatabase(updateTerm(markOwned(database, evacuated, confirmedAtMs), message.grants)))
+  const released = limited.filter(database => !ownedNames.has(database.entry.database)).map(database => releaseDatabase(updateTerm(markOwned(database, evacuated, confirmedAtMs), message)))
   const owned = message.databases.map(entry => {
     const known = limited.find(database => database.entry.database === entry.database) ?? createOwned(entry, generation, store.shared.guarantees)
-    return updateEntry(markOwned({ ...known, entry }, evacuated, confirmedAtMs), message.grants.find(grant => grant.group === entry.group))
+    return updateEntry(markOwned({ ...known, entry }, evacuated, confirmedAtMs), message.grants.find(grant => grant.group === entry.group), message.process)
   })
   const steps = [...released, ...owned].map(step => completeStep(step.database, step.effects))
   return {
@@ -76,9 +76,9 @@
 }
 
 // Transactions that are open here go on until the primary is closed or replaced, whoever owns it then.
-function updateTerm (database: OwnedDatabase, grants: readonly GrantEntry[]): OwnedDatabase {
+function updateTerm (database: OwnedDatabase, { grants, process }: OwnershipChanged): OwnedDatabase {
   const { guarantees, entry } = database
-  return guarantees.selfFencing ? applyGrant(database, grants.find(({ group }) => group === entry.group)).database : database
+  return guarantees.selfFencing ? applyGrant(database, grants.find(({ group }) => group === entry.group), process).database : database
 }
 
 // Queued requests are refused as not run; running ones may finish here.
@@ -90,20 +90,21 @@
 }
 
 // Connections beyond a lowered limit stay until they end; no other one is opened meanwhile.
-function updateEntry (owned: OwnedDatabase, grant: GrantEntry | undefined): DatabaseStep {
+function updateEntry (owned: OwnedDatabase, grant: GrantEntry | undefined, process: string | undefined): DatabaseStep {
   const entry: DatabaseEntry = { ...owned.entry, connectionLimit: Math.max(owned.entry.connectionLimit, owned.connections.size) }
   // A database that comes back before its last unit ended has had another owner, which may be cut off.
   const refill = owned.releasing ? undefined : owned.refill
-  const step = applyGrant({ ...owned, entry, releasing: false, refill }, grant)
+  const step = applyGrant({ ...owned, entry, releasing: false, refill }, grant, process)
   return entry.departing || isEvacuated(entry) ? continueStep(step, refuseQueued) : step
 }
 
-function applyGrant (database: OwnedDatabase, grant: GrantEntry | undefined): DatabaseStep {
+function applyGrant (database: OwnedDatabase, grant: GrantEntry | undefined, process: string | undefined): DatabaseStep {
   const name = database.entry.database
   const term = grant?.primary === name ? grant.term : undefined
   const members = grant?.members ?? database.members
   const closing = grant?.closing === true
-  if (database.guarantees.selfFencing) return refuseQueuedWrites({ ...database, term, members, closing, leased: grant === undefined ? database.leased : grant.leased })
+  const registered = grant?.writers?.includes(process ?? '') ?? true
+  if (database.guarantees.selfFencing) return refuseQueuedWrites({ ...database, term, members, closing, registered, leased: grant === undefined ? database.leased : grant.leased })
   if (term === database.term) return createEmptyStep({ ...database, term, members, closing })
   const replaced = createFailure('outcome-unknown', 'the primary was replaced')
   const failed = database.pendingWrites.map(write => answerFailed(write.from, write, replaced, false))
--- a/src/transactions/state.ts
+++ b/src/transactions/state.ts
@@ -117,6 +117,8 @@
   readonly refill?: Refill
   /** True where a replica's copy acknowledges a write, by the last grant of its group. */
   readonly leased?: boolean
+  /** False while the grant does not name this process among those that may commit. */
+  readonly registered?: boolean
   /** The monotonic time until which commits may be sent and acknowledged; absent where that needs no lease. */
   readonly commitsUntilMs?: number
 }
