Binds a choice by what replicas surely hold

Cause: the position of an answer was taken for that of its commit. It is that of the log, which may have grown by commits that no replica holds yet; only the lost primary reached it. Ruled out: a wait for a database of the replica set alone; with all others read, the group waited as well (the test below). Change: hosts report what had been answered before a commit was sent that is acknowledged by now, and that binds. Why it works: it comes before that commit in the log, so the replica that acknowledged the commit holds it; the position of the answer goes on to cover all. Databases that know the latest term without its log count by both, term and length. Measured: departedreplicas.test.ts, 'is not held up by a commit that was under way', fails before and passes after.

--- a/src/membership/decide.ts
+++ b/src/membership/decide.ts
@@ -136,8 +136,8 @@
 }
 
 // A change of primary waits for this report, and the first commit after one for its answer.
-function recordWrites (state: MembershipState, { group, phase, acknowledged }: WritesChanged): MembershipStep {
-  const writes = new Map(state.writes).set(group, { group, phase, acknowledged })
+function recordWrites (state: MembershipState, { group, phase, acknowledged, copied }: WritesChanged): MembershipStep {
+  const writes = new Map(state.writes).set(group, { group, phase, acknowledged, ...(copied === undefined ? {} : { copied }) })
   return { state: { ...state, writes }, effects: [setTimer('membership/beat', 0, { kind: 'membership/beat-due' })] }
 }
 
--- a/src/membership/directory.ts
+++ b/src/membership/directory.ts
@@ -61,8 +61,10 @@
 export interface WriteReport {
   readonly group: string
   readonly phase: CommitPhase
-  /** The highest position of a commit that was acknowledged to this process of the host. */
+  /** Covers each commit that was acknowledged to this process of the host; the log may have been shorter by commits that no replica holds. */
   readonly acknowledged?: LogPosition
+  /** A position up to which a replica holds all commits, since a later one was acknowledged to this process. */
+  readonly copied?: LogPosition
 }
 
 /** The primary of a group and its term; without a primary during a change. */
--- a/src/membership/messages.ts
+++ b/src/membership/messages.ts
@@ -146,6 +146,7 @@
   readonly group: string
   readonly phase: CommitPhase
   readonly acknowledged?: LogPosition
+  readonly copied?: LogPosition
 }
 
 /** A probe of a database's status completed. */
--- a/src/succession/closing.ts
+++ b/src/succession/closing.ts
@@ -13,7 +13,7 @@
 import { pickCoveringSuccessor, pickFencedSuccessor } from './quorum.js'
 import { createFenceEffect, resumeReplicas } from './receiving.js'
 import { appoint, createStep, isAppointmentSettling, isCopied, publish, type SuccessionStep } from './steps.js'
-import { findAcknowledged, findHighestAcknowledged, isQuiesced } from './writers.js'
+import { findAcknowledged, findCopied, isQuiesced } from './writers.js'
 
 /** Delay before replicas that did not answer are fenced again. */
 const FENCE_RETRY_DELAY_MS = 400
@@ -83,7 +83,7 @@
  */
 export function recordFenced (state: SuccessionState, { group, database, position }: ReplicaFenced): SuccessionState {
   const progress = state.fencing.get(group)
-  if (progress?.quiescedAtMs === undefined || !state.members.has(database)) return state
+  if (progress?.quiescedAtMs === undefined || !isRunning(state, database)) return state
   return replaceProgress(state, group, { ...progress, positions: new Map(progress.positions).set(database, position) })
 }
 
@@ -93,10 +93,16 @@
  */
 export function recordPosition (state: SuccessionState, { group, database, position }: PositionRead): SuccessionState {
   const progress = state.fencing.get(group)
-  if (progress === undefined || !state.members.has(database)) return state
+  if (progress === undefined || !isRunning(state, database)) return state
   return replaceProgress(state, group, { ...progress, readPositions: new Map(progress.readPositions).set(database, position) })
 }
 
+// What another start of an instance answers is not what the former one held.
+function isRunning ({ members }: SuccessionState, database: string): boolean {
+  const known = members.get(database)
+  return known !== undefined && known.ended === undefined
+}
+
 /**
  * Drops the progress of a group, whose appointment is committed or whose primary stays.
  * @example dropProgress(state, 'a').fencing.has('a') // false
@@ -145,7 +151,7 @@
   const former = reason === 'unproven' ? undefined : primary
   const acknowledged = findAcknowledged(state, group)
   const covering = acknowledged === undefined ? undefined : pickCoveringSuccessor(state, group, former, acknowledged, nowMs)
-  const { unread, successor } = pickFencedSuccessor(state, group, former, findHighestAcknowledged(state, group))
+  const { unread, successor } = pickFencedSuccessor(state, group, former, findCopied(state, group))
   const chosen = covering ?? successor
   if (chosen !== undefined) return appoint(replaceProgress(state, group, { ...progress, proposed: chosen.entry.database }), group, chosen, reason, nowMs)
   if (acknowledged !== undefined && nowMs - (progress.quiescedAtMs ?? nowMs) < CATCH_UP_MS) return readReplicas(state, group, progress, former, nowMs)
--- a/src/succession/departedreplicas.test.ts
+++ b/src/succession/departedreplicas.test.ts
@@ -47,4 +47,24 @@
     expect(leader.grants.at(-1)).to.deep.include({ primary: 'db-0', closing: true })
     expect(leader.calls).to.deep.equal([])
   })
+
+  it('is not held up by a commit that was under way as the last one was acknowledged, which its lost primary alone holds', () => {
+    leader = TestLeader.create()
+    leader.offsets.splice(1, 2, 49, 49)
+    leader.run(100)
+    leader.lose(0)
+    leader.writes = { ...CLOSED, copied: { term: 1, offset: 48 } }
+    leader.run(3_000)
+    expect(leader.calls).to.have.length(1)
+  })
+
+  it('waits where replicas hold less than what was copied to one of them', () => {
+    leader = TestLeader.create()
+    leader.offsets.splice(1, 2, 47, 47)
+    leader.run(100)
+    leader.lose(0)
+    leader.writes = { ...CLOSED, copied: { term: 1, offset: 48 } }
+    leader.run(10_000)
+    expect(leader.calls).to.deep.equal([])
+  })
 })
--- a/src/succession/quorum.ts
+++ b/src/succession/quorum.ts
@@ -42,21 +42,24 @@
  * Picks the next primary where it is not known what was acknowledged, by the positions of all databases of the replica set. One
  * that is not read may hold a commit, however long it has been silent: it may be cut off from this system alone. Each commit is
  * held by two, so one need not be read if the successor holds as much as any that was, be it the primary or a replica; two that
- * are not read are awaited. Positions up to a known acknowledged one are left out, since whoever covers that one holds them.
- * @param acknowledged the highest position that is known to be acknowledged: a database below it lacks a commit, whoever is read.
- * @example pickFencedSuccessor(state, 'a', primary, acknowledged).successor
+ * are not read are awaited. Positions up to which replicas hold all commits are left out, since whoever covers them holds those.
+ * @param copied the highest such position that is known: a database below it lacks a commit, whoever is read.
+ * @example pickFencedSuccessor(state, 'a', primary, copied).successor
  */
-export function pickFencedSuccessor (state: SuccessionState, group: string, primary: TrackedDatabase | undefined, acknowledged: LogPosition): FencedChoice {
+export function pickFencedSuccessor (state: SuccessionState, group: string, primary: TrackedDatabase | undefined, copied: LogPosition): FencedChoice {
   const positions = state.fencing.get(group)?.positions ?? new Map<string, LogPosition>()
   const members = [...state.members.values()].filter(({ entry }) => entry.group === group)
   const unread = members.filter(({ entry }) => !positions.has(entry.database))
   if (unread.length >= COMMIT_HOLDERS) return { unread }
   const read = members.filter(({ entry }) => positions.has(entry.database))
   const findPosition = ({ entry }: TrackedDatabase): LogPosition => positions.get(entry.database)!
-  const later = read.map(findPosition).filter(({ offset }) => offset > acknowledged.offset).sort((a, b) => comparePositions(b, a))
-  const held = later[COMMIT_HOLDERS - 1 - unread.length] ?? acknowledged
+  const later = read.map(findPosition).filter(({ offset }) => offset > copied.offset)
+  const index = COMMIT_HOLDERS - 1 - unread.length
+  // One that knows the latest term may lack its log, and the longest log may be one that was never acknowledged.
+  const { term } = later.sort((a, b) => comparePositions(b, a))[index] ?? copied
+  const { offset } = later.sort((a, b) => b.offset - a.offset)[index] ?? copied
   const replicas = read.filter(known => known.ended === undefined && known.entry.database !== primary?.entry.database)
-  const covering = replicas.filter(known => coversCommits(findPosition(known), held) && coversCommits(findPosition(known), acknowledged))
+  const covering = replicas.filter(known => coversCommits(findPosition(known), { term, offset }) && coversCommits(findPosition(known), copied))
   return { unread, successor: rankByUse(state, covering, (a, b) => comparePositions(findPosition(b), findPosition(a)))[0] }
 }
 
--- a/src/succession/replicaset.ts
+++ b/src/succession/replicaset.ts
@@ -28,8 +28,8 @@
   readonly processes: readonly string[]
   /** Covers each commit that was acknowledged by a process that is not named any more. */
   readonly floor: LogPosition
-  /** The highest position that such a process reported as acknowledged. */
-  readonly acknowledged: LogPosition
+  /** The highest position up to which such a process reported commits as copied. */
+  readonly copied: LogPosition
 }
 
 /** What the log keeps of one group. */
--- a/src/succession/state.ts
+++ b/src/succession/state.ts
@@ -82,14 +82,16 @@
   /** The number of that heartbeat. */
   readonly round: number
   readonly phase: CommitPhase
-  /** The highest position of a commit that it acknowledged, as of that heartbeat. */
+  /** Covers each commit that it acknowledged, as of that heartbeat. */
   readonly acknowledged?: LogPosition
+  /** A position up to which a replica holds all commits, as of that heartbeat. */
+  readonly copied?: LogPosition
 }
 
 /** The processes that may commit in a group, or could, and what the commits of others are covered by. */
 export interface GroupWriters {
-  /** The highest position that a process which is not listed any more reported as acknowledged. */
-  readonly acknowledged: LogPosition
+  /** The highest position up to which a process that is not listed any more reported commits as copied. */
+  readonly copied: LogPosition
   /** Covers each commit that was acknowledged by a process that is not listed any more. */
   readonly floor: LogPosition
   readonly processes: ReadonlyMap<string, Writer>
--- a/src/succession/writers.ts
+++ b/src/succession/writers.ts
@@ -22,11 +22,11 @@
   if (writes.length === 0) return state.writers
   const next = new Map(state.writers)
   const name = nameProcess(host, process)
-  for (const { group, phase, acknowledged } of writes) {
+  for (const { group, phase, acknowledged, copied } of writes) {
     const writers = next.get(group) ?? getWriters(state, group)
     // A relay may hold an earlier heartbeat for longer than a later one.
     if ((writers.processes.get(name)?.round ?? -1) > round) continue
-    next.set(group, { ...writers, processes: new Map(writers.processes).set(name, { heardAtMs: nowMs, round, phase, acknowledged }) })
+    next.set(group, { ...writers, processes: new Map(writers.processes).set(name, { heardAtMs: nowMs, round, phase, acknowledged, copied }) })
   }
   return next
 }
@@ -41,9 +41,9 @@
   const dropped = [...writers.processes].filter(([, writer]) => hasLapsed(writer, nowMs) && (writer.phase === 'closed' || isCovered(writer, primary)))
   if (dropped.length === 0) return state
   const processes = new Map([...writers.processes].filter(([name]) => !dropped.some(([other]) => other === name)))
-  const acknowledged = dropped.map(([, writer]) => writer.acknowledged ?? ORIGIN).reduce(pickLater, writers.acknowledged)
+  const copied = dropped.map(([, writer]) => writer.copied ?? ORIGIN).reduce(pickLater, writers.copied)
   const floor = dropped.map(([, writer]) => (writer.phase === 'closed' ? writer.acknowledged : primary?.status?.position) ?? ORIGIN).reduce(pickLater, writers.floor)
-  return { ...state, writers: new Map(state.writers).set(group, { acknowledged, floor, processes }) }
+  return { ...state, writers: new Map(state.writers).set(group, { copied, floor, processes }) }
 }
 
 /**
@@ -68,13 +68,13 @@
 }
 
 /**
- * Finds the highest position of a commit that a host reported as acknowledged: a database below it lacks that commit, whatever
- * else is known.
- * @example findHighestAcknowledged(state, 'a').offset
+ * Finds the highest position up to which replicas hold all commits, since a later one was acknowledged: a database below it lacks
+ * a commit, whatever else is known. What `findAcknowledged` returns may be beyond the last commit that was acknowledged.
+ * @example findCopied(state, 'a').offset
  */
-export function findHighestAcknowledged (state: SuccessionState, group: string): LogPosition {
-  const { acknowledged, processes } = getWriters(state, group)
-  return [...processes.values()].map(writer => writer.acknowledged ?? ORIGIN).reduce(pickLater, acknowledged)
+export function findCopied (state: SuccessionState, group: string): LogPosition {
+  const { copied, processes } = getWriters(state, group)
+  return [...processes.values()].map(writer => writer.copied ?? ORIGIN).reduce(pickLater, copied)
 }
 
 /**
@@ -84,7 +84,7 @@
  */
 export function loadWriters (table: ReplicaSetTable, nowMs: number): SuccessionState['writers'] {
   const groups = Object.entries(table).flatMap(([group, { writers }]) => (writers === undefined ? [] : [[group, writers] as const]))
-  return new Map(groups.map(([group, { processes, floor, acknowledged }]) => [group, { floor, acknowledged, processes: new Map(processes.map(name => [name, createUnheard(nowMs)])) }]))
+  return new Map(groups.map(([group, { processes, floor, copied }]) => [group, { floor, copied, processes: new Map(processes.map(name => [name, createUnheard(nowMs)])) }]))
 }
 
 /**
@@ -92,8 +92,8 @@
  * @example describeWriters(state, 'a').processes
  */
 export function describeWriters (state: SuccessionState, group: string): StoredWriters {
-  const { floor, acknowledged, processes } = getWriters(state, group)
-  return { floor, acknowledged, processes: [...processes.keys()] }
+  const { floor, copied, processes } = getWriters(state, group)
+  return { floor, copied, processes: [...processes.keys()] }
 }
 
 function createUnheard (heardAtMs: number): Writer {
@@ -111,5 +111,5 @@
 }
 
 function getWriters ({ writers, leadingSinceMs }: SuccessionState, group: string): GroupWriters {
-  return writers.get(group) ?? { acknowledged: ORIGIN, floor: ORIGIN, processes: new Map([[FORMER_WRITERS, createUnheard(leadingSinceMs)]]) }
+  return writers.get(group) ?? { copied: ORIGIN, floor: ORIGIN, processes: new Map([[FORMER_WRITERS, createUnheard(leadingSinceMs)]]) }
 }
--- a/src/transactions/commits.test.ts
+++ b/src/transactions/commits.test.ts
@@ -98,6 +98,16 @@
     expect(listReports(finished)).to.deep.equal([{ kind: 'membership/writes-changed', group: 'a', phase: 'closed', acknowledged: { term: 1, offset: 7 } }])
   })
 
+  it('tell up to which position replicas hold all of them: what had been answered as a later one was sent', () => {
+    begin()
+    write()
+    run('commit', 3)
+    finish('idle', 7)
+    run('statement', 4, { transaction: undefined })
+    finish('idle', 12)
+    expect(listReports(own({ ...GRANT, closing: true }))).to.deep.equal([{ kind: 'membership/writes-changed', group: 'a', phase: 'closed', acknowledged: { term: 1, offset: 12 }, copied: { term: 1, offset: 7 } }])
+  })
+
   it('need a confirmed heartbeat that names the group', () => {
     slice = createSlice()
     own(GRANT)
--- a/src/transactions/commits.ts
+++ b/src/transactions/commits.ts
@@ -6,7 +6,7 @@
  */
 import { createFailure, type Failure } from '../core/errors.js'
 import type { Moment } from '../core/message.js'
-import { pickLater } from '../core/position.js'
+import { ORIGIN, pickLater, type LogPosition } from '../core/position.js'
 import { listEntries, removeEntry } from '../fairness/queue.js'
 import { tell } from '../messages.js'
 import type { CommitPhase } from '../membership/directory.js'
@@ -68,12 +68,13 @@
     return commitsUntilMs === database.commitsUntilMs ? [] : [[name, { ...database, commitsUntilMs }] as const]
   })
   if (changed.length === 0 && changes.length === 0) return step
-  const notifications = changed.map(([group, { phase, acknowledged }]) => tell({ kind: 'membership/writes-changed', group, phase, acknowledged }))
+  const notifications = changed.map(([group, { phase, acknowledged, copied }]) => tell({ kind: 'membership/writes-changed', group, phase, acknowledged, ...(copied === undefined ? {} : { copied }) }))
   return { shared, changes: [...new Map([...step.changes ?? [], ...changes])], effects: [...step.effects, ...notifications] }
 }
 
 /**
- * Records the position of a commit that a database acknowledged.
+ * Records the position with which a database acknowledged a commit. The log may have grown before it answered, so the position
+ * covers the commit, and may be beyond it. What had been answered as the commit was sent comes before it in the log.
  * @example recordCommit(store, name, message).commitLeases.get('a')?.acknowledged
  */
 export function recordCommit ({ items, shared }: TransactionsStore, database: string, { connection, position }: DatabaseFinished): TransactionsShared {
@@ -83,7 +84,22 @@
   const unit = findUnit(owned, connection)
   if (unit === undefined || !isCommitting(unit)) return shared
   const acknowledged = lease.acknowledged === undefined ? position : pickLater(lease.acknowledged, position)
-  return { ...shared, commitLeases: new Map(shared.commitLeases).set(owned.entry.group, { ...lease, acknowledged }) }
+  const copied = findCopied(unit, position)
+  const changed: CommitLease = { ...lease, acknowledged, ...(copied === undefined ? {} : { copied: pickLater(lease.copied ?? ORIGIN, copied) }) }
+  return { ...shared, commitLeases: new Map(shared.commitLeases).set(owned.entry.group, changed) }
+}
+
+// A primary that came back without its log begins anew.
+function findCopied ({ sentPosition }: UnitOfWork, position: LogPosition): LogPosition | undefined {
+  return sentPosition?.term === position.term && sentPosition.offset < position.offset ? sentPosition : undefined
+}
+
+/**
+ * Keeps the position with which a database answered a commit, where commits take a lease.
+ * @example recordCommitPosition(database, message).commitPosition?.offset
+ */
+export function recordCommitPosition (database: OwnedDatabase, { position }: DatabaseFinished): OwnedDatabase {
+  return database.leased === true && position !== undefined ? { ...database, commitPosition: position } : database
 }
 
 function applyStepChanges (store: TransactionsStore, { changes = [] }: TransactionsStep): ReadonlyMap<string, OwnedDatabase> {
@@ -101,7 +117,7 @@
 
 function changeLease (lease: CommitLease | undefined, phase: CommitPhase, { monotonicMs }: Moment): CommitLease {
   if (lease?.phase === phase) return lease
-  if (lease === undefined || lease.phase === 'closed') return { phase, namedAtMs: monotonicMs, acknowledged: lease?.acknowledged }
+  if (lease === undefined || lease.phase === 'closed') return { phase, namedAtMs: monotonicMs, acknowledged: lease?.acknowledged, copied: lease?.copied }
   return { ...lease, phase }
 }
 
--- a/src/transactions/decide.ts
+++ b/src/transactions/decide.ts
@@ -18,7 +18,7 @@
 import { computePace, findOverload } from './pace.js'
 import { continueWhenWarm, createRefillTimer, findColdRefusal, startHeld, startRefills, updateRefills } from './cold.js'
 import { answerFailed, continueStep, setDeadlineTimer, setIdleTimer, clearDeadlineTimer, createEmptyStep, refuseRun, type DatabaseStep, type TransactionsStep, type TransactionsStore } from './step.js'
-import { findCommitRefusal, recordCommit, updateCommitLeases } from './commits.js'
+import { findCommitRefusal, recordCommit, recordCommitPosition, updateCommitLeases } from './commits.js'
 import { acknowledgeDurableWrites, answerFinished } from './durability.js'
 import { computeUrgency, countTurns } from './urgency.js'
 import { clearSlowReadTimer, reportSlowRead } from './slowread.js'
@@ -221,7 +221,7 @@
   if (isGraceOver(database, moment)) return endUnit(database, message, createFailure('transaction-evacuated', database.entry.group))
   const closed = findCommitRefusal(database, message, unit, moment)
   if (closed !== undefined) return endUnit(database, message, closed)
-  const next = markWrote({ ...unit, phase: 'running', run: message, partsSent: 0 })
+  const next = markWrote({ ...unit, phase: 'running', run: message, partsSent: 0, sentPosition: database.commitPosition })
   return continueWhenWarm(database, next, moment)
 }
 
@@ -247,7 +247,7 @@
 function handleFinished (shared: TransactionsShared, database: OwnedDatabase, message: DatabaseFinished, moment: Moment): DatabaseStep {
   const unit = findUnit(database, message.connection)
   if (unit?.phase !== 'running') return createEmptyStep(database)
-  const measured = recordRun(database, message, moment)
+  const measured = recordCommitPosition(recordRun(database, message, moment), message)
   const ended = message.status === 'idle'
   const next = ended ? releaseUnit(measured, unit) : replaceUnit(measured, { ...unit, phase: 'idle' })
   const timer = ended ? clearDeadlineTimer(database.entry.database, unit.caller) : setIdleTimer(unit.run, unit.run.idleMs ?? shared.idleTransactionMs)
--- a/src/transactions/pool.ts
+++ b/src/transactions/pool.ts
@@ -115,7 +115,7 @@
 function bindUnit (database: OwnedDatabase, message: RunRequest, idle: Connection): DatabaseStep {
   const { caller, attempt } = message
   const { connection } = idle
-  const unit: UnitOfWork = { caller, from: message.from!, connection, phase: 'running', firstAttempt: attempt, run: message, partsSent: 0 }
+  const unit: UnitOfWork = { caller, from: message.from!, connection, phase: 'running', firstAttempt: attempt, run: message, partsSent: 0, sentPosition: database.commitPosition }
   const next: OwnedDatabase = {
     ...database,
     started: database.started + 1,
--- a/src/transactions/state.ts
+++ b/src/transactions/state.ts
@@ -43,6 +43,8 @@
   readonly held?: true
   /** True once a statement that writes was sent in its transaction. */
   readonly wrote?: true
+  /** The position of the last commit that the database had answered as the running request was sent. */
+  readonly sentPosition?: LogPosition
 }
 
 /** The lease of this host to commit at the primary of a group, where a replica's copy acknowledges a write. */
@@ -50,8 +52,10 @@
   readonly phase: CommitPhase
   /** The monotonic time of the change to `open`: only heartbeats after it name the group. */
   readonly namedAtMs: number
-  /** The highest position of a commit that a database acknowledged to this host. */
+  /** The highest position of the log with which a database answered a commit of this host: covers all that it acknowledged. */
   readonly acknowledged?: LogPosition
+  /** The highest position that was answered before a commit was sent which is acknowledged by now: replicas hold all up to it. */
+  readonly copied?: LogPosition
 }
 
 /** A finished write that is not acknowledged yet, because no majority stores its position. */
@@ -117,6 +121,8 @@
   readonly refill?: Refill
   /** True where a replica's copy acknowledges a write, by the last grant of its group. */
   readonly leased?: boolean
+  /** The position of its log when it last answered a commit, where that takes a lease. */
+  readonly commitPosition?: LogPosition
   /** False while the grant does not name this process among those that may commit. */
   readonly registered?: boolean
   /** The monotonic time until which commits may be sent and acknowledged; absent where that needs no lease. */
