Lets the heir of the last primary's log lead

Cause: databases that had ended while the group had no primary could not be covered by one, and with two of them unread the comparison waited; that one database holds everything was not known. Ruled out: an acknowledged position that is known; its process had ended without a report. Change: the log names the database that hosts could last commit at, and the next one at its address takes that place. Why it works: its log holds all that was acknowledged, so whoever holds as much may lead, whoever is missing. It counts for the last appointment alone. Measured: replicaset.test.ts, 'lets the database lead that has the log of a primary which left', fails before and passes after.

--- a/src/succession/coverage.ts
+++ b/src/succession/coverage.ts
@@ -39,7 +39,8 @@
  * @example dropCovered(state, 'a', primary, nowMs).members.size
  */
 export function dropCovered (before: SuccessionState, group: string, primary: TrackedDatabase | undefined, nowMs: number): SuccessionState {
-  const state = endReplaced(before, group, nowMs)
+  if (!isCopied(before, group) && getOwn(before.replicaSets, group) === undefined) return before
+  const state = replaceLastPrimary(endReplaced(before, group, nowMs), group)
   const ended = listMembers(state, group).filter(known => known.ended !== undefined)
   if (ended.length === 0) return state
   const members = new Map(state.members)
@@ -57,6 +58,14 @@
   return replaced.reduce((current, { entry }) => endDatabase(current, entry.database, 'superseded', nowMs), state)
 }
 
+// The database that takes over the log of the last primary holds all that was acknowledged, as that one did.
+function replaceLastPrimary (state: SuccessionState, group: string): SuccessionState {
+  const last = state.lastPrimaries.get(group)
+  const known = state.members.get(last?.database ?? '')
+  const next = known === undefined || !isTransferred(state, known) ? undefined : findNext(state, known)
+  return last === undefined || next === undefined ? state : { ...state, lastPrimaries: new Map(state.lastPrimaries).set(group, { ...last, database: next.entry.database }) }
+}
+
 function isTransferred (state: SuccessionState, known: TrackedDatabase): boolean {
   return known.ended?.end === 'withdrawn' && findNext(state, known) !== undefined
 }
--- a/src/succession/decide.ts
+++ b/src/succession/decide.ts
@@ -9,7 +9,7 @@
 import { dropCovered, endDatabase } from './coverage.js'
 import type { CallAnswered, CommandApplied, LeadershipChanged, HostReported, SuccessionMessage } from './messages.js'
 import { dropFormerIncarnations, isAppointmentSuperseded, markCaughtUp } from './incarnations.js'
-import { learnReplicaSets, loadMembers, storeReplicaSet } from './replicaset.js'
+import { learnReplicaSets, loadLastPrimaries, loadMembers, storeReplicaSet } from './replicaset.js'
 import type { Appointment } from './table.js'
 import type { AppointPrimary, PromotionCall, TrackedDatabase, SuccessionState } from './state.js'
 import { appoint, APPOINTMENT_INTERVAL_MS, createStep, isAppointmentSettling, isCopied, publish, type SuccessionStep } from './steps.js'
@@ -51,7 +51,7 @@
 }
 
 function changeLeadership (state: SuccessionState, { leads, epoch, table, replicaSets = {} }: LeadershipChanged, nowMs: number): SuccessionStep {
-  const next: SuccessionState = { ...state, leads, epoch, table, replicaSets, replicasProposedAtMs: new Map(), leadingSinceMs: nowMs, databases: new Map(), hosts: new Map(), members: loadMembers(replicaSets, nowMs), fencing: new Map(), resumedAtMs: new Map(), retiredWriters: new Map(), writers: loadWriters(replicaSets, nowMs), calls: new Map(), published: new Map(), appointedAtMs: new Map(), highestPositions: new Map() }
+  const next: SuccessionState = { ...state, leads, epoch, table, replicaSets, replicasProposedAtMs: new Map(), leadingSinceMs: nowMs, databases: new Map(), hosts: new Map(), members: loadMembers(replicaSets, nowMs), fencing: new Map(), resumedAtMs: new Map(), retiredWriters: new Map(), lastPrimaries: loadLastPrimaries(replicaSets), writers: loadWriters(replicaSets, nowMs), calls: new Map(), published: new Map(), appointedAtMs: new Map(), highestPositions: new Map() }
   return { state: next, effects: leads ? [createCheckTimer()] : [] }
 }
 
--- a/src/succession/quorum.ts
+++ b/src/succession/quorum.ts
@@ -2,6 +2,7 @@
  * The successor of a primary whose writes are acknowledged by a replica's copy: a database that is sure to hold each commit that
  * was acknowledged.
  */
+import { getOwn } from '../core/own.js'
 import { comparePositions, coversPosition, ORIGIN, pickLater, type LogPosition } from '../core/position.js'
 import { isAnswering, isInEvacuated } from './candidates.js'
 import type { SuccessionState, TrackedDatabase } from './state.js'
@@ -40,29 +41,41 @@
 
 /**
  * Picks the next primary where it is not known what was acknowledged, by the positions of all databases of the replica set. One
- * that is not read may hold a commit, however long it has been silent: it may be cut off from this system alone. Each commit is
- * held by two, so one need not be read if the successor holds as much as any that was, be it the primary or a replica; two that
- * are not read are awaited. Positions up to which replicas hold all commits are left out, since whoever covers them holds those.
- * @param copied the highest such position that is known: a database below it lacks a commit, whoever is read.
+ * that is not read may hold a commit, however long it has been silent: it may be cut off from this system alone. If the last
+ * primary was read, or the database that has its log, whoever holds as much may lead. Otherwise each commit is held by two, so one
+ * need not be read if the successor holds as much as any that was; two that are not read are awaited.
+ * @param copied the highest position that is known to be copied: a database below it lacks a commit, whoever is read.
  * @example pickFencedSuccessor(state, 'a', primary, copied).successor
  */
 export function pickFencedSuccessor (state: SuccessionState, group: string, primary: TrackedDatabase | undefined, copied: LogPosition): FencedChoice {
   const positions = state.fencing.get(group)?.positions ?? new Map<string, LogPosition>()
   const members = [...state.members.values()].filter(({ entry }) => entry.group === group)
   const unread = members.filter(({ entry }) => !positions.has(entry.database))
-  if (unread.length >= COMMIT_HOLDERS) return { unread }
   const read = members.filter(({ entry }) => positions.has(entry.database))
   const findPosition = ({ entry }: TrackedDatabase): LogPosition => positions.get(entry.database)!
-  const later = read.map(findPosition).filter(({ offset }) => offset > copied.offset)
-  const index = COMMIT_HOLDERS - 1 - unread.length
-  // One that knows the latest term may lack its log, and the longest log may be one that was never acknowledged.
-  const { term } = later.sort((a, b) => comparePositions(b, a))[index] ?? copied
-  const { offset } = later.sort((a, b) => b.offset - a.offset)[index] ?? copied
+  const held = [findLastPosition(state, group, positions), findHeldByTwo(read.map(findPosition), unread.length, copied)].filter(position => position !== undefined)
   const replicas = read.filter(known => known.ended === undefined && known.entry.database !== primary?.entry.database)
-  const covering = replicas.filter(known => coversCommits(findPosition(known), { term, offset }) && coversCommits(findPosition(known), copied))
+  const covering = replicas.filter(known => coversCommits(findPosition(known), copied) && held.some(position => coversCommits(findPosition(known), position)))
   return { unread, successor: rankByUse(state, covering, (a, b) => comparePositions(findPosition(b), findPosition(a)))[0] }
 }
 
+function findLastPosition (state: SuccessionState, group: string, positions: ReadonlyMap<string, LogPosition>): LogPosition | undefined {
+  const last = state.lastPrimaries.get(group)
+  const isLast = last !== undefined && last.appointment === (getOwn(state.table, group)?.appointment ?? 0)
+  return isLast ? positions.get(last.database) : undefined
+}
+
+// Positions that are known to be copied are left out, since whoever covers them holds those. One that knows the latest term may
+// lack its log, and the longest log may be one that was never acknowledged.
+function findHeldByTwo (read: readonly LogPosition[], unread: number, copied: LogPosition): LogPosition | undefined {
+  if (unread >= COMMIT_HOLDERS) return undefined
+  const later = read.filter(({ offset }) => offset > copied.offset)
+  const index = COMMIT_HOLDERS - 1 - unread
+  const { term } = later.sort((a, b) => comparePositions(b, a))[index] ?? copied
+  const { offset } = later.sort((a, b) => b.offset - a.offset)[index] ?? copied
+  return { term, offset }
+}
+
 // One that claims to lead without proof of it comes last.
 function rankByUse (state: SuccessionState, databases: readonly TrackedDatabase[], compare: (a: TrackedDatabase, b: TrackedDatabase) => number): TrackedDatabase[] {
   return [...databases].sort((a, b) =>
--- a/src/succession/replicaset.test.ts
+++ b/src/succession/replicaset.test.ts
@@ -130,6 +130,23 @@
     expect(listCalls()).to.deep.equal(['db-1'])
   })
 
+  it('lets the database lead that has the log of a primary which left, although what others held is unknown', () => {
+    leader.lose(1)
+    leader.lose(2)
+    leader.run(100)
+    leader.departing.add(0)
+    leader.run(100)
+    leader.withdraw(0)
+    leader.writes = undefined
+    leader.run(500)
+    leader.lead()
+    leader.run(8_000)
+    expect(listCalls()).to.deep.equal([])
+    leader.replace(0)
+    leader.run(1_000)
+    expect(listCalls()).to.deep.equal(['db-3'])
+  })
+
   it('names the processes that may commit to hosts once the log does, and one that was silent anew', () => {
     expect(leader.grants.at(-1)?.writers).to.include('owner/p1')
     leader.writes = undefined
--- a/src/succession/replicaset.ts
+++ b/src/succession/replicaset.ts
@@ -4,7 +4,7 @@
  * or have ended, and hosts report them no longer.
  */
 import { getOwn } from '../core/own.js'
-import type { LogPosition } from '../core/position.js'
+import { comparePositions, ORIGIN, type LogPosition } from '../core/position.js'
 import { dropCold, type DatabaseEntry } from '../membership/directory.js'
 import { tell } from '../messages.js'
 import type { SuccessionState, TrackedDatabase } from './state.js'
@@ -28,15 +28,23 @@
   readonly processes: readonly string[]
   /** Covers each commit that was acknowledged by a process that is not named any more. */
   readonly floor: LogPosition
-  /** The highest position up to which such a process reported commits as copied. */
+  /** The highest position up to which any process reported commits as copied, as of the last change or closing of the group. */
   readonly copied: LogPosition
 }
 
+/** The database that hosts could last commit at. Its log holds all that was acknowledged. */
+export interface LastPrimary {
+  readonly database: string
+  /** The last appointment of the group at that time: another one since may have led as well. */
+  readonly appointment: number
+}
+
 /** What the log keeps of one group. */
 export interface ReplicaSet {
   /** Databases by name. */
   readonly members: Readonly<Record<string, ReplicaRecord>>
   readonly writers?: StoredWriters
+  readonly lastPrimary?: LastPrimary
 }
 
 /** Replica sets by group. */
@@ -50,20 +58,21 @@
   readonly present: readonly ReplicaRecord[]
   /** Databases whose commits are covered by others. */
   readonly covered: readonly string[]
-  /** Replaces the stored ones; absent if they have not changed. */
+  /** Replace the stored ones; absent if they have not changed. */
   readonly writers?: StoredWriters
+  readonly lastPrimary?: LastPrimary
 }
 
 /**
  * Applies a command to the replica sets.
  * @example applyReplicaSetUpdate({}, { kind: 'succession/replicas', group: 'a', present: [{ entry }], covered: [] })
  */
-export function applyReplicaSetUpdate (table: ReplicaSetTable, { group, present, covered, writers }: UpdateReplicaSetCommand): ReplicaSetTable {
+export function applyReplicaSetUpdate (table: ReplicaSetTable, { group, present, covered, writers, lastPrimary }: UpdateReplicaSetCommand): ReplicaSetTable {
   const known = getOwn(table, group) ?? { members: {} }
   const kept = Object.entries(known.members).filter(([database]) => !covered.includes(database))
   const members = Object.fromEntries([...kept, ...present.map(record => [record.entry.database, record] as const)])
   const others = Object.entries(table).filter(([name]) => name !== group)
-  const changed: ReplicaSet = { ...known, members, ...(writers === undefined ? {} : { writers }) }
+  const changed: ReplicaSet = { ...known, members, ...(writers === undefined ? {} : { writers }), ...(lastPrimary === undefined ? {} : { lastPrimary }) }
   return Object.fromEntries(Object.keys(members).length === 0 ? others : [...others, [group, changed] as const])
 }
 
@@ -76,11 +85,20 @@
   return new Map(records.map(({ entry, end }) => [entry.database, { entry, knownSinceMs: nowMs, lastSeenAtMs: nowMs, ...(end === undefined ? {} : { ended: { end, atMs: nowMs } }) }]))
 }
 
+/**
+ * Lists the databases that hosts could last commit at, as a leader that begins knows them.
+ * @example loadLastPrimaries(state.replicaSets).get('a')?.database
+ */
+export function loadLastPrimaries (table: ReplicaSetTable): SuccessionState['lastPrimaries'] {
+  return new Map(Object.entries(table).flatMap(([group, { lastPrimary }]) => (lastPrimary === undefined ? [] : [[group, lastPrimary] as const])))
+}
+
 /**
  * Proposes to store what has changed in the replica set of a group.
  * @example storeReplicaSet(state, 'a', nowMs).effects.length
  */
-export function storeReplicaSet (state: SuccessionState, group: string, nowMs: number): SuccessionStep {
+export function storeReplicaSet (before: SuccessionState, group: string, nowMs: number): SuccessionStep {
+  const state = recordLastPrimary(before, group)
   const stored = getOwn(state.replicaSets, group) ?? { members: {} }
   const isProposed = nowMs - (state.replicasProposedAtMs.get(group) ?? -Infinity) < PROPOSAL_TIMEOUT_MS
   if (isProposed) return createStep(state)
@@ -88,20 +106,35 @@
   const present = members.map(createRecord).filter(record => !isSame(getOwn(stored.members, record.entry.database), record))
   const covered = Object.keys(stored.members).filter(database => !members.some(({ entry }) => entry.database === database))
   const writers = members.length === 0 ? undefined : findChangedWriters(state, group, stored.writers)
-  if (present.length === 0 && covered.length === 0 && writers === undefined) return createStep(state)
-  const command: UpdateReplicaSetCommand = { kind: 'succession/replicas', group, present, covered, ...(writers === undefined ? {} : { writers }) }
+  const known = state.lastPrimaries.get(group)
+  const lastPrimary = members.length === 0 || isSamePrimary(known, stored.lastPrimary) ? undefined : known
+  if (present.length === 0 && covered.length === 0 && writers === undefined && lastPrimary === undefined) return createStep(state)
+  const command: UpdateReplicaSetCommand = { kind: 'succession/replicas', group, present, covered, ...(writers === undefined ? {} : { writers }), ...(lastPrimary === undefined ? {} : { lastPrimary }) }
   return {
     state: { ...state, replicasProposedAtMs: new Map(state.replicasProposedAtMs).set(group, nowMs), retiredWriters: markRetired(state, group, stored.writers, writers) },
     effects: [tell({ kind: 'agreement/propose', proposal: `succession/${group}/replicas`, command })]
   }
 }
 
-// One that is being retired is named again only once the log names it no longer.
+function recordLastPrimary (state: SuccessionState, group: string): SuccessionState {
+  const { database, closing = true, leased = false } = state.published.get(group) ?? {}
+  if (database === undefined || closing || !leased) return state
+  const lastPrimary: LastPrimary = { database, appointment: getOwn(state.table, group)?.appointment ?? 0 }
+  return isSamePrimary(lastPrimary, state.lastPrimaries.get(group)) ? state : { ...state, lastPrimaries: new Map(state.lastPrimaries).set(group, lastPrimary) }
+}
+
+function isSamePrimary (a: LastPrimary | undefined, b: LastPrimary | undefined): boolean {
+  return a?.database === b?.database && a?.appointment === b?.appointment
+}
+
+// One that is being retired is named again only once the log names it no longer. What is copied is stored as the group is closed,
+// rather than with each commit.
 function findChangedWriters (state: SuccessionState, group: string, stored: StoredWriters | undefined): StoredWriters | undefined {
   const { processes, ...rest } = describeWriters(state, group)
+  const isFurther = state.fencing.has(group) && comparePositions(rest.copied, stored?.copied ?? ORIGIN) > 0
   const retired = state.retiredWriters.get(group)
   const named = processes.filter(process => retired?.has(process) !== true)
-  const isChanged = stored === undefined || named.length !== stored.processes.length || named.some(process => !stored.processes.includes(process))
+  const isChanged = stored === undefined || isFurther || named.length !== stored.processes.length || named.some(process => !stored.processes.includes(process))
   return isChanged ? { processes: named, ...rest } : undefined
 }
 
--- a/src/succession/state.ts
+++ b/src/succession/state.ts
@@ -2,7 +2,7 @@
 import type { Effect } from '../core/message.js'
 import type { LogPosition } from '../core/position.js'
 import type { CommitPhase, DatabaseEntry, DatabaseStatus } from '../membership/directory.js'
-import type { DatabaseEnd, ReplicaSetTable } from './replicaset.js'
+import type { DatabaseEnd, LastPrimary, ReplicaSetTable } from './replicaset.js'
 import type { AppointmentTable } from './table.js'
 
 /** Calls the platform to promote a database to primary of its group; posts `succession/answered`. */
@@ -142,6 +142,8 @@
   /** The replica sets in the control hosts' log, and when a change of each was proposed that is not applied yet. */
   readonly replicaSets: ReplicaSetTable
   readonly replicasProposedAtMs: ReadonlyMap<string, number>
+  /** The database that hosts could last commit at, by group. */
+  readonly lastPrimaries: ReadonlyMap<string, LastPrimary>
   /** Processes that the log is to name no longer, by group: they must not commit before it names them anew. */
   readonly retiredWriters: ReadonlyMap<string, ReadonlySet<string>>
   /** The latest position of each group. */
@@ -174,6 +176,7 @@
     members: new Map(),
     replicaSets: {},
     replicasProposedAtMs: new Map(),
+    lastPrimaries: new Map(),
     retiredWriters: new Map(),
     highestPositions: new Map(),
     published: new Map(),
--- a/src/succession/writers.ts
+++ b/src/succession/writers.ts
@@ -92,8 +92,8 @@
  * @example describeWriters(state, 'a').processes
  */
 export function describeWriters (state: SuccessionState, group: string): StoredWriters {
-  const { floor, copied, processes } = getWriters(state, group)
-  return { floor, copied, processes: [...processes.keys()] }
+  const { floor, processes } = getWriters(state, group)
+  return { floor, copied: findCopied(state, group), processes: [...processes.keys()] }
 }
 
 function createUnheard (heardAtMs: number): Writer {
