Takes no database for one with a transferred log that holds less

Callers saw: nothing yet; found by reading. With sync_replicas 1, writes would be lost if the database at the address of a primary that had left started again, with nothing, before a host had heard of its first start: it was taken for the one with the log. Cause: whoever announced itself at the address of a database that withdrew itself counted as the owner of its log. Ruled out: the first start itself; a leader that has heard of it marks it as superseded. Change: it counts once it holds at least what the former database had told last. Why it works: a transferred log is as long as that. Measured: replicaset.test.ts, 'takes no database for one with a transferred log that holds less', fails before and passes after.

--- a/src/succession/coverage.ts
+++ b/src/succession/coverage.ts
@@ -24,7 +24,7 @@
   const members = new Map(state.members)
   const known = members.get(database)
   if (known === undefined || !isKept(state, known)) members.delete(database)
-  else if (known.ended === undefined) members.set(database, { ...known, ended: { end, atMs: end === 'withdrawn' ? nowMs + EXIT_MS : nowMs } })
+  else if (known.ended === undefined) members.set(database, { ...known, ended: { end, atMs: end === 'withdrawn' ? nowMs + EXIT_MS : nowMs, position: known.status?.position } })
   return { ...state, databases, members }
 }
 
@@ -66,8 +66,12 @@
   return last === undefined || next === undefined ? state : { ...state, lastPrimaries: new Map(state.lastPrimaries).set(group, { ...last, database: next.entry.database }) }
 }
 
+// The next database may itself have started again, with nothing, before it was heard of. A transferred log has the term of its last
+// commit, which may be an earlier one than its database told.
 function isTransferred (state: SuccessionState, known: TrackedDatabase): boolean {
-  return known.ended?.end === 'withdrawn' && findNext(state, known) !== undefined
+  const { end, position } = known.ended ?? {}
+  const next = findNext(state, known)
+  return end === 'withdrawn' && next?.status !== undefined && next.status.position.offset >= (position?.offset ?? 0)
 }
 
 function findNext (state: SuccessionState, known: TrackedDatabase): TrackedDatabase | undefined {
--- a/src/succession/replicaset.test.ts
+++ b/src/succession/replicaset.test.ts
@@ -147,6 +147,18 @@
     expect(listCalls()).to.deep.equal(['db-3'])
   })
 
+  it('takes no database for one with a transferred log that holds less, since it started again before it was heard of', () => {
+    leader.lose(1)
+    leader.lose(2)
+    leader.run(100)
+    leader.withdraw(0)
+    leader.writes = undefined
+    leader.replace(0)
+    leader.offsets[3] = 0
+    leader.run(RECOVERY_MS)
+    expect(listCalls()).to.deep.equal([])
+  })
+
   it('names the processes that may commit to hosts once the log does, and one that was silent anew', () => {
     expect(leader.grants.at(-1)?.writers).to.include('owner/p1')
     leader.writes = undefined
--- a/src/succession/replicaset.ts
+++ b/src/succession/replicaset.ts
@@ -21,6 +21,8 @@
 export interface ReplicaRecord {
   readonly entry: DatabaseEntry
   readonly end?: DatabaseEnd
+  /** The last position that it told before it ended. */
+  readonly position?: LogPosition
 }
 
 /** The processes of hosts that may commit in a group. */
@@ -82,7 +84,7 @@
  */
 export function loadMembers (table: ReplicaSetTable, nowMs: number): SuccessionState['members'] {
   const records = Object.values(table).flatMap(({ members }) => Object.values(members))
-  return new Map(records.map(({ entry, end }) => [entry.database, { entry, knownSinceMs: nowMs, lastSeenAtMs: nowMs, ...(end === undefined ? {} : { ended: { end, atMs: nowMs } }) }]))
+  return new Map(records.map(({ entry, end, position }) => [entry.database, { entry, knownSinceMs: nowMs, lastSeenAtMs: nowMs, ...(end === undefined ? {} : { ended: { end, atMs: nowMs, position } }) }]))
 }
 
 /**
@@ -158,7 +160,7 @@
 // Hosts may differ for a while in what a database last said of itself.
 function createRecord ({ entry, ended }: TrackedDatabase): ReplicaRecord {
   const { leads: _, ...lasting } = dropCold(entry)
-  return { entry: { ...lasting, departing: false }, ...(ended === undefined ? {} : { end: ended.end }) }
+  return { entry: { ...lasting, departing: false }, ...(ended === undefined ? {} : { end: ended.end, position: ended.position }) }
 }
 
 function isSame (known: ReplicaRecord | undefined, { entry, end }: ReplicaRecord): boolean {
--- a/src/succession/state.ts
+++ b/src/succession/state.ts
@@ -45,6 +45,8 @@
   readonly end: DatabaseEnd
   /** From when on it surely received nothing more. */
   readonly atMs: number
+  /** The last position that it told; absent if it told none. */
+  readonly position?: LogPosition
   /** A position that covers all that it holds of what was acknowledged; absent until the primary was read. */
   readonly target?: LogPosition
 }
