Records no last primary that has ended

Cause: the last primary was recorded from what is published, which still named a database that had just ended, after the next one at its address had taken its place. Then the heir of its log was not known as such. Change: only a running database of the replica set is recorded. Why it works: one that has ended acknowledges nothing more.

--- a/src/succession/replicaset.ts
+++ b/src/succession/replicaset.ts
@@ -120,7 +120,8 @@
 
 function recordLastPrimary (state: SuccessionState, group: string): SuccessionState {
   const { database, closing = true, leased = false } = state.published.get(group) ?? {}
-  if (database === undefined || closing || !leased) return state
+  const known = database === undefined ? undefined : state.members.get(database)
+  if (database === undefined || known === undefined || known.ended !== undefined || closing || !leased) return state
   const lastPrimary: LastPrimary = { database, appointment: getOwn(state.table, group)?.appointment ?? 0 }
   return isSamePrimary(lastPrimary, state.lastPrimaries.get(group)) ? state : { ...state, lastPrimaries: new Map(state.lastPrimaries).set(group, lastPrimary) }
 }
