A soak of hosts and databases with copied writes

Change: the stand-in's commits wait for copies, its databases keep terms of their own, leave, and hand their logs to the next one at their address; test/copiedwrites.test.ts draws faults in series that overlap, with callers that keep their connections, and checks LOST with each promotion and service at the end. The hosts run in one process, and crashes leave out what no copy survives: a second loss before replicas have caught up.

--- a/standin/wire/database.ts
+++ b/standin/wire/database.ts
@@ -15,6 +15,8 @@
   readonly group: WireGroup
   /** The control addresses; after a failed heartbeat, the next one is used. */
   readonly control: readonly string[]
+  /** The database that ended at whose address it starts, with its log. */
+  readonly former?: WireDatabase
   /** How long a read, write or commit takes, in milliseconds; at once when absent. */
   readonly workMs?: number
   /** Returns what a statement of a caller waits for before it runs; undefined when it does not wait. */
@@ -38,7 +40,8 @@
 
   private constructor (options: WireDatabaseOptions) {
     this.#options = options
-    this.member = options.group.addMember(options.id)
+    this.member = options.group.addMember(options.id, options.former?.member.log)
+    if (options.former !== undefined) this.#port = options.former.#port
     this.#server = this.#createServer()
   }
 
@@ -75,9 +78,17 @@
     while (!await this.#call('deregister', { born: this.#startedAtMs })) await new Promise(resolve => setTimeout(resolve, HEARTBEAT_INTERVAL_MS))
   }
 
+  /** Ends as planned: deregisters and exits. */
+  async end (): Promise<void> {
+    await this.withdraw()
+    this.stop()
+    this.#options.group.removeMember(this.member.id)
+  }
+
   /** Simulates a crash: destroys all connections and stops the heartbeats. */
   stop (): void {
     this.member.running = false
+    this.#options.group.checkPrimary()
     clearInterval(this.#heartbeatTimer)
     this.#server.close()
     for (const socket of this.#sockets) socket.destroy()
--- a/standin/wire/session.ts
+++ b/standin/wire/session.ts
@@ -35,6 +35,8 @@
   #started = false
   #transaction: { readonly readOnly: boolean, readonly writes: Array<readonly [string, string]> } | undefined
   #transactionFailed = false
+  /** Resolves once the replicas hold the commit of the running statement. */
+  #copies: Promise<boolean> | undefined
 
   private constructor (options: WireSessionOptions) {
     this.#options = options
@@ -78,6 +80,13 @@
 
   #answer (id: string, text: string): void {
     const lines = this.#run(id, text)
+    const copies = this.#copies
+    this.#copies = undefined
+    if (copies === undefined) return this.#writeAnswer(lines)
+    copies.then(acknowledged => this.#writeAnswer(acknowledged ? lines : ['ERROR INDOUBT the primary was replaced']), () => this.#options.socket.destroy())
+  }
+
+  #writeAnswer (lines: readonly string[]): void {
     const state = this.#transaction === undefined ? 'I' : this.#transactionFailed ? 'E' : 'T'
     this.#write(...lines, `READY ${state} ${this.#readPosition()}`)
   }
@@ -115,8 +124,8 @@
   }
 
   #describeStatus (): readonly string[] {
-    const { group, member } = this.#options
-    return [`ROW ${this.#isPrimary() ? 'primary' : 'replica'} ${group.term} ${this.#readPosition()} ${member.heldTerm} 0 0 1`, 'DONE -']
+    const { member } = this.#options
+    return [`ROW ${this.#isPrimary() ? 'primary' : 'replica'} ${member.term} ${this.#readPosition()} ${member.heldTerm} 0 0 1`, 'DONE -']
   }
 
   #execute (id: string, text: string, [name, item, data]: readonly string[]): readonly string[] {
@@ -139,7 +148,7 @@
       return ['ERROR ABORTED rolled back']
     }
     if (transaction.writes.length > 0 && !this.#isPrimary()) return [`ERROR READONLY ${this.#options.member.id}`]
-    if (transaction.writes.length > 0) this.#options.group.appendCommit(this.#options.member.id, transaction.writes)
+    if (transaction.writes.length > 0) this.#copies = this.#options.group.appendCommit(this.#options.member.id, transaction.writes)
     return this.#finishStatement(id, text)
   }
 
@@ -153,7 +162,7 @@
 
   #change (id: string, text: string, item: string, data: string): readonly string[] {
     if (!this.#isPrimary() || this.#transaction?.readOnly === true) return this.#failStatement('READONLY')
-    if (this.#transaction === undefined) this.#options.group.appendCommit(this.#options.member.id, [[item, data]])
+    if (this.#transaction === undefined) this.#copies = this.#options.group.appendCommit(this.#options.member.id, [[item, data]])
     else this.#transaction.writes.push([item, data])
     return this.#finishStatement(id, text)
   }
@@ -174,14 +183,15 @@
   }
 
   #readPosition (): string {
-    const last = this.#options.member.log[this.#options.member.log.length - 1]
-    return `${this.#options.group.term}.${last?.commitNumber ?? 0}`
+    const { log, term } = this.#options.member
+    return `${term}.${log.at(-1)?.commitNumber ?? 0}`
   }
 
   #covers (position: string): boolean {
     const [term = 0, commitNumber = 0] = position.split('.').map(Number)
-    const last = this.#options.member.log[this.#options.member.log.length - 1]
-    return this.#options.group.term > term || (last?.commitNumber ?? 0) >= commitNumber
+    const { log, term: known } = this.#options.member
+    const last = log.at(-1)
+    return known > term || (last?.commitNumber ?? 0) >= commitNumber
   }
 
   #write (...lines: readonly string[]): void {
--- a/test/support/wire.ts
+++ b/test/support/wire.ts
@@ -9,7 +9,7 @@
 import { formatLines, LineReader } from '../../platform/lines.js'
 import { parsePlatformSettings } from '../../platform/settings.js'
 import { WireDatabase } from '../../standin/wire/database.js'
-import { WireGroup } from '../../standin/wire/group.js'
+import { WireGroup, type WireGroupOptions } from '../../standin/wire/group.js'
 import { WirePlatform } from '../../standin/wire/platform.js'
 import type { StatementRun } from '../../standin/wire/session.js'
 
@@ -19,11 +19,13 @@
 export class Requester {
   readonly #socket: Socket
   readonly #reader = LineReader.create()
+  readonly #patienceMs: number | undefined
   #lines: string[] = []
   #resolveAnswer: ((answer: Answer) => void) | undefined
 
-  private constructor (socket: Socket) {
+  private constructor (socket: Socket, patienceMs: number | undefined) {
     this.#socket = socket
+    this.#patienceMs = patienceMs
     socket.setEncoding('utf8')
     socket.on('error', () => socket.destroy())
     // A refused START is answered by an ERROR line without READY, and the connection closes.
@@ -33,11 +35,14 @@
     })
   }
 
-  /** Connects and starts a session; also returns the answer to START. */
-  static async create (address: string, database: string, key: string): Promise<readonly [Requester, Answer]> {
+  /**
+   * Connects and starts a session; also returns the answer to START.
+   * @param patienceMs the time without an answer after which it closes its connection; absent if it waits.
+   */
+  static async create (address: string, database: string, key: string, patienceMs?: number): Promise<readonly [Requester, Answer]> {
     const [host, port] = address.split(':')
     const socket = connect({ host: host!, port: Number(port), noDelay: true })
-    const requester = new Requester(socket)
+    const requester = new Requester(socket, patienceMs)
     return [requester, await requester.#send(`START ${database} ${key}`)]
   }
 
@@ -51,10 +56,13 @@
 
   async #send (line: string): Promise<Answer> {
     if (this.#socket.destroyed) return { lines: [], status: 'idle', error: 'closed' }
-    return await new Promise(resolve => {
+    const timer = this.#patienceMs === undefined ? undefined : setTimeout(() => this.#socket.destroy(), this.#patienceMs)
+    const answer = await new Promise<Answer>(resolve => {
       this.#resolveAnswer = resolve
       this.#socket.write(formatLines(line))
     })
+    clearTimeout(timer)
+    return answer
   }
 
   #receiveLine (line: string): void {
@@ -74,13 +82,15 @@
   readonly workMs?: number
   /** Returns what a statement of a caller waits for before it runs in a database; undefined when it does not wait. */
   readonly holdStatement?: (text: string) => Promise<void> | undefined
+  /** How commits and promotions go; by default no commit waits for a copy. */
+  readonly group?: WireGroupOptions
   /** Lines of the settings that name zones beyond those of the hosts. */
   readonly zoneLines?: readonly string[]
 }
 
 /** Three control hosts, three entry hosts and one group of three databases. */
 export class WireDeployment {
-  readonly group = WireGroup.create('rota')
+  readonly group: WireGroup
   readonly runs: StatementRun[] = []
   readonly databases: WireDatabase[] = []
   readonly control: string[] = []
@@ -94,6 +104,7 @@
   private constructor (directory: string, options: WireDeploymentOptions) {
     this.#directory = directory
     this.#options = options
+    this.group = WireGroup.create('rota', options.group)
   }
 
   /**
@@ -139,6 +150,25 @@
     await host[Symbol.asyncDispose]()
   }
 
+  /** Restarts a host, control hosts first: it gets the time of a planned stop, or ends at once. */
+  async restartHost (index: number, planned: boolean): Promise<void> {
+    const host = this.#hosts[index]!
+    if (planned) {
+      host.stop()
+      await host.stopped
+    }
+    await host[Symbol.asyncDispose]()
+    this.#hosts[index] = await startHost(this.#settings[index]!)
+  }
+
+  /** Starts a database at the address of one that has ended, with its log. */
+  async replaceDatabase (former: WireDatabase, id: string): Promise<WireDatabase> {
+    const zone = ZONES[this.databases.indexOf(former) % ZONES.length]!
+    const database = await WireDatabase.create({ id, zone, former, group: this.group, control: this.control, ...this.#databaseOptions, onRun: run => this.runs.push(run) })
+    this.databases[this.databases.indexOf(former)] = database
+    return database
+  }
+
   /** Ends all control hosts at once, and starts them again with what they stored. */
   async restartControl (): Promise<void> {
     await Promise.all(this.control.map(async (_, index) => await this.#hosts[index]![Symbol.asyncDispose]()))
@@ -152,6 +182,11 @@
     await rm(this.#directory, { recursive: true, force: true })
   }
 
+  get #databaseOptions (): Pick<WireDeploymentOptions, 'workMs' | 'holdStatement'> {
+    const { workMs, holdStatement } = this.#options
+    return { workMs, holdStatement }
+  }
+
   async #start (): Promise<void> {
     this.#platform = await WirePlatform.create([this.group])
     const peers = await pickPorts(2)
@@ -181,7 +216,7 @@
       else this.callers.push(`${ip}:${front}`)
     }
     for (const [index, zone] of ZONES.entries()) {
-      this.databases.push(await WireDatabase.create({ id: `i-${index}`, zone, group: this.group, control: this.control, ...this.#options, onRun: run => this.runs.push(run) }))
+      this.databases.push(await WireDatabase.create({ id: `i-${index}`, zone, group: this.group, control: this.control, ...this.#databaseOptions, onRun: run => this.runs.push(run) }))
     }
   }
 }
