Takes no answer of another start for that of a former one

Cause: a question names the instance, so the present start answers it before a host has heard of it. Ruled out: late heartbeats and an election; the primary joined the directory 30 ms after the appointment. Change: a position counts only for a database that is announced, and not below what it told before. Why it works: a start that runs goes on announcing itself, and its positions only grow within a term. Measured: incarnations.test.ts, 'does not answer for its former start before it is announced', fails before and passes after.

--- a/src/succession/closing.ts
+++ b/src/succession/closing.ts
@@ -5,6 +5,7 @@
  * that joins, starts again or can't be reached meanwhile may hold more than the successor, but nothing that was acknowledged.
  */
 import { recordEvent } from '../core/message.js'
+import { comparePositions, ORIGIN, type LogPosition } from '../core/position.js'
 import type { ReadPosition } from '../databases/driver.js'
 import { hasOtherCandidate, isServing, type ReplacementReason } from './candidates.js'
 import type { PositionRead, ReplicaFenced } from './messages.js'
@@ -83,7 +84,7 @@
  */
 export function recordFenced (state: SuccessionState, { group, database, position }: ReplicaFenced): SuccessionState {
   const progress = state.fencing.get(group)
-  if (progress?.quiescedAtMs === undefined || !isRunning(state, database)) return state
+  if (progress?.quiescedAtMs === undefined || !isSameStart(state, database, position)) return state
   return replaceProgress(state, group, { ...progress, positions: new Map(progress.positions).set(database, position) })
 }
 
@@ -93,14 +94,15 @@
  */
 export function recordPosition (state: SuccessionState, { group, database, position }: PositionRead): SuccessionState {
   const progress = state.fencing.get(group)
-  if (progress === undefined || !isRunning(state, database)) return state
+  if (progress === undefined || !isSameStart(state, database, position)) return state
   return replaceProgress(state, group, { ...progress, readPositions: new Map(progress.readPositions).set(database, position) })
 }
 
-// What another start of an instance answers is not what the former one held.
-function isRunning ({ members }: SuccessionState, database: string): boolean {
+// A question names the instance, so another start of it may answer before it is announced. That is not what the former one held,
+// whose positions only grew, and which goes on announcing itself.
+function isSameStart ({ databases, members }: SuccessionState, database: string, position: LogPosition): boolean {
   const known = members.get(database)
-  return known !== undefined && known.ended === undefined
+  return known !== undefined && known.ended === undefined && databases.has(database) && comparePositions(position, known.status?.position ?? ORIGIN) >= 0
 }
 
 /**
--- a/src/succession/incarnations.test.ts
+++ b/src/succession/incarnations.test.ts
@@ -216,6 +216,22 @@
     expect(leader.published.at(-1)).to.equal(leader.name(0))
   })
 
+  it('does not answer for its former start before it is announced', () => {
+    const leader = TestLeader.create(1)
+    leader.run(1_000)
+    leader.databases[0]!.answering = false
+    leader.databases[2]!.answering = false
+    leader.run(3_000)
+    leader.reportFenced(leader.name(1), 48)
+    leader.reportFenced(leader.name(2), 10)
+    leader.run(500)
+    expect(leader.calls).to.deep.equal([])
+    leader.databases[2]!.answering = true
+    leader.reportFenced(leader.name(2), 49)
+    leader.run(500)
+    expect(leader.lastCall?.database).to.equal(leader.name(2))
+  })
+
   it('counts once it holds what the primary held since', () => {
     const leader = TestLeader.create(1)
     leader.run(1_000)
