Lists a replica set and finds the heir of a log in one place each

Five places filtered the databases of a group by themselves; two looked for the heir of a log, one of them twice; the soak kept a flag that nothing read; a comment on the acknowledged position said the reverse of what is meant. Change: listReplicaSet in steps.ts and findHeir in coverage.ts; behaviour stays as it is.

--- a/src/membership/directory.ts
+++ b/src/membership/directory.ts
@@ -61,7 +61,7 @@
 export interface WriteReport {
   readonly group: string
   readonly phase: CommitPhase
-  /** Covers each commit that was acknowledged to this process of the host; the log may have been shorter by commits that no replica holds. */
+  /** Covers each commit that was acknowledged to this process of the host, and may be beyond the last of them. */
   readonly acknowledged?: LogPosition
   /** A position up to which a replica holds all commits, since a later one was acknowledged to this process. */
   readonly copied?: LogPosition
--- a/src/succession/closing.ts
+++ b/src/succession/closing.ts
@@ -13,7 +13,7 @@
 import { isPrimaryConfirmed } from './confirmation.js'
 import { pickCoveringSuccessor, pickFencedSuccessor } from './quorum.js'
 import { createFenceEffect, resumeReplicas } from './receiving.js'
-import { appoint, createStep, isAppointmentSettling, isCopied, publish, type SuccessionStep } from './steps.js'
+import { appoint, createStep, isAppointmentSettling, isCopied, listReplicaSet, publish, type SuccessionStep } from './steps.js'
 import { findAcknowledged, findCopied, isQuiesced } from './writers.js'
 
 /** Delay before replicas that did not answer are fenced again. */
@@ -170,7 +170,7 @@
 
 function readReplicas (state: SuccessionState, group: string, progress: FencingProgress, primary: TrackedDatabase | undefined, nowMs: number): SuccessionStep {
   if (nowMs - (progress.readAtMs ?? -Infinity) < READ_INTERVAL_MS) return createStep(state)
-  const replicas = [...state.members.values()].filter(({ entry, ended }) => entry.group === group && ended === undefined && entry.database !== primary?.entry.database)
+  const replicas = listReplicaSet(state, group).filter(({ entry, ended }) => ended === undefined && entry.database !== primary?.entry.database)
   return { state: replaceProgress(state, group, { ...progress, readAtMs: nowMs }), effects: replicas.map(createReadEffect) }
 }
 
--- a/src/succession/coverage.ts
+++ b/src/succession/coverage.ts
@@ -9,7 +9,7 @@
 import { coversCommits } from './quorum.js'
 import type { DatabaseEnd } from './replicaset.js'
 import type { SuccessionState, TrackedDatabase } from './state.js'
-import { isCopied } from './steps.js'
+import { isCopied, listReplicaSet } from './steps.js'
 
 /** How long a database that withdraws itself may still receive: it exits once that is acknowledged. */
 const EXIT_MS = 2_000
@@ -41,12 +41,12 @@
 export function dropCovered (before: SuccessionState, group: string, primary: TrackedDatabase | undefined, nowMs: number): SuccessionState {
   if (!isCopied(before, group) && getOwn(before.replicaSets, group) === undefined) return before
   const state = replaceLastPrimary(endReplaced(before, group, nowMs), group)
-  const ended = listMembers(state, group).filter(known => known.ended !== undefined)
+  const ended = listReplicaSet(state, group).filter(known => known.ended !== undefined)
   if (ended.length === 0) return state
   const members = new Map(state.members)
   for (const known of ended) {
     const target = findTarget(known, primary)
-    if (!isCopied(state, group) || isTransferred(state, known) || isHeldByReplica(state, primary, target)) members.delete(known.entry.database)
+    if (!isCopied(state, group) || findHeir(state, known) !== undefined || isHeldByReplica(state, primary, target)) members.delete(known.entry.database)
     else if (target !== known.ended?.target) members.set(known.entry.database, { ...known, ended: { ...known.ended!, target } })
   }
   return { ...state, members }
@@ -54,28 +54,29 @@
 
 // An address serves one database at a time, so that one which was there before has ended, although it didn't say so.
 function endReplaced (state: SuccessionState, group: string, nowMs: number): SuccessionState {
-  const replaced = listMembers(state, group).filter(known => known.ended === undefined && isKept(state, known) && findNext(state, known) !== undefined)
+  const replaced = listReplicaSet(state, group).filter(known => known.ended === undefined && isKept(state, known) && findNext(state, known) !== undefined)
   return replaced.reduce((current, { entry }) => endDatabase(current, entry.database, 'superseded', nowMs), state)
 }
 
-// The database that takes over the log of the last primary holds all that was acknowledged, as that one did.
+// The heir of the last primary holds all that was acknowledged, as that one did.
 function replaceLastPrimary (state: SuccessionState, group: string): SuccessionState {
   const last = state.lastPrimaries.get(group)
   const known = state.members.get(last?.database ?? '')
-  const next = known === undefined || !isTransferred(state, known) ? undefined : findNext(state, known)
-  return last === undefined || next === undefined ? state : { ...state, lastPrimaries: new Map(state.lastPrimaries).set(group, { ...last, database: next.entry.database }) }
+  const heir = known === undefined ? undefined : findHeir(state, known)
+  return last === undefined || heir === undefined ? state : { ...state, lastPrimaries: new Map(state.lastPrimaries).set(group, { ...last, database: heir.entry.database }) }
 }
 
-// The next database may itself have started again, with nothing, before it was heard of. A transferred log has the term of its last
-// commit, which may be an earlier one than its database told.
-function isTransferred (state: SuccessionState, known: TrackedDatabase): boolean {
-  const { end, position } = known.ended ?? {}
+// Finds the database that has the log of one that withdrew itself. The next one at its address may itself have started again, with
+// nothing, before it was heard of. A transferred log has the term of its last commit, which may be an earlier one than its
+// database told.
+function findHeir (state: SuccessionState, known: TrackedDatabase): TrackedDatabase | undefined {
+  if (known.ended?.end !== 'withdrawn') return undefined
   const next = findNext(state, known)
-  return end === 'withdrawn' && next?.status !== undefined && next.status.position.offset >= (position?.offset ?? 0)
+  return next?.status !== undefined && next.status.position.offset >= (known.ended.position?.offset ?? 0) ? next : undefined
 }
 
 function findNext (state: SuccessionState, known: TrackedDatabase): TrackedDatabase | undefined {
-  return listMembers(state, known.entry.group).find(({ entry, ended }) => ended === undefined && entry.address === known.entry.address && isStartedLater(entry, known))
+  return listReplicaSet(state, known.entry.group).find(({ entry, ended }) => ended === undefined && entry.address === known.entry.address && isStartedLater(entry, known))
 }
 
 // A late announcement may name a database that was at the address before. Without start times only a withdrawal tells the order.
@@ -94,10 +95,6 @@
 
 function isHeldByReplica (state: SuccessionState, primary: TrackedDatabase | undefined, target: LogPosition | undefined): boolean {
   if (target === undefined || primary?.status?.primary !== true) return false
-  const replicas = listMembers(state, primary.entry.group).filter(({ entry, ended }) => ended === undefined && entry.database !== primary.entry.database)
+  const replicas = listReplicaSet(state, primary.entry.group).filter(({ entry, ended }) => ended === undefined && entry.database !== primary.entry.database)
   return replicas.some(({ status }) => status !== undefined && coversCommits(status.position, target))
 }
-
-function listMembers ({ members }: SuccessionState, group: string): readonly TrackedDatabase[] {
-  return [...members.values()].filter(({ entry }) => entry.group === group)
-}
--- a/src/succession/quorum.ts
+++ b/src/succession/quorum.ts
@@ -6,6 +6,7 @@
 import { comparePositions, coversPosition, ORIGIN, pickLater, type LogPosition } from '../core/position.js'
 import { isAnswering, isInEvacuated } from './candidates.js'
 import type { SuccessionState, TrackedDatabase } from './state.js'
+import { listReplicaSet } from './steps.js'
 
 /** How many databases of a replica set hold each acknowledged commit at least: the primary of its time, and a replica. */
 const COMMIT_HOLDERS = 2
@@ -49,7 +50,7 @@
  */
 export function pickFencedSuccessor (state: SuccessionState, group: string, primary: TrackedDatabase | undefined, copied: LogPosition): FencedChoice {
   const positions = state.fencing.get(group)?.positions ?? new Map<string, LogPosition>()
-  const members = [...state.members.values()].filter(({ entry }) => entry.group === group)
+  const members = listReplicaSet(state, group)
   const unread = members.filter(({ entry }) => !positions.has(entry.database))
   const read = members.filter(({ entry }) => positions.has(entry.database))
   const findPosition = ({ entry }: TrackedDatabase): LogPosition => positions.get(entry.database)!
--- a/src/succession/receiving.ts
+++ b/src/succession/receiving.ts
@@ -1,7 +1,7 @@
 /** Whether replicas receive from their primary: the leader stops them before it compares them, and lets them receive otherwise. */
 import type { FenceReplica } from '../databases/driver.js'
 import type { SuccessionState, TrackedDatabase } from './state.js'
-import type { SuccessionStep } from './steps.js'
+import { listReplicaSet, type SuccessionStep } from './steps.js'
 
 /** Delay before a replica that still reports a pause is resumed again: its owner reads its status by then. */
 const RESUME_RETRY_DELAY_MS = 1_500
@@ -13,7 +13,7 @@
  * @example resumeReplicas(state, 'a', false, nowMs).effects.length
  */
 export function resumeReplicas (state: SuccessionState, group: string, all: boolean, nowMs: number): SuccessionStep {
-  const paused = listMembers(state, group).filter(known => all || isResumeDue(state, known, nowMs))
+  const paused = listRunning(state, group).filter(known => all || isResumeDue(state, known, nowMs))
   if (paused.length === 0) return { state, effects: [] }
   const resumedAtMs = new Map([...state.resumedAtMs, ...paused.map(({ entry }) => [entry.database, nowMs] as const)])
   return { state: { ...state, resumedAtMs }, effects: paused.map(known => createFenceEffect(state, known, true)) }
@@ -25,7 +25,7 @@
  */
 export function createFenceEffect (state: SuccessionState, { entry }: TrackedDatabase, receives: boolean): FenceReplica {
   const { group, database, address } = entry
-  const terms = listMembers(state, group).map(({ status }) => Math.max(status?.position.term ?? 0, status?.fencedTerm ?? 0))
+  const terms = listRunning(state, group).map(({ status }) => Math.max(status?.position.term ?? 0, status?.fencedTerm ?? 0))
   return { kind: 'database/fence', group, database, address, term: Math.max(0, ...terms) + 1, receives }
 }
 
@@ -33,6 +33,6 @@
   return (status?.fencedTerm ?? 0) > 0 && nowMs - (resumedAtMs.get(entry.database) ?? -Infinity) >= RESUME_RETRY_DELAY_MS
 }
 
-function listMembers ({ members }: SuccessionState, group: string): readonly TrackedDatabase[] {
-  return [...members.values()].filter(({ entry, ended }) => entry.group === group && ended === undefined)
+function listRunning (state: SuccessionState, group: string): readonly TrackedDatabase[] {
+  return listReplicaSet(state, group).filter(({ ended }) => ended === undefined)
 }
--- a/src/succession/replicaset.ts
+++ b/src/succession/replicaset.ts
@@ -8,7 +8,7 @@
 import { dropCold, type DatabaseEntry } from '../membership/directory.js'
 import { tell } from '../messages.js'
 import type { SuccessionState, TrackedDatabase } from './state.js'
-import { createStep, isCopied, PROPOSAL_TIMEOUT_MS, type SuccessionStep } from './steps.js'
+import { createStep, isCopied, listReplicaSet, PROPOSAL_TIMEOUT_MS, type SuccessionStep } from './steps.js'
 import { describeWriters } from './writers.js'
 
 /**
@@ -104,7 +104,7 @@
   const stored = getOwn(state.replicaSets, group) ?? { members: {} }
   const isProposed = nowMs - (state.replicasProposedAtMs.get(group) ?? -Infinity) < PROPOSAL_TIMEOUT_MS
   if (isProposed) return createStep(state)
-  const members = isCopied(state, group) ? [...state.members.values()].filter(({ entry }) => entry.group === group) : []
+  const members = isCopied(state, group) ? listReplicaSet(state, group) : []
   const present = members.map(createRecord).filter(record => !isSame(getOwn(stored.members, record.entry.database), record))
   const covered = Object.keys(stored.members).filter(database => !members.some(({ entry }) => entry.database === database))
   const writers = members.length === 0 ? undefined : findChangedWriters(state, group, stored.writers)
--- a/src/succession/steps.ts
+++ b/src/succession/steps.ts
@@ -32,6 +32,14 @@
   return (requiredCopies.get(group) ?? 0) > 0
 }
 
+/**
+ * Lists the databases of a group's replica set, including those that are silent or have ended.
+ * @example listReplicaSet(state, 'a').length
+ */
+export function listReplicaSet ({ members }: SuccessionState, group: string): readonly TrackedDatabase[] {
+  return [...members.values()].filter(({ entry }) => entry.group === group)
+}
+
 /**
  * Tells whether the last appointment of a group has to settle before the next one begins.
  * @example isAppointmentSettling(state, 'a', nowMs)
--- a/test/support/copiedwritesoak.ts
+++ b/test/support/copiedwritesoak.ts
@@ -48,7 +48,6 @@
   /** When the last database that had stopped was running again. */
   #stoppedAtMs = -Infinity
   #names = 0
-  #hasFaults = true
   #isWriting = true
 
   private constructor (seed: number) {
@@ -81,7 +80,6 @@
       this.#drawFault()
       await sleep(this.#random() * MAX_PAUSE_MS)
     }
-    this.#hasFaults = false
     await Promise.all(this.#running)
     for (const { member } of this.#deployment.databases) member.replicating = true
     const calmAtMs = this.#readMs()
